Rate owner's books in the replicated state; a newcomer votes only with data

Cause 1: after the loss of the leader, VMs that had no part of a customer's bucket refused its requests for up to 15 s, since a new owner could not know what parts were out. Ruled out: a shorter grace (breaks the bound through a 5 s freeze), guessing from the members' list (not provable). Change: grants that change a part go out only after the books that allow for them are in the log; a new owner goes on from the books; the grace is gone.

Cause 2: a replacement VM became a voter with an empty log. The test that lost a second VM right after the repair found the group without a quorum: the newcomer dropped its answers since it did not know its leader's folder by name, and "caught up" was true for a short log. Change: a folder is known from its messages; caught up means that it holds the entry that admitted it.

--- a/node/node.c
+++ b/node/node.c
@@ -251,7 +251,7 @@
     bbm_bytes inner;
     switch (kind) {
     case NODE_RAFT:
-        return node_control_raft(n, rd);
+        return node_control_raft(n, from, rd);
     case NODE_MEMBERS:
         inner = bbm_get_bytes(rd);
         return rd->failed ? BBM_ERR_DECODE
@@ -442,6 +442,7 @@
     n->fresh_at = desc->now - n->desc.cut_bound;
     TAILQ_INIT(&n->actions);
     TAILQ_INIT(&n->waiting_rate);
+    STAILQ_INIT(&n->held_grants);
     n->state = bbm_state_create(&(bbm_state_desc){0});
     create_members(n);
     bbm_fleet_desc fleet = {.seed = desc->seed, .policy = desc->policy};
@@ -502,7 +503,7 @@
         free_action(q);
     }
     free_action(n->taken);
-    bbm_rate_owner_destroy(n->owner);
+    node_rate_resign(n);
     bbm_rate_holder_destroy(n->holder);
     bbm_burn_destroy(n->burn);
     bbm_fleet_destroy(n->fleet);
--- a/node/node_control.c
+++ b/node/node_control.c
@@ -88,6 +88,19 @@
         send_hello(n, n->leader);
 }
 
+static node_disk *
+disk_of(bbm_node *n, const char *name)
+{
+    node_disk *d = NULL;
+    HASH_FIND_STR(n->disks, name, d);
+    if (!d) {
+        d = bbm_calloc(1, sizeof(*d));
+        bbm_name_set(d->name, name);
+        HASH_ADD_STR(n->disks, name, d);
+    }
+    return d;
+}
+
 int
 node_control_hello(bbm_node *n, const char *from, bbm_reader *rd)
 {
@@ -95,13 +108,7 @@
     bool fresh = bbm_get_u32(rd, 1) != 0;
     if (!bbm_reader_done(rd) || !id)
         return BBM_ERR_DECODE;
-    node_disk *d = NULL;
-    HASH_FIND_STR(n->disks, from, d);
-    if (!d) {
-        d = bbm_calloc(1, sizeof(*d));
-        bbm_name_set(d->name, from);
-        HASH_ADD_STR(n->disks, name, d);
-    }
+    node_disk *d = disk_of(n, from);
     d->id = id;
     d->fresh = fresh;
     d->heard = n->now;
@@ -253,13 +260,17 @@
 }
 
 int
-node_control_raft(bbm_node *n, bbm_reader *rd)
+node_control_raft(bbm_node *n, const char *from, bbm_reader *rd)
 {
     bbm_bytes inner = bbm_get_bytes(rd);
     if (!bbm_reader_done(rd))
         return BBM_ERR_DECODE;
     if (!n->raft)
         return BBM_OK;
+    /* A newcomer knows its leader's folder from here alone. */
+    bbm_member_id sender = bbm_raft_sender(inner.data, inner.len);
+    if (sender)
+        disk_of(n, from)->id = sender;
     /* A message for the folder that this VM had before is no fault. */
     bbm_raft_receive(n->raft, inner.data, inner.len, n->now);
     return BBM_OK;
@@ -287,7 +298,9 @@
             node_relay_push(n);
         }
     }
+    n->applied = e->index;
     node_propose_applied(n, e->index, &out);
+    node_rate_applied(n);
     bbm_outcome_free(&out);
 }
 
@@ -310,6 +323,7 @@
                               out->u.restore.data.len);
     if (rc < 0)
         node_log(n, BBM_EVENT_STORE_FAILED, "snapshot", bbm_code_name(rc));
+    n->applied = out->u.restore.index;
     node_log(n, BBM_EVENT_INSTALLED, "", "");
     node_configure(n);
     node_relay_push(n);
@@ -335,9 +349,9 @@
     }
     if (role == BBM_LEADER) {
         n->lead_from = bbm_raft_last(n->raft);
-        node_rate_update(n, false);
     }
     else {
+        node_rate_resign(n);
         node_propose_forget(n);
         node_orders_forget(n);
     }
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -164,6 +164,13 @@
     bbm_time until;           /**< Give up. */
 } node_replacement;
 
+/** A grant that waits until the books are agreed. */
+typedef struct node_grant {
+    bbm_rate_grant grant; /**< To send. */
+    uint64_t index;       /**< Of its books; 0: not written yet. */
+    STAILQ_ENTRY(node_grant) link; /**< In order. */
+} node_grant;
+
 /** An action in the queue. */
 typedef struct node_queued {
     bbm_action action;             /**< What to do. */
@@ -209,7 +216,10 @@
     bbm_rate_holder *holder;  /**< Our parts of the buckets. */
     bbm_rate_owner *owner;    /**< Leader only. */
     uint64_t owner_term;      /**< Term of its office. */
-    uint64_t lead_from;       /**< Last index when our leadership began. */
+    uint64_t lead_from;       /**< First index of our leadership. */
+    uint64_t applied;         /**< Last index of the log applied here. */
+    STAILQ_HEAD(, node_grant) held_grants; /**< Wait for the books. */
+    uint64_t books_index;     /**< Of the last books in the log. */
     bbm_time rate_at;         /**< Next look at the rates. */
     bbm_retry_budget retries; /**< For repeatable requests. */
     node_tenant *tenants;     /**< Open requests. */
@@ -259,7 +269,7 @@
 /** Time has passed. */
 void node_control_tick(bbm_node *n);
 /** A message of the log came in. */
-int node_control_raft(bbm_node *n, bbm_reader *rd);
+int node_control_raft(bbm_node *n, const char *from, bbm_reader *rd);
 /** An identity came in. */
 int node_control_hello(bbm_node *n, const char *from, bbm_reader *rd);
 /** Carry out what the log's member put out. */
@@ -365,6 +375,10 @@
                       bbm_reader *rd);
 /** Leadership or configuration changed. */
 void node_rate_update(bbm_node *n, bool new_revision);
+/** Leadership ended: the books are another's. */
+void node_rate_resign(bbm_node *n);
+/** An entry of the log was applied: books may be agreed. */
+void node_rate_applied(bbm_node *n);
 /** Try to take a request's tokens; refuses or goes on. */
 void node_rate_try(bbm_node *n, node_request *r);
 /** Count tokens of a request as run, up to a total. */
--- a/node/node_rate.c
+++ b/node/node_rate.c
@@ -7,8 +7,6 @@
    leads. */
 
 #define RATE_PERIOD (20 * BBM_MS)
-/* The members that must report are known after this time in office. */
-#define EXPECT_AFTER (2 * BBM_SECOND)
 #define RETRY_LEAST (100 * BBM_MS)
 #define RETRY_MOST (60 * BBM_SECOND)
 
@@ -104,66 +102,145 @@
 
 /* ---- owner ---- */
 
+static void
+drop_held(bbm_node *n)
+{
+    node_grant *g;
+    while ((g = STAILQ_FIRST(&n->held_grants)) != NULL) {
+        STAILQ_REMOVE_HEAD(&n->held_grants, link);
+        bbm_buf_free(&g->grant.bytes);
+        free(g);
+    }
+    n->books_index = 0;
+}
+
+void
+node_rate_resign(bbm_node *n)
+{
+    drop_held(n);
+    bbm_rate_owner_destroy(n->owner);
+    n->owner = NULL;
+}
+
+static void
+take_customer(bbm_node *n, const bbm_customer *c, bool begins)
+{
+    bbm_rate_owner_customer(n->owner, c->name,
+                            (double)c->rate_ref->tokens_per_s,
+                            (double)c->rate_ref->burst, n->now);
+    bbm_bytes books;
+    if (begins && bbm_state_books(n->state, c->name, &books))
+        bbm_rate_owner_restore(n->owner, c->name, books.data, books.len,
+                               n->now);
+}
+
+/* Into office with the first applied entry of the own term: by then all the
+   books of earlier owners are applied too. */
 void
 node_rate_update(bbm_node *n, bool new_revision)
 {
-    /* The books are kept through a lapse of the lease within a term: nobody
-       else was owner meanwhile, and the grants' numbers must not restart. */
     bool in_office = n->raft && bbm_raft_role_of(n->raft) == BBM_LEADER;
     uint64_t term = n->raft ? bbm_raft_term(n->raft) : 0;
-    if (n->owner && (!in_office || term != n->owner_term)) {
-        bbm_rate_owner_destroy(n->owner);
-        n->owner = NULL;
-    }
-    bool begins = in_office && !n->owner;
+    if (n->owner && (!in_office || term != n->owner_term))
+        node_rate_resign(n);
+    bool begins = !n->owner && in_office && node_leads(n)
+                  && n->applied >= n->lead_from;
     if (begins) {
-        n->owner_term = term;
         bbm_rate_desc desc = {.epoch = term};
         bbm_name_set(desc.node, n->desc.name);
-        n->owner = bbm_rate_owner_create(&desc, n->now);
+        n->owner_term = term;
+        n->owner = bbm_rate_owner_create(&desc);
     }
     const bbm_config *cfg = node_config(n);
     if (!n->owner || !cfg || !(begins || new_revision))
         return;
-    /* A customer that came with an entry of this leadership has not run a
-       token under another owner. */
-    bool is_new = !begins && bbm_state_public_index(n->state) > n->lead_from;
-    for (const bbm_customer *c = cfg->customers; c; c = c->hh.next) {
-        bbm_rate_owner_customer(n->owner, c->name,
-                                (double)c->rate_ref->tokens_per_s,
-                                (double)c->rate_ref->burst, is_new, n->now);
+    for (const bbm_customer *c = cfg->customers; c; c = c->hh.next)
+        take_customer(n, c, begins);
+}
+
+static void
+send_grant(bbm_node *n, const bbm_rate_grant *grant)
+{
+    if (strcmp(grant->node, n->desc.name) == 0) {
+        size_t changed;
+        bbm_rate_granted(n->holder, grant->bytes.data, grant->bytes.len,
+                         n->now, &changed);
+        return;
     }
+    bbm_buf *buf = node_send(n, grant->node, NODE_GRANT);
+    bbm_put_bytes(buf, grant->bytes.data, grant->bytes.len);
 }
 
+/* Put the books that allow for the held grants into the log. */
 static void
-expect_members(bbm_node *n)
+write_books(bbm_node *n)
 {
-    size_t count = bbm_members_count(n->members);
-    const char **names = bbm_calloc(count, sizeof(*names));
-    for (size_t i = 0; i < count; i++)
-        names[i] = bbm_members_at(n->members, i)->name;
-    bbm_rate_owner_expect(n->owner, names, count);
-    free(names);
+    char customer[BBM_NAME_SIZE];
+    bbm_buf books = {0};
+    while (bbm_rate_owner_books(n->owner, customer, &books)) {
+        bbm_command cmd = {.kind = BBM_CMD_BOOKS, .at_ms = n->wall_ms};
+        bbm_name_set(cmd.u.books.customer, customer);
+        cmd.u.books.books = bbm_buf_view(&books);
+        bbm_buf bytes = {0};
+        uint64_t index = 0;
+        bbm_command_encode(&cmd, &bytes);
+        if (bbm_raft_propose(n->raft, bytes.data, bytes.len, n->now, &index)
+            == BBM_OK)
+            n->books_index = index;
+        bbm_buf_free(&bytes);
+        books.len = 0;
+    }
+    bbm_buf_free(&books);
 }
 
+/* Grants that change a part wait for the books; others go at once.  Those
+   that come while books are under way wait for the next. */
 static void
 send_grants(bbm_node *n)
 {
     bbm_rate_grant grant;
     while (n->owner && bbm_rate_owner_take(n->owner, &grant)) {
-        if (strcmp(grant.node, n->desc.name) == 0) {
-            size_t changed;
-            bbm_rate_granted(n->holder, grant.bytes.data, grant.bytes.len,
-                             n->now, &changed);
+        if (!grant.changes) {
+            send_grant(n, &grant);
+            bbm_buf_free(&grant.bytes);
+            continue;
         }
-        else {
-            bbm_buf *buf = node_send(n, grant.node, NODE_GRANT);
-            bbm_put_bytes(buf, grant.bytes.data, grant.bytes.len);
-        }
-        bbm_buf_free(&grant.bytes);
+        node_grant *g = bbm_calloc(1, sizeof(*g));
+        g->grant = grant;
+        STAILQ_INSERT_TAIL(&n->held_grants, g, link);
+    }
+    bool under_way = n->books_index > n->applied;
+    if (!n->owner || under_way || STAILQ_EMPTY(&n->held_grants))
+        return;
+    write_books(n);
+    node_grant *g;
+    STAILQ_FOREACH(g, &n->held_grants, link)
+    {
+        g->index = n->books_index;
     }
 }
 
+void
+node_rate_applied(bbm_node *n)
+{
+    node_grant *g;
+    bool any = false;
+    if (!n->owner)
+        return;
+    while ((g = STAILQ_FIRST(&n->held_grants)) != NULL && g->index
+           && g->index <= n->applied) {
+        STAILQ_REMOVE_HEAD(&n->held_grants, link);
+        send_grant(n, &g->grant);
+        bbm_buf_free(&g->grant.bytes);
+        free(g);
+        any = true;
+    }
+    if (!any)
+        return;
+    send_grants(n);
+    try_waiting(n);
+}
+
 /* ---- messages ---- */
 
 static void
@@ -219,10 +296,8 @@
     n->rate_at = n->now + RATE_PERIOD;
     node_rate_update(n, false);
     if (n->owner && node_leads(n)) {
-        if (bbm_rate_owner_in_grace(n->owner)
-            && n->now - n->configured_at > EXPECT_AFTER)
-            expect_members(n);
         bbm_rate_owner_tick(n->owner, n->now);
+        send_grants(n);
     }
     report(n);
     try_waiting(n);
--- a/raft/bbm_raft.h
+++ b/raft/bbm_raft.h
@@ -173,6 +173,9 @@
 int bbm_raft_receive(bbm_raft *r, const uint8_t *data, size_t len,
                      bbm_time now);
 
+/** Who sent a message, by its own word; 0 if it is malformed. */
+bbm_member_id bbm_raft_sender(const uint8_t *data, size_t len);
+
 /** Everything up to a BBM_RAFT_PERSIST with this number is synced. */
 void bbm_raft_persisted(bbm_raft *r, uint64_t seq, bbm_time now);
 
--- a/raft/raft_message.c
+++ b/raft/raft_message.c
@@ -83,3 +83,13 @@
     m->entries = NULL;
     return BBM_ERR_DECODE;
 }
+
+bbm_member_id
+bbm_raft_sender(const uint8_t *data, size_t len)
+{
+    bbm_reader rd = bbm_reader_of(data, len);
+    uint64_t format = bbm_get_u64(&rd);
+    bbm_get_u64(&rd);
+    bbm_member_id from = bbm_get_u64(&rd);
+    return format == FORMAT && !rd.failed ? from : 0;
+}
--- a/raft/raft_replicate.c
+++ b/raft/raft_replicate.c
@@ -300,8 +300,11 @@
     int pos = raft_position(r, id);
     if (pos < 0)
         return false;
-    return r->peers[pos].match + CAUGHT_UP_ENTRIES >= raft_log_last(&r->log)
-           && r->peers[pos].match >= r->log.snapshot.index;
+    /* It has at least the entry that admitted it, and little is missing. */
+    uint64_t match = r->peers[pos].match;
+    uint64_t admitted = raft_log_group_index(&r->log);
+    return match > 0 && match >= admitted && match >= r->log.snapshot.index
+           && match + CAUGHT_UP_ENTRIES >= raft_log_last(&r->log);
 }
 
 static int
--- a/rate/bbm_rate.h
+++ b/rate/bbm_rate.h
@@ -21,8 +21,8 @@
  *
  *  Owner, on the leader of the control VMs:
  *
- *      bbm_rate_owner *o = bbm_rate_owner_create(&desc, now);
- *      bbm_rate_owner_customer(o, "jardin", rate, burst, is_new, now);
+ *      bbm_rate_owner *o = bbm_rate_owner_create(&desc);
+ *      bbm_rate_owner_customer(o, "jardin", rate, burst, now);
  *      bbm_rate_owner_report(o, bytes, len, now);    a report came in
  *      while (bbm_rate_owner_take(o, &grant)) ...    grants to send
  *
@@ -37,9 +37,9 @@
  *  - A holder stops by its own clock when its lease ends; the owner takes the
  *    part back only after `reclaim`, which is longer by the drift of clocks,
  *    the longest freeze and the time to cut streams.
- *  - A new owner starts with an empty pool, learns the parts from reports,
- *    and fills the pool when every holder it must expect has reported or the
- *    reclaim time has passed.
+ *  - The owner's books are kept in the replicated state: a grant goes out
+ *    only after the books that allow for it are agreed.  A new owner goes on
+ *    from them; nothing was ever granted to a customer without books.
  */
 #ifndef BBM_RATE_H
 #define BBM_RATE_H
@@ -55,7 +55,6 @@
     bbm_time lease;           /**< A holder's lease; 0: 5 s. */
     bbm_time reclaim;         /**< Owner's patience; 0: 15 s. */
     bool unsafe_no_reserve;   /**< Tests only: forget what has not run. */
-    bool unsafe_no_grace;     /**< Tests only: fill the pool at once. */
 } bbm_rate_desc;
 
 /** Answer of a holder. */
@@ -112,26 +111,28 @@
 /** A message from the owner to a holder. */
 typedef struct bbm_rate_grant {
     char node[BBM_NAME_SIZE]; /**< The holder. */
+    bool changes;             /**< Not before the books are agreed. */
     bbm_buf bytes;            /**< Message; the taker frees it. */
 } bbm_rate_grant;
 
-/** An owner with empty pools. */
-bbm_rate_owner *bbm_rate_owner_create(const bbm_rate_desc *desc, bbm_time now);
+/** An owner without customers. */
+bbm_rate_owner *bbm_rate_owner_create(const bbm_rate_desc *desc);
 /** Release; NULL is allowed. */
 void bbm_rate_owner_destroy(bbm_rate_owner *o);
 
-/** A customer's rate and burst.  @p is_new: it was created under this owner,
- *  so nobody can have run a token and its pool starts full. */
+/** A customer's rate and burst; its pool starts full. */
 void bbm_rate_owner_customer(bbm_rate_owner *o, const char *customer,
-                             double rate, double burst, bool is_new,
-                             bbm_time now);
-/** Holders that must report before the pools may be filled early: once each
- *  of these names has reported, no part is unknown. */
-void bbm_rate_owner_expect(bbm_rate_owner *o, const char *const *nodes,
-                           size_t len);
+                             double rate, double burst, bbm_time now);
 /** A report came in. */
 int bbm_rate_owner_report(bbm_rate_owner *o, const uint8_t *data, size_t len,
                           bbm_time now);
+/** Append the books of a customer that changed since they were last asked
+ *  for, and its name to @p customer; false if there is none. */
+bool bbm_rate_owner_books(bbm_rate_owner *o, char customer[BBM_NAME_SIZE],
+                          bbm_buf *buf);
+/** Go on from the books of an earlier owner.  BBM_ERR_DECODE. */
+int bbm_rate_owner_restore(bbm_rate_owner *o, const char *customer,
+                           const uint8_t *data, size_t len, bbm_time now);
 /** Time has passed. */
 void bbm_rate_owner_tick(bbm_rate_owner *o, bbm_time now);
 /** Move the next grant into @p grant; false if there is none. */
@@ -139,7 +140,5 @@
 /** What the owner has left of a customer: capacity, rate, level. */
 bbm_rate_part bbm_rate_owner_pool(const bbm_rate_owner *o,
                                   const char *customer);
-/** True while parts of unknown holders may be out. */
-bool bbm_rate_owner_in_grace(const bbm_rate_owner *o);
 
 #endif
--- a/rate/rate_owner.c
+++ b/rate/rate_owner.c
@@ -19,6 +19,14 @@
 #define PULL_LEAST 10.0
 /* A grant that isn't confirmed is sent again after this. */
 #define RESEND (60 * BBM_MS)
+/* Holdings that one owner may begin. */
+#define LIFE_BITS 32
+#define BOOKS_FORMAT 1
+/* Echo of a holder that is known from the books alone. */
+#define NEVER_HEARD INT64_MIN
+#define HOLDERS_MOST 4096
+/* Tokens in the books are in thousandths. */
+#define BOOKS_SCALE 1000.0
 
 typedef struct holding {
     char node[BBM_NAME_SIZE];
@@ -44,7 +52,7 @@
     double rate;
     double burst;
     double level; /* of the pool */
-    bool is_new;  /* no part can be unknown */
+    bool changed; /* since the books were asked for */
     bbm_time at;
     holding *holdings;
     UT_hash_handle hh;
@@ -68,22 +76,18 @@
     account *accounts;
     holder_row *holders;
     uint64_t lives;
-    bbm_time since;
-    bool grace;
-    char (*expected)[BBM_NAME_SIZE];
-    size_t expected_len;
     TAILQ_HEAD(, queued_grant) grants;
 };
 
 bbm_rate_owner *
-bbm_rate_owner_create(const bbm_rate_desc *desc, bbm_time now)
+bbm_rate_owner_create(const bbm_rate_desc *desc)
 {
     bbm_rate_owner *o = bbm_calloc(1, sizeof(*o));
     o->desc = *desc;
     if (!o->desc.reclaim)
         o->desc.reclaim = RATE_RECLAIM;
-    o->since = now;
-    o->grace = !desc->unsafe_no_grace;
+    /* Lives of a later owner are later. */
+    o->lives = desc->epoch << LIFE_BITS;
     TAILQ_INIT(&o->grants);
     return o;
 }
@@ -123,7 +127,6 @@
         bbm_buf_free(&q->grant.bytes);
         free(q);
     }
-    free(o->expected);
     free(o);
 }
 
@@ -142,18 +145,16 @@
     }
 }
 
-/* Capacity and rate that no holder has; none while parts may be unknown. */
+/* Capacity and rate that no holder has. */
 static void
-pool_of(const bbm_rate_owner *o, const account *a, double *capacity,
-        double *rate)
+pool_of(const account *a, double *capacity, double *rate)
 {
     double held_capacity;
     double held_rate;
     double demand;
     sum_parts(a, &held_capacity, &held_rate, &demand);
-    bool closed = o->grace && !a->is_new;
-    *capacity = closed ? 0 : a->burst - held_capacity;
-    *rate = closed ? 0 : a->rate - held_rate;
+    *capacity = a->burst - held_capacity;
+    *rate = a->rate - held_rate;
     if (*capacity < 0)
         *capacity = 0;
     if (*rate < 0)
@@ -161,11 +162,11 @@
 }
 
 static void
-refresh(const bbm_rate_owner *o, account *a, bbm_time now)
+refresh(account *a, bbm_time now)
 {
     double capacity;
     double rate;
-    pool_of(o, a, &capacity, &rate);
+    pool_of(a, &capacity, &rate);
     if (now > a->at) {
         a->level += rate * (double)(now - a->at) / (double)BBM_SECOND;
         a->at = now;
@@ -176,35 +177,24 @@
 
 void
 bbm_rate_owner_customer(bbm_rate_owner *o, const char *customer, double rate,
-                        double burst, bool is_new, bbm_time now)
+                        double burst, bbm_time now)
 {
     account *a = NULL;
     HASH_FIND_STR(o->accounts, customer, a);
     if (!a) {
         a = bbm_calloc(1, sizeof(*a));
         bbm_name_set(a->customer, customer);
-        a->is_new = is_new;
-        a->level = is_new ? burst : 0;
+        a->level = burst;
         a->at = now;
         HASH_ADD_STR(o->accounts, customer, a);
     }
     else {
-        refresh(o, a, now);
+        refresh(a, now);
     }
     a->rate = rate;
     a->burst = burst;
 }
 
-void
-bbm_rate_owner_expect(bbm_rate_owner *o, const char *const *nodes, size_t len)
-{
-    free(o->expected);
-    o->expected = bbm_calloc(len, BBM_NAME_SIZE);
-    o->expected_len = len;
-    for (size_t i = 0; i < len; i++)
-        bbm_name_set(o->expected[i], nodes[i]);
-}
-
 bbm_rate_part
 bbm_rate_owner_pool(const bbm_rate_owner *o, const char *customer)
 {
@@ -213,17 +203,11 @@
     HASH_FIND_STR(o->accounts, customer, a);
     if (!a)
         return part;
-    pool_of(o, a, &part.capacity, &part.rate);
+    pool_of(a, &part.capacity, &part.rate);
     part.level = a->level;
     return part;
 }
 
-bool
-bbm_rate_owner_in_grace(const bbm_rate_owner *o)
-{
-    return o->grace;
-}
-
 /* ---- dealing ---- */
 
 static double
@@ -240,12 +224,12 @@
 } pool_view;
 
 static pool_view
-view_pool(const bbm_rate_owner *o, const account *a)
+view_pool(const account *a)
 {
     pool_view v;
     double capacity;
     double rate;
-    pool_of(o, a, &v.capacity, &v.rate);
+    pool_of(a, &v.capacity, &v.rate);
     sum_parts(a, &capacity, &rate, &v.demand);
     return v;
 }
@@ -312,11 +296,11 @@
 }
 
 static bool
-make_deal(const bbm_rate_owner *o, account *a, holding *h, rate_grant_row *row)
+make_deal(account *a, holding *h, rate_grant_row *row)
 {
     if (is_awaited(a, h))
         return false;
-    pool_view v = view_pool(o, a);
+    pool_view v = view_pool(a);
     double add;
     double capacity = deal_capacity(a, h, &v, &add);
     double share = v.demand > 0 ? h->demand / v.demand : 0;
@@ -327,6 +311,7 @@
     bool idle = h->demand <= 0 && (h->capacity > 0 || h->rate > 0);
     if (small && !pending && !idle && add <= 0)
         return false;
+    a->changed = true;
     h->added += add;
     fill_row(a, h, capacity, rate, row);
     if (capacity > h->capacity)
@@ -341,9 +326,10 @@
 
 /* Ask a holder for tokens that another one is short of. */
 static double
-make_pull(const account *a, holding *h, double short_of, rate_grant_row *row)
+make_pull(account *a, holding *h, double short_of, rate_grant_row *row)
 {
     double take = at_most(h->level * PULL_SHARE, short_of);
+    a->changed = true;
     h->asked += take;
     fill_row(a, h, h->capacity > take ? h->capacity - take : 0, h->rate, row);
     h->level -= take;
@@ -356,7 +342,7 @@
 {
     holder_row *r = NULL;
     HASH_FIND_STR(o->holders, node, r);
-    if (!r)
+    if (!r || r->echo == NEVER_HEARD)
         return;
     rate_grant g = {
         .epoch = o->desc.epoch,
@@ -367,6 +353,7 @@
     };
     queued_grant *q = bbm_calloc(1, sizeof(*q));
     bbm_name_set(q->grant.node, node);
+    q->grant.changes = len > 0;
     rate_grant_encode(&g, &q->grant.bytes);
     TAILQ_INSERT_TAIL(&o->grants, q, link);
 }
@@ -421,7 +408,7 @@
 {
     rate_grant_row row;
     for (holding *h = a->holdings; h; h = h->hh.next) {
-        if (h->want > 0 && make_deal(o, a, h, &row))
+        if (h->want > 0 && make_deal(a, h, &row))
             send_grant(o, h->node, &row, 1);
     }
     double short_of = still_short(a);
@@ -455,7 +442,7 @@
 take_report_row(bbm_rate_owner *o, account *a, const rate_report *r,
                 const rate_report_row *row, bbm_time now)
 {
-    refresh(o, a, now);
+    refresh(a, now);
     holding *h = holding_of(o, a, r);
     /* Grants of another life are not ours to count. */
     h->taken = row->life == h->life ? row->seq : 0;
@@ -471,7 +458,7 @@
     h->level = row->level;
     h->demand = row->demand;
     h->want = row->want;
-    refresh(o, a, now);
+    refresh(a, now);
 }
 
 static bool
@@ -504,7 +491,7 @@
         }
         h->demand = 0;
         h->want = 0;
-        if (make_deal(o, a, h, &rows[len]))
+        if (make_deal(a, h, &rows[len]))
             len++;
     }
     return len;
@@ -532,31 +519,6 @@
     return true;
 }
 
-static bool
-all_expected_heard(const bbm_rate_owner *o)
-{
-    for (size_t i = 0; i < o->expected_len; i++) {
-        holder_row *row = NULL;
-        HASH_FIND_STR(o->holders, o->expected[i], row);
-        if (!row)
-            return false;
-    }
-    return o->expected_len > 0;
-}
-
-static void
-end_grace(bbm_rate_owner *o, bbm_time now)
-{
-    if (!o->grace)
-        return;
-    bool over = now - o->since >= o->desc.reclaim;
-    if (!over && !all_expected_heard(o))
-        return;
-    o->grace = false;
-    for (account *a = o->accounts; a; a = a->hh.next)
-        a->at = now;
-}
-
 int
 bbm_rate_owner_report(bbm_rate_owner *o, const uint8_t *data, size_t len,
                       bbm_time now)
@@ -580,7 +542,7 @@
             continue;
         take_report_row(o, a, &r, &r.rows[i], now);
         holding *h = holding_of(o, a, &r);
-        if (make_deal(o, a, h, &rows[rows_len]))
+        if (make_deal(a, h, &rows[rows_len]))
             rows_len++;
     }
     send_grant(o, r.node, rows, rows_len);
@@ -592,7 +554,6 @@
             serve_waiting(o, a);
     }
     free(r.rows);
-    end_grace(o, now);
     return BBM_OK;
 }
 
@@ -600,7 +561,6 @@
 void
 bbm_rate_owner_tick(bbm_rate_owner *o, bbm_time now)
 {
-    end_grace(o, now);
     holder_row *r, *next;
     HASH_ITER(hh, o->holders, r, next)
     {
@@ -611,7 +571,7 @@
             HASH_FIND_STR(a->holdings, r->node, h);
             if (!h)
                 continue;
-            refresh(o, a, now);
+            refresh(a, now);
             HASH_DEL(a->holdings, h);
             free(h);
         }
@@ -619,3 +579,89 @@
         free(r);
     }
 }
+
+/* ---- books ---- */
+
+static void
+put_tokens(bbm_buf *buf, double tokens)
+{
+    bbm_put_u64(buf, tokens > 0 ? (uint64_t)(tokens * BOOKS_SCALE) : 0);
+}
+
+static double
+get_tokens(bbm_reader *rd)
+{
+    return (double)bbm_get_u64(rd) / BOOKS_SCALE;
+}
+
+bool
+bbm_rate_owner_books(bbm_rate_owner *o, char customer[BBM_NAME_SIZE],
+                     bbm_buf *buf)
+{
+    account *a = o->accounts;
+    while (a && !a->changed)
+        a = a->hh.next;
+    if (!a)
+        return false;
+    a->changed = false;
+    bbm_name_set(customer, a->customer);
+    bbm_put_u64(buf, BOOKS_FORMAT);
+    put_tokens(buf, a->level);
+    bbm_put_u64(buf, HASH_COUNT(a->holdings));
+    for (const holding *h = a->holdings; h; h = h->hh.next) {
+        bbm_put_str(buf, h->node);
+        bbm_put_u64(buf, h->run);
+        /* Never less than what the holder may have. */
+        put_tokens(buf, h->capacity + 1);
+        put_tokens(buf, h->rate + 1);
+    }
+    return true;
+}
+
+static void
+restore_holding(bbm_rate_owner *o, account *a, bbm_reader *rd, bbm_time now)
+{
+    rate_report r = {0};
+    bbm_get_name(rd, r.node);
+    r.run = bbm_get_u64(rd);
+    double capacity = get_tokens(rd);
+    double rate = get_tokens(rd);
+    if (rd->failed)
+        return;
+    holding *h = holding_of(o, a, &r);
+    h->capacity = capacity;
+    h->rate = rate;
+    /* Its time to be heard begins now. */
+    holder_row *row = NULL;
+    HASH_FIND_STR(o->holders, r.node, row);
+    if (!row) {
+        row = bbm_calloc(1, sizeof(*row));
+        bbm_name_set(row->node, r.node);
+        HASH_ADD_STR(o->holders, node, row);
+    }
+    if (r.run > row->run)
+        row->run = r.run;
+    row->heard = now;
+    row->echo = NEVER_HEARD;
+}
+
+int
+bbm_rate_owner_restore(bbm_rate_owner *o, const char *customer,
+                       const uint8_t *data, size_t len, bbm_time now)
+{
+    account *a = NULL;
+    HASH_FIND_STR(o->accounts, customer, a);
+    if (!a)
+        return BBM_OK;
+    bbm_reader rd = bbm_reader_of(data, len);
+    bool known = bbm_get_u64(&rd) == BOOKS_FORMAT;
+    double level = get_tokens(&rd);
+    size_t count = bbm_get_u32(&rd, HOLDERS_MOST);
+    for (size_t i = 0; i < count && known && !rd.failed; i++)
+        restore_holding(o, a, &rd, now);
+    if (!known || !bbm_reader_done(&rd))
+        return BBM_ERR_DECODE;
+    a->level = level;
+    a->at = now;
+    return BBM_OK;
+}
--- a/state/bbm_command.c
+++ b/state/bbm_command.c
@@ -114,6 +114,10 @@
     case BBM_CMD_ORDER_PAUSE:
         bbm_put_u64(buf, cmd->u.order_pause.on);
         return;
+    case BBM_CMD_BOOKS:
+        bbm_put_str(buf, cmd->u.books.customer);
+        bbm_put_bytes(buf, cmd->u.books.books.data, cmd->u.books.books.len);
+        return;
     case BBM_CMD_KINDS:
         return;
     }
@@ -195,6 +199,10 @@
     case BBM_CMD_ORDER_PAUSE:
         cmd->u.order_pause.on = bbm_get_u32(rd, 1) != 0;
         return;
+    case BBM_CMD_BOOKS:
+        bbm_get_name(rd, cmd->u.books.customer);
+        cmd->u.books.books = bbm_get_bytes(rd);
+        return;
     case BBM_CMD_KINDS:
         return;
     }
--- a/state/bbm_command.h
+++ b/state/bbm_command.h
@@ -35,6 +35,7 @@
     BBM_CMD_ORDER,        /**< An order to an engine. */
     BBM_CMD_ORDER_END,    /**< What came of it. */
     BBM_CMD_ORDER_PAUSE,  /**< Stop or go on with weight loading. */
+    BBM_CMD_BOOKS,        /**< The rate owner's books of a customer. */
     BBM_CMD_KINDS,        /**< Number of kinds. */
 } bbm_command_kind;
 
@@ -115,6 +116,10 @@
         struct {
             bool on; /**< Paused or not. */
         } order_pause;
+        struct {
+            char customer[BBM_NAME_SIZE]; /**< Whose bucket. */
+            bbm_bytes books;              /**< As the owner wrote them. */
+        } books;
     } u; /**< By kind. */
 } bbm_command;
 
--- a/state/bbm_registry.c
+++ b/state/bbm_registry.c
@@ -325,6 +325,7 @@
     case BBM_CMD_ORDER:
     case BBM_CMD_ORDER_END:
     case BBM_CMD_ORDER_PAUSE:
+    case BBM_CMD_BOOKS:
     case BBM_CMD_KINDS:
         out->code = BBM_ERR_ARGUMENT;
         return;
--- a/state/bbm_state.c
+++ b/state/bbm_state.c
@@ -7,6 +7,7 @@
 #include <sys/queue.h>
 
 #define FORMAT 1
+#define BOOKS_MOST 1000000
 #define DEFAULT_TEXTS 64
 #define DEFAULT_TAIL 256
 #define DEFAULT_TAIL_BYTES ((size_t)4 * 1024 * 1024)
@@ -17,11 +18,18 @@
     TAILQ_ENTRY(tail_row) link;
 } tail_row;
 
+typedef struct books_row {
+    char customer[BBM_NAME_SIZE];
+    bbm_buf bytes;
+    UT_hash_handle hh;
+} books_row;
+
 struct bbm_state {
     bbm_state_desc desc;
     bbm_registry *registry;
     bbm_claims *claims;
     bbm_orders *orders;
+    books_row *books;
     uint64_t index;
     uint64_t public_index;
     TAILQ_HEAD(, tail_row) tail;
@@ -65,12 +73,74 @@
         drop_oldest(s);
 }
 
+/* ---- books ---- */
+
+static void
+set_books(bbm_state *s, const char *customer, bbm_bytes bytes)
+{
+    books_row *row = NULL;
+    HASH_FIND_STR(s->books, customer, row);
+    if (!row) {
+        row = bbm_calloc(1, sizeof(*row));
+        bbm_name_set(row->customer, customer);
+        HASH_ADD_STR(s->books, customer, row);
+    }
+    row->bytes.len = 0;
+    bbm_buf_add(&row->bytes, bytes.data, bytes.len);
+}
+
+static void
+clear_books(bbm_state *s)
+{
+    books_row *row, *next;
+    HASH_ITER(hh, s->books, row, next)
+    {
+        HASH_DEL(s->books, row);
+        bbm_buf_free(&row->bytes);
+        free(row);
+    }
+}
+
+bool
+bbm_state_books(const bbm_state *state, const char *customer,
+                bbm_bytes *books)
+{
+    books_row *row = NULL;
+    HASH_FIND_STR(state->books, customer, row);
+    if (row)
+        *books = bbm_buf_view(&row->bytes);
+    return row != NULL;
+}
+
+static void
+encode_books(const bbm_state *s, bbm_buf *buf)
+{
+    bbm_put_u64(buf, HASH_COUNT(s->books));
+    for (const books_row *row = s->books; row; row = row->hh.next) {
+        bbm_put_str(buf, row->customer);
+        bbm_put_bytes(buf, row->bytes.data, row->bytes.len);
+    }
+}
+
+static bool
+decode_books(bbm_state *s, bbm_reader *rd)
+{
+    size_t len = bbm_get_u32(rd, BOOKS_MOST);
+    for (size_t i = 0; i < len && !rd->failed; i++) {
+        char customer[BBM_NAME_SIZE];
+        bbm_get_name(rd, customer);
+        set_books(s, customer, bbm_get_bytes(rd));
+    }
+    return !rd->failed;
+}
+
 void
 bbm_state_destroy(bbm_state *state)
 {
     if (!state)
         return;
     clear_tail(state);
+    clear_books(state);
     bbm_registry_destroy(state->registry);
     bbm_claims_destroy(state->claims);
     bbm_orders_destroy(state->orders);
@@ -122,6 +192,9 @@
     case BBM_CMD_ORDER_PAUSE:
         bbm_orders_apply(s->orders, cmd, index, out);
         return;
+    case BBM_CMD_BOOKS:
+        set_books(s, cmd->u.books.customer, cmd->u.books.books);
+        return;
     case BBM_CMD_KINDS:
         out->code = BBM_ERR_ARGUMENT;
         return;
@@ -202,6 +275,7 @@
     bbm_registry_encode(state->registry, SIZE_MAX, buf);
     bbm_claims_encode(state->claims, buf);
     bbm_orders_encode(state->orders, buf);
+    encode_books(state, buf);
 }
 
 int
@@ -215,6 +289,7 @@
     bool good = known && bbm_registry_decode(fresh->registry, &rd) == 0
                 && bbm_claims_decode(fresh->claims, &rd) == 0
                 && bbm_orders_decode(fresh->orders, &rd) == 0
+                && decode_books(fresh, &rd)
                 && bbm_reader_done(&rd);
     if (!good) {
         bbm_state_destroy(fresh);
@@ -227,6 +302,8 @@
     state->registry = fresh->registry;
     state->claims = fresh->claims;
     state->orders = fresh->orders;
+    clear_books(state);
+    state->books = fresh->books;
     state->index = fresh->index;
     state->public_index = fresh->public_index;
     free(fresh);
--- a/state/bbm_state.h
+++ b/state/bbm_state.h
@@ -55,6 +55,10 @@
 /** The orders; of use on control VMs alone. */
 const bbm_orders *bbm_state_orders(const bbm_state *state);
 
+/** The rate owner's books of a customer; false if there are none. */
+bool bbm_state_books(const bbm_state *state, const char *customer,
+                     bbm_bytes *books);
+
 /** First public command after @p since.  False if there is none, or if the
  *  tail doesn't reach back so far: compare bbm_state_public_index. */
 bool bbm_state_tail(const bbm_state *state, uint64_t since,
--- a/tests/prop_rate.cc
+++ b/tests/prop_rate.cc
@@ -63,7 +63,7 @@
                 (long long)total.requests, (long long)total.refused,
                 total.faults);
     bool seen = finds(RATE_NO_RESERVE);
-    seen = finds(RATE_NO_GRACE) && seen;
+    seen = finds(RATE_NO_BOOKS) && seen;
     seen = finds(RATE_NO_RECLAIM_TIME) && seen;
     return good && seen ? 0 : 1;
 }
--- a/tests/rate_history.c
+++ b/tests/rate_history.c
@@ -19,6 +19,8 @@
 /* A new owner is there at the soonest after the old one's lease. */
 #define ELECTION BBM_SECOND
 #define FREEZE_MOST (5 * BBM_SECOND)
+#define GRANTS_MOST 4096
+#define AGREE_MOST (10 * BBM_MS)
 #define STALL_MOST (20 * BBM_SECOND)
 #define REQUEST_TOKENS 1500.0
 
@@ -62,6 +64,12 @@
     uint64_t epoch;
     bbm_time owner_back;
     bbm_time now;
+    bbm_buf agreed; /* books that a new owner goes on from */
+    bbm_buf books;  /* on their way */
+    bbm_time books_due;
+    bbm_rate_grant held[GRANTS_MOST];
+    size_t held_len;
+    size_t batch; /* of these, allowed by the books on their way */
     double level_over; /* most that any window has above rate * length */
     double ideal;      /* level of a single bucket */
     double burst;
@@ -109,22 +117,54 @@
 static void
 make_owner(history *s)
 {
-    bbm_rate_desc desc = {
-        .epoch = ++s->epoch,
-        .unsafe_no_grace = s->desc.weakness == RATE_NO_GRACE,
-    };
+    bbm_rate_desc desc = {.epoch = ++s->epoch};
     if (s->desc.weakness == RATE_NO_RECLAIM_TIME)
         desc.reclaim = BBM_SECOND / 2;
-    s->owner = bbm_rate_owner_create(&desc, s->now);
-    bbm_rate_owner_customer(s->owner, "c", RATE, s->burst, s->epoch == 1,
-                            s->now);
-    const char *names[HOLDERS_MOST];
-    static char text[HOLDERS_MOST][8];
-    for (int i = 0; i < s->desc.holders; i++) {
-        snprintf(text[i], sizeof(text[i]), "h%d", i);
-        names[i] = text[i];
+    s->owner = bbm_rate_owner_create(&desc);
+    bbm_rate_owner_customer(s->owner, "c", RATE, s->burst, s->now);
+    if (s->agreed.len && s->desc.weakness != RATE_NO_BOOKS)
+        bbm_rate_owner_restore(s->owner, "c", s->agreed.data, s->agreed.len,
+                               s->now);
+}
+
+static void
+send_grant(history *s, const bbm_rate_grant *g)
+{
+    int to = atoi(g->node + 1);
+    s->result.messages++;
+    s->result.bytes += (int64_t)g->bytes.len;
+    net_post(&s->net, s->now, OWNER_PLACE, to, g->bytes.data, g->bytes.len);
+}
+
+/* Books are agreed after a while; grants that they allow go out then. */
+static void
+agree(history *s)
+{
+    if (!s->books_due || s->now < s->books_due)
+        return;
+    s->books_due = 0;
+    bbm_buf old = s->agreed;
+    s->agreed = s->books;
+    bbm_buf_free(&old);
+    s->books = (bbm_buf){0};
+    for (size_t i = 0; i < s->batch; i++) {
+        send_grant(s, &s->held[i]);
+        bbm_buf_free(&s->held[i].bytes);
     }
-    bbm_rate_owner_expect(s->owner, names, (size_t)s->desc.holders);
+    s->held_len -= s->batch;
+    memmove(s->held, s->held + s->batch, s->held_len * sizeof(s->held[0]));
+    s->batch = 0;
+}
+
+static void
+drop_held(history *s)
+{
+    for (size_t i = 0; i < s->held_len; i++)
+        bbm_buf_free(&s->held[i].bytes);
+    bbm_buf_free(&s->books);
+    s->held_len = 0;
+    s->batch = 0;
+    s->books_due = 0;
 }
 
 static void
@@ -132,12 +172,20 @@
 {
     bbm_rate_grant g;
     while (bbm_rate_owner_take(s->owner, &g)) {
-        int to = atoi(g.node + 1);
-        s->result.messages++;
-        s->result.bytes += (int64_t)g.bytes.len;
-        net_post(&s->net, s->now, OWNER_PLACE, to, g.bytes.data, g.bytes.len);
+        if (g.changes && s->held_len < GRANTS_MOST) {
+            s->held[s->held_len++] = g;
+            continue;
+        }
+        send_grant(s, &g);
         bbm_buf_free(&g.bytes);
     }
+    char customer[BBM_NAME_SIZE];
+    if (s->books_due || !s->held_len
+        || !bbm_rate_owner_books(s->owner, customer, &s->books))
+        return;
+    s->batch = s->held_len;
+    s->books_due =
+        s->now + (bbm_time)bbm_rng_below(&s->rng, AGREE_MOST) + 1;
 }
 
 /* ---- holders ---- */
@@ -282,6 +330,7 @@
         return;
     bbm_rate_owner_destroy(s->owner);
     s->owner = NULL;
+    drop_held(s);
     uint64_t extra = bbm_rng_below(&s->rng, 3 * (uint64_t)BBM_SECOND);
     s->owner_back = s->now + ELECTION + (bbm_time)extra;
 }
@@ -387,6 +436,7 @@
     time_passes(s);
     if (!s->owner && s->now >= s->owner_back)
         make_owner(s);
+    agree(s);
     deliver(s);
     for (int i = 0; i < s->desc.holders; i++)
         step_holder(s, i);
@@ -456,6 +506,8 @@
     for (int i = 0; i < desc->holders; i++)
         bbm_rate_holder_destroy(s->holders[i].h);
     bbm_rate_owner_destroy(s->owner);
+    drop_held(s);
+    bbm_buf_free(&s->agreed);
     net_free(&s->net);
     free(s);
     return result;
--- a/tests/rate_history.h
+++ b/tests/rate_history.h
@@ -16,7 +16,7 @@
 typedef enum rate_weakness {
     RATE_SOUND,
     RATE_NO_RESERVE,
-    RATE_NO_GRACE,
+    RATE_NO_BOOKS,
     RATE_NO_RECLAIM_TIME, /**< The owner takes parts back at once. */
 } rate_weakness;
 
