Placement that does not thrash: wait for the holder, count the other daemons

A full runner that held the prefix was passed over for a free one that had to compute it; each such miss made all runners slower, until 59% of the requests were refused. Each of nine daemons saw its own requests only, and a hot prefix's demand as a ninth of what it was.

Change: the least expected time counts full runners too, and a request waits for one rather than thrash; the next eight that wait are looked at; what is computed counts eightfold, since it holds up others and evicts; own requests and the demand for a prefix are taken times the daemons (nine at most).

--- a/node/node.c
+++ b/node/node.c
@@ -197,9 +197,20 @@
     return cfg->engines == NULL;
 }
 
+static size_t
+count_serving(const bbm_node *n)
+{
+    size_t serving = 0;
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++)
+        serving += m->ready && m->status != BBM_MEMBER_DEAD;
+    return serving;
+}
+
 static void
 update_ready(bbm_node *n)
 {
+    bbm_fleet_daemons(n->fleet, count_serving(n));
     bool patience = n->now - n->configured_at >= READY_PATIENCE;
     bool ready = n->configured > 0 && !n->draining && !n->stale
                  && (patience || runners_heard(n));
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -166,8 +166,8 @@
 
 /** A grant that waits until the books are agreed. */
 typedef struct node_grant {
-    bbm_rate_grant grant; /**< To send. */
-    uint64_t index;       /**< Of its books; 0: not written yet. */
+    bbm_rate_grant grant;          /**< To send. */
+    uint64_t index;                /**< Of its books; 0: not written yet. */
     STAILQ_ENTRY(node_grant) link; /**< In order. */
 } node_grant;
 
@@ -208,22 +208,22 @@
     uint32_t poll_missed;       /**< Polls without an answer. */
     uint64_t poll_seq;          /**< Number of the last poll. */
 
-    bbm_members *members;     /**< All VMs. */
-    bbm_fleet *fleet;         /**< Runners. */
-    node_queue *queues;       /**< By model. */
-    node_watch *watches;      /**< Runners asked. */
-    bbm_burn *burn;           /**< Objectives. */
-    bbm_rate_holder *holder;  /**< Our parts of the buckets. */
-    bbm_rate_owner *owner;    /**< Leader only. */
-    uint64_t owner_term;      /**< Term of its office. */
-    uint64_t lead_from;       /**< First index of our leadership. */
-    uint64_t applied;         /**< Last index of the log applied here. */
+    bbm_members *members;    /**< All VMs. */
+    bbm_fleet *fleet;        /**< Runners. */
+    node_queue *queues;      /**< By model. */
+    node_watch *watches;     /**< Runners asked. */
+    bbm_burn *burn;          /**< Objectives. */
+    bbm_rate_holder *holder; /**< Our parts of the buckets. */
+    bbm_rate_owner *owner;   /**< Leader only. */
+    uint64_t owner_term;     /**< Term of its office. */
+    uint64_t lead_from;      /**< First index of our leadership. */
+    uint64_t applied;        /**< Last index of the log applied here. */
     STAILQ_HEAD(, node_grant) held_grants; /**< Wait for the books. */
-    uint64_t books_index;     /**< Of the last books in the log. */
-    bbm_time rate_at;         /**< Next look at the rates. */
-    bbm_retry_budget retries; /**< For repeatable requests. */
-    node_tenant *tenants;     /**< Open requests. */
-    node_request *requests;   /**< All open. */
+    uint64_t books_index;             /**< Of the last books in the log. */
+    bbm_time rate_at;                 /**< Next look at the rates. */
+    bbm_retry_budget retries;         /**< For repeatable requests. */
+    node_tenant *tenants;             /**< Open requests. */
+    node_request *requests;           /**< All open. */
     struct request_list waiting_rate; /**< STAGE_RATE. */
     uint32_t service_turn;            /**< Round robin over services. */
 
--- a/node/node_rate.c
+++ b/node/node_rate.c
@@ -143,8 +143,8 @@
     uint64_t term = n->raft ? bbm_raft_term(n->raft) : 0;
     if (n->owner && (!in_office || term != n->owner_term))
         node_rate_resign(n);
-    bool begins = !n->owner && in_office && node_leads(n)
-                  && n->applied >= n->lead_from;
+    bool begins =
+        !n->owner && in_office && node_leads(n) && n->applied >= n->lead_from;
     if (begins) {
         bbm_rate_desc desc = {.epoch = term};
         bbm_name_set(desc.node, n->desc.name);
--- a/node/node_request.c
+++ b/node/node_request.c
@@ -7,6 +7,8 @@
 /* A request from its arrival to the moment when it may run. */
 
 #define COME_BACK_SOON BBM_SECOND
+/* Waiting requests that are looked at for a free runner. */
+#define LOOK_AHEAD 8
 
 node_request *
 node_request_find(const bbm_node *n, uint64_t id)
@@ -362,18 +364,23 @@
     }
 }
 
+/* The first few that wait are looked at: one whose runner is still full must
+   not hold up another whose runner is free. */
 static void
 pump_queue(bbm_node *n, bbm_admission *q)
 {
     bbm_ticket t;
-    while (bbm_admission_head(q, &t)) {
+    size_t i = 0;
+    while (i < LOOK_AHEAD && bbm_admission_at(q, i, &t)) {
         node_request *r = node_request_find(n, t.request);
         if (!r) {
             bbm_admission_remove(q, t.request, false);
             continue;
         }
-        if (pick(n, r) != BBM_PICK_START)
-            return;
+        if (pick(n, r) != BBM_PICK_START) {
+            i++;
+            continue;
+        }
         bbm_admission_remove(q, t.request, true);
         r->stage = STAGE_RUNNING;
         node_run_start(n, r);
--- a/route/bbm_admission.c
+++ b/route/bbm_admission.c
@@ -171,9 +171,11 @@
 }
 
 bool
-bbm_admission_head(const bbm_admission *q, bbm_ticket *t)
+bbm_admission_at(const bbm_admission *q, size_t i, bbm_ticket *t)
 {
     const waiting *w = TAILQ_FIRST(&q->queue);
+    while (w && i--)
+        w = TAILQ_NEXT(w, link);
     if (!w)
         return false;
     *t = w->ticket;
--- a/route/bbm_admission.h
+++ b/route/bbm_admission.h
@@ -9,7 +9,7 @@
  *      bbm_admission *q = bbm_admission_create();
  *      double ahead = bbm_admission_ahead(q, &ticket);   tokens before it
  *      bbm_admission_push(q, &ticket);
- *      while (bbm_admission_head(q, &ticket) && ... room ...)
+ *      while (bbm_admission_at(q, 0, &ticket) && ... room ...)
  *          bbm_admission_remove(q, ticket.request);
  *      while (bbm_admission_late(q, now, &ticket)) ...   refuse these
  *
@@ -44,8 +44,8 @@
 void bbm_admission_push(bbm_admission *q, const bbm_ticket *t);
 /** Count a request that started without waiting, so that tags advance. */
 void bbm_admission_pass(bbm_admission *q, const bbm_ticket *t);
-/** The ticket that goes next. */
-bool bbm_admission_head(const bbm_admission *q, bbm_ticket *t);
+/** The i-th ticket in the order in which they go; false past the end. */
+bool bbm_admission_at(const bbm_admission *q, size_t i, bbm_ticket *t);
 /** Take a ticket out, as started or as given up. */
 bool bbm_admission_remove(bbm_admission *q, uint64_t request, bool started);
 /** A ticket whose deadline has passed; it is taken out. */
--- a/route/bbm_fleet.c
+++ b/route/bbm_fleet.c
@@ -18,6 +18,8 @@
 #define WARM_START 0.25
 /* Weight of the newest request in the mean length. */
 #define SERVICE_WEIGHT 0.1
+/* More daemons than this say nothing about each other's single requests. */
+#define DAEMONS_COUNTED 9.0
 #define HOT_SPAN (10 * BBM_SECOND)
 
 bbm_fleet *
@@ -26,6 +28,7 @@
     bbm_fleet *f = bbm_calloc(1, sizeof(*f));
     f->desc = *desc;
     f->rng = bbm_rng_of(desc->seed);
+    f->daemons = 1;
     f->cache = bbm_cache_create(&desc->cache);
     return f;
 }
@@ -105,6 +108,15 @@
     }
 }
 
+void
+bbm_fleet_daemons(bbm_fleet *f, size_t daemons)
+{
+    double most = DAEMONS_COUNTED;
+    f->daemons = daemons < 1 ? 1 : (double)daemons;
+    if (f->daemons > most)
+        f->daemons = most;
+}
+
 /* ---- reports ---- */
 
 static void
@@ -222,7 +234,7 @@
     double told = (double)r->running + (double)r->queued;
     if (f->desc.no_own_load)
         return told;
-    double known = told + (double)r->recent_len;
+    double known = told + (double)r->recent_len * f->daemons;
     double own = (double)r->own;
     return known > own ? known : own;
 }
@@ -244,7 +256,7 @@
 {
     double backlog = r->backlog;
     for (size_t i = 0; i < r->recent_len && !f->desc.no_own_load; i++)
-        backlog += r->recent[i].miss;
+        backlog += r->recent[i].miss * f->daemons;
     double wait = backlog / r->prefill * (double)BBM_SECOND;
     double slots = fleet_slots(r, now);
     double over = fleet_load(f, r) + 1 - slots;
--- a/route/bbm_fleet.h
+++ b/route/bbm_fleet.h
@@ -4,7 +4,8 @@
  *  A request goes to the runner with the least expected time to its first
  *  token: the work ahead of it there, and the prompt tokens that are not
  *  cached there, at the runner's own pace.  Load reports come late, so what
- *  this VM sent since the report was made is added to it.
+ *  this VM sent since the report was made is added to it, once for each VM:
+ *  the others are taken to do as it does.
  *
  *      bbm_fleet *f = bbm_fleet_create(&(bbm_fleet_desc){.zone = "a"});
  *      bbm_fleet_configure(f, config, now);
@@ -136,6 +137,10 @@
 /** Take over the engines of a configuration; known ones keep their state. */
 void bbm_fleet_configure(bbm_fleet *f, const bbm_config *cfg, bbm_time now);
 
+/** So many daemons place requests, this one included: what they sent since a
+ *  report is guessed from what this one sent. */
+void bbm_fleet_daemons(bbm_fleet *f, size_t daemons);
+
 /** What a report led to. */
 typedef struct bbm_report_effect {
     bool new_incarnation; /**< The runner started anew. */
--- a/route/fleet_core.h
+++ b/route/fleet_core.h
@@ -71,6 +71,7 @@
     bbm_cache *cache;                      /**< Who holds what. */
     fleet_runner runners[BBM_CACHE_SLOTS]; /**< By slot. */
     uint32_t len;                          /**< Slots ever used. */
+    double daemons;                        /**< That place requests. */
     uint32_t turn;                         /**< Round robin. */
     fleet_hot hot[HOT_MOST];               /**< Followed prefixes. */
 };
--- a/route/fleet_pick.c
+++ b/route/fleet_pick.c
@@ -6,10 +6,13 @@
 /* Different weight versions that may be in use at once. */
 #define VERSIONS_MOST 4
 /* Requests that may wait at a runner, as a share of its slots. */
-#define QUEUE_SHARE 0.25
+#define QUEUE_SHARE 0.5
 /* Scores this close are taken as equal. */
 #define TIE_NS (5.0 * (double)BBM_MS)
 #define TIE_SHARE 0.1
+/* What is computed holds up others at the runner, and drives out blocks that
+   they need: it counts more than its own time. */
+#define MISS_WEIGHT 8.0
 /* Cost of another zone. */
 #define ZONE_NS (1.0 * (double)BBM_MS)
 /* Share of its slots that a prefix may keep busy at each of its holders. */
@@ -64,6 +67,9 @@
 static bool
 has_room(const bbm_fleet *f, const fleet_runner *r, bbm_time now)
 {
+    /* The baselines know no admission: they always send. */
+    if (f->desc.policy != BBM_POLICY_COST)
+        return true;
     double slots = fleet_slots(r, now);
     return fleet_load(f, r) < slots + ceil(slots * QUEUE_SHARE);
 }
@@ -77,11 +83,12 @@
     c->miss = p->tokens - cached;
     if (c->miss < 1)
         c->miss = 1;
-    double compute = c->miss / r->prefill;
+    double compute = c->miss * MISS_WEIGHT / r->prefill;
     /* Blocks that another runner computed can come from the store. */
     double known = (double)(most - c->matched) * p->block_tokens;
     if (r->import > 0 && known > 0) {
-        double imported = known / r->import + (c->miss - known) / r->prefill;
+        double imported =
+            known / r->import + (c->miss - known) * MISS_WEIGHT / r->prefill;
         c->import = imported < compute;
         if (c->import)
             compute = imported;
@@ -134,6 +141,8 @@
     return bbm_hash64(words, sizeof(words), 0);
 }
 
+/* The least score, whether it has room or not: a full runner that holds the
+   prefix may still be sooner than a free one that must compute it. */
 static const candidate *
 least_score(const choice *ch, bool holders_out)
 {
@@ -141,7 +150,7 @@
     for (size_t i = 0; i < ch->len; i++) {
         const candidate *c = &ch->list[i];
         bool out = holders_out && c->matched == ch->most_matched;
-        if (c->room && !out && (!best || c->score < best->score))
+        if (!out && (!best || c->score < best->score))
             best = c;
     }
     return best;
@@ -186,7 +195,8 @@
               bbm_time now)
 {
     const fleet_runner *r = &f->runners[best->slot];
-    double rate = fleet_hot_rate(f, ch->root, now);
+    /* The other daemons see as much of it as this one. */
+    double rate = fleet_hot_rate(f, ch->root, now) * f->daemons;
     double busy = rate * r->service / (double)BBM_SECOND;
     return ceil(busy / (r->slots * HOT_BUSY));
 }
@@ -211,10 +221,11 @@
         return NULL;
     if (wants_copy(f, ch, best, now)) {
         const candidate *copy = least_score(ch, true);
-        if (copy)
+        if (copy && copy->room)
             return copy;
     }
-    return break_tie(f, ch, best);
+    const candidate *chosen = break_tie(f, ch, best);
+    return chosen->room ? chosen : NULL;
 }
 
 static const candidate *
--- a/stand/load.c
+++ b/stand/load.c
@@ -101,10 +101,9 @@
     for (long i = 0; i < l->desc.prompt; i++)
         prompt[i] = (char)('a' + (group * 7 + i * (group + 3)) % 26);
     snprintf(prompt + l->desc.prompt, 64, " question %ld", number);
-    json_t *doc =
-        json_pack("{s:s, s:s, s:b, s:I}", "model", l->desc.model, "prompt",
-                  prompt, "stream", 1, "max_tokens",
-                  (json_int_t)l->desc.events);
+    json_t *doc = json_pack("{s:s, s:s, s:b, s:I}", "model", l->desc.model,
+                            "prompt", prompt, "stream", 1, "max_tokens",
+                            (json_int_t)l->desc.events);
     char *text = json_dumps(doc, JSON_COMPACT);
     json_decref(doc);
     free(prompt);
@@ -118,8 +117,7 @@
     char header[512];
     s->body = make_body(l, rng, l->started);
     l->started++;
-    snprintf(header, sizeof(header), "Authorization: Bearer %s",
-             l->desc.key);
+    snprintf(header, sizeof(header), "Authorization: Bearer %s", l->desc.key);
     s->headers = curl_slist_append(NULL, header);
     s->headers =
         curl_slist_append(s->headers, "Content-Type: application/json");
@@ -153,10 +151,10 @@
     }
     static const char end[] = "data: [DONE]\n\n";
     size_t end_len = sizeof(end) - 1;
-    bool same = s->got.len > expected.len + end_len
-                && memcmp(s->got.data, expected.data, expected.len) == 0
-                && memcmp(s->got.data + s->got.len - end_len, end, end_len)
-                       == 0;
+    bool same =
+        s->got.len > expected.len + end_len
+        && memcmp(s->got.data, expected.data, expected.len) == 0
+        && memcmp(s->got.data + s->got.len - end_len, end, end_len) == 0;
     bbm_buf_free(&expected);
     return same;
 }
@@ -224,8 +222,8 @@
                && l->started - l->ended < l->desc.streams) {
             start(l, &rng);
             if (l->desc.rate > 0)
-                next += (int64_t)(-log(1 - bbm_rng_unit(&rng))
-                                  / l->desc.rate * 1e6);
+                next += (int64_t)(-log(1 - bbm_rng_unit(&rng)) / l->desc.rate
+                                  * 1e6);
         }
         int running;
         curl_multi_perform(l->multi, &running);
--- a/state/bbm_state.c
+++ b/state/bbm_state.c
@@ -102,8 +102,7 @@
 }
 
 bool
-bbm_state_books(const bbm_state *state, const char *customer,
-                bbm_bytes *books)
+bbm_state_books(const bbm_state *state, const char *customer, bbm_bytes *books)
 {
     books_row *row = NULL;
     HASH_FIND_STR(state->books, customer, row);
@@ -289,8 +288,7 @@
     bool good = known && bbm_registry_decode(fresh->registry, &rd) == 0
                 && bbm_claims_decode(fresh->claims, &rd) == 0
                 && bbm_orders_decode(fresh->orders, &rd) == 0
-                && decode_books(fresh, &rd)
-                && bbm_reader_done(&rd);
+                && decode_books(fresh, &rd) && bbm_reader_done(&rd);
     if (!good) {
         bbm_state_destroy(fresh);
         return BBM_ERR_DECODE;
