Fleet histories, slopes of control, and what the path adds

Cause: bookings at most once, keys gone within the bound, revisions that never go back had process tests, but no histories with faults in any order; and the capacity page had no slopes.

Ruled out: a transport of its own for the histories; the façade is driven as any other program may drive it.

Change: tests/fleet.c drives nodes in virtual time; prop_node runs bookings, racing publishes and withdrawals through crashes, freezes and cuts; bench_capacity fits lines; bench-path compares direct and routed in one run. A holder without a part of any bucket no longer reports, and whole lists of members go round every 300 periods instead of 60.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,12 @@
 # The project's commands.  Each installs what is missing, and builds.
 BUILD ?= build
 JOBS ?= $(shell nproc)
+DESTDIR ?=
+PREFIX ?= /usr
+SANITIZE ?= address,undefined
 
-.PHONY: build demo test lint format install clean
+.PHONY: build demo test prove sanitize bench-path bench-capacity \
+	bench-routing bench-rate lint format install clean
 
 build:
 	@scripts/install-packages
@@ -14,6 +18,32 @@
 
 test: build
 	@cd $(BUILD) && ctest --output-on-failure -j 4
+	@FLEET_BUILD=$(BUILD) tests/process.sh
+
+# Every proof of docs/PROOFS.md, with more histories than the tests run.
+prove: build
+	@RC_PARAMS="seed=20261204 max_success=10000" $(BUILD)/prop_rate
+	@RC_PARAMS="seed=20261204 max_success=2000" $(BUILD)/prop_raft
+	@RC_PARAMS="seed=20261204 max_success=200" $(BUILD)/prop_node
+	@cd $(BUILD) && ctest --output-on-failure -j 4
+	@FLEET_BUILD=$(BUILD) tests/process.sh
+
+# The tests under sanitizers: SANITIZE=address,undefined or SANITIZE=thread.
+sanitize:
+	@scripts/install-packages
+	@scripts/sanitize $(SANITIZE)
+
+bench-path: build
+	@FLEET_BUILD=$(BUILD) scripts/bench-path
+
+bench-capacity: build
+	@$(BUILD)/bench_capacity
+
+bench-routing: build
+	@$(BUILD)/bench_routing
+
+bench-rate: build
+	@$(BUILD)/bench_rate
 
 format:
 	@git ls-files '*.c' '*.h' '*.cc' | xargs clang-format -i
@@ -21,5 +51,13 @@
 lint: build
 	@scripts/lint $(BUILD)
 
+install: build
+	install -D -m 755 $(BUILD)/bluebellmoord $(DESTDIR)$(PREFIX)/bin/bluebellmoord
+	install -D -m 755 $(BUILD)/bluebellmoor $(DESTDIR)$(PREFIX)/bin/bluebellmoor
+	install -D -m 644 packaging/bluebellmoord.service \
+		$(DESTDIR)$(PREFIX)/lib/systemd/system/bluebellmoord.service
+	install -D -m 644 docs/man/bluebellmoord.8 $(DESTDIR)$(PREFIX)/share/man/man8/bluebellmoord.8
+	install -D -m 644 docs/man/bluebellmoor.1 $(DESTDIR)$(PREFIX)/share/man/man1/bluebellmoor.1
+
 clean:
 	rm -rf $(BUILD)
--- a/members/bbm_members.c
+++ b/members/bbm_members.c
@@ -16,7 +16,7 @@
 /* News are told so many times for each doubling of the fleet. */
 #define TELLS_PER_DOUBLING 3
 /* Everything known goes to one random member each so many periods. */
-#define SYNC_PERIODS 60
+#define SYNC_PERIODS 300
 /* Pings that may be under way. */
 #define PROBES_MOST 8
 
--- a/rate/rate_holder.c
+++ b/rate/rate_holder.c
@@ -188,15 +188,6 @@
 
 /* ---- reports ---- */
 
-bool
-bbm_rate_report_due(const bbm_rate_holder *h, bbm_time now)
-{
-    bbm_time age = now - h->reported;
-    if (!h->reported || age >= REPORT_PERIOD)
-        return true;
-    return (h->urgent || h->was_cut) && age >= REPORT_SOONEST;
-}
-
 /* What the holder can still make run, whatever is taken from it now. */
 static double
 held_capacity(const bbm_rate_holder *h, const part *p)
@@ -224,6 +215,28 @@
     p->taken = 0;
 }
 
+/* A holder without any part has nothing to tell, and no lease to keep. */
+static bool
+has_something(const bbm_rate_holder *h)
+{
+    for (const part *p = h->parts; p; p = p->hh.next) {
+        if (!is_idle(p))
+            return true;
+    }
+    return false;
+}
+
+bool
+bbm_rate_report_due(const bbm_rate_holder *h, bbm_time now)
+{
+    if (!has_something(h))
+        return false;
+    bbm_time age = now - h->reported;
+    if (!h->reported || age >= REPORT_PERIOD)
+        return true;
+    return (h->urgent || h->was_cut) && age >= REPORT_SOONEST;
+}
+
 void
 bbm_rate_report(bbm_rate_holder *h, uint64_t epoch, bbm_time now, bbm_buf *buf)
 {
--- /dev/null
+++ b/tests/fleet.c
@@ -0,0 +1,425 @@
+#include "fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define STEP (10 * BBM_MS)
+#define WRITES_MOST 4096
+
+typedef struct write_row {
+    bbm_raft_persist persist;
+    bbm_time due;
+} write_row;
+
+typedef struct place {
+    char name[BBM_NAME_SIZE];
+    bbm_node *node;
+    bbm_member_id disk;
+    uint64_t run;
+    bbm_time frozen_until;
+    /* What is synced. */
+    uint64_t term;
+    bbm_member_id vote;
+    bbm_raft_snapshot snapshot;
+    bbm_entry *entries;
+    size_t len;
+    size_t cap;
+    write_row writes[WRITES_MOST];
+    size_t writes_len;
+} place;
+
+struct fleet {
+    fleet_desc desc;
+    fleet_hooks hooks;
+    bbm_rng rng;
+    net net;
+    place *places;
+    bbm_peer *peers;
+    bbm_time now;
+    uint64_t runs;
+    double cpu_ns;
+};
+
+static double
+cpu_now(void)
+{
+    struct timespec ts;
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
+    return (double)ts.tv_sec * 1e9 + (double)ts.tv_nsec;
+}
+
+static int
+index_of(const fleet *f, const char *name)
+{
+    int i = atoi(name + 3) - 1;
+    return i >= 0 && i < f->desc.nodes ? i : -1;
+}
+
+/* ---- disks ---- */
+
+static void
+drop_from(place *p, uint64_t index)
+{
+    while (p->len && p->entries[p->len - 1].index >= index)
+        free(p->entries[--p->len].data);
+}
+
+static void
+sync_write(place *p, bbm_raft_persist *w)
+{
+    p->term = w->term;
+    p->vote = w->vote;
+    if (w->snapshot) {
+        drop_from(p, 0);
+        bbm_buf_free(&p->snapshot.data);
+        p->snapshot = *w->snapshot;
+        w->snapshot->data = (bbm_buf){0};
+    }
+    if (w->truncate_from)
+        drop_from(p, w->truncate_from);
+    for (size_t i = 0; i < w->len; i++) {
+        bbm_grow(&p->entries, &p->cap, p->len, sizeof(bbm_entry));
+        p->entries[p->len++] = w->entries[i];
+        w->entries[i].data = NULL;
+    }
+    bbm_raft_persist_free(w);
+}
+
+static bbm_raft_saved
+saved_of(const place *p)
+{
+    bbm_raft_saved s = {.term = p->term, .vote = p->vote};
+    s.snapshot = p->snapshot;
+    s.snapshot.data = (bbm_buf){0};
+    bbm_buf_add(&s.snapshot.data, p->snapshot.data.data,
+                p->snapshot.data.len);
+    s.entries = bbm_calloc(p->len, sizeof(bbm_entry));
+    s.len = p->len;
+    for (size_t i = 0; i < p->len; i++) {
+        s.entries[i] = p->entries[i];
+        s.entries[i].data =
+            bbm_memdup(p->entries[i].data, p->entries[i].len);
+    }
+    return s;
+}
+
+/* ---- actions ---- */
+
+static void give(fleet *f, int i, const bbm_event *ev);
+
+static void
+queue_write(fleet *f, int i, bbm_action *a)
+{
+    place *p = &f->places[i];
+    if (p->writes_len == WRITES_MOST)
+        abort();
+    bbm_time last = p->writes_len ? p->writes[p->writes_len - 1].due : 0;
+    bbm_time due = f->now
+                   + (bbm_time)bbm_rng_below(&f->rng,
+                                             (uint64_t)f->desc.sync + 1);
+    write_row *w = &p->writes[p->writes_len++];
+    w->persist = a->u.persist;
+    w->due = due > last ? due : last;
+    a->u.persist = (bbm_raft_persist){0};
+}
+
+static void
+do_action(fleet *f, int i, bbm_action *a)
+{
+    const fleet_hooks *h = &f->hooks;
+    int to;
+    switch (a->kind) {
+    case BBM_ACT_SEND:
+        to = index_of(f, a->u.send.to);
+        if (to >= 0)
+            net_post(&f->net, f->now, i, to, a->u.send.bytes.data,
+                     a->u.send.bytes.len);
+        return;
+    case BBM_ACT_PERSIST:
+        queue_write(f, i, a);
+        return;
+    case BBM_ACT_START:
+        if (h->start)
+            h->start(h->context, i, &a->u.start);
+        return;
+    case BBM_ACT_CUT:
+        if (h->cut)
+            h->cut(h->context, i, a->u.cut.request, a->u.cut.code);
+        return;
+    case BBM_ACT_ANSWER:
+        if (h->answer)
+            h->answer(h->context,
+                      &(fleet_answer){
+                          .node = i,
+                          .id = a->u.answer.request,
+                          .code = a->u.answer.code,
+                          .kept = a->u.answer.code == BBM_OK,
+                          .retry_after_ms = a->u.answer.retry_after_ms,
+                      });
+        return;
+    case BBM_ACT_REPLY:
+        if (h->answer)
+            h->answer(h->context,
+                      &(fleet_answer){
+                          .node = i,
+                          .id = a->u.reply.op,
+                          .operator_call = true,
+                          .code = a->u.reply.code,
+                          .body = (char *)a->u.reply.body.data,
+                          .len = a->u.reply.body.len,
+                      });
+        return;
+    case BBM_ACT_ORDER:
+        if (h->order)
+            h->order(h->context, i, a);
+        return;
+    case BBM_ACT_WATCH:
+    case BBM_ACT_READY:
+    case BBM_ACT_LOG:
+    case BBM_ACT_STOPPED:
+        return;
+    }
+}
+
+static void
+give(fleet *f, int i, const bbm_event *ev)
+{
+    place *p = &f->places[i];
+    double before = cpu_now();
+    bbm_node_step(p->node, ev, f->now);
+    f->cpu_ns += cpu_now() - before;
+    bbm_action *a;
+    while (p->node && (a = bbm_node_take(p->node)) != NULL)
+        do_action(f, i, a);
+}
+
+bool
+fleet_give(fleet *f, int i, const bbm_event *ev)
+{
+    place *p = &f->places[i];
+    if (!p->node || f->now < p->frozen_until)
+        return false;
+    give(f, i, ev);
+    return true;
+}
+
+/* ---- nodes ---- */
+
+void
+fleet_start(fleet *f, int i)
+{
+    place *p = &f->places[i];
+    if (p->node)
+        return;
+    bbm_raft_saved saved = saved_of(p);
+    bbm_node_desc d = f->desc.node;
+    p->run = ++f->runs;
+    d.run = p->run;
+    d.seed = f->desc.seed + f->runs;
+    d.disk = p->disk;
+    d.saved = p->disk ? &saved : NULL;
+    d.peers = f->peers;
+    /* At most a handful is named in settings; the rest is learnt. */
+    d.peers_len = (size_t)(f->desc.nodes < 8 ? f->desc.nodes : 8);
+    d.now = f->now;
+    d.founders_len = (size_t)f->desc.founders;
+    for (int j = 0; j < f->desc.founders; j++)
+        bbm_name_set(d.founders[j], f->places[j].name);
+    bbm_name_set(d.name, p->name);
+    snprintf(d.zone, sizeof(d.zone), "zone-%d", i % 3);
+    bbm_text_set(d.address, sizeof(d.address), f->peers[i].address);
+    snprintf(d.entry, sizeof(d.entry), "http://127.0.0.1:%d", 10000 + i);
+    p->node = bbm_node_create(&d);
+    bbm_action *a;
+    while ((a = bbm_node_take(p->node)) != NULL)
+        do_action(f, i, a);
+}
+
+void
+fleet_crash(fleet *f, int i)
+{
+    place *p = &f->places[i];
+    if (!p->node)
+        return;
+    size_t kept = (size_t)bbm_rng_below(&f->rng, p->writes_len + 1);
+    for (size_t w = 0; w < p->writes_len; w++) {
+        if (w < kept)
+            sync_write(p, &p->writes[w].persist);
+        else
+            bbm_raft_persist_free(&p->writes[w].persist);
+    }
+    p->writes_len = 0;
+    bbm_node_destroy(p->node);
+    p->node = NULL;
+}
+
+void
+fleet_freeze(fleet *f, int i, bbm_time span)
+{
+    f->places[i].frozen_until = f->now + span;
+}
+
+bool
+fleet_up(const fleet *f, int i)
+{
+    return f->places[i].node && f->now >= f->places[i].frozen_until;
+}
+
+/* ---- the run ---- */
+
+static void
+sync_due(fleet *f, int i)
+{
+    place *p = &f->places[i];
+    while (p->writes_len && p->writes[0].due <= f->now && fleet_up(f, i)) {
+        bbm_event ev = {.kind = BBM_EV_PERSISTED};
+        ev.u.persisted.seq = p->writes[0].persist.seq;
+        sync_write(p, &p->writes[0].persist);
+        p->writes_len--;
+        memmove(p->writes, p->writes + 1,
+                p->writes_len * sizeof(p->writes[0]));
+        give(f, i, &ev);
+    }
+}
+
+static void
+deliver(fleet *f)
+{
+    net_mail m;
+    while (net_take(&f->net, f->now, &m)) {
+        const place *p = &f->places[m.to];
+        bbm_event ev = {.kind = BBM_EV_MESSAGE};
+        ev.u.message.from = f->places[m.from].name;
+        ev.u.message.data = m.bytes.data;
+        ev.u.message.len = m.bytes.len;
+        if (fleet_up(f, m.to))
+            give(f, m.to, &ev);
+        else if (p->node)
+            net_post(&f->net, p->frozen_until, m.from, m.to, m.bytes.data,
+                     m.bytes.len);
+        bbm_buf_free(&m.bytes);
+    }
+}
+
+void
+fleet_step(fleet *f)
+{
+    f->now += STEP;
+    deliver(f);
+    for (int i = 0; i < f->desc.nodes; i++) {
+        if (!fleet_up(f, i))
+            continue;
+        sync_due(f, i);
+        bbm_event ev = {.kind = BBM_EV_TICK};
+        ev.u.tick.wall_ms = 1000000 + f->now / BBM_MS;
+        give(f, i, &ev);
+    }
+}
+
+void
+fleet_run(fleet *f, bbm_time span)
+{
+    bbm_time end = f->now + span;
+    while (f->now < end)
+        fleet_step(f);
+}
+
+fleet *
+fleet_create(const fleet_desc *desc, const fleet_hooks *hooks)
+{
+    fleet *f = bbm_calloc(1, sizeof(*f));
+    f->desc = *desc;
+    f->hooks = *hooks;
+    f->rng = bbm_rng_of(desc->seed);
+    f->now = 100 * BBM_SECOND;
+    net_init(&f->net, &(net_desc){.seed = desc->seed,
+                                  .longest = desc->delay});
+    f->places = bbm_calloc((size_t)desc->nodes, sizeof(place));
+    f->peers = bbm_calloc((size_t)desc->nodes, sizeof(bbm_peer));
+    for (int i = 0; i < desc->nodes; i++) {
+        place *p = &f->places[i];
+        snprintf(p->name, sizeof(p->name), "vm-%d", i + 1);
+        bbm_name_set(f->peers[i].name, p->name);
+        snprintf(f->peers[i].address, BBM_ADDRESS_SIZE, "10.0.%d.%d:7400",
+                 i / 250, i % 250 + 1);
+        p->disk = i < desc->founders ? (uint64_t)i + 1001 : 0;
+    }
+    for (int i = 0; i < desc->nodes; i++)
+        fleet_start(f, i);
+    return f;
+}
+
+void
+fleet_destroy(fleet *f)
+{
+    for (int i = 0; i < f->desc.nodes; i++) {
+        place *p = &f->places[i];
+        fleet_crash(f, i);
+        drop_from(p, 0);
+        free(p->entries);
+        bbm_buf_free(&p->snapshot.data);
+    }
+    net_free(&f->net);
+    free(f->places);
+    free(f->peers);
+    free(f);
+}
+
+/* ---- what can be asked ---- */
+
+bbm_time
+fleet_now(const fleet *f)
+{
+    return f->now;
+}
+
+bbm_node *
+fleet_node(const fleet *f, int i)
+{
+    return f->places[i].node;
+}
+
+net *
+fleet_net(fleet *f)
+{
+    return &f->net;
+}
+
+const char *
+fleet_name(const fleet *f, int i)
+{
+    return f->places[i].name;
+}
+
+int
+fleet_leader(const fleet *f)
+{
+    for (int i = 0; i < f->desc.founders; i++) {
+        if (fleet_up(f, i)
+            && bbm_node_count(f->places[i].node, f->now).is_leader)
+            return i;
+    }
+    return -1;
+}
+
+bool
+fleet_publish(fleet *f, int i, uint64_t op, const char *id,
+              uint64_t expected, const char *text)
+{
+    bbm_event ev = {.kind = BBM_EV_OPERATOR};
+    ev.u.call.op = op;
+    ev.u.call.verb = BBM_VERB_PUBLISH;
+    ev.u.call.number = expected;
+    bbm_name_set(ev.u.call.id, id);
+    ev.u.call.text = (bbm_bytes){.data = (const uint8_t *)text,
+                                 .len = strlen(text)};
+    return fleet_give(f, i, &ev);
+}
+
+double
+fleet_cpu_ns(const fleet *f)
+{
+    return f->cpu_ns;
+}
--- a/tests/net.h
+++ b/tests/net.h
@@ -8,7 +8,7 @@
 #include "bbm_pack.h"
 #include "bbm_time.h"
 
-#define NET_PLACES 16
+#define NET_PLACES 512
 
 /** How the network behaves. */
 typedef struct net_desc {
--- /dev/null
+++ b/tests/prop_node.cc
@@ -0,0 +1,58 @@
+// Promises of a whole fleet of nodes in seeded histories with faults, and that
+// each check can fail.
+
+#include "node_history.h"
+
+extern "C" {
+#include "bbm_hash.h"
+}
+
+#include <cstdio>
+#include <cstdlib>
+#include <rapidcheck.h>
+
+static node_history_result total;
+
+static bool
+finds(node_weakness weakness)
+{
+    for (uint64_t seed = 1; seed <= 150; seed++) {
+        node_history_result r = node_history_run(seed, 4000, weakness);
+        if (r.broken) {
+            std::printf("weakness %d: seed %llu: broken: %s\n", weakness,
+                        (unsigned long long)seed, r.broken);
+            return true;
+        }
+    }
+    std::printf("weakness %d was not found\n", weakness);
+    return false;
+}
+
+int
+main()
+{
+    setenv("RC_PARAMS", "seed=20261204 max_success=60", 0);
+    if (bbm_hash_setup() < 0)
+        return 1;
+    bool good = rc::check("a fleet keeps its promises", [] {
+        uint64_t seed = *rc::gen::arbitrary<uint64_t>();
+        node_history_result r = node_history_run(seed, 4000, NODE_SOUND);
+        total.bookings += r.bookings;
+        total.runs += r.runs;
+        total.not_run += r.not_run;
+        total.publishes += r.publishes;
+        total.withdrawn += r.withdrawn;
+        total.crashes += r.crashes;
+        total.freezes += r.freezes;
+        total.cuts += r.cuts;
+        if (r.broken)
+            RC_FAIL(r.broken);
+    });
+    std::printf("bookings asked %d, run %d, told not run %d; publishes %d; "
+                "keys withdrawn %d; crashes %d, freezes %d, cuts %d\n",
+                total.bookings, total.runs, total.not_run, total.publishes,
+                total.withdrawn, total.crashes, total.freezes, total.cuts);
+    bool seen = finds(NODE_NO_CLAIM);
+    seen = finds(NODE_STALE_KEYS) && seen;
+    return good && seen ? 0 : 1;
+}
