--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -1,7 +1,7 @@
 #include "traffic.h"
 
 #include "control.h"
-#include "traffic_answer.h"
+#include "traffic_request.h"
 
 #include <curl/curl.h>
 #include <stdlib.h>
@@ -11,15 +11,12 @@
 
 #define BOX_SIZE 16384
 #define WAIT_MS 50
-#define CONNECT_MS 1000L
 /* Tokens generated are told to control this often. */
 #define PROGRESS_PERIOD (200 * BBM_MS)
 /* Callers that wait are looked at this often. */
 #define PRESENT_PERIOD (1000 * BBM_MS)
 /* Idle connections to upstreams that a thread keeps. */
 #define KEEP_CONNECTIONS 256L
-/* Bytes the library reads at once. */
-#define READ_BYTES 16384L
 
 typedef enum job_kind {
     JOB_START,
@@ -35,32 +32,11 @@
     bbm_start start;
 } job;
 
-typedef struct transfer {
-    uint64_t request;
-    exchange *ex;
-    traffic *thread;
-    bbm_start start;
-    CURL *easy;
-    struct curl_slist *headers;
-    answer_watch watch;
-    long status;
-    char type[EXCHANGE_HEADER_SIZE];
-    bool sent;      /* the upstream may have a byte of it */
-    bool answering; /* bytes went to the caller */
-    bool refused;   /* an answer that is a failure of the attempt */
-    bool paused;
-    bool expired; /* a time limit of ours ended it */
-    bbm_time begun;
-    bbm_time moved;
-    bbm_time told;
-    UT_hash_handle hh;
-} transfer;
-
 struct traffic {
     mailbox *control;
     mailbox *box;
     CURLM *multi;
-    transfer *transfers;
+    traffic_transfer *transfers;
     pthread_t thread;
     bool stop;
 };
@@ -106,7 +82,7 @@
 /* ---- telling control ---- */
 
 static void
-tell_finished(transfer *x, int code)
+tell_finished(traffic_transfer *x, int code)
 {
     answer_watch_end(&x->watch);
     control_item *item = control_item_create(CONTROL_FINISHED);
@@ -137,7 +113,7 @@
 }
 
 static void
-tell_first_byte(transfer *x)
+tell_first_byte(traffic_transfer *x)
 {
     control_item *item = control_item_create(CONTROL_FIRST_BYTE);
     item->id = x->request;
@@ -146,7 +122,7 @@
 }
 
 static void
-tell_progress(transfer *x, bbm_time now)
+tell_progress(traffic_transfer *x, bbm_time now)
 {
     if (!x->watch.tokens || now - x->told < PROGRESS_PERIOD)
         return;
@@ -164,7 +140,7 @@
 on_header(char *data, size_t size, size_t n, void *context)
 {
     (void)size;
-    transfer *x = context;
+    traffic_transfer *x = context;
     static const char name[] = "content-type:";
     size_t skip = sizeof(name) - 1;
     if (n <= skip || strncasecmp(data, name, skip) != 0)
@@ -185,7 +161,7 @@
 /* Answers that say that the upstream did not do the work: another one may.
    A call that may not be repeated is answered with what came. */
 static bool
-is_refusal(const transfer *x)
+is_refusal(const traffic_transfer *x)
 {
     if (x->start.once)
         return false;
@@ -194,7 +170,7 @@
 }
 
 static bool
-begin_answer(transfer *x)
+begin_answer(traffic_transfer *x)
 {
     curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &x->status);
     if (is_refusal(x)) {
@@ -214,7 +190,7 @@
 static size_t
 on_data(char *data, size_t size, size_t n, void *context)
 {
-    transfer *x = context;
+    traffic_transfer *x = context;
     size_t len = size * n;
     x->moved = control_now();
     if (!x->answering && !x->refused && !begin_answer(x))
@@ -239,7 +215,7 @@
     (void)local_ip;
     (void)remote_port;
     (void)local_port;
-    transfer *x = context;
+    traffic_transfer *x = context;
     if (control_now() > x->start.not_after) {
         x->expired = true;
         return CURL_PREREQFUNC_ABORT;
@@ -251,90 +227,19 @@
 /* ---- starting ---- */
 
 static void
-add_header(transfer *x, const char *format, const char *value)
-{
-    char line[EXCHANGE_HEADER_SIZE + BBM_NAME_SIZE];
-    snprintf(line, sizeof(line), format, value);
-    struct curl_slist *longer = curl_slist_append(x->headers, line);
-    if (longer)
-        x->headers = longer;
-}
-
-/* Only these headers reach an upstream; none that a caller's key is in. */
-static void
-add_headers(transfer *x)
-{
-    const bbm_start *s = &x->start;
-    char number[16];
-    snprintf(number, sizeof(number), "%u", s->priority);
-    add_header(x, "Content-Type: %s",
-               x->ex->type[0] ? x->ex->type : "application/json");
-    if (x->ex->accept[0])
-        add_header(x, "Accept: %s", x->ex->accept);
-    add_header(x, "Expect:%s", "");
-    add_header(x, "X-Request-Id: %s", s->id);
-    if (!s->weights[0])
-        return;
-    add_header(x, "X-Priority: %s", number);
-    add_header(x, "X-Weights: %s", s->weights);
-    add_header(x, "X-Cache-Scope: %s", s->salt[0] ? s->salt : "-");
-    if (s->import)
-        add_header(x, "X-Cache-Import: %s", "1");
-}
-
-static void
-set_method(transfer *x)
-{
-    const char *method = x->ex->method;
-    bool has_body = x->ex->body.len || strcmp(method, "POST") == 0
-                    || strcmp(method, "PUT") == 0;
-    if (has_body) {
-        /* The body outlives the transfer: it is not copied. */
-        const char *body = x->ex->body.len ? (char *)x->ex->body.data : "";
-        curl_easy_setopt(x->easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                         (curl_off_t)x->ex->body.len);
-        curl_easy_setopt(x->easy, CURLOPT_POSTFIELDS, body);
-    }
-    if (strcmp(method, "HEAD") == 0)
-        curl_easy_setopt(x->easy, CURLOPT_NOBODY, 1L);
-    else
-        curl_easy_setopt(x->easy, CURLOPT_CUSTOMREQUEST, method);
-}
-
-static void
-set_options(transfer *x)
+set_callbacks(traffic_transfer *x)
 {
     CURL *e = x->easy;
-    BBM_AUTO_FREE char *url = NULL;
-    if (asprintf(&url, "%s%s%s", x->start.url, x->ex->path, x->ex->query) < 0)
-        abort();
-    curl_easy_setopt(e, CURLOPT_URL, url);
-    curl_easy_setopt(e, CURLOPT_PRIVATE, x);
-    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(e, CURLOPT_PROXY, "");
-    curl_easy_setopt(e, CURLOPT_FOLLOWLOCATION, 0L);
-    curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http,https");
-    curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
-    curl_easy_setopt(e, CURLOPT_BUFFERSIZE, READ_BYTES);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, x);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
     curl_easy_setopt(e, CURLOPT_WRITEDATA, x);
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_connected);
     curl_easy_setopt(e, CURLOPT_PREREQDATA, x);
-    add_headers(x);
-    curl_easy_setopt(e, CURLOPT_HTTPHEADER, x->headers);
-    if (x->start.once) {
-        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
-        curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
-    }
-    set_method(x);
 }
 
 static void
-free_transfer(traffic *t, transfer *x)
+free_transfer(traffic *t, traffic_transfer *x)
 {
     HASH_DEL(t->transfers, x);
     curl_multi_remove_handle(t->multi, x->easy);
@@ -345,10 +250,10 @@
     free(x);
 }
 
-static transfer *
+static traffic_transfer *
 find_transfer(traffic *t, uint64_t request)
 {
-    transfer *x = NULL;
+    traffic_transfer *x = NULL;
     HASH_FIND(hh, t->transfers, &request, sizeof(request), x);
     return x;
 }
@@ -356,10 +261,10 @@
 static void
 start(traffic *t, const job *j)
 {
-    transfer *old = find_transfer(t, j->request);
+    traffic_transfer *old = find_transfer(t, j->request);
     if (old)
         free_transfer(t, old);
-    transfer *x = bbm_calloc(1, sizeof(*x));
+    traffic_transfer *x = bbm_calloc(1, sizeof(*x));
     x->request = j->request;
     x->ex = exchange_ref(j->ex);
     x->thread = t;
@@ -368,7 +273,8 @@
     x->moved = x->begun;
     x->easy = curl_easy_init();
     HASH_ADD(hh, t->transfers, request, sizeof(x->request), x);
-    set_options(x);
+    traffic_request_set(x);
+    set_callbacks(x);
     curl_multi_add_handle(t->multi, x->easy);
 }
 
@@ -377,7 +283,7 @@
 /* An event stream that ends without its end mark was cut, however politely
    the connection was closed. */
 static int
-judge(const transfer *x, CURLcode rc)
+judge(const traffic_transfer *x, CURLcode rc)
 {
     if (x->expired)
         return x->sent ? BBM_ERR_UPSTREAM_TIMEOUT : BBM_ERR_UPSTREAM_CONNECT;
@@ -392,7 +298,7 @@
 }
 
 static void
-finish(traffic *t, transfer *x, CURLcode rc)
+finish(traffic *t, traffic_transfer *x, CURLcode rc)
 {
     /* An answer without a body has had no call of on_data. */
     bool empty = rc == CURLE_OK && !x->answering && !x->refused;
@@ -415,7 +321,7 @@
     while ((msg = curl_multi_info_read(t->multi, &left)) != NULL) {
         if (msg->msg != CURLMSG_DONE)
             continue;
-        transfer *x = NULL;
+        traffic_transfer *x = NULL;
         CURLcode rc = msg->data.result;
         curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &x);
         finish(t, x, rc);
@@ -423,7 +329,7 @@
 }
 
 static bool
-over_time(const transfer *x, bbm_time now)
+over_time(const traffic_transfer *x, bbm_time now)
 {
     if (x->paused)
         return false;
@@ -433,7 +339,7 @@
 }
 
 static void
-tell_gone(transfer *x)
+tell_gone(traffic_transfer *x)
 {
     control_item *item = control_item_create(CONTROL_GONE);
     item->id = x->request;
@@ -444,7 +350,7 @@
 check_times(traffic *t)
 {
     bbm_time now = control_now();
-    transfer *x, *next;
+    traffic_transfer *x, *next;
     HASH_ITER(hh, t->transfers, x, next)
     {
         if (over_time(x, now)) {
@@ -465,7 +371,7 @@
 static void
 resume(traffic *t, uint64_t request)
 {
-    transfer *x = find_transfer(t, request);
+    traffic_transfer *x = find_transfer(t, request);
     if (!x || !x->paused)
         return;
     x->paused = false;
@@ -476,7 +382,7 @@
 static void
 do_job(traffic *t, job *j)
 {
-    transfer *x;
+    traffic_transfer *x;
     switch (j->kind) {
     case JOB_START:
         start(t, j);
@@ -537,7 +443,7 @@
 {
     put_job(t, JOB_STOP, 0, NULL, NULL);
     pthread_join(t->thread, NULL);
-    transfer *x, *next;
+    traffic_transfer *x, *next;
     HASH_ITER(hh, t->transfers, x, next)
     {
         exchange_fail(x->ex, BBM_ERR_STOPPED, 0);
--- /dev/null
+++ b/members/members_probe.c
@@ -0,0 +1,135 @@
+#include "members_core.h"
+
+#include <string.h>
+
+/* Pings, suspicion, and what time does to them. */
+
+/* Everything known goes to one random member each so many periods. */
+#define SYNC_PERIODS 300
+
+members_probe *
+members_new_probe(bbm_members *m, const char *target)
+{
+    members_probe *oldest = &m->probes[0];
+    for (size_t i = 0; i < PROBES_MOST; i++) {
+        members_probe *p = &m->probes[i];
+        if (!p->seq || p->seq < oldest->seq)
+            oldest = p;
+        if (!p->seq)
+            break;
+    }
+    *oldest = (members_probe){.seq = ++m->next_seq, .sent = m->now};
+    bbm_name_set(oldest->target, target);
+    return oldest;
+}
+
+static void
+ping(bbm_members *m, const bbm_member *target)
+{
+    const members_probe *p = members_new_probe(m, target->name);
+    bbm_member to = *target;
+    members_send_simple(m, MEMBERS_PING, &to, p->seq);
+}
+
+/* Members in turn, from a random start; a dead one now and then, for after a
+   partition both sides think each other dead. */
+static const bbm_member *
+next_target(bbm_members *m)
+{
+    for (size_t tries = 0; tries < m->len; tries++) {
+        m->order_at = (m->order_at + 1) % m->len;
+        const bbm_member *info = &m->rows[m->order_at].info;
+        bool self = strcmp(info->name, m->desc.self.name) == 0;
+        if (!self && info->address[0])
+            return info;
+    }
+    return NULL;
+}
+
+static void
+ask_helpers(bbm_members *m, members_probe *p)
+{
+    p->helped = true;
+    for (uint32_t i = 0; i < m->desc.helpers; i++) {
+        size_t at = (size_t)bbm_rng_below(&m->rng, m->len);
+        bbm_member helper = m->rows[at].info;
+        bool usable = helper.status == BBM_MEMBER_ALIVE
+                      && strcmp(helper.name, m->desc.self.name) != 0
+                      && strcmp(helper.name, p->target) != 0;
+        if (!usable)
+            continue;
+        bbm_buf *buf = members_start_message(m, MEMBERS_HELP, helper.name,
+                                             helper.address, p->seq);
+        bbm_put_str(buf, p->target);
+        members_put_news(m, buf, helper.name);
+    }
+}
+
+static void
+check_probes(bbm_members *m)
+{
+    for (size_t i = 0; i < PROBES_MOST; i++) {
+        members_probe *p = &m->probes[i];
+        if (!p->seq)
+            continue;
+        bbm_time waited = m->now - p->sent;
+        if (waited >= m->desc.timeout && !p->helped && !p->asker[0])
+            ask_helpers(m, p);
+        if (waited < 3 * m->desc.timeout)
+            continue;
+        members_row *r = members_find_row(m, p->target);
+        bool suspect = r && !p->asker[0] && r->info.status == BBM_MEMBER_ALIVE;
+        p->seq = 0;
+        if (suspect)
+            members_set_status(m, r, BBM_MEMBER_SUSPECT);
+    }
+}
+
+static void
+check_suspects(bbm_members *m)
+{
+    for (size_t i = 0; i < m->len; i++) {
+        members_row *r = &m->rows[i];
+        bbm_time age = m->now - r->info.since;
+        if (r->info.status == BBM_MEMBER_SUSPECT && age >= m->desc.suspicion)
+            members_set_status(m, r, BBM_MEMBER_DEAD);
+        else if (r->info.status == BBM_MEMBER_DEAD && r->info.run
+                 && age >= m->desc.forget)
+            members_remove_row(m, i--);
+    }
+}
+
+/* After a freeze everyone seems silent; the fault is here.  Probes under way
+   and the age of suspicions are started again. */
+static void
+forgive_freeze(bbm_members *m, bbm_time gap)
+{
+    for (size_t i = 0; i < PROBES_MOST; i++)
+        m->probes[i].seq = 0;
+    for (size_t i = 0; i < m->len; i++) {
+        if (m->rows[i].info.status == BBM_MEMBER_SUSPECT)
+            m->rows[i].info.since += gap;
+    }
+}
+
+void
+bbm_members_tick(bbm_members *m, bbm_time now)
+{
+    bbm_time gap = now - m->now;
+    if (m->now && gap > m->desc.period)
+        forgive_freeze(m, gap);
+    m->now = now;
+    check_probes(m);
+    check_suspects(m);
+    if (now < m->next_ping)
+        return;
+    m->next_ping = now + m->desc.period;
+    m->periods++;
+    const bbm_member *target = next_target(m);
+    if (!target)
+        return;
+    bbm_member to = *target;
+    ping(m, &to);
+    if (m->periods % SYNC_PERIODS == 1)
+        members_send_sync(m, &to, true);
+}
--- a/node/node.c
+++ b/node/node.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FORMAT 1
 #define DEFAULT_FRESH (5 * BBM_SECOND)
 #define DEFAULT_CUT (10 * BBM_SECOND)
 #define DEFAULT_ENTRY (10 * BBM_SECOND)
@@ -18,172 +17,6 @@
 /* Not all runners need have been heard to be ready after this. */
 #define READY_PATIENCE (3 * BBM_SECOND)
 
-/* ---- actions ---- */
-
-bbm_action *
-node_act(bbm_node *n, bbm_action_kind kind)
-{
-    node_queued *q = bbm_calloc(1, sizeof(*q));
-    q->action.kind = kind;
-    TAILQ_INSERT_TAIL(&n->actions, q, link);
-    return &q->action;
-}
-
-static void
-free_action(node_queued *q)
-{
-    if (!q)
-        return;
-    bbm_action *a = &q->action;
-    switch (a->kind) {
-    case BBM_ACT_SEND:
-        bbm_buf_free(&a->u.send.bytes);
-        break;
-    case BBM_ACT_PERSIST:
-        bbm_raft_persist_free(&a->u.persist);
-        break;
-    case BBM_ACT_ANSWER:
-        bbm_buf_free(&a->u.answer.body);
-        break;
-    case BBM_ACT_REPLY:
-        bbm_buf_free(&a->u.reply.body);
-        break;
-    case BBM_ACT_START:
-    case BBM_ACT_CUT:
-    case BBM_ACT_ORDER:
-    case BBM_ACT_WATCH:
-    case BBM_ACT_READY:
-    case BBM_ACT_LOG:
-    case BBM_ACT_STOPPED:
-        break;
-    }
-    free(q);
-}
-
-static void
-count_message(bbm_node *n, const bbm_action *a)
-{
-    if (a->kind != BBM_ACT_SEND)
-        return;
-    n->counts.messages_out++;
-    n->counts.bytes_out += a->u.send.bytes.len;
-}
-
-bbm_action *
-bbm_node_take(bbm_node *n)
-{
-    free_action(n->taken);
-    n->taken = TAILQ_FIRST(&n->actions);
-    if (!n->taken)
-        return NULL;
-    TAILQ_REMOVE(&n->actions, n->taken, link);
-    count_message(n, &n->taken->action);
-    return &n->taken->action;
-}
-
-void
-node_log(bbm_node *n, bbm_log_event event, const char *subject,
-         const char *detail)
-{
-    bbm_action *a = node_act(n, BBM_ACT_LOG);
-    a->u.log.event = event;
-    bbm_name_set(a->u.log.subject, subject);
-    bbm_name_set(a->u.log.detail, detail);
-}
-
-bbm_buf *
-node_send(bbm_node *n, const char *to, node_message kind)
-{
-    bbm_action *a = node_act(n, BBM_ACT_SEND);
-    bbm_name_set(a->u.send.to, to);
-    const bbm_member *m = bbm_members_find(n->members, to);
-    if (m)
-        memcpy(a->u.send.address, m->address, BBM_ADDRESS_SIZE);
-    bbm_put_u64(&a->u.send.bytes, FORMAT);
-    bbm_put_u64(&a->u.send.bytes, kind);
-    return &a->u.send.bytes;
-}
-
-/* ---- configuration ---- */
-
-const bbm_config *
-node_config(const bbm_node *n)
-{
-    return bbm_registry_config(bbm_state_registry(n->state));
-}
-
-static void
-watch(bbm_node *n, const char *engine, const char *url, bool on)
-{
-    bbm_action *a = node_act(n, BBM_ACT_WATCH);
-    bbm_name_set(a->u.watch.engine, engine);
-    bbm_text_set(a->u.watch.url, BBM_URL_SIZE, url);
-    a->u.watch.on = on;
-}
-
-static void
-keep_watch(bbm_node *n, const bbm_engine *e)
-{
-    node_watch *w = NULL;
-    HASH_FIND_STR(n->watches, e->name, w);
-    if (!w) {
-        w = bbm_calloc(1, sizeof(*w));
-        bbm_name_set(w->engine, e->name);
-        HASH_ADD_STR(n->watches, engine, w);
-    }
-    w->kept = true;
-    if (strncmp(w->url, e->url, BBM_URL_SIZE - 1) == 0)
-        return;
-    bbm_text_set(w->url, BBM_URL_SIZE, e->url);
-    watch(n, w->engine, w->url, true);
-}
-
-static void
-watch_runners(bbm_node *n, const bbm_config *cfg)
-{
-    node_watch *w, *next;
-    for (w = n->watches; w; w = w->hh.next)
-        w->kept = false;
-    for (const bbm_engine *e = cfg->engines; e; e = e->hh.next)
-        keep_watch(n, e);
-    HASH_ITER(hh, n->watches, w, next)
-    {
-        if (w->kept)
-            continue;
-        watch(n, w->engine, w->url, false);
-        HASH_DEL(n->watches, w);
-        free(w);
-    }
-}
-
-void
-node_configure(bbm_node *n)
-{
-    const bbm_registry *reg = bbm_state_registry(n->state);
-    uint64_t revision = bbm_registry_revision(reg);
-    bool drain = n->stopping || bbm_registry_draining(reg, n->desc.name);
-    if (drain && !n->draining)
-        n->drain_since = n->now;
-    n->draining = drain;
-    if (revision != n->configured) {
-        const bbm_config *cfg = bbm_registry_config(reg);
-        bool first = n->configured == 0;
-        n->configured = revision;
-        if (first)
-            n->configured_at = n->now;
-        n->counts.revision = revision;
-        bbm_fleet_configure(n->fleet, cfg, n->now);
-        bbm_burn_configure(n->burn, cfg);
-        watch_runners(n, cfg);
-        node_rate_update(n, true);
-        char number[BBM_NAME_SIZE];
-        snprintf(number, sizeof(number), "%llu", (unsigned long long)revision);
-        node_log(n, BBM_EVENT_REVISION, number, "");
-    }
-    node_request_check_keys(n);
-    node_request_pump(n);
-}
-
 /* ---- readiness and shutdown ---- */
 
 static bool
@@ -295,7 +128,7 @@
     n->counts.messages_in++;
     n->counts.bytes_in += len;
     bbm_reader rd = bbm_reader_of(data, len);
-    bool known = bbm_get_u64(&rd) == FORMAT;
+    bool known = bbm_get_u64(&rd) == NODE_FORMAT;
     node_message kind = (node_message)bbm_get_u32(&rd, NODE_MESSAGES - 1);
     int rc = BBM_ERR_DECODE;
     if (known && !rd.failed)
@@ -334,7 +167,7 @@
         node_watch *w = NULL;
         HASH_FIND_STR(n->watches, engine, w);
         if (w)
-            watch(n, w->engine, w->url, true);
+            node_watch_runner(n, w->engine, w->url, true);
         node_log(n, BBM_EVENT_RUNNER_GAP, engine, "");
     }
     node_request_pump(n);
@@ -511,9 +344,9 @@
     node_queued *q;
     while ((q = TAILQ_FIRST(&n->actions)) != NULL) {
         TAILQ_REMOVE(&n->actions, q, link);
-        free_action(q);
+        node_free_action(q);
     }
-    free_action(n->taken);
+    node_free_action(n->taken);
     node_rate_resign(n);
     bbm_rate_holder_destroy(n->holder);
     bbm_burn_destroy(n->burn);
--- /dev/null
+++ b/node/node_act.c
@@ -0,0 +1,90 @@
+#include "node_core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Actions and messages on their way out. */
+
+bbm_action *
+node_act(bbm_node *n, bbm_action_kind kind)
+{
+    node_queued *q = bbm_calloc(1, sizeof(*q));
+    q->action.kind = kind;
+    TAILQ_INSERT_TAIL(&n->actions, q, link);
+    return &q->action;
+}
+
+void
+node_free_action(node_queued *q)
+{
+    if (!q)
+        return;
+    bbm_action *a = &q->action;
+    switch (a->kind) {
+    case BBM_ACT_SEND:
+        bbm_buf_free(&a->u.send.bytes);
+        break;
+    case BBM_ACT_PERSIST:
+        bbm_raft_persist_free(&a->u.persist);
+        break;
+    case BBM_ACT_ANSWER:
+        bbm_buf_free(&a->u.answer.body);
+        break;
+    case BBM_ACT_REPLY:
+        bbm_buf_free(&a->u.reply.body);
+        break;
+    case BBM_ACT_START:
+    case BBM_ACT_CUT:
+    case BBM_ACT_ORDER:
+    case BBM_ACT_WATCH:
+    case BBM_ACT_READY:
+    case BBM_ACT_LOG:
+    case BBM_ACT_STOPPED:
+        break;
+    }
+    free(q);
+}
+
+static void
+count_message(bbm_node *n, const bbm_action *a)
+{
+    if (a->kind != BBM_ACT_SEND)
+        return;
+    n->counts.messages_out++;
+    n->counts.bytes_out += a->u.send.bytes.len;
+}
+
+bbm_action *
+bbm_node_take(bbm_node *n)
+{
+    node_free_action(n->taken);
+    n->taken = TAILQ_FIRST(&n->actions);
+    if (!n->taken)
+        return NULL;
+    TAILQ_REMOVE(&n->actions, n->taken, link);
+    count_message(n, &n->taken->action);
+    return &n->taken->action;
+}
+
+void
+node_log(bbm_node *n, bbm_log_event event, const char *subject,
+         const char *detail)
+{
+    bbm_action *a = node_act(n, BBM_ACT_LOG);
+    a->u.log.event = event;
+    bbm_name_set(a->u.log.subject, subject);
+    bbm_name_set(a->u.log.detail, detail);
+}
+
+bbm_buf *
+node_send(bbm_node *n, const char *to, node_message kind)
+{
+    bbm_action *a = node_act(n, BBM_ACT_SEND);
+    bbm_name_set(a->u.send.to, to);
+    const bbm_member *m = bbm_members_find(n->members, to);
+    if (m)
+        memcpy(a->u.send.address, m->address, BBM_ADDRESS_SIZE);
+    bbm_put_u64(&a->u.send.bytes, NODE_FORMAT);
+    bbm_put_u64(&a->u.send.bytes, kind);
+    return &a->u.send.bytes;
+}
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -13,6 +13,9 @@
 #include <sys/queue.h>
 #include <uthash.h>
 
+/** Version of the messages; another one is refused. */
+#define NODE_FORMAT 1
+
 /** Kinds of message between daemons. */
 typedef enum node_message {
     NODE_RAFT,     /**< Of the replicated log. */
@@ -240,7 +243,7 @@
     bool stopped;         /**< Told. */
 };
 
-/* ---- node.c ---- */
+/* ---- node_act.c ---- */
 
 /** Queue an action. */
 bbm_action *node_act(bbm_node *n, bbm_action_kind kind);
@@ -255,6 +258,14 @@
 /** Append "{...}" of code and text to an operator's call. */
 void node_reply_code(bbm_node *n, uint64_t op, int code,
                      const bbm_outcome *out);
+/** Release an action; NULL is allowed. */
+void node_free_action(node_queued *q);
+
+/* ---- node_config.c ---- */
+
+/** Ask a runner for reports, from all its blocks on, or stop. */
+void node_watch_runner(bbm_node *n, const char *engine, const char *url,
+                       bool on);
 /** Configuration in force, or NULL. */
 const bbm_config *node_config(const bbm_node *n);
 /** A new configuration may be in force: take it over. */
--- a/raft/raft_core.h
+++ b/raft/raft_core.h
@@ -70,6 +70,10 @@
 /** Queue a write of term, vote and the entries from @p from on (0: none). */
 void raft_persist(bbm_raft *r, const bbm_raft_snapshot *snapshot,
                   uint64_t truncate_from, uint64_t from);
+/** Release an output; NULL is allowed. */
+void raft_free_queued(raft_queued *q);
+/** Let go of what waited for writes that are now synced. */
+void raft_release_held(bbm_raft *r);
 /** Hand out committed entries. */
 void raft_apply(bbm_raft *r);
 /** Read the group again from the log. */
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -1,17 +1,13 @@
 #include "fleet.h"
 
+#include "fake_disk.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
 #define STEP (10 * BBM_MS)
-#define WRITES_MOST 4096
-
-typedef struct write_row {
-    bbm_raft_persist persist;
-    bbm_time due;
-} write_row;
 
 typedef struct place {
     char name[BBM_NAME_SIZE];
@@ -19,15 +15,7 @@
     bbm_member_id disk;
     uint64_t run;
     bbm_time frozen_until;
-    /* What is synced. */
-    uint64_t term;
-    bbm_member_id vote;
-    bbm_raft_snapshot snapshot;
-    bbm_entry *entries;
-    size_t len;
-    size_t cap;
-    write_row writes[WRITES_MOST];
-    size_t writes_len;
+    fake_disk files;
 } place;
 
 struct fleet {
@@ -57,52 +45,6 @@
     return i >= 0 && i < f->desc.nodes ? i : -1;
 }
 
-/* ---- disks ---- */
-
-static void
-drop_from(place *p, uint64_t index)
-{
-    while (p->len && p->entries[p->len - 1].index >= index)
-        free(p->entries[--p->len].data);
-}
-
-static void
-sync_write(place *p, bbm_raft_persist *w)
-{
-    p->term = w->term;
-    p->vote = w->vote;
-    if (w->snapshot) {
-        drop_from(p, 0);
-        bbm_buf_free(&p->snapshot.data);
-        p->snapshot = *w->snapshot;
-        w->snapshot->data = (bbm_buf){0};
-    }
-    if (w->truncate_from)
-        drop_from(p, w->truncate_from);
-    for (size_t i = 0; i < w->len; i++) {
-        bbm_grow(&p->entries, &p->cap, p->len, sizeof(bbm_entry));
-        p->entries[p->len++] = w->entries[i];
-        w->entries[i].data = NULL;
-    }
-    bbm_raft_persist_free(w);
-}
-
-static bbm_raft_saved
-saved_of(const place *p)
-{
-    bbm_raft_saved s = {.term = p->term, .vote = p->vote};
-    s.snapshot = p->snapshot;
-    s.snapshot.data = (bbm_buf){0};
-    bbm_buf_add(&s.snapshot.data, p->snapshot.data.data, p->snapshot.data.len);
-    s.entries = bbm_calloc(p->len, sizeof(bbm_entry));
-    s.len = p->len;
-    for (size_t i = 0; i < p->len; i++) {
-        s.entries[i] = p->entries[i];
-        s.entries[i].data = bbm_memdup(p->entries[i].data, p->entries[i].len);
-    }
-    return s;
-}
-
 /* ---- actions ---- */
 
 static void give(fleet *f, int i, const bbm_event *ev);
@@ -110,16 +52,9 @@
 static void
 queue_write(fleet *f, int i, bbm_action *a)
 {
-    place *p = &f->places[i];
-    if (p->writes_len == WRITES_MOST)
-        abort();
-    bbm_time last = p->writes_len ? p->writes[p->writes_len - 1].due : 0;
-    bbm_time due =
-        f->now + (bbm_time)bbm_rng_below(&f->rng, (uint64_t)f->desc.sync + 1);
-    write_row *w = &p->writes[p->writes_len++];
-    w->persist = a->u.persist;
-    w->due = due > last ? due : last;
-    a->u.persist = (bbm_raft_persist){0};
+    uint64_t longest = (uint64_t)f->desc.sync + 1;
+    bbm_time due = f->now + (bbm_time)bbm_rng_below(&f->rng, longest);
+    fake_disk_write(&f->places[i].files, &a->u.persist, due);
 }
 
 static void
@@ -209,7 +144,8 @@
     place *p = &f->places[i];
     if (p->node)
         return;
-    bbm_raft_saved saved = saved_of(p);
+    bbm_raft_saved saved;
+    fake_disk_load(&p->files, &saved);
     bbm_node_desc d = f->desc.node;
     p->run = ++f->runs;
     d.run = p->run;
@@ -239,14 +175,8 @@
     place *p = &f->places[i];
     if (!p->node)
         return;
-    size_t kept = (size_t)bbm_rng_below(&f->rng, p->writes_len + 1);
-    for (size_t w = 0; w < p->writes_len; w++) {
-        if (w < kept)
-            sync_write(p, &p->writes[w].persist);
-        else
-            bbm_raft_persist_free(&p->writes[w].persist);
-    }
-    p->writes_len = 0;
+    size_t most = p->files.writes_len + 1;
+    fake_disk_crash(&p->files, (size_t)bbm_rng_below(&f->rng, most));
     bbm_node_destroy(p->node);
     p->node = NULL;
 }
@@ -269,13 +199,10 @@
 sync_due(fleet *f, int i)
 {
     place *p = &f->places[i];
-    while (p->writes_len && p->writes[0].due <= f->now && fleet_up(f, i)) {
+    uint64_t seq;
+    while (fleet_up(f, i) && fake_disk_sync(&p->files, f->now, &seq)) {
         bbm_event ev = {.kind = BBM_EV_PERSISTED};
-        ev.u.persisted.seq = p->writes[0].persist.seq;
-        sync_write(p, &p->writes[0].persist);
-        p->writes_len--;
-        memmove(p->writes, p->writes + 1,
-                p->writes_len * sizeof(p->writes[0]));
+        ev.u.persisted.seq = seq;
         give(f, i, &ev);
     }
 }
@@ -350,11 +277,8 @@
 fleet_destroy(fleet *f)
 {
     for (int i = 0; i < f->desc.nodes; i++) {
-        place *p = &f->places[i];
         fleet_crash(f, i);
-        drop_from(p, 0);
-        free(p->entries);
-        bbm_buf_free(&p->snapshot.data);
+        fake_disk_clear(&f->places[i].files);
     }
     net_free(&f->net);
     free(f->places);
--- a/tests/raft_history.c
+++ b/tests/raft_history.c
@@ -1,6 +1,6 @@
 #include "raft_history.h"
 
-#include "bbm_raft.h"
+#include "fake_disk.h"
 #include "net.h"
 
 #include <stdlib.h>
@@ -13,27 +13,13 @@
 #define COMMANDS_MOST 65536
 #define ENTRIES_MOST 65536
 #define SNAPSHOT_EVERY 40
-#define PERSISTS_MOST 512
 /* After the faults the group has so long to serve again. */
 #define HEAL_STEPS 2000
 
-/* A disk: what is synced, and writes on their way to it. */
-typedef struct disk {
-    uint64_t term;
-    bbm_member_id vote;
-    bbm_raft_snapshot snapshot;
-    bbm_entry *entries;
-    size_t len;
-    size_t cap;
-    bbm_raft_persist pending[PERSISTS_MOST];
-    bbm_time due[PERSISTS_MOST];
-    size_t pending_len;
-} disk;
-
 typedef struct place {
     bbm_raft *raft;
     bbm_member_id id;
-    disk disk;
+    fake_disk disk;
     bool up;
     bool lost; /* its first folder is gone: a newcomer outside the group */
     bbm_time frozen_until;
@@ -73,72 +59,13 @@
     return p->offset + h->now + h->now / 1000000 * p->ppm;
 }
 
-/* ---- disks ---- */
-
-static void
-disk_clear(disk *d)
-{
-    for (size_t i = 0; i < d->len; i++)
-        free(d->entries[i].data);
-    for (size_t i = 0; i < d->pending_len; i++)
-        bbm_raft_persist_free(&d->pending[i]);
-    free(d->entries);
-    bbm_buf_free(&d->snapshot.data);
-    *d = (disk){0};
-}
-
-static void
-disk_drop_from(disk *d, uint64_t index)
-{
-    while (d->len && d->entries[d->len - 1].index >= index)
-        free(d->entries[--d->len].data);
-}
-
-static void
-disk_apply(disk *d, bbm_raft_persist *p)
-{
-    d->term = p->term;
-    d->vote = p->vote;
-    if (p->snapshot) {
-        disk_drop_from(d, 0);
-        bbm_buf_free(&d->snapshot.data);
-        d->snapshot = *p->snapshot;
-        p->snapshot->data = (bbm_buf){0};
-    }
-    if (p->truncate_from)
-        disk_drop_from(d, p->truncate_from);
-    for (size_t i = 0; i < p->len; i++) {
-        bbm_grow(&d->entries, &d->cap, d->len, sizeof(bbm_entry));
-        d->entries[d->len++] = p->entries[i];
-        p->entries[i].data = NULL;
-    }
-    bbm_raft_persist_free(p);
-}
-
-static void
-disk_saved(const disk *d, bbm_raft_saved *saved)
-{
-    *saved = (bbm_raft_saved){.term = d->term, .vote = d->vote};
-    saved->snapshot = d->snapshot;
-    saved->snapshot.data = (bbm_buf){0};
-    bbm_buf_add(&saved->snapshot.data, d->snapshot.data.data,
-                d->snapshot.data.len);
-    saved->entries = bbm_calloc(d->len, sizeof(bbm_entry));
-    saved->len = d->len;
-    for (size_t i = 0; i < d->len; i++) {
-        saved->entries[i] = d->entries[i];
-        saved->entries[i].data =
-            bbm_memdup(d->entries[i].data, d->entries[i].len);
-    }
-}
-
 /* ---- members ---- */
 
 static void
 start(history *h, place *p)
 {
     bbm_raft_saved saved;
-    disk_saved(&p->disk, &saved);
+    fake_disk_load(&p->disk, &saved);
     bbm_raft_desc desc = {
         .id = p->id,
         .seed = h->desc.seed + (uint64_t)(p - h->places),
@@ -218,15 +145,9 @@
 static void
 queue_persist(history *h, place *p, bbm_raft_output *out)
 {
-    disk *d = &p->disk;
-    if (d->pending_len == PERSISTS_MOST)
-        abort();
-    bbm_time last = d->pending_len ? d->due[d->pending_len - 1] : 0;
     bbm_time due =
         h->now + (bbm_time)bbm_rng_below(&h->rng, 20 * (uint64_t)BBM_MS);
-    d->due[d->pending_len] = due > last ? due : last;
-    d->pending[d->pending_len++] = out->u.persist;
-    out->u.persist = (bbm_raft_persist){0};
+    fake_disk_write(&p->disk, &out->u.persist, due);
 }
 
 static void
@@ -281,14 +202,8 @@
 sync_disk(history *h, int i)
 {
     place *p = &h->places[i];
-    disk *d = &p->disk;
-    while (d->pending_len && d->due[0] <= h->now) {
-        uint64_t seq = d->pending[0].seq;
-        disk_apply(d, &d->pending[0]);
-        d->pending_len--;
-        memmove(d->pending, d->pending + 1,
-                d->pending_len * sizeof(d->pending[0]));
-        memmove(d->due, d->due + 1, d->pending_len * sizeof(d->due[0]));
+    uint64_t seq;
+    while (fake_disk_sync(&p->disk, h->now, &seq)) {
         bbm_raft_persisted(p->raft, seq, clock_of(h, p));
         drain(h, i);
     }
@@ -315,15 +230,8 @@
 static void
 crash(history *h, place *p)
 {
-    disk *d = &p->disk;
-    size_t kept = (size_t)bbm_rng_below(&h->rng, d->pending_len + 1);
-    for (size_t i = 0; i < d->pending_len; i++) {
-        if (i < kept)
-            disk_apply(d, &d->pending[i]);
-        else
-            bbm_raft_persist_free(&d->pending[i]);
-    }
-    d->pending_len = 0;
+    size_t most = p->disk.writes_len + 1;
+    fake_disk_crash(&p->disk, (size_t)bbm_rng_below(&h->rng, most));
     stop(p);
     h->result.crashes++;
 }
@@ -332,7 +240,7 @@
 lose_disk(history *h, place *p)
 {
     stop(p);
-    disk_clear(&p->disk);
+    fake_disk_clear(&p->disk);
     h->result.lost_disks++;
     if (h->desc.weakness == RAFT_OLD_IDENTITY)
         return;
@@ -560,7 +468,7 @@
     raft_history_result result = h->result;
     for (int i = 0; i < desc->members; i++) {
         bbm_raft_destroy(h->places[i].raft);
-        disk_clear(&h->places[i].disk);
+        fake_disk_clear(&h->places[i].disk);
     }
     net_free(&h->net);
     free(h);
