Placement: more room at the runner, misses twelvefold, copies later

Change: a runner may queue as much as it batches; what is computed counts twelvefold; a further copy at 80% of a holder's slots instead of 60%.

--- a/route/fleet_pick.c
+++ b/route/fleet_pick.c
@@ -6,17 +6,17 @@
 /* Different weight versions that may be in use at once. */
 #define VERSIONS_MOST 4
 /* Requests that may wait at a runner, as a share of its slots. */
-#define QUEUE_SHARE 0.5
+#define QUEUE_SHARE 1.0
 /* Scores this close are taken as equal. */
 #define TIE_NS (5.0 * (double)BBM_MS)
 #define TIE_SHARE 0.1
 /* What is computed holds up others at the runner, and drives out blocks that
    they need: it counts more than its own time. */
-#define MISS_WEIGHT 8.0
+#define MISS_WEIGHT 12.0
 /* Cost of another zone. */
 #define ZONE_NS (1.0 * (double)BBM_MS)
 /* Share of its slots that a prefix may keep busy at each of its holders. */
-#define HOT_BUSY 0.6
+#define HOT_BUSY 0.8
 /* One in so many requests makes a further copy when one is wanted. */
 #define HOT_ONE_IN 4
 
