"Not run" is said only when true; retries elsewhere; crossed answers, replays

Cause 1: a request that failed at one upstream and then found no other, or missed its deadline in the queue, was refused with a code that says "not run", though the first attempt had been sent. Likewise streams cut for stale keys. Cause 2: a second retry avoided only the last runner and went back to the first one. Cause 3: a runner that once reported that it leaves stayed out for ever: its word and the configuration's were one flag. Cause 4: a sealed message between daemons could be played again.

Ruled out for 1: the codes' table (each code is right for a first attempt).

Conclusion: the promise about "not run" is now checked for every request of the histories, not for bookings alone.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -150,7 +150,7 @@
     int rc = open_disk(p);
     if (rc < 0)
         return rc;
-    p->transport = transport_create(s, p->message_secret, p->box);
+    p->transport = transport_create(s, p->run, p->message_secret, p->box);
     if (!p->transport) {
         bbm_log(BBM_EVENT_LISTEN_FAILED, "address", s->peer_address, NULL);
         return BBM_ERR_IO;
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -136,25 +136,40 @@
 
 /* ---- callbacks of the library ---- */
 
+/* Value of a header line if it has this name (in lower case, with the colon);
+ *len receives its length, without blanks around. */
+static const char *
+header_value(const char *data, size_t n, const char *name, size_t *len)
+{
+    size_t skip = strlen(name);
+    if (n <= skip || strncasecmp(data, name, skip) != 0)
+        return NULL;
+    while (skip < n && data[skip] == ' ')
+        skip++;
+    while (n > skip && strchr("\r\n ", data[n - 1]))
+        n--;
+    *len = n - skip;
+    return data + skip;
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *context)
 {
     (void)size;
     traffic_transfer *x = context;
-    static const char name[] = "content-type:";
-    size_t skip = sizeof(name) - 1;
-    if (n <= skip || strncasecmp(data, name, skip) != 0)
-        return n;
-    while (skip < n && data[skip] == ' ')
-        skip++;
-    size_t len = n - skip;
-    while (len
-           && (data[skip + len - 1] == '\r' || data[skip + len - 1] == '\n'))
-        len--;
-    if (len >= sizeof(x->type))
-        len = sizeof(x->type) - 1;
-    memcpy(x->type, data + skip, len);
-    x->type[len] = '\0';
+    size_t len;
+    const char *value = header_value(data, n, "content-type:", &len);
+    if (value) {
+        if (len >= sizeof(x->type))
+            len = sizeof(x->type) - 1;
+        memcpy(x->type, value, len);
+        x->type[len] = '\0';
+    }
+    /* An upstream that tells whose answer this is must name our request. */
+    value = header_value(data, n, "x-request-id:", &len);
+    if (value)
+        x->crossed =
+            len != strlen(x->start.id) || memcmp(value, x->start.id, len) != 0;
     return n;
 }
 
@@ -173,7 +188,7 @@
 begin_answer(traffic_transfer *x)
 {
     curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &x->status);
-    if (is_refusal(x)) {
+    if (x->crossed || is_refusal(x)) {
         x->refused = true;
         return true;
     }
--- a/daemon/traffic_request.h
+++ b/daemon/traffic_request.h
@@ -24,6 +24,7 @@
     bool sent;      /* the upstream may have a byte of it */
     bool answering; /* bytes went to the caller */
     bool refused;   /* an answer that is a failure of the attempt */
+    bool crossed;   /* it names another request */
     bool paused;
     bool expired; /* a time limit of ours ended it */
     bbm_time begun;
--- a/daemon/transport.c
+++ b/daemon/transport.c
@@ -1,11 +1,11 @@
 #include "transport.h"
 
 #include "control.h"
+#include "seal.h"
 
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
-#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
@@ -30,7 +30,7 @@
 
 struct transport {
     const bbm_settings *settings;
-    uint8_t secret[crypto_secretbox_KEYBYTES];
+    seal *seal;
     mailbox *control;
     nng_socket listening;
     pthread_t thread;
@@ -67,57 +67,26 @@
 /* ---- sealing ---- */
 
 static nng_msg *
-seal(transport *t, const char *to, const bbm_buf *bytes)
+close_message(transport *t, const char *to, const bbm_buf *bytes)
 {
-    bbm_buf plain = {0};
-    bbm_put_str(&plain, t->settings->name);
-    bbm_put_str(&plain, to);
-    bbm_put_bytes(&plain, bytes->data, bytes->len);
+    bbm_buf sealed = {0};
     nng_msg *msg = NULL;
-    size_t size =
-        crypto_secretbox_NONCEBYTES + crypto_secretbox_MACBYTES + plain.len;
-    if (nng_msg_alloc(&msg, size) == 0) {
-        uint8_t *body = nng_msg_body(msg);
-        randombytes_buf(body, crypto_secretbox_NONCEBYTES);
-        crypto_secretbox_easy(body + crypto_secretbox_NONCEBYTES, plain.data,
-                              plain.len, body, t->secret);
-    }
-    bbm_buf_free(&plain);
+    seal_close(t->seal, to, bytes, &sealed);
+    if (nng_msg_alloc(&msg, sealed.len) == 0)
+        memcpy(nng_msg_body(msg), sealed.data, sealed.len);
+    bbm_buf_free(&sealed);
     return msg;
 }
 
-static bool
-unseal(transport *t, nng_msg *msg, control_item *item)
-{
-    size_t len = nng_msg_len(msg);
-    const uint8_t *body = nng_msg_body(msg);
-    size_t head = crypto_secretbox_NONCEBYTES + crypto_secretbox_MACBYTES;
-    if (len <= head)
-        return false;
-    BBM_AUTO_FREE uint8_t *plain = bbm_calloc(len - head, 1);
-    int rc = crypto_secretbox_open_easy(
-        plain, body + crypto_secretbox_NONCEBYTES,
-        len - crypto_secretbox_NONCEBYTES, body, t->secret);
-    if (rc != 0)
-        return false;
-    char to[BBM_NAME_SIZE];
-    bbm_reader rd = bbm_reader_of(plain, len - head);
-    bbm_get_name(&rd, item->name);
-    bbm_get_name(&rd, to);
-    bbm_bytes inner = bbm_get_bytes(&rd);
-    bool ours = bbm_reader_done(&rd) && strcmp(to, t->settings->name) == 0;
-    if (ours)
-        bbm_buf_add(&item->bytes, inner.data, inner.len);
-    return ours;
-}
-
 /* ---- receiving ---- */
 
 static void
 take_message(transport *t, nng_msg *msg)
 {
     control_item *item = control_item_create(CONTROL_MESSAGE);
-    bool good = unseal(t, msg, item);
+    bool good = seal_open(t->seal, nng_msg_body(msg), nng_msg_len(msg),
+                          item->name, &item->bytes)
+                == BBM_OK;
     if (!good)
         atomic_fetch_add(&t->refused, 1);
     bool wanted = good && !is_cut(t, item->name);
@@ -195,7 +164,7 @@
     if (!address[0] || is_cut(t, name))
         return;
     link_to *l = link_for(t, name, address);
-    nng_msg *msg = l ? seal(t, name, bytes) : NULL;
+    nng_msg *msg = l ? close_message(t, name, bytes) : NULL;
     if (!msg)
         return;
     if (nng_sendmsg(l->socket, msg, NNG_FLAG_NONBLOCK) != 0)
@@ -211,17 +180,18 @@
 /* ---- making ---- */
 
 transport *
-transport_create(const bbm_settings *settings, const uint8_t *message_secret,
-                 mailbox *control)
+transport_create(const bbm_settings *settings, uint64_t run,
+                 const uint8_t *message_secret, mailbox *control)
 {
     transport *t = bbm_calloc(1, sizeof(*t));
     char url[URL_SIZE];
     t->settings = settings;
     t->control = control;
-    memcpy(t->secret, message_secret, sizeof(t->secret));
+    t->seal = seal_create(settings->name, run, message_secret);
     pthread_mutex_init(&t->cut_lock, NULL);
     snprintf(url, sizeof(url), "tcp://%s", settings->peer_address);
     if (nng_pull0_open(&t->listening) != 0) {
+        seal_destroy(t->seal);
         free(t);
         return NULL;
     }
@@ -248,7 +218,7 @@
     {
         close_link(t, l);
     }
-    explicit_bzero(t->secret, sizeof(t->secret));
+    seal_destroy(t->seal);
     pthread_mutex_destroy(&t->cut_lock);
     free(t->cut);
     free(t);
--- a/daemon/transport.h
+++ b/daemon/transport.h
@@ -16,7 +16,7 @@
 typedef struct transport transport;
 
 /** Listen on settings->peer_address; NULL if that fails. */
-transport *transport_create(const bbm_settings *settings,
+transport *transport_create(const bbm_settings *settings, uint64_t run,
                             const uint8_t *message_secret, mailbox *control);
 /** Send bytes to a daemon; drops them if it can't be reached. */
 void transport_send(transport *t, const char *name, const char *address,
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -39,25 +39,30 @@
     STAGE_RUNNING, /**< Sent to an upstream. */
 } request_stage;
 
+/** Attempts that one request may make, each at another upstream. */
+#define ATTEMPTS_MOST 3
+
 /** A request that is open. */
 typedef struct node_request {
-    uint64_t id;                    /**< Number. */
-    request_stage stage;            /**< Where it is. */
-    char customer[BBM_NAME_SIZE];   /**< Whose, or "" on open routes. */
-    char key[BBM_NAME_SIZE];        /**< Name of its key, or "". */
-    char route[BBM_NAME_SIZE];      /**< Its route. */
-    char model[BBM_NAME_SIZE];      /**< Its model, or "". */
-    char scope[BBM_NAME_SIZE];      /**< Scope of cache entries. */
-    bool repeatable;                /**< May be tried again. */
-    bool claimed;                   /**< Holds a claim. */
-    bbm_digest idem;                /**< Idempotency key. */
-    bbm_digest body;                /**< Digest of the request. */
-    uint32_t attempt;               /**< Attempts so far. */
-    bool first_byte;                /**< The upstream began to answer. */
-    bool picked;                    /**< Runs at a runner. */
-    bbm_pick pick;                  /**< Which one. */
-    char upstream[BBM_NAME_SIZE];   /**< Engine or service. */
-    char failed_at[BBM_NAME_SIZE];  /**< Where the last attempt failed. */
+    uint64_t id;                  /**< Number. */
+    request_stage stage;          /**< Where it is. */
+    char customer[BBM_NAME_SIZE]; /**< Whose, or "" on open routes. */
+    char key[BBM_NAME_SIZE];      /**< Name of its key, or "". */
+    char route[BBM_NAME_SIZE];    /**< Its route. */
+    char model[BBM_NAME_SIZE];    /**< Its model, or "". */
+    char scope[BBM_NAME_SIZE];    /**< Scope of cache entries. */
+    bool repeatable;              /**< May be tried again. */
+    bool claimed;                 /**< Holds a claim. */
+    bbm_digest idem;              /**< Idempotency key. */
+    bbm_digest body;              /**< Digest of the request. */
+    uint32_t attempt;             /**< Attempts so far. */
+    bool first_byte;              /**< The upstream began to answer. */
+    bool picked;                  /**< Runs at a runner. */
+    bbm_pick pick;                /**< Which one. */
+    char upstream[BBM_NAME_SIZE]; /**< Engine or service. */
+    char failed_at[ATTEMPTS_MOST][BBM_NAME_SIZE]; /**< Where it failed. */
+    size_t failed_len;                            /**< How often. */
+    bool sent;                      /**< An attempt may have reached one. */
     bbm_block_id *blocks;           /**< Of its prompt; owned. */
     size_t blocks_len;              /**< Blocks. */
     double block_tokens;            /**< Tokens in a block. */
@@ -334,6 +339,8 @@
                          bbm_time retry_after);
 /** Release it without an answer. */
 void node_request_free(bbm_node *n, node_request *r);
+/** Upstreams that failed a request; a view, not to be freed. */
+bbm_names node_request_failed(const node_request *r);
 /** By number, or NULL. */
 node_request *node_request_find(const bbm_node *n, uint64_t id);
 /** Time has passed: deadlines, queues. */
@@ -342,8 +349,8 @@
 void node_request_pump(bbm_node *n);
 /** Keys or configuration changed: cut what is no longer allowed. */
 void node_request_check_keys(bbm_node *n);
-/** Cut all keyed requests. */
-void node_request_cut_keyed(bbm_node *n, int code);
+/** Keys are too old: cut all keyed requests. */
+void node_request_cut_keyed(bbm_node *n);
 /** Release all. */
 void node_request_destroy(bbm_node *n);
 
--- a/node/node_relay.c
+++ b/node/node_relay.c
@@ -143,7 +143,7 @@
                  "");
     }
     if (age > n->desc.cut_bound && !n->desc.unsafe_stale_keys)
-        node_request_cut_keyed(n, BBM_ERR_KEYS_STALE);
+        node_request_cut_keyed(n);
 }
 
 static void
--- a/node/node_request.c
+++ b/node/node_request.c
@@ -18,6 +18,15 @@
     return r;
 }
 
+bbm_names
+node_request_failed(const node_request *r)
+{
+    return (bbm_names){
+        .items = (char(*)[BBM_NAME_SIZE])(uintptr_t)r->failed_at,
+        .len = r->failed_len,
+    };
+}
+
 /* ---- tenants and queues ---- */
 
 static node_tenant *
@@ -121,6 +130,9 @@
 node_request_refuse(bbm_node *n, node_request *r, int code,
                     bbm_time retry_after)
 {
+    /* After an attempt that may have run, no cause may say "not run". */
+    if (r->sent && bbm_code_ran(code) == BBM_RAN_NO)
+        code = BBM_ERR_UPSTREAM;
     answer_refusal(n, r->id, code, retry_after);
     bbm_burn_request(n->burn,
                      &(bbm_burn_sample){
@@ -302,6 +314,7 @@
 static bbm_pick_result
 pick(bbm_node *n, node_request *r)
 {
+    bbm_names failed = node_request_failed(r);
     bbm_prompt prompt = {
         .model = r->model,
         .scope = r->scope,
@@ -309,7 +322,7 @@
         .len = r->blocks_len,
         .tokens = r->prompt_tokens,
         .block_tokens = r->block_tokens,
-        .avoid = r->failed_at[0] ? r->failed_at : NULL,
+        .avoid = &failed,
     };
     bbm_pick_result result =
         bbm_fleet_pick(n->fleet, &prompt, n->now, &r->pick);
@@ -434,14 +447,15 @@
 
 /* ---- keys ---- */
 
+/* What runs is cut with an error that doesn't say "not run"; what waits is
+   refused. */
 static void
-cut_or_refuse(bbm_node *n, node_request *r, int code)
+cut_or_refuse(bbm_node *n, node_request *r, int cut, int refuse)
 {
     if (r->stage == STAGE_RUNNING)
-        node_run_cut(n, r, code);
+        node_run_cut(n, r, cut);
     else
-        node_request_refuse(
-            n, r, code == BBM_ERR_KEY_WITHDRAWN ? BBM_ERR_BAD_KEY : code, 0);
+        node_request_refuse(n, r, refuse, 0);
 }
 
 void
@@ -455,18 +469,18 @@
                      || (bbm_registry_key_valid(reg, r->key)
                          && bbm_config_customer(node_config(n), r->customer));
         if (!valid)
-            cut_or_refuse(n, r, BBM_ERR_KEY_WITHDRAWN);
+            cut_or_refuse(n, r, BBM_ERR_KEY_WITHDRAWN, BBM_ERR_BAD_KEY);
     }
 }
 
 void
-node_request_cut_keyed(bbm_node *n, int code)
+node_request_cut_keyed(bbm_node *n)
 {
     node_request *r, *next;
     HASH_ITER(hh, n->requests, r, next)
     {
         if (r->key[0])
-            cut_or_refuse(n, r, code);
+            cut_or_refuse(n, r, BBM_ERR_KEYS_STALE_CUT, BBM_ERR_KEYS_STALE);
     }
 }
 
--- a/node/node_run.c
+++ b/node/node_run.c
@@ -12,7 +12,7 @@
 /* ---- starting ---- */
 
 static const bbm_service *
-next_service(bbm_node *n, const bbm_route *route, const char *avoid)
+next_service(bbm_node *n, const bbm_route *route, const bbm_names *avoid)
 {
     const bbm_config *cfg = node_config(n);
     const bbm_service *far = NULL;
@@ -20,7 +20,7 @@
         size_t at = (n->service_turn + i) % route->services.len;
         const bbm_service *s =
             bbm_config_service(cfg, route->services.items[at]);
-        if (!s || s->leaving || strcmp(s->name, avoid) == 0)
+        if (!s || s->leaving || bbm_names_has(avoid, s->name))
             continue;
         if (strcmp(s->zone, n->desc.zone) == 0) {
             n->service_turn++;
@@ -51,7 +51,8 @@
         return e ? e->url : NULL;
     }
     const bbm_route *route = route_named(n, r->route);
-    const bbm_service *s = route ? next_service(n, route, r->failed_at) : NULL;
+    bbm_names failed = node_request_failed(r);
+    const bbm_service *s = route ? next_service(n, route, &failed) : NULL;
     bbm_name_set(r->upstream, s ? s->name : "");
     return s ? s->url : NULL;
 }
@@ -187,7 +188,9 @@
 {
     bool harmless = !ev->sent || r->repeatable;
     bool in_time = n->now < r->deadline;
-    return !ev->answered && harmless && in_time && bbm_retry_take(&n->retries);
+    bool left = r->failed_len + 1 < ATTEMPTS_MOST;
+    return !ev->answered && harmless && in_time && left
+           && bbm_retry_take(&n->retries);
 }
 
 static void
@@ -196,7 +199,9 @@
 {
     bbm_action *a = node_act(n, BBM_ACT_ANSWER);
     a->u.answer.request = r->id;
-    a->u.answer.code = ev->sent ? ev->code : BBM_ERR_UPSTREAM_CONNECT;
+    a->u.answer.code = r->sent ? BBM_ERR_UPSTREAM : BBM_ERR_UPSTREAM_CONNECT;
+    if (ev->sent)
+        a->u.answer.code = ev->code;
     a->u.answer.retry_after_ms = COME_BACK_SOON / BBM_MS;
 }
 
@@ -210,7 +215,7 @@
     if (!ev->answered)
         answer_failure(n, r, ev);
     if (r->claimed)
-        node_claim_end(n, r, ev->sent ? BBM_CLAIM_UNKNOWN : BBM_CLAIM_NOT_RUN,
+        node_claim_end(n, r, r->sent ? BBM_CLAIM_UNKNOWN : BBM_CLAIM_NOT_RUN,
                        ev);
     n->counts.failed++;
     node_log(n, BBM_EVENT_REQUEST_FAILED, r->upstream,
@@ -231,8 +236,9 @@
         return;
     }
     node_run_leave(n, r, true);
+    r->sent = r->sent || ev->sent;
     if (may_retry(n, r, ev)) {
-        bbm_name_set(r->failed_at, r->upstream);
+        bbm_name_set(r->failed_at[r->failed_len++], r->upstream);
         node_log(n, BBM_EVENT_RETRY, r->upstream, bbm_code_name(ev->code));
         node_request_place(n, r);
     }
--- a/route/bbm_fleet.c
+++ b/route/bbm_fleet.c
@@ -90,7 +90,7 @@
     r->prefill = (double)e->prefill_tokens_per_s;
     r->import = (double)e->import_tokens_per_s;
     r->blocks = (size_t)e->cache_blocks;
-    r->leaving = e->leaving || r->leaving_told;
+    r->leaving_set = e->leaving;
 }
 
 void
@@ -197,8 +197,6 @@
     r->heard = now;
     r->loading = report->loading;
     r->leaving_told = report->leaving;
-    if (report->leaving)
-        r->leaving = true;
     forget_recent(r, r->made);
     /* A stream that starts past what we know is a gap as well. */
     bool behind = !report->whole && r->last_event == 0
@@ -265,12 +263,18 @@
     return wait;
 }
 
+static bool
+is_leaving(const fleet_runner *r)
+{
+    return r->leaving_set || r->leaving_told;
+}
+
 bool
 fleet_is_usable(const bbm_fleet *f, const fleet_runner *r, bbm_time now)
 {
     bool heard = r->heard && now - r->heard <= HEARD_TIME;
     bool ejected = !f->desc.no_health && now < r->ejected_until;
-    return r->used && r->configured && !r->leaving && !r->loading && heard
+    return r->used && r->configured && !is_leaving(r) && !r->loading && heard
            && !ejected;
 }
 
@@ -432,7 +436,7 @@
         .blocks = bbm_cache_count_of(f->cache, (uint32_t)i),
         .heard = r->heard && now - r->heard <= HEARD_TIME,
         .ejected = now < r->ejected_until,
-        .leaving = r->leaving || !r->configured,
+        .leaving = is_leaving(r) || !r->configured,
     };
     bbm_name_set(view->name, r->name);
     bbm_name_set(view->weights, r->weights);
--- a/route/bbm_fleet.h
+++ b/route/bbm_fleet.h
@@ -79,7 +79,7 @@
     size_t len;                 /**< Whole blocks. */
     double tokens;              /**< Prompt tokens in all. */
     double block_tokens;        /**< Tokens in a block. */
-    const char *avoid;          /**< Runner that failed it, or NULL. */
+    const bbm_names *avoid;     /**< Runners that failed it, or NULL. */
 } bbm_prompt;
 
 /** Longest prompt that is looked at, in blocks. */
--- a/route/fleet_core.h
+++ b/route/fleet_core.h
@@ -34,7 +34,7 @@
     double prefill;                   /**< Tokens per second. */
     double import;                    /**< Tokens per second; 0: none. */
     size_t blocks;                    /**< Of its cache. */
-    bool leaving;                     /**< By configuration or its own word. */
+    bool leaving_set;                 /**< By configuration. */
     bool loading;                     /**< Told: it loads weights. */
     bool leaving_told;                /**< By its own word. */
     uint64_t incarnation;             /**< Told; 0: never heard. */
--- a/route/fleet_pick.c
+++ b/route/fleet_pick.c
@@ -108,7 +108,7 @@
         const fleet_runner *r = &f->runners[i];
         bool fits = fleet_is_usable(f, r, now)
                     && strcmp(r->model, p->model) == 0
-                    && !(p->avoid && strcmp(p->avoid, r->name) == 0);
+                    && !(p->avoid && bbm_names_has(p->avoid, r->name));
         if (!fits)
             continue;
         size_t v = chain_for(ch, p, r->weights);
--- a/stand/runner.c
+++ b/stand/runner.c
@@ -8,6 +8,7 @@
  *      {"lose_events":3}   the next cache events get numbers, but are lost
  *      {"fail":2}          the next requests are answered with 503
  *      {"cut_after":5}     streams end politely after so many events; 0: off
+ *      {"cross":1}         the next answers name another request
  *      {"leaving":true}    it says that it wants no new work
  *      {"lag_ms":500}      reports are so old
  */
@@ -81,6 +82,7 @@
     int64_t fail;
     int64_t lose_events;
     int64_t cut_after;
+    int64_t cross;
     uint64_t fence;
     uint64_t served;
     double prompt_tokens;
@@ -300,6 +302,10 @@
     bool fails = r->fail > 0;
     if (fails)
         r->fail--;
+    if (r->cross > 0) {
+        r->cross--;
+        q->other_id = "another";
+    }
     const char *wanted = stand_header(q, "X-Weights");
     bool other = wanted[0] && strcmp(wanted, r->weights) != 0;
     bool loading = r->loading;
@@ -504,6 +510,7 @@
     pthread_mutex_lock(&r->lock);
     set_number(doc, "lose_events", &r->lose_events);
     set_number(doc, "fail", &r->fail);
+    set_number(doc, "cross", &r->cross);
     set_number(doc, "cut_after", &r->cut_after);
     set_number(doc, "lag_ms", &r->lag_ms);
     json_t *leaving = json_object_get(doc, "leaving");
--- a/stand/stand_http.c
+++ b/stand/stand_http.c
@@ -126,6 +126,15 @@
                                        name);
 }
 
+static void
+add_identifier(const stand_request *r, struct MHD_Response *response)
+{
+    const char *id =
+        r->other_id ? r->other_id : stand_header(r, "X-Request-Id");
+    if (*id)
+        MHD_add_response_header(response, "X-Request-Id", id);
+}
+
 enum MHD_Result
 stand_reply(stand_request *r, unsigned status, json_t *doc)
 {
@@ -134,6 +143,7 @@
     struct MHD_Response *response = MHD_create_response_from_buffer(
         strlen(text), text, MHD_RESPMEM_MUST_FREE);
     MHD_add_response_header(response, "Content-Type", "application/json");
+    add_identifier(r, response);
     enum MHD_Result rc = MHD_queue_response(r->connection, status, response);
     MHD_destroy_response(response);
     return rc;
@@ -146,6 +156,7 @@
     struct MHD_Response *response = MHD_create_response_from_callback(
         MHD_SIZE_UNKNOWN, 4096, fn, context, done);
     MHD_add_response_header(response, "Content-Type", type);
+    add_identifier(r, response);
     enum MHD_Result rc = MHD_queue_response(r->connection, 200, response);
     MHD_destroy_response(response);
     return rc;
--- a/stand/stand_http.h
+++ b/stand/stand_http.h
@@ -22,6 +22,7 @@
     const char *method;                /**< "GET" for instance. */
     const char *path;                  /**< Without the query. */
     bbm_buf body;                      /**< Whole, with an end mark after. */
+    const char *other_id; /**< Named in the answer instead of its own. */
 } stand_request;
 
 /** Answers a request. */
--- a/tests/node_history.c
+++ b/tests/node_history.c
@@ -50,6 +50,7 @@
     bbm_time key_gone[KEYS]; /* acknowledged withdrawal; 0: not */
     bool key_asked[KEYS];
     int key_of[ASKS];
+    uint64_t reached[ASKS]; /* request that was sent to the service */
     int keys;
     bool healing;
 } history;
@@ -70,20 +71,9 @@
 /* ---- what the fleet asks of the world ---- */
 
 static void
-on_start(void *context, int node, const bbm_start *start)
+add_job(history *h, int node, const bbm_start *start)
 {
-    history *h = context;
-    const ask *a = &h->asks[start->request % ASKS];
-    int key = h->key_of[start->request % ASKS];
     bbm_time now = fleet_now(h->fleet);
-    if (key >= 0 && h->key_gone[key] && now > h->key_gone[key] + KEY_BOUND)
-        broken(h, "a withdrawn key starts nothing after the bound");
-    if (a->booking < 0)
-        return; /* browsing: no more is asked of it */
-    /* It reaches the service: this is a run. */
-    if (h->runs[a->booking]++ > 0)
-        broken(h, "a booking runs at most once");
-    h->result.runs++;
     for (int i = 0; i < JOBS; i++) {
         job *j = &h->jobs[i];
         if (j->used)
@@ -92,21 +82,57 @@
                    .node = node,
                    .starts = h->starts[node],
                    .start = *start};
-        j->due =
-            now + (bbm_time)bbm_rng_below(&h->rng, 3 * (uint64_t)BBM_SECOND);
+        /* One in ten takes long enough to be cut. */
+        bool is_long = bbm_rng_below(&h->rng, 10) == 0;
+        uint64_t most = (is_long ? 25 : 3) * (uint64_t)BBM_SECOND;
+        j->due = now + (bbm_time)bbm_rng_below(&h->rng, most);
         return;
     }
 }
 
+static void
+on_start(void *context, int node, const bbm_start *start)
+{
+    history *h = context;
+    const ask *a = &h->asks[start->request % ASKS];
+    int key = h->key_of[start->request % ASKS];
+    bbm_time now = fleet_now(h->fleet);
+    if (key >= 0 && h->key_gone[key] && now > h->key_gone[key] + KEY_BOUND)
+        broken(h, "a withdrawn key starts nothing after the bound");
+    h->reached[start->request % ASKS] = start->request;
+    if (a->booking < 0) {
+        add_job(h, node, start);
+        return;
+    }
+    /* It reaches the service: this is a run. */
+    if (h->runs[a->booking]++ > 0)
+        broken(h, "a booking runs at most once");
+    h->result.runs++;
+    add_job(h, node, start);
+}
+
+/* What is cut was sent: its error may not say that it did not run. */
+static void
+on_cut(void *context, int node, uint64_t request, int code)
+{
+    (void)node;
+    (void)request;
+    history *h = context;
+    if (code < 0 && bbm_code_ran(code) == BBM_RAN_NO)
+        broken(h, "not run is true of what is cut");
+}
+
 static void
 on_answer(void *context, const fleet_answer *a)
 {
     history *h = context;
     if (!a->operator_call) {
         const ask *q = &h->asks[a->id % ASKS];
+        bool says_not = a->code < 0 && bbm_code_ran(a->code) == BBM_RAN_NO;
+        if (says_not && h->reached[a->id % ASKS] == a->id)
+            broken(h, "not run is true");
         if (q->booking < 0)
             return;
-        bool says_not = a->code < 0 && bbm_code_ran(a->code) == BBM_RAN_NO;
         h->result.not_run += says_not;
         /* Said of this request; an earlier one with its key may have run,
            and then it isn't one that could have: no claim was made. */
@@ -349,7 +375,8 @@
     desc.node.unsafe_no_claim = weakness == NODE_NO_CLAIM;
     desc.node.unsafe_stale_keys = weakness == NODE_STALE_KEYS;
     desc.node.snapshot_entries = 60;
-    fleet_hooks hooks = {.context = h, .start = on_start, .answer = on_answer};
+    fleet_hooks hooks = {
+        .context = h, .start = on_start, .cut = on_cut, .answer = on_answer};
     h->fleet = fleet_create(&desc, &hooks);
     fleet_run(h->fleet, 4 * BBM_SECOND);
     publish(h);
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -320,6 +320,19 @@
     finish
 }
 
+t_crossed_answer() { # an answer to another request never reaches the caller
+    begin crossed_answer
+    runners 2
+    up 1 1
+    local i
+    for i in 1 2; do
+        curl -s "http://127.0.0.1:$((FLEET_PORT + 500 + i))/fault" -d '{"cross":1}' >/dev/null
+    done
+    check "both runners' crossed answers are an error" test "$(ask 1)" = 502
+    check "the next one is served" asks_fine 1
+    finish
+}
+
 t_leaving_upstream() { # a leaving runner gets no new work within seconds
     begin leaving_upstream
     runners 2
@@ -462,7 +475,7 @@
 }
 
 scenarios=(streams leader_killed bookings_once key_withdrawn isolated frozen
-    disk_lost restart_500 operators_race drain upstream_cut leaving_upstream
+    disk_lost restart_500 operators_race drain upstream_cut crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections disk_full)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -193,6 +193,21 @@
 }
 END_TEST
 
+START_TEST(a_runner_that_no_longer_leaves_gets_work_again)
+{
+    world w;
+    begin(&w);
+    bbm_report r = {.incarnation = 1, .leaving = true};
+    bbm_name_set(r.weights, "v1");
+    bbm_fleet_report(w.fleet, "e1", &r, w.now);
+    ck_assert(!bbm_fleet_usable(w.fleet, "e1", w.now));
+    r.leaving = false;
+    bbm_fleet_report(w.fleet, "e1", &r, w.now);
+    ck_assert(bbm_fleet_usable(w.fleet, "e1", w.now));
+    end(&w);
+}
+END_TEST
+
 START_TEST(the_queue_is_fair_by_tokens)
 {
     bbm_admission *q = bbm_admission_create(false);
@@ -331,7 +346,9 @@
           a_new_incarnation_has_nothing, a_gap_in_the_events_empties_the_index,
           other_weights_empty_the_index,
           a_failing_runner_is_ejected_but_half_stay,
-          a_silent_runner_gets_nothing, the_queue_is_fair_by_tokens,
+          a_silent_runner_gets_nothing,
+          a_runner_that_no_longer_leaves_gets_work_again,
+          the_queue_is_fair_by_tokens,
           the_urgent_go_first_and_the_late_come_out,
           retries_are_a_share_of_fresh_requests,
           entries_are_near_ready_and_stable, burn_pages_only_while_it_goes_on);
