--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -144,8 +144,9 @@
     place *p = &f->places[i];
     if (p->node)
         return;
-    bbm_raft_saved saved;
-    fake_disk_load(&p->files, &saved);
+    bbm_raft_saved saved = {0};
+    if (p->disk)
+        fake_disk_load(&p->files, &saved);
     bbm_node_desc d = f->desc.node;
     p->run = ++f->runs;
     d.run = p->run;
