Writes that gather while a sync goes on are synced together

Cause: each step of the log was synced by itself.

Ruled out: a timer that waits for more (it adds its time to each claim).

--- a/daemon/disk.c
+++ b/daemon/disk.c
@@ -10,6 +10,7 @@
 #define BOX_SIZE 65536
 #define WAIT_MS 200
 #define RETRY_US 500000
+#define BATCH_MOST 256
 
 struct disk {
     bbm_store *store;
@@ -36,38 +37,68 @@
     mailbox_put_waiting(d->control, item);
 }
 
+/* Steps that are written and synced together. */
+typedef struct batch {
+    bbm_raft_persist steps[BATCH_MOST];
+    size_t len;
+} batch;
+
 static void
-write_one(disk *d, bbm_raft_persist *p)
+write_batch(disk *d, batch *b)
 {
     int rc;
     bool told = false;
-    while ((rc = bbm_store_write(d->store, p)) < 0) {
+    while ((rc = bbm_store_write(d->store, b->steps, b->len)) < 0) {
         if (!told)
             tell_failure(d, rc);
         told = true;
         if (atomic_load(&d->stop))
-            return;
+            break;
         usleep(RETRY_US);
     }
-    confirm(d, p->seq);
+    if (rc == BBM_OK)
+        confirm(d, b->steps[b->len - 1].seq);
+    for (size_t i = 0; i < b->len; i++)
+        bbm_raft_persist_free(&b->steps[i]);
+    b->len = 0;
+}
+
+/* What has gathered while the last sync went on is synced at once; a step
+   with a snapshot goes alone. */
+static bool
+gather(disk *d, batch *b)
+{
+    while (b->len < BATCH_MOST) {
+        bbm_raft_persist *p = mailbox_take(d->box);
+        if (!p)
+            break;
+        if (p->snapshot && b->len)
+            write_batch(d, b);
+        b->steps[b->len++] = *p;
+        bool alone = p->snapshot != NULL;
+        free(p);
+        if (alone)
+            write_batch(d, b);
+    }
+    return b->len > 0;
 }
 
 static void *
 run(void *context)
 {
     disk *d = context;
+    batch *b = bbm_calloc(1, sizeof(*b));
     for (;;) {
-        bbm_raft_persist *p = mailbox_take(d->box);
-        if (!p) {
-            if (atomic_load(&d->stop))
-                return NULL;
-            mailbox_wait(d->box, WAIT_MS);
+        if (gather(d, b)) {
+            write_batch(d, b);
             continue;
         }
-        write_one(d, p);
-        bbm_raft_persist_free(p);
-        free(p);
+        if (atomic_load(&d->stop))
+            break;
+        mailbox_wait(d->box, WAIT_MS);
     }
+    free(b);
+    return NULL;
 }
 
 disk *
--- a/store/bbm_store.c
+++ b/store/bbm_store.c
@@ -4,6 +4,7 @@
 #include "bbm_hash.h"
 #include "store_file.h"
 
+#include <assert.h>
 #include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -404,27 +405,37 @@
     store->saved_cap = 0;
 }
 
+static int
+append_synced(bbm_store *store, const bbm_buf *log)
+{
+    int rc = store_write_all(store->log, log->data, log->len);
+    if (rc == BBM_OK && fdatasync(store->log) < 0)
+        rc = store_errno_code();
+    /* Take back what may have been written in part. */
+    if (rc < 0 && ftruncate(store->log, (off_t)store->log_size) < 0)
+        rc = BBM_ERR_IO;
+    if (rc == BBM_OK)
+        store->log_size += log->len;
+    return rc;
+}
+
 int
-bbm_store_write(bbm_store *store, const bbm_raft_persist *persist)
+bbm_store_write(bbm_store *store, const bbm_raft_persist *steps, size_t len)
 {
     bbm_buf log = {0};
     bbm_buf snapshot = {0};
-    int rc = BBM_OK;
-    add_hard(&log, persist);
-    add_entries(&log, persist);
-    if (persist->snapshot) {
-        add_snapshot(&snapshot, persist->snapshot);
+    for (size_t i = 0; i < len; i++) {
+        assert(len == 1 || !steps[i].snapshot);
+        add_hard(&log, &steps[i]);
+        add_entries(&log, &steps[i]);
+    }
+    int rc;
+    if (len == 1 && steps[0].snapshot) {
+        add_snapshot(&snapshot, steps[0].snapshot);
         rc = write_pair(store, &snapshot, &log);
     }
     else {
-        rc = store_write_all(store->log, log.data, log.len);
-        if (rc == BBM_OK && fdatasync(store->log) < 0)
-            rc = store_errno_code();
-        /* Take back what may have been written in part. */
-        if (rc < 0 && ftruncate(store->log, (off_t)store->log_size) < 0)
-            rc = BBM_ERR_IO;
-        if (rc == BBM_OK)
-            store->log_size += log.len;
+        rc = append_synced(store, &log);
     }
     bbm_buf_free(&log);
     bbm_buf_free(&snapshot);
--- a/store/bbm_store.h
+++ b/store/bbm_store.h
@@ -10,7 +10,7 @@
  *      int rc = bbm_store_open("/var/lib/bluebellmoor", &store, &report);
  *      ... bbm_store_id(store) is the identity ...
  *      bbm_store_load(store, &saved);                what a restart needs
- *      rc = bbm_store_write(store, &persist);        synced when it is 0
+ *      rc = bbm_store_write(store, &persist, 1);     synced when it is 0
  *      bbm_store_close(store);
  *
  *  A write that fails leaves the log as it was; it may be tried again, for
@@ -50,9 +50,11 @@
 /** Hand over what was read at opening; may be called once. */
 void bbm_store_load(bbm_store *store, bbm_raft_saved *saved);
 
-/** Write and sync one step of the log.
- *  BBM_ERR_DISK_FULL or BBM_ERR_IO; nothing counts as written then. */
-int bbm_store_write(bbm_store *store, const bbm_raft_persist *persist);
+/** Write steps of the log, in order, and sync them once.  A step with a
+ *  snapshot goes alone.  BBM_ERR_DISK_FULL or BBM_ERR_IO; none of the steps
+ *  counts as written then. */
+int bbm_store_write(bbm_store *store, const bbm_raft_persist *steps,
+                    size_t len);
 
 /** Bytes of log and snapshot on disk. */
 uint64_t bbm_store_size(const bbm_store *store);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -57,7 +57,7 @@
                    .len = strlen(text)};
     bbm_raft_persist p = {
         .seq = index, .term = 1, .vote = 7, .entries = &e, .len = 1};
-    return bbm_store_write(s, &p);
+    return bbm_store_write(s, &p, 1);
 }
 
 static bbm_store *
@@ -102,6 +102,36 @@
 }
 END_TEST
 
+START_TEST(steps_in_one_batch_are_read_back)
+{
+    bbm_store_report report;
+    make_folder();
+    bbm_store *s = open_store(&report);
+    bbm_entry entries[3];
+    bbm_raft_persist steps[3];
+    for (uint64_t i = 0; i < 3; i++) {
+        entries[i] = (bbm_entry){.index = i + 1,
+                                 .term = 1,
+                                 .kind = BBM_ENTRY_COMMAND,
+                                 .data = (uint8_t *)"abc" + i,
+                                 .len = 1};
+        steps[i] = (bbm_raft_persist){
+            .seq = i + 1, .term = i + 1, .entries = &entries[i], .len = 1};
+    }
+    ck_assert_int_eq(bbm_store_write(s, steps, 3), 0);
+    bbm_store_close(s);
+    s = open_store(&report);
+    bbm_raft_saved saved;
+    bbm_store_load(s, &saved);
+    ck_assert_uint_eq(saved.len, 3);
+    ck_assert_uint_eq(saved.term, 3);
+    ck_assert_mem_eq(saved.entries[2].data, "c", 1);
+    free_saved(&saved);
+    bbm_store_close(s);
+    remove_folder();
+}
+END_TEST
+
 START_TEST(every_torn_tail_is_cut_to_whole_records)
 {
     bbm_store_report report;
@@ -180,7 +210,7 @@
     bbm_entry e = {.index = 5, .term = 1, .data = (uint8_t *)"x", .len = 1};
     bbm_raft_persist p = {
         .seq = 6, .term = 2, .snapshot = &snap, .entries = &e, .len = 1};
-    ck_assert_int_eq(bbm_store_write(s, &p), 0);
+    ck_assert_int_eq(bbm_store_write(s, &p, 1), 0);
     bbm_store_close(s);
     bbm_buf_free(&snap.data);
     s = open_store(&report);
@@ -229,6 +259,7 @@
 END_TEST
 
 TEST_MAIN("store", what_was_written_is_read_back,
+          steps_in_one_batch_are_read_back,
           every_torn_tail_is_cut_to_whole_records,
           damage_is_an_error_that_names_the_file,
           a_lost_identity_is_not_drawn_anew, a_snapshot_replaces_the_log,
