Mistakes are plain text whatever was found

Cause: a mistake quotes what was found, cut to 80 bytes; cut within a letter of several bytes it was not valid UTF-8, and the detail of a refused publish was left out of the answer.

Ruled out: the JSON library (it rejects the text rightly).

Change: bytes above ASCII are shown as question marks in a mistake.

Conclusion: every mistake reaches the operator.

--- a/base/bbm_doc.c
+++ b/base/bbm_doc.c
@@ -21,6 +21,12 @@
     va_start(args, format);
     vsnprintf(line, sizeof(line), format, args);
     va_end(args);
+    /* What was found may be cut within a letter: such a text could not be
+       passed on as JSON. */
+    for (char *c = line; *c; c++) {
+        if ((unsigned char)*c >= 0x80)
+            *c = '?';
+    }
     m->lines[m->len++] = bbm_strdup(line);
 }
 
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -88,6 +88,24 @@
 }
 END_TEST
 
+START_TEST(a_mistake_is_plain_text_whatever_was_found)
+{
+    /* Cut within a letter of several bytes it would not be valid text. */
+    char text[512] = "{\"customers\":[{\"name\":\"";
+    for (int i = 0; i < 60; i++)
+        strcat(text, "\xc5\xbe");
+    strcat(text, "x\",\"rate\":\"r\"}]}");
+    bbm_mistakes wrong = {0};
+    ck_assert_ptr_null(bbm_config_create(text, strlen(text), &wrong));
+    ck_assert_uint_gt(wrong.len, 0);
+    for (size_t i = 0; i < wrong.len; i++) {
+        for (const char *c = wrong.lines[i]; *c; c++)
+            ck_assert((unsigned char)*c < 0x80);
+    }
+    bbm_mistakes_free(&wrong);
+}
+END_TEST
+
 START_TEST(doubled_fields_and_broken_json_are_refused)
 {
     static const char *const bad[] = {
@@ -108,4 +126,5 @@
 
 TEST_MAIN("config", good_document_is_taken, every_mistake_is_named,
           all_mistakes_come_at_once,
+          a_mistake_is_plain_text_whatever_was_found,
           doubled_fields_and_broken_json_are_refused);
