Every operator's command is run by a process test

Cause: show, history, diff, orders give and pause, drain off and the exit statuses were documented, and not run by any test.

Ruled out: tests of the command without daemons; its answers come from them.

Change: the scenario operator_commands runs each as text and as JSON.

--- a/tests/process.sh
+++ b/tests/process.sh
@@ -457,6 +457,39 @@
     finish
 }
 
+t_operator_commands() { # each command that the pages name, as text and as JSON
+    begin operator_commands
+    runners 2
+    up 3 3
+    local cli="$FLEET_BUILD/bluebellmoor" words
+    sed 's/"name": "jardin"/"name": "jardin", "weight": 3/' "$dir/config.json" >"$dir/next.json"
+    check "check" "$cli" check "$dir/next.json"
+    check "publish" "$cli" publish "$dir/next.json" 1
+    for words in status members runners history "keys list" "orders list" burn; do
+        # shellcheck disable=SC2086
+        check "$words" "$cli" $words
+        # shellcheck disable=SC2086
+        check "$words as JSON" bash -c "'$cli' --json $words | grep -q '[{[]'"
+    done
+    check "show gives the document back" bash -c "'$cli' show 1 | cmp - '$dir/config.json'"
+    check "diff names what changed" bash -c "'$cli' diff 1 2 | grep -q '^+ customers.*weight'"
+    check "and nothing else" test "$("$cli" diff 1 2 | wc -l)" -eq 2
+    check "an old revision is published anew" bash -c \
+        "'$cli' show 1 >'$dir/old.json' 2>/dev/null && '$cli' publish '$dir/old.json' 2"
+    check "orders pause on" "$cli" orders pause on
+    check "orders pause off" "$cli" orders pause off
+    check "orders give" "$cli" orders give runner-1 v1
+    check "drain on" "$cli" drain vm-3 on
+    leaves() { "$cli" members | grep 'vm-3 ' | grep -q 'alive *no *yes'; }
+    check "vm-3 leaves" fleet_until 10 leaves
+    check "drain off" "$cli" drain vm-3 off
+    check "a mistake ends with status 2" bash -c "echo '{' >'$dir/bad'; '$cli' check '$dir/bad'; test \$? -eq 2"
+    check "nobody there ends with status 3" bash -c "'$cli' --admin 127.0.0.1:1 status; test \$? -eq 3"
+    check "an unknown key ends with status 1" bash -c "'$cli' keys withdraw nobody; test \$? -eq 1"
+    check "a wrong operator key is refused" bash -c "BLUEBELLMOOR_KEY=no '$cli' status; test \$? -eq 1"
+    finish
+}
+
 t_disk_full() { # a full disk: nothing unsynced is acknowledged
     begin disk_full
     runners 1
@@ -476,7 +509,8 @@
 
 scenarios=(streams leader_killed bookings_once key_withdrawn isolated frozen
     disk_lost restart_500 operators_race drain upstream_cut crossed_answer leaving_upstream
-    bad_input rollout no_key_upstream tls idle_connections disk_full)
+    bad_input rollout no_key_upstream tls idle_connections
+    operator_commands disk_full)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed"
