A KV cache store stand-in: a leaving runner's blocks are imported, not recomputed

Cause: the router decided on imports, but no stand-in had a store, so the gain was not seen. Ruled out: asking the store from the router on each request (a round trip before every first token, and the engine asks it anyway). Change: stand_kv, runners that export and import (`--kv-store`, `--import`), and the pick counts blocks that any runner, usable or not, was seen to hold. The new process scenario fails when the import rate is left out of the settings. Under load it has not been run.

--- a/route/fleet_pick.c
+++ b/route/fleet_pick.c
@@ -42,6 +42,7 @@
     candidate list[BBM_CACHE_SLOTS];
     size_t len;
     size_t most_matched;
+    size_t stored; /* blocks that some runner held: the KV store has them */
     bbm_block_id root;
 } choice;
 
@@ -75,7 +76,7 @@
 }
 
 static void
-score(const bbm_fleet *f, const bbm_prompt *p, candidate *c, size_t most,
+score(const bbm_fleet *f, const bbm_prompt *p, candidate *c, size_t stored,
       bbm_time now)
 {
     const fleet_runner *r = &f->runners[c->slot];
@@ -85,7 +86,7 @@
         c->miss = 1;
     double compute = c->miss * MISS_WEIGHT / r->prefill;
     /* Blocks that another runner computed can come from the store. */
-    double known = (double)(most - c->matched) * p->block_tokens;
+    double known = (double)(stored - c->matched) * p->block_tokens;
     if (r->import > 0 && known > 0) {
         double imported =
             known / r->import + (c->miss - known) * MISS_WEIGHT / r->prefill;
@@ -116,6 +117,10 @@
             bbm_cache_match_all(f->cache, ch->ids[v], ch->blocks, now,
                                 matched[v], f->len);
             versions_done = v + 1;
+            for (uint32_t j = 0; j < f->len; j++) {
+                if (matched[v][j] > out->stored)
+                    out->stored = matched[v][j];
+            }
         }
         candidate *c = &out->list[out->len++];
         *c = (candidate){
@@ -128,7 +133,7 @@
             out->most_matched = c->matched;
     }
     for (size_t i = 0; i < out->len; i++)
-        score(f, p, &out->list[i], out->most_matched, now);
+        score(f, p, &out->list[i], out->stored, now);
 }
 
 /* ---- choosing ---- */
@@ -295,6 +300,7 @@
         ch.blocks = BBM_PROMPT_BLOCKS;
     out.len = 0;
     out.most_matched = 0;
+    out.stored = 0;
     collect(f, prompt, &ch, &out, now);
     if (!out.len)
         return BBM_PICK_NONE;
--- /dev/null
+++ b/stand/kv.c
@@ -0,0 +1,72 @@
+/** @file
+ *  A KV cache store to test against: knows which blocks were exported.
+ *
+ *  POST /export {"ids":["<hex>",...]} adds blocks; POST /have with the same
+ *  answers {"have":N}: so many of them, from the first, are in the store.
+ */
+#include "stand_http.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct kv_store {
+    pthread_mutex_t lock;
+    json_t *ids;
+} kv_store;
+
+static json_int_t
+count_held(const kv_store *k, const json_t *ids)
+{
+    json_int_t held = 0;
+    size_t i;
+    json_t *id;
+    json_array_foreach((json_t *)(uintptr_t)ids, i, id)
+    {
+        if (!json_object_get(k->ids, json_string_value(id)))
+            break;
+        held++;
+    }
+    return held;
+}
+
+static enum MHD_Result
+on_request(void *context, stand_request *q)
+{
+    kv_store *k = context;
+    json_error_t error;
+    json_t *doc = json_loads((char *)q->body.data, 0, &error);
+    json_t *ids = json_object_get(doc, "ids");
+    bool asks = strcmp(q->path, "/have") == 0;
+    json_int_t held = 0;
+    pthread_mutex_lock(&k->lock);
+    if (asks)
+        held = count_held(k, ids);
+    size_t i;
+    json_t *id;
+    json_array_foreach(ids, i, id)
+    {
+        if (!asks)
+            json_object_set_new(k->ids, json_string_value(id), json_true());
+    }
+    pthread_mutex_unlock(&k->lock);
+    json_decref(doc);
+    return stand_reply(q, 200, json_pack("{s:I}", "have", held));
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc != 2) {
+        fputs("usage: stand_kv PORT\n", stderr);
+        return 2;
+    }
+    kv_store k = {.ids = json_object()};
+    pthread_mutex_init(&k.lock, NULL);
+    stand_block_signals();
+    stand_server *s =
+        stand_listen((uint16_t)strtoul(argv[1], NULL, 10), on_request, &k);
+    stand_wait();
+    stand_close(s);
+}
--- a/stand/runner.c
+++ b/stand/runner.c
@@ -14,6 +14,7 @@
  */
 #include "bbm_cache.h"
 #include "bbm_prompt_text.h"
+#include "runner_kv.h"
 #include "stand_http.h"
 
 #include <curl/curl.h>
@@ -61,7 +62,8 @@
     uint32_t slots;
     int64_t lag_ms;
     bool fencing;
-    char *weight_store;
+    const char *kv_store;
+    double import_rate;
 
     pthread_mutex_t lock;
     pthread_cond_t freed;
@@ -87,6 +89,7 @@
     uint64_t served;
     double prompt_tokens;
     double hit_tokens;
+    double imported_tokens;
 } runner;
 
 /* ---- cache ---- */
@@ -221,51 +224,85 @@
                     (long long)s->hit_tokens);
 }
 
-/* Wait for a place in the batch, then compute what isn't cached. */
+/* A prompt's blocks as the cache and the store name them. */
+typedef struct prefix {
+    bbm_block_id ids[BLOCKS_MOST];
+    size_t len;
+    size_t hits;
+    size_t imported;
+    double tokens;
+    double block_tokens;
+} prefix;
+
+static prefix
+prefix_of(const runner *r, const bbm_asked *asked, const char *scope)
+{
+    prefix p = {0};
+    p.len = bbm_blocks_of(asked->units, asked->units_len, r->block_bytes,
+                          p.ids, BLOCKS_MOST);
+    p.block_tokens = (double)r->block_bytes / (double)r->bytes_per_token;
+    p.tokens = (double)asked->prompt_bytes / (double)r->bytes_per_token;
+    bbm_block_id chain = bbm_chain_start(scope, r->weights);
+    for (size_t i = 0; i < p.len; i++) {
+        chain = bbm_chain_next(chain, p.ids[i]);
+        p.ids[i] = chain;
+    }
+    return p;
+}
+
+/* Wait for a place in the batch, and count what is cached. */
 static void
-prefill(runner *r, const bbm_asked *asked, const char *scope, stream *s)
+join_batch(runner *r, prefix *p, const bbm_asked *asked, const char *scope)
 {
-    bbm_block_id blocks[BLOCKS_MOST];
-    size_t len = bbm_blocks_of(asked->units, asked->units_len, r->block_bytes,
-                               blocks, BLOCKS_MOST);
-    double block_tokens = (double)r->block_bytes / (double)r->bytes_per_token;
-    double tokens = (double)asked->prompt_bytes / (double)r->bytes_per_token;
     pthread_mutex_lock(&r->lock);
     r->queued++;
     while (r->running >= r->slots)
         pthread_cond_wait(&r->freed, &r->lock);
     r->queued--;
     r->running++;
-    bbm_block_id chain = bbm_chain_start(scope, r->weights);
-    size_t hits = 0;
-    bool hit = true;
-    for (size_t i = 0; i < len; i++) {
-        chain = bbm_chain_next(chain, blocks[i]);
-        hit = hit && use_block(r, chain);
-        hits += hit;
-    }
-    double miss = tokens - (double)hits * block_tokens;
-    r->backlog += miss;
-    r->prompt_tokens += tokens;
-    r->hit_tokens += tokens - miss;
+    *p = prefix_of(r, asked, scope);
+    while (p->hits < p->len && use_block(r, p->ids[p->hits]))
+        p->hits++;
     r->served++;
+    pthread_mutex_unlock(&r->lock);
+}
+
+/* Compute what is neither cached nor imported; then all of it is cached. */
+static void
+prefill(runner *r, const bbm_asked *asked, const char *scope, bool import,
+        stream *s)
+{
+    prefix p;
+    join_batch(r, &p, asked, scope);
+    if (import && r->kv_store && r->import_rate > 0)
+        p.imported =
+            runner_kv_have(r->kv_store, p.ids + p.hits, p.len - p.hits);
+    double imported = (double)p.imported * p.block_tokens;
+    double hit = (double)p.hits * p.block_tokens;
+    double miss = p.tokens - hit - imported;
+    pthread_mutex_lock(&r->lock);
+    r->backlog += miss;
+    r->prompt_tokens += p.tokens;
+    r->hit_tokens += hit;
+    r->imported_tokens += imported;
     take_sample(r);
     pthread_mutex_unlock(&r->lock);
     pthread_mutex_lock(&r->prefill_lock);
     stand_sleep_ms((int64_t)(miss / r->prefill * 1000));
     pthread_mutex_unlock(&r->prefill_lock);
+    if (p.imported)
+        stand_sleep_ms((int64_t)(imported / r->import_rate * 1000));
+    if (r->kv_store && p.len)
+        runner_kv_export(r->kv_store, p.ids, p.len);
     pthread_mutex_lock(&r->lock);
     r->backlog -= miss;
-    chain = bbm_chain_start(scope, r->weights);
-    for (size_t i = 0; i < len; i++) {
-        chain = bbm_chain_next(chain, blocks[i]);
-        store_block(r, chain);
-    }
+    for (size_t i = 0; i < p.len; i++)
+        store_block(r, p.ids[i]);
     take_sample(r);
     s->epoch = r->epoch;
     pthread_mutex_unlock(&r->lock);
-    s->prompt_tokens = (int64_t)tokens;
-    s->hit_tokens = (int64_t)(tokens - miss);
+    s->prompt_tokens = (int64_t)p.tokens;
+    s->hit_tokens = (int64_t)(hit + imported);
 }
 
 static enum MHD_Result
@@ -321,7 +358,8 @@
     stream *s = bbm_calloc(1, sizeof(*s));
     s->r = r;
     s->output = asked.output ? asked.output : 16;
-    prefill(r, &asked, strcmp(scope, "-") == 0 ? "" : scope, s);
+    bool import = stand_header(q, "X-Cache-Import")[0] != '\0';
+    prefill(r, &asked, strcmp(scope, "-") == 0 ? "" : scope, import, s);
     bool streams = asked.stream;
     bbm_asked_free(&asked);
     if (!streams)
@@ -403,9 +441,10 @@
 {
     pthread_mutex_lock(&r->lock);
     json_t *doc = json_pack(
-        "{s:I, s:f, s:f, s:I, s:s}", "served", (json_int_t)r->served,
+        "{s:I, s:f, s:f, s:f, s:I, s:s}", "served", (json_int_t)r->served,
         "prompt_tokens", r->prompt_tokens, "hit_tokens", r->hit_tokens,
-        "blocks", (json_int_t)HASH_COUNT(r->blocks), "weights", r->weights);
+        "imported_tokens", r->imported_tokens, "blocks",
+        (json_int_t)HASH_COUNT(r->blocks), "weights", r->weights);
     pthread_mutex_unlock(&r->lock);
     return stand_reply(q, 200, doc);
 }
@@ -558,6 +597,8 @@
         {"slots", required_argument, NULL, 's'},
         {"lag-ms", required_argument, NULL, 'l'},
         {"fencing", no_argument, NULL, 'f'},
+        {"kv-store", required_argument, NULL, 'k'},
+        {"import", required_argument, NULL, 'i'},
         {NULL, 0, NULL, 0},
     };
     int opt;
@@ -591,10 +632,17 @@
         case 'f':
             r->fencing = true;
             break;
+        case 'k':
+            r->kv_store = optarg;
+            break;
+        case 'i':
+            r->import_rate = (double)number;
+            break;
         default:
             fputs("usage: stand_runner --port N [--weights V] "
                   "[--block-bytes N] [--cache-blocks N] [--prefill N] "
-                  "[--token-ms N] [--slots N] [--lag-ms N] [--fencing]\n",
+                  "[--token-ms N] [--slots N] [--lag-ms N] [--fencing] "
+                  "[--kv-store URL] [--import N]\n",
                   stderr);
             exit(2);
         }
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -320,6 +320,28 @@
     finish
 }
 
+t_kv_import() { # what a leaving runner computed is imported, not computed again
+    begin kv_import
+    fleet_run "$dir/kv.log" "$FLEET_BUILD/stand_kv" $((FLEET_PORT + 530))
+    runners 2 --prefill 10000 --kv-store "http://127.0.0.1:$((FLEET_PORT + 530))" --import 200000
+    up 1 1
+    sed -i 's/"prefill_tokens_per_s": 50000/"prefill_tokens_per_s": 10000, "import_tokens_per_s": 200000/' "$dir/config.json"
+    check "publish with import" fleet_operator publish "$dir/config.json" 1
+    figure() { curl -s "http://127.0.0.1:$((FLEET_PORT + 500 + $1))/figures" | grep -o "\"$2\":[0-9]*" | cut -d: -f2; }
+    printf '{"model":"garden","prompt":"%s","max_tokens":2}' "$(head -c 90000 /dev/zero | tr '\0' g)" >"$dir/long"
+    long() { curl -sf -m 20 -o /dev/null "$(url 1 /v1/completions)" -H "Authorization: Bearer $key" -d "@$dir/long"; }
+    check "the prompt is served" long
+    local first=1
+    [ "$(figure 2 served)" -gt 0 ] && first=2
+    sleep 1
+    curl -s "http://127.0.0.1:$((FLEET_PORT + 500 + first))/fault" -d '{"leaving":true}' >/dev/null
+    sleep 1
+    check "it is served again" long
+    check "by the other runner, which imported its blocks" \
+        test "$(figure $((3 - first)) imported_tokens)" -ge 20000
+    finish
+}
+
 t_crossed_answer() { # an answer to another request never reaches the caller
     begin crossed_answer
     runners 2
@@ -508,7 +530,7 @@
 }
 
 scenarios=(streams leader_killed bookings_once key_withdrawn isolated frozen
-    disk_lost restart_500 operators_race drain upstream_cut crossed_answer leaving_upstream
+    disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
     operator_commands disk_full)
 [ $# -gt 0 ] && scenarios=("$@")
