Logic that stood twice in rates, members, benches and properties is made one

Cause: a reading of the whole change. The owner summed a customer's parts twice for each deal; a VM's row was made in two places; three places of the failure detector told of a change; three sources had the same processor clock; three properties had the same search for a weakness; a held grant was released in two places. Ruled out: one macro for all find-or-make tables: their rows differ, and six plain lines each read better. Change: rate_pool_of gives capacity, rate and demand in one pass; rate_holder_of, members_tell_changed, cpu_clock_ns, prop_finds and drop_first_held serve their twins; a wrapper of one line and a field that nothing read are gone; a comment stands again over the function that it is about.

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -7,6 +7,7 @@
  *  and processor time is that spent in the node.
  */
 #include "fleet.h"
+#include "cpu_clock.h"
 
 #include "bbm_claims.h"
 #include "bbm_fleet.h"
@@ -17,7 +18,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #define SIZES_MOST 6
 
@@ -31,14 +31,6 @@
     size_t len;
 } series;
 
-static double
-cpu_now(void)
-{
-    struct timespec ts;
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
-    return (double)ts.tv_sec * 1e9 + (double)ts.tv_nsec;
-}
-
 static double
 heap_now(void)
 {
@@ -229,10 +221,10 @@
         bbm_pick got;
         bbm_fleet_pick(f, &p, now, &got);
         bbm_fleet_started(f, &p, &got, now);
-        double before = cpu_now();
+        double before = cpu_clock_ns();
         for (int i = 0; i < 2000; i++)
             bbm_fleet_pick(f, &p, now, &got);
-        add(&pick, sizes[k], (cpu_now() - before) / 2000 / 1e3);
+        add(&pick, sizes[k], (cpu_clock_ns() - before) / 2000 / 1e3);
         bbm_fleet_destroy(f);
         bbm_config_destroy(cfg);
     }
@@ -255,12 +247,12 @@
         bbm_cache *c = bbm_cache_create(&(bbm_cache_desc){0});
         bbm_cache_runner(c, 0, 1, 1000000);
         double heap = heap_now();
-        double before = cpu_now();
+        double before = cpu_clock_ns();
         for (int i = 0; i < sizes[k]; i++) {
             bbm_block_id id = bbm_block_hash(&i, sizeof(i));
             bbm_cache_store(c, 0, 1, id, i);
         }
-        add(&event, sizes[k], (cpu_now() - before) / 1e3 / sizes[k]);
+        add(&event, sizes[k], (cpu_clock_ns() - before) / 1e3 / sizes[k]);
         add(&bytes, sizes[k], (heap_now() - heap) / 1048576);
         bbm_cache_destroy(c);
     }
@@ -302,9 +294,9 @@
                 }
                 bbm_buf buf = {0};
                 bbm_rate_report(holder, 1, now, &buf);
-                double before = cpu_now();
+                double before = cpu_clock_ns();
                 bbm_rate_owner_report(o, buf.data, buf.len, now);
-                spent += cpu_now() - before;
+                spent += cpu_clock_ns() - before;
                 reports++;
                 bbm_rate_grant g;
                 while (bbm_rate_owner_take(o, &g))
--- a/bench/routing_world.c
+++ b/bench/routing_world.c
@@ -1,15 +1,15 @@
 #include "routing_world.h"
 
-#include "bbm_table.h"
 #include "bbm_admission.h"
 #include "bbm_pack.h"
+#include "bbm_table.h"
+#include "cpu_clock.h"
 
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
-#include <time.h>
 
 #define RUNNERS 18
 #define DAEMONS 9
@@ -288,14 +288,6 @@
     };
 }
 
-static double
-cpu_ns(void)
-{
-    struct timespec ts;
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
-    return (double)ts.tv_sec * 1e9 + (double)ts.tv_nsec;
-}
-
 static bool
 try_place(sim *s, request *q)
 {
@@ -303,9 +295,9 @@
     bbm_prompt p = prompt_of(q, scope);
     /* One view for all, kept up to date, stands for knowing everything. */
     int d = s->mode.all_knowing ? 0 : q->daemon;
-    double before = cpu_ns();
+    double before = cpu_clock_ns();
     bbm_pick_result rc = bbm_fleet_pick(s->fleets[d], &p, s->now, &q->pick);
-    s->pick_ns += cpu_ns() - before;
+    s->pick_ns += cpu_clock_ns() - before;
     s->picks++;
     if (rc != BBM_PICK_START)
         return false;
--- a/members/bbm_members.c
+++ b/members/bbm_members.c
@@ -115,11 +115,8 @@
 }
 
 void
-members_set_status(bbm_members *m, members_row *r, bbm_member_status status)
+members_tell_changed(bbm_members *m, members_row *r)
 {
-    if (r->info.status == status)
-        return;
-    r->info.status = status;
     r->info.since = m->now;
     r->tells = members_tells_needed(m);
     bbm_members_output *out = members_add_output(m);
@@ -127,6 +124,15 @@
     bbm_name_set(out->to, r->info.name);
 }
 
+void
+members_set_status(bbm_members *m, members_row *r, bbm_member_status status)
+{
+    if (r->info.status == status)
+        return;
+    r->info.status = status;
+    members_tell_changed(m, r);
+}
+
 /* ---- making and asking ---- */
 
 bbm_members *
--- a/members/members_core.h
+++ b/members/members_core.h
@@ -26,7 +26,6 @@
 typedef struct members_row {
     bbm_member info;
     uint32_t tells; /* times that its news are still to be told */
-    bbm_time dead_at;
 } members_row;
 
 /** A ping under way. */
@@ -76,6 +75,8 @@
 bbm_members_output *members_add_output(bbm_members *m);
 /** Release an output; NULL is allowed. */
 void members_free_output(members_queued *q);
+/** Its run or status is new from now on: tell of it. */
+void members_tell_changed(bbm_members *m, members_row *r);
 /** Change a status and tell of it. */
 void members_set_status(bbm_members *m, members_row *r,
                         bbm_member_status status);
--- a/members/members_message.c
+++ b/members/members_message.c
@@ -154,13 +154,8 @@
         if (said->status == BBM_MEMBER_DEAD)
             return;
         r = members_add_row(m, said);
-        if (!r)
-            return;
-        r->info.since = m->now;
-        r->tells = members_tells_needed(m);
-        bbm_members_output *out = members_add_output(m);
-        out->changed = true;
-        bbm_name_set(out->to, said->name);
+        if (r)
+            members_tell_changed(m, r);
         return;
     }
     if (!is_newer(&r->info, said, direct))
@@ -172,12 +167,8 @@
     r->info.status = status;
     r->info.since = since;
     r->tells = members_tells_needed(m);
-    if (new_run && status == said->status) {
-        r->info.since = m->now;
-        bbm_members_output *out = members_add_output(m);
-        out->changed = true;
-        bbm_name_set(out->to, said->name);
-    }
+    if (new_run && status == said->status)
+        members_tell_changed(m, r);
     members_set_status(m, r, said->status);
 }
 
--- a/node/node_rate.c
+++ b/node/node_rate.c
@@ -102,15 +102,20 @@
 
 /* ---- owner ---- */
 
+static void
+drop_first_held(bbm_node *n)
+{
+    node_grant *g = STAILQ_FIRST(&n->held_grants);
+    STAILQ_REMOVE_HEAD(&n->held_grants, link);
+    bbm_buf_free(&g->grant.bytes);
+    free(g);
+}
+
 static void
 drop_held(bbm_node *n)
 {
-    node_grant *g;
-    while ((g = STAILQ_FIRST(&n->held_grants)) != NULL) {
-        STAILQ_REMOVE_HEAD(&n->held_grants, link);
-        bbm_buf_free(&g->grant.bytes);
-        free(g);
-    }
+    while (!STAILQ_EMPTY(&n->held_grants))
+        drop_first_held(n);
     n->books_index = 0;
 }
 
@@ -229,10 +234,8 @@
         return;
     while ((g = STAILQ_FIRST(&n->held_grants)) != NULL && g->index
            && g->index <= n->applied) {
-        STAILQ_REMOVE_HEAD(&n->held_grants, link);
         send_grant(n, &g->grant);
-        bbm_buf_free(&g->grant.bytes);
-        free(g);
+        drop_first_held(n);
         any = true;
     }
     if (!any)
--- a/rate/rate_books.c
+++ b/rate/rate_books.c
@@ -65,13 +65,7 @@
     h->capacity = capacity;
     h->rate = rate;
     /* Its time to be heard begins now. */
-    rate_holder_row *row = NULL;
-    HASH_FIND_STR(o->holders, r.node, row);
-    if (!row) {
-        row = bbm_calloc(1, sizeof(*row));
-        bbm_name_set(row->node, r.node);
-        HASH_ADD_STR(o->holders, node, row);
-    }
+    rate_holder_row *row = rate_holder_of(o, r.node);
     if (r.run > row->run)
         row->run = r.run;
     row->heard = now;
--- a/rate/rate_deal.c
+++ b/rate/rate_deal.c
@@ -21,48 +21,33 @@
 
 /* ---- pools ---- */
 
-static void
-sum_parts(const rate_account *a, double *capacity, double *rate,
-          double *demand)
+/* Parts that are still counted may be more than there is, after a cut. */
+rate_pool
+rate_pool_of(const rate_account *a)
 {
-    *capacity = 0;
-    *rate = 0;
-    *demand = 0;
+    rate_pool p = {0};
+    double held_capacity = 0;
+    double held_rate = 0;
     for (const rate_holding *h = a->holdings; h; h = h->hh.next) {
-        *capacity += h->capacity;
-        *rate += h->rate;
-        *demand += h->demand;
+        held_capacity += h->capacity;
+        held_rate += h->rate;
+        p.demand += h->demand;
     }
-}
-
-/* Capacity and rate that no holder has. */
-void
-rate_pool_of(const rate_account *a, double *capacity, double *rate)
-{
-    double held_capacity;
-    double held_rate;
-    double demand;
-    sum_parts(a, &held_capacity, &held_rate, &demand);
-    *capacity = a->burst - held_capacity;
-    *rate = a->rate - held_rate;
-    if (*capacity < 0)
-        *capacity = 0;
-    if (*rate < 0)
-        *rate = 0;
+    p.capacity = a->burst > held_capacity ? a->burst - held_capacity : 0;
+    p.rate = a->rate > held_rate ? a->rate - held_rate : 0;
+    return p;
 }
 
 void
 rate_refresh(rate_account *a, bbm_time now)
 {
-    double capacity;
-    double rate;
-    rate_pool_of(a, &capacity, &rate);
+    rate_pool p = rate_pool_of(a);
     if (now > a->at) {
-        a->level += rate * (double)(now - a->at) / (double)BBM_SECOND;
+        a->level += p.rate * (double)(now - a->at) / (double)BBM_SECOND;
         a->at = now;
     }
-    if (a->level > capacity)
-        a->level = capacity;
+    if (a->level > p.capacity)
+        a->level = p.capacity;
 }
 
 /* ---- dealing ---- */
@@ -73,28 +58,10 @@
     return a < b ? a : b;
 }
 
-/* A pool and the demand on it, before a deal. */
-typedef struct pool_view {
-    double capacity;
-    double rate;
-    double demand;
-} pool_view;
-
-static pool_view
-view_pool(const rate_account *a)
-{
-    pool_view v;
-    double capacity;
-    double rate;
-    rate_pool_of(a, &v.capacity, &v.rate);
-    sum_parts(a, &capacity, &rate, &v.demand);
-    return v;
-}
-
 /* Capacity that a holding should have, and tokens that go with it.  Growth
    takes its share of the pool's tokens; who is short gets more of both. */
 static double
-deal_capacity(const rate_account *a, const rate_holding *h, const pool_view *v,
+deal_capacity(const rate_account *a, const rate_holding *h, const rate_pool *v,
               double *add)
 {
     double share = v->demand > 0 ? h->demand / v->demand : 0;
@@ -142,8 +109,6 @@
     h->sent = a->at;
 }
 
-/* What a holding should be.  A cut counts only when it is confirmed; growth
-   is limited to what the pool has. */
 /* A grant that is on its way is waited for: with a newer one always under way
    no cut would ever be confirmed. */
 static bool
@@ -152,12 +117,14 @@
     return h->taken != h->seq && a->at - h->sent < RESEND;
 }
 
+/* A cut counts only when it is confirmed; growth is limited to what the pool
+   has. */
 bool
 rate_make_deal(rate_account *a, rate_holding *h, rate_grant_row *row)
 {
     if (is_awaited(a, h))
         return false;
-    pool_view v = view_pool(a);
+    rate_pool v = rate_pool_of(a);
     double add;
     double capacity = deal_capacity(a, h, &v, &add);
     double share = v.demand > 0 ? h->demand / v.demand : 0;
--- a/rate/rate_owner.c
+++ b/rate/rate_owner.c
@@ -22,12 +22,6 @@
     return o;
 }
 
-static void
-free_holdings(rate_account *a)
-{
-    BBM_TABLE_FREE(rate_holding, a->holdings);
-}
-
 void
 bbm_rate_owner_destroy(bbm_rate_owner *o)
 {
@@ -36,7 +30,7 @@
     rate_account *a, *next_account;
     HASH_ITER(hh, o->accounts, a, next_account)
     {
-        free_holdings(a);
+        BBM_TABLE_FREE(rate_holding, a->holdings);
         HASH_DEL(o->accounts, a);
         free(a);
     }
@@ -78,13 +72,26 @@
     HASH_FIND_STR(o->accounts, customer, a);
     if (!a)
         return part;
-    rate_pool_of(a, &part.capacity, &part.rate);
-    part.level = a->level;
-    return part;
+    rate_pool p = rate_pool_of(a);
+    return (bbm_rate_part){
+        .capacity = p.capacity, .rate = p.rate, .level = a->level};
 }
 
 /* ---- reports ---- */
 
+rate_holder_row *
+rate_holder_of(bbm_rate_owner *o, const char *node)
+{
+    rate_holder_row *row = NULL;
+    HASH_FIND_STR(o->holders, node, row);
+    if (!row) {
+        row = bbm_calloc(1, sizeof(*row));
+        bbm_name_set(row->node, node);
+        HASH_ADD_STR(o->holders, node, row);
+    }
+    return row;
+}
+
 rate_holding *
 rate_holding_of(bbm_rate_owner *o, rate_account *a, const rate_report *r)
 {
@@ -163,14 +170,7 @@
 static bool
 hear_holder(bbm_rate_owner *o, const rate_report *r, bbm_time now)
 {
-    rate_holder_row *row = NULL;
-    HASH_FIND_STR(o->holders, r->node, row);
-    if (!row) {
-        row = bbm_calloc(1, sizeof(*row));
-        bbm_name_set(row->node, r->node);
-        row->run = r->run;
-        HASH_ADD_STR(o->holders, node, row);
-    }
+    rate_holder_row *row = rate_holder_of(o, r->node);
     bool earlier_run = row->run > r->run;
     bool earlier_report = row->run == r->run && r->sent < row->echo;
     if (earlier_run || earlier_report)
--- a/rate/rate_owner.h
+++ b/rate/rate_owner.h
@@ -44,6 +44,13 @@
     UT_hash_handle hh;
 } rate_account;
 
+/** What of a bucket is in nobody's part. */
+typedef struct rate_pool {
+    double capacity; /* tokens */
+    double rate;     /* tokens per second */
+    double demand;   /* of all holders, tokens per second */
+} rate_pool;
+
 /** A VM that reports. */
 typedef struct rate_holder_row {
     char node[BBM_NAME_SIZE];
@@ -68,10 +75,12 @@
     TAILQ_HEAD(, rate_queued_grant) grants;
 };
 
-/** Capacity and rate that no holder has. */
-void rate_pool_of(const rate_account *a, double *capacity, double *rate);
+/** Capacity and rate that no holder has, and the demand on them. */
+rate_pool rate_pool_of(const rate_account *a);
 /** Bring a pool's level to the present. */
 void rate_refresh(rate_account *a, bbm_time now);
+/** A VM by name; made, of run 0, if there is none. */
+rate_holder_row *rate_holder_of(bbm_rate_owner *o, const char *node);
 /** A holder's part; made if there is none. */
 rate_holding *rate_holding_of(bbm_rate_owner *o, rate_account *a,
                               const rate_report *r);
--- a/stand/kv.c
+++ b/stand/kv.c
@@ -31,6 +31,17 @@
     return held;
 }
 
+static void
+add_ids(kv_store *k, json_t *ids)
+{
+    size_t i;
+    json_t *id;
+    json_array_foreach(ids, i, id)
+    {
+        json_object_set_new(k->ids, json_string_value(id), json_true());
+    }
+}
+
 static enum MHD_Result
 on_request(void *context, stand_request *q)
 {
@@ -43,13 +54,8 @@
     pthread_mutex_lock(&k->lock);
     if (asks)
         held = count_held(k, ids);
-    size_t i;
-    json_t *id;
-    json_array_foreach(ids, i, id)
-    {
-        if (!asks)
-            json_object_set_new(k->ids, json_string_value(id), json_true());
-    }
+    else
+        add_ids(k, ids);
     pthread_mutex_unlock(&k->lock);
     json_decref(doc);
     return stand_reply(q, 200, json_pack("{s:I}", "have", held));
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -1,11 +1,11 @@
 #include "fleet.h"
 
+#include "cpu_clock.h"
 #include "fake_disk.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #define STEP (10 * BBM_MS)
 
@@ -30,14 +30,6 @@
     double cpu_ns;
 };
 
-static double
-cpu_now(void)
-{
-    struct timespec ts;
-    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
-    return (double)ts.tv_sec * 1e9 + (double)ts.tv_nsec;
-}
-
 static int
 index_of(const fleet *f, const char *name)
 {
@@ -118,9 +110,9 @@
 give(fleet *f, int i, const bbm_event *ev)
 {
     place *p = &f->places[i];
-    double before = cpu_now();
+    double before = cpu_clock_ns();
     bbm_node_step(p->node, ev, f->now);
-    f->cpu_ns += cpu_now() - before;
+    f->cpu_ns += cpu_clock_ns() - before;
     bbm_action *a;
     while (p->node && (a = bbm_node_take(p->node)) != NULL)
         do_action(f, i, a);
--- a/tests/prop_node.cc
+++ b/tests/prop_node.cc
@@ -2,6 +2,7 @@
 // each check can fail.
 
 #include "node_history.h"
+#include "prop_finds.h"
 
 extern "C" {
 #include "bbm_hash.h"
@@ -16,16 +17,10 @@
 static bool
 finds(node_weakness weakness)
 {
-    for (uint64_t seed = 1; seed <= 150; seed++) {
+    return prop_finds(weakness, 150, [=](uint64_t seed) {
         node_history_result r = node_history_run(seed, 4000, weakness);
-        if (r.broken) {
-            std::printf("weakness %d: seed %llu: broken: %s\n", weakness,
-                        (unsigned long long)seed, r.broken);
-            return true;
-        }
-    }
-    std::printf("weakness %d was not found\n", weakness);
-    return false;
+        return r.broken ? std::string("broken: ") + r.broken : "";
+    });
 }
 
 int
--- a/tests/prop_raft.cc
+++ b/tests/prop_raft.cc
@@ -2,6 +2,7 @@
 // the seed and the count, for instance RC_PARAMS="seed=7 max_success=5000".
 
 #include "raft_history.h"
+#include "prop_finds.h"
 
 extern "C" {
 #include "bbm_hash.h"
@@ -42,25 +43,18 @@
     return !r.broken;
 }
 
-// A weakness must be found in some history: a check that can't fail is none.
 static bool
 finds(raft_weakness weakness)
 {
-    for (uint64_t seed = 1; seed <= 3000; seed++) {
+    return prop_finds(weakness, 3000, [=](uint64_t seed) {
         raft_history_desc desc = {};
         desc.seed = seed;
         desc.members = 3;
         desc.steps = 1500;
         desc.weakness = weakness;
         raft_history_result r = raft_history_run(&desc);
-        if (r.broken) {
-            std::printf("weakness %d: seed %llu: broken: %s\n", weakness,
-                        (unsigned long long)seed, r.broken);
-            return true;
-        }
-    }
-    std::printf("weakness %d was not found\n", weakness);
-    return false;
+        return r.broken ? std::string("broken: ") + r.broken : "";
+    });
 }
 
 int
--- a/tests/prop_rate.cc
+++ b/tests/prop_rate.cc
@@ -2,11 +2,13 @@
 // in seeded histories with faults; and that the check can fail.
 
 #include "rate_history.h"
+#include "prop_finds.h"
 
 extern "C" {
 #include "bbm_hash.h"
 }
 
+#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <rapidcheck.h>
@@ -16,7 +18,7 @@
 static bool
 finds(rate_weakness weakness)
 {
-    for (uint64_t seed = 1; seed <= 1000; seed++) {
+    return prop_finds(weakness, 1000, [=](uint64_t seed) {
         rate_history_desc desc = {};
         desc.seed = seed;
         desc.holders = 4;
@@ -27,14 +29,9 @@
         desc.faults = RATE_FAULTS_ALL;
         desc.weakness = weakness;
         rate_history_result r = rate_history_run(&desc);
-        if (r.broken) {
-            std::printf("weakness %d: seed %llu: %.0f tokens over\n", weakness,
-                        (unsigned long long)seed, r.over);
-            return true;
-        }
-    }
-    std::printf("weakness %d was not found\n", weakness);
-    return false;
+        return r.broken ? std::to_string(std::lround(r.over)) + " tokens over"
+                        : "";
+    });
 }
 
 int
