--- a/base/bbm_codes.h
+++ b/base/bbm_codes.h
@@ -36,6 +36,7 @@
     X(BBM_ERR_NO_ROUTE, -104, 404, NO, "no route for this path")              \
     X(BBM_ERR_NO_MODEL, -105, 404, NO, "no such model")                       \
     X(BBM_ERR_METHOD, -106, 405, NO, "method not allowed")                    \
+    X(BBM_ERR_FRAMING, -107, 400, NO, "the request's length is in doubt")     \
     X(BBM_ERR_NO_KEY, -110, 401, NO, "no key was shown")                      \
     X(BBM_ERR_BAD_KEY, -111, 401, NO, "the key is not valid")                 \
     X(BBM_ERR_KEYS_STALE, -112, 503, NO,                                      \
--- a/base/bbm_doc.c
+++ b/base/bbm_doc.c
@@ -167,6 +167,31 @@
     return false;
 }
 
+static void
+read_ints(const json_t *value, const char *path, const bbm_field *f,
+          bbm_ints *dst, bbm_mistakes *m)
+{
+    if (!json_is_array(value)) {
+        wrong_type(m, path, f, value, "a list of whole numbers");
+        return;
+    }
+    size_t len = json_array_size(value);
+    dst->items = bbm_calloc(len, sizeof(*dst->items));
+    dst->len = len;
+    for (size_t i = 0; i < len; i++) {
+        char label[PATH_SIZE];
+        snprintf(label, sizeof(label), "%.180s[%zu]", f->name, i);
+        bbm_field item = *f;
+        item.name = label;
+        const json_t *one = json_array_get(value, i);
+        if (!json_is_integer(one))
+            wrong_type(m, path, &item, one, "a whole number");
+        else if (number_allowed(path, &item, (double)json_integer_value(one),
+                                m))
+            dst->items[i] = json_integer_value(one);
+    }
+}
+
 static void
 read_value(const json_t *value, const char *path, const bbm_field *f,
            char *dst, bbm_mistakes *m)
@@ -205,6 +230,9 @@
     case BBM_FIELD_NAMES:
         read_names(value, path, f, (bbm_names *)(void *)dst, m);
         return;
+    case BBM_FIELD_INTS:
+        read_ints(value, path, f, (bbm_ints *)(void *)dst, m);
+        return;
     case BBM_FIELD_LIST:
         if (!json_is_array(value))
             wrong_type(m, path, f, value, "a list of objects");
@@ -234,6 +262,9 @@
     case BBM_FIELD_NAMES:
         *(bbm_names *)(void *)dst = (bbm_names){0};
         return;
+    case BBM_FIELD_INTS:
+        *(bbm_ints *)(void *)dst = (bbm_ints){0};
+        return;
     case BBM_FIELD_LIST:
         return;
     }
@@ -290,6 +321,11 @@
         else if (fields[i].kind == BBM_FIELD_NAMES) {
             bbm_names_free((bbm_names *)(void *)dst);
         }
+        else if (fields[i].kind == BBM_FIELD_INTS) {
+            bbm_ints *ints = (bbm_ints *)(void *)dst;
+            free(ints->items);
+            *ints = (bbm_ints){0};
+        }
     }
 }
 
--- a/base/bbm_doc.h
+++ b/base/bbm_doc.h
@@ -31,6 +31,12 @@
     size_t len;                   /**< Names. */
 } bbm_names;
 
+/** A list of whole numbers. */
+typedef struct bbm_ints {
+    int64_t *items; /**< Owned. */
+    size_t len;     /**< Numbers. */
+} bbm_ints;
+
 /** What a field holds, and the C type that receives it. */
 typedef enum bbm_field_kind {
     BBM_FIELD_NAME,  /**< char[BBM_NAME_SIZE]; letters, digits, "._-". */
@@ -39,6 +45,7 @@
     BBM_FIELD_REAL,  /**< double. */
     BBM_FIELD_BOOL,  /**< bool. */
     BBM_FIELD_NAMES, /**< bbm_names, from an array of texts. */
+    BBM_FIELD_INTS,  /**< bbm_ints, from an array of whole numbers. */
     BBM_FIELD_LIST,  /**< Skipped: an array that the caller reads. */
 } bbm_field_kind;
 
--- a/base/bbm_log.c
+++ b/base/bbm_log.c
@@ -113,6 +113,40 @@
     add_quoted(l, row->text);
 }
 
+static void
+add_field(line *l, const char *name, const char *value)
+{
+    if (l->len + FIELD_RESERVE > LINE_SIZE)
+        return;
+    add_char(l, ',');
+    add_quoted(l, name);
+    add_char(l, ':');
+    add_quoted(l, value ? value : "");
+}
+
+static void
+write_line(line *l)
+{
+    l->text[l->len++] = '}';
+    l->text[l->len++] = '\n';
+    FILE *file = log_desc.file ? log_desc.file : stderr;
+    fwrite(l->text, 1, l->len, file);
+    fflush(file);
+}
+
+void
+bbm_log_write(bbm_log_event event, const bbm_log_pair *pairs, size_t len)
+{
+    const event_row *row = find_event(event);
+    if (!row || row->level < log_desc.level)
+        return;
+    line l = {.len = 0};
+    begin_line(&l, row);
+    for (size_t i = 0; i < len; i++)
+        add_field(&l, pairs[i].name, pairs[i].value);
+    write_line(&l);
+}
+
 void
 bbm_log(bbm_log_event event, ...)
 {
@@ -125,19 +159,10 @@
     va_start(args, event);
     for (const char *name; (name = va_arg(args, const char *)) != NULL;) {
         const char *value = va_arg(args, const char *);
-        if (l.len + FIELD_RESERVE > LINE_SIZE)
-            break;
-        add_char(&l, ',');
-        add_quoted(&l, name);
-        add_char(&l, ':');
-        add_quoted(&l, value ? value : "");
+        add_field(&l, name, value);
     }
     va_end(args);
-    l.text[l.len++] = '}';
-    l.text[l.len++] = '\n';
-    FILE *file = log_desc.file ? log_desc.file : stderr;
-    fwrite(l.text, 1, l.len, file);
-    fflush(file);
+    write_line(&l);
 }
 
 const char *
--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -16,6 +16,7 @@
 #ifndef BBM_LOG_H
 #define BBM_LOG_H
 
+#include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
 
@@ -36,6 +37,7 @@
     X(BBM_EVENT_BAD_PEER, 206, WARN, "message of a peer was refused")         \
     X(BBM_EVENT_VOTERS, 207, INFO, "control voters changed")                  \
     X(BBM_EVENT_REVISION, 300, INFO, "configuration in force")                \
+    X(BBM_EVENT_CONFIG_REFUSED, 306, WARN, "configuration has mistakes")      \
     X(BBM_EVENT_KEY_GIVEN, 301, INFO, "key given")                            \
     X(BBM_EVENT_KEY_WITHDRAWN, 302, INFO, "key withdrawn")                    \
     X(BBM_EVENT_KEYS_STALE, 303, WARN,                                        \
@@ -47,6 +49,28 @@
     X(BBM_EVENT_RUNNER_GAP, 403, WARN, "cache events were lost; index reset") \
     X(BBM_EVENT_ORDER_DONE, 404, INFO, "engine took an order")                \
     X(BBM_EVENT_ORDER_FAILED, 405, WARN, "engine refused or missed an order") \
+    X(BBM_EVENT_JOINING, 208, INFO, "joining by seed addresses")              \
+    X(BBM_EVENT_REPAIR, 209, INFO, "control group changed by itself")         \
+    X(BBM_EVENT_CAUGHT_UP, 210, INFO, "configuration is known to be current") \
+    X(BBM_EVENT_WEIGHTS_NAMED, 305, INFO, "newer weights named")              \
+    X(BBM_EVENT_RELOADED, 107, INFO, "settings read again")                   \
+    X(BBM_EVENT_LIST_LOST, 410, WARN, "list of upstreams can't be read")      \
+    X(BBM_EVENT_LIST_BACK, 411, INFO, "list of upstreams is read again")      \
+    X(BBM_EVENT_UPSTREAM_NEW, 412, INFO, "upstream found")                    \
+    X(BBM_EVENT_UPSTREAM_LEAVING, 413, INFO, "upstream leaves")               \
+    X(BBM_EVENT_UPSTREAM_GONE, 414, INFO, "upstream is listed no more")       \
+    X(BBM_EVENT_LIST_BAD_ENTRY, 415, WARN, "entry of the list passed over")   \
+    X(BBM_EVENT_ROLLOUT, 416, INFO, "runner asked or ordered for weights")    \
+    X(BBM_EVENT_ROLLOUT_ANSWER, 417, INFO, "runner answered the rollout")     \
+    X(BBM_EVENT_STORE_UP, 418, INFO, "store of KV cache answers")             \
+    X(BBM_EVENT_STORE_DOWN, 419, WARN, "store of KV cache doesn't answer")    \
+    X(BBM_EVENT_SENT, 510, INFO, "request sent to an upstream")               \
+    X(BBM_EVENT_SENT_AGAIN, 511, INFO, "request sent to another upstream")    \
+    X(BBM_EVENT_REFUSED, 512, INFO, "request refused, not run")               \
+    X(BBM_EVENT_BROKEN_OFF, 513, WARN, "request ended without its answer")    \
+    X(BBM_EVENT_ENDED, 514, INFO, "answer passed on whole")                   \
+    X(BBM_EVENT_ATTEMPT_ENDED, 515, INFO, "attempt ended without an answer")  \
+    X(BBM_EVENT_DENIED, 516, INFO, "request not allowed")                     \
     X(BBM_EVENT_REQUEST_FAILED, 500, WARN, "request ended with an error")     \
     X(BBM_EVENT_RETRY, 501, INFO, "request tried again")                      \
     X(BBM_EVENT_CLAIM_UNKNOWN, 502, WARN, "claim closed, outcome unknown")    \
@@ -75,6 +99,18 @@
     int64_t (*wall_ms)(void); /**< NULL means the system's clock. */
 } bbm_log_desc;
 
+/** Fields of one event at most. */
+#define BBM_LOG_PAIRS 12
+
+/** A field of an event. */
+typedef struct bbm_log_pair {
+    const char *name; /**< A literal. */
+    char value[64];   /**< Cut to its size. */
+} bbm_log_pair;
+
+/** Write one event with its fields. */
+void bbm_log_write(bbm_log_event event, const bbm_log_pair *pairs, size_t len);
+
 /** Set how to log; before any thread starts. */
 void bbm_log_setup(const bbm_log_desc *desc);
 
--- a/config/bbm_config.c
+++ b/config/bbm_config.c
@@ -1,10 +1,12 @@
 #include "bbm_config.h"
 
+#include "bbm_table.h"
 #include "config_fields.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 /* Adapters may build on each other this deep. */
 #define BASE_DEPTH_MOST 8
@@ -63,6 +65,9 @@
     READ_LIST(cfg, doc, KIND_MODELS, bbm_model, models, m);
     READ_LIST(cfg, doc, KIND_ENGINES, bbm_engine, engines, m);
     READ_LIST(cfg, doc, KIND_SERVICES, bbm_service, services, m);
+    READ_LIST(cfg, doc, KIND_POOLS, bbm_pool, pools, m);
+    READ_LIST(cfg, doc, KIND_STORES, bbm_store_object, stores, m);
+    READ_LIST(cfg, doc, KIND_LIMITS, bbm_limits, limits, m);
     READ_LIST(cfg, doc, KIND_ROUTES, bbm_route, routes, m);
     READ_LIST(cfg, doc, KIND_OBJECTIVES, bbm_objective, objectives, m);
 }
@@ -79,6 +84,9 @@
     FREE_LIST(cfg, KIND_MODELS, bbm_model, models);
     FREE_LIST(cfg, KIND_ENGINES, bbm_engine, engines);
     FREE_LIST(cfg, KIND_SERVICES, bbm_service, services);
+    FREE_LIST(cfg, KIND_POOLS, bbm_pool, pools);
+    FREE_LIST(cfg, KIND_STORES, bbm_store_object, stores);
+    FREE_LIST(cfg, KIND_LIMITS, bbm_limits, limits);
     FREE_LIST(cfg, KIND_ROUTES, bbm_route, routes);
     FREE_LIST(cfg, KIND_OBJECTIVES, bbm_objective, objectives);
     free(cfg);
@@ -118,6 +126,33 @@
                     owner, name, url);
 }
 
+/* A key that two customers hold would say nothing about who calls. */
+static void
+check_key_twins(const bbm_config *cfg, bbm_mistakes *m)
+{
+    typedef struct seen {
+        const bbm_key *key;
+        UT_hash_handle hh;
+    } seen;
+    seen *all = NULL;
+    for (const bbm_key *k = cfg->keys; k; k = k->hh.next) {
+        seen *twin = NULL;
+        size_t len = strlen(k->digest);
+        HASH_FIND(hh, all, k->digest, len, twin);
+        if (!twin) {
+            seen *one = bbm_calloc(1, sizeof(*one));
+            one->key = k;
+            HASH_ADD_KEYPTR(hh, all, k->digest, len, one);
+        }
+        else if (strcmp(twin->key->customer, k->customer) != 0) {
+            bbm_mistake(m,
+                        "key \"%s\": is also key \"%s\" of another customer",
+                        k->name, twin->key->name);
+        }
+    }
+    BBM_TABLE_FREE(seen, all);
+}
+
 static void
 check_customers(bbm_config *cfg, bbm_mistakes *m)
 {
@@ -134,6 +169,7 @@
             bbm_mistake(m, "key \"%s\".digest: not 64 hexadecimal digits",
                         k->name);
     }
+    check_key_twins(cfg, m);
 }
 
 static void
@@ -200,6 +236,31 @@
     return false;
 }
 
+static void
+check_route_pools(const bbm_config *cfg, const bbm_route *r, bbm_mistakes *m)
+{
+    if (r->pools.len && (r->model[0] || r->services.len))
+        bbm_mistake(m, "route \"%s\": has pools and other upstreams", r->name);
+    if (r->host[0] && !r->pools.len)
+        bbm_mistake(m, "route \"%s\".host: only a route to pools has one",
+                    r->name);
+    for (size_t i = 0; i < r->pools.len; i++) {
+        if (!bbm_config_pool(cfg, r->pools.items[i]))
+            bbm_mistake(m,
+                        "route \"%s\".pools[%zu]: found \"%s\"; allowed: a "
+                        "name in pools",
+                        r->name, i, r->pools.items[i]);
+    }
+    int64_t sum = 0;
+    for (size_t i = 0; i < r->shares.len; i++)
+        sum += r->shares.items[i];
+    if (r->shares.len && (r->shares.len != r->pools.len || sum == 0))
+        bbm_mistake(m,
+                    "route \"%s\".shares: found %zu numbers, in all %lld; "
+                    "allowed: one for each of the %zu pools, not all 0",
+                    r->name, r->shares.len, (long long)sum, r->pools.len);
+}
+
 static void
 check_route_upstreams(bbm_config *cfg, bbm_route *r, bbm_mistakes *m)
 {
@@ -208,8 +269,9 @@
     r->model_ref = model;
     if (model && r->services.len)
         bbm_mistake(m, "route \"%s\": has both a model and services", r->name);
-    if (!r->model[0] && !r->services.len)
+    if (!r->model[0] && !r->services.len && !r->pools.len)
         bbm_mistake(m, "route \"%s\": has no upstream", r->name);
+    check_route_pools(cfg, r, m);
     if (model && !model_has_engine(cfg, r->model))
         bbm_mistake(m, "route \"%s\": no engine serves model \"%s\"", r->name,
                     r->model);
@@ -248,16 +310,20 @@
                         "that starts with / and has no query",
                         r->name, r->path);
         /* Its Idempotency-Keys would be shared by all callers. */
-        if (r->open && !r->repeatable)
+        if (r->open && !r->repeatable && !r->pools.len)
             bbm_mistake(m, "route \"%s\": an open route must be repeatable",
                         r->name);
-        if (path_reserved(r->path))
+        if (path_reserved(r->path) && !r->host[0])
             bbm_mistake(m, "route \"%s\".path: \"%s\" is the daemon's own",
                         r->name, r->path);
         for (bbm_route *o = cfg->routes; o != r; o = o->hh.next) {
-            if (!strcmp(o->path, r->path) && !strcmp(o->model, r->model))
-                bbm_mistake(m, "route \"%s\": same path and model as \"%s\"",
-                            r->name, o->name);
+            bool same = !strcmp(o->path, r->path)
+                        && !strcmp(o->model, r->model)
+                        && !strcasecmp(o->host, r->host);
+            if (same)
+                bbm_mistake(
+                    m, "route \"%s\": same host, path and model as \"%s\"",
+                    r->name, o->name);
         }
     }
 }
@@ -332,7 +398,8 @@
     const bbm_route *best = NULL;
     size_t best_len = 0;
     for (const bbm_route *r = cfg->routes; r; r = r->hh.next) {
-        if (r->model[0] && (!model || strcmp(r->model, model) != 0))
+        if (r->pools.len
+            || (r->model[0] && (!model || strcmp(r->model, model) != 0)))
             continue;
         size_t len = path_match(r->path, path);
         if (len > best_len) {
@@ -343,6 +410,33 @@
     return best;
 }
 
+const bbm_route *
+bbm_config_host_route(const bbm_config *cfg, const char *host,
+                      const char *path)
+{
+    const bbm_route *best = NULL;
+    size_t best_len = 0;
+    for (const bbm_route *r = cfg->routes; r; r = r->hh.next) {
+        size_t len = strlen(r->path);
+        bool fits = r->pools.len
+                    && (!r->host[0] || strcasecmp(r->host, host) == 0)
+                    && strncmp(r->path, path, len) == 0;
+        if (fits && len > best_len) {
+            best = r;
+            best_len = len;
+        }
+    }
+    return best;
+}
+
+const bbm_pool *
+bbm_config_pool(const bbm_config *cfg, const char *name)
+{
+    bbm_pool *found = NULL;
+    HASH_FIND_STR(cfg->pools, name, found);
+    return found;
+}
+
 const bbm_customer *
 bbm_config_customer(const bbm_config *cfg, const char *name)
 {
--- a/config/bbm_config.h
+++ b/config/bbm_config.h
@@ -37,6 +37,10 @@
     char rate[BBM_NAME_SIZE]; /**< Its bbm_rate. */
     int64_t weight;           /**< Share under contention. */
     int64_t open_most;        /**< Requests open at once on one VM. */
+    int64_t priority;         /**< Goes before the route's; -1: none. */
+    int64_t untold_tokens;    /**< Of a request that tells no tokens. */
+    bool by_request;          /**< Its rate counts requests, not tokens. */
+    bool private_cache;       /**< Shares no cache entry with others. */
     const bbm_rate *rate_ref; /**< Resolved. */
     UT_hash_handle hh;        /**< By name. */
 } bbm_customer;
@@ -94,12 +98,54 @@
     UT_hash_handle hh;        /**< By name. */
 } bbm_service;
 
+/** A service whose upstreams are found by discovery and come and go. */
+typedef struct bbm_pool {
+    char name[BBM_NAME_SIZE];     /**< Unique. */
+    int64_t connections_most;     /**< An upstream takes from all VMs. */
+    bool engine;                  /**< Its upstreams are model runners. */
+    int64_t slots;                /**< Requests that one runs at once. */
+    int64_t memory_tokens;        /**< KV cache of one runner, tokens. */
+    int64_t token_bytes;          /**< KV cache of a token, bytes. */
+    int64_t link_mbps;            /**< Link of a runner, Mbit per second. */
+    int64_t prefill_tokens_per_s; /**< Prompt tokens read per second. */
+    UT_hash_handle hh;            /**< By name. */
+} bbm_pool;
+
+/** A store of KV cache that runners write to and read from. */
+typedef struct bbm_store_object {
+    char name[BBM_NAME_SIZE]; /**< Unique. */
+    char zone[BBM_NAME_SIZE]; /**< Its availability zone. */
+    char *address;            /**< IP:port. */
+    int64_t memory_tokens;    /**< What it holds, tokens. */
+    UT_hash_handle hh;        /**< By name. */
+} bbm_store_object;
+
+/** What callers may send and how long they may take. */
+typedef struct bbm_limits {
+    char name[BBM_NAME_SIZE]; /**< "callers". */
+    int64_t header_bytes;     /**< Headers of a request. */
+    int64_t body_bytes;       /**< Body of a request. */
+    int64_t header_ms;        /**< For sending the headers. */
+    int64_t idle_ms;          /**< Of a kept connection. */
+    UT_hash_handle hh;        /**< By name. */
+} bbm_limits;
+
 /** What happens to requests on a path. */
 typedef struct bbm_route {
     char name[BBM_NAME_SIZE];   /**< Unique. */
+    char *host;                 /**< Host that callers name; "": any. */
     char *path;                 /**< Path, matched whole or as a folder. */
     char model[BBM_NAME_SIZE];  /**< Model, or empty for services. */
     bbm_names services;         /**< Services, if no model. */
+    bbm_names pools;            /**< Pools, if neither. */
+    bbm_ints shares;            /**< Of the pools, in their order. */
+    bool stream;                /**< Answers are event streams. */
+    bool resumable;             /**< A stream may go on elsewhere. */
+    bool prompts;               /**< Requests name the parts of a prompt. */
+    int64_t timeout_ms;         /**< Final answer within; 0: no limit. */
+    int64_t attempts;           /**< Upstreams for one request, at most. */
+    int64_t aim_ms;             /**< Answer, or first event, within. */
+    int64_t gap_ms;             /**< Longest pause of a stream. */
     bool open;                  /**< No key is asked for. */
     bool repeatable;            /**< May be tried again. */
     int64_t start_ms;           /**< Start within, milliseconds. */
@@ -132,6 +178,9 @@
     bbm_model *models;         /**< All models. */
     bbm_engine *engines;       /**< All engines. */
     bbm_service *services;     /**< All services. */
+    bbm_pool *pools;           /**< All pools. */
+    bbm_store_object *stores;  /**< All stores of KV cache. */
+    bbm_limits *limits;        /**< Limits on callers. */
     bbm_route *routes;         /**< All routes, in document order. */
     bbm_objective *objectives; /**< All objectives. */
 } bbm_config;
@@ -146,6 +195,14 @@
 const bbm_route *bbm_config_route(const bbm_config *cfg, const char *path,
                                   const char *model);
 
+/** The route of a host's pools with the longest path that begins the
+ *  caller's path, or NULL. */
+const bbm_route *bbm_config_host_route(const bbm_config *cfg, const char *host,
+                                       const char *path);
+
+/** A pool by name, or NULL. */
+const bbm_pool *bbm_config_pool(const bbm_config *cfg, const char *name);
+
 /** A customer by name, or NULL. */
 const bbm_customer *bbm_config_customer(const bbm_config *cfg,
                                         const char *name);
--- a/daemon/bbm_settings.c
+++ b/daemon/bbm_settings.c
@@ -11,6 +11,8 @@
 /* The shared secret has at least so many bytes. */
 #define SECRET_LEAST 32
 #define SECRET_CONTEXT "bluebell"
+#define GRACE_SERVE 0.65
+#define GRACE_STOP 0.93
 
 #define AT(member) .offset = offsetof(bbm_settings, member)
 #define TEXT(field, about_text)                                               \
@@ -53,11 +55,55 @@
     TEXT(entry_url, "address that callers are told; none: made from "
                     "caller_address"),
     TEXT(data_folder, "folder on the disk of a control VM; none: no disk"),
-    {.name = "secret_file",
-     .kind = BBM_FIELD_TEXT,
-     AT(secret_file),
-     .required = true,
-     .about = "file with at least 32 bytes, the same for all daemons"},
+    TEXT(ready_address, "IP:port for the provider's checks of readiness"),
+    TEXT(control_address, "IP:port for the provider's operators"),
+    TEXT(directory_address, "IP:port for callers that ask which VM to use"),
+    TEXT(list_address,
+         "IP:port of the provider's list of upstreams; with it callers' "
+         "requests go to pools as they are, and nothing else is served"),
+    TEXT(secret_file, "file with at least 32 bytes, the same for all daemons; "
+                      "needed unless private_network"),
+    {.name = "private_network",
+     .kind = BBM_FIELD_BOOL,
+     AT(private_network),
+     .about = "true if nobody else can reach the daemons' network: messages "
+              "and keys are then under no secret"},
+    {.name = "seeds",
+     .kind = BBM_FIELD_LIST,
+     .about = "IP:port of daemons to join by, at most 8; the port is taken "
+              "from peer_address"},
+    {.name = "first_start",
+     .kind = BBM_FIELD_BOOL,
+     AT(first_start),
+     .about = "true if the system has never run: the first of seeds founds "
+              "the control group"},
+    {.name = "self_repair",
+     .kind = BBM_FIELD_BOOL,
+     AT(self_repair),
+     .about = "true if lost control VMs are replaced without an operator"},
+    {.name = "grace_s",
+     .kind = BBM_FIELD_REAL,
+     AT(grace_s),
+     .most = 3600,
+     .about = "seconds given for stopping; sets entry_ms and stop_ms"},
+    {.name = "retry_share",
+     .kind = BBM_FIELD_REAL,
+     AT(retry_share),
+     .most = 10,
+     .fallback = 0.1,
+     .about = "sends again to a pool, as a share of its requests"},
+    {.name = "retry_slack",
+     .kind = BBM_FIELD_REAL,
+     AT(retry_slack),
+     .most = 1e6,
+     .fallback = 20,
+     .about = "sends again beside that share, over all VMs"},
+    {.name = "rate_slack",
+     .kind = BBM_FIELD_REAL,
+     AT(rate_slack),
+     .most = 1e12,
+     .fallback = 0,
+     .about = "tokens by which a customer's rate may be overrun, to pools"},
     TEXT(tls_cert_file, "certificate for callers, PEM; none: no TLS"),
     TEXT(tls_key_file, "private key of the certificate, PEM"),
     {.name = "log_level",
@@ -95,6 +141,20 @@
            "milliseconds after which they end keyed streams"),
     NUMBER(election_ms, 50, 60000, 1000,
            "election timeout of the control VMs, milliseconds"),
+    NUMBER(list_ms, 50, 60000, 1000,
+           "milliseconds between looks at the list of upstreams"),
+    NUMBER(gossip_ms, 20, 60000, 1000,
+           "milliseconds between pings of other daemons"),
+    NUMBER(entry_keep_ms, 1, 600000, 1000,
+           "milliseconds for which the provider's callers may keep an "
+           "address"),
+    NUMBER(stop_ms, 0, 3600000, 0,
+           "milliseconds after which a stopping VM ends at once; 0: never"),
+    NUMBER(texts_kept, 1, 1024, 64, "old revisions whose texts are kept"),
+    NUMBER(old_weights_fine_ms, 0, 600000, 1500,
+           "milliseconds for which old weights serve as well as newer ones"),
+    NUMBER(old_weights_most_ms, 0, 600000, 8000,
+           "milliseconds after which no request starts on old weights"),
     NUMBER(report_ms, 10, 5000, 250,
            "milliseconds between questions to a runner"),
     {.name = "testing",
@@ -212,6 +272,36 @@
     }
 }
 
+static void
+read_seeds(bbm_settings *s, const json_t *list, bbm_mistakes *m)
+{
+    const char *colon = strrchr(s->peer_address, ':');
+    for (size_t i = 0; i < json_array_size(list); i++) {
+        const char *text = json_string_value(json_array_get(list, i));
+        char host[64];
+        uint16_t port;
+        if (!text || !bbm_address_split(text, host, &port)) {
+            bbm_mistake(m, "seeds[%zu]: found %.80s; allowed: IP:port", i,
+                        text ? text : "no text");
+            continue;
+        }
+        if (s->seeds_len < BBM_JOIN_MOST)
+            snprintf(s->seeds[s->seeds_len++], BBM_ADDRESS_SIZE, "%s%s", host,
+                     colon ? colon : "");
+    }
+}
+
+/* Of the time given for stopping the larger part is for serving callers that
+   still come, the end for what runs; a little is left for ending. */
+static void
+apply_grace(bbm_settings *s)
+{
+    if (s->grace_s <= 0)
+        return;
+    s->entry_ms = (int64_t)(s->grace_s * 1000 * GRACE_SERVE);
+    s->stop_ms = (int64_t)(s->grace_s * 1000 * GRACE_STOP);
+}
+
 static void
 read_operators(bbm_settings *s, const json_t *list, bbm_mistakes *m)
 {
@@ -240,6 +330,13 @@
                     path, address);
 }
 
+static void
+check_optional(const char *path, const char *address, bbm_mistakes *m)
+{
+    if (address[0])
+        check_address(path, address, m);
+}
+
 static void
 check_peers(const bbm_settings *s, bbm_mistakes *m)
 {
@@ -311,6 +408,8 @@
 check_secret(bbm_settings *s, bbm_mistakes *m)
 {
     size_t len = 0;
+    if (s->private_network)
+        return;
     BBM_AUTO_FREE char *text = bbm_read_file(s->secret_file, &len);
     if (!text || len < SECRET_LEAST) {
         bbm_mistake(m,
@@ -329,6 +428,10 @@
     check_address("$.peer_address", s->peer_address, m);
     check_address("$.caller_address", s->caller_address, m);
     check_address("$.admin_address", s->admin_address, m);
+    check_optional("$.ready_address", s->ready_address, m);
+    check_optional("$.control_address", s->control_address, m);
+    check_optional("$.directory_address", s->directory_address, m);
+    check_optional("$.list_address", s->list_address, m);
     check_peers(s, m);
     check_founders(s, m);
     check_secret(s, m);
@@ -360,6 +463,8 @@
     bbm_doc_read(doc, "$", top_fields, BBM_COUNT(top_fields), s, m);
     read_peers(s, json_object_get(doc, "peers"), m);
     read_operators(s, json_object_get(doc, "operators"), m);
+    read_seeds(s, json_object_get(doc, "seeds"), m);
+    apply_grace(s);
     json_decref(doc);
     check_whole(s, m);
     if (m->count == before)
--- a/daemon/bbm_settings.h
+++ b/daemon/bbm_settings.h
@@ -24,36 +24,56 @@
 
 /** Settings of a daemon.  Texts are owned and never NULL. */
 typedef struct bbm_settings {
-    char name[BBM_NAME_SIZE]; /**< Of this daemon. */
-    char zone[BBM_NAME_SIZE]; /**< Availability zone. */
-    char *peer_address;       /**< host:port for other daemons. */
-    char *caller_address;     /**< host:port for callers. */
-    char *admin_address;      /**< host:port for operators. */
-    char *entry_url;          /**< Told to callers; "": from the address. */
-    char *data_folder;        /**< "": no disk. */
-    char *secret_file;        /**< Secret shared by all daemons. */
-    char *tls_cert_file;      /**< PEM; "": no TLS for callers. */
-    char *tls_key_file;       /**< PEM. */
-    char *log_level;          /**< debug, info, warn or error. */
-    bbm_names founders;       /**< First control VMs. */
-    int64_t traffic_threads;  /**< Threads towards upstreams. */
-    int64_t caller_threads;   /**< Threads towards callers. */
-    int64_t connections_most; /**< Caller connections at once. */
-    int64_t per_address_most; /**< Of these, from one address. */
-    int64_t idle_s;           /**< Idle caller connections end, seconds. */
-    int64_t body_most;        /**< Request body, bytes. */
-    int64_t requests_most;    /**< Requests open at once. */
-    int64_t entry_ms;         /**< A leaving VM serves on, milliseconds. */
-    int64_t fresh_bound_ms;   /**< Oldest key view, milliseconds. */
-    int64_t cut_bound_ms;     /**< Then keyed streams end, milliseconds. */
-    int64_t election_ms;      /**< Election timeout, milliseconds. */
-    int64_t report_ms;        /**< Between reports of a runner. */
-    bool testing;             /**< Allows the fields that tests use. */
-    char *test_cut_file;      /**< Peers that are cut off, a name a line. */
-    bbm_peer *peers;          /**< Other daemons. */
-    size_t peers_len;         /**< How many. */
-    bbm_operator *operators;  /**< Who may use the admin address. */
-    size_t operators_len;     /**< How many. */
+    char name[BBM_NAME_SIZE];    /**< Of this daemon. */
+    char zone[BBM_NAME_SIZE];    /**< Availability zone. */
+    char *peer_address;          /**< host:port for other daemons. */
+    char *caller_address;        /**< host:port for callers. */
+    char *admin_address;         /**< host:port for operators. */
+    char *entry_url;             /**< Told to callers; "": from the address. */
+    char *data_folder;           /**< "": no disk. */
+    char *ready_address;         /**< host:port for the provider's checks. */
+    char *control_address;       /**< host:port for its operators. */
+    char *directory_address;     /**< host:port for callers that ask where. */
+    char *list_address;          /**< host:port of its list; "": no pools. */
+    char *secret_file;           /**< Secret shared by all daemons. */
+    bool private_network;        /**< There is none: the network is ours. */
+    char *tls_cert_file;         /**< PEM; "": no TLS for callers. */
+    char *tls_key_file;          /**< PEM. */
+    char *log_level;             /**< debug, info, warn or error. */
+    bbm_names founders;          /**< First control VMs. */
+    int64_t traffic_threads;     /**< Threads towards upstreams. */
+    int64_t caller_threads;      /**< Threads towards callers. */
+    int64_t connections_most;    /**< Caller connections at once. */
+    int64_t per_address_most;    /**< Of these, from one address. */
+    int64_t idle_s;              /**< Idle caller connections end, seconds. */
+    int64_t body_most;           /**< Request body, bytes. */
+    int64_t requests_most;       /**< Requests open at once. */
+    int64_t entry_ms;            /**< A leaving VM serves on, milliseconds. */
+    int64_t fresh_bound_ms;      /**< Oldest key view, milliseconds. */
+    int64_t cut_bound_ms;        /**< Then keyed streams end, milliseconds. */
+    int64_t election_ms;         /**< Election timeout, milliseconds. */
+    int64_t report_ms;           /**< Between reports of a runner. */
+    int64_t list_ms;             /**< Between looks at the list. */
+    int64_t gossip_ms;           /**< Between pings of members. */
+    int64_t entry_keep_ms;       /**< Callers may keep an address. */
+    int64_t stop_ms;             /**< A stopping VM ends by then; 0: never. */
+    double grace_s;              /**< Given for stopping; sets the last two. */
+    int64_t texts_kept;          /**< Texts of old revisions. */
+    double retry_share;          /**< Sends again, of requests to a pool. */
+    double retry_slack;          /**< And so many over all VMs. */
+    double rate_slack;           /**< Overrun of a rate, tokens. */
+    int64_t old_weights_fine_ms; /**< Old weights serve as well. */
+    int64_t old_weights_most_ms; /**< No request starts on them after. */
+    bool first_start;            /**< The system has never run. */
+    bool self_repair;            /**< Lost control VMs are replaced unasked. */
+    char seeds[BBM_JOIN_MOST][BBM_ADDRESS_SIZE]; /**< To join by. */
+    size_t seeds_len;                            /**< How many. */
+    bool testing;            /**< Allows the fields that tests use. */
+    char *test_cut_file;     /**< Peers that are cut off, a name a line. */
+    bbm_peer *peers;         /**< Other daemons. */
+    size_t peers_len;        /**< How many. */
+    bbm_operator *operators; /**< Who may use the admin address. */
+    size_t operators_len;    /**< How many. */
     uint8_t secret[BBM_DIGEST_SIZE]; /**< From the secret file. */
 } bbm_settings;
 
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -1,7 +1,11 @@
 #include "control.h"
 
 #include "disk.h"
+#include "forward.h"
+#include "front.h"
+#include "front_provider.h"
 #include "metrics.h"
+#include "provider.h"
 #include "traffic.h"
 #include "transport.h"
 #include "watcher.h"
@@ -14,6 +18,10 @@
 
 #define TICK (20 * BBM_MS)
 #define TICK_MS 20
+/* Callers of pools are looked for this often: a caller that left must be
+   noticed in half a second. */
+#define GONE_MOST 256
+#define PRESENT_PERIOD (120 * BBM_MS)
 /* Items taken between two ticks at the most. */
 #define ITEMS_PER_TURN 512
 
@@ -30,6 +38,7 @@
     const control_desc *desc;
     bbm_node *node;
     open_row *rows;
+    bbm_time presence_at; /* next look for callers that left */
     bool stopped;
 } control;
 
@@ -39,7 +48,9 @@
 control_now(void)
 {
     struct timespec ts;
-    clock_gettime(CLOCK_MONOTONIC, &ts);
+    /* Unlike the monotonic clock this one goes on while a VM is suspended: a
+       lease that ran out meanwhile must be seen to have. */
+    clock_gettime(CLOCK_BOOTTIME, &ts);
     return (bbm_time)ts.tv_sec * BBM_SECOND + ts.tv_nsec;
 }
 
@@ -64,6 +75,7 @@
 {
     exchange_unref(item->ex);
     bbm_buf_free(&item->bytes);
+    bbm_listing_free(&item->listing);
     free(item->events);
     free(item);
 }
@@ -105,6 +117,19 @@
     traffic_start(traffic_for(c, start->request), row->ex, start);
 }
 
+static void
+do_forward(control *c, const bbm_action *a)
+{
+    const bbm_send *send = &a->u.forward.send;
+    open_row *row = find_row(c, send->request);
+    if (!row)
+        return;
+    row->attempt = send->attempt;
+    row->ended = false;
+    forward_start(c->desc->forward, row->ex, send,
+                  a->u.forward.resumes ? a->u.forward.last_event : "");
+}
+
 static void
 do_answer(control *c, const bbm_action *a)
 {
@@ -122,8 +147,11 @@
 static void
 do_cut(control *c, uint64_t id, int code)
 {
-    traffic_cancel(traffic_for(c, id), id);
     open_row *row = find_row(c, id);
+    if (row && row->ex->kind == EXCHANGE_POOL)
+        forward_cancel(c->desc->forward, id);
+    else if (c->desc->traffic_len)
+        traffic_cancel(traffic_for(c, id), id);
     if (!row)
         return;
     exchange_fail(row->ex, code < 0 ? code : BBM_ERR_STOPPED, 0);
@@ -151,7 +179,10 @@
     open_row *row = find_row(c, a->u.reply.op);
     if (!row)
         return;
-    if (row->ex->new_key && a->u.reply.code == BBM_OK)
+    if (row->ex->provider_call != PLATFORM_NONE)
+        front_provider_reply(row->ex, c->desc->settings, a->u.reply.code,
+                             &a->u.reply.body);
+    else if (row->ex->new_key && a->u.reply.code == BBM_OK)
         answer_with_key(row->ex, a);
     else
         exchange_answer(row->ex, bbm_code_status(a->u.reply.code),
@@ -194,8 +225,28 @@
         atomic_store(c->desc->ready, a->u.ready.on);
         return;
     case BBM_ACT_LOG:
-        bbm_log(a->u.log.event, "subject", a->u.log.subject, "detail",
-                a->u.log.detail, NULL);
+        bbm_log_write(a->u.log.event, a->u.log.pairs, a->u.log.len);
+        return;
+    case BBM_ACT_FORWARD:
+        do_forward(c, a);
+        return;
+    case BBM_ACT_LIST:
+        if (c->desc->provider)
+            provider_list(c->desc->provider);
+        return;
+    case BBM_ACT_ROLLOUT:
+        if (c->desc->provider)
+            provider_rollout(c->desc->provider, &a->u.rollout.act,
+                             a->u.rollout.not_after);
+        return;
+    case BBM_ACT_STORE:
+        if (c->desc->provider)
+            provider_store(c->desc->provider, a->u.store.address,
+                           a->u.store.on);
+        return;
+    case BBM_ACT_LIMITS:
+        atomic_store(&c->desc->limits->idle_ms, a->u.limits.idle_ms);
+        atomic_store(&c->desc->limits->body_bytes, a->u.limits.body_bytes);
         return;
     case BBM_ACT_STOPPED:
         c->stopped = true;
@@ -258,8 +309,13 @@
         ev.kind = BBM_EV_REQUEST;
         fill_request(ex, &ev.u.request);
         break;
+    case EXCHANGE_POOL:
+        ev.kind = BBM_EV_CALL;
+        front_provider_call(ex, &ev.u.request_to_pool);
+        break;
     case EXCHANGE_ENTRIES:
         ev.kind = BBM_EV_ENTRIES;
+        ev.u.entries.most = ex->entries_most;
         ev.u.entries.op = ex->id;
         ev.u.entries.caller = ex->caller;
         ev.u.entries.zone = ex->zone;
@@ -293,6 +349,33 @@
         drop_row(c, row);
 }
 
+static void
+take_forwarded(control *c, const bbm_forwarded *f)
+{
+    open_row *row = find_row(c, f->request);
+    if (row && row->attempt == f->attempt)
+        row->ended = true;
+    bbm_event ev = {.kind = BBM_EV_FORWARDED};
+    ev.u.forwarded = *f;
+    step(c, &ev);
+    row = find_row(c, f->request);
+    if (row && row->ended && f->end == BBM_FORWARD_WHOLE)
+        drop_row(c, row);
+}
+
+static void
+take_listing(control *c, const control_item *item)
+{
+    if (item->id) {
+        char number[24];
+        snprintf(number, sizeof(number), "%llu", (unsigned long long)item->id);
+        bbm_log(BBM_EVENT_LIST_BAD_ENTRY, "entries", number, NULL);
+    }
+    bbm_event ev = {.kind = BBM_EV_LISTING};
+    ev.u.listing.listing = item->good ? &item->listing : NULL;
+    step(c, &ev);
+}
+
 static void
 take_gone(control *c, uint64_t id)
 {
@@ -353,8 +436,41 @@
         ev.u.order.id = item->name;
         ev.u.order.code = item->code;
         break;
+    case CONTROL_HEAD:
+        ev.kind = BBM_EV_HEAD;
+        ev.u.head.request = item->id;
+        ev.u.head.attempt = item->attempt;
+        ev.u.head.version = item->version;
+        break;
+    case CONTROL_FORWARDED:
+        take_forwarded(c, &item->forwarded);
+        return;
+    case CONTROL_LISTING:
+        take_listing(c, item);
+        return;
+    case CONTROL_RUNNER:
+        ev.kind = BBM_EV_RUNNER;
+        ev.u.runner.id = item->name;
+        ev.u.runner.report = item->good ? &item->runner : NULL;
+        break;
+    case CONTROL_ORDERED:
+        ev.kind = BBM_EV_ORDERED;
+        ev.u.ordered.id = item->name;
+        ev.u.ordered.answer = item->answer;
+        break;
+    case CONTROL_STORE:
+        ev.kind = BBM_EV_STORE;
+        ev.u.store.address = item->name;
+        ev.u.store.alive = item->good;
+        break;
+    case CONTROL_RELOAD:
+        ev.kind = BBM_EV_SEEDS;
+        ev.u.seeds.addresses = item->seeds;
+        ev.u.seeds.len = item->seeds_len;
+        break;
     case CONTROL_STOP:
         ev.kind = BBM_EV_STOP;
+        atomic_store(c->desc->closing, true);
         break;
     }
     step(c, &ev);
@@ -380,7 +496,24 @@
         .cut_bound = s->cut_bound_ms * BBM_MS,
         .entry_time = s->entry_ms * BBM_MS,
         .requests_most = (size_t)s->requests_most,
+        .seeds_len = s->seeds_len,
+        .first_start = s->first_start,
+        .self_repair = s->self_repair,
+        .discovery = s->list_address[0] != '\0',
+        .list_period = s->list_ms * BBM_MS,
+        .gossip = s->gossip_ms * BBM_MS,
+        .stop_most = s->stop_ms * BBM_MS,
+        .texts_kept = (size_t)s->texts_kept,
+        .gate =
+            {
+                .retry_share = s->retry_share,
+                .retry_slack = s->retry_slack,
+                .rate_slack = s->rate_slack,
+                .old_weights_fine = s->old_weights_fine_ms * BBM_MS,
+                .old_weights_most = s->old_weights_most_ms * BBM_MS,
+            },
     };
+    memcpy(d.seeds, s->seeds, sizeof(d.seeds));
     bbm_name_set(d.name, s->name);
     bbm_name_set(d.zone, s->zone);
     bbm_text_set(d.address, sizeof(d.address), s->peer_address);
@@ -394,9 +527,29 @@
     return bbm_node_create(&d);
 }
 
+/* The library doesn't watch connections that sleep. */
+static void
+look_for_callers(control *c)
+{
+    bbm_time now = control_now();
+    if (now < c->presence_at)
+        return;
+    c->presence_at = now + PRESENT_PERIOD;
+    uint64_t gone[GONE_MOST];
+    size_t len = 0;
+    for (const open_row *row = c->rows; row; row = row->hh.next) {
+        if (row->ex->kind == EXCHANGE_POOL && len < GONE_MOST
+            && !exchange_present(row->ex))
+            gone[len++] = row->id;
+    }
+    for (size_t i = 0; i < len; i++)
+        take_gone(c, gone[i]);
+}
+
 static void
 tick(control *c)
 {
+    look_for_callers(c);
     bbm_event ev = {.kind = BBM_EV_TICK};
     ev.u.tick.wall_ms = control_wall_ms();
     step(c, &ev);
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -23,6 +23,13 @@
     CONTROL_UNHEARD,    /**< A runner could not be asked. */
     CONTROL_ORDER,      /**< What an engine said to an order. */
     CONTROL_LOG,        /**< Another thread has something to log. */
+    CONTROL_HEAD,       /**< A pool's upstream began to answer. */
+    CONTROL_FORWARDED,  /**< An attempt at a pool ended. */
+    CONTROL_LISTING,    /**< The list of upstreams was read. */
+    CONTROL_RUNNER,     /**< A runner's report for the rollout. */
+    CONTROL_ORDERED,    /**< A runner answered an order. */
+    CONTROL_STORE,      /**< A store of KV cache answers, or doesn't. */
+    CONTROL_RELOAD,     /**< Settings may name other seeds. */
     CONTROL_STOP,       /**< Shut down gracefully. */
 } control_kind;
 
@@ -41,6 +48,14 @@
     bbm_buf bytes;               /**< Message, or body. */
     bbm_report report;           /**< Its events are owned by the item. */
     bbm_cache_event *events;     /**< Of the report. */
+    bool good;                   /**< It could be read, or it answers. */
+    uint64_t version;            /**< Weights that answer. */
+    bbm_forwarded forwarded;     /**< CONTROL_FORWARDED. */
+    bbm_listing listing;         /**< CONTROL_LISTING; owned. */
+    bbm_runner_report runner;    /**< CONTROL_RUNNER. */
+    bbm_order_answer answer;     /**< CONTROL_ORDERED. */
+    char seeds[BBM_JOIN_MOST][BBM_ADDRESS_SIZE]; /**< CONTROL_RELOAD. */
+    size_t seeds_len;                            /**< How many. */
 } control_item;
 
 /** A new item. */
@@ -62,6 +77,10 @@
     atomic_llong *last_tick;      /**< Told when it moved. */
     struct traffic **traffic;     /**< Traffic threads. */
     size_t traffic_len;           /**< How many. */
+    struct forward *forward;      /**< To pools, or NULL. */
+    struct provider *provider;    /**< Of pools' upstreams, or NULL. */
+    atomic_bool *closing;         /**< Told that this VM stops. */
+    struct front_limits *limits;  /**< Told limits on callers. */
     struct watcher *watcher;      /**< Asks runners. */
     struct transport *transport;  /**< To other daemons. */
     struct disk *disk;            /**< Data folder, or NULL. */
--- /dev/null
+++ b/daemon/events.h
@@ -0,0 +1,28 @@
+/** @file
+ *  Whole events of an event stream, cut out of bytes that come in any pieces.
+ *
+ *      event_cutter c = {0};
+ *      size_t n = event_cutter_add(&c, data, len);    bytes that are whole
+ *      write(c.bytes.data, n); event_cutter_drop(&c, n);
+ *      ... c.last_id is the id of the last of them ...
+ *      event_cutter_free(&c);
+ */
+#ifndef EVENTS_H
+#define EVENTS_H
+
+#include "bbm_gate.h"
+
+/** Bytes of events that are not whole yet. */
+typedef struct event_cutter {
+    bbm_buf bytes;                   /**< Not dropped yet. */
+    char last_id[BBM_EVENT_ID_SIZE]; /**< Of the last whole event. */
+} event_cutter;
+
+/** Add bytes; returns how many at the front belong to whole events. */
+size_t event_cutter_add(event_cutter *c, const char *data, size_t len);
+/** Forget bytes at the front. */
+void event_cutter_drop(event_cutter *c, size_t len);
+/** Release. */
+void event_cutter_free(event_cutter *c);
+
+#endif
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -1,10 +1,9 @@
 #include "exchange.h"
 
-#include <errno.h>
 #include <jansson.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 exchange *
 exchange_create(exchange_kind kind, uint64_t id)
@@ -15,6 +14,7 @@
     ex->id = id;
     ex->socket = -1;
     ex->cached = -1;
+    ex->length = -1;
     pthread_mutex_init(&ex->lock, NULL);
     return ex;
 }
@@ -34,6 +34,11 @@
     free(ex->method);
     free(ex->path);
     free(ex->query);
+    free(ex->target);
+    free(ex->host);
+    exchange_headers_free(&ex->headers);
+    exchange_headers_free(&ex->answer_headers);
+    bbm_buf_free(&ex->config.document);
     bbm_buf_free(&ex->body);
     bbm_buf_free(&ex->out);
     bbm_asked_free(&ex->asked);
@@ -44,6 +49,27 @@
     free(ex);
 }
 
+void
+exchange_headers_add(exchange_headers *h, const char *name, const char *value)
+{
+    bbm_grow(&h->items, &h->cap, h->len, sizeof(*h->items));
+    h->items[h->len++] = (exchange_header){
+        .name = bbm_strdup(name),
+        .value = bbm_strdup(value),
+    };
+}
+
+void
+exchange_headers_free(exchange_headers *h)
+{
+    for (size_t i = 0; i < h->len; i++) {
+        free(h->items[i].name);
+        free(h->items[i].value);
+    }
+    free(h->items);
+    *h = (exchange_headers){0};
+}
+
 /* Under the lock. */
 static void
 wake_caller(exchange *ex)
@@ -69,6 +95,24 @@
     return present;
 }
 
+bool
+exchange_head_as_is(exchange *ex, unsigned status, int64_t length,
+                    exchange_headers *headers)
+{
+    pthread_mutex_lock(&ex->lock);
+    ex->has_head = true;
+    ex->verbatim = true;
+    ex->status = status;
+    ex->length = length;
+    exchange_headers_free(&ex->answer_headers);
+    ex->answer_headers = *headers;
+    *headers = (exchange_headers){0};
+    bool present = ex->connection != NULL;
+    /* The answer is begun with its first bytes, or with its end. */
+    pthread_mutex_unlock(&ex->lock);
+    return present;
+}
+
 /* Under the lock. */
 static void
 add_bytes(exchange *ex, const void *data, size_t len)
@@ -92,11 +136,12 @@
 {
     pthread_mutex_lock(&ex->lock);
     bool room = !ex->connection || ex->out.len - ex->out_at < EXCHANGE_HIGH;
-    if (room)
+    if (room && len)
         add_bytes(ex, data, len);
-    else
+    else if (!room)
         ex->paused = true;
-    wake_caller(ex);
+    if (len)
+        wake_caller(ex);
     pthread_mutex_unlock(&ex->lock);
     return room;
 }
@@ -149,12 +194,22 @@
 {
     BBM_AUTO_FREE char *text = error_text(ex, code, retry_after_ms);
     pthread_mutex_lock(&ex->lock);
-    bool begun = ex->has_head;
     if (ex->finished) {
         pthread_mutex_unlock(&ex->lock);
         return;
     }
-    if (begun) {
+    if (ex->verbatim && !ex->begun) {
+        /* Nobody has seen the head yet: an error says more than a cut. */
+        ex->has_head = false;
+        ex->verbatim = false;
+        ex->out.len = 0;
+        ex->out_at = 0;
+    }
+    bool begun = ex->has_head;
+    if (begun && ex->verbatim) {
+        ex->broken = true;
+    }
+    else if (begun) {
         bool events = strncmp(ex->answer_type, "text/event-stream", 17) == 0;
         if (events) {
             add_bytes(ex, "data: ", 6);
@@ -177,19 +232,17 @@
     pthread_mutex_unlock(&ex->lock);
 }
 
+/* A caller that has closed its side is taken to be gone, whatever it sent
+   before. */
 bool
 exchange_present(exchange *ex)
 {
     pthread_mutex_lock(&ex->lock);
     bool present = ex->connection != NULL;
     if (present && ex->socket >= 0) {
-        char byte;
-        ssize_t n = recv(ex->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        bool open = n > 0
-                    || (n < 0
-                        && (errno == EAGAIN || errno == EWOULDBLOCK
-                            || errno == EINTR));
-        present = open;
+        struct pollfd fd = {.fd = ex->socket, .events = POLLRDHUP};
+        int n = poll(&fd, 1, 0);
+        present = n <= 0 || !(fd.revents & (POLLRDHUP | POLLHUP | POLLERR));
     }
     pthread_mutex_unlock(&ex->lock);
     return present;
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -14,6 +14,7 @@
 #define EXCHANGE_H
 
 #include "bbm_node.h"
+#include "bbm_platform.h"
 
 #include <microhttpd.h>
 #include <pthread.h>
@@ -26,9 +27,23 @@
 /** A header of a request that is passed on or shown, longest length. */
 #define EXCHANGE_HEADER_SIZE 256
 
+/** A header that is passed on. */
+typedef struct exchange_header {
+    char *name;  /**< Owned. */
+    char *value; /**< Owned. */
+} exchange_header;
+
+/** Headers in their order. */
+typedef struct exchange_headers {
+    exchange_header *items; /**< Owned. */
+    size_t len;             /**< How many. */
+    size_t cap;             /**< Room. */
+} exchange_headers;
+
 /** What an exchange is about. */
 typedef enum exchange_kind {
     EXCHANGE_ROUTE,    /**< For an upstream. */
+    EXCHANGE_POOL,     /**< For a pool's upstream, passed on as it is. */
     EXCHANGE_ENTRIES,  /**< Which address to use. */
     EXCHANGE_METRICS,  /**< Counters. */
     EXCHANGE_OPERATOR, /**< An operator's call. */
@@ -53,13 +68,20 @@
     bbm_digest key;                    /**< Its keyed digest. */
     bool has_idem;                     /**< An Idempotency-Key came. */
     bbm_digest idem;                   /**< Its digest. */
-    bbm_asked asked;          /**< Completion request, if it is one. */
-    bbm_digest digest;        /**< Of method, address and body. */
-    uint64_t caller;          /**< Hash of the caller, for entries. */
-    char zone[BBM_NAME_SIZE]; /**< Zone that it names, for entries. */
-    bbm_operator_event call;  /**< An operator's call. */
-    char *new_key;            /**< A key that this call gives; shown once. */
-    bool handed_on;           /**< Control knows of it. */
+    bbm_asked asked;             /**< Completion request, if it is one. */
+    bbm_digest digest;           /**< Of method, address and body. */
+    uint64_t caller;             /**< Hash of the caller, for entries. */
+    char zone[BBM_NAME_SIZE];    /**< Zone that it names, for entries. */
+    bbm_operator_event call;     /**< An operator's call. */
+    char *target;                /**< Path and query as they were sent. */
+    char *host;                  /**< Host that the caller names. */
+    exchange_headers headers;    /**< To be passed on. */
+    platform_caller caller_says; /**< What its headers say. */
+    platform_call provider_call; /**< The provider's, or its operator's. */
+    platform_config config;      /**< Of a call that publishes. */
+    size_t entries_most;         /**< Entries asked for; 0: the default. */
+    char *new_key;  /**< A key that this call gives; shown once. */
+    bool handed_on; /**< Control knows of it. */
 
     /* The answer: under the lock. */
     pthread_mutex_t lock;              /**< Of all below. */
@@ -68,6 +90,11 @@
     bool suspended;  /**< The caller's thread waits for us. */
     bool has_head;   /**< Status and type are known. */
     unsigned status; /**< HTTP status. */
+    bool verbatim;   /**< Head and bytes are the upstream's alone. */
+    bool begun;      /**< The head went to the caller's connection. */
+    bool closes;     /**< Its connection ends with this answer. */
+    int64_t length;  /**< Bytes of the body, as told; -1: untold. */
+    exchange_headers answer_headers;        /**< Of the upstream. */
     char answer_type[EXCHANGE_HEADER_SIZE]; /**< Content type. */
     char upstream[BBM_NAME_SIZE];           /**< Who answered, or "". */
     int64_t cached;         /**< Prompt tokens expected in its cache; -1. */
@@ -89,10 +116,21 @@
 /** Give a reference back. */
 void exchange_unref(exchange *ex);
 
+/** Add a header. */
+void exchange_headers_add(exchange_headers *h, const char *name,
+                          const char *value);
+/** Release all headers. */
+void exchange_headers_free(exchange_headers *h);
+
+/** The head of an upstream's answer, passed on as it is; its headers are
+ *  moved.  False if the caller is gone. */
+bool exchange_head_as_is(exchange *ex, unsigned status, int64_t length,
+                         exchange_headers *headers);
 /** The answer's head is known.  False if the caller is gone. */
 bool exchange_head(exchange *ex, unsigned status, const char *type,
                    const char *upstream, int64_t cached);
-/** Add bytes; false if there is no room: pause until `drained`. */
+/** Add bytes; false if there is no room: pause until `drained`.  Without bytes
+ *  it only tells whether there is room. */
 bool exchange_write(exchange *ex, const void *data, size_t len);
 /** The answer is whole, or broken off. */
 void exchange_finish(exchange *ex, bool broken);
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -2,6 +2,7 @@
 
 #include "control.h"
 #include "front_admin.h"
+#include "front_provider.h"
 
 #include <arpa/inet.h>
 #include <jansson.h>
@@ -76,10 +77,34 @@
     MHD_add_response_header(response, name, value);
 }
 
+/* Calls that pass the provider's wires may tell a fraction of a second. */
+static void
+add_retry_after(const exchange *ex, struct MHD_Response *response)
+{
+    char text[BBM_NAME_SIZE];
+    if (ex->retry_after_ms <= 0)
+        return;
+    if (ex->kind == EXCHANGE_POOL)
+        snprintf(text, sizeof(text), "%.3f",
+                 (double)ex->retry_after_ms / 1000);
+    else
+        snprintf(text, sizeof(text), "%lld",
+                 (long long)(ex->retry_after_ms + 999) / 1000);
+    add_header(response, "Retry-After", text);
+}
+
 static void
 add_headers(const front *f, const exchange *ex, struct MHD_Response *response)
 {
     char text[BBM_NAME_SIZE];
+    if (ex->closes || atomic_load(f->desc.closing))
+        add_header(response, "Connection", "close");
+    if (ex->verbatim) {
+        for (size_t i = 0; i < ex->answer_headers.len; i++)
+            add_header(response, ex->answer_headers.items[i].name,
+                       ex->answer_headers.items[i].value);
+        return;
+    }
     add_header(response, "Content-Type", ex->answer_type);
     snprintf(text, sizeof(text), "%016llx-%llu",
              (unsigned long long)f->desc.run, (unsigned long long)ex->id);
@@ -90,11 +115,7 @@
         snprintf(text, sizeof(text), "%lld", (long long)ex->cached);
         add_header(response, "X-Cached-Tokens", text);
     }
-    if (ex->retry_after_ms > 0) {
-        snprintf(text, sizeof(text), "%lld",
-                 (long long)(ex->retry_after_ms + 999) / 1000);
-        add_header(response, "Retry-After", text);
-    }
+    add_retry_after(ex, response);
     if (ex->status == MHD_HTTP_UNAUTHORIZED)
         add_header(response, "WWW-Authenticate", "Bearer");
 }
@@ -112,12 +133,14 @@
             MHD_RESPMEM_MUST_COPY);
     }
     else {
+        uint64_t size =
+            ex->length >= 0 ? (uint64_t)ex->length : MHD_SIZE_UNKNOWN;
         response = MHD_create_response_from_callback(
-            MHD_SIZE_UNKNOWN, ANSWER_BLOCK, read_answer, exchange_ref(ex),
-            release_answer);
+            size, ANSWER_BLOCK, read_answer, exchange_ref(ex), release_answer);
     }
     if (!response)
         return MHD_NO;
+    ex->begun = true;
     add_headers(f, ex, response);
     enum MHD_Result rc =
         MHD_queue_response(ex->connection, ex->status, response);
@@ -206,7 +229,9 @@
     ex->connection = connection;
     ex->method = bbm_strdup(method);
     ex->path = bbm_strdup(url);
-    ex->body_most = (size_t)f->desc.settings->body_most;
+    long long body_most = atomic_load(&f->desc.limits->body_bytes);
+    ex->body_most =
+        (size_t)(body_most ? body_most : f->desc.settings->body_most);
     const union MHD_ConnectionInfo *info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     if (info)
@@ -220,6 +245,8 @@
     const char *length = header(connection, "Content-Length");
     if (length && strtoull(length, NULL, 10) > ex->body_most)
         ex->too_large = true;
+    if (f->desc.kind == FRONT_POOL_CALLERS)
+        front_provider_begin(ex, connection, f->desc.key_secret);
 }
 
 static void
@@ -339,6 +366,59 @@
         hand_on(f, ex);
 }
 
+static void
+handle_pool_caller(front *f, exchange *ex)
+{
+    ex->kind = EXCHANGE_POOL;
+    if (ex->too_large) {
+        ex->closes = true;
+        exchange_fail(ex, BBM_ERR_TOO_LARGE, 0);
+        return;
+    }
+    hand_on(f, ex);
+}
+
+static void
+handle_provider(front *f, struct MHD_Connection *connection, exchange *ex)
+{
+    const char *zone = MHD_lookup_connection_value(
+        connection, MHD_GET_ARGUMENT_KIND, platform_zone_field());
+    ex->caller = caller_hash(ex, connection);
+    bbm_name_set(ex->zone, zone);
+    int rc = ex->too_large ? BBM_ERR_TOO_LARGE
+                           : front_provider_parse(ex, f->desc.key_secret);
+    if (rc < 0)
+        exchange_fail(ex, rc, 0);
+    else if (ex->provider_call == PLATFORM_READY)
+        answer_ready(f, ex);
+    else
+        hand_on(f, ex);
+}
+
+static void
+handle(front *f, struct MHD_Connection *connection, exchange *ex)
+{
+    switch (f->desc.kind) {
+    case FRONT_CALLERS:
+        handle_caller(f, connection, ex);
+        return;
+    case FRONT_OPERATORS:
+        if (strcmp(ex->path, "/metrics") == 0) {
+            ex->kind = EXCHANGE_METRICS;
+            hand_on(f, ex);
+            return;
+        }
+        handle_operator(f, ex);
+        return;
+    case FRONT_POOL_CALLERS:
+        handle_pool_caller(f, ex);
+        return;
+    case FRONT_PROVIDER:
+        handle_provider(f, connection, ex);
+        return;
+    }
+}
+
 static enum MHD_Result
 on_request(void *context, struct MHD_Connection *connection, const char *url,
            const char *method, const char *version, const char *data,
@@ -351,7 +431,8 @@
         return MHD_NO;
     if (!ex->method) {
         begin(f, connection, url, method, ex);
-        return MHD_YES;
+        /* What follows a request whose length is in doubt isn't read. */
+        return ex->finished ? answer_or_sleep(f, ex) : MHD_YES;
     }
     if (*len) {
         take_body(ex, data, *len);
@@ -361,10 +442,8 @@
     if (!ex->handed_on && !ex->has_head) {
         if (atomic_load(&f->refusing))
             exchange_fail(ex, BBM_ERR_DRAINING, 1000);
-        else if (f->desc.admin)
-            handle_operator(f, ex);
         else
-            handle_caller(f, connection, ex);
+            handle(f, connection, ex);
     }
     return answer_or_sleep(f, ex);
 }
@@ -381,6 +460,8 @@
     exchange *ex = exchange_create(EXCHANGE_ROUTE, id);
     const char *query = strchr(uri, '?');
     ex->query = bbm_strdup(query ? query : "");
+    ex->target = bbm_strdup(uri);
+    ex->provider_call = PLATFORM_NONE;
     return ex;
 }
 
@@ -412,13 +493,30 @@
     exchange_unref(ex);
 }
 
+/* A connection that callers may use again after a while is kept a little
+   longer than they were told. */
+static void
+on_connection(void *context, struct MHD_Connection *connection, void **state,
+              enum MHD_ConnectionNotificationCode what)
+{
+    (void)state;
+    front *f = context;
+    long long idle_ms = atomic_load(&f->desc.limits->idle_ms);
+    if (what != MHD_CONNECTION_NOTIFY_STARTED || !idle_ms)
+        return;
+    MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                              (unsigned)((idle_ms + 999) / 1000 + 1));
+}
+
 static struct MHD_Daemon *
 start(front *f, const struct sockaddr_in *address)
 {
     const bbm_settings *s = f->desc.settings;
     unsigned flags =
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
-    unsigned threads = f->desc.admin ? 1 : (unsigned)s->caller_threads;
+    bool callers =
+        f->desc.kind == FRONT_CALLERS || f->desc.kind == FRONT_POOL_CALLERS;
+    unsigned threads = callers ? (unsigned)s->caller_threads : 1;
     struct MHD_OptionItem options[12];
     size_t len = 0;
     if (threads > 1)
@@ -436,6 +534,7 @@
         flags, 0, NULL, NULL, on_request, f, MHD_OPTION_SOCK_ADDR, address,
         MHD_OPTION_URI_LOG_CALLBACK, on_address, f,
         MHD_OPTION_NOTIFY_COMPLETED, on_completed, f,
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, f,
         MHD_OPTION_CONNECTION_LIMIT, (unsigned)s->connections_most,
         MHD_OPTION_PER_IP_CONNECTION_LIMIT, (unsigned)s->per_address_most,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)s->idle_s,
@@ -452,7 +551,7 @@
     f->desc = *desc;
     f->listening = MHD_INVALID_SOCKET;
     const bbm_settings *s = desc->settings;
-    bool tls = !desc->admin && s->tls_cert_file[0];
+    bool tls = desc->kind == FRONT_CALLERS && s->tls_cert_file[0];
     bool good = true;
     if (tls) {
         size_t len;
@@ -462,9 +561,8 @@
     }
     char host[64];
     struct sockaddr_in address = {.sin_family = AF_INET};
-    const char *text = desc->admin ? s->admin_address : s->caller_address;
     uint16_t port = 0;
-    good = good && bbm_address_split(text, host, &port)
+    good = good && bbm_address_split(desc->address, host, &port)
            && inet_pton(AF_INET, host, &address.sin_addr) == 1;
     address.sin_port = htons(port);
     if (good)
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -17,10 +17,27 @@
 #include "exchange.h"
 #include "mailbox.h"
 
+/** Who speaks to a front. */
+typedef enum front_kind {
+    FRONT_CALLERS,      /**< Callers, in our own interface. */
+    FRONT_OPERATORS,    /**< Operators, in our own interface. */
+    FRONT_POOL_CALLERS, /**< Callers whose requests go on as they are. */
+    FRONT_PROVIDER,     /**< The provider and its operators. */
+} front_kind;
+
+/** Limits on callers, told by control. */
+typedef struct front_limits {
+    atomic_llong idle_ms;    /**< A kept connection may be idle; 0: as set. */
+    atomic_llong body_bytes; /**< Of a request's body; 0: as set. */
+} front_limits;
+
 /** What a front is for. */
 typedef struct front_desc {
     const bbm_settings *settings;  /**< Outlives the front. */
-    bool admin;                    /**< For operators, not callers. */
+    front_kind kind;               /**< Who speaks to it. */
+    const char *address;           /**< host:port to listen on. */
+    const atomic_bool *closing;    /**< Connections end with their answer. */
+    front_limits *limits;          /**< On callers. */
     uint64_t run;                  /**< For request identifiers. */
     const uint8_t *key_secret;     /**< Key of the digests of keys. */
     const atomic_bool *ready;      /**< For /readyz. */
--- /dev/null
+++ b/daemon/front_provider.c
@@ -0,0 +1,186 @@
+#include "front_provider.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char answer_type[] = "application/json";
+static const char scheme[] = "http://";
+
+/* ---- callers ---- */
+
+static enum MHD_Result
+take_header(void *context, enum MHD_ValueKind kind, const char *name,
+            const char *value)
+{
+    (void)kind;
+    exchange *ex = context;
+    const char *text = value ? value : "";
+    if (platform_caller_header(&ex->caller_says, name, text))
+        exchange_headers_add(&ex->headers, name, text);
+    return MHD_YES;
+}
+
+static void
+drop_listed(exchange *ex, const char *connection)
+{
+    size_t len = 0;
+    for (size_t i = 0; i < ex->headers.len; i++) {
+        exchange_header *h = &ex->headers.items[i];
+        if (!platform_header_listed(connection, h->name)) {
+            ex->headers.items[len++] = *h;
+            continue;
+        }
+        free(h->name);
+        free(h->value);
+    }
+    ex->headers.len = len;
+}
+
+void
+front_provider_begin(exchange *ex, struct MHD_Connection *connection,
+                     const uint8_t *key_secret)
+{
+    platform_caller *says = &ex->caller_says;
+    ex->kind = EXCHANGE_POOL;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, take_header, ex);
+    drop_listed(ex, MHD_lookup_connection_value(connection, MHD_HEADER_KIND,
+                                                "Connection"));
+    const char *host =
+        MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Host");
+    ex->host = bbm_strdup(host ? host : "");
+    ex->has_key = says->key[0] != '\0';
+    if (ex->has_key)
+        ex->key = bbm_digest_of(says->key, strlen(says->key), key_secret);
+    explicit_bzero(says->key, sizeof(says->key));
+    if (says->twice_framed || says->bad_name) {
+        ex->closes = true;
+        exchange_fail(ex, BBM_ERR_FRAMING, 0);
+    }
+}
+
+void
+front_provider_call(const exchange *ex, bbm_call_event *ev)
+{
+    platform_caller_ask(&ex->caller_says, &ev->ask);
+    ev->ask.request = ex->id;
+    ev->host = ex->host;
+    ev->path = ex->target;
+    ev->has_key = ex->has_key;
+    ev->key = ex->key;
+}
+
+/* ---- the provider ---- */
+
+static int
+parse_config(exchange *ex, const uint8_t *key_secret)
+{
+    const char *text = ex->body.len ? (char *)ex->body.data : "";
+    int rc = platform_config_read(text, ex->body.len, key_secret, &ex->config);
+    if (rc < 0)
+        return BBM_ERR_INVALID_CONFIG;
+    /* Mistakes are told before the control group is asked; it checks again. */
+    bbm_mistakes wrong = {0};
+    bbm_config *cfg = bbm_config_create((char *)ex->config.document.data,
+                                        ex->config.document.len, &wrong);
+    bool good = cfg != NULL;
+    bbm_config_destroy(cfg);
+    if (!good)
+        bbm_log(BBM_EVENT_CONFIG_REFUSED, "mistake",
+                wrong.len ? wrong.lines[0] : "", NULL);
+    bbm_mistakes_free(&wrong);
+    if (!good)
+        return BBM_ERR_INVALID_CONFIG;
+    ex->call.verb = BBM_VERB_PUBLISH;
+    ex->call.version = ex->config.version;
+    ex->call.text = bbm_buf_view(&ex->config.document);
+    ex->call.source = bbm_buf_view(&ex->body);
+    return BBM_OK;
+}
+
+static int
+parse_weights(exchange *ex)
+{
+    platform_weights w;
+    const char *text = ex->body.len ? (char *)ex->body.data : "";
+    int rc = platform_weights_read(text, ex->body.len, &w);
+    ex->call.verb = BBM_VERB_WEIGHTS;
+    ex->call.number = w.version;
+    bbm_name_set(ex->call.name, w.model);
+    return rc;
+}
+
+int
+front_provider_parse(exchange *ex, const uint8_t *key_secret)
+{
+    ex->provider_call = platform_call_of(ex->method, ex->path);
+    ex->kind = EXCHANGE_OPERATOR;
+    ex->call.op = ex->id;
+    switch (ex->provider_call) {
+    case PLATFORM_ENTRIES:
+        ex->kind = EXCHANGE_ENTRIES;
+        ex->entries_most = BBM_ENTRIES_LIMIT;
+        return BBM_OK;
+    case PLATFORM_READY:
+        return BBM_OK;
+    case PLATFORM_CONFIG_PUT:
+        return parse_config(ex, key_secret);
+    case PLATFORM_CONFIG_GET:
+        ex->call.verb = BBM_VERB_SOURCE;
+        return BBM_OK;
+    case PLATFORM_WEIGHTS:
+        return parse_weights(ex);
+    case PLATFORM_NONE:
+        break;
+    }
+    return BBM_ERR_NO_ROUTE;
+}
+
+/* ---- replies ---- */
+
+static void
+reply_entries(exchange *ex, const bbm_settings *settings, const bbm_buf *body)
+{
+    const char *list[BBM_ENTRIES_LIMIT];
+    size_t len = 0;
+    json_error_t error;
+    json_t *doc = json_loadb((const char *)body->data, body->len, 0, &error);
+    const json_t *entries = json_object_get(doc, "entries");
+    for (size_t i = 0; i < json_array_size(entries) && len < BBM_ENTRIES_LIMIT;
+         i++) {
+        const char *url = json_string_value(
+            json_object_get(json_array_get(entries, i), "url"));
+        if (url && strncmp(url, scheme, strlen(scheme)) == 0)
+            list[len++] = url + strlen(scheme);
+    }
+    bbm_buf out = {0};
+    platform_entries(list, len, settings->entry_keep_ms, &out);
+    json_decref(doc);
+    exchange_answer(ex, 200, answer_type, out.data, out.len);
+    bbm_buf_free(&out);
+}
+
+void
+front_provider_reply(exchange *ex, const bbm_settings *settings, int code,
+                     const bbm_buf *body)
+{
+    if (code != BBM_OK) {
+        exchange_answer(ex, bbm_code_status(code), answer_type, body->data,
+                        body->len);
+        return;
+    }
+    switch (ex->provider_call) {
+    case PLATFORM_ENTRIES:
+        reply_entries(ex, settings, body);
+        return;
+    case PLATFORM_CONFIG_GET:
+        exchange_answer(ex, 200, answer_type, body->data, body->len);
+        return;
+    case PLATFORM_READY:
+    case PLATFORM_CONFIG_PUT:
+    case PLATFORM_WEIGHTS:
+    case PLATFORM_NONE:
+        exchange_answer(ex, 200, answer_type, "{}", 2);
+        return;
+    }
+}
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -7,7 +7,9 @@
  */
 #include "control.h"
 #include "disk.h"
+#include "forward.h"
 #include "front.h"
+#include "provider.h"
 #include "traffic.h"
 #include "transport.h"
 #include "watcher.h"
@@ -19,12 +21,18 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #define EXIT_START 1
 #define EXIT_SETTINGS 2
 #define EXIT_AT_ONCE 3
 #define BOX_SIZE 65536
+/* Addresses beside the callers' and the operators' own. */
+#define OTHERS_MOST 3
+/* Settings may change without a signal: they are looked at so often. */
+#define RELOAD_PERIOD_S 2
+#define SETTINGS_VARIABLE "BLUEBELLMOOR_CONFIG"
 /* Allocator arenas: more would only spread the memory. */
 #define ARENAS 4
 
@@ -42,8 +50,16 @@
     transport *transport;
     watcher *watcher;
     traffic **traffic;
+    size_t traffic_len;
+    forward *forward;
+    provider *provider;
     front *callers;
     front *admin;
+    front *others[OTHERS_MOST]; /* for the provider */
+    size_t others_len;
+    atomic_bool closing;
+    front_limits limits;
+    const char *settings_path;
     pthread_t signals;
 } daemon_parts;
 
@@ -52,10 +68,12 @@
 static void
 usage(FILE *to)
 {
-    fputs("usage: bluebellmoord --settings FILE\n"
+    fputs("usage: bluebellmoord [--settings FILE]\n"
           "       bluebellmoord --check-settings FILE\n"
           "       bluebellmoord --help | --version\n"
           "\n"
+          "Without --settings the file is named by " SETTINGS_VARIABLE ".\n"
+          "\n"
           "Exit status: 0 stopped gracefully or settings fine, 1 could not\n"
           "start, 2 mistakes in settings or arguments, 3 ended at once.\n",
           to);
@@ -121,11 +139,14 @@
 }
 
 static front *
-open_front(daemon_parts *p, bool admin)
+open_front(daemon_parts *p, front_kind kind, const char *address)
 {
     front *f = front_create(&(front_desc){
         .settings = p->settings,
-        .admin = admin,
+        .kind = kind,
+        .address = address,
+        .closing = &p->closing,
+        .limits = &p->limits,
         .run = p->run,
         .key_secret = p->key_secret,
         .ready = &p->ready,
@@ -134,13 +155,42 @@
         .box = p->box,
     });
     if (!f)
-        bbm_log(BBM_EVENT_LISTEN_FAILED, "address",
-                admin ? p->settings->admin_address
-                      : p->settings->caller_address,
-                NULL);
+        bbm_log(BBM_EVENT_LISTEN_FAILED, "address", address, NULL);
     return f;
 }
 
+static bool
+open_other(daemon_parts *p, const char *address)
+{
+    if (!address[0])
+        return true;
+    front *f = open_front(p, FRONT_PROVIDER, address);
+    if (f)
+        p->others[p->others_len++] = f;
+    return f != NULL;
+}
+
+/* Threads towards upstreams: to pools, or to engines and services. */
+static void
+open_upstreams(daemon_parts *p)
+{
+    const bbm_settings *s = p->settings;
+    if (s->list_address[0]) {
+        p->forward = forward_create(p->box);
+        p->provider = provider_create(&(provider_desc){
+            .list = s->list_address,
+            .owner = s->name,
+            .control = p->box,
+        });
+        return;
+    }
+    p->watcher = watcher_create(p->box, s->report_ms * BBM_MS);
+    p->traffic = bbm_calloc((size_t)s->traffic_threads, sizeof(traffic *));
+    p->traffic_len = (size_t)s->traffic_threads;
+    for (size_t i = 0; i < p->traffic_len; i++)
+        p->traffic[i] = traffic_create(p->box);
+}
+
 static int
 open_parts(daemon_parts *p)
 {
@@ -155,13 +205,14 @@
         bbm_log(BBM_EVENT_LISTEN_FAILED, "address", s->peer_address, NULL);
         return BBM_ERR_IO;
     }
-    p->watcher = watcher_create(p->box, s->report_ms * BBM_MS);
-    p->traffic = bbm_calloc((size_t)s->traffic_threads, sizeof(traffic *));
-    for (int64_t i = 0; i < s->traffic_threads; i++)
-        p->traffic[i] = traffic_create(p->box);
-    p->callers = open_front(p, false);
-    p->admin = open_front(p, true);
-    return p->callers && p->admin ? BBM_OK : BBM_ERR_IO;
+    open_upstreams(p);
+    front_kind kind = s->list_address[0] ? FRONT_POOL_CALLERS : FRONT_CALLERS;
+    p->callers = open_front(p, kind, s->caller_address);
+    p->admin = open_front(p, FRONT_OPERATORS, s->admin_address);
+    bool others = open_other(p, s->ready_address)
+                  && open_other(p, s->control_address)
+                  && open_other(p, s->directory_address);
+    return p->callers && p->admin && others ? BBM_OK : BBM_ERR_IO;
 }
 
 /* ---- stop ---- */
@@ -186,14 +237,21 @@
         front_refuse(p->callers);
     if (p->admin)
         front_refuse(p->admin);
-    for (int64_t i = 0; p->traffic && i < p->settings->traffic_threads; i++)
+    for (size_t i = 0; i < p->others_len; i++)
+        front_refuse(p->others[i]);
+    for (size_t i = 0; i < p->traffic_len; i++)
         traffic_stop(p->traffic[i]);
+    forward_stop(p->forward);
     fail_left_items(p);
     front_destroy(p->callers);
     front_destroy(p->admin);
-    for (int64_t i = 0; p->traffic && i < p->settings->traffic_threads; i++)
+    for (size_t i = 0; i < p->others_len; i++)
+        front_destroy(p->others[i]);
+    for (size_t i = 0; i < p->traffic_len; i++)
         traffic_destroy(p->traffic[i]);
     free(p->traffic);
+    forward_destroy(p->forward);
+    provider_destroy(p->provider);
     watcher_destroy(p->watcher);
     transport_destroy(p->transport);
     disk_destroy(p->disk);
@@ -203,6 +261,48 @@
 
 /* ---- signals ---- */
 
+/* Of the settings only the seeds are taken over while the daemon runs. */
+static void
+reload(daemon_parts *p)
+{
+    bbm_mistakes wrong = {0};
+    bbm_settings *s = bbm_settings_load(p->settings_path, &wrong);
+    if (!s) {
+        bbm_log(BBM_EVENT_SETTINGS, "mistake", wrong.len ? wrong.lines[0] : "",
+                NULL);
+        bbm_mistakes_free(&wrong);
+        return;
+    }
+    control_item *item = control_item_create(CONTROL_RELOAD);
+    memcpy(item->seeds, s->seeds, sizeof(item->seeds));
+    item->seeds_len = s->seeds_len;
+    char seeds[BBM_JOIN_MOST * BBM_ADDRESS_SIZE] = "";
+    for (size_t i = 0; i < s->seeds_len; i++) {
+        strncat(seeds, s->seeds[i], sizeof(seeds) - strlen(seeds) - 1);
+        strncat(seeds, " ", sizeof(seeds) - strlen(seeds) - 1);
+    }
+    bbm_log(BBM_EVENT_RELOADED, "seeds", seeds, NULL);
+    bbm_settings_destroy(s);
+    mailbox_put_waiting(p->box, item);
+}
+
+static int64_t
+changed_at(const daemon_parts *p)
+{
+    struct stat st;
+    if (stat(p->settings_path, &st) != 0)
+        return 0;
+    return (int64_t)st.st_mtim.tv_sec * BBM_SECOND + st.st_mtim.tv_nsec;
+}
+
+static void
+stop_by_signal(daemon_parts *p, int number)
+{
+    bbm_log(BBM_EVENT_STOPPING, "signal", number == SIGTERM ? "TERM" : "INT",
+            NULL);
+    mailbox_put_waiting(p->box, control_item_create(CONTROL_STOP));
+}
+
 static void *
 wait_for_signals(void *context)
 {
@@ -212,15 +312,21 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
+    int64_t changed = changed_at(p);
     for (;;) {
-        int number;
-        if (sigwait(&set, &number) != 0)
+        struct timespec wait = {.tv_sec = RELOAD_PERIOD_S};
+        int number = sigtimedwait(&set, NULL, &wait);
+        int64_t now_changed = changed_at(p);
+        if (number == SIGHUP || now_changed != changed) {
+            changed = now_changed;
+            reload(p);
+        }
+        if (number < 0 || number == SIGHUP)
             continue;
         if (++seen > 1)
             _exit(EXIT_AT_ONCE);
-        bbm_log(BBM_EVENT_STOPPING, "signal",
-                number == SIGTERM ? "TERM" : "INT", NULL);
-        mailbox_put_waiting(p->box, control_item_create(CONTROL_STOP));
+        stop_by_signal(p, number);
     }
     return NULL;
 }
@@ -232,6 +338,7 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &set, NULL);
     signal(SIGPIPE, SIG_IGN);
 }
@@ -269,7 +376,11 @@
                 .ready = &p->ready,
                 .last_tick = &p->last_tick,
                 .traffic = p->traffic,
-                .traffic_len = (size_t)p->settings->traffic_threads,
+                .traffic_len = p->traffic_len,
+                .forward = p->forward,
+                .provider = p->provider,
+                .closing = &p->closing,
+                .limits = &p->limits,
                 .watcher = p->watcher,
                 .transport = p->transport,
                 .disk = p->disk,
@@ -289,6 +400,7 @@
     bbm_mistakes wrong = {0};
     daemon_parts parts = {0};
     parts.settings = bbm_settings_load(path, &wrong);
+    parts.settings_path = path;
     if (!parts.settings) {
         int rc = print_mistakes(&wrong);
         bbm_mistakes_free(&wrong);
@@ -296,6 +408,7 @@
     }
     bbm_log_setup(&(bbm_log_desc){
         .node = parts.settings->name,
+        .file = stdout,
         .level = (bbm_level)bbm_level_parse(parts.settings->log_level),
     });
     block_signals();
@@ -332,6 +445,11 @@
     case 'v':
         puts("bluebellmoord " BBM_VERSION);
         return EXIT_SUCCESS;
+    case -1:
+        if (optind == argc && getenv(SETTINGS_VARIABLE))
+            return start(getenv(SETTINGS_VARIABLE));
+        usage(stderr);
+        return EXIT_SETTINGS;
     default:
         usage(stderr);
         return EXIT_SETTINGS;
--- a/daemon/seal.c
+++ b/daemon/seal.c
@@ -99,7 +99,9 @@
     uint64_t run = bbm_get_u64(&rd);
     uint64_t number = bbm_get_u64(&rd);
     bbm_bytes inner = bbm_get_bytes(&rd);
-    bool ours = bbm_reader_done(&rd) && strcmp(to, s->name) == 0;
+    /* A daemon that joins knows addresses, not names. */
+    bool meant = !to[0] || strcmp(to, s->name) == 0;
+    bool ours = bbm_reader_done(&rd) && meant;
     if (!ours || !is_new(s, from, run, number))
         return BBM_ERR_DECODE;
     bbm_buf_add(plain, inner.data, inner.len);
--- a/daemon/transport.c
+++ b/daemon/transport.c
@@ -163,7 +163,8 @@
 {
     if (!address[0] || is_cut(t, name))
         return;
-    link_to *l = link_for(t, name, address);
+    /* Whoever is at an address without a name has a link by that. */
+    link_to *l = link_for(t, name[0] ? name : address, address);
     nng_msg *msg = l ? close_message(t, name, bytes) : NULL;
     if (!msg)
         return;
--- /dev/null
+++ b/gate/bbm_gate.c
@@ -0,0 +1,384 @@
+#include "gate_core.h"
+
+#include "bbm_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define DEFAULT_RETRY_SHARE 0.1
+#define DEFAULT_RETRY_SLACK 20.0
+#define DEFAULT_OLD_FINE (1500 * BBM_MS)
+#define DEFAULT_OLD_MOST (8 * BBM_SECOND)
+/* Of the budget for sending again this part is used: a VM counts requests a
+   moment before its upstream does. */
+#define RETRY_USED 0.8
+/* Time of a plain call before any was seen, milliseconds. */
+#define SERVICE_MS 30.0
+/* Bits in a byte, and kilobits per millisecond in a Mbit per second. */
+#define BITS 8.0
+#define BITS_PER_MS 1000.0
+
+/* ---- making ---- */
+
+bbm_gate *
+bbm_gate_create(const bbm_gate_desc *desc)
+{
+    bbm_gate *g = bbm_calloc(1, sizeof(*g));
+    g->desc = *desc;
+    if (g->desc.retry_share <= 0)
+        g->desc.retry_share = DEFAULT_RETRY_SHARE;
+    if (g->desc.retry_slack <= 0)
+        g->desc.retry_slack = DEFAULT_RETRY_SLACK;
+    if (!g->desc.old_weights_fine)
+        g->desc.old_weights_fine = DEFAULT_OLD_FINE;
+    if (!g->desc.old_weights_most)
+        g->desc.old_weights_most = DEFAULT_OLD_MOST;
+    g->rng = bbm_rng_of(desc->seed);
+    g->vms = 1;
+    g->shares = bbm_shares_create();
+    TAILQ_INIT(&g->waiting);
+    STAILQ_INIT(&g->outputs);
+    return g;
+}
+
+void
+bbm_gate_destroy(bbm_gate *g)
+{
+    if (!g)
+        return;
+    gate_request *r, *next;
+    HASH_ITER(hh, g->requests, r, next)
+    {
+        gate_request_free(g, r);
+    }
+    BBM_TABLE_FREE(gate_pool, g->pools);
+    BBM_TABLE_FREE(gate_upstream, g->upstreams);
+    BBM_TABLE_FREE(gate_weights, g->weights);
+    BBM_TABLE_FREE(gate_store, g->stores);
+    BBM_TABLE_FREE(gate_customer, g->customers);
+    BBM_TABLE_FREE(gate_kept, g->kept);
+    gate_queued *q;
+    while ((q = STAILQ_FIRST(&g->outputs)) != NULL) {
+        STAILQ_REMOVE_HEAD(&g->outputs, link);
+        free(q);
+    }
+    free(g->taken);
+    bbm_shares_destroy(g->shares);
+    free(g);
+}
+
+/* ---- outputs ---- */
+
+bbm_gate_output *
+gate_output(bbm_gate *g, bbm_gate_kind kind, const gate_request *r)
+{
+    gate_queued *q = bbm_calloc(1, sizeof(*q));
+    q->out.kind = kind;
+    q->out.request = r->number;
+    bbm_name_set(q->out.id, r->id);
+    STAILQ_INSERT_TAIL(&g->outputs, q, link);
+    return &q->out;
+}
+
+const bbm_gate_output *
+bbm_gate_take(bbm_gate *g)
+{
+    free(g->taken);
+    g->taken = STAILQ_FIRST(&g->outputs);
+    if (!g->taken)
+        return NULL;
+    STAILQ_REMOVE_HEAD(&g->outputs, link);
+    return &g->taken->out;
+}
+
+/* ---- configuration ---- */
+
+static void
+set_budget(const bbm_gate *g, gate_pool *p)
+{
+    double most = g->desc.retry_slack * RETRY_USED / (double)g->vms;
+    double left = p->retries.most > 0 ? p->retries.left : most;
+    p->retries = bbm_retry_budget_of(g->desc.retry_share * RETRY_USED, most);
+    if (left < most)
+        p->retries.left = left;
+}
+
+static void
+take_pool(bbm_gate *g, const bbm_pool *c)
+{
+    gate_pool *p = NULL;
+    HASH_FIND_STR(g->pools, c->name, p);
+    if (!p) {
+        p = bbm_calloc(1, sizeof(*p));
+        bbm_name_set(p->name, c->name);
+        p->service_ms = SERVICE_MS;
+        set_budget(g, p);
+        HASH_ADD_STR(g->pools, name, p);
+    }
+    p->kept = true;
+    p->engine = c->engine;
+    p->slots = (uint32_t)c->slots;
+    p->speed = (double)c->prefill_tokens_per_s / 1000;
+    p->memory = (double)c->memory_tokens;
+    p->fetch =
+        (double)c->token_bytes * BITS / ((double)c->link_mbps * BITS_PER_MS);
+}
+
+static void
+drop_pools(bbm_gate *g)
+{
+    gate_pool *p, *next;
+    HASH_ITER(hh, g->pools, p, next)
+    {
+        if (p->kept)
+            continue;
+        for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
+            if (u->pool == p)
+                u->pool = NULL;
+        }
+        HASH_DEL(g->pools, p);
+        free(p);
+    }
+}
+
+static void
+take_stores(bbm_gate *g, const bbm_config *cfg)
+{
+    gate_store *old = g->stores;
+    g->stores = NULL;
+    for (const bbm_store_object *c = cfg->stores; c; c = c->hh.next) {
+        gate_store *s = NULL;
+        HASH_FIND_STR(old, c->address, s);
+        if (s) {
+            HASH_DEL(old, s);
+        }
+        else {
+            s = bbm_calloc(1, sizeof(*s));
+            bbm_name_set(s->address, c->address);
+        }
+        HASH_ADD_STR(g->stores, address, s);
+    }
+    BBM_TABLE_FREE(gate_store, old);
+}
+
+static void
+take_customers(bbm_gate *g, const bbm_config *cfg)
+{
+    BBM_TABLE_FREE(gate_customer, g->customers);
+    for (const bbm_customer *c = cfg->customers; c; c = c->hh.next) {
+        bbm_share_terms terms = {
+            .rate = (double)c->rate_ref->tokens_per_s,
+            .burst = (double)c->rate_ref->burst,
+            .slack = c->by_request ? 0 : g->desc.rate_slack,
+        };
+        bbm_shares_customer(g->shares, c->name, &terms, g->now);
+        gate_customer *one = bbm_calloc(1, sizeof(*one));
+        one->hash = bbm_hash_text(c->name, 0);
+        bbm_name_set(one->name, c->name);
+        HASH_ADD(hh, g->customers, hash, sizeof(one->hash), one);
+    }
+}
+
+static gate_pool *
+pool_of(const bbm_gate *g, const char *name)
+{
+    gate_pool *p = NULL;
+    HASH_FIND_STR(g->pools, name, p);
+    return p;
+}
+
+void
+bbm_gate_configure(bbm_gate *g, const bbm_config *cfg, bbm_time now)
+{
+    g->now = now > g->now ? now : g->now;
+    for (gate_pool *p = g->pools; p; p = p->hh.next)
+        p->kept = false;
+    for (const bbm_pool *c = cfg->pools; c; c = c->hh.next)
+        take_pool(g, c);
+    drop_pools(g);
+    for (gate_upstream *u = g->upstreams; u; u = u->hh.next)
+        u->pool = pool_of(g, u->info.pool);
+    take_stores(g, cfg);
+    take_customers(g, cfg);
+    gate_pump(g);
+}
+
+void
+bbm_gate_vms(bbm_gate *g, size_t vms)
+{
+    if (vms == 0 || vms == g->vms)
+        return;
+    g->vms = vms;
+    for (gate_pool *p = g->pools; p; p = p->hh.next)
+        set_budget(g, p);
+    bbm_shares_vms(g->shares, vms);
+}
+
+void
+bbm_gate_store(bbm_gate *g, const char *address, bool alive)
+{
+    gate_store *s = NULL;
+    HASH_FIND_STR(g->stores, address, s);
+    if (!s)
+        return;
+    /* A store that comes back is empty. */
+    if (alive && !s->alive)
+        BBM_TABLE_FREE(gate_kept, g->kept);
+    s->alive = alive;
+}
+
+/* ---- upstreams ---- */
+
+static void
+start_anew(gate_upstream *u)
+{
+    u->avoid_until = 0;
+    u->suspect_until = 0;
+    u->strikes = 0;
+    u->trial = false;
+    u->failing = 0;
+    u->late_ms = 0;
+}
+
+static void
+take_listed(bbm_gate *g, const bbm_listed *info)
+{
+    gate_upstream *u = NULL;
+    HASH_FIND_STR(g->upstreams, info->id, u);
+    if (!u) {
+        u = bbm_calloc(1, sizeof(*u));
+        u->hash = bbm_hash_text(info->id, 0);
+        bbm_name_set(u->info.id, info->id);
+        HASH_ADD_KEYPTR(hh, g->upstreams, u->info.id, strlen(u->info.id), u);
+    }
+    else if (u->info.born_ms != info->born_ms) {
+        start_anew(u);
+    }
+    u->info = *info;
+    u->listed = true;
+    u->pool = pool_of(g, info->pool);
+}
+
+void
+bbm_gate_listing(bbm_gate *g, const bbm_listing *listing, bbm_time now)
+{
+    g->now = now > g->now ? now : g->now;
+    for (gate_upstream *u = g->upstreams; u; u = u->hh.next)
+        u->listed = false;
+    for (size_t i = 0; i < listing->len; i++)
+        take_listed(g, &listing->items[i]);
+    gate_upstream *u, *next;
+    HASH_ITER(hh, g->upstreams, u, next)
+    {
+        if (u->listed || u->open)
+            continue;
+        HASH_DEL(g->upstreams, u);
+        free(u);
+    }
+    gate_pump(g);
+}
+
+void
+bbm_gate_weights(bbm_gate *g, const char *model, uint64_t version,
+                 bbm_time age, bbm_time now)
+{
+    g->now = now > g->now ? now : g->now;
+    gate_weights *w = NULL;
+    HASH_FIND_STR(g->weights, model, w);
+    if (!w) {
+        w = bbm_calloc(1, sizeof(*w));
+        bbm_name_set(w->model, model);
+        HASH_ADD_STR(g->weights, model, w);
+    }
+    if (version <= w->version)
+        return;
+    w->version = version;
+    w->named = g->now - age;
+}
+
+/* ---- loads ---- */
+
+static void
+put_one(const bbm_gate *g, gate_upstream *u, bbm_buf *buf)
+{
+    u->told = (bbm_load){
+        .upstream = u->hash,
+        .open = u->open,
+        .unread = u->unread,
+        .memory = u->memory,
+        .suspects = g->now < u->suspect_until,
+    };
+    bbm_load_put(buf, &u->told);
+}
+
+void
+bbm_gate_put_load(bbm_gate *g, bbm_time now, bbm_buf *buf)
+{
+    g->now = now > g->now ? now : g->now;
+    size_t len = 0;
+    for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
+        u->told = (bbm_load){0};
+        len += u->open > 0 || g->now < u->suspect_until;
+    }
+    bbm_put_u64(buf, len);
+    for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
+        if (u->open > 0 || g->now < u->suspect_until)
+            put_one(g, u, buf);
+    }
+    bbm_put_u64(buf, HASH_COUNT(g->customers));
+    for (const gate_customer *c = g->customers; c; c = c->hh.next) {
+        double demand = bbm_shares_demand(g->shares, c->name, g->now);
+        bbm_put_u64(buf, c->hash);
+        bbm_put_u64(buf, (uint64_t)demand);
+    }
+}
+
+static void
+take_sums(bbm_gate *g, bbm_reader *rd)
+{
+    for (gate_upstream *u = g->upstreams; u; u = u->hh.next)
+        u->all = (bbm_load){0};
+    size_t len = bbm_get_u32(rd, BBM_LOADS_MOST);
+    for (size_t i = 0; i < len && !rd->failed; i++) {
+        bbm_load l;
+        bbm_load_get(rd, &l);
+        for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
+            if (u->hash == l.upstream)
+                u->all = l;
+        }
+    }
+}
+
+void
+bbm_gate_get_totals(bbm_gate *g, bbm_reader *rd, bbm_time now)
+{
+    g->now = now > g->now ? now : g->now;
+    size_t vms = bbm_get_u32(rd, BBM_LOADS_MOST);
+    take_sums(g, rd);
+    size_t len = bbm_get_u32(rd, BBM_LOADS_MOST);
+    for (size_t i = 0; i < len && !rd->failed; i++) {
+        uint64_t hash = bbm_get_u64(rd);
+        uint64_t demand = bbm_get_u64(rd);
+        gate_customer *c = NULL;
+        HASH_FIND(hh, g->customers, &hash, sizeof(hash), c);
+        if (c)
+            bbm_shares_total(g->shares, c->name, (double)demand, vms, g->now);
+    }
+}
+
+double
+bbm_gate_open(const bbm_gate *g, const char *upstream)
+{
+    gate_upstream *u = NULL;
+    HASH_FIND_STR(g->upstreams, upstream, u);
+    return u ? gate_open_at(u) : 0;
+}
+
+bbm_gate_counts
+bbm_gate_count(const bbm_gate *g)
+{
+    bbm_gate_counts c = g->counts;
+    c.open = HASH_COUNT(g->requests);
+    c.held = g->waiting_len;
+    return c;
+}
--- /dev/null
+++ b/gate/bbm_loads.c
@@ -0,0 +1,165 @@
+#include "bbm_loads.h"
+
+#include "bbm_table.h"
+
+#include <string.h>
+
+/* A VM that hasn't told for so long is left out of the sums. */
+#define SILENT (1500 * BBM_MS)
+
+typedef struct vm_row {
+    char name[BBM_NAME_SIZE];
+    bbm_load *loads;
+    size_t loads_len;
+    bbm_demand *demands;
+    size_t demands_len;
+    bbm_time heard;
+    UT_hash_handle hh;
+} vm_row;
+
+typedef struct load_sum {
+    bbm_load load;
+    UT_hash_handle hh;
+} load_sum;
+
+typedef struct demand_sum {
+    bbm_demand demand;
+    UT_hash_handle hh;
+} demand_sum;
+
+struct bbm_loads {
+    vm_row *vms;
+};
+
+void
+bbm_load_put(bbm_buf *buf, const bbm_load *l)
+{
+    bbm_put_u64(buf, l->upstream);
+    bbm_put_u64(buf, l->open);
+    bbm_put_u64(buf, l->unread);
+    bbm_put_u64(buf, l->memory);
+    bbm_put_u64(buf, l->suspects);
+}
+
+void
+bbm_load_get(bbm_reader *rd, bbm_load *l)
+{
+    l->upstream = bbm_get_u64(rd);
+    l->open = bbm_get_u32(rd, UINT32_MAX);
+    l->unread = bbm_get_u32(rd, UINT32_MAX);
+    l->memory = bbm_get_u32(rd, UINT32_MAX);
+    l->suspects = bbm_get_u32(rd, UINT32_MAX);
+}
+
+bbm_loads *
+bbm_loads_create(void)
+{
+    return bbm_calloc(1, sizeof(bbm_loads));
+}
+
+static void
+drop_vm(bbm_loads *all, vm_row *vm)
+{
+    HASH_DEL(all->vms, vm);
+    free(vm->loads);
+    free(vm->demands);
+    free(vm);
+}
+
+void
+bbm_loads_destroy(bbm_loads *all)
+{
+    if (!all)
+        return;
+    vm_row *vm, *next;
+    HASH_ITER(hh, all->vms, vm, next)
+    {
+        drop_vm(all, vm);
+    }
+    free(all);
+}
+
+void
+bbm_loads_take(bbm_loads *all, const char *vm, bbm_reader *rd, bbm_time now)
+{
+    vm_row *row = NULL;
+    HASH_FIND_STR(all->vms, vm, row);
+    if (!row) {
+        row = bbm_calloc(1, sizeof(*row));
+        bbm_name_set(row->name, vm);
+        HASH_ADD_STR(all->vms, name, row);
+    }
+    row->heard = now;
+    row->loads_len = bbm_get_u32(rd, BBM_LOADS_MOST);
+    row->loads = bbm_realloc(row->loads, row->loads_len * sizeof(*row->loads));
+    for (size_t i = 0; i < row->loads_len; i++)
+        bbm_load_get(rd, &row->loads[i]);
+    row->demands_len = bbm_get_u32(rd, BBM_LOADS_MOST);
+    row->demands =
+        bbm_realloc(row->demands, row->demands_len * sizeof(*row->demands));
+    for (size_t i = 0; i < row->demands_len; i++) {
+        row->demands[i].customer = bbm_get_u64(rd);
+        row->demands[i].per_s = bbm_get_u64(rd);
+    }
+    if (rd->failed)
+        drop_vm(all, row);
+}
+
+static void
+add_load(load_sum **sums, const bbm_load *l)
+{
+    load_sum *sum = NULL;
+    HASH_FIND(hh, *sums, &l->upstream, sizeof(l->upstream), sum);
+    if (!sum) {
+        sum = bbm_calloc(1, sizeof(*sum));
+        sum->load.upstream = l->upstream;
+        HASH_ADD(hh, *sums, load.upstream, sizeof(l->upstream), sum);
+    }
+    sum->load.open += l->open;
+    sum->load.unread += l->unread;
+    sum->load.memory += l->memory;
+    sum->load.suspects += l->suspects;
+}
+
+static void
+add_demand(demand_sum **sums, const bbm_demand *d)
+{
+    demand_sum *sum = NULL;
+    HASH_FIND(hh, *sums, &d->customer, sizeof(d->customer), sum);
+    if (!sum) {
+        sum = bbm_calloc(1, sizeof(*sum));
+        sum->demand.customer = d->customer;
+        HASH_ADD(hh, *sums, demand.customer, sizeof(d->customer), sum);
+    }
+    sum->demand.per_s += d->per_s;
+}
+
+void
+bbm_loads_put(bbm_loads *all, bbm_time now, bbm_buf *buf)
+{
+    load_sum *loads = NULL;
+    demand_sum *demands = NULL;
+    vm_row *vm, *next;
+    HASH_ITER(hh, all->vms, vm, next)
+    {
+        if (now - vm->heard > SILENT) {
+            drop_vm(all, vm);
+            continue;
+        }
+        for (size_t i = 0; i < vm->loads_len; i++)
+            add_load(&loads, &vm->loads[i]);
+        for (size_t i = 0; i < vm->demands_len; i++)
+            add_demand(&demands, &vm->demands[i]);
+    }
+    bbm_put_u64(buf, HASH_COUNT(all->vms));
+    bbm_put_u64(buf, HASH_COUNT(loads));
+    for (const load_sum *s = loads; s; s = s->hh.next)
+        bbm_load_put(buf, &s->load);
+    bbm_put_u64(buf, HASH_COUNT(demands));
+    for (const demand_sum *s = demands; s; s = s->hh.next) {
+        bbm_put_u64(buf, s->demand.customer);
+        bbm_put_u64(buf, s->demand.per_s);
+    }
+    BBM_TABLE_FREE(load_sum, loads);
+    BBM_TABLE_FREE(demand_sum, demands);
+}
--- /dev/null
+++ b/gate/gate_core.h
@@ -0,0 +1,209 @@
+/** @file
+ *  State of a gate, shared by the package's sources (private).
+ */
+#ifndef GATE_CORE_H
+#define GATE_CORE_H
+
+#include "bbm_gate.h"
+#include "bbm_hash.h"
+#include "bbm_loads.h"
+#include "bbm_retry.h"
+#include "bbm_share.h"
+
+#include <sys/queue.h>
+#include <uthash.h>
+
+/** Pools of one route that are looked at. */
+#define GATE_POOLS_MOST 4
+/** Upstreams that a request has been refused by or failed at. */
+#define GATE_FAILED_MOST 6
+
+/** What is known of a pool. */
+typedef struct gate_pool {
+    char name[BBM_NAME_SIZE]; /**< Which. */
+    bool engine;              /**< Of model runners. */
+    bool kept;                /**< Still configured. */
+    uint32_t slots;           /**< Requests at once, if untold. */
+    double speed;             /**< Prompt tokens read per millisecond. */
+    double memory;            /**< Tokens that a runner holds. */
+    double fetch;             /**< Milliseconds to fetch a token. */
+    double service_ms;        /**< Smoothed time of a plain call. */
+    bbm_retry_budget retries; /**< For sending again. */
+    UT_hash_handle hh;        /**< By name. */
+} gate_pool;
+
+/** An upstream; it lives until it is neither listed nor used. */
+typedef struct gate_upstream {
+    bbm_listed info;        /**< As listed. */
+    gate_pool *pool;        /**< Its pool; NULL: none is configured. */
+    uint64_t hash;          /**< Of its id. */
+    bool listed;            /**< In the last listing. */
+    uint32_t open;          /**< Requests of this VM. */
+    uint32_t unread;        /**< Their prompt tokens not answered yet. */
+    uint32_t memory;        /**< Their tokens. */
+    bbm_load told;          /**< The same, as last told to the leader. */
+    bbm_load all;           /**< Sums over all VMs, as last heard. */
+    bbm_time avoid_until;   /**< Gets no work before, if others can. */
+    bbm_time suspect_until; /**< Told to the others as suspect. */
+    uint32_t strikes;       /**< Failures in a row. */
+    bool trial;             /**< One request at a time, until one is good. */
+    double failing;         /**< Smoothed share of failures. */
+    double late_ms;         /**< Smoothed lateness against the estimate. */
+    UT_hash_handle hh;      /**< By id. */
+} gate_upstream;
+
+/** Newest weights of a model. */
+typedef struct gate_weights {
+    char model[BBM_NAME_SIZE]; /**< Which. */
+    uint64_t version;          /**< Newest that was named. */
+    bbm_time named;            /**< When. */
+    UT_hash_handle hh;         /**< By model. */
+} gate_weights;
+
+/** A store of KV cache. */
+typedef struct gate_store {
+    char address[BBM_NAME_SIZE]; /**< IP:port. */
+    bool alive;                  /**< Answers. */
+    UT_hash_handle hh;           /**< By address. */
+} gate_store;
+
+/** Where a request is. */
+typedef enum gate_stage {
+    GATE_WAITING,   /**< For an upstream. */
+    GATE_SENT,      /**< No head of an answer yet. */
+    GATE_ANSWERING, /**< The head was passed on. */
+} gate_stage;
+
+/** A request that is open. */
+typedef struct gate_request {
+    uint64_t number;                            /**< Its number. */
+    char id[BBM_NAME_SIZE];                     /**< The caller's own. */
+    gate_stage stage;                           /**< Where it is. */
+    char customer[BBM_NAME_SIZE];               /**< Whose, or "". */
+    char pools[GATE_POOLS_MOST][BBM_NAME_SIZE]; /**< First choice first. */
+    size_t pools_len;                           /**< How many. */
+    char model[BBM_NAME_SIZE];                  /**< Model, or "". */
+    bbm_part parts[BBM_PARTS_MOST];             /**< Of its prompt. */
+    size_t parts_len;                           /**< How many. */
+    uint64_t chain;                     /**< Hash of its shared parts. */
+    double shared;                      /**< Their tokens. */
+    double prompt;                      /**< Prompt tokens; 0: none told. */
+    double output;                      /**< Output tokens at most. */
+    double taken;                       /**< Tokens taken from the rate. */
+    bool private_cache;                 /**< Shares no cache entry. */
+    bool repeatable;                    /**< May run more than once. */
+    bool stream;                        /**< Answers with events. */
+    bool resumable;                     /**< They may go on elsewhere. */
+    int priority;                       /**< 0 is the most urgent. */
+    uint32_t attempts_most;             /**< Upstreams that it may run on. */
+    bbm_time aim;                       /**< Answer aimed at within. */
+    bbm_time arrived;                   /**< When. */
+    bbm_time until;                     /**< Final answer by then. */
+    bbm_time sent;                      /**< This attempt. */
+    bbm_time head;                      /**< Its answer began; 0: not yet. */
+    double expected_ms;                 /**< To the beginning of the answer. */
+    uint32_t attempt;                   /**< Attempts sent. */
+    uint32_t ran;                       /**< Attempts that may have run. */
+    uint64_t failed[GATE_FAILED_MOST];  /**< Upstreams that failed it. */
+    size_t failed_len;                  /**< How many. */
+    gate_upstream *upstream;            /**< Where it runs. */
+    uint32_t unread;                    /**< Counted there. */
+    uint32_t memory;                    /**< Counted there. */
+    char last_event[BBM_EVENT_ID_SIZE]; /**< Passed on last. */
+    TAILQ_ENTRY(gate_request) link;     /**< In the queue, while waiting. */
+    UT_hash_handle hh;                  /**< By number. */
+} gate_request;
+
+TAILQ_HEAD(gate_queue, gate_request);
+
+/** An output in the queue. */
+typedef struct gate_queued {
+    bbm_gate_output out;            /**< What. */
+    STAILQ_ENTRY(gate_queued) link; /**< In order. */
+} gate_queued;
+
+/** A gate. */
+struct bbm_gate {
+    bbm_gate_desc desc;                  /**< With defaults filled in. */
+    bbm_rng rng;                         /**< For choices. */
+    bbm_time now;                        /**< Latest moment. */
+    size_t vms;                          /**< That share rates and retries. */
+    gate_pool *pools;                    /**< By name. */
+    gate_upstream *upstreams;            /**< By id. */
+    gate_weights *weights;               /**< By model. */
+    gate_store *stores;                  /**< By address. */
+    bbm_shares *shares;                  /**< Rates of the customers. */
+    struct bbm_customer_name *customers; /**< Names by hash. */
+    gate_request *requests;              /**< All open. */
+    struct gate_queue waiting;           /**< By priority, then by arrival. */
+    size_t waiting_len;                  /**< How many. */
+    struct kept_chain *kept;             /**< Chains that a store was given. */
+    STAILQ_HEAD(, gate_queued) outputs;  /**< To be taken. */
+    gate_queued *taken;                  /**< Handed out last. */
+    bbm_gate_counts counts;              /**< For metrics. */
+};
+
+/** A customer, found by the hash of its name. */
+typedef struct bbm_customer_name {
+    uint64_t hash;            /**< Of the name. */
+    char name[BBM_NAME_SIZE]; /**< The name. */
+    UT_hash_handle hh;        /**< By hash. */
+} gate_customer;
+
+/** A chain of parts that a store was given under a salt. */
+typedef struct kept_chain {
+    uint64_t key;      /**< Hash of chain and salt. */
+    UT_hash_handle hh; /**< By key, oldest first. */
+} gate_kept;
+
+/** Queue an output about a request. */
+bbm_gate_output *gate_output(bbm_gate *g, bbm_gate_kind kind,
+                             const gate_request *r);
+
+/* ---- gate_place.c ---- */
+
+/** Where a request goes. */
+typedef struct gate_choice {
+    gate_upstream *upstream;    /**< Where. */
+    uint64_t version;           /**< Weights that it has; 0: unknown. */
+    double wait_ms;             /**< Expected to the answer's beginning. */
+    uint32_t candidates;        /**< How many could have got it. */
+    char source[BBM_NAME_SIZE]; /**< Holder of its cache entries, or "". */
+    char keep[BBM_NAME_SIZE];   /**< Store for new ones, or "". */
+    char salt[BBM_SALT_SIZE];   /**< Scope of cache entries, or "". */
+} gate_choice;
+
+/** Result of a choice. */
+typedef enum gate_pick {
+    GATE_PICK_SEND,   /**< Send it. */
+    GATE_PICK_HOLD,   /**< One will be there soon. */
+    GATE_PICK_LATE,   /**< None can serve it in time: wait_ms says when. */
+    GATE_PICK_NOBODY, /**< There is no upstream. */
+} gate_pick;
+
+/** Choose an upstream. */
+gate_pick gate_choose(bbm_gate *g, const gate_request *r, gate_choice *c);
+/** Requests of all VMs at an upstream, as far as it is known. */
+double gate_open_at(const gate_upstream *u);
+
+/* ---- gate_health.c ---- */
+
+/** An attempt at an upstream was answered well. */
+void gate_good(bbm_gate *g, gate_upstream *u);
+/** An attempt failed in a way that the upstream is to blame for. */
+void gate_bad(bbm_gate *g, gate_upstream *u, bbm_forward_end how);
+/** It refused a request without running it. */
+void gate_refused(bbm_gate *g, gate_upstream *u, uint32_t status);
+/** True if it should get no work while others can. */
+bool gate_avoids(const bbm_gate *g, const gate_upstream *u);
+
+/* ---- gate_request.c ---- */
+
+/** Try to send a request; it is held or refused otherwise. */
+void gate_try(bbm_gate *g, gate_request *r);
+/** Look at all requests that wait. */
+void gate_pump(bbm_gate *g);
+/** Release a request. */
+void gate_request_free(bbm_gate *g, gate_request *r);
+
+#endif
--- a/members/bbm_members.c
+++ b/members/bbm_members.c
@@ -191,6 +191,16 @@
     m->order_at = (size_t)bbm_rng_below(&m->rng, m->len);
 }
 
+void
+bbm_members_join(bbm_members *m, const char addresses[][BBM_ADDRESS_SIZE],
+                 size_t len)
+{
+    m->join_len = len < BBM_JOIN_MOST ? len : BBM_JOIN_MOST;
+    m->join_asked = 0;
+    for (size_t i = 0; i < m->join_len; i++)
+        bbm_text_set(m->join[i], BBM_ADDRESS_SIZE, addresses[i]);
+}
+
 void
 bbm_members_describe(bbm_members *m, bool ready, bool leaving, uint32_t load,
                      uint64_t revision)
--- a/members/bbm_members.h
+++ b/members/bbm_members.h
@@ -29,6 +29,8 @@
 
 /** Bytes of an address, its end mark included. */
 #define BBM_ADDRESS_SIZE 128
+/** Addresses to join by. */
+#define BBM_JOIN_MOST 8
 /** Members that one VM keeps track of. */
 #define BBM_MEMBERS_MOST 2048
 
@@ -71,7 +73,7 @@
 /** An output: bytes for a member, or news of a change. */
 typedef struct bbm_members_output {
     bool changed;                   /**< Status or run changed; no bytes. */
-    char to[BBM_NAME_SIZE];         /**< The member. */
+    char to[BBM_NAME_SIZE];         /**< The member; "": who is there. */
     char address[BBM_ADDRESS_SIZE]; /**< Its address. */
     bbm_buf bytes;                  /**< Message. */
 } bbm_members_output;
@@ -87,6 +89,12 @@
 /** Tell of a member that settings name; it need not be alive. */
 void bbm_members_seed(bbm_members *m, const char *name, const char *address);
 
+/** Addresses of daemons whose names aren't known; they replace those given
+ *  before.  They are asked for all they know, often at first and now and then
+ *  later, so that a VM finds the others however few it was told of. */
+void bbm_members_join(bbm_members *m, const char addresses[][BBM_ADDRESS_SIZE],
+                      size_t len);
+
 /** Change what is said of this VM. */
 void bbm_members_describe(bbm_members *m, bool ready, bool leaving,
                           uint32_t load, uint64_t revision);
--- a/members/members_core.h
+++ b/members/members_core.h
@@ -57,6 +57,9 @@
     uint64_t periods;
     size_t order_at; /* round of pings */
     bbm_time now;
+    char join[BBM_JOIN_MOST][BBM_ADDRESS_SIZE]; /* to ask for members */
+    size_t join_len;
+    uint64_t join_asked; /* times */
     TAILQ_HEAD(, members_queued) outputs;
     members_queued *taken;
 };
--- a/members/members_probe.c
+++ b/members/members_probe.c
@@ -6,6 +6,10 @@
 
 /* Everything known goes to one random member each so many periods. */
 #define SYNC_PERIODS 300
+/* The addresses to join by are asked each period at first, then each so many
+   periods: after a partition both sides may have given each other up. */
+#define JOIN_AT_FIRST 30
+#define JOIN_PERIODS 20
 /* Members that ask a suspect again each period. */
 #define SUSPECT_ASKERS 8
 
@@ -127,6 +131,23 @@
     }
 }
 
+static void
+ask_to_join(bbm_members *m)
+{
+    if (!m->join_len)
+        return;
+    m->join_asked++;
+    if (m->join_asked > JOIN_AT_FIRST && m->join_asked % JOIN_PERIODS != 0)
+        return;
+    size_t at = m->join_asked <= JOIN_AT_FIRST
+                    ? m->join_asked % m->join_len
+                    : m->join_asked / JOIN_PERIODS % m->join_len;
+    bbm_member to = {0};
+    memcpy(to.address, m->join[at], sizeof(to.address));
+    if (strcmp(to.address, members_self_row(m)->info.address) != 0)
+        members_send_sync(m, &to, true);
+}
+
 void
 bbm_members_tick(bbm_members *m, bbm_time now)
 {
@@ -141,6 +162,7 @@
     m->next_ping = now + m->desc.period;
     m->periods++;
     ask_suspects(m);
+    ask_to_join(m);
     const bbm_member *target = next_target(m);
     if (!target)
         return;
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -38,10 +38,12 @@
 #include "bbm_burn.h"
 #include "bbm_codes.h"
 #include "bbm_fleet.h"
+#include "bbm_gate.h"
 #include "bbm_log.h"
 #include "bbm_members.h"
 #include "bbm_prompt_text.h"
 #include "bbm_raft.h"
+#include "bbm_rollout.h"
 #include "bbm_state.h"
 
 /** Control VMs that may be named as founders. */
@@ -69,8 +71,20 @@
     size_t peers_len;      /**< How many. */
     char founders[BBM_FOUNDERS_MOST][BBM_NAME_SIZE]; /**< First voters. */
     size_t founders_len;                             /**< How many. */
-    bbm_time now;                                    /**< Present moment. */
-    bbm_time election; /**< Election timeout; 0: 1 s. */
+    char seeds[BBM_JOIN_MOST][BBM_ADDRESS_SIZE];     /**< To join by. */
+    size_t seeds_len;                                /**< How many. */
+    bool first_start;     /**< The system has never run: the first seed
+                               founds the control group. */
+    bool self_repair;     /**< Lost control VMs are replaced unasked. */
+    bool discovery;       /**< Upstreams are found by a list. */
+    bbm_time list_period; /**< Between looks at the list; 0: 1 s. */
+    bbm_time load_period; /**< Between tales of load; 0: 250 ms. */
+    bbm_time gossip;      /**< Between pings; 0: 1 s. */
+    bbm_time stop_most;   /**< A stopping VM ends by then; 0: never. */
+    size_t texts_kept;    /**< Texts of revisions kept; 0: 64. */
+    bbm_gate_desc gate;   /**< Requests to pools; zone and seed are ours. */
+    bbm_time now;         /**< Present moment. */
+    bbm_time election;    /**< Election timeout; 0: 1 s. */
     bbm_time
         fresh_bound;     /**< Keyed routes stop when keys are older; 0: 5 s. */
     bbm_time cut_bound;  /**< Keyed streams are cut then; 0: 10 s. */
@@ -104,6 +118,14 @@
     BBM_EV_ORDER_RESULT, /**< What an engine said to an order. */
     BBM_EV_OPERATOR,     /**< An operator's call. */
     BBM_EV_ENTRIES,      /**< A caller asks which address to use. */
+    BBM_EV_CALL,         /**< A caller's request on a host's route. */
+    BBM_EV_HEAD,         /**< The head of its answer was passed on. */
+    BBM_EV_FORWARDED,    /**< An attempt of it ended. */
+    BBM_EV_LISTING,      /**< The list of upstreams was read. */
+    BBM_EV_RUNNER,       /**< A runner's report for the rollout. */
+    BBM_EV_ORDERED,      /**< A runner answered the rollout's order. */
+    BBM_EV_STORE,        /**< A store of KV cache answers, or doesn't. */
+    BBM_EV_SEEDS,        /**< Settings name other addresses to join by. */
     BBM_EV_STOP,         /**< Shut down gracefully. */
 } bbm_event_kind;
 
@@ -155,6 +177,8 @@
     BBM_VERB_ORDER,        /**< Order id: engine name loads other. */
     BBM_VERB_PAUSE,        /**< Stop (on) or go on with orders. */
     BBM_VERB_REPLACE,      /**< Control VM name is replaced by other. */
+    BBM_VERB_SOURCE,       /**< The newest revision's source, or a refusal. */
+    BBM_VERB_WEIGHTS,      /**< Model name's weights have version number. */
 } bbm_verb;
 
 /** An operator's call; names are cut to their size by the driver. */
@@ -169,8 +193,19 @@
     bool on;                    /**< Switch. */
     bbm_digest digest;          /**< Of a key. */
     bbm_bytes text;             /**< Document. */
+    uint64_t version;           /**< Of the operator's own; 0: number. */
+    bbm_bytes source;           /**< What the document was made from. */
 } bbm_operator_event;
 
+/** A caller's request on a host's route. */
+typedef struct bbm_call_event {
+    bbm_ask ask;      /**< Its number and prompt. */
+    const char *host; /**< That the caller names. */
+    const char *path; /**< Path, without the query. */
+    bool has_key;     /**< A key was shown. */
+    bbm_digest key;   /**< Its digest. */
+} bbm_call_event;
+
 /** An event. */
 typedef struct bbm_event {
     bbm_event_kind kind; /**< Which member of the union holds. */
@@ -209,11 +244,38 @@
         } order;                 /**< BBM_EV_ORDER_RESULT. */
         bbm_operator_event call; /**< BBM_EV_OPERATOR. */
         struct {
-            uint64_t op;      /**< Number, unique in this run. */
-            uint64_t caller;  /**< Hash of who asks. */
-            const char *zone; /**< Zone that it names, or "". */
-        } entries;            /**< BBM_EV_ENTRIES. */
-    } u;                      /**< By kind. */
+            uint64_t op;                /**< Number, unique in this run. */
+            uint64_t caller;            /**< Hash of who asks. */
+            const char *zone;           /**< Zone that it names, or "". */
+            size_t most;                /**< Entries wanted; 0: the default. */
+        } entries;                      /**< BBM_EV_ENTRIES. */
+        bbm_call_event request_to_pool; /**< BBM_EV_CALL. */
+        struct {
+            uint64_t request;    /**< Number. */
+            uint32_t attempt;    /**< As in bbm_send. */
+            uint64_t version;    /**< Weights that answer; 0: untold. */
+        } head;                  /**< BBM_EV_HEAD. */
+        bbm_forwarded forwarded; /**< BBM_EV_FORWARDED. */
+        struct {
+            const bbm_listing *listing; /**< NULL: it could not be read. */
+        } listing;                      /**< BBM_EV_LISTING. */
+        struct {
+            const char *id;                  /**< Runner. */
+            const bbm_runner_report *report; /**< NULL: no answer. */
+        } runner;                            /**< BBM_EV_RUNNER. */
+        struct {
+            const char *id;          /**< Runner. */
+            bbm_order_answer answer; /**< What it said. */
+        } ordered;                   /**< BBM_EV_ORDERED. */
+        struct {
+            const char *address; /**< Store. */
+            bool alive;          /**< It answers. */
+        } store;                 /**< BBM_EV_STORE. */
+        struct {
+            const char (*addresses)[BBM_ADDRESS_SIZE]; /**< To join by. */
+            size_t len;                                /**< How many. */
+        } seeds;                                       /**< BBM_EV_SEEDS. */
+    } u;                                               /**< By kind. */
 } bbm_event;
 
 /* ---- actions ---- */
@@ -229,6 +291,11 @@
     BBM_ACT_ORDER,   /**< Send an order to an engine. */
     BBM_ACT_WATCH,   /**< Ask a runner for reports, or stop. */
     BBM_ACT_READY,   /**< Readiness changed. */
+    BBM_ACT_FORWARD, /**< Send a request to a pool's upstream. */
+    BBM_ACT_LIST,    /**< Read the list of upstreams. */
+    BBM_ACT_ROLLOUT, /**< Ask a runner, or give it an order. */
+    BBM_ACT_STORE,   /**< Watch a store of KV cache, or stop. */
+    BBM_ACT_LIMITS,  /**< Limits on callers changed. */
     BBM_ACT_LOG,     /**< Log an event. */
     BBM_ACT_STOPPED, /**< Nothing is open any more: exit. */
 } bbm_action_kind;
@@ -298,11 +365,25 @@
             bool on; /**< Ready. */
         } ready;     /**< BBM_ACT_READY. */
         struct {
-            bbm_log_event event;         /**< Which. */
-            char subject[BBM_NAME_SIZE]; /**< What it is about. */
-            char detail[BBM_NAME_SIZE];  /**< More. */
-        } log;                           /**< BBM_ACT_LOG. */
-    } u;                                 /**< By kind. */
+            bbm_send send; /**< What goes where. */
+            bool resumes;  /**< Goes on after last_event. */
+            char last_event[BBM_EVENT_ID_SIZE]; /**< Passed on last. */
+        } forward;                              /**< BBM_ACT_FORWARD. */
+        struct {
+            bbm_rollout_act act; /**< What. */
+            bbm_time not_after;  /**< Don't send after this. */
+        } rollout;               /**< BBM_ACT_ROLLOUT. */
+        struct {
+            char address[BBM_NAME_SIZE]; /**< IP:port. */
+            bool on;                     /**< Watch it. */
+        } store;                         /**< BBM_ACT_STORE. */
+        bbm_limits limits;               /**< BBM_ACT_LIMITS. */
+        struct {
+            bbm_log_event event;               /**< Which. */
+            bbm_log_pair pairs[BBM_LOG_PAIRS]; /**< Its fields. */
+            size_t len;                        /**< How many. */
+        } log;                                 /**< BBM_ACT_LOG. */
+    } u;                                       /**< By kind. */
 } bbm_action;
 
 /* ---- the object ---- */
@@ -336,6 +417,9 @@
     uint64_t term;             /**< Term of the control group (a gauge). */
     uint64_t is_leader;        /**< 1 if leading (a gauge). */
     uint64_t fresh_age_ms;     /**< Age of the keys (a gauge). */
+    uint64_t list_age_ms;      /**< Age of the list of upstreams (a gauge). */
+    uint64_t upstreams;        /**< Upstreams in it (a gauge). */
+    bbm_gate_counts gate;      /**< Requests to pools. */
 } bbm_node_counts;
 
 /** A node; opaque. */
--- a/node/node.c
+++ b/node/node.c
@@ -13,6 +13,8 @@
 #define DEFAULT_ELECTION BBM_SECOND
 #define DEFAULT_REQUESTS 4000
 #define DEFAULT_SNAPSHOT 512
+#define DEFAULT_LIST BBM_SECOND
+#define DEFAULT_LOADS (250 * BBM_MS)
 /* Retries may be a tenth of the fresh requests. */
 #define RETRY_SHARE 0.1
 #define RETRY_SAVED 10
@@ -32,6 +34,15 @@
     return cfg->engines == NULL;
 }
 
+/* True if the upstreams are known: all that could be, or for long enough. */
+static bool
+is_warm(const bbm_node *n)
+{
+    if (n->gate)
+        return n->caught_up && n->list_read > 0;
+    return n->now - n->configured_at >= READY_PATIENCE || runners_heard(n);
+}
+
 static size_t
 count_serving(const bbm_node *n)
 {
@@ -46,9 +57,7 @@
 update_ready(bbm_node *n)
 {
     bbm_fleet_daemons(n->fleet, count_serving(n));
-    bool patience = n->now - n->configured_at >= READY_PATIENCE;
-    bool ready = n->configured > 0 && !n->draining && !n->stale
-                 && (patience || runners_heard(n));
+    bool ready = n->configured > 0 && !n->draining && !n->stale && is_warm(n);
     if (ready != n->ready) {
         n->ready = ready;
         node_act(n, BBM_ACT_READY)->u.ready.on = ready;
@@ -63,8 +72,12 @@
 static void
 update_stop(bbm_node *n)
 {
-    bool served = n->stopping && n->now - n->drain_since >= n->desc.entry_time;
-    if (served && !n->requests && !n->stopped) {
+    bbm_time since = n->now - n->drain_since;
+    bool served = n->stopping && since >= n->desc.entry_time;
+    bool open = n->requests || (n->gate && bbm_gate_count(n->gate).open > 0);
+    bool at_once =
+        n->stopping && n->desc.stop_most && since >= n->desc.stop_most;
+    if (((served && !open) || at_once) && !n->stopped) {
         n->stopped = true;
         node_act(n, BBM_ACT_STOPPED);
     }
@@ -78,8 +91,10 @@
     bbm_members_output *out;
     while ((out = bbm_members_take(n->members)) != NULL) {
         if (!out->changed) {
-            bbm_buf *buf = node_send(n, out->to, NODE_MEMBERS);
-            bbm_put_bytes(buf, out->bytes.data, out->bytes.len);
+            bbm_action *a = node_send_to(n, out->to, NODE_MEMBERS);
+            bbm_put_bytes(&a->u.send.bytes, out->bytes.data, out->bytes.len);
+            if (!out->to[0])
+                memcpy(a->u.send.address, out->address, BBM_ADDRESS_SIZE);
             continue;
         }
         const bbm_member *m = bbm_members_find(n->members, out->to);
@@ -104,7 +119,7 @@
                           : bbm_members_receive(n->members, inner.data,
                                                 inner.len, n->now);
     case NODE_HELLO:
-        return node_control_hello(n, from, rd);
+        return node_join_hello(n, from, rd);
     case NODE_POLL:
         return node_relay_poll(n, from, rd);
     case NODE_NEWS:
@@ -118,6 +133,14 @@
     case NODE_REPORT:
     case NODE_GRANT:
         return node_rate_receive(n, from, kind, rd);
+    case NODE_FOUND:
+        return node_join_found(n, from, rd);
+    case NODE_UPSTREAMS:
+        return node_upstreams_told(n, from, rd);
+    case NODE_LOADS:
+        return node_upstreams_loads(n, from, rd);
+    case NODE_TOTALS:
+        return node_upstreams_totals(n, from, rd);
     case NODE_MESSAGES:
         break;
     }
@@ -148,10 +171,19 @@
 {
     n->wall_ms = wall_ms;
     node_control_tick(n);
+    node_join_tick(n);
     bbm_members_tick(n->members, n->now);
     node_propose_tick(n);
     node_relay_tick(n);
-    node_rate_tick(n);
+    node_read_tick(n);
+    if (n->gate) {
+        node_upstreams_tick(n);
+        node_rollout_tick(n);
+        node_gate_tick(n);
+    }
+    else {
+        node_rate_tick(n);
+    }
     node_request_tick(n);
     node_orders_tick(n);
     update_ready(n);
@@ -204,6 +236,8 @@
         return;
     case BBM_EV_CALLER_GONE:
         node_run_gone(n, ev->u.gone.request);
+        if (n->gate)
+            bbm_gate_gone(n->gate, ev->u.gone.request, n->now);
         return;
     case BBM_EV_REPORT:
         take_report(n, ev->u.report.engine, &ev->u.report.report);
@@ -219,7 +253,36 @@
         return;
     case BBM_EV_ENTRIES:
         node_operator_entries(n, ev->u.entries.op, ev->u.entries.caller,
-                              ev->u.entries.zone);
+                              ev->u.entries.zone, ev->u.entries.most);
+        return;
+    case BBM_EV_CALL:
+        node_gate_call(n, &ev->u.request_to_pool);
+        return;
+    case BBM_EV_HEAD:
+        if (n->gate)
+            bbm_gate_head(n->gate, ev->u.head.request, ev->u.head.attempt,
+                          ev->u.head.version, n->now);
+        return;
+    case BBM_EV_FORWARDED:
+        if (n->gate)
+            bbm_gate_end(n->gate, &ev->u.forwarded, n->now);
+        return;
+    case BBM_EV_LISTING:
+        if (n->gate)
+            node_upstreams_read(n, ev->u.listing.listing);
+        return;
+    case BBM_EV_RUNNER:
+        node_rollout_report(n, ev->u.runner.id, ev->u.runner.report);
+        return;
+    case BBM_EV_ORDERED:
+        node_rollout_ordered(n, ev->u.ordered.id, ev->u.ordered.answer);
+        return;
+    case BBM_EV_STORE:
+        if (n->gate)
+            node_gate_store(n, ev->u.store.address, ev->u.store.alive);
+        return;
+    case BBM_EV_SEEDS:
+        bbm_members_join(n->members, ev->u.seeds.addresses, ev->u.seeds.len);
         return;
     case BBM_EV_STOP:
         n->stopping = true;
@@ -236,6 +299,7 @@
         n->now = now;
     step(n, ev);
     node_control_drain(n);
+    node_gate_drain(n);
     drain_members(n);
 }
 
@@ -258,12 +322,20 @@
         d->requests_most = DEFAULT_REQUESTS;
     if (!d->snapshot_entries)
         d->snapshot_entries = DEFAULT_SNAPSHOT;
+    if (!d->list_period)
+        d->list_period = DEFAULT_LIST;
+    if (!d->load_period)
+        d->load_period = DEFAULT_LOADS;
 }
 
 static void
 create_members(bbm_node *n)
 {
-    bbm_members_desc desc = {.run = n->desc.run, .seed = n->desc.seed};
+    bbm_members_desc desc = {
+        .run = n->desc.run,
+        .seed = n->desc.seed,
+        .period = n->desc.gossip,
+    };
     bbm_name_set(desc.self.name, n->desc.name);
     bbm_name_set(desc.self.zone, n->desc.zone);
     memcpy(desc.self.address, n->desc.address, BBM_ADDRESS_SIZE);
@@ -273,6 +345,7 @@
         bbm_members_seed(n->members, n->desc.peers[i].name,
                          n->desc.peers[i].address);
     }
+    bbm_members_join(n->members, n->desc.seeds, n->desc.seeds_len);
 }
 
 bbm_node *
@@ -289,7 +362,10 @@
     TAILQ_INIT(&n->actions);
     TAILQ_INIT(&n->waiting_rate);
     STAILQ_INIT(&n->held_grants);
-    n->state = bbm_state_create(&(bbm_state_desc){0});
+    n->started = desc->now;
+    TAILQ_INIT(&n->reads);
+    n->state =
+        bbm_state_create(&(bbm_state_desc){.texts_kept = desc->texts_kept});
     create_members(n);
     bbm_fleet_desc fleet = {.seed = desc->seed, .policy = desc->policy};
     bbm_name_set(fleet.zone, desc->zone);
@@ -299,6 +375,8 @@
     bbm_name_set(rate.node, desc->name);
     n->holder = bbm_rate_holder_create(&rate);
     n->retries = bbm_retry_budget_of(RETRY_SHARE, RETRY_SAVED);
+    if (desc->discovery)
+        node_gate_create(n);
     if (desc->disk)
         node_control_create(n);
     /* What the arguments pointed to is not kept. */
@@ -328,6 +406,11 @@
     if (!n)
         return;
     node_request_destroy(n);
+    node_read_destroy(n);
+    node_rollout_forget(n);
+    node_upstreams_destroy(n);
+    bbm_gate_destroy(n->gate);
+    bbm_state_destroy(n->behind);
     node_orders_forget(n);
     node_propose_destroy(n);
     node_relay_destroy(n);
@@ -360,6 +443,12 @@
     c.term = n->leader_term;
     c.is_leader = node_leads(n);
     c.fresh_age_ms = (uint64_t)((now - n->fresh_at) / BBM_MS);
+    if (n->gate) {
+        c.gate = bbm_gate_count(n->gate);
+        c.upstreams = n->listing.len;
+        c.list_age_ms =
+            n->list_read ? (uint64_t)((now - n->list_read) / BBM_MS) : 0;
+    }
     return c;
 }
 
--- a/node/node_act.c
+++ b/node/node_act.c
@@ -38,6 +38,11 @@
     case BBM_ACT_ORDER:
     case BBM_ACT_WATCH:
     case BBM_ACT_READY:
+    case BBM_ACT_FORWARD:
+    case BBM_ACT_LIST:
+    case BBM_ACT_ROLLOUT:
+    case BBM_ACT_STORE:
+    case BBM_ACT_LIMITS:
     case BBM_ACT_LOG:
     case BBM_ACT_STOPPED:
         break;
@@ -66,18 +71,45 @@
     return &n->taken->action;
 }
 
+bbm_action *
+node_log_event(bbm_node *n, bbm_log_event event)
+{
+    bbm_action *a = node_act(n, BBM_ACT_LOG);
+    a->u.log.event = event;
+    return a;
+}
+
+void
+node_log_text(bbm_action *a, const char *name, const char *value)
+{
+    if (a->u.log.len == BBM_LOG_PAIRS)
+        return;
+    bbm_log_pair *pair = &a->u.log.pairs[a->u.log.len++];
+    pair->name = name;
+    bbm_text_set(pair->value, sizeof(pair->value), value);
+}
+
+void
+node_log_number(bbm_action *a, const char *name, int64_t value)
+{
+    char text[32];
+    snprintf(text, sizeof(text), "%lld", (long long)value);
+    node_log_text(a, name, text);
+}
+
 void
 node_log(bbm_node *n, bbm_log_event event, const char *subject,
          const char *detail)
 {
-    bbm_action *a = node_act(n, BBM_ACT_LOG);
-    a->u.log.event = event;
-    bbm_name_set(a->u.log.subject, subject);
-    bbm_name_set(a->u.log.detail, detail);
+    bbm_action *a = node_log_event(n, event);
+    if (subject[0])
+        node_log_text(a, "subject", subject);
+    if (detail[0])
+        node_log_text(a, "detail", detail);
 }
 
-bbm_buf *
-node_send(bbm_node *n, const char *to, node_message kind)
+bbm_action *
+node_send_to(bbm_node *n, const char *to, node_message kind)
 {
     bbm_action *a = node_act(n, BBM_ACT_SEND);
     bbm_name_set(a->u.send.to, to);
@@ -86,5 +118,11 @@
         memcpy(a->u.send.address, m->address, BBM_ADDRESS_SIZE);
     bbm_put_u64(&a->u.send.bytes, NODE_FORMAT);
     bbm_put_u64(&a->u.send.bytes, kind);
-    return &a->u.send.bytes;
+    return a;
+}
+
+bbm_buf *
+node_send(bbm_node *n, const char *to, node_message kind)
+{
+    return &node_send_to(n, to, kind)->u.send.bytes;
 }
--- a/node/node_config.c
+++ b/node/node_config.c
@@ -79,6 +79,7 @@
         snprintf(number, sizeof(number), "%llu", (unsigned long long)revision);
         node_log(n, BBM_EVENT_REVISION, number, "");
     }
+    node_gate_configure(n);
     node_request_check_keys(n);
     node_request_pump(n);
 }
--- a/node/node_control.c
+++ b/node/node_control.c
@@ -5,11 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The control group: its log, its founding and the replacement of a VM. */
+/* The control group: its log, and the replacement of a VM by an operator. */
 
-#define HELLO_PERIOD (500 * BBM_MS)
-#define HELLO_IN_GROUP (5 * BBM_SECOND)
-#define HELLO_FRESH (2 * BBM_SECOND)
 #define REPLACE_TIME (60 * BBM_SECOND)
 
 void
@@ -57,89 +54,6 @@
     return NULL;
 }
 
-static bool
-is_fresh(const bbm_node *n)
-{
-    return bbm_raft_last(n->raft) == 0 && bbm_raft_term(n->raft) == 0;
-}
-
-static void
-send_hello(bbm_node *n, const char *to)
-{
-    if (strcmp(to, n->desc.name) == 0)
-        return;
-    bbm_buf *buf = node_send(n, to, NODE_HELLO);
-    bbm_put_u64(buf, n->desc.disk);
-    bbm_put_u64(buf, is_fresh(n));
-}
-
-static void
-say_hello(bbm_node *n)
-{
-    if (n->now < n->hello_at)
-        return;
-    n->hello_at = n->now + (n->in_group ? HELLO_IN_GROUP : HELLO_PERIOD);
-    for (size_t i = 0; i < n->desc.founders_len; i++)
-        send_hello(n, n->desc.founders[i]);
-    if (n->leader[0])
-        send_hello(n, n->leader);
-}
-
-static node_disk *
-disk_of(bbm_node *n, const char *name)
-{
-    node_disk *d = NULL;
-    HASH_FIND_STR(n->disks, name, d);
-    if (!d) {
-        d = bbm_calloc(1, sizeof(*d));
-        bbm_name_set(d->name, name);
-        HASH_ADD_STR(n->disks, name, d);
-    }
-    return d;
-}
-
-int
-node_control_hello(bbm_node *n, const char *from, bbm_reader *rd)
-{
-    bbm_member_id id = bbm_get_u64(rd);
-    bool fresh = bbm_get_u32(rd, 1) != 0;
-    if (!bbm_reader_done(rd) || !id)
-        return BBM_ERR_DECODE;
-    node_disk *d = disk_of(n, from);
-    d->id = id;
-    d->fresh = fresh;
-    d->heard = n->now;
-    return BBM_OK;
-}
-
-/* The first founder founds the group when every founder has just told that
-   its folder is empty.  A founder whose folder was lost later can't found a
-   second group: the others are not empty. */
-static void
-try_to_found(bbm_node *n)
-{
-    bool first =
-        n->desc.founders_len && strcmp(n->desc.founders[0], n->desc.name) == 0;
-    if (!first || !is_fresh(n))
-        return;
-    bbm_raft_member members[BBM_FOUNDERS_MOST] = {0};
-    for (size_t i = 0; i < n->desc.founders_len; i++) {
-        const char *name = n->desc.founders[i];
-        bbm_name_set(members[i].name, name);
-        members[i].voter = true;
-        members[i].id = n->desc.disk;
-        if (i == 0)
-            continue;
-        node_disk *d = NULL;
-        HASH_FIND_STR(n->disks, name, d);
-        if (!d || !d->fresh || n->now - d->heard > HELLO_FRESH)
-            return;
-        members[i].id = d->id;
-    }
-    if (bbm_raft_found(n->raft, members, n->desc.founders_len, n->now) == 0)
-        node_log(n, BBM_EVENT_FOUNDED, n->desc.name, "");
-}
-
 /* ---- replacement of a control VM ---- */
 
 static void
@@ -250,8 +164,6 @@
 {
     if (!n->raft)
         return;
-    say_hello(n);
-    try_to_found(n);
     bbm_raft_tick(n->raft, n->now);
     step_replacement(n);
 }
@@ -267,7 +179,7 @@
     /* A newcomer knows its leader's folder from here alone. */
     bbm_member_id sender = bbm_raft_sender(inner.data, inner.len);
     if (sender)
-        disk_of(n, from)->id = sender;
+        node_disk_of(n, from)->id = sender;
     /* A message for the folder that this VM had before is no fault. */
     bbm_raft_receive(n->raft, inner.data, inner.len, n->now);
     return BBM_OK;
@@ -283,14 +195,31 @@
     bbm_put_bytes(buf, out->u.send.bytes.data, out->u.send.bytes.len);
 }
 
+/* What a snapshot brought may be older than what was heard from others before
+   this folder joined; what is in force never goes back, so the log's state
+   waits until it has caught up. */
+static void
+catch_up(bbm_node *n)
+{
+    if (!n->behind
+        || bbm_state_public_index(n->behind)
+               < bbm_state_public_index(n->state))
+        return;
+    bbm_state_destroy(n->state);
+    n->state = n->behind;
+    n->behind = NULL;
+}
+
 static void
 apply(bbm_node *n, const bbm_entry *e)
 {
     bbm_outcome out = {0};
     if (e->kind == BBM_ENTRY_COMMAND) {
         bool is_public = bbm_command_is_public(e->data, e->len);
-        bbm_state_apply(n->state, e->index, e->data, e->len, &out);
-        if (is_public) {
+        bbm_state *state = n->behind ? n->behind : n->state;
+        bbm_state_apply(state, e->index, e->data, e->len, &out);
+        catch_up(n);
+        if (is_public && !n->behind) {
             node_configure(n);
             node_relay_push(n);
         }
@@ -308,7 +237,7 @@
         return;
     uint64_t index = bbm_raft_committed(n->raft);
     bbm_buf data = {0};
-    bbm_state_encode(n->state, &data);
+    bbm_state_encode(n->behind ? n->behind : n->state, &data);
     bbm_raft_compact(n->raft, index, data);
     node_log(n, BBM_EVENT_SNAPSHOT, "", "");
 }
@@ -316,10 +245,15 @@
 static void
 restore(bbm_node *n, const bbm_raft_output *out)
 {
-    int rc = bbm_state_decode(n->state, out->u.restore.data.data,
+    bbm_state *fresh =
+        bbm_state_create(&(bbm_state_desc){.texts_kept = n->desc.texts_kept});
+    int rc = bbm_state_decode(fresh, out->u.restore.data.data,
                               out->u.restore.data.len);
     if (rc < 0)
         node_log(n, BBM_EVENT_STORE_FAILED, "snapshot", bbm_code_name(rc));
+    bbm_state_destroy(n->behind);
+    n->behind = fresh;
+    catch_up(n);
     n->applied = out->u.restore.index;
     node_log(n, BBM_EVENT_INSTALLED, "", "");
     node_configure(n);
@@ -346,11 +280,13 @@
     }
     if (role == BBM_LEADER) {
         n->lead_from = bbm_raft_last(n->raft);
+        n->lead_since = n->now;
     }
     else {
         node_rate_resign(n);
         node_propose_forget(n);
         node_orders_forget(n);
+        node_rollout_forget(n);
     }
 }
 
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -6,6 +6,7 @@
 
 #include "bbm_admission.h"
 #include "bbm_entries.h"
+#include "bbm_loads.h"
 #include "bbm_node.h"
 #include "bbm_rate.h"
 #include "bbm_retry.h"
@@ -14,21 +15,25 @@
 #include <uthash.h>
 
 /** Version of the messages; another one is refused. */
-#define NODE_FORMAT 1
+#define NODE_FORMAT 2
 
 /** Kinds of message between daemons. */
 typedef enum node_message {
-    NODE_RAFT,     /**< Of the replicated log. */
-    NODE_MEMBERS,  /**< Of the failure detector. */
-    NODE_HELLO,    /**< A data folder tells its identity. */
-    NODE_POLL,     /**< What is new? */
-    NODE_NEWS,     /**< This is new, and how fresh it is. */
-    NODE_PUSH,     /**< This is new, unasked. */
-    NODE_PROPOSE,  /**< A command for the leader. */
-    NODE_OUTCOME,  /**< What came of it. */
-    NODE_REPORT,   /**< A holder's report to the owner of the rates. */
-    NODE_GRANT,    /**< The owner's grant. */
-    NODE_MESSAGES, /**< Number of kinds. */
+    NODE_RAFT,      /**< Of the replicated log. */
+    NODE_MEMBERS,   /**< Of the failure detector. */
+    NODE_HELLO,     /**< A data folder tells its identity. */
+    NODE_POLL,      /**< What is new? */
+    NODE_NEWS,      /**< This is new, and how fresh it is. */
+    NODE_PUSH,      /**< This is new, unasked. */
+    NODE_PROPOSE,   /**< A command for the leader. */
+    NODE_OUTCOME,   /**< What came of it. */
+    NODE_REPORT,    /**< A holder's report to the owner of the rates. */
+    NODE_GRANT,     /**< The owner's grant. */
+    NODE_FOUND,     /**< Found a group of these data folders. */
+    NODE_UPSTREAMS, /**< Changes of the listing, or the whole. */
+    NODE_LOADS,     /**< A VM's load and demand, for the leader. */
+    NODE_TOTALS,    /**< The sums of all VMs. */
+    NODE_MESSAGES,  /**< Number of kinds. */
 } node_message;
 
 /** Where a request is. */
@@ -128,7 +133,9 @@
     char name[BBM_NAME_SIZE]; /**< Its daemon. */
     bbm_member_id id;         /**< Its identity. */
     bool fresh;               /**< Its log is empty. */
+    bool first_start;         /**< Told that the system has never run. */
     bbm_time heard;           /**< When. */
+    bbm_time known;           /**< When this folder was first heard of. */
     UT_hash_handle hh;        /**< By name. */
 } node_disk;
 
@@ -162,6 +169,25 @@
     UT_hash_handle hh;      /**< By id. */
 } node_sent_order;
 
+/** A call that waits for a view that is newer than itself. */
+typedef struct node_read {
+    uint64_t op;                 /**< Call to answer. */
+    bbm_time asked;              /**< The view must be as fresh. */
+    bbm_time until;              /**< Give up. */
+    TAILQ_ENTRY(node_read) link; /**< In order. */
+} node_read;
+
+/** Stores of KV cache that are known. */
+#define NODE_STORES_MOST 4
+
+/** A store of KV cache. */
+typedef struct node_store {
+    char address[BBM_NAME_SIZE]; /**< IP:port. */
+    bool alive;                  /**< Answers. */
+    bool watched;                /**< By us, as the leader. */
+    bool kept;                   /**< Still configured. */
+} node_store;
+
 /** A replacement of a control VM under way. */
 typedef struct node_replacement {
     bool active;              /**< There is one. */
@@ -225,6 +251,7 @@
     bbm_rate_owner *owner;   /**< Leader only. */
     uint64_t owner_term;     /**< Term of its office. */
     uint64_t lead_from;      /**< First index of our leadership. */
+    bbm_time lead_since;     /**< When it began. */
     uint64_t applied;        /**< Last index of the log applied here. */
     STAILQ_HEAD(, node_grant) held_grants; /**< Wait for the books. */
     uint64_t books_index;             /**< Of the last books in the log. */
@@ -241,6 +268,34 @@
     uint64_t configured;          /**< Revision that was taken over. */
     bbm_time configured_at;       /**< When. */
 
+    bbm_member_id found_ids[BBM_RAFT_MEMBERS_MOST]; /**< To found with. */
+    char found_names[BBM_RAFT_MEMBERS_MOST][BBM_NAME_SIZE]; /**< Theirs. */
+    size_t found_len;   /**< How many; 0: not chosen yet. */
+    bbm_time found_at;  /**< Next time that it is told. */
+    bbm_time started;   /**< When this node was made. */
+    bbm_time repair_at; /**< Next look at the control group. */
+    bbm_state *behind;  /**< The log's state while it is older than what
+                             was heard from others, or NULL. */
+
+    bbm_gate *gate; /**< Requests to pools; NULL: no discovery. */
+    bool caught_up; /**< The configuration was current once. */
+    TAILQ_HEAD(, node_read) reads; /**< Wait for a fresh view. */
+    bbm_listing listed;            /**< Upstreams as read last, by us. */
+    bbm_listing listing;   /**< As in force here, with what is known. */
+    uint64_t list_epoch;   /**< Term of the leader that told it; 0: own. */
+    uint64_t list_version; /**< Its number under that leader. */
+    bbm_time list_read;    /**< When it was read from the platform; 0. */
+    bbm_time list_due;     /**< Next look at it. */
+    bool list_lost;        /**< It could not be read. */
+    bbm_time list_changed; /**< Leader: when it last changed. */
+    node_store stores[NODE_STORES_MOST]; /**< Of KV cache. */
+    size_t stores_len;                   /**< How many. */
+    uint64_t gate_revision;              /**< Revision that the gate has. */
+    bbm_loads *loads;                    /**< Leader: of all VMs. */
+    bbm_time loads_at;     /**< Next tale of load, or of the sums. */
+    bbm_rollout *rollout;  /**< Leader only. */
+    uint64_t rollout_term; /**< Its term. */
+
     bool ready;           /**< As told. */
     bool stopping;        /**< Shutting down. */
     bool draining;        /**< Leaves: by stop or command. */
@@ -252,11 +307,20 @@
 
 /** Queue an action. */
 bbm_action *node_act(bbm_node *n, bbm_action_kind kind);
-/** Queue a log line. */
+/** Queue a log line; fields are added with node_log_text. */
+bbm_action *node_log_event(bbm_node *n, bbm_log_event event);
+/** Add a field to a queued log line. */
+void node_log_text(bbm_action *a, const char *name, const char *value);
+/** Add a number. */
+void node_log_number(bbm_action *a, const char *name, int64_t value);
+/** Queue a log line with up to two fields. */
 void node_log(bbm_node *n, bbm_log_event event, const char *subject,
               const char *detail);
-/** Start a message to a daemon; append its fields to the buffer.  The
- *  address is filled in from the members. */
+/** Start a message to a daemon; append its fields to the action's buffer.
+ *  The address is filled in from the members; without a name it must be set:
+ *  the message is for whoever is there. */
+bbm_action *node_send_to(bbm_node *n, const char *to, node_message kind);
+/** The same; returns the buffer. */
 bbm_buf *node_send(bbm_node *n, const char *to, node_message kind);
 /** Answer an operator's call with a JSON text, which is taken over. */
 void node_reply(bbm_node *n, uint64_t op, int code, char *json);
@@ -286,8 +350,6 @@
 void node_control_tick(bbm_node *n);
 /** A message of the log came in. */
 int node_control_raft(bbm_node *n, const char *from, bbm_reader *rd);
-/** An identity came in. */
-int node_control_hello(bbm_node *n, const char *from, bbm_reader *rd);
 /** Carry out what the log's member put out. */
 void node_control_drain(bbm_node *n);
 /** True if we lead under a lease. */
@@ -295,6 +357,73 @@
 /** Begin to replace a control VM. */
 void node_replace(bbm_node *n, const bbm_operator_event *call);
 
+/* ---- node_join.c ---- */
+
+/** Time has passed: tell of our folder, found the group, keep it whole. */
+void node_join_tick(bbm_node *n);
+/** An identity came in. */
+int node_join_hello(bbm_node *n, const char *from, bbm_reader *rd);
+/** The first seed chose the founders. */
+int node_join_found(bbm_node *n, const char *from, bbm_reader *rd);
+/** What is heard of a daemon's data folder. */
+node_disk *node_disk_of(bbm_node *n, const char *name);
+/** True if our folder's log is empty. */
+bool node_is_fresh(const bbm_node *n);
+
+/* ---- node_read.c ---- */
+
+/** A call asks for the newest revision's source. */
+void node_read_begin(bbm_node *n, uint64_t op);
+/** Answer the calls for which the view is fresh enough by now. */
+void node_read_tick(bbm_node *n);
+/** Release. */
+void node_read_destroy(bbm_node *n);
+
+/* ---- node_upstreams.c ---- */
+
+/** Time has passed. */
+void node_upstreams_tick(bbm_node *n);
+/** The list was read; NULL: it could not be. */
+void node_upstreams_read(bbm_node *n, const bbm_listing *listing);
+/** What the rollout knows changed: tell all. */
+void node_upstreams_update(bbm_node *n);
+/** The leader told of upstreams. */
+int node_upstreams_told(bbm_node *n, const char *from, bbm_reader *rd);
+/** A VM's load came in. */
+int node_upstreams_loads(bbm_node *n, const char *from, bbm_reader *rd);
+/** The sums came in. */
+int node_upstreams_totals(bbm_node *n, const char *from, bbm_reader *rd);
+/** Release. */
+void node_upstreams_destroy(bbm_node *n);
+
+/* ---- node_gate.c ---- */
+
+/** Make the gate. */
+void node_gate_create(bbm_node *n);
+/** A caller's request. */
+void node_gate_call(bbm_node *n, const bbm_call_event *ev);
+/** A new configuration or newer weights are in force. */
+void node_gate_configure(bbm_node *n);
+/** Time has passed. */
+void node_gate_tick(bbm_node *n);
+/** A store of KV cache answers, or doesn't. */
+void node_gate_store(bbm_node *n, const char *address, bool alive);
+/** Carry out what the gate put out. */
+void node_gate_drain(bbm_node *n);
+
+/* ---- node_rollout.c ---- */
+
+/** Time has passed. */
+void node_rollout_tick(bbm_node *n);
+/** A runner's report came in. */
+void node_rollout_report(bbm_node *n, const char *id,
+                         const bbm_runner_report *report);
+/** A runner answered an order. */
+void node_rollout_ordered(bbm_node *n, const char *id,
+                          bbm_order_answer answer);
+/** Leadership ended. */
+void node_rollout_forget(bbm_node *n);
+
 /* ---- node_propose.c ---- */
 
 /** Propose a command; the outcome goes to who waits. */
@@ -419,6 +548,6 @@
 void node_operator_call(bbm_node *n, const bbm_operator_event *call);
 /** A caller asks for addresses. */
 void node_operator_entries(bbm_node *n, uint64_t op, uint64_t caller,
-                           const char *zone);
+                           const char *zone, size_t most);
 
 #endif
--- /dev/null
+++ b/node/node_gate.c
@@ -0,0 +1,312 @@
+#include "node_core.h"
+
+#include <string.h>
+
+/* Requests to pools: what is decided before the gate, and what follows from
+   its outputs. */
+
+#define COME_BACK_SOON (300 * BBM_MS)
+/* The view of the configuration counts as current at this age. */
+#define CURRENT_AGE (1500 * BBM_MS)
+/* Without a control group a VM serves with what others told it after this:
+   until then a group may come. */
+#define CATCH_UP_MOST (4 * BBM_SECOND)
+
+void
+node_gate_create(bbm_node *n)
+{
+    bbm_gate_desc desc = n->desc.gate;
+    desc.seed = n->desc.seed;
+    bbm_name_set(desc.zone, n->desc.zone);
+    n->gate = bbm_gate_create(&desc);
+}
+
+/* ---- configuration ---- */
+
+static void
+watch_stores(bbm_node *n, const bbm_config *cfg)
+{
+    for (size_t i = 0; i < n->stores_len; i++)
+        n->stores[i].kept = false;
+    for (const bbm_store_object *s = cfg->stores; s; s = s->hh.next) {
+        size_t i = 0;
+        while (i < n->stores_len
+               && strcmp(n->stores[i].address, s->address) != 0)
+            i++;
+        if (i == NODE_STORES_MOST)
+            break;
+        if (i == n->stores_len) {
+            n->stores[n->stores_len++] = (node_store){0};
+            bbm_name_set(n->stores[i].address, s->address);
+        }
+        n->stores[i].kept = true;
+    }
+    size_t len = 0;
+    for (size_t i = 0; i < n->stores_len; i++) {
+        if (n->stores[i].kept)
+            n->stores[len++] = n->stores[i];
+    }
+    n->stores_len = len;
+}
+
+static void
+tell_limits(bbm_node *n, const bbm_config *cfg)
+{
+    if (!cfg->limits)
+        return;
+    bbm_action *a = node_act(n, BBM_ACT_LIMITS);
+    a->u.limits = *cfg->limits;
+}
+
+/* The age of a version counts from when it was named: by the calendar where
+   this VM wasn't there to hear it. */
+static void
+take_weights(bbm_node *n)
+{
+    const bbm_registry *reg = bbm_state_registry(n->state);
+    char model[BBM_NAME_SIZE];
+    uint64_t version;
+    int64_t at_ms;
+    for (size_t i = 0;
+         bbm_registry_weights_at(reg, i, model, &version, &at_ms); i++) {
+        bbm_time age = (n->wall_ms - at_ms) * BBM_MS;
+        if (n->caught_up || age < 0)
+            age = 0;
+        bbm_gate_weights(n->gate, model, version, age, n->now);
+    }
+}
+
+void
+node_gate_configure(bbm_node *n)
+{
+    const bbm_config *cfg = node_config(n);
+    if (!n->gate)
+        return;
+    take_weights(n);
+    if (!cfg || n->configured == n->gate_revision)
+        return;
+    n->gate_revision = n->configured;
+    bbm_gate_configure(n->gate, cfg, n->now);
+    watch_stores(n, cfg);
+    tell_limits(n, cfg);
+}
+
+/* ---- requests ---- */
+
+static void
+deny(bbm_node *n, const bbm_call_event *ev, int code)
+{
+    bool later = bbm_code_status(code) == 503;
+    bbm_action *a = node_act(n, BBM_ACT_ANSWER);
+    a->u.answer.request = ev->ask.request;
+    a->u.answer.code = code;
+    a->u.answer.retry_after_ms = later ? COME_BACK_SOON / BBM_MS : 0;
+    bbm_action *l = node_log_event(n, BBM_EVENT_DENIED);
+    node_log_text(l, "id", ev->ask.id);
+    node_log_text(l, "code", bbm_code_name(code));
+    node_log_text(l, "host", ev->host);
+    node_log_number(l, "revision", (int64_t)n->configured);
+    node_log_number(l, "revision_age_ms", node_relay_age(n) / BBM_MS);
+    if (later)
+        n->counts.refused_other++;
+    else
+        n->counts.refused_key++;
+}
+
+static int
+find_customer(const bbm_node *n, const bbm_call_event *ev,
+              const bbm_route *route, const bbm_customer **customer)
+{
+    const bbm_config *cfg = node_config(n);
+    bbm_found_key found;
+    *customer = NULL;
+    if (route->open || !cfg->customers)
+        return BBM_OK;
+    if (!ev->has_key)
+        return BBM_ERR_NO_KEY;
+    if (!bbm_registry_key(bbm_state_registry(n->state), &ev->key, &found))
+        return BBM_ERR_BAD_KEY;
+    *customer = bbm_config_customer(cfg, found.customer);
+    return *customer ? BBM_OK : BBM_ERR_BAD_KEY;
+}
+
+void
+node_gate_call(bbm_node *n, const bbm_call_event *ev)
+{
+    n->counts.requests++;
+    const bbm_config *cfg = node_config(n);
+    if (!n->gate || !cfg || !n->caught_up) {
+        deny(n, ev, BBM_ERR_NOT_READY);
+        return;
+    }
+    if (n->stopping && n->now - n->drain_since >= n->desc.entry_time) {
+        deny(n, ev, BBM_ERR_DRAINING);
+        return;
+    }
+    const bbm_route *route = bbm_config_host_route(cfg, ev->host, ev->path);
+    const bbm_customer *customer = NULL;
+    int code =
+        route ? find_customer(n, ev, route, &customer) : BBM_ERR_NO_ROUTE;
+    if (code < 0) {
+        deny(n, ev, code);
+        return;
+    }
+    bbm_gate_begin(n->gate, &ev->ask, route, customer, n->now);
+}
+
+void
+node_gate_store(bbm_node *n, const char *address, bool alive)
+{
+    for (size_t i = 0; i < n->stores_len; i++) {
+        node_store *s = &n->stores[i];
+        if (strcmp(s->address, address) != 0 || !s->watched)
+            continue;
+        if (s->alive != alive)
+            node_log(n, alive ? BBM_EVENT_STORE_UP : BBM_EVENT_STORE_DOWN,
+                     address, "");
+        s->alive = alive;
+        bbm_gate_store(n->gate, address, alive);
+    }
+}
+
+/* ---- time ---- */
+
+static void
+catch_up(bbm_node *n)
+{
+    if (n->caught_up || !n->configured)
+        return;
+    bbm_time age = node_relay_age(n);
+    bool current = age < CURRENT_AGE;
+    if (!current && n->now - n->started < CATCH_UP_MOST)
+        return;
+    n->caught_up = true;
+    bbm_action *a = node_log_event(n, BBM_EVENT_CAUGHT_UP);
+    node_log_number(a, "revision", (int64_t)n->configured);
+    node_log_text(a, "proved", current ? "yes" : "no");
+}
+
+/* Stores are watched by the leader alone: each takes few such calls. */
+static void
+watch_as_leader(bbm_node *n)
+{
+    bool leads = node_leads(n);
+    for (size_t i = 0; i < n->stores_len; i++) {
+        node_store *s = &n->stores[i];
+        if (s->watched == leads)
+            continue;
+        s->watched = leads;
+        bbm_action *a = node_act(n, BBM_ACT_STORE);
+        bbm_name_set(a->u.store.address, s->address);
+        a->u.store.on = leads;
+    }
+}
+
+void
+node_gate_tick(bbm_node *n)
+{
+    catch_up(n);
+    watch_as_leader(n);
+    bbm_gate_tick(n->gate, n->now);
+}
+
+/* ---- outputs ---- */
+
+static void
+log_send(bbm_node *n, const bbm_gate_output *out)
+{
+    const bbm_send *s = &out->u.send.send;
+    bool again = s->attempt > 1;
+    bbm_action *a =
+        node_log_event(n, again ? BBM_EVENT_SENT_AGAIN : BBM_EVENT_SENT);
+    node_log_text(a, "id", out->id);
+    node_log_text(a, "upstream", s->upstream);
+    node_log_number(a, "attempt", s->attempt);
+    node_log_number(a, "wait_ms", out->u.send.wait_ms);
+    node_log_number(a, "held_ms", out->u.send.held_ms);
+    node_log_number(a, "candidates", out->u.send.candidates);
+    node_log_number(a, "list_age_ms", (n->now - n->list_read) / BBM_MS);
+    node_log_number(a, "revision", (int64_t)n->configured);
+    if (s->version)
+        node_log_number(a, "weights", (int64_t)s->version);
+    if (s->source[0])
+        node_log_text(a, "source", s->source);
+    if (out->u.send.resumes)
+        node_log_text(a, "after_event", out->u.send.last_event);
+}
+
+static void
+do_send(bbm_node *n, const bbm_gate_output *out)
+{
+    log_send(n, out);
+    bbm_action *a = node_act(n, BBM_ACT_FORWARD);
+    a->u.forward.send = out->u.send.send;
+    a->u.forward.resumes = out->u.send.resumes;
+    memcpy(a->u.forward.last_event, out->u.send.last_event,
+           sizeof(out->u.send.last_event));
+}
+
+static void
+do_refuse(bbm_node *n, const bbm_gate_output *out)
+{
+    bbm_time back = out->u.refuse.retry_after;
+    bbm_action *a = node_act(n, BBM_ACT_ANSWER);
+    a->u.answer.request = out->request;
+    a->u.answer.code = out->u.refuse.code;
+    a->u.answer.retry_after_ms = (back + BBM_MS - 1) / BBM_MS;
+    bbm_action *l = node_log_event(n, BBM_EVENT_REFUSED);
+    node_log_text(l, "id", out->id);
+    node_log_text(l, "code", bbm_code_name(out->u.refuse.code));
+    node_log_text(l, "why", out->u.refuse.why);
+    node_log_number(l, "held_ms", out->u.refuse.held_ms);
+    node_log_number(l, "retry_after_ms", back / BBM_MS);
+    node_log_number(l, "upstreams", (int64_t)n->listing.len);
+    node_log_number(l, "list_age_ms", (n->now - n->list_read) / BBM_MS);
+}
+
+static void
+do_cut(bbm_node *n, const bbm_gate_output *out)
+{
+    bbm_action *a = node_act(n, BBM_ACT_CUT);
+    a->u.cut.request = out->request;
+    a->u.cut.code = out->u.cut.code;
+    bbm_action *l = node_log_event(n, BBM_EVENT_BROKEN_OFF);
+    node_log_text(l, "id", out->id);
+    node_log_text(l, "code", bbm_code_name(out->u.cut.code));
+    node_log_text(l, "why", out->u.cut.why);
+    node_log_text(l, "begun", out->u.cut.begun ? "yes" : "no");
+}
+
+static void
+do_ended(bbm_node *n, const bbm_gate_output *out)
+{
+    bbm_action *l = node_log_event(n, BBM_EVENT_ENDED);
+    node_log_text(l, "id", out->id);
+    node_log_text(l, "upstream", out->u.ended.upstream);
+    node_log_number(l, "status", out->u.ended.status);
+    node_log_number(l, "first_ms", out->u.ended.first_ms);
+    node_log_number(l, "whole_ms", out->u.ended.whole_ms);
+    node_log_number(l, "attempts", out->u.ended.attempts);
+}
+
+void
+node_gate_drain(bbm_node *n)
+{
+    const bbm_gate_output *out;
+    while (n->gate && (out = bbm_gate_take(n->gate)) != NULL) {
+        switch (out->kind) {
+        case BBM_GATE_SEND:
+            do_send(n, out);
+            break;
+        case BBM_GATE_REFUSE:
+            do_refuse(n, out);
+            break;
+        case BBM_GATE_CUT:
+            do_cut(n, out);
+            break;
+        case BBM_GATE_ENDED:
+            do_ended(n, out);
+            break;
+        }
+    }
+}
--- a/node/node_operator.c
+++ b/node/node_operator.c
@@ -260,7 +260,9 @@
     bbm_name_set(cmd.u.publish.id, call->id);
     bbm_name_set(cmd.u.publish.author, call->author);
     cmd.u.publish.expected = call->number;
+    cmd.u.publish.version = call->version;
     cmd.u.publish.text = call->text;
+    cmd.u.publish.source = call->source;
     change(n, call->op, &cmd);
 }
 
@@ -309,6 +311,15 @@
     change(n, call->op, &cmd);
 }
 
+static void
+name_weights(bbm_node *n, const bbm_operator_event *call)
+{
+    bbm_command cmd = {.kind = BBM_CMD_WEIGHTS};
+    bbm_name_set(cmd.u.weights.model, call->name);
+    cmd.u.weights.version = call->number;
+    change(n, call->op, &cmd);
+}
+
 static void
 pause_orders(bbm_node *n, const bbm_operator_event *call)
 {
@@ -366,6 +377,12 @@
     case BBM_VERB_REPLACE:
         node_replace(n, call);
         return;
+    case BBM_VERB_SOURCE:
+        node_read_begin(n, call->op);
+        return;
+    case BBM_VERB_WEIGHTS:
+        name_weights(n, call);
+        return;
     }
 }
 
@@ -375,11 +392,13 @@
    half is for the news of its leaving to get round. */
 void
 node_operator_entries(bbm_node *n, uint64_t op, uint64_t caller,
-                      const char *zone)
+                      const char *zone, size_t most)
 {
-    const bbm_member *list[BBM_ENTRIES_MOST];
+    const bbm_member *list[BBM_ENTRIES_LIMIT];
     const char *near = zone[0] ? zone : n->desc.zone;
-    size_t len = bbm_entries_pick(n->members, near, caller, list);
+    if (!most)
+        most = BBM_ENTRIES_MOST;
+    size_t len = bbm_entries_pick(n->members, near, caller, most, list);
     json_t *entries = json_array();
     for (size_t i = 0; i < len; i++) {
         json_array_append_new(
--- /dev/null
+++ b/node/node_read.c
@@ -0,0 +1,68 @@
+#include "node_core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Reads that must not be older than what was acknowledged before they were
+   asked: they wait until this VM's view is as fresh as the question. */
+
+/* A read that can't be proved fresh within this time is refused. */
+#define READ_WAIT (800 * BBM_MS)
+/* The leader is asked again so often while a read waits. */
+#define ASK_PERIOD (60 * BBM_MS)
+
+static void
+answer(bbm_node *n, node_read *r, int code)
+{
+    bbm_revision rev = {0};
+    const bbm_registry *reg = bbm_state_registry(n->state);
+    bool found = bbm_registry_current(reg, &rev) && rev.source;
+    if (code == BBM_OK && !found)
+        code = BBM_ERR_NOT_READY;
+    bbm_action *a = node_act(n, BBM_ACT_REPLY);
+    a->u.reply.op = r->op;
+    a->u.reply.code = code;
+    if (code == BBM_OK)
+        bbm_buf_add(&a->u.reply.body, rev.source, rev.source_len);
+    TAILQ_REMOVE(&n->reads, r, link);
+    free(r);
+}
+
+void
+node_read_begin(bbm_node *n, uint64_t op)
+{
+    node_read *r = bbm_calloc(1, sizeof(*r));
+    r->op = op;
+    r->asked = n->now;
+    r->until = n->now + READ_WAIT;
+    TAILQ_INSERT_TAIL(&n->reads, r, link);
+    if (!node_leads(n))
+        n->poll_at = n->now;
+    node_relay_tick(n);
+    node_read_tick(n);
+}
+
+void
+node_read_tick(bbm_node *n)
+{
+    node_read *r, *next;
+    for (r = TAILQ_FIRST(&n->reads); r; r = next) {
+        next = TAILQ_NEXT(r, link);
+        if (n->fresh_at >= r->asked)
+            answer(n, r, BBM_OK);
+        else if (n->now >= r->until)
+            answer(n, r, BBM_ERR_NO_QUORUM);
+        else if (n->poll_at > n->now + ASK_PERIOD)
+            n->poll_at = n->now + ASK_PERIOD;
+    }
+}
+
+void
+node_read_destroy(bbm_node *n)
+{
+    node_read *r;
+    while ((r = TAILQ_FIRST(&n->reads)) != NULL) {
+        TAILQ_REMOVE(&n->reads, r, link);
+        free(r);
+    }
+}
--- /dev/null
+++ b/node/node_rollout.c
@@ -0,0 +1,114 @@
+#include "node_core.h"
+
+#include <string.h>
+
+/* The leader brings runners to the newest weights.  Its term is the fencing
+   number of its orders: it is agreed, synced and never given twice. */
+
+static const char *const answer_names[] = {
+    [BBM_ORDER_TAKEN] = "taken",       [BBM_ORDER_HOLDS] = "holds",
+    [BBM_ORDER_CONFLICT] = "conflict", [BBM_ORDER_FENCED] = "fenced",
+    [BBM_ORDER_OTHER] = "other",       [BBM_ORDER_REFUSED] = "refused",
+    [BBM_ORDER_SILENT] = "silent",
+};
+
+void
+node_rollout_forget(bbm_node *n)
+{
+    bbm_rollout_destroy(n->rollout);
+    n->rollout = NULL;
+}
+
+static bool
+take_office(bbm_node *n)
+{
+    bool leads = node_leads(n);
+    uint64_t term = leads ? bbm_raft_term(n->raft) : 0;
+    if (n->rollout && (!leads || term != n->rollout_term))
+        node_rollout_forget(n);
+    if (!leads || n->applied < n->lead_from)
+        return false;
+    if (!n->rollout) {
+        n->rollout_term = term;
+        n->rollout = bbm_rollout_create(&(bbm_rollout_desc){.fence = term});
+    }
+    return true;
+}
+
+static void
+take_targets(bbm_node *n)
+{
+    const bbm_registry *reg = bbm_state_registry(n->state);
+    char model[BBM_NAME_SIZE];
+    uint64_t version;
+    int64_t at_ms;
+    for (size_t i = 0;
+         bbm_registry_weights_at(reg, i, model, &version, &at_ms); i++)
+        bbm_rollout_target(n->rollout, model, version, n->now);
+}
+
+static void
+log_act(bbm_node *n, const bbm_rollout_act *act)
+{
+    bbm_action *a = node_log_event(n, BBM_EVENT_ROLLOUT);
+    node_log_text(a, "upstream", act->id);
+    node_log_text(a, "act", act->order ? "order" : "ask");
+    if (!act->order)
+        return;
+    node_log_text(a, "model", act->model);
+    node_log_number(a, "version", (int64_t)act->version);
+    node_log_number(a, "sequence", (int64_t)act->sequence);
+    node_log_number(a, "fence", (int64_t)act->fence);
+}
+
+void
+node_rollout_tick(bbm_node *n)
+{
+    if (!n->gate || !take_office(n) || !n->list_read)
+        return;
+    take_targets(n);
+    bbm_rollout_runners(n->rollout, &n->listed, n->now);
+    for (size_t i = 0; i < n->listed.len; i++) {
+        const char *id = n->listed.items[i].id;
+        bbm_rollout_load(n->rollout, id, bbm_gate_open(n->gate, id));
+    }
+    const bbm_rollout_act *act;
+    while ((act = bbm_rollout_take(n->rollout, n->now)) != NULL) {
+        log_act(n, act);
+        bbm_action *a = node_act(n, BBM_ACT_ROLLOUT);
+        a->u.rollout.act = *act;
+        a->u.rollout.not_after = bbm_raft_lease_until(n->raft);
+    }
+    node_upstreams_update(n);
+}
+
+void
+node_rollout_report(bbm_node *n, const char *id,
+                    const bbm_runner_report *report)
+{
+    if (!n->rollout)
+        return;
+    bbm_action *a = node_log_event(n, BBM_EVENT_ROLLOUT_ANSWER);
+    node_log_text(a, "upstream", id);
+    node_log_text(a, "answer", report ? "report" : "silent");
+    if (report) {
+        node_log_number(a, "sequence", (int64_t)report->sequence);
+        node_log_text(a, "busy", report->busy ? "yes" : "no");
+        if (report->models_len)
+            node_log_number(a, "version", (int64_t)report->models[0].version);
+    }
+    bbm_rollout_report(n->rollout, id, report, n->now);
+    node_rollout_tick(n);
+}
+
+void
+node_rollout_ordered(bbm_node *n, const char *id, bbm_order_answer answer)
+{
+    if (!n->rollout)
+        return;
+    bbm_action *a = node_log_event(n, BBM_EVENT_ROLLOUT_ANSWER);
+    node_log_text(a, "upstream", id);
+    node_log_text(a, "answer", answer_names[answer]);
+    bbm_rollout_ordered(n->rollout, id, answer, n->now);
+    node_rollout_tick(n);
+}
--- /dev/null
+++ b/node/node_upstreams.c
@@ -0,0 +1,370 @@
+#include "node_core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The list of upstreams, and the load on them, over all VMs.
+
+   The leader reads the platform's list, adds what it knows of weights, and
+   tells each change to all.  Each VM tells its load and which listing it has;
+   one that lacks something gets the whole.  Without a leader that tells, a VM
+   reads the list itself. */
+
+/* A VM that has heard nothing for so long reads the list itself, later ones
+   of the members later, so that they don't all ask at once. */
+#define TOLD_MOST (2 * BBM_SECOND)
+#define RANK_STEP (40 * BBM_MS)
+#define OWN_PERIOD (1500 * BBM_MS)
+/* An unreadable list is read again after this. */
+#define LIST_AGAIN (400 * BBM_MS)
+/* A change needs some time on its way before a VM that lacks it gets the
+   whole. */
+#define CHANGE_TIME (300 * BBM_MS)
+/* With more VMs loads are told less often: each so many milliseconds apart at
+   the leader. */
+#define LOADS_APART (4 * BBM_MS)
+#define AGE_MOST (3600 * BBM_SECOND)
+
+static bool
+is_reachable(const bbm_node *n, const bbm_member *m)
+{
+    return m->run && m->status != BBM_MEMBER_DEAD
+           && strcmp(m->name, n->desc.name) != 0;
+}
+
+static size_t
+count_vms(const bbm_node *n)
+{
+    size_t vms = 0;
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++)
+        vms += m->status == BBM_MEMBER_ALIVE && m->run;
+    return vms;
+}
+
+static bbm_time
+load_period(const bbm_node *n, size_t vms)
+{
+    bbm_time spread = (bbm_time)vms * LOADS_APART;
+    return spread > n->desc.load_period ? spread : n->desc.load_period;
+}
+
+/* ---- taking a listing into force ---- */
+
+static void
+log_one(bbm_node *n, bbm_log_event event, const bbm_listed *u)
+{
+    bbm_action *a = node_log_event(n, event);
+    node_log_text(a, "upstream", u->id);
+    node_log_text(a, "pool", u->pool);
+    node_log_text(a, "address", u->address);
+    node_log_text(a, "zone", u->zone);
+    node_log_number(a, "list_version", (int64_t)n->list_version);
+}
+
+static void
+log_changes(bbm_node *n, const bbm_listing *before)
+{
+    for (size_t i = 0; i < n->listing.len; i++) {
+        const bbm_listed *u = &n->listing.items[i];
+        const bbm_listed *old = bbm_listing_find(before, u->id);
+        if (!old || old->born_ms != u->born_ms)
+            log_one(n, BBM_EVENT_UPSTREAM_NEW, u);
+        if (u->leaving && (!old || !old->leaving))
+            log_one(n, BBM_EVENT_UPSTREAM_LEAVING, u);
+    }
+    for (size_t i = 0; i < before->len; i++) {
+        if (!bbm_listing_find(&n->listing, before->items[i].id))
+            log_one(n, BBM_EVENT_UPSTREAM_GONE, &before->items[i]);
+    }
+}
+
+/* Takes the listing over; what stands in it is moved. */
+static void
+enforce(bbm_node *n, bbm_listing *listing)
+{
+    bbm_listing before = n->listing;
+    n->listing = *listing;
+    *listing = (bbm_listing){0};
+    log_changes(n, &before);
+    bbm_listing_free(&before);
+    bbm_gate_listing(n->gate, &n->listing, n->now);
+}
+
+/* ---- telling ---- */
+
+static bbm_time
+age_of_list(const bbm_node *n)
+{
+    bbm_time age = n->list_read ? n->now - n->list_read : AGE_MOST;
+    return age < AGE_MOST ? age : AGE_MOST;
+}
+
+static bbm_buf *
+start_telling(bbm_node *n, const char *to, uint64_t previous)
+{
+    bbm_buf *buf = node_send(n, to, NODE_UPSTREAMS);
+    bbm_put_u64(buf, n->list_epoch);
+    bbm_put_u64(buf, previous);
+    bbm_put_u64(buf, n->list_version);
+    bbm_put_i64(buf, age_of_list(n));
+    return buf;
+}
+
+static void
+tell_whole(bbm_node *n, const char *to)
+{
+    bbm_listing_diff(NULL, &n->listing, start_telling(n, to, 0));
+}
+
+static void
+tell_change(bbm_node *n, uint64_t previous, const bbm_buf *diff)
+{
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        if (!is_reachable(n, m))
+            continue;
+        bbm_buf *buf = start_telling(n, m->name, previous);
+        bbm_buf_add(buf, diff->data, diff->len);
+    }
+}
+
+/* Leader: what was read, with what the rollout knows better. */
+void
+node_upstreams_update(bbm_node *n)
+{
+    bbm_listing fresh = {0};
+    bbm_buf diff = {0};
+    bbm_listing_copy(&fresh, &n->listed);
+    if (n->rollout)
+        bbm_rollout_mark(n->rollout, &fresh);
+    bool new_term = n->list_epoch != n->leader_term;
+    size_t changes = bbm_listing_diff(&n->listing, &fresh, &diff);
+    if (changes || new_term) {
+        uint64_t previous = n->list_version;
+        n->list_version = new_term ? 1 : previous + 1;
+        n->list_epoch = n->leader_term;
+        n->list_changed = n->now;
+        enforce(n, &fresh);
+        if (!new_term)
+            tell_change(n, previous, &diff);
+    }
+    bbm_listing_free(&fresh);
+    bbm_buf_free(&diff);
+}
+
+/* ---- reading ---- */
+
+static void
+list_failed(bbm_node *n)
+{
+    n->list_due = n->now + LIST_AGAIN;
+    if (n->list_lost)
+        return;
+    n->list_lost = true;
+    bbm_action *a = node_log_event(n, BBM_EVENT_LIST_LOST);
+    node_log_number(a, "age_ms", age_of_list(n) / BBM_MS);
+}
+
+void
+node_upstreams_read(bbm_node *n, const bbm_listing *listing)
+{
+    if (!listing) {
+        list_failed(n);
+        return;
+    }
+    if (n->list_lost)
+        node_log(n, BBM_EVENT_LIST_BACK, "", "");
+    n->list_lost = false;
+    n->list_read = n->now;
+    bbm_listing_copy(&n->listed, listing);
+    if (node_leads(n)) {
+        node_rollout_tick(n);
+        node_upstreams_update(n);
+        return;
+    }
+    /* Our own look: until the leader tells again. */
+    bbm_listing fresh = {0};
+    bbm_listing_copy(&fresh, listing);
+    for (size_t i = 0; i < fresh.len; i++) {
+        const bbm_listed *old =
+            bbm_listing_find(&n->listing, fresh.items[i].id);
+        for (size_t k = 0; old && k < old->models_len; k++) {
+            const bbm_held_model *held = &old->models[k];
+            if (held->version
+                > bbm_listed_version(&fresh.items[i], held->name))
+                bbm_listed_set_version(&fresh.items[i], held->name,
+                                       held->version);
+        }
+    }
+    n->list_epoch = 0;
+    n->list_version = 0;
+    enforce(n, &fresh);
+}
+
+static size_t
+rank_among_members(const bbm_node *n)
+{
+    size_t rank = 0;
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++)
+        rank += strcmp(m->name, n->desc.name) < 0;
+    return rank;
+}
+
+static void
+look_at_list(bbm_node *n)
+{
+    bool leads = node_leads(n);
+    bbm_time told = n->list_read > n->started ? n->list_read : n->started;
+    bbm_time patience =
+        TOLD_MOST + (bbm_time)rank_among_members(n) * RANK_STEP;
+    if (n->now < n->list_due || (!leads && n->now - told < patience))
+        return;
+    n->list_due = n->now + (leads ? n->desc.list_period : OWN_PERIOD);
+    node_act(n, BBM_ACT_LIST);
+}
+
+/* ---- hearing ---- */
+
+int
+node_upstreams_told(bbm_node *n, const char *from, bbm_reader *rd)
+{
+    (void)from;
+    uint64_t epoch = bbm_get_u64(rd);
+    uint64_t previous = bbm_get_u64(rd);
+    uint64_t version = bbm_get_u64(rd);
+    bbm_time age = bbm_get_i64(rd);
+    bbm_listing fresh = {0};
+    bool follows = epoch == n->list_epoch && previous == n->list_version;
+    if (previous)
+        bbm_listing_copy(&fresh, &n->listing);
+    bbm_listing_patch(&fresh, rd);
+    bool good = bbm_reader_done(rd) && age >= 0;
+    bool newer = epoch > n->list_epoch
+                 || (epoch == n->list_epoch && version > n->list_version);
+    bool usable = n->gate && !node_leads(n) && newer && (!previous || follows);
+    if (good && usable) {
+        n->list_epoch = epoch;
+        n->list_version = version;
+        n->list_read = n->now - age;
+        enforce(n, &fresh);
+    }
+    bbm_listing_free(&fresh);
+    return good ? BBM_OK : BBM_ERR_DECODE;
+}
+
+int
+node_upstreams_loads(bbm_node *n, const char *from, bbm_reader *rd)
+{
+    uint64_t epoch = bbm_get_u64(rd);
+    uint64_t version = bbm_get_u64(rd);
+    if (!n->loads)
+        n->loads = bbm_loads_create();
+    bbm_loads_take(n->loads, from, rd, n->now);
+    if (!bbm_reader_done(rd))
+        return BBM_ERR_DECODE;
+    bool lacks = epoch != n->list_epoch || version != n->list_version;
+    bool known = n->list_epoch == n->leader_term && node_leads(n);
+    if (lacks && known && n->now - n->list_changed > CHANGE_TIME)
+        tell_whole(n, from);
+    return BBM_OK;
+}
+
+static void
+put_stores(const bbm_node *n, bbm_buf *buf)
+{
+    bbm_put_u64(buf, n->stores_len);
+    for (size_t i = 0; i < n->stores_len; i++) {
+        bbm_put_str(buf, n->stores[i].address);
+        bbm_put_u64(buf, n->stores[i].alive);
+    }
+}
+
+int
+node_upstreams_totals(bbm_node *n, const char *from, bbm_reader *rd)
+{
+    uint64_t epoch = bbm_get_u64(rd);
+    uint64_t version = bbm_get_u64(rd);
+    bbm_time age = bbm_get_i64(rd);
+    bool usable = n->gate && strcmp(from, n->leader) == 0;
+    size_t stores = bbm_get_u32(rd, NODE_STORES_MOST);
+    for (size_t i = 0; i < stores && !rd->failed; i++) {
+        char address[BBM_NAME_SIZE];
+        bbm_get_name(rd, address);
+        bool alive = bbm_get_u32(rd, 1) != 0;
+        if (usable && !rd->failed)
+            bbm_gate_store(n->gate, address, alive);
+    }
+    if (!usable || rd->failed)
+        return rd->failed ? BBM_ERR_DECODE : BBM_OK;
+    bool same = epoch == n->list_epoch && version == n->list_version;
+    if (same && n->now - age > n->list_read)
+        n->list_read = n->now - age;
+    bbm_gate_get_totals(n->gate, rd, n->now);
+    return bbm_reader_done(rd) ? BBM_OK : BBM_ERR_DECODE;
+}
+
+static void
+tell_totals(bbm_node *n)
+{
+    bbm_buf own = {0};
+    bbm_gate_put_load(n->gate, n->now, &own);
+    if (!n->loads)
+        n->loads = bbm_loads_create();
+    bbm_reader rd = bbm_reader_of(own.data, own.len);
+    bbm_loads_take(n->loads, n->desc.name, &rd, n->now);
+    bbm_buf sums = {0};
+    bbm_loads_put(n->loads, n->now, &sums);
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        if (!is_reachable(n, m))
+            continue;
+        bbm_buf *buf = node_send(n, m->name, NODE_TOTALS);
+        bbm_put_u64(buf, n->list_epoch);
+        bbm_put_u64(buf, n->list_version);
+        bbm_put_i64(buf, age_of_list(n));
+        put_stores(n, buf);
+        bbm_buf_add(buf, sums.data, sums.len);
+    }
+    rd = bbm_reader_of(sums.data, sums.len);
+    bbm_gate_get_totals(n->gate, &rd, n->now);
+    bbm_buf_free(&own);
+    bbm_buf_free(&sums);
+}
+
+static void
+tell_load(bbm_node *n)
+{
+    if (!n->leader[0] || strcmp(n->leader, n->desc.name) == 0)
+        return;
+    bbm_buf *buf = node_send(n, n->leader, NODE_LOADS);
+    bbm_put_u64(buf, n->list_epoch);
+    bbm_put_u64(buf, n->list_version);
+    bbm_gate_put_load(n->gate, n->now, buf);
+}
+
+void
+node_upstreams_tick(bbm_node *n)
+{
+    if (!n->configured)
+        return;
+    look_at_list(n);
+    if (n->now < n->loads_at)
+        return;
+    size_t vms = count_vms(n);
+    n->loads_at = n->now + load_period(n, vms);
+    bbm_gate_vms(n->gate, vms);
+    if (node_leads(n))
+        tell_totals(n);
+    else
+        tell_load(n);
+}
+
+void
+node_upstreams_destroy(bbm_node *n)
+{
+    bbm_listing_free(&n->listed);
+    bbm_listing_free(&n->listing);
+    bbm_loads_destroy(n->loads);
+}
--- /dev/null
+++ b/rate/bbm_share.c
@@ -0,0 +1,188 @@
+#include "bbm_share.h"
+
+#include "bbm_table.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Demand is smoothed over about this long: a few requests of one caller. */
+#define DEMAND_SPAN (2.0)
+/* Part of the mean demand that each VM is taken to have at least, so that a
+   caller that moves finds tokens before the next sum is heard. */
+#define FLOOR_SHARE 0.15
+/* Part of the tolerated overrun that is dealt out; the rest covers demand
+   that moves between two sums. */
+#define SLACK_DEALT 0.4
+
+typedef struct share_row {
+    char customer[BBM_NAME_SIZE];
+    bbm_share_terms terms;
+    double share; /* of the whole, 0 to 1 */
+    double level; /* tokens that may be taken */
+    double asked; /* demand, tokens per second */
+    bool heard;   /* a sum was heard */
+    bbm_time at;  /* of level and asked */
+    UT_hash_handle hh;
+} share_row;
+
+struct bbm_shares {
+    share_row *rows;
+    size_t vms;
+};
+
+bbm_shares *
+bbm_shares_create(void)
+{
+    bbm_shares *s = bbm_calloc(1, sizeof(*s));
+    s->vms = 1;
+    return s;
+}
+
+void
+bbm_shares_destroy(bbm_shares *s)
+{
+    if (!s)
+        return;
+    BBM_TABLE_FREE(share_row, s->rows);
+    free(s);
+}
+
+static share_row *
+find_row(const bbm_shares *s, const char *customer)
+{
+    share_row *row = NULL;
+    HASH_FIND_STR(s->rows, customer, row);
+    return row;
+}
+
+static double
+capacity_of(const share_row *row)
+{
+    return row->share * (row->terms.burst + row->terms.slack * SLACK_DEALT);
+}
+
+static void
+refresh(share_row *row, bbm_time now)
+{
+    if (now <= row->at)
+        return;
+    double span = (double)(now - row->at) / (double)BBM_SECOND;
+    row->at = now;
+    row->level += row->terms.rate * row->share * span;
+    if (row->level > capacity_of(row))
+        row->level = capacity_of(row);
+    row->asked *= exp(-span / DEMAND_SPAN);
+}
+
+static void
+set_share(share_row *row, double share)
+{
+    double before = capacity_of(row);
+    row->share = share;
+    double more = capacity_of(row) - before;
+    /* What a part gains in room it also gains in tokens: another VM's part
+       has lost them. */
+    if (more > 0)
+        row->level += more;
+    if (row->level > capacity_of(row))
+        row->level = capacity_of(row);
+}
+
+void
+bbm_shares_customer(bbm_shares *s, const char *customer,
+                    const bbm_share_terms *terms, bbm_time now)
+{
+    share_row *row = find_row(s, customer);
+    if (!row) {
+        row = bbm_calloc(1, sizeof(*row));
+        bbm_name_set(row->customer, customer);
+        row->terms = *terms;
+        row->at = now;
+        row->share = 1.0 / (double)s->vms;
+        row->level = capacity_of(row);
+        HASH_ADD_STR(s->rows, customer, row);
+        return;
+    }
+    refresh(row, now);
+    row->terms = *terms;
+    if (row->level > capacity_of(row))
+        row->level = capacity_of(row);
+}
+
+bool
+bbm_shares_take(bbm_shares *s, const char *customer, double tokens,
+                bbm_time now, bbm_time *wait)
+{
+    *wait = 0;
+    share_row *row = find_row(s, customer);
+    if (!row)
+        return true;
+    refresh(row, now);
+    row->asked += tokens / DEMAND_SPAN;
+    /* A request larger than the whole part runs on a full one, or it never
+       would; the part is then in debt. */
+    double needed = tokens < capacity_of(row) ? tokens : capacity_of(row);
+    if (row->level >= needed) {
+        row->level -= tokens;
+        return true;
+    }
+    double rate = row->terms.rate * row->share;
+    double missing = needed - row->level;
+    *wait = rate > 0 ? (bbm_time)(missing / rate * (double)BBM_SECOND)
+                     : BBM_SECOND;
+    return false;
+}
+
+void
+bbm_shares_give_back(bbm_shares *s, const char *customer, double tokens)
+{
+    share_row *row = find_row(s, customer);
+    if (!row)
+        return;
+    row->level += tokens;
+    if (row->level > capacity_of(row))
+        row->level = capacity_of(row);
+}
+
+double
+bbm_shares_demand(bbm_shares *s, const char *customer, bbm_time now)
+{
+    share_row *row = find_row(s, customer);
+    if (!row)
+        return 0;
+    refresh(row, now);
+    return row->asked;
+}
+
+void
+bbm_shares_total(bbm_shares *s, const char *customer, double demand,
+                 size_t vms, bbm_time now)
+{
+    share_row *row = find_row(s, customer);
+    if (!row || vms == 0)
+        return;
+    refresh(row, now);
+    double mean = demand / (double)vms;
+    double low = mean * FLOOR_SHARE;
+    if (mean <= 0) {
+        set_share(row, 1.0 / (double)vms);
+        return;
+    }
+    row->heard = true;
+    /* The sum is of a moment ago: own demand that has risen since counts in
+       both, so that no part is larger than the whole. */
+    double total = demand > row->asked ? demand : row->asked;
+    set_share(row, (row->asked + low) / (total + low * (double)vms));
+}
+
+void
+bbm_shares_vms(bbm_shares *s, size_t vms)
+{
+    if (vms == 0 || vms == s->vms)
+        return;
+    s->vms = vms;
+    for (share_row *row = s->rows; row; row = row->hh.next) {
+        if (!row->heard)
+            set_share(row, 1.0 / (double)vms);
+    }
+}
--- /dev/null
+++ b/rate/bbm_share.h
@@ -0,0 +1,60 @@
+/** @file
+ *  A customer's rate held by shares of demand.
+ *
+ *  Each VM holds the part of a customer's token bucket that answers to its
+ *  part of the customer's demand.  VMs tell their demand to the leader and
+ *  hear the sum; what one VM may run is rate x own demand / sum.  There is no
+ *  ledger: nothing is lost when VMs or the leader are killed, and after a
+ *  start a VM holds an equal part until it hears a sum.  The price is that the
+ *  sum of all parts may pass the rate for as long as a change of demand takes
+ *  to get round; the deployment says how much of that it tolerates.
+ *
+ *      bbm_shares *s = bbm_shares_create();
+ *      bbm_shares_customer(s, "jardin", &terms, now);
+ *      if (!bbm_shares_take(s, "jardin", 900, now, &wait))
+ *          ... refuse, come back after `wait` ...
+ *      bbm_shares_give_back(s, "jardin", 900);        it did not run
+ *      bbm_shares_total(s, "jardin", demand_of_all, vms, now);
+ *
+ *  The load it answers: few callers of a customer on each VM, so that equal
+ *  parts would refuse some below the rate.  The ledger of bbm_rate.h is for
+ *  deployments that tolerate no overrun at all.
+ */
+#ifndef BBM_SHARE_H
+#define BBM_SHARE_H
+
+#include "bbm_mem.h"
+#include "bbm_time.h"
+
+/** What a customer may run over all VMs. */
+typedef struct bbm_share_terms {
+    double rate;  /**< Tokens per second. */
+    double burst; /**< Tokens at once. */
+    double slack; /**< Tokens of overrun that are tolerated. */
+} bbm_share_terms;
+
+/** The parts of all customers on this VM; opaque. */
+typedef struct bbm_shares bbm_shares;
+
+/** Without customers. */
+bbm_shares *bbm_shares_create(void);
+/** Release; NULL is allowed. */
+void bbm_shares_destroy(bbm_shares *s);
+/** A customer's terms, new or changed. */
+void bbm_shares_customer(bbm_shares *s, const char *customer,
+                         const bbm_share_terms *terms, bbm_time now);
+/** Take tokens for a request; else @p wait receives when they will be there.
+ *  A customer without terms is not limited. */
+bool bbm_shares_take(bbm_shares *s, const char *customer, double tokens,
+                     bbm_time now, bbm_time *wait);
+/** So many tokens that were taken did not run. */
+void bbm_shares_give_back(bbm_shares *s, const char *customer, double tokens);
+/** Demand on this VM, tokens per second; 0 for an unknown customer. */
+double bbm_shares_demand(bbm_shares *s, const char *customer, bbm_time now);
+/** Demand over so many VMs. */
+void bbm_shares_total(bbm_shares *s, const char *customer, double demand,
+                      size_t vms, bbm_time now);
+/** So many VMs share the rates, until a sum is heard. */
+void bbm_shares_vms(bbm_shares *s, size_t vms);
+
+#endif
--- /dev/null
+++ b/rollout/bbm_rollout.h
@@ -0,0 +1,98 @@
+/** @file
+ *  Bringing the runners of a pool to the newest weights.
+ *
+ *  One daemon, the leader, gives the orders.  A runner that is next first gets
+ *  no new work, is then asked what it holds, gets the order on top of what it
+ *  answered, and is asked until it holds the new weights.  A runner that
+ *  doesn't answer is asked again: the order may be carried out late, and then
+ *  its condition no longer holds.
+ *
+ *      bbm_rollout *ro = bbm_rollout_create(&(bbm_rollout_desc){.fence = 7});
+ *      bbm_rollout_target(ro, "m", 3, now);
+ *      bbm_rollout_runners(ro, &listing, now);
+ *      while ((act = bbm_rollout_take(ro, now)) != NULL) ... ask or order ...
+ *      bbm_rollout_report(ro, id, &report, now);
+ *      bbm_rollout_ordered(ro, id, BBM_ORDER_TAKEN, now);
+ *      bbm_rollout_mark(ro, &listing);       who holds what, who is loading
+ *
+ *  The load it answers: versions that follow each other faster than all
+ *  runners can take them.  Less than half of the runners are under way at a
+ *  time: most of that is waiting for their runs to end, not loading.  Those
+ *  with the oldest weights come first, then the least busy; one that has not
+ *  begun when a newer version is named goes to that at once.
+ */
+#ifndef BBM_ROLLOUT_H
+#define BBM_ROLLOUT_H
+
+#include "bbm_listing.h"
+#include "bbm_time.h"
+
+/** How to make a rollout.  Zero means the default. */
+typedef struct bbm_rollout_desc {
+    uint64_t fence;       /**< Fencing number of all its orders. */
+    double at_once_share; /**< Runners under way, of all; 0: 0.45. */
+    size_t at_once_least; /**< But so many at least; 0: 3. */
+    bbm_time fast;        /**< After it, without haste; 0: 2 s. */
+} bbm_rollout_desc;
+
+/** What a runner reports. */
+typedef struct bbm_runner_report {
+    uint64_t born_ms;  /**< Calendar time of its start; 0: untold. */
+    uint64_t sequence; /**< Orders that it accepted. */
+    bool busy;         /**< One is under way. */
+    bbm_held_model models[BBM_RUNNER_MODELS]; /**< What it holds. */
+    size_t models_len;                        /**< How many. */
+} bbm_runner_report;
+
+/** How a runner answered an order. */
+typedef enum bbm_order_answer {
+    BBM_ORDER_TAKEN,    /**< It carries it out. */
+    BBM_ORDER_HOLDS,    /**< It was so already. */
+    BBM_ORDER_CONFLICT, /**< Another order is under way, or came between. */
+    BBM_ORDER_FENCED,   /**< A higher fencing number was used. */
+    BBM_ORDER_OTHER,    /**< It is another runner. */
+    BBM_ORDER_REFUSED,  /**< It doesn't know the order or version. */
+    BBM_ORDER_SILENT,   /**< No answer: it may or may not have it. */
+} bbm_order_answer;
+
+/** Something to be done at a runner. */
+typedef struct bbm_rollout_act {
+    bool order;                  /**< Give the order; else ask for a report. */
+    char id[BBM_NAME_SIZE];      /**< Runner. */
+    char address[BBM_NAME_SIZE]; /**< IP:port. */
+    char model[BBM_NAME_SIZE];   /**< Order: model. */
+    uint64_t version;            /**< Order: version. */
+    uint64_t sequence;           /**< Order: on top of so many. */
+    uint64_t fence;              /**< Order: fencing number. */
+} bbm_rollout_act;
+
+/** A rollout; opaque. */
+typedef struct bbm_rollout bbm_rollout;
+
+/** Without runners and targets. */
+bbm_rollout *bbm_rollout_create(const bbm_rollout_desc *desc);
+/** Release; NULL is allowed. */
+void bbm_rollout_destroy(bbm_rollout *ro);
+/** The newest version of a model. */
+void bbm_rollout_target(bbm_rollout *ro, const char *model, uint64_t version,
+                        bbm_time now);
+/** The runners as they are listed. */
+void bbm_rollout_runners(bbm_rollout *ro, const bbm_listing *listing,
+                         bbm_time now);
+/** Requests of all VMs at a runner. */
+void bbm_rollout_load(bbm_rollout *ro, const char *id, double open);
+/** The next act, or NULL; valid until the next call. */
+const bbm_rollout_act *bbm_rollout_take(bbm_rollout *ro, bbm_time now);
+/** A runner's report came in; NULL: it didn't answer. */
+void bbm_rollout_report(bbm_rollout *ro, const char *id,
+                        const bbm_runner_report *report, bbm_time now);
+/** A runner answered an order. */
+void bbm_rollout_ordered(bbm_rollout *ro, const char *id,
+                         bbm_order_answer answer, bbm_time now);
+/** Write into a listing what is known better than it: versions, and which
+ *  runners get no work because they load. */
+void bbm_rollout_mark(const bbm_rollout *ro, bbm_listing *listing);
+/** True if a runner said that another has taken over. */
+bool bbm_rollout_fenced(const bbm_rollout *ro);
+
+#endif
--- a/route/bbm_entries.c
+++ b/route/bbm_entries.c
@@ -55,10 +55,12 @@
 
 size_t
 bbm_entries_pick(const bbm_members *members, const char *zone, uint64_t caller,
-                 const bbm_member *out[BBM_ENTRIES_MOST])
+                 size_t most, const bbm_member *out[BBM_ENTRIES_LIMIT])
 {
-    ranked best[BBM_ENTRIES_MOST];
+    ranked best[BBM_ENTRIES_LIMIT];
     size_t len = 0;
+    if (most > BBM_ENTRIES_LIMIT)
+        most = BBM_ENTRIES_LIMIT;
     double mean = mean_load(members);
     const bbm_member *m;
     for (size_t i = 0; (m = bbm_members_at(members, i)) != NULL; i++) {
@@ -72,9 +74,9 @@
         size_t at = len;
         while (at > 0 && comes_before(&r, &best[at - 1]))
             at--;
-        if (at == BBM_ENTRIES_MOST)
+        if (at == most)
             continue;
-        if (len < BBM_ENTRIES_MOST)
+        if (len < most)
             len++;
         memmove(&best[at + 1], &best[at], (len - at - 1) * sizeof(r));
         best[at] = r;
--- a/route/bbm_entries.h
+++ b/route/bbm_entries.h
@@ -7,19 +7,22 @@
  *  and its customer's tokens gather at few VMs; a VM that is much busier than
  *  the others is passed over.
  *
- *      size_t n = bbm_entries_pick(members, "zone-a", caller_hash, out, 8);
+ *      size_t n = bbm_entries_pick(members, "zone-a", caller_hash, 8, out);
  */
 #ifndef BBM_ENTRIES_H
 #define BBM_ENTRIES_H
 
 #include "bbm_members.h"
 
-/** Addresses in one answer. */
+/** Addresses in one answer, if nothing else is asked for. */
 #define BBM_ENTRIES_MOST 8
+/** Addresses in one answer at the most. */
+#define BBM_ENTRIES_LIMIT 64
 
-/** Fill @p out with members in the order in which to try them. */
+/** Fill @p out with up to @p most members (at most BBM_ENTRIES_LIMIT) in the
+ *  order in which to try them. */
 size_t bbm_entries_pick(const bbm_members *members, const char *zone,
-                        uint64_t caller,
-                        const bbm_member *out[BBM_ENTRIES_MOST]);
+                        uint64_t caller, size_t most,
+                        const bbm_member *out[BBM_ENTRIES_LIMIT]);
 
 #endif
--- a/samples/three_nodes.c
+++ b/samples/three_nodes.c
@@ -76,8 +76,8 @@
         else if (a->kind == BBM_ACT_LOG)
             printf("%6.2f s  %s: %s %s %s\n",
                    (double)f->now / (double)BBM_SECOND, f->names[i],
-                   bbm_log_text(a->u.log.event), a->u.log.subject,
-                   a->u.log.detail);
+                   bbm_log_text(a->u.log.event), a->u.log.pairs[0].value,
+                   a->u.log.pairs[1].value);
     }
     if (persisted) {
         bbm_event done = {.kind = BBM_EV_PERSISTED};
--- a/state/bbm_command.c
+++ b/state/bbm_command.c
@@ -2,7 +2,7 @@
 
 #include "bbm_codes.h"
 
-#define FORMAT 1
+#define FORMAT 2
 /* A result code is between this and 0. */
 #define CODE_MOST 100000
 
@@ -66,7 +66,10 @@
         bbm_put_str(buf, cmd->u.publish.id);
         bbm_put_str(buf, cmd->u.publish.author);
         bbm_put_u64(buf, cmd->u.publish.expected);
+        bbm_put_u64(buf, cmd->u.publish.version);
         bbm_put_bytes(buf, cmd->u.publish.text.data, cmd->u.publish.text.len);
+        bbm_put_bytes(buf, cmd->u.publish.source.data,
+                      cmd->u.publish.source.len);
         return;
     case BBM_CMD_KEY_GIVE:
         bbm_put_str(buf, cmd->u.key.name);
@@ -80,6 +83,10 @@
         bbm_put_str(buf, cmd->u.drain.node);
         bbm_put_u64(buf, cmd->u.drain.on);
         return;
+    case BBM_CMD_WEIGHTS:
+        bbm_put_str(buf, cmd->u.weights.model);
+        bbm_put_u64(buf, cmd->u.weights.version);
+        return;
     case BBM_CMD_CLAIM:
         bbm_put_str(buf, cmd->u.claim.customer);
         put_digest(buf, &cmd->u.claim.idem);
@@ -153,7 +160,9 @@
     bbm_get_name(rd, cmd->u.publish.id);
     bbm_get_name(rd, cmd->u.publish.author);
     cmd->u.publish.expected = bbm_get_u64(rd);
+    cmd->u.publish.version = bbm_get_u64(rd);
     cmd->u.publish.text = bbm_get_bytes(rd);
+    cmd->u.publish.source = bbm_get_bytes(rd);
 }
 
 static void
@@ -175,6 +184,10 @@
         bbm_get_name(rd, cmd->u.drain.node);
         cmd->u.drain.on = bbm_get_u32(rd, 1) != 0;
         return;
+    case BBM_CMD_WEIGHTS:
+        bbm_get_name(rd, cmd->u.weights.model);
+        cmd->u.weights.version = bbm_get_u64(rd);
+        return;
     case BBM_CMD_CLAIM:
         decode_claim(rd, cmd);
         return;
--- a/state/bbm_command.h
+++ b/state/bbm_command.h
@@ -29,6 +29,7 @@
     BBM_CMD_KEY_GIVE,     /**< A key from now on. */
     BBM_CMD_KEY_WITHDRAW, /**< No key from now on, and never again. */
     BBM_CMD_DRAIN,        /**< A VM leaves, or comes back. */
+    BBM_CMD_WEIGHTS,      /**< A model's weights have a newer version. */
     BBM_CMD_CLAIM,        /**< Claim an idempotency key. */
     BBM_CMD_CLAIM_END,    /**< What came of it. */
     BBM_CMD_NODE_GONE,    /**< A VM's claims can't be ended by it. */
@@ -40,7 +41,7 @@
 } bbm_command_kind;
 
 /** Last kind that every VM applies. */
-#define BBM_CMD_PUBLIC_LAST BBM_CMD_DRAIN
+#define BBM_CMD_PUBLIC_LAST BBM_CMD_WEIGHTS
 
 /** Identity of one request: of a VM's run and a count in it. */
 typedef struct bbm_request_id {
@@ -72,7 +73,10 @@
             char id[BBM_NAME_SIZE];     /**< Identifier of this publish. */
             char author[BBM_NAME_SIZE]; /**< Operator. */
             uint64_t expected;          /**< Revision that it builds on. */
-            bbm_bytes text;             /**< The document. */
+            uint64_t version; /**< Given by the operator: the highest one
+                                   wins; 0: expected decides. */
+            bbm_bytes text;   /**< The document. */
+            bbm_bytes source; /**< What it was made from; may be empty. */
         } publish;
         struct {
             char name[BBM_NAME_SIZE];     /**< Of the key. */
@@ -83,6 +87,10 @@
             char node[BBM_NAME_SIZE]; /**< The VM. */
             bool on;                  /**< Leaving, or back. */
         } drain;
+        struct {
+            char model[BBM_NAME_SIZE]; /**< Which. */
+            uint64_t version;          /**< Higher than the one before. */
+        } weights;
         struct {
             char customer[BBM_NAME_SIZE]; /**< Scope of the key. */
             bbm_digest idem;              /**< Digest of the key. */
