--- a/state/bbm_registry.c
+++ b/state/bbm_registry.c
@@ -8,12 +8,22 @@
 
 /* Identifiers of publishes that are remembered, for resends. */
 #define REVISIONS_MOST 1024
+/* Models whose weights may be named. */
+#define MODELS_MOST 4096
 
 typedef struct revision {
-    bbm_revision info; /* text is owned here */
+    bbm_revision info; /* text and source are owned here */
     char *text;
+    char *source;
 } revision;
 
+typedef struct weights_row {
+    char model[BBM_NAME_SIZE];
+    uint64_t version;
+    int64_t at_ms; /* calendar time at which it was named */
+    UT_hash_handle hh;
+} weights_row;
+
 typedef struct key_row {
     char name[BBM_NAME_SIZE];
     char customer[BBM_NAME_SIZE];
@@ -45,6 +55,7 @@
     key_row *keys;
     key_digest *digests;
     drain_row *drains;
+    weights_row *weights;
 };
 
 bbm_registry *
@@ -61,11 +72,20 @@
     BBM_TABLE_FREE(key_digest, reg->digests);
 }
 
+static void
+free_texts(revision *rev)
+{
+    free(rev->text);
+    free(rev->source);
+    rev->text = NULL;
+    rev->source = NULL;
+}
+
 static void
 clear(bbm_registry *reg)
 {
     for (size_t i = 0; i < reg->len; i++)
-        free(reg->revisions[i].text);
+        free_texts(&reg->revisions[i]);
     free(reg->revisions);
     reg->revisions = NULL;
     reg->len = 0;
@@ -75,6 +95,7 @@
     clear_digests(reg);
     BBM_TABLE_FREE(key_row, reg->keys);
     BBM_TABLE_FREE(drain_row, reg->drains);
+    BBM_TABLE_FREE(weights_row, reg->weights);
 }
 
 void
@@ -201,42 +222,79 @@
 forget_old(bbm_registry *reg)
 {
     if (reg->len > REVISIONS_MOST) {
-        free(reg->revisions[0].text);
+        free_texts(&reg->revisions[0]);
         reg->len--;
         memmove(reg->revisions, reg->revisions + 1,
                 reg->len * sizeof(revision));
     }
     if (reg->len > reg->texts_kept) {
-        revision *old = &reg->revisions[reg->len - reg->texts_kept - 1];
-        free(old->text);
-        old->text = NULL;
+        free_texts(&reg->revisions[reg->len - reg->texts_kept - 1]);
     }
 }
 
 static void
-add_revision(bbm_registry *reg, const bbm_revision *info, char *text)
+add_revision(bbm_registry *reg, const bbm_revision *info, char *text,
+             char *source)
 {
     bbm_grow(&reg->revisions, &reg->cap, reg->len, sizeof(revision));
-    reg->revisions[reg->len++] = (revision){.info = *info, .text = text};
+    reg->revisions[reg->len++] =
+        (revision){.info = *info, .text = text, .source = source};
     forget_old(reg);
 }
 
-static void
-publish(bbm_registry *reg, const bbm_command *cmd, bbm_outcome *out)
+static char *
+copy_text(bbm_bytes bytes)
 {
-    uint64_t current = bbm_registry_revision(reg);
+    char *copy = bbm_calloc(bytes.len + 1, 1);
+    if (bytes.len)
+        memcpy(copy, bytes.data, bytes.len);
+    return copy;
+}
+
+static bool
+is_resend(const bbm_registry *reg, const bbm_command *cmd, bbm_outcome *out)
+{
+    if (cmd->u.publish.version)
+        return false;
     for (size_t i = 0; i < reg->len; i++) {
         if (strcmp(reg->revisions[i].info.id, cmd->u.publish.id) == 0) {
             out->number = reg->revisions[i].info.number;
-            return;
+            return true;
         }
     }
-    out->number = current;
-    if (cmd->u.publish.expected != current) {
+    return false;
+}
+
+/* True if the publish goes on top of what is in force; else the outcome says
+   what becomes of it. */
+static bool
+goes_on_top(const bbm_registry *reg, const bbm_command *cmd, bbm_outcome *out)
+{
+    out->number = bbm_registry_revision(reg);
+    uint64_t version = cmd->u.publish.version;
+    if (!version) {
+        bool expected = cmd->u.publish.expected == out->number;
+        out->code = expected ? BBM_OK : BBM_ERR_CONFLICT;
+        return expected;
+    }
+    bbm_revision now = {0};
+    if (!bbm_registry_current(reg, &now) || version > now.version)
+        return true;
+    bbm_bytes source = cmd->u.publish.source;
+    bool same = now.source && source.len == now.source_len
+                && memcmp(source.data, now.source, source.len) == 0;
+    if (version == now.version && !same)
         out->code = BBM_ERR_CONFLICT;
+    return false;
+}
+
+static void
+publish(bbm_registry *reg, const bbm_command *cmd, bbm_outcome *out)
+{
+    if (is_resend(reg, cmd, out) || !goes_on_top(reg, cmd, out))
         return;
-    }
     bbm_bytes text = cmd->u.publish.text;
+    bbm_bytes source = cmd->u.publish.source;
     bbm_mistakes wrong = {0};
     bbm_config *cfg =
         bbm_config_create((const char *)text.data, text.len, &wrong);
@@ -251,19 +309,69 @@
     bbm_config_destroy(reg->config);
     reg->config = cfg;
     bbm_revision info = {
-        .number = current + 1,
+        .number = out->number + 1,
         .at_ms = cmd->at_ms,
+        .version = cmd->u.publish.version,
         .len = text.len,
+        .source_len = source.len,
     };
     bbm_name_set(info.id, cmd->u.publish.id);
     bbm_name_set(info.author, cmd->u.publish.author);
-    char *copy = bbm_calloc(text.len + 1, 1);
-    memcpy(copy, text.data, text.len);
-    add_revision(reg, &info, copy);
+    add_revision(reg, &info, copy_text(text), copy_text(source));
     replace_config_keys(reg);
     out->number = info.number;
 }
 
+/* ---- weights ---- */
+
+static weights_row *
+find_weights(const bbm_registry *reg, const char *model)
+{
+    weights_row *row = NULL;
+    HASH_FIND_STR(reg->weights, model, row);
+    return row;
+}
+
+/* Versions only rise; one that was named before is no mistake. */
+static void
+name_weights(bbm_registry *reg, const char *model, uint64_t version,
+             int64_t at_ms)
+{
+    weights_row *row = find_weights(reg, model);
+    if (!row) {
+        row = bbm_calloc(1, sizeof(*row));
+        bbm_name_set(row->model, model);
+        HASH_ADD_STR(reg->weights, model, row);
+    }
+    if (version <= row->version)
+        return;
+    row->version = version;
+    row->at_ms = at_ms;
+}
+
+uint64_t
+bbm_registry_weights(const bbm_registry *reg, const char *model)
+{
+    const weights_row *row = find_weights(reg, model);
+    return row ? row->version : 0;
+}
+
+bool
+bbm_registry_weights_at(const bbm_registry *reg, size_t i,
+                        char model[BBM_NAME_SIZE], uint64_t *version,
+                        int64_t *at_ms)
+{
+    const weights_row *row = reg->weights;
+    while (row && i--)
+        row = row->hh.next;
+    if (!row)
+        return false;
+    bbm_name_set(model, row->model);
+    *version = row->version;
+    *at_ms = row->at_ms;
+    return true;
+}
+
 /* ---- leaving VMs ---- */
 
 static drain_row *
@@ -305,6 +413,10 @@
     case BBM_CMD_DRAIN:
         set_drain(reg, cmd->u.drain.node, cmd->u.drain.on);
         return;
+    case BBM_CMD_WEIGHTS:
+        name_weights(reg, cmd->u.weights.model, cmd->u.weights.version,
+                     cmd->at_ms);
+        return;
     case BBM_CMD_CLAIM:
     case BBM_CMD_CLAIM_END:
     case BBM_CMD_NODE_GONE:
@@ -339,9 +451,16 @@
         return false;
     *rev = reg->revisions[i].info;
     rev->text = reg->revisions[i].text;
+    rev->source = reg->revisions[i].source;
     return true;
 }
 
+bool
+bbm_registry_current(const bbm_registry *reg, bbm_revision *rev)
+{
+    return reg->len && bbm_registry_history(reg, reg->len - 1, rev);
+}
+
 static void
 fill_found(const key_row *row, bbm_found_key *found)
 {
@@ -402,10 +521,14 @@
         bbm_put_i64(buf, rev->info.at_ms);
         bbm_put_str(buf, rev->info.id);
         bbm_put_str(buf, rev->info.author);
+        bbm_put_u64(buf, rev->info.version);
         bbm_put_u64(buf, rev->info.len);
+        bbm_put_u64(buf, rev->info.source_len);
         bbm_put_u64(buf, with_text);
-        if (with_text)
+        if (with_text) {
             bbm_put_bytes(buf, rev->text, rev->info.len);
+            bbm_put_bytes(buf, rev->source, rev->info.source_len);
+        }
     }
     bbm_put_u64(buf, HASH_COUNT(reg->keys));
     for (const key_row *k = reg->keys; k; k = k->hh.next) {
@@ -418,6 +541,22 @@
     bbm_put_u64(buf, HASH_COUNT(reg->drains));
     for (const drain_row *d = reg->drains; d; d = d->hh.next)
         bbm_put_str(buf, d->name);
+    bbm_put_u64(buf, HASH_COUNT(reg->weights));
+    for (const weights_row *w = reg->weights; w; w = w->hh.next) {
+        bbm_put_str(buf, w->model);
+        bbm_put_u64(buf, w->version);
+        bbm_put_i64(buf, w->at_ms);
+    }
+}
+
+/* A text of exactly so many bytes. */
+static char *
+get_text(bbm_reader *rd, size_t len)
+{
+    bbm_bytes bytes = bbm_get_bytes(rd);
+    if (bytes.len != len)
+        rd->failed = true;
+    return copy_text(bytes);
 }
 
 static void
@@ -429,17 +568,16 @@
         info.at_ms = bbm_get_i64(rd);
         bbm_get_name(rd, info.id);
         bbm_get_name(rd, info.author);
+        info.version = bbm_get_u64(rd);
         info.len = (size_t)bbm_get_u64(rd);
+        info.source_len = (size_t)bbm_get_u64(rd);
         char *text = NULL;
+        char *source = NULL;
         if (bbm_get_u32(rd, 1)) {
-            bbm_bytes bytes = bbm_get_bytes(rd);
-            if (bytes.len != info.len)
-                rd->failed = true;
-            text = bbm_calloc(bytes.len + 1, 1);
-            if (bytes.len)
-                memcpy(text, bytes.data, bytes.len);
+            text = get_text(rd, info.len);
+            source = get_text(rd, info.source_len);
         }
-        add_revision(reg, &info, text);
+        add_revision(reg, &info, text, source);
     }
 }
 
@@ -496,6 +634,13 @@
         bbm_get_name(rd, node);
         set_drain(&fresh, node, true);
     }
+    size_t models = bbm_get_u32(rd, MODELS_MOST);
+    for (size_t i = 0; i < models && !rd->failed; i++) {
+        char model[BBM_NAME_SIZE];
+        bbm_get_name(rd, model);
+        uint64_t version = bbm_get_u64(rd);
+        name_weights(&fresh, model, version, bbm_get_i64(rd));
+    }
     if (rd->failed) {
         clear(&fresh);
         return BBM_ERR_DECODE;
--- a/state/bbm_registry.h
+++ b/state/bbm_registry.h
@@ -10,6 +10,10 @@
  *      const bbm_config *cfg = bbm_registry_config(reg);   may be NULL
  *      if (bbm_registry_key(reg, &digest, &found)) ...
  *
+ *  A publish either names the revision that it builds on, or bears a version
+ *  of the operator's own: then the highest version wins, a lower one changes
+ *  nothing, and the same one with another source is a conflict.
+ *
  *  A key that was withdrawn stays withdrawn, also when a later configuration
  *  names it again.
  */
@@ -31,8 +35,11 @@
     int64_t at_ms;              /**< Calendar time, milliseconds. */
     char id[BBM_NAME_SIZE];     /**< Identifier of the publish. */
     char author[BBM_NAME_SIZE]; /**< Operator. */
+    uint64_t version;           /**< The operator's own number; 0: none. */
     const char *text;           /**< The document; NULL if not kept here. */
     size_t len;                 /**< Its bytes. */
+    const char *source;         /**< What it was made from, or NULL. */
+    size_t source_len;          /**< Its bytes. */
 } bbm_revision;
 
 /** A key as it is found. */
@@ -60,6 +67,17 @@
 bool bbm_registry_history(const bbm_registry *reg, size_t i,
                           bbm_revision *rev);
 
+/** The revision in force; false before the first. */
+bool bbm_registry_current(const bbm_registry *reg, bbm_revision *rev);
+
+/** Newest version of a model's weights that was named; 0: none was. */
+uint64_t bbm_registry_weights(const bbm_registry *reg, const char *model);
+/** The i-th model with a named version, and the calendar time in milliseconds
+ *  at which it was named; false past the end. */
+bool bbm_registry_weights_at(const bbm_registry *reg, size_t i,
+                             char model[BBM_NAME_SIZE], uint64_t *version,
+                             int64_t *at_ms);
+
 /** Find a valid key by the digest of what a caller showed. */
 bool bbm_registry_key(const bbm_registry *reg, const bbm_digest *digest,
                       bbm_found_key *found);
--- a/state/bbm_state.c
+++ b/state/bbm_state.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
-#define FORMAT 1
+#define FORMAT 2
 #define BOOKS_MOST 1000000
 #define DEFAULT_TEXTS 64
 #define DEFAULT_TAIL 256
@@ -179,6 +179,7 @@
     case BBM_CMD_KEY_GIVE:
     case BBM_CMD_KEY_WITHDRAW:
     case BBM_CMD_DRAIN:
+    case BBM_CMD_WEIGHTS:
         bbm_registry_apply(s->registry, cmd, out);
         return;
     case BBM_CMD_CLAIM:
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -100,6 +100,11 @@
         return;
     case BBM_ACT_WATCH:
     case BBM_ACT_READY:
+    case BBM_ACT_FORWARD:
+    case BBM_ACT_LIST:
+    case BBM_ACT_ROLLOUT:
+    case BBM_ACT_STORE:
+    case BBM_ACT_LIMITS:
     case BBM_ACT_LOG:
     case BBM_ACT_STOPPED:
         return;
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -76,6 +76,9 @@
     case BBM_FIELD_NAMES:
         fputs("list of names", out);
         return;
+    case BBM_FIELD_INTS:
+        fprintf(out, "list of numbers, %.10g to %.10g", f->least, f->most);
+        return;
     case BBM_FIELD_LIST:
         fputs("list of objects", out);
         return;
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -292,14 +292,14 @@
         }
         bbm_members_destroy(o);
     }
-    const bbm_member *list[BBM_ENTRIES_MOST];
+    const bbm_member *list[BBM_ENTRIES_LIMIT];
     /* This VM isn't ready: only the others are named, the near one first. */
-    ck_assert_uint_eq(bbm_entries_pick(m, "a", 7, list), 2);
+    ck_assert_uint_eq(bbm_entries_pick(m, "a", 7, 8, list), 2);
     ck_assert_str_eq(list[0]->name, "vm-2");
-    ck_assert_uint_eq(bbm_entries_pick(m, "b", 7, list), 2);
+    ck_assert_uint_eq(bbm_entries_pick(m, "b", 7, 8, list), 2);
     ck_assert_str_eq(list[0]->name, "vm-3");
     bbm_members_describe(m, true, true, 0, 1);
-    ck_assert_uint_eq(bbm_entries_pick(m, "a", 7, list), 2);
+    ck_assert_uint_eq(bbm_entries_pick(m, "a", 7, 8, list), 2);
     bbm_members_destroy(m);
 }
 END_TEST
