Placement keeps chains at two runners, requests wait here, weights by worth

Logs showed candidates falling to 1 to 6 of 18 (slow answers counted as failures, so homes moved), whole prompts counted as unread though most was kept, and running requests driving kept parts out.

Change: silence is judged by what else an upstream answers; a chain has two places unless others are far cheaper; running requests get under half of a runner's memory, the rest waits here; old weights serve what newer ones can't begin in time; orders without an answer go out again at once on the same count. Restart: shorter elections, the list told at once.

Ruled out: lateness of answers as a cost (misses made it a loop); 15 s memory of placements (chains spread until they drove each other out).

Conclusion: next the windows of version bumps and of restarts.

--- a/daemon/bbm_settings.h
+++ b/daemon/bbm_settings.h
@@ -62,6 +62,8 @@
     double retry_share;          /**< Sends again, of requests to a pool. */
     double retry_slack;          /**< And so many over all VMs. */
     double rate_slack;           /**< Overrun of a rate, tokens. */
+    double rate_overrun;         /**< And this share of what it allows, */
+    double rate_window_s;        /**< in a window of so long. */
     int64_t old_weights_fine_ms; /**< Old weights serve as well. */
     int64_t old_weights_most_ms; /**< No request starts on them after. */
     bool first_start;            /**< The system has never run. */
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -15,7 +15,7 @@
 #define BOX_SIZE 16384
 #define WAIT_MS 1000
 /* An upstream that hasn't taken a connection by then gets no request. */
-#define CONNECT_MS 400L
+#define CONNECT_MS 300L
 /* Bytes sent that an upstream's machine doesn't confirm for so long end the
    connection; a silent connection is probed each second. */
 #define UNCONFIRMED_MS 1200
--- a/daemon/provider.c
+++ b/daemon/provider.c
@@ -10,10 +10,10 @@
 
 #define BOX_SIZE 4096
 #define WAIT_MS 200
-#define CONNECT_MS 300L
+#define CONNECT_MS 150L
 #define LIST_MS 900L
-#define REPORT_MS 400L
-#define ORDER_MS 500L
+#define REPORT_MS 250L
+#define ORDER_MS 200L
 /* A store keeps a call waiting for a second at most. */
 #define STORE_MS 1700L
 /* Between two calls to a store, and after a failed one. */
--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -14,6 +14,8 @@
 #define RETRY_USED 0.8
 /* Time of a plain call before any was seen, milliseconds. */
 #define SERVICE_MS 30.0
+/* Notes that are kept. */
+#define NOTES_MOST 8192
 /* Bits in a byte, and kilobits per millisecond in a Mbit per second. */
 #define BITS 8.0
 #define BITS_PER_MS 1000.0
@@ -56,7 +58,7 @@
     BBM_TABLE_FREE(gate_weights, g->weights);
     BBM_TABLE_FREE(gate_store, g->stores);
     BBM_TABLE_FREE(gate_customer, g->customers);
-    BBM_TABLE_FREE(gate_kept, g->kept);
+    BBM_TABLE_FREE(gate_note_row, g->notes);
     gate_queued *q;
     while ((q = STAILQ_FIRST(&g->outputs)) != NULL) {
         STAILQ_REMOVE_HEAD(&g->outputs, link);
@@ -91,6 +93,40 @@
     return &g->taken->out;
 }
 
+/* ---- notes ---- */
+
+bbm_time
+gate_noted(const bbm_gate *g, uint64_t key)
+{
+    gate_note_row *row = NULL;
+    HASH_FIND(hh, g->notes, &key, sizeof(key), row);
+    return row ? row->at : 0;
+}
+
+bbm_time
+gate_note(bbm_gate *g, uint64_t key)
+{
+    gate_note_row *row = NULL;
+    HASH_FIND(hh, g->notes, &key, sizeof(key), row);
+    bbm_time before = row ? row->at : 0;
+    if (row) {
+        /* To the end: the oldest are forgotten first. */
+        HASH_DEL(g->notes, row);
+    }
+    else {
+        row = bbm_calloc(1, sizeof(*row));
+        row->key = key;
+    }
+    row->at = g->now;
+    HASH_ADD(hh, g->notes, key, sizeof(key), row);
+    if (HASH_COUNT(g->notes) > NOTES_MOST) {
+        gate_note_row *oldest = g->notes;
+        HASH_DEL(g->notes, oldest);
+        free(oldest);
+    }
+    return before;
+}
+
 /* ---- configuration ---- */
 
 static void
@@ -161,6 +197,16 @@
     BBM_TABLE_FREE(gate_store, old);
 }
 
+/* Overrun of a customer's rate that is tolerated in any window. */
+static double
+slack_of(const bbm_gate *g, const bbm_customer *c)
+{
+    double window = (double)c->rate_ref->tokens_per_s * g->desc.rate_window_s
+                    + (double)c->rate_ref->burst;
+    double slack = window * g->desc.rate_overrun;
+    return c->by_request ? slack : slack + g->desc.rate_slack;
+}
+
 static void
 take_customers(bbm_gate *g, const bbm_config *cfg)
 {
@@ -169,7 +215,7 @@
         bbm_share_terms terms = {
             .rate = (double)c->rate_ref->tokens_per_s,
             .burst = (double)c->rate_ref->burst,
-            .slack = c->by_request ? 0 : g->desc.rate_slack,
+            .slack = slack_of(g, c),
         };
         bbm_shares_customer(g->shares, c->name, &terms, g->now);
         gate_customer *one = bbm_calloc(1, sizeof(*one));
@@ -223,7 +269,7 @@
         return;
     /* A store that comes back is empty. */
     if (alive && !s->alive)
-        BBM_TABLE_FREE(gate_kept, g->kept);
+        BBM_TABLE_FREE(gate_note_row, g->notes);
     s->alive = alive;
 }
 
@@ -374,6 +420,14 @@
     return u ? gate_open_at(u) : 0;
 }
 
+double
+bbm_gate_backlog(const bbm_gate *g, const char *upstream)
+{
+    gate_upstream *u = NULL;
+    HASH_FIND_STR(g->upstreams, upstream, u);
+    return u && u->pool ? gate_unread_at(u) / u->pool->speed : 0;
+}
+
 bbm_gate_counts
 bbm_gate_count(const bbm_gate *g)
 {
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -54,6 +54,8 @@
     double retry_share;        /**< Sends again, of the requests; 0: 0.1. */
     double retry_slack;        /**< And so many over all VMs; 0: 20. */
     double rate_slack;         /**< Overrun of a rate tolerated, tokens. */
+    double rate_overrun;       /**< And this share of what it allows, */
+    double rate_window_s;      /**< in a window of so long. */
     bbm_time old_weights_fine; /**< Old weights serve as well as new ones
                                     for so long; 0: 1.5 s. */
     bbm_time old_weights_most; /**< None starts on old ones after it;
@@ -219,6 +221,8 @@
 
 /** Requests of all VMs at an upstream, as far as it is known. */
 double bbm_gate_open(const bbm_gate *g, const char *upstream);
+/** Milliseconds that their unread prompts take there. */
+double bbm_gate_backlog(const bbm_gate *g, const char *upstream);
 
 /** Counters. */
 bbm_gate_counts bbm_gate_count(const bbm_gate *g);
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -48,6 +48,7 @@
     uint32_t strikes;       /**< Failures in a row. */
     bool trial;             /**< One request at a time, until one is good. */
     double failing;         /**< Smoothed share of failures. */
+    bbm_time answered;      /**< When it last began or ended an answer. */
     double late_ms;         /**< Smoothed lateness against the estimate. */
     UT_hash_handle hh;      /**< By id. */
 } gate_upstream;
@@ -85,25 +86,26 @@
     char model[BBM_NAME_SIZE];                  /**< Model, or "". */
     bbm_part parts[BBM_PARTS_MOST];             /**< Of its prompt. */
     size_t parts_len;                           /**< How many. */
-    uint64_t chain;                     /**< Hash of its shared parts. */
-    double shared;                      /**< Their tokens. */
-    double prompt;                      /**< Prompt tokens; 0: none told. */
-    double output;                      /**< Output tokens at most. */
-    double taken;                       /**< Tokens taken from the rate. */
-    bool private_cache;                 /**< Shares no cache entry. */
-    bool repeatable;                    /**< May run more than once. */
-    bool stream;                        /**< Answers with events. */
-    bool resumable;                     /**< They may go on elsewhere. */
-    int priority;                       /**< 0 is the most urgent. */
-    uint32_t attempts_most;             /**< Upstreams that it may run on. */
-    bbm_time aim;                       /**< Answer aimed at within. */
-    bbm_time arrived;                   /**< When. */
-    bbm_time until;                     /**< Final answer by then. */
-    bbm_time sent;                      /**< This attempt. */
-    bbm_time head;                      /**< Its answer began; 0: not yet. */
-    double expected_ms;                 /**< To the beginning of the answer. */
-    uint32_t attempt;                   /**< Attempts sent. */
-    uint32_t ran;                       /**< Attempts that may have run. */
+    uint64_t chain;         /**< Hash of its shared parts. */
+    double shared;          /**< Their tokens. */
+    double prompt;          /**< Prompt tokens; 0: none told. */
+    double output;          /**< Output tokens at most. */
+    double taken;           /**< Tokens taken from the rate. */
+    bool private_cache;     /**< Shares no cache entry. */
+    bool repeatable;        /**< May run more than once. */
+    bool stream;            /**< Answers with events. */
+    bool resumable;         /**< They may go on elsewhere. */
+    int priority;           /**< 0 is the most urgent. */
+    uint32_t attempts_most; /**< Upstreams that it may run on. */
+    bbm_time aim;           /**< Answer aimed at within. */
+    bbm_time arrived;       /**< When. */
+    bbm_time until;         /**< Final answer by then. */
+    bbm_time start_by;      /**< Its answer must have begun by then. */
+    bbm_time sent;          /**< This attempt. */
+    bbm_time head;          /**< Its answer began; 0: not yet. */
+    double expected_ms;     /**< To the beginning of the answer. */
+    uint32_t attempt;       /**< Attempts sent. */
+    uint32_t ran;           /**< Attempts that may have run. */
     uint64_t failed[GATE_FAILED_MOST];  /**< Upstreams that failed it. */
     size_t failed_len;                  /**< How many. */
     gate_upstream *upstream;            /**< Where it runs. */
@@ -137,7 +139,7 @@
     gate_request *requests;              /**< All open. */
     struct gate_queue waiting;           /**< By priority, then by arrival. */
     size_t waiting_len;                  /**< How many. */
-    struct kept_chain *kept;             /**< Chains that a store was given. */
+    struct gate_note *notes;             /**< What was placed where, lately. */
     STAILQ_HEAD(, gate_queued) outputs;  /**< To be taken. */
     gate_queued *taken;                  /**< Handed out last. */
     bbm_gate_counts counts;              /**< For metrics. */
@@ -150,11 +152,17 @@
     UT_hash_handle hh;        /**< By hash. */
 } gate_customer;
 
-/** A chain of parts that a store was given under a salt. */
-typedef struct kept_chain {
-    uint64_t key;      /**< Hash of chain and salt. */
-    UT_hash_handle hh; /**< By key, oldest first. */
-} gate_kept;
+/** That something was done for a chain of parts, by a key of both. */
+typedef struct gate_note {
+    uint64_t key;      /**< Hash of what and for which chain. */
+    bbm_time at;       /**< When last. */
+    UT_hash_handle hh; /**< By key, the oldest first. */
+} gate_note_row;
+
+/** When something was last noted; 0: never, or long ago. */
+bbm_time gate_noted(const bbm_gate *g, uint64_t key);
+/** Note it; returns when it was noted before, or 0. */
+bbm_time gate_note(bbm_gate *g, uint64_t key);
 
 /** Queue an output about a request. */
 bbm_gate_output *gate_output(bbm_gate *g, bbm_gate_kind kind,
@@ -167,6 +175,7 @@
     gate_upstream *upstream;    /**< Where. */
     uint64_t version;           /**< Weights that it has; 0: unknown. */
     double wait_ms;             /**< Expected to the answer's beginning. */
+    double miss;                /**< Prompt tokens that it must read. */
     uint32_t candidates;        /**< How many could have got it. */
     char source[BBM_NAME_SIZE]; /**< Holder of its cache entries, or "". */
     char keep[BBM_NAME_SIZE];   /**< Store for new ones, or "". */
@@ -185,6 +194,8 @@
 gate_pick gate_choose(bbm_gate *g, const gate_request *r, gate_choice *c);
 /** Requests of all VMs at an upstream, as far as it is known. */
 double gate_open_at(const gate_upstream *u);
+/** Prompt tokens there that have no answer yet. */
+double gate_unread_at(const gate_upstream *u);
 
 /* ---- gate_health.c ---- */
 
--- a/gate/gate_health.c
+++ b/gate/gate_health.c
@@ -8,8 +8,8 @@
 #define STRIKES_FAILED 4
 /* It is avoided for so long after the first time, twice as long after the
    second and so on. */
-#define AVOID_FIRST (400 * BBM_MS)
-#define AVOID_MOST (3 * BBM_SECOND)
+#define AVOID_FIRST (800 * BBM_MS)
+#define AVOID_MOST (4 * BBM_SECOND)
 /* One that is full or busy gets nothing for a moment. */
 #define AVOID_BUSY (60 * BBM_MS)
 /* One that says that it is another, or has other weights, is wrongly listed:
@@ -54,7 +54,7 @@
 void
 gate_good(bbm_gate *g, gate_upstream *u)
 {
-    (void)g;
+    u->answered = g->now;
     u->strikes = 0;
     u->trial = false;
     u->suspect_until = 0;
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -20,17 +20,28 @@
 /* Fetching from another zone takes twice as long; a source's zone isn't
    known before it is chosen. */
 #define FETCH_FACTOR 2.0
-/* Memory of a runner that may be planned with; beyond it requests preempt
-   each other, which costs about so many milliseconds. */
-#define MEMORY_SHARE 0.9
-#define PREEMPT_MS 400.0
+/* Running requests hold their tokens in the memory that keeps shared parts,
+   and more of them than a runner reads from at a time end no sooner: so much
+   of the memory is for them, and so long a backlog. */
+#define RUNNING_SHARE 0.45
+#define BACKLOG_MS 500.0
+/* A runner that is full is waited for if another would cost so much more. */
+#define PREFER_MS 150.0
+/* Share of fetches that are taken to find nothing. */
+#define FETCH_DOUBT 0.5
+/* For so long a chain is taken to stay where it was placed away from home, and
+   milliseconds in favour of those before in its order. */
+#define PLACED_TIME (4 * BBM_SECOND)
+#define AWAY_HELD_MS 10.0
+/* A third place for a chain costs so many times its reading. */
+#define CROWDING 2.0
 /* A runner without a free slot keeps a request for about so long. */
 #define SLOT_MS 300.0
 /* A way to another zone and back, milliseconds, in favour of the own one. */
 #define ZONE_MS 2.0
-/* Wait for a runner that is about to have the newest weights: so much of the
-   aim, and of the caller's patience after that. */
-#define HOLD_SHARE 0.5
+/* Runners with the newest weights are preferred while the answer begins within
+   so many times its aim. */
+#define AIMS_FOR_NEW 2.0
 /* A request on old weights is sent so long before they are no longer allowed:
    it may wait at its runner. */
 #define OLD_MARGIN (1500 * BBM_MS)
@@ -43,6 +54,9 @@
     uint64_t weight; /* of the rendezvous */
     uint64_t version;
     bool old;
+    bool holds;  /* this VM placed the chain there lately, or it is the home */
+    double miss; /* prompt tokens that it must read */
+    bool full;   /* more would only wait there, and drive out what is kept */
     double cost;
 } candidate;
 
@@ -50,7 +64,7 @@
     candidate *items;
     size_t len;
     size_t loading; /* runners that will have the newest weights soon */
-    size_t others;  /* listed, but avoided or tried before */
+    size_t others;  /* listed, but avoided */
 } field;
 
 /* ---- what is known of an upstream ---- */
@@ -67,8 +81,8 @@
     return beyond(u->all.open, u->told.open) + u->open;
 }
 
-static double
-unread_at(const gate_upstream *u)
+double
+gate_unread_at(const gate_upstream *u)
 {
     return beyond(u->all.unread, u->told.unread) + u->unread;
 }
@@ -134,7 +148,9 @@
             f->loading++;
             continue;
         }
-        if (failed_before(r, u) || (!avoided && gate_avoids(g, u))) {
+        if (failed_before(r, u))
+            continue;
+        if (!avoided && gate_avoids(g, u)) {
             f->others++;
             continue;
         }
@@ -152,17 +168,6 @@
     return x->weight > y->weight ? -1 : 1;
 }
 
-static void
-keep_only(field *f, bool old)
-{
-    size_t len = 0;
-    for (size_t i = 0; i < f->len; i++) {
-        if (f->items[i].old == old)
-            f->items[len++] = f->items[i];
-    }
-    f->len = len;
-}
-
 static size_t
 count_old(const field *f)
 {
@@ -172,6 +177,23 @@
     return old;
 }
 
+/* ---- what was placed where ---- */
+
+static uint64_t
+place_key(const gate_request *r, const gate_upstream *u, uint64_t version)
+{
+    uint64_t seed = bbm_hash64(&version, sizeof(version), u->hash);
+    return bbm_hash64(&r->chain, sizeof(r->chain), seed);
+}
+
+static bool
+was_placed(const bbm_gate *g, const gate_request *r, const candidate *c)
+{
+    uint64_t key = place_key(r, c->upstream, c->version);
+    bbm_time at = gate_noted(g, key);
+    return at && g->now - at < PLACED_TIME;
+}
+
 /* ---- cost ---- */
 
 static const gate_store *
@@ -190,42 +212,61 @@
     return strcmp(g->desc.zone, u->info.zone) == 0 ? 0 : ZONE_MS;
 }
 
+static bool
+is_full(const gate_request *r, const gate_upstream *u)
+{
+    double running = memory_at(u);
+    double room = u->pool->memory * RUNNING_SHARE;
+    /* One that runs nothing takes a request of any size. */
+    if (running <= 0)
+        return false;
+    return running + r->prompt + r->output > room
+           || gate_unread_at(u) / u->pool->speed > BACKLOG_MS;
+}
+
 static double
-runner_wait(const gate_request *r, const gate_upstream *u)
+runner_wait(const gate_upstream *u)
 {
     const gate_pool *p = u->pool;
     double open = gate_open_at(u);
-    double wait = unread_at(u) / p->speed + open * STEP_PER_OPEN;
-    if (u->late_ms > 0)
-        wait += u->late_ms;
-    if (memory_at(u) + r->prompt + r->output > p->memory * MEMORY_SHARE)
-        wait += PREEMPT_MS;
+    double wait = gate_unread_at(u) / p->speed + open * STEP_PER_OPEN;
     if (open >= slots_of(u))
         wait += SLOT_MS * (1 + open - slots_of(u)) / slots_of(u);
     return wait;
 }
 
-/* What a runner away from home must get first. */
+/* What it costs to place a chain away from its home.  Its second runner gets
+   it from the first or from a store, though nobody knows for sure that they
+   have it; any further one also drives out what it holds for others. */
 static double
-away_ms(const bbm_gate *g, const gate_request *r, const gate_upstream *u)
+away_ms(const gate_request *r, const candidate *c, size_t rank)
 {
-    double fetch = FETCH_BASE + r->shared * u->pool->fetch * FETCH_FACTOR;
-    double read = r->shared / u->pool->speed;
-    (void)g;
-    return fetch < read ? fetch : read;
+    const gate_pool *p = c->upstream->pool;
+    double fetch = FETCH_BASE + r->shared * p->fetch * FETCH_FACTOR;
+    double read = r->shared / p->speed;
+    if (c->holds)
+        return AWAY_HELD_MS * (double)rank;
+    if (rank > 1)
+        return read * CROWDING;
+    return fetch < read ? fetch + (read - fetch) * FETCH_DOUBT : read;
 }
 
 static void
-cost_runners(const bbm_gate *g, const gate_request *r, field *f)
+cost_runners(bbm_gate *g, const gate_request *r, field *f)
 {
     qsort(f->items, f->len, sizeof(*f->items), by_weight);
     for (size_t i = 0; i < f->len; i++) {
         candidate *c = &f->items[i];
-        double cost = runner_wait(r, c->upstream);
-        cost += (r->prompt - r->shared) / c->upstream->pool->speed;
+        c->holds = i == 0 || was_placed(g, r, c);
+        c->miss = r->prompt - r->shared;
+        if (!c->holds)
+            c->miss += r->shared * FETCH_DOUBT;
+        c->cost = runner_wait(c->upstream)
+                  + (r->prompt - r->shared) / c->upstream->pool->speed
+                  + zone_ms(g, c->upstream);
+        c->full = is_full(r, c->upstream);
         if (i > 0)
-            cost += away_ms(g, r, c->upstream);
-        c->cost = cost + zone_ms(g, c->upstream);
+            c->cost += away_ms(r, c, i);
     }
 }
 
@@ -249,12 +290,13 @@
 }
 
 static const candidate *
-cheapest(const field *f)
+cheapest(const field *f, bool with_full)
 {
     const candidate *best = NULL;
     for (size_t i = 0; i < f->len; i++) {
-        if (!best || f->items[i].cost < best->cost)
-            best = &f->items[i];
+        const candidate *c = &f->items[i];
+        if ((with_full || !c->full) && (!best || c->cost < best->cost))
+            best = c;
     }
     return best;
 }
@@ -277,22 +319,8 @@
 static bool
 is_new_chain(bbm_gate *g, const gate_request *r, const char *salt)
 {
-    /* The oldest of so many are forgotten. */
-    enum { KEPT_MOST = 8192 };
     uint64_t key = bbm_hash_text(salt, r->chain);
-    gate_kept *k = NULL;
-    HASH_FIND(hh, g->kept, &key, sizeof(key), k);
-    if (k)
-        return false;
-    k = bbm_calloc(1, sizeof(*k));
-    k->key = key;
-    HASH_ADD(hh, g->kept, key, sizeof(key), k);
-    if (HASH_COUNT(g->kept) > KEPT_MOST) {
-        gate_kept *oldest = g->kept;
-        HASH_DEL(g->kept, oldest);
-        free(oldest);
-    }
-    return true;
+    return gate_note(g, key) == 0;
 }
 
 /* The home of the chain among runners with the same weights, if another was
@@ -318,6 +346,7 @@
     const gate_store *store = live_store(g);
     const gate_upstream *home = home_of(f, chosen);
     bool is_new = is_new_chain(g, r, c->salt);
+    gate_note(g, place_key(r, chosen->upstream, chosen->version));
     if (store) {
         bbm_name_set(c->source, store->address);
         if (is_new)
@@ -328,8 +357,6 @@
     }
 }
 
-/* ---- choosing ---- */
-
 static void
 fill_choice(bbm_gate *g, const gate_request *r, const field *f,
             const candidate *best, gate_choice *c)
@@ -337,44 +364,116 @@
     c->upstream = best->upstream;
     c->wait_ms = best->cost;
     c->candidates = (uint32_t)f->len;
+    c->miss = best->miss;
     if (best->upstream->pool->engine && r->model[0]) {
         c->version = best->version;
         plan_cache(g, r, f, best, c);
     }
 }
 
+/* ---- choosing ---- */
+
+/* The best that a field offers. */
+typedef struct option {
+    const candidate *best; /* NULL: nothing */
+    bool hold;             /* it is full: wait for it */
+    double expected_ms;    /* until the answer begins */
+} option;
+
+static double
+ms_since(const bbm_gate *g, bbm_time then)
+{
+    return (double)(g->now - then) / (double)BBM_MS;
+}
+
+/* What waits here, and likely at the other VMs, goes first to a full field. */
 static double
-left_ms(const bbm_gate *g, const gate_request *r)
+queue_ms(const bbm_gate *g, const gate_request *r, const field *f)
 {
-    return (double)(r->until - g->now) / (double)BBM_MS;
+    double speed = f->items[0].upstream->pool->speed * (double)f->len;
+    double ahead = (double)g->waiting_len * (double)g->vms;
+    return ahead * (r->prompt - r->shared / 2) / speed;
+}
+
+static option
+look(bbm_gate *g, const gate_request *r, field *f)
+{
+    option o = {0};
+    if (!f->len)
+        return o;
+    bool runners = f->items[0].upstream->pool->engine;
+    if (runners)
+        cost_runners(g, r, f);
+    else
+        cost_plain(g, f);
+    const candidate *best = cheapest(f, true);
+    const candidate *open = cheapest(f, false);
+    o.hold = best->full && (!open || open->cost > best->cost + PREFER_MS);
+    o.best = !o.hold && open ? open : best;
+    o.expected_ms = o.best->cost;
+    if (o.hold)
+        o.expected_ms += queue_ms(g, r, f);
+    return o;
 }
 
-/* Keeps the runners whose weights the request should run on: all while old
-   ones count as well as new ones, else those with the newest if there are any
-   that can serve it in time, else the old ones while they are allowed. */
 static gate_pick
-choose_weights(bbm_gate *g, const gate_request *r, field *f)
+take(bbm_gate *g, const gate_request *r, const field *f, const option *o,
+     gate_choice *c)
 {
-    const gate_weights *w = weights_of(g, r->model);
-    size_t old = count_old(f);
-    if (!w || !old)
-        return GATE_PICK_SEND;
-    bbm_time age = g->now - w->named;
-    if (age < g->desc.old_weights_fine - FINE_MARGIN)
-        return GATE_PICK_SEND;
-    bool allowed = age < g->desc.old_weights_most - OLD_MARGIN;
-    if (old < f->len) {
-        keep_only(f, false);
-        return GATE_PICK_SEND;
-    }
-    bbm_time patience =
-        (bbm_time)((double)(r->until - r->arrived) * HOLD_SHARE);
-    bbm_time hold = patience > r->aim ? patience : r->aim;
-    if (!allowed || (f->loading && g->now < r->arrived + hold))
+    c->wait_ms = o->expected_ms;
+    if (o->expected_ms >= -ms_since(g, r->start_by))
+        return GATE_PICK_LATE;
+    if (o->hold)
         return GATE_PICK_HOLD;
+    fill_choice(g, r, f, o->best, c);
     return GATE_PICK_SEND;
 }
 
+static void
+keep_only(const field *all, bool old, field *f)
+{
+    f->len = 0;
+    for (size_t i = 0; i < all->len; i++) {
+        if (all->items[i].old == old)
+            f->items[f->len++] = all->items[i];
+    }
+}
+
+/* Runners with old weights: what they make is worth little, but more than an
+   answer that comes far too late.  So the newest ones get what they can begin
+   in good time, the old ones what they may and can, and the newest the rest
+   as long as the callers wait for it. */
+static gate_pick
+choose_by_weights(bbm_gate *g, const gate_request *r, const field *all,
+                  bool allowed, gate_choice *c)
+{
+    field f = {.items = bbm_calloc(all->len, sizeof(*f.items))};
+    gate_pick pick = GATE_PICK_HOLD;
+    keep_only(all, false, &f);
+    option newest = look(g, r, &f);
+    double aim = (double)r->aim / (double)BBM_MS * AIMS_FOR_NEW;
+    double by_then = ms_since(g, r->arrived) + newest.expected_ms;
+    bool good = newest.best && by_then <= aim;
+    if (good)
+        pick = take(g, r, &f, &newest, c);
+    if (!good && allowed) {
+        field g_old = {.items = bbm_calloc(all->len, sizeof(*f.items))};
+        keep_only(all, true, &g_old);
+        option old = look(g, r, &g_old);
+        good = old.best && !old.hold
+               && take(g, r, &g_old, &old, c) == GATE_PICK_SEND;
+        if (good)
+            pick = GATE_PICK_SEND;
+        free(g_old.items);
+    }
+    if (!good && newest.best)
+        pick = take(g, r, &f, &newest, c);
+    else if (!good && g->now >= r->start_by)
+        pick = GATE_PICK_LATE;
+    free(f.items);
+    return pick;
+}
+
 static gate_pick
 choose_in(bbm_gate *g, const gate_request *r, const char *pool, field *f,
           gate_choice *c)
@@ -382,20 +481,19 @@
     gather(g, r, pool, false, f);
     if (!f->len && f->others)
         gather(g, r, pool, true, f);
+    if (!f->len && g->now >= r->start_by)
+        return GATE_PICK_LATE;
     if (!f->len)
-        return f->loading || f->others ? GATE_PICK_HOLD : GATE_PICK_NOBODY;
-    if (f->items[0].upstream->pool->engine) {
-        gate_pick pick = choose_weights(g, r, f);
-        if (pick != GATE_PICK_SEND)
-            return pick;
-        cost_runners(g, r, f);
-    }
-    else {
-        cost_plain(g, f);
+        return f->loading ? GATE_PICK_HOLD : GATE_PICK_NOBODY;
+    const gate_weights *w = weights_of(g, r->model);
+    if (w && count_old(f) && f->items[0].upstream->pool->engine) {
+        bbm_time age = g->now - w->named;
+        if (age >= g->desc.old_weights_fine - FINE_MARGIN)
+            return choose_by_weights(
+                g, r, f, age < g->desc.old_weights_most - OLD_MARGIN, c);
     }
-    const candidate *best = cheapest(f);
-    fill_choice(g, r, f, best, c);
-    return best->cost < left_ms(g, r) ? GATE_PICK_SEND : GATE_PICK_LATE;
+    option o = look(g, r, f);
+    return take(g, r, f, &o, c);
 }
 
 gate_pick
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -9,6 +9,11 @@
 /* The final answer of a request that was sent comes so long before the caller
    gives up, so that it still hears it. */
 #define ANSWER_MARGIN (30 * BBM_MS)
+/* A stream is left by its caller when nothing comes for the longest of these:
+   a time, times its aim, times its longest pause. */
+#define SILENCE_LEAST (2 * BBM_SECOND)
+#define SILENCE_AIMS 4
+#define SILENCE_GAPS 8
 /* A request may be sent so many times more than it may run, where upstreams
    say that they did not run it. */
 #define SENDS_MORE 2
@@ -22,11 +27,14 @@
 /* Times to come back are spread by this share, so that callers who were
    refused together don't return together. */
 #define BACK_SPREAD 0.5
-/* A repeatable request is sent again elsewhere when its answer hasn't begun
-   within so many times its aim, and an upstream silent for the second is
-   suspected. */
-#define AGAIN_AIMS 1.25
+/* A plain call that may be repeated is sent again elsewhere when its answer
+   hasn't begun within so many times its aim. */
+#define AGAIN_AIMS 1.5
+/* An upstream is taken to be silent when a request to it has waited so long,
+   beyond twice what was expected, and nothing else came from it meanwhile: a
+   runner that is merely busy answers others. */
 #define SILENT_AIMS 3.0
+#define SILENT_LEAST (1000 * BBM_MS)
 /* Weight of the last call in the smoothed time of calls and lateness. */
 #define SERVICE_STEP 0.1
 
@@ -168,7 +176,7 @@
     r->head = 0;
     r->expected_ms = c->wait_ms;
     r->upstream = u;
-    r->unread = (uint32_t)r->prompt;
+    r->unread = (uint32_t)c->miss;
     r->memory = (uint32_t)(r->prompt + r->output);
     u->open++;
     u->unread += r->unread;
@@ -188,7 +196,7 @@
 static void
 refuse_late(bbm_gate *g, gate_request *r, const gate_choice *c)
 {
-    double left = (double)(r->until - g->now) / (double)BBM_MS;
+    double left = (double)(r->start_by - g->now) / (double)BBM_MS;
     bbm_time back = (bbm_time)((c->wait_ms - left) * (double)BBM_MS);
     g->counts.refused_load += r->ran == 0;
     refuse(g, r, BBM_ERR_OVERLOAD, back, "no upstream in time");
@@ -298,6 +306,19 @@
         r->shared = r->prompt;
 }
 
+/* Callers leave a stream that is silent for too long, before its first event
+   as well. */
+static bbm_time
+start_limit(const bbm_gate *g, const bbm_route *route)
+{
+    bbm_time most = SILENCE_LEAST;
+    bbm_time aims = route->aim_ms * BBM_MS * SILENCE_AIMS;
+    bbm_time gaps = route->gap_ms * BBM_MS * SILENCE_GAPS;
+    most = aims > most ? aims : most;
+    most = gaps > most ? gaps : most;
+    return g->now + most - ANSWER_MARGIN;
+}
+
 static gate_request *
 make_request(bbm_gate *g, const bbm_ask *ask, const bbm_route *route,
              const bbm_customer *customer)
@@ -326,6 +347,9 @@
         r->until = limit;
     if (r->until == BBM_NEVER)
         r->until = g->now + 3600 * BBM_SECOND;
+    r->start_by = r->until;
+    if (r->stream && start_limit(g, route) < r->until)
+        r->start_by = start_limit(g, route);
     choose_pools(g, r, route);
     copy_prompt(r, ask);
     HASH_ADD(hh, g->requests, number, sizeof(r->number), r);
@@ -402,6 +426,7 @@
     r->stage = GATE_ANSWERING;
     r->head = g->now;
     gate_upstream *u = r->upstream;
+    u->answered = g->now;
     u->unread -= r->unread;
     r->unread = 0;
     double took = (double)(g->now - r->sent) / (double)BBM_MS;
@@ -583,25 +608,39 @@
     }
 }
 
+static bool
+is_silent(const bbm_gate *g, const gate_request *r)
+{
+    bbm_time patience = (bbm_time)((double)r->aim * SILENT_AIMS);
+    if (patience < SILENT_LEAST)
+        patience = SILENT_LEAST;
+    patience += (bbm_time)(2 * r->expected_ms * (double)BBM_MS);
+    return g->now - r->sent > patience && r->upstream->answered < r->sent;
+}
+
+static bool
+is_slow_call(const bbm_gate *g, const gate_request *r)
+{
+    const gate_pool *p = r->upstream->pool;
+    double patience =
+        (double)r->aim * AGAIN_AIMS + r->expected_ms * (double)BBM_MS;
+    return p && !p->engine && (double)(g->now - r->sent) > patience;
+}
+
 /* An upstream from which nothing comes is suspected; a repeatable request
    tries another one at once. */
 static void
 check_silence(bbm_gate *g, gate_request *r)
 {
     gate_upstream *u = r->upstream;
-    bbm_time waited = g->now - r->sent;
-    double expected = r->expected_ms * (double)BBM_MS;
-    double again = (double)r->aim * AGAIN_AIMS + expected;
-    double silent = (double)r->aim * SILENT_AIMS + expected;
-    bool late = (double)waited > again;
-    bool may = late && r->repeatable && r->ran < r->attempts_most
-               && !gate_avoids(g, u);
-    if ((double)waited > silent && u->avoid_until < g->now && !u->strikes)
+    bool silent = is_silent(g, r);
+    if (silent && u->avoid_until < g->now)
         gate_bad(g, u, BBM_FORWARD_LOST);
-    if (!may || !take_retry(g, r))
+    bool again = r->repeatable && r->ran < r->attempts_most
+                 && (silent || is_slow_call(g, r));
+    if (!again || !take_retry(g, r))
         return;
     /* The next attempt takes the place of this one. */
-    gate_bad(g, u, BBM_FORWARD_LOST);
     remember_failed(r, u);
     send_again(g, r);
 }
--- a/members/members_probe.c
+++ b/members/members_probe.c
@@ -9,6 +9,8 @@
 /* The addresses to join by are asked each period at first, then each so many
    periods: after a partition both sides may have given each other up. */
 #define JOIN_AT_FIRST 30
+/* Periods are so much shorter then. */
+#define JOIN_HASTE 3
 #define JOIN_PERIODS 20
 /* Members that ask a suspect again each period. */
 #define SUSPECT_ASKERS 8
@@ -159,7 +161,9 @@
     check_suspects(m);
     if (now < m->next_ping)
         return;
-    m->next_ping = now + m->desc.period;
+    bool at_first = m->join_len && m->join_asked < JOIN_AT_FIRST;
+    m->next_ping =
+        now + (at_first ? m->desc.period / JOIN_HASTE : m->desc.period);
     m->periods++;
     ask_suspects(m);
     ask_to_join(m);
--- a/node/node_relay.c
+++ b/node/node_relay.c
@@ -14,7 +14,7 @@
    messages make a view older, never younger. */
 
 #define POLL_PERIOD (800 * BBM_MS)
-#define POLL_RETRY (300 * BBM_MS)
+#define POLL_RETRY (120 * BBM_MS)
 #define FAN_OUT 8
 /* A child that hasn't polled for so long is none. */
 #define CHILD_TIME (4 * BBM_SECOND)
--- a/node/node_rollout.c
+++ b/node/node_rollout.c
@@ -70,7 +70,8 @@
     bbm_rollout_runners(n->rollout, &n->listed, n->now);
     for (size_t i = 0; i < n->listed.len; i++) {
         const char *id = n->listed.items[i].id;
-        bbm_rollout_load(n->rollout, id, bbm_gate_open(n->gate, id));
+        bbm_rollout_load(n->rollout, id, bbm_gate_open(n->gate, id),
+                         bbm_gate_backlog(n->gate, id));
     }
     const bbm_rollout_act *act;
     while ((act = bbm_rollout_take(n->rollout, n->now)) != NULL) {
--- a/node/node_upstreams.c
+++ b/node/node_upstreams.c
@@ -19,7 +19,7 @@
 #define LIST_AGAIN (400 * BBM_MS)
 /* A change needs some time on its way before a VM that lacks it gets the
    whole. */
-#define CHANGE_TIME (300 * BBM_MS)
+#define CHANGE_TIME (120 * BBM_MS)
 /* With more VMs loads are told less often: each so many milliseconds apart at
    the leader. */
 #define LOADS_APART (4 * BBM_MS)
@@ -117,6 +117,16 @@
     bbm_listing_diff(NULL, &n->listing, start_telling(n, to, 0));
 }
 
+static void
+tell_all(bbm_node *n)
+{
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        if (is_reachable(n, m))
+            tell_whole(n, m->name);
+    }
+}
+
 static void
 tell_change(bbm_node *n, uint64_t previous, const bbm_buf *diff)
 {
@@ -146,7 +156,9 @@
         n->list_epoch = n->leader_term;
         n->list_changed = n->now;
         enforce(n, &fresh);
-        if (!new_term)
+        if (new_term)
+            tell_all(n);
+        else
             tell_change(n, previous, &diff);
     }
     bbm_listing_free(&fresh);
--- a/rate/bbm_share.c
+++ b/rate/bbm_share.c
@@ -12,7 +12,7 @@
 #define FLOOR_SHARE 0.15
 /* Part of the tolerated overrun that is dealt out; the rest covers demand
    that moves between two sums. */
-#define SLACK_DEALT 0.4
+#define SLACK_DEALT 0.65
 
 typedef struct share_row {
     char customer[BBM_NAME_SIZE];
@@ -74,16 +74,12 @@
     row->asked *= exp(-span / DEMAND_SPAN);
 }
 
+/* A part that grows gets room, not tokens: those that another part loses with
+   its room may have run there already. */
 static void
 set_share(share_row *row, double share)
 {
-    double before = capacity_of(row);
     row->share = share;
-    double more = capacity_of(row) - before;
-    /* What a part gains in room it also gains in tokens: another VM's part
-       has lost them. */
-    if (more > 0)
-        row->level += more;
     if (row->level > capacity_of(row))
         row->level = capacity_of(row);
 }
--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -7,7 +7,11 @@
 
 #define DEFAULT_SHARE 0.45
 #define DEFAULT_LEAST 3
-#define DEFAULT_FAST (2 * BBM_SECOND)
+#define DEFAULT_CALM 2
+#define DEFAULT_CALM_MS 40.0
+#define DEFAULT_CALM_MOST (4 * BBM_SECOND)
+/* Without haste so many of the runners at least are done. */
+#define CALM_SHARE 0.5
 /* No new work reaches a runner this long after all VMs were told. */
 #define QUIET_TIME (20 * BBM_MS)
 /* A report tells what was so a moment ago: after an order it is asked for
@@ -22,6 +26,8 @@
 #define ASIDE (800 * BBM_MS)
 
 typedef enum runner_stage {
+    RUNNER_NEW,      /* is to be asked what it holds */
+    RUNNER_LOOKED,   /* that report is awaited */
     RUNNER_IDLE,     /* has what it should, or isn't next yet */
     RUNNER_QUIETING, /* gets no new work */
     RUNNER_ASKED,    /* a report is awaited, to order on top of it */
@@ -39,6 +45,7 @@
     uint32_t silent;   /* questions without an answer */
     bbm_time aside;    /* not tried again before */
     double open;
+    double backlog_ms;
     char model[BBM_NAME_SIZE]; /* of the order under way */
     uint64_t version;          /* of the order under way */
     UT_hash_handle hh;
@@ -68,8 +75,12 @@
         ro->desc.at_once_share = DEFAULT_SHARE;
     if (!ro->desc.at_once_least)
         ro->desc.at_once_least = DEFAULT_LEAST;
-    if (!ro->desc.fast)
-        ro->desc.fast = DEFAULT_FAST;
+    if (!ro->desc.calm_at_once)
+        ro->desc.calm_at_once = DEFAULT_CALM;
+    if (ro->desc.calm_ms <= 0)
+        ro->desc.calm_ms = DEFAULT_CALM_MS;
+    if (!ro->desc.calm_most)
+        ro->desc.calm_most = DEFAULT_CALM_MOST;
     return ro;
 }
 
@@ -114,7 +125,7 @@
 start_anew(runner *r, const bbm_listed *info)
 {
     r->info = *info;
-    r->stage = RUNNER_IDLE;
+    r->stage = RUNNER_NEW;
     r->sequence = 0;
     r->next = 0;
     r->silent = 0;
@@ -177,11 +188,14 @@
 }
 
 void
-bbm_rollout_load(bbm_rollout *ro, const char *id, double open)
+bbm_rollout_load(bbm_rollout *ro, const char *id, double open,
+                 double backlog_ms)
 {
     runner *r = find(ro, id);
-    if (r)
-        r->open = open;
+    if (!r)
+        return;
+    r->open = open;
+    r->backlog_ms = backlog_ms;
 }
 
 /* ---- who is next ---- */
@@ -197,18 +211,48 @@
     return NULL;
 }
 
+static bool
+is_under_way(const runner *r)
+{
+    return r->stage > RUNNER_IDLE;
+}
+
 static size_t
 under_way(const bbm_rollout *ro)
 {
     size_t n = 0;
     for (const runner *r = ro->runners; r; r = r->hh.next)
-        n += r->stage != RUNNER_IDLE;
+        n += is_under_way(r);
     return n;
 }
 
+/* True if the runners that are done are many, and carry the load easily. */
+static bool
+is_calm(const bbm_rollout *ro, bbm_time now)
+{
+    size_t all = 0;
+    size_t done = 0;
+    double backlog = 0;
+    for (const target *t = ro->targets; t; t = t->hh.next) {
+        if (now - t->named > ro->desc.calm_most)
+            return false;
+    }
+    for (const runner *r = ro->runners; r; r = r->hh.next) {
+        all++;
+        if (wanted(ro, r) || is_under_way(r))
+            continue;
+        done++;
+        backlog += r->backlog_ms;
+    }
+    return (double)done >= (double)all * CALM_SHARE
+           && backlog <= ro->desc.calm_ms * (double)done;
+}
+
 static size_t
-at_once(const bbm_rollout *ro)
+at_once(const bbm_rollout *ro, bbm_time now)
 {
+    if (is_calm(ro, now))
+        return ro->desc.calm_at_once;
     double share = (double)HASH_COUNT(ro->runners) * ro->desc.at_once_share;
     size_t n = (size_t)ceil(share);
     return n > ro->desc.at_once_least ? n : ro->desc.at_once_least;
@@ -243,7 +287,7 @@
 static void
 begin_more(bbm_rollout *ro, bbm_time now)
 {
-    size_t most = at_once(ro);
+    size_t most = at_once(ro, now);
     size_t busy = under_way(ro);
     runner *r;
     while (busy < most && (r = next_one(ro, now)) != NULL) {
@@ -281,6 +325,14 @@
         if (now < r->next)
             continue;
         switch (r->stage) {
+        case RUNNER_NEW:
+            if (!wanted(ro, r)) {
+                r->stage = RUNNER_IDLE;
+                break;
+            }
+            r->stage = RUNNER_LOOKED;
+            r->next = BBM_NEVER;
+            return make_act(ro, r, false);
         case RUNNER_QUIETING:
             r->stage = RUNNER_ASKED;
             r->next = BBM_NEVER;
@@ -290,6 +342,7 @@
             r->next = BBM_NEVER;
             return make_act(ro, r, false);
         case RUNNER_IDLE:
+        case RUNNER_LOOKED:
         case RUNNER_ASKED:
         case RUNNER_ORDERED:
         case RUNNER_CHECKED:
@@ -345,9 +398,17 @@
                    const bbm_runner_report *report, bbm_time now)
 {
     runner *r = find(ro, id);
-    if (!r || (r->stage != RUNNER_ASKED && r->stage != RUNNER_CHECKED))
+    bool awaited = r
+                   && (r->stage == RUNNER_ASKED || r->stage == RUNNER_CHECKED
+                       || r->stage == RUNNER_LOOKED);
+    if (!awaited)
         return;
     bool checked = r->stage == RUNNER_CHECKED;
+    bool looked = r->stage == RUNNER_LOOKED;
+    if (!report && looked) {
+        r->stage = RUNNER_IDLE;
+        return;
+    }
     if (!report) {
         was_silent(r, checked ? RUNNER_LOADING : RUNNER_QUIETING, now);
         return;
@@ -371,7 +432,10 @@
         r->next = now + ASK_PERIOD;
         return;
     }
-    order_now(ro, r, now);
+    if (looked)
+        r->stage = RUNNER_IDLE;
+    else
+        order_now(ro, r, now);
 }
 
 void
@@ -391,10 +455,14 @@
         bbm_listed_set_version(&r->info, r->model, r->version);
         r->stage = RUNNER_IDLE;
         return;
-    case BBM_ORDER_CONFLICT:
     case BBM_ORDER_SILENT:
-        was_silent(r, RUNNER_QUIETING, now);
-        r->next = now + REPORT_LAG;
+        /* The same again: on top of the same count only one of them holds. */
+        was_silent(r, RUNNER_ORDERED, now);
+        r->next = now;
+        return;
+    case BBM_ORDER_CONFLICT:
+        r->stage = RUNNER_LOADING;
+        r->next = now + ASK_PERIOD;
         return;
     case BBM_ORDER_OTHER:
     case BBM_ORDER_REFUSED:
@@ -417,7 +485,7 @@
         const runner *r = find(ro, item->id);
         if (!r)
             continue;
-        item->loading = r->stage != RUNNER_IDLE;
+        item->loading = is_under_way(r);
         memcpy(item->models, r->info.models, sizeof(item->models));
         item->models_len = r->info.models_len;
     }
--- a/rollout/bbm_rollout.h
+++ b/rollout/bbm_rollout.h
@@ -19,7 +19,9 @@
  *  runners can take them.  Less than half of the runners are under way at a
  *  time: most of that is waiting for their runs to end, not loading.  Those
  *  with the oldest weights come first, then the least busy; one that has not
- *  begun when a newer version is named goes to that at once.
+ *  begun when a newer version is named goes to that at once.  When those that
+ *  are done carry the load without a backlog the others follow slowly: a
+ *  version that comes soon spares them a load.
  */
 #ifndef BBM_ROLLOUT_H
 #define BBM_ROLLOUT_H
@@ -32,7 +34,12 @@
     uint64_t fence;       /**< Fencing number of all its orders. */
     double at_once_share; /**< Runners under way, of all; 0: 0.45. */
     size_t at_once_least; /**< But so many at least; 0: 3. */
-    bbm_time fast;        /**< After it, without haste; 0: 2 s. */
+    size_t
+        calm_at_once;   /**< Runners under way when there is no haste; 0: 2. */
+    double calm_ms;     /**< Backlog of the runners that are done, up to
+                             which there is none; 0: 40 ms. */
+    bbm_time calm_most; /**< Haste again so long after a version was named;
+                             0: 4 s. */
 } bbm_rollout_desc;
 
 /** What a runner reports. */
@@ -79,8 +86,10 @@
 /** The runners as they are listed. */
 void bbm_rollout_runners(bbm_rollout *ro, const bbm_listing *listing,
                          bbm_time now);
-/** Requests of all VMs at a runner. */
-void bbm_rollout_load(bbm_rollout *ro, const char *id, double open);
+/** Requests of all VMs at a runner, and the milliseconds that their unread
+ *  prompts take. */
+void bbm_rollout_load(bbm_rollout *ro, const char *id, double open,
+                      double backlog_ms);
 /** The next act, or NULL; valid until the next call. */
 const bbm_rollout_act *bbm_rollout_take(bbm_rollout *ro, bbm_time now);
 /** A runner's report came in; NULL: it didn't answer. */
