A removed voter follows what others tell; each version of weights has its own age

Change: a folder that follows no leader while others tell of one is left out: it says so at once and takes news beside the log's state. The registry and the gate keep the last eight versions and their times.

--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -336,10 +336,15 @@
         bbm_name_set(w->model, model);
         HASH_ADD_STR(g->weights, model, w);
     }
-    if (version <= w->version)
+    if (w->len && version <= w->versions[w->len - 1])
         return;
-    w->version = version;
-    w->named = g->now - age;
+    if (w->len == GATE_VERSIONS_MOST) {
+        w->len--;
+        memmove(w->versions, w->versions + 1, w->len * sizeof(*w->versions));
+        memmove(w->named, w->named + 1, w->len * sizeof(*w->named));
+    }
+    w->versions[w->len] = version;
+    w->named[w->len++] = g->now - age;
 }
 
 /* ---- loads ---- */
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -53,12 +53,16 @@
     UT_hash_handle hh;      /**< By id. */
 } gate_upstream;
 
-/** Newest weights of a model. */
+/** Versions of a model's weights that are remembered. */
+#define GATE_VERSIONS_MOST 8
+
+/** The versions of a model's weights, oldest first. */
 typedef struct gate_weights {
-    char model[BBM_NAME_SIZE]; /**< Which. */
-    uint64_t version;          /**< Newest that was named. */
-    bbm_time named;            /**< When. */
-    UT_hash_handle hh;         /**< By model. */
+    char model[BBM_NAME_SIZE];             /**< Which. */
+    uint64_t versions[GATE_VERSIONS_MOST]; /**< That were named. */
+    bbm_time named[GATE_VERSIONS_MOST];    /**< When each was. */
+    size_t len;                            /**< How many. */
+    UT_hash_handle hh;                     /**< By model. */
 } gate_weights;
 
 /** A store of KV cache. */
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -53,7 +53,7 @@
     gate_upstream *upstream;
     uint64_t weight; /* of the rendezvous */
     uint64_t version;
-    bool old;
+    bool old;    /* newer weights were named too long ago */
     bool holds;  /* this VM placed the chain there lately, or it is the home */
     double miss; /* prompt tokens that it must read */
     bool full;   /* more would only wait there, and drive out what is kept */
@@ -63,7 +63,7 @@
 typedef struct field {
     candidate *items;
     size_t len;
-    size_t loading; /* runners that will have the newest weights soon */
+    size_t loading; /* runners that will have newer weights soon */
     size_t others;  /* listed, but avoided */
 } field;
 
@@ -119,16 +119,32 @@
     return w;
 }
 
+/* For how long newer weights than these have been named; 0: not at all. */
+static bbm_time
+age_of(const bbm_gate *g, const gate_weights *w, uint64_t version)
+{
+    for (size_t i = 0; w && version && i < w->len; i++) {
+        if (w->versions[i] > version)
+            return g->now - w->named[i];
+    }
+    return 0;
+}
+
 static void
-add_candidate(field *f, gate_upstream *u, const gate_request *r,
-              const gate_weights *w)
+add_candidate(const bbm_gate *g, field *f, gate_upstream *u,
+              const gate_request *r, const gate_weights *w)
 {
     uint64_t version = bbm_listed_version(&u->info, r->model);
+    bbm_time age = age_of(g, w, version);
+    if (age >= g->desc.old_weights_most - OLD_MARGIN) {
+        f->loading++;
+        return;
+    }
     f->items[f->len++] = (candidate){
         .upstream = u,
         .weight = bbm_hash64(&r->chain, sizeof(r->chain), u->hash),
         .version = version,
-        .old = w && version && version < w->version,
+        .old = age >= g->desc.old_weights_fine - FINE_MARGIN,
     };
 }
 
@@ -154,7 +170,7 @@
             f->others++;
             continue;
         }
-        add_candidate(f, u, r, w);
+        add_candidate(g, f, u, r, w);
     }
 }
 
@@ -445,7 +461,7 @@
    as long as the callers wait for it. */
 static gate_pick
 choose_by_weights(bbm_gate *g, const gate_request *r, const field *all,
-                  bool allowed, gate_choice *c)
+                  gate_choice *c)
 {
     field f = {.items = bbm_calloc(all->len, sizeof(*f.items))};
     gate_pick pick = GATE_PICK_HOLD;
@@ -456,7 +472,7 @@
     bool good = newest.best && by_then <= aim;
     if (good)
         pick = take(g, r, &f, &newest, c);
-    if (!good && allowed) {
+    if (!good) {
         field g_old = {.items = bbm_calloc(all->len, sizeof(*f.items))};
         keep_only(all, true, &g_old);
         option old = look(g, r, &g_old);
@@ -485,13 +501,8 @@
         return GATE_PICK_LATE;
     if (!f->len)
         return f->loading ? GATE_PICK_HOLD : GATE_PICK_NOBODY;
-    const gate_weights *w = weights_of(g, r->model);
-    if (w && count_old(f) && f->items[0].upstream->pool->engine) {
-        bbm_time age = g->now - w->named;
-        if (age >= g->desc.old_weights_fine - FINE_MARGIN)
-            return choose_by_weights(
-                g, r, f, age < g->desc.old_weights_most - OLD_MARGIN, c);
-    }
+    if (count_old(f))
+        return choose_by_weights(g, r, f, c);
     option o = look(g, r, f);
     return take(g, r, f, &o, c);
 }
--- a/node/node.c
+++ b/node/node.c
@@ -363,6 +363,7 @@
     TAILQ_INIT(&n->waiting_rate);
     STAILQ_INIT(&n->held_grants);
     n->started = desc->now;
+    n->group_led = desc->now;
     TAILQ_INIT(&n->reads);
     n->state =
         bbm_state_create(&(bbm_state_desc){.texts_kept = desc->texts_kept});
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -274,6 +274,9 @@
     bbm_time found_at;  /**< Next time that it is told. */
     bbm_time started;   /**< When this node was made. */
     bbm_time repair_at; /**< Next look at the control group. */
+    bbm_time group_led; /**< When our folder last followed a leader. */
+    bbm_time news_heard;  /**< When another VM last told of the leader. */
+    bool left_out;        /**< The group goes on without our folder. */
     bbm_state *behind;  /**< The log's state while it is older than what
                              was heard from others, or NULL. */
 
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -64,15 +64,12 @@
 take_weights(bbm_node *n)
 {
     const bbm_registry *reg = bbm_state_registry(n->state);
-    char model[BBM_NAME_SIZE];
-    uint64_t version;
-    int64_t at_ms;
-    for (size_t i = 0;
-         bbm_registry_weights_at(reg, i, model, &version, &at_ms); i++) {
-        bbm_time age = (n->wall_ms - at_ms) * BBM_MS;
+    bbm_named_weights named;
+    for (size_t i = 0; bbm_registry_weights_at(reg, i, &named); i++) {
+        bbm_time age = (n->wall_ms - named.at_ms) * BBM_MS;
         if (n->caught_up || age < 0)
             age = 0;
-        bbm_gate_weights(n->gate, model, version, age, n->now);
+        bbm_gate_weights(n->gate, named.model, named.version, age, n->now);
     }
 }
 
--- a/node/node_join.c
+++ b/node/node_join.c
@@ -21,6 +21,9 @@
 #define FOUND_AGAIN (400 * BBM_MS)
 /* Voters beyond this add messages, not safety. */
 #define VOTERS_MOST 7
+/* A member that hears nothing for so many election times, though there is a
+   leader, was left out. */
+#define LEFT_OUT 3
 #define REPAIR_PERIOD (150 * BBM_MS)
 /* A voter that is silent for so long gives way to a learner that is ready.
    It loses nothing: when it is back it is the learner. */
@@ -337,12 +340,46 @@
     }
 }
 
+/* A folder that was removed while its VM was away isn't told so: it hears of a
+   leader from others, and nothing from the group.  Until it is admitted anew
+   it follows what others tell, beside the log's state. */
+static void
+check_left_out(bbm_node *n)
+{
+    if (bbm_raft_leader(n->raft)) {
+        n->group_led = n->now;
+        if (n->left_out && bbm_raft_member_of(n->raft, n->desc.disk))
+            n->in_group = true;
+        n->left_out = false;
+    }
+    bool silent = n->now - n->group_led > LEFT_OUT * n->desc.election;
+    bool led = strcmp(n->leader, n->desc.name) != 0
+               && n->now - n->news_heard < n->desc.election * LEFT_OUT;
+    if (!n->desc.self_repair || !n->in_group || !silent || !led)
+        return;
+    n->left_out = true;
+    n->in_group = false;
+    n->hello_at = n->now;
+    node_log(n, BBM_EVENT_REPAIR, n->desc.name, "left out of the group");
+    if (n->behind)
+        return;
+    bbm_buf bytes = {0};
+    bbm_state *view =
+        bbm_state_create(&(bbm_state_desc){.texts_kept = n->desc.texts_kept});
+    bbm_state_encode_public(n->state, &bytes);
+    bbm_state_decode_public(view, bytes.data, bytes.len);
+    bbm_buf_free(&bytes);
+    n->behind = n->state;
+    n->state = view;
+}
+
 void
 node_join_tick(bbm_node *n)
 {
     found_as_first_seed(n);
     if (!n->raft)
         return;
+    check_left_out(n);
     say_hello(n);
     found_with_named(n);
     repair(n);
--- a/node/node_relay.c
+++ b/node/node_relay.c
@@ -23,6 +23,8 @@
 /* Bytes of commands in one message. */
 #define NEWS_BYTES ((size_t)256 * 1024)
 #define AGE_MOST (3600 * BBM_SECOND)
+/* News so young come from a leader that leads. */
+#define NEWS_FRESH BBM_SECOND
 
 bbm_time
 node_relay_age(const bbm_node *n)
@@ -316,6 +318,8 @@
     if (!bbm_reader_done(rd) || age < 0)
         return BBM_ERR_DECODE;
     take_leader(n, leader, term);
+    if (n->leader[0] && age < NEWS_FRESH)
+        n->news_heard = n->now;
     uint64_t mine = bbm_state_public_index(n->state);
     if (mine != before) {
         node_configure(n);
--- a/node/node_rollout.c
+++ b/node/node_rollout.c
@@ -39,12 +39,9 @@
 take_targets(bbm_node *n)
 {
     const bbm_registry *reg = bbm_state_registry(n->state);
-    char model[BBM_NAME_SIZE];
-    uint64_t version;
-    int64_t at_ms;
-    for (size_t i = 0;
-         bbm_registry_weights_at(reg, i, model, &version, &at_ms); i++)
-        bbm_rollout_target(n->rollout, model, version, n->now);
+    bbm_named_weights named;
+    for (size_t i = 0; bbm_registry_weights_at(reg, i, &named); i++)
+        bbm_rollout_target(n->rollout, named.model, named.version, n->now);
 }
 
 static void
--- a/state/bbm_registry.c
+++ b/state/bbm_registry.c
@@ -8,8 +8,8 @@
 
 /* Identifiers of publishes that are remembered, for resends. */
 #define REVISIONS_MOST 1024
-/* Models whose weights may be named. */
-#define MODELS_MOST 4096
+/* Versions of weights that may be remembered. */
+#define NAMED_MOST 32768
 
 typedef struct revision {
     bbm_revision info; /* text and source are owned here */
@@ -19,8 +19,8 @@
 
 typedef struct weights_row {
     char model[BBM_NAME_SIZE];
-    uint64_t version;
-    int64_t at_ms; /* calendar time at which it was named */
+    bbm_named_weights named[BBM_WEIGHTS_KEPT]; /* oldest first */
+    size_t len;
     UT_hash_handle hh;
 } weights_row;
 
@@ -343,32 +343,37 @@
         bbm_name_set(row->model, model);
         HASH_ADD_STR(reg->weights, model, row);
     }
-    if (version <= row->version)
+    if (row->len && version <= row->named[row->len - 1].version)
         return;
-    row->version = version;
-    row->at_ms = at_ms;
+    if (row->len == BBM_WEIGHTS_KEPT) {
+        row->len--;
+        memmove(row->named, row->named + 1, row->len * sizeof(*row->named));
+    }
+    bbm_named_weights *named = &row->named[row->len++];
+    bbm_name_set(named->model, model);
+    named->version = version;
+    named->at_ms = at_ms;
 }
 
 uint64_t
 bbm_registry_weights(const bbm_registry *reg, const char *model)
 {
     const weights_row *row = find_weights(reg, model);
-    return row ? row->version : 0;
+    return row ? row->named[row->len - 1].version : 0;
 }
 
 bool
 bbm_registry_weights_at(const bbm_registry *reg, size_t i,
-                        char model[BBM_NAME_SIZE], uint64_t *version,
-                        int64_t *at_ms)
+                        bbm_named_weights *named)
 {
     const weights_row *row = reg->weights;
-    while (row && i--)
+    while (row && i >= row->len) {
+        i -= row->len;
         row = row->hh.next;
+    }
     if (!row)
         return false;
-    bbm_name_set(model, row->model);
-    *version = row->version;
-    *at_ms = row->at_ms;
+    *named = row->named[i];
     return true;
 }
 
@@ -541,11 +546,15 @@
     bbm_put_u64(buf, HASH_COUNT(reg->drains));
     for (const drain_row *d = reg->drains; d; d = d->hh.next)
         bbm_put_str(buf, d->name);
-    bbm_put_u64(buf, HASH_COUNT(reg->weights));
-    for (const weights_row *w = reg->weights; w; w = w->hh.next) {
-        bbm_put_str(buf, w->model);
-        bbm_put_u64(buf, w->version);
-        bbm_put_i64(buf, w->at_ms);
+    bbm_named_weights named;
+    size_t len = 0;
+    while (bbm_registry_weights_at(reg, len, &named))
+        len++;
+    bbm_put_u64(buf, len);
+    for (size_t i = 0; bbm_registry_weights_at(reg, i, &named); i++) {
+        bbm_put_str(buf, named.model);
+        bbm_put_u64(buf, named.version);
+        bbm_put_i64(buf, named.at_ms);
     }
 }
 
@@ -634,8 +643,8 @@
         bbm_get_name(rd, node);
         set_drain(&fresh, node, true);
     }
-    size_t models = bbm_get_u32(rd, MODELS_MOST);
-    for (size_t i = 0; i < models && !rd->failed; i++) {
+    size_t named = bbm_get_u32(rd, NAMED_MOST);
+    for (size_t i = 0; i < named && !rd->failed; i++) {
         char model[BBM_NAME_SIZE];
         bbm_get_name(rd, model);
         uint64_t version = bbm_get_u64(rd);
--- a/state/bbm_registry.h
+++ b/state/bbm_registry.h
@@ -72,11 +72,20 @@
 
 /** Newest version of a model's weights that was named; 0: none was. */
 uint64_t bbm_registry_weights(const bbm_registry *reg, const char *model);
-/** The i-th model with a named version, and the calendar time in milliseconds
- *  at which it was named; false past the end. */
+/** Versions of a model's weights that are remembered. */
+#define BBM_WEIGHTS_KEPT 8
+
+/** A version of a model's weights. */
+typedef struct bbm_named_weights {
+    char model[BBM_NAME_SIZE]; /**< Which model. */
+    uint64_t version;          /**< Its version. */
+    int64_t at_ms;             /**< Calendar time at which it was named. */
+} bbm_named_weights;
+
+/** The i-th version that was named of any model, each model's oldest first;
+ *  false past the end. */
 bool bbm_registry_weights_at(const bbm_registry *reg, size_t i,
-                             char model[BBM_NAME_SIZE], uint64_t *version,
-                             int64_t *at_ms);
+                             bbm_named_weights *named);
 
 /** Find a valid key by the digest of what a caller showed. */
 bool bbm_registry_key(const bbm_registry *reg, const bbm_digest *digest,
