Rates: a caller's rare requests keep their part

Cause: demand smoothed over 2 s fell to nothing between two requests of a small customer at one VM, and its part with it: requests below the rate were refused. Change: 8 s, and half of the mean demand as the least part.

--- a/rate/bbm_share.c
+++ b/rate/bbm_share.c
@@ -5,14 +5,14 @@
 #include <math.h>
 #include <string.h>
 
-/* Demand is smoothed over about this long: a few requests of one caller. */
-#define DEMAND_SPAN (2.0)
+/* Demand is smoothed over about this many seconds: a few requests of a caller. */
+#define DEMAND_SPAN 8.0
 /* Part of the mean demand that each VM is taken to have at least, so that a
    caller that moves finds tokens before the next sum is heard. */
-#define FLOOR_SHARE 0.15
+#define FLOOR_SHARE 0.5
 /* Part of the tolerated overrun that is dealt out; the rest covers demand
    that moves between two sums. */
-#define SLACK_DEALT 0.65
+#define SLACK_DEALT 0.75
 
 typedef struct share_row {
     char customer[BBM_NAME_SIZE];
