Rates bind only near the limit; sources are the store or the home before

Change: parts bind from 0.8 of the rate; of many VMs about twelve write a chain to the store; where few write, the runner that was the home before is named.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -564,7 +564,11 @@
     open_row *row, *next;
     HASH_ITER(hh, c->rows, row, next)
     {
-        exchange_fail(row->ex, BBM_ERR_STOPPED, 0);
+        /* What went to a pool may have run, what didn't has not. */
+        int code = BBM_ERR_STOPPED;
+        if (row->ex->kind == EXCHANGE_POOL)
+            code = row->attempt ? BBM_ERR_UPSTREAM_CUT : BBM_ERR_DRAINING;
+        exchange_fail(row->ex, code, 0);
         drop_row(c, row);
     }
 }
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -32,6 +32,7 @@
 #define OTHERS_MOST 3
 /* Settings may change without a signal: they are looked at so often. */
 #define RELOAD_PERIOD_S 2
+#define LAST_ANSWERS_US 100000
 #define SETTINGS_VARIABLE "BLUEBELLMOOR_CONFIG"
 /* Allocator arenas: more would only spread the memory. */
 #define ARENAS 4
@@ -233,8 +234,10 @@
 static void
 close_parts(daemon_parts *p)
 {
-    if (p->callers)
+    if (p->callers) {
+        front_quiesce(p->callers);
         front_refuse(p->callers);
+    }
     if (p->admin)
         front_refuse(p->admin);
     for (size_t i = 0; i < p->others_len; i++)
@@ -243,6 +246,8 @@
         traffic_stop(p->traffic[i]);
     forward_stop(p->forward);
     fail_left_items(p);
+    /* The last answers need a moment to go out. */
+    usleep(LAST_ANSWERS_US);
     front_destroy(p->callers);
     front_destroy(p->admin);
     for (size_t i = 0; i < p->others_len; i++)
--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -286,6 +286,20 @@
     u->late_ms = 0;
 }
 
+/* New weights, and a start anew, empty a runner's cache. */
+static bool
+holds_other_weights(const bbm_listed *before, const bbm_listed *now)
+{
+    if (before->born_ms != now->born_ms
+        || before->models_len != now->models_len)
+        return true;
+    for (size_t i = 0; i < now->models_len; i++) {
+        if (before->models[i].version != now->models[i].version)
+            return true;
+    }
+    return false;
+}
+
 static void
 take_listed(bbm_gate *g, const bbm_listed *info)
 {
@@ -300,6 +314,9 @@
     else if (u->info.born_ms != info->born_ms) {
         start_anew(u);
     }
+    if (!u->listed_once || holds_other_weights(&u->info, info))
+        u->cold_since = g->now;
+    u->listed_once = true;
     u->info = *info;
     u->listed = true;
     u->pool = pool_of(g, info->pool);
@@ -378,9 +395,13 @@
     }
     bbm_put_u64(buf, HASH_COUNT(g->customers));
     for (const gate_customer *c = g->customers; c; c = c->hh.next) {
-        double demand = bbm_shares_demand(g->shares, c->name, g->now);
-        bbm_put_u64(buf, c->hash);
-        bbm_put_u64(buf, (uint64_t)demand);
+        bbm_share_demand d = bbm_shares_demand(g->shares, c->name, g->now);
+        bbm_demand row = {
+            .customer = c->hash,
+            .lately = (uint64_t)d.lately,
+            .now = (uint64_t)d.now,
+        };
+        bbm_demand_put(buf, &row);
     }
 }
 
@@ -408,12 +429,16 @@
     take_sums(g, rd);
     size_t len = bbm_get_u32(rd, BBM_LOADS_MOST);
     for (size_t i = 0; i < len && !rd->failed; i++) {
-        uint64_t hash = bbm_get_u64(rd);
-        uint64_t demand = bbm_get_u64(rd);
+        bbm_demand row;
+        bbm_demand_get(rd, &row);
+        bbm_share_demand total = {
+            .lately = (double)row.lately,
+            .now = (double)row.now,
+        };
         gate_customer *c = NULL;
-        HASH_FIND(hh, g->customers, &hash, sizeof(hash), c);
+        HASH_FIND(hh, g->customers, &row.customer, sizeof(row.customer), c);
         if (c)
-            bbm_shares_total(g->shares, c->name, (double)demand, vms, g->now);
+            bbm_shares_total(g->shares, c->name, &total, vms, g->now);
     }
 }
 
--- a/gate/bbm_loads.c
+++ b/gate/bbm_loads.c
@@ -51,6 +51,22 @@
     l->suspects = bbm_get_u32(rd, UINT32_MAX);
 }
 
+void
+bbm_demand_put(bbm_buf *buf, const bbm_demand *d)
+{
+    bbm_put_u64(buf, d->customer);
+    bbm_put_u64(buf, d->lately);
+    bbm_put_u64(buf, d->now);
+}
+
+void
+bbm_demand_get(bbm_reader *rd, bbm_demand *d)
+{
+    d->customer = bbm_get_u64(rd);
+    d->lately = bbm_get_u64(rd);
+    d->now = bbm_get_u64(rd);
+}
+
 bbm_loads *
 bbm_loads_create(void)
 {
@@ -97,10 +113,8 @@
     row->demands_len = bbm_get_u32(rd, BBM_LOADS_MOST);
     row->demands =
         bbm_realloc(row->demands, row->demands_len * sizeof(*row->demands));
-    for (size_t i = 0; i < row->demands_len; i++) {
-        row->demands[i].customer = bbm_get_u64(rd);
-        row->demands[i].per_s = bbm_get_u64(rd);
-    }
+    for (size_t i = 0; i < row->demands_len; i++)
+        bbm_demand_get(rd, &row->demands[i]);
     if (rd->failed)
         drop_vm(all, row);
 }
@@ -131,7 +145,8 @@
         sum->demand.customer = d->customer;
         HASH_ADD(hh, *sums, demand.customer, sizeof(d->customer), sum);
     }
-    sum->demand.per_s += d->per_s;
+    sum->demand.lately += d->lately;
+    sum->demand.now += d->now;
 }
 
 void
@@ -156,10 +171,8 @@
     for (const load_sum *s = loads; s; s = s->hh.next)
         bbm_load_put(buf, &s->load);
     bbm_put_u64(buf, HASH_COUNT(demands));
-    for (const demand_sum *s = demands; s; s = s->hh.next) {
-        bbm_put_u64(buf, s->demand.customer);
-        bbm_put_u64(buf, s->demand.per_s);
-    }
+    for (const demand_sum *s = demands; s; s = s->hh.next)
+        bbm_demand_put(buf, &s->demand);
     BBM_TABLE_FREE(load_sum, loads);
     BBM_TABLE_FREE(demand_sum, demands);
 }
--- a/gate/bbm_loads.h
+++ b/gate/bbm_loads.h
@@ -30,7 +30,8 @@
 /** What a customer asks for. */
 typedef struct bbm_demand {
     uint64_t customer; /**< Hash of the name. */
-    uint64_t per_s;    /**< Tokens per second. */
+    uint64_t lately;   /**< Tokens per second, smoothed. */
+    uint64_t now;      /**< The same over a shorter time. */
 } bbm_demand;
 
 /** Append a row. */
@@ -38,6 +39,11 @@
 /** Read a row; sets the reader's error. */
 void bbm_load_get(bbm_reader *rd, bbm_load *l);
 
+/** Append a row. */
+void bbm_demand_put(bbm_buf *buf, const bbm_demand *d);
+/** Read a row; sets the reader's error. */
+void bbm_demand_get(bbm_reader *rd, bbm_demand *d);
+
 /** The leader's sums; opaque. */
 typedef struct bbm_loads bbm_loads;
 
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -37,6 +37,8 @@
     bbm_listed info;        /**< As listed. */
     gate_pool *pool;        /**< Its pool; NULL: none is configured. */
     uint64_t hash;          /**< Of its id. */
+    bbm_time cold_since;    /**< When it last began without what it has. */
+    bool listed_once;       /**< It was listed before. */
     bool listed;            /**< In the last listing. */
     uint32_t open;          /**< Requests of this VM. */
     uint32_t unread;        /**< Their prompt tokens not answered yet. */
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -29,6 +29,12 @@
 #define PREFER_MS 150.0
 /* Share of fetches that are taken to find nothing. */
 #define FETCH_DOUBT 0.5
+/* Of all VMs so many write a chain to the store when they first meet it: each
+   writes what belongs to the request alone as well, and the store's link and
+   room are shared by all. */
+#define KEEPERS 12.0
+/* A runner that has had its weights for so long has its chains. */
+#define WARM_TIME (8 * BBM_SECOND)
 /* For so long a chain is taken to stay where it was placed away from home, and
    milliseconds in favour of those before in its order. */
 #define PLACED_TIME (4 * BBM_SECOND)
@@ -119,6 +125,12 @@
     return w;
 }
 
+static uint64_t
+weight_of(const gate_request *r, const gate_upstream *u)
+{
+    return bbm_hash64(&r->chain, sizeof(r->chain), u->hash);
+}
+
 /* For how long newer weights than these have been named; 0: not at all. */
 static bbm_time
 age_of(const bbm_gate *g, const gate_weights *w, uint64_t version)
@@ -142,7 +154,7 @@
     }
     f->items[f->len++] = (candidate){
         .upstream = u,
-        .weight = bbm_hash64(&r->chain, sizeof(r->chain), u->hash),
+        .weight = weight_of(r, u),
         .version = version,
         .old = age >= g->desc.old_weights_fine - FINE_MARGIN,
     };
@@ -339,38 +351,60 @@
     return gate_note(g, key) == 0;
 }
 
-/* The home of the chain among runners with the same weights, if another was
-   chosen: it holds what was read there before. */
+/* Who likely holds the chain, if it isn't the chosen one.  A runner that comes
+   before it in the chain's order was its home, though it may get no new work
+   now; if none does, and the chosen one has only just begun under these
+   weights, the next in the order was. */
 static const gate_upstream *
-home_of(const field *f, const candidate *chosen)
-{
-    for (size_t i = 0; i < f->len; i++) {
-        const candidate *c = &f->items[i];
-        if (c->version == chosen->version)
-            return c->upstream == chosen->upstream ? NULL : c->upstream;
+likely_holder(const bbm_gate *g, const gate_request *r,
+              const candidate *chosen)
+{
+    const gate_upstream *before = NULL;
+    const gate_upstream *after = NULL;
+    bbm_time begun = chosen->upstream->cold_since;
+    for (const gate_upstream *u = g->upstreams; u; u = u->hh.next) {
+        bool same = u != chosen->upstream && u->listed
+                    && u->pool == chosen->upstream->pool
+                    && g->now >= u->suspect_until
+                    && bbm_listed_version(&u->info, r->model)
+                           == chosen->version;
+        if (!same)
+            continue;
+        uint64_t weight = weight_of(r, u);
+        if (weight > chosen->weight) {
+            if (!before || weight > weight_of(r, before))
+                before = u;
+        }
+        else if (u->cold_since < begun
+                 && (!after || weight > weight_of(r, after))) {
+            after = u;
+        }
     }
-    return NULL;
+    if (before)
+        return before;
+    return g->now - begun < WARM_TIME ? after : NULL;
 }
 
 static void
-plan_cache(bbm_gate *g, const gate_request *r, const field *f,
-           const candidate *chosen, gate_choice *c)
+plan_cache(bbm_gate *g, const gate_request *r, const candidate *chosen,
+           gate_choice *c)
 {
     make_salt(r, chosen->version, c->salt);
     if (!chosen->version || r->shared <= 0)
         return;
     const gate_store *store = live_store(g);
-    const gate_upstream *home = home_of(f, chosen);
+    const gate_upstream *holder = likely_holder(g, r, chosen);
     bool is_new = is_new_chain(g, r, c->salt);
     gate_note(g, place_key(r, chosen->upstream, chosen->version));
-    if (store) {
+    bool mine = bbm_rng_unit(&g->rng) * (double)g->vms < KEEPERS;
+    if (store && is_new && mine)
+        bbm_name_set(c->keep, store->address);
+    /* Where few write, what is new here is new in the store as well. */
+    bool stored = store && (!is_new || (double)g->vms <= KEEPERS);
+    if (holder && !stored)
+        bbm_name_set(c->source, holder->info.address);
+    else if (store)
         bbm_name_set(c->source, store->address);
-        if (is_new)
-            bbm_name_set(c->keep, store->address);
-    }
-    else if (home) {
-        bbm_name_set(c->source, home->info.address);
-    }
 }
 
 static void
@@ -383,7 +417,7 @@
     c->miss = best->miss;
     if (best->upstream->pool->engine && r->model[0]) {
         c->version = best->version;
-        plan_cache(g, r, f, best, c);
+        plan_cache(g, r, best, c);
     }
 }
 
--- a/rate/bbm_share.c
+++ b/rate/bbm_share.c
@@ -7,6 +7,13 @@
 
 /* Demand is smoothed over about this many seconds: a few requests of a caller. */
 #define DEMAND_SPAN 8.0
+/* Demand at the moment, for whether parts bind, over so many seconds. */
+#define NOW_SPAN 1.5
+/* Parts bind when the demand passes the first share of the rate, and no longer
+   when it is below the second or wasn't heard of for a while. */
+#define BIND_FROM 0.8
+#define BIND_UNTIL 0.65
+#define HEARD_MOST (4 * BBM_SECOND)
 /* Part of the mean demand that each VM is taken to have at least, so that a
    caller that moves finds tokens before the next sum is heard. */
 #define FLOOR_SHARE 0.5
@@ -20,7 +27,10 @@
     double share; /* of the whole, 0 to 1 */
     double level; /* tokens that may be taken */
     double asked; /* demand, tokens per second */
+    double asked_now; /* the same over a shorter time */
     bool heard;   /* a sum was heard */
+    bool loose;   /* the part doesn't bind: demand is well below the rate */
+    bbm_time heard_at;
     bbm_time at;  /* of level and asked */
     UT_hash_handle hh;
 } share_row;
@@ -72,6 +82,7 @@
     if (row->level > capacity_of(row))
         row->level = capacity_of(row);
     row->asked *= exp(-span / DEMAND_SPAN);
+    row->asked_now *= exp(-span / NOW_SPAN);
 }
 
 /* A part that grows gets room, not tokens: those that another part loses with
@@ -100,6 +111,8 @@
         return;
     }
     refresh(row, now);
+    if (terms->rate < row->terms.rate)
+        row->loose = false;
     row->terms = *terms;
     if (row->level > capacity_of(row))
         row->level = capacity_of(row);
@@ -115,6 +128,14 @@
         return true;
     refresh(row, now);
     row->asked += tokens / DEMAND_SPAN;
+    row->asked_now += tokens / NOW_SPAN;
+    if (row->loose && now - row->heard_at < HEARD_MOST) {
+        row->level -= tokens;
+        /* What was run loosely binds later for one part at most. */
+        if (row->level < -capacity_of(row))
+            row->level = -capacity_of(row);
+        return true;
+    }
     /* A request larger than the whole part runs on a full one, or it never
        would; the part is then in debt. */
     double needed = tokens < capacity_of(row) ? tokens : capacity_of(row);
@@ -140,25 +161,33 @@
         row->level = capacity_of(row);
 }
 
-double
+bbm_share_demand
 bbm_shares_demand(bbm_shares *s, const char *customer, bbm_time now)
 {
+    bbm_share_demand d = {0};
     share_row *row = find_row(s, customer);
     if (!row)
-        return 0;
+        return d;
     refresh(row, now);
-    return row->asked;
+    d.lately = row->asked;
+    d.now = row->asked_now;
+    return d;
 }
 
 void
-bbm_shares_total(bbm_shares *s, const char *customer, double demand,
-                 size_t vms, bbm_time now)
+bbm_shares_total(bbm_shares *s, const char *customer,
+                 const bbm_share_demand *total, size_t vms, bbm_time now)
 {
     share_row *row = find_row(s, customer);
     if (!row || vms == 0)
         return;
     refresh(row, now);
-    double mean = demand / (double)vms;
+    row->heard_at = now;
+    if (total->now < row->terms.rate * BIND_UNTIL)
+        row->loose = true;
+    else if (total->now > row->terms.rate * BIND_FROM)
+        row->loose = false;
+    double mean = total->lately / (double)vms;
     double low = mean * FLOOR_SHARE;
     if (mean <= 0) {
         set_share(row, 1.0 / (double)vms);
@@ -167,8 +196,8 @@
     row->heard = true;
     /* The sum is of a moment ago: own demand that has risen since counts in
        both, so that no part is larger than the whole. */
-    double total = demand > row->asked ? demand : row->asked;
-    set_share(row, (row->asked + low) / (total + low * (double)vms));
+    double whole = total->lately > row->asked ? total->lately : row->asked;
+    set_share(row, (row->asked + low) / (whole + low * (double)vms));
 }
 
 void
--- a/rate/bbm_share.h
+++ b/rate/bbm_share.h
@@ -9,6 +9,9 @@
  *  sum of all parts may pass the rate for as long as a change of demand takes
  *  to get round; the deployment says how much of that it tolerates.
  *
+ *  While the sum of the demand is well below the rate no part binds: with many
+ *  VMs a part is often smaller than one request.
+ *
  *      bbm_shares *s = bbm_shares_create();
  *      bbm_shares_customer(s, "jardin", &terms, now);
  *      if (!bbm_shares_take(s, "jardin", 900, now, &wait))
@@ -49,11 +52,18 @@
                      bbm_time now, bbm_time *wait);
 /** So many tokens that were taken did not run. */
 void bbm_shares_give_back(bbm_shares *s, const char *customer, double tokens);
-/** Demand on this VM, tokens per second; 0 for an unknown customer. */
-double bbm_shares_demand(bbm_shares *s, const char *customer, bbm_time now);
+/** Demand, tokens per second. */
+typedef struct bbm_share_demand {
+    double lately; /**< Over the last seconds: what parts are measured by. */
+    double now;    /**< Over the last second or so: whether they bind. */
+} bbm_share_demand;
+
+/** Demand on this VM; 0 for an unknown customer. */
+bbm_share_demand bbm_shares_demand(bbm_shares *s, const char *customer,
+                                   bbm_time now);
 /** Demand over so many VMs. */
-void bbm_shares_total(bbm_shares *s, const char *customer, double demand,
-                      size_t vms, bbm_time now);
+void bbm_shares_total(bbm_shares *s, const char *customer,
+                      const bbm_share_demand *total, size_t vms, bbm_time now);
 /** So many VMs share the rates, until a sum is heard. */
 void bbm_shares_vms(bbm_shares *s, size_t vms);
 
