--- a/base/bbm_log.c
+++ b/base/bbm_log.c
@@ -1,8 +1,11 @@
 #include "bbm_log.h"
 
+#include "bbm_codes.h"
 #include "bbm_mem.h"
 
+#include <pthread.h>
 #include <stdarg.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
@@ -29,6 +32,27 @@
 
 static bbm_log_desc log_desc;
 
+/* Bytes of lines that wait for the reader. */
+#define BUFFER_SIZE ((size_t)64 * 1024)
+/* The writer looks for lines so often, and is given so long at the end. */
+#define WRITER_PERIOD_MS 40
+#define LAST_TRIES 10
+
+/* Lines on their way to the reader. */
+typedef struct log_buffer {
+    pthread_mutex_t lock; /* of all but the thread */
+    pthread_t thread;
+    bool running;
+    bool stop;
+    char *bytes; /* BUFFER_SIZE, a ring */
+    size_t at;   /* first byte that waits */
+    size_t len;  /* bytes that wait */
+    uint64_t dropped;
+    uint64_t told; /* of these, told of */
+} log_buffer;
+
+static log_buffer buffer = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
 typedef struct line {
     char text[LINE_SIZE];
     size_t len;
@@ -124,14 +148,154 @@
     add_quoted(l, value ? value : "");
 }
 
+/* Under the lock.  A line goes in whole or not at all. */
+static bool
+buffer_put(const char *text, size_t len)
+{
+    if (buffer.len + len > BUFFER_SIZE)
+        return false;
+    size_t to = (buffer.at + buffer.len) % BUFFER_SIZE;
+    size_t first = BUFFER_SIZE - to < len ? BUFFER_SIZE - to : len;
+    memcpy(buffer.bytes + to, text, first);
+    memcpy(buffer.bytes, text + first, len - first);
+    buffer.len += len;
+    return true;
+}
+
+/* Under the lock. */
+static void
+tell_dropped(void)
+{
+    uint64_t missing = buffer.dropped - buffer.told;
+    if (!missing)
+        return;
+    line l = {.len = 0};
+    char number[24];
+    snprintf(number, sizeof(number), "%llu", (unsigned long long)missing);
+    begin_line(&l, find_event(BBM_EVENT_LINES_DROPPED));
+    add_field(&l, "lines", number);
+    l.text[l.len++] = '}';
+    l.text[l.len++] = '\n';
+    if (buffer_put(l.text, l.len))
+        buffer.told = buffer.dropped;
+}
+
+static FILE *
+log_file(void)
+{
+    return log_desc.file ? log_desc.file : stderr;
+}
+
 static void
 write_line(line *l)
 {
     l->text[l->len++] = '}';
     l->text[l->len++] = '\n';
-    FILE *file = log_desc.file ? log_desc.file : stderr;
-    fwrite(l->text, 1, l->len, file);
-    fflush(file);
+    pthread_mutex_lock(&buffer.lock);
+    bool buffered = buffer.running;
+    if (buffered) {
+        tell_dropped();
+        buffer.dropped += !buffer_put(l->text, l->len);
+    }
+    pthread_mutex_unlock(&buffer.lock);
+    if (buffered)
+        return;
+    fwrite(l->text, 1, l->len, log_file());
+    fflush(log_file());
+}
+
+/* Writes some of what waits; false if nothing did. */
+static bool
+write_some(void)
+{
+    char chunk[8192];
+    pthread_mutex_lock(&buffer.lock);
+    size_t len = buffer.len < sizeof(chunk) ? buffer.len : sizeof(chunk);
+    size_t first =
+        BUFFER_SIZE - buffer.at < len ? BUFFER_SIZE - buffer.at : len;
+    memcpy(chunk, buffer.bytes + buffer.at, first);
+    memcpy(chunk + first, buffer.bytes, len - first);
+    buffer.at = (buffer.at + len) % BUFFER_SIZE;
+    buffer.len -= len;
+    pthread_mutex_unlock(&buffer.lock);
+    if (!len)
+        return false;
+    fwrite(chunk, 1, len, log_file());
+    fflush(log_file());
+    return true;
+}
+
+static bool
+is_stopping(void)
+{
+    pthread_mutex_lock(&buffer.lock);
+    bool stop = buffer.stop;
+    pthread_mutex_unlock(&buffer.lock);
+    return stop;
+}
+
+static void *
+run_writer(void *context)
+{
+    (void)context;
+    struct timespec pause = {.tv_nsec = WRITER_PERIOD_MS * 1000000L};
+    while (write_some() || !is_stopping()) {
+        if (!is_stopping())
+            nanosleep(&pause, NULL);
+    }
+    return NULL;
+}
+
+int
+bbm_log_start(void)
+{
+    buffer.bytes = bbm_calloc(BUFFER_SIZE, 1);
+    buffer.stop = false;
+    if (pthread_create(&buffer.thread, NULL, run_writer, NULL) != 0) {
+        free(buffer.bytes);
+        buffer.bytes = NULL;
+        return BBM_ERR_IO;
+    }
+    pthread_mutex_lock(&buffer.lock);
+    buffer.running = true;
+    pthread_mutex_unlock(&buffer.lock);
+    return BBM_OK;
+}
+
+/* A reader that has stopped reading is not waited for: the thread is left to
+   the end of the process. */
+void
+bbm_log_stop(void)
+{
+    if (!buffer.running)
+        return;
+    struct timespec pause = {.tv_nsec = WRITER_PERIOD_MS * 1000000L};
+    pthread_mutex_lock(&buffer.lock);
+    buffer.stop = true;
+    buffer.running = false;
+    pthread_mutex_unlock(&buffer.lock);
+    for (int i = 0; i < LAST_TRIES; i++) {
+        nanosleep(&pause, NULL);
+        pthread_mutex_lock(&buffer.lock);
+        bool empty = buffer.len == 0;
+        pthread_mutex_unlock(&buffer.lock);
+        if (empty) {
+            pthread_join(buffer.thread, NULL);
+            free(buffer.bytes);
+            buffer.bytes = NULL;
+            return;
+        }
+    }
+    pthread_detach(buffer.thread);
+}
+
+uint64_t
+bbm_log_dropped(void)
+{
+    pthread_mutex_lock(&buffer.lock);
+    uint64_t dropped = buffer.dropped;
+    pthread_mutex_unlock(&buffer.lock);
+    return dropped;
 }
 
 void
--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -74,7 +74,8 @@
     X(BBM_EVENT_REQUEST_FAILED, 500, WARN, "request ended with an error")     \
     X(BBM_EVENT_RETRY, 501, INFO, "request tried again")                      \
     X(BBM_EVENT_CLAIM_UNKNOWN, 502, WARN, "claim closed, outcome unknown")    \
-    X(BBM_EVENT_DROPPED, 600, WARN, "work shed because a queue was full")
+    X(BBM_EVENT_DROPPED, 600, WARN, "work shed because a queue was full")     \
+    X(BBM_EVENT_LINES_DROPPED, 601, WARN, "log lines dropped: slow reader")
 
 /** How grave an event is. */
 typedef enum bbm_level {
@@ -99,6 +100,15 @@
     int64_t (*wall_ms)(void); /**< NULL means the system's clock. */
 } bbm_log_desc;
 
+/** From now on lines go through a buffer of fixed size to a thread of their
+ *  own, so that no caller waits for the reader.  What finds no room is
+ * dropped; a line tells how many were, when there is room again. */
+int bbm_log_start(void);
+/** Write what is buffered, for a moment at most, and end the thread. */
+void bbm_log_stop(void);
+/** Lines dropped so far. */
+uint64_t bbm_log_dropped(void);
+
 /** Fields of one event at most. */
 #define BBM_LOG_PAIRS 12
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -417,10 +417,12 @@
         .level = (bbm_level)bbm_level_parse(parts.settings->log_level),
     });
     block_signals();
+    bbm_log_start();
     raise_file_limit();
     mallopt(M_ARENA_MAX, ARENAS);
     curl_global_init(CURL_GLOBAL_ALL);
     int rc = run(&parts);
+    bbm_log_stop();
     curl_global_cleanup();
     bbm_settings_destroy(parts.settings);
     return rc;
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -1,6 +1,7 @@
 #include "metrics.h"
 
 #include <malloc.h>
+#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -50,6 +51,42 @@
     {"term", "gauge", "Term of the control group", AT(term)},
     {"is_leader", "gauge", "1 on the leader", AT(is_leader)},
     {"keys_age_ms", "gauge", "Age of the view of the keys", AT(fresh_age_ms)},
+    {"list_age_ms", "gauge", "Age of the list of upstreams", AT(list_age_ms)},
+    {"listed_upstreams", "gauge", "Upstreams in the list", AT(upstreams)},
+    {"pool_requests_total", "counter", "Requests to pools", AT(gate.begun)},
+    {"pool_attempts_total", "counter", "Attempts at pools", AT(gate.sent)},
+    {"pool_attempts_again_total", "counter", "Attempts after the first",
+     AT(gate.sent_again)},
+    {"pool_answers_total", "counter", "Answers passed on whole",
+     AT(gate.whole)},
+    {"pool_refused_rate_total", "counter", "Refused: rate used up",
+     AT(gate.refused_rate)},
+    {"pool_refused_load_total", "counter", "Refused: not in time",
+     AT(gate.refused_load)},
+    {"pool_refused_none_total", "counter", "Refused: no upstream",
+     AT(gate.refused_none)},
+    {"pool_lost_total", "counter", "Ended with an unknown outcome",
+     AT(gate.lost)},
+    {"pool_cut_total", "counter", "Answers broken off", AT(gate.cut)},
+    {"pool_gone_total", "counter", "Callers that left", AT(gate.gone)},
+    {"pool_open_requests", "gauge", "Requests to pools now", AT(gate.open)},
+    {"pool_held_requests", "gauge", "Of these, waiting for an upstream",
+     AT(gate.held)},
+};
+
+typedef struct times {
+    const char *name;
+    const char *about;
+    size_t offset;
+} times;
+
+static const times histograms[] = {
+    {"pool_first_seconds", "From arrival to the head of the answer",
+     AT(gate.first)},
+    {"pool_whole_seconds", "From arrival to the end of the answer",
+     AT(gate.whole_time)},
+    {"pool_wait_seconds", "From arrival to the first attempt",
+     AT(gate.waited)},
 };
 
 static void
@@ -65,6 +102,38 @@
     bbm_buf_add(out, text, (size_t)len);
 }
 
+static void
+add_line(bbm_buf *out, const char *format, ...)
+{
+    char text[256];
+    va_list args;
+    va_start(args, format);
+    int len = vsnprintf(text, sizeof(text), format, args);
+    va_end(args);
+    if (len > 0 && (size_t)len < sizeof(text))
+        bbm_buf_add(out, text, (size_t)len);
+}
+
+static void
+write_times(const times *t, const bbm_histogram *h, bbm_buf *out)
+{
+    uint64_t sum = 0;
+    add_line(out, "# HELP bluebellmoor_%s %s\n", t->name, t->about);
+    add_line(out, "# TYPE bluebellmoor_%s histogram\n", t->name);
+    for (size_t i = 0; i < BBM_HISTOGRAM_BOUNDS; i++) {
+        sum += h->counts[i];
+        add_line(out, "bluebellmoor_%s_bucket{le=\"%g\"} %llu\n", t->name,
+                 (double)bbm_histogram_bounds_ms[i] / 1000,
+                 (unsigned long long)sum);
+    }
+    add_line(out, "bluebellmoor_%s_bucket{le=\"+Inf\"} %llu\n", t->name,
+             (unsigned long long)h->total);
+    add_line(out, "bluebellmoor_%s_sum %g\n", t->name,
+             (double)h->sum / (double)BBM_SECOND);
+    add_line(out, "bluebellmoor_%s_count %llu\n", t->name,
+             (unsigned long long)h->total);
+}
+
 void
 metrics_write(const bbm_node_counts *counts, uint64_t refused, bbm_buf *out)
 {
@@ -75,6 +144,14 @@
         write_one(metrics[i].name, metrics[i].type, metrics[i].about, value,
                   out);
     }
+    for (size_t i = 0; i < BBM_COUNT(histograms); i++) {
+        const times *t = &histograms[i];
+        bbm_histogram h;
+        memcpy(&h, (const char *)counts + t->offset, sizeof(h));
+        write_times(t, &h, out);
+    }
+    write_one("log_lines_dropped_total", "counter",
+              "Log lines dropped for a slow reader", bbm_log_dropped(), out);
     write_one("unsealed_messages_total", "counter",
               "Messages that did not open", refused, out);
     struct mallinfo2 heap = mallinfo2();
--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -37,7 +37,7 @@
         g->desc.old_weights_most = DEFAULT_OLD_MOST;
     g->rng = bbm_rng_of(desc->seed);
     g->vms = 1;
-    g->shares = bbm_shares_create();
+    g->shares = bbm_shares_create(desc->seed);
     TAILQ_INIT(&g->waiting);
     STAILQ_INIT(&g->outputs);
     return g;
@@ -133,6 +133,9 @@
 set_budget(const bbm_gate *g, gate_pool *p)
 {
     double most = g->desc.retry_slack * RETRY_USED / (double)g->vms;
+    /* Below one nothing could ever be saved up. */
+    if (most < 1)
+        most = 1;
     double left = p->retries.most > 0 ? p->retries.left : most;
     p->retries = bbm_retry_budget_of(g->desc.retry_share * RETRY_USED, most);
     if (left < most)
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -31,6 +31,7 @@
 #define BBM_GATE_H
 
 #include "bbm_config.h"
+#include "bbm_histogram.h"
 #include "bbm_listing.h"
 #include "bbm_time.h"
 
@@ -159,18 +160,21 @@
 
 /** Counters; gauges are said to be. */
 typedef struct bbm_gate_counts {
-    uint64_t begun;        /**< Requests taken in. */
-    uint64_t sent;         /**< Attempts. */
-    uint64_t sent_again;   /**< Attempts after the first. */
-    uint64_t whole;        /**< Answers passed on whole. */
-    uint64_t refused_rate; /**< Beyond a customer's rate. */
-    uint64_t refused_load; /**< Could not be served in time. */
-    uint64_t refused_none; /**< No upstream. */
-    uint64_t lost;         /**< Ended with an unknown outcome. */
-    uint64_t cut;          /**< Answers broken off. */
-    uint64_t gone;         /**< Callers that left. */
-    uint64_t open;         /**< Requests now (a gauge). */
-    uint64_t held;         /**< Of these, waiting here (a gauge). */
+    uint64_t begun;           /**< Requests taken in. */
+    uint64_t sent;            /**< Attempts. */
+    uint64_t sent_again;      /**< Attempts after the first. */
+    uint64_t whole;           /**< Answers passed on whole. */
+    uint64_t refused_rate;    /**< Beyond a customer's rate. */
+    uint64_t refused_load;    /**< Could not be served in time. */
+    uint64_t refused_none;    /**< No upstream. */
+    uint64_t lost;            /**< Ended with an unknown outcome. */
+    uint64_t cut;             /**< Answers broken off. */
+    uint64_t gone;            /**< Callers that left. */
+    uint64_t open;            /**< Requests now (a gauge). */
+    uint64_t held;            /**< Of these, waiting here (a gauge). */
+    bbm_histogram first;      /**< From arrival to the head of the answer. */
+    bbm_histogram whole_time; /**< From arrival to the end of the answer. */
+    bbm_histogram waited;     /**< From arrival to the first attempt. */
 } bbm_gate_counts;
 
 /** A gate; opaque. */
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -363,11 +363,10 @@
     const gate_upstream *after = NULL;
     bbm_time begun = chosen->upstream->cold_since;
     for (const gate_upstream *u = g->upstreams; u; u = u->hh.next) {
-        bool same = u != chosen->upstream && u->listed
-                    && u->pool == chosen->upstream->pool
-                    && g->now >= u->suspect_until
-                    && bbm_listed_version(&u->info, r->model)
-                           == chosen->version;
+        bool same =
+            u != chosen->upstream && u->listed
+            && u->pool == chosen->upstream->pool && g->now >= u->suspect_until
+            && bbm_listed_version(&u->info, r->model) == chosen->version;
         if (!same)
             continue;
         uint64_t weight = weight_of(r, u);
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -191,6 +191,8 @@
     g->counts.sent++;
     if (r->attempt > 1)
         g->counts.sent_again++;
+    else
+        bbm_histogram_add(&g->counts.waited, g->now - r->arrived);
 }
 
 static void
@@ -425,6 +427,8 @@
         return;
     r->stage = GATE_ANSWERING;
     r->head = g->now;
+    if (!r->last_event[0])
+        bbm_histogram_add(&g->counts.first, g->now - r->arrived);
     gate_upstream *u = r->upstream;
     u->answered = g->now;
     u->unread -= r->unread;
@@ -452,6 +456,7 @@
     out->u.ended.attempts = r->attempt;
     out->u.ended.status = f->status;
     g->counts.whole++;
+    bbm_histogram_add(&g->counts.whole_time, g->now - r->arrived);
     gate_request_free(g, r);
 }
 
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -270,18 +270,21 @@
 
     bbm_member_id found_ids[BBM_RAFT_MEMBERS_MOST]; /**< To found with. */
     char found_names[BBM_RAFT_MEMBERS_MOST][BBM_NAME_SIZE]; /**< Theirs. */
-    size_t found_len;   /**< How many; 0: not chosen yet. */
-    bbm_time found_at;  /**< Next time that it is told. */
-    bbm_time started;   /**< When this node was made. */
-    bbm_time repair_at; /**< Next look at the control group. */
-    bbm_time group_led; /**< When our folder last followed a leader. */
-    bbm_time news_heard;  /**< When another VM last told of the leader. */
-    bool left_out;        /**< The group goes on without our folder. */
-    bbm_state *behind;  /**< The log's state while it is older than what
-                             was heard from others, or NULL. */
-
-    bbm_gate *gate; /**< Requests to pools; NULL: no discovery. */
-    bool caught_up; /**< The configuration was current once. */
+    size_t found_len;    /**< How many; 0: not chosen yet. */
+    bbm_time found_at;   /**< Next time that it is told. */
+    bbm_time started;    /**< When this node was made. */
+    bbm_time repair_at;  /**< Next look at the control group. */
+    bbm_time group_led;  /**< When our folder last followed a leader. */
+    bbm_time news_heard; /**< When another VM last told of the leader. */
+    bool left_out;       /**< The group goes on without our folder. */
+    bbm_state *behind;   /**< The log's state while it is older than what
+                              was heard from others, or NULL. */
+
+    bbm_gate *gate;         /**< Requests to pools; NULL: no discovery. */
+    bbm_time sample_at;     /**< When the present second began. */
+    uint64_t sample_seen;   /**< Requests sent in it. */
+    uint64_t sample_one_in; /**< So many share one that is logged. */
+    bool caught_up;         /**< The configuration was current once. */
     TAILQ_HEAD(, node_read) reads; /**< Wait for a fresh view. */
     bbm_listing listed;            /**< Upstreams as read last, by us. */
     bbm_listing listing;   /**< As in force here, with what is known. */
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -11,6 +11,8 @@
 /* Without a control group a VM serves with what others told it after this:
    until then a group may come. */
 #define CATCH_UP_MOST (4 * BBM_SECOND)
+/* Beyond so many requests in a second only some that go well are logged. */
+#define SAMPLE_FROM 60
 
 void
 node_gate_create(bbm_node *n)
@@ -209,11 +211,28 @@
 
 /* ---- outputs ---- */
 
+/* Of many requests that go well only some are logged, each with all its lines;
+   those that don't are logged always. */
+static bool
+is_sampled(bbm_node *n, const char *id)
+{
+    if (n->now - n->sample_at >= BBM_SECOND) {
+        n->sample_one_in = 1 + n->sample_seen / SAMPLE_FROM;
+        n->sample_seen = 0;
+        n->sample_at = n->now;
+    }
+    return n->sample_one_in <= 1
+           || bbm_hash_text(id, 0) % n->sample_one_in == 0;
+}
+
 static void
 log_send(bbm_node *n, const bbm_gate_output *out)
 {
     const bbm_send *s = &out->u.send.send;
     bool again = s->attempt > 1;
+    n->sample_seen += !again;
+    if (!again && !is_sampled(n, out->id))
+        return;
     bbm_action *a =
         node_log_event(n, again ? BBM_EVENT_SENT_AGAIN : BBM_EVENT_SENT);
     node_log_text(a, "id", out->id);
@@ -277,6 +296,9 @@
 static void
 do_ended(bbm_node *n, const bbm_gate_output *out)
 {
+    bool good = out->u.ended.status < 400 && out->u.ended.attempts == 1;
+    if (good && !is_sampled(n, out->id))
+        return;
     bbm_action *l = node_log_event(n, BBM_EVENT_ENDED);
     node_log_text(l, "id", out->id);
     node_log_text(l, "upstream", out->u.ended.upstream);
--- a/rate/bbm_share.c
+++ b/rate/bbm_share.c
@@ -5,15 +5,19 @@
 #include <math.h>
 #include <string.h>
 
-/* Demand is smoothed over about this many seconds: a few requests of a caller. */
+/* Demand is smoothed over about this many seconds: a few requests of a caller.
+ */
 #define DEMAND_SPAN 8.0
-/* Demand at the moment, for whether parts bind, over so many seconds. */
-#define NOW_SPAN 1.5
-/* Parts bind when the demand passes the first share of the rate, and no longer
-   when it is below the second or wasn't heard of for a while. */
-#define BIND_FROM 0.8
-#define BIND_UNTIL 0.65
+/* Demand at the moment, over so many seconds. */
+#define NOW_SPAN 0.5
+/* Each VM keeps count of what all VMs together have left: burst and this part
+   of the slack at most.  Parts bind when less than the first share of it is
+   left, and no longer when the second is, or when no sum was heard lately. */
+#define BANK_SLACK 0.3
+#define BIND_FROM 0.6
+#define BIND_UNTIL 0.85
 #define HEARD_MOST (4 * BBM_SECOND)
+#define STEP_MOST (2 * BBM_SECOND)
 /* Part of the mean demand that each VM is taken to have at least, so that a
    caller that moves finds tokens before the next sum is heard. */
 #define FLOOR_SHARE 0.5
@@ -21,29 +25,40 @@
    that moves between two sums. */
 #define SLACK_DEALT 0.75
 
+/* Parts of fewer requests than this are left to chance, which admits this
+   share of the rate; who has none comes back after this. */
+#define PART_LEAST 4.0
+#define CHANCE_RATE 0.85
+#define CHANCE_WAIT (700 * BBM_MS)
+
 typedef struct share_row {
     char customer[BBM_NAME_SIZE];
     bbm_share_terms terms;
-    double share; /* of the whole, 0 to 1 */
-    double level; /* tokens that may be taken */
-    double asked; /* demand, tokens per second */
+    double share;     /* of the whole, 0 to 1 */
+    double level;     /* tokens that may be taken */
+    double asked;     /* demand, tokens per second */
     double asked_now; /* the same over a shorter time */
-    bool heard;   /* a sum was heard */
-    bool loose;   /* the part doesn't bind: demand is well below the rate */
+    bool heard;       /* a sum was heard */
+    double total_now; /* of all VMs, as last heard */
+    double chance;    /* of a request, where parts are too small */
+    double bank;      /* what all VMs have left, by the sums */
+    bool loose; /* the part doesn't bind: demand is well below the rate */
     bbm_time heard_at;
-    bbm_time at;  /* of level and asked */
+    bbm_time at; /* of level and asked */
     UT_hash_handle hh;
 } share_row;
 
 struct bbm_shares {
+    bbm_rng rng;
     share_row *rows;
     size_t vms;
 };
 
 bbm_shares *
-bbm_shares_create(void)
+bbm_shares_create(uint64_t seed)
 {
     bbm_shares *s = bbm_calloc(1, sizeof(*s));
+    s->rng = bbm_rng_of(seed);
     s->vms = 1;
     return s;
 }
@@ -111,8 +126,10 @@
         return;
     }
     refresh(row, now);
-    if (terms->rate < row->terms.rate)
+    if (terms->rate < row->terms.rate) {
         row->loose = false;
+        row->bank = 0;
+    }
     row->terms = *terms;
     if (row->level > capacity_of(row))
         row->level = capacity_of(row);
@@ -136,6 +153,12 @@
             row->level = -capacity_of(row);
         return true;
     }
+    bool known = row->heard_at && now - row->heard_at < HEARD_MOST;
+    if (known && tokens * PART_LEAST > capacity_of(row)) {
+        bool lucky = bbm_rng_unit(&s->rng) < row->chance;
+        *wait = lucky ? 0 : CHANCE_WAIT;
+        return lucky;
+    }
     /* A request larger than the whole part runs on a full one, or it never
        would; the part is then in debt. */
     double needed = tokens < capacity_of(row) ? tokens : capacity_of(row);
@@ -174,6 +197,40 @@
     return d;
 }
 
+static double
+bank_most(const share_row *row)
+{
+    return row->terms.burst + row->terms.slack * BANK_SLACK;
+}
+
+/* What all VMs have run since the last sum, as far as the sums tell. */
+static void
+count_bank(share_row *row, double demand, bbm_time now)
+{
+    bbm_time since = row->heard_at ? now - row->heard_at : 0;
+    if (since > STEP_MOST)
+        since = STEP_MOST;
+    double span = (double)since / (double)BBM_SECOND;
+    double most = bank_most(row);
+    double ran = demand > row->total_now ? demand : row->total_now;
+    row->bank += (row->terms.rate - ran * row->chance) * span;
+    if (row->bank > most || !row->heard_at)
+        row->bank = most;
+    if (row->bank < -most)
+        row->bank = -most;
+    row->heard_at = now;
+    row->total_now = demand;
+    row->chance = 1;
+    if (row->bank < most * BIND_FROM && demand > 0)
+        row->chance = row->terms.rate * CHANCE_RATE / demand;
+    if (row->chance > 1)
+        row->chance = 1;
+    if (row->bank > most * BIND_UNTIL)
+        row->loose = true;
+    else if (row->bank < most * BIND_FROM)
+        row->loose = false;
+}
+
 void
 bbm_shares_total(bbm_shares *s, const char *customer,
                  const bbm_share_demand *total, size_t vms, bbm_time now)
@@ -182,11 +239,7 @@
     if (!row || vms == 0)
         return;
     refresh(row, now);
-    row->heard_at = now;
-    if (total->now < row->terms.rate * BIND_UNTIL)
-        row->loose = true;
-    else if (total->now > row->terms.rate * BIND_FROM)
-        row->loose = false;
+    count_bank(row, total->now, now);
     double mean = total->lately / (double)vms;
     double low = mean * FLOOR_SHARE;
     if (mean <= 0) {
--- a/rate/bbm_share.h
+++ b/rate/bbm_share.h
@@ -9,10 +9,11 @@
  *  sum of all parts may pass the rate for as long as a change of demand takes
  *  to get round; the deployment says how much of that it tolerates.
  *
- *  While the sum of the demand is well below the rate no part binds: with many
- *  VMs a part is often smaller than one request.
+ *  While the sum of the demand is well below the rate no part binds.  With
+ * many VMs a part is smaller than a few requests and says little: there each
+ *  request is admitted by the chance that the rate leaves it.
  *
- *      bbm_shares *s = bbm_shares_create();
+ *      bbm_shares *s = bbm_shares_create(seed);
  *      bbm_shares_customer(s, "jardin", &terms, now);
  *      if (!bbm_shares_take(s, "jardin", 900, now, &wait))
  *          ... refuse, come back after `wait` ...
@@ -26,6 +27,7 @@
 #ifndef BBM_SHARE_H
 #define BBM_SHARE_H
 
+#include "bbm_hash.h"
 #include "bbm_mem.h"
 #include "bbm_time.h"
 
@@ -39,8 +41,8 @@
 /** The parts of all customers on this VM; opaque. */
 typedef struct bbm_shares bbm_shares;
 
-/** Without customers. */
-bbm_shares *bbm_shares_create(void);
+/** Without customers; the seed is for the chances. */
+bbm_shares *bbm_shares_create(uint64_t seed);
 /** Release; NULL is allowed. */
 void bbm_shares_destroy(bbm_shares *s);
 /** A customer's terms, new or changed. */
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,351 @@
+/* The provider's wires, decoded. */
+#include "bbm_codes.h"
+#include "bbm_config.h"
+#include "bbm_platform.h"
+#include "events.h"
+#include "test_main.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const uint8_t secret[BBM_DIGEST_SIZE] = {1};
+
+#define SERVICES                                                              \
+    "\"services\":[{\"name\":\"llm\",\"max-connections\":370,\"engine\":{"    \
+    "\"slots\":64,\"kv-capacity\":113846,\"kv-token-bytes\":163840,"          \
+    "\"link-mbps\":550000.0,\"models\":[{\"name\":\"m\"}]}},"                 \
+    "{\"name\":\"api\",\"max-connections\":110},"                             \
+    "{\"name\":\"kv\",\"kv-store-addr\":\"172.20.0.2:8604\",\"zone\":\"b\","  \
+    "\"kv-capacity\":1293717}]"
+#define LIMITS                                                                \
+    "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,"      \
+    "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}"
+#define TENANTS                                                               \
+    "\"tenants\":[{\"name\":\"t\",\"api-keys\":[\"k1\",\"k2\"],"              \
+    "\"priority\":1,\"unit\":\"tokens\",\"uncached-tokens\":200,"             \
+    "\"isolated\":true,\"rate-per-s\":211813,\"burst\":211813}]"
+#define ROUTE(extra)                                                          \
+    "{\"name\":\"r\",\"host\":\"a.example\",\"path-prefix\":\"/x/\","         \
+    "\"type\":\"stream\",\"target-latency-ms\":600,\"priority\":1,"           \
+    "\"max-attempts\":2,\"public\":false,\"sticky\":true,"                    \
+    "\"resumable\":true,\"target-gap-ms\":300," extra "}"
+#define CONFIG(routes, tenants)                                               \
+    "{\"version\":7,\"routes\":[" routes "]," SERVICES "," LIMITS "," tenants \
+    "}"
+
+/* The configuration that a text means, or NULL. */
+static bbm_config *
+read_config(const char *text)
+{
+    platform_config c;
+    bbm_mistakes wrong = {0};
+    bbm_config *cfg = NULL;
+    if (platform_config_read(text, strlen(text), secret, &c) == BBM_OK)
+        cfg =
+            bbm_config_create((char *)c.document.data, c.document.len, &wrong);
+    bbm_buf_free(&c.document);
+    bbm_mistakes_free(&wrong);
+    return cfg;
+}
+
+START_TEST(config_is_translated)
+{
+    bbm_config *cfg = read_config(CONFIG(
+        ROUTE("\"timeout-ms\":6000,\"traffic-split\":[{\"service\":\"llm\","
+              "\"weight\":90},{\"service\":\"api\",\"weight\":10}]"),
+        TENANTS));
+    ck_assert_ptr_nonnull(cfg);
+    const bbm_route *r = bbm_config_host_route(cfg, "A.example", "/x/y?z");
+    ck_assert_ptr_nonnull(r);
+    ck_assert(r->stream && r->resumable && r->prompts && !r->repeatable);
+    ck_assert_int_eq(r->timeout_ms, 6000);
+    ck_assert_uint_eq(r->pools.len, 2);
+    ck_assert_int_eq(r->shares.items[0], 90);
+    ck_assert_ptr_null(bbm_config_host_route(cfg, "b.example", "/x/y"));
+    ck_assert_ptr_null(bbm_config_host_route(cfg, "a.example", "/xy"));
+    const bbm_pool *pool = bbm_config_pool(cfg, "llm");
+    ck_assert(pool->engine);
+    ck_assert_int_eq(pool->memory_tokens, 113846);
+    ck_assert(!bbm_config_pool(cfg, "api")->engine);
+    ck_assert_str_eq(cfg->stores->address, "172.20.0.2:8604");
+    const bbm_customer *c = bbm_config_customer(cfg, "t");
+    ck_assert(c->private_cache && !c->by_request);
+    ck_assert_int_eq(c->rate_ref->tokens_per_s, 211813);
+    ck_assert_int_eq(cfg->limits->idle_ms, 15000);
+    ck_assert_uint_eq(HASH_COUNT(cfg->keys), 2);
+    bbm_config_destroy(cfg);
+}
+END_TEST
+
+START_TEST(invalid_configs_are_refused)
+{
+    static const char *const texts[] = {
+        "{\"version\":7,\"routes\":[",
+        "[]",
+        "{\"version\":0,\"routes\":[],\"services\":[]}",
+        CONFIG(ROUTE("\"timeout-ms\":6000,\"service\":\"none\""), TENANTS),
+        CONFIG(ROUTE("\"timeout-ms\":0,\"service\":\"llm\""), TENANTS),
+        CONFIG(ROUTE("\"timeout-ms\":1,\"traffic-split\":[{\"service\":"
+                     "\"llm\",\"weight\":0}]"),
+               TENANTS),
+        CONFIG(
+            ROUTE(
+                "\"timeout-ms\":1,\"service\":\"llm\"") ","
+                                                        "{\"name\":\"s\","
+                                                        "\"host\":\"a."
+                                                        "example\",\"path-"
+                                                        "prefix\":"
+                                                        "\"/x/"
+                                                        "\",\"type\":\"safe\","
+                                                        "\"timeout-ms\":5,"
+                                                        "\"service\":\"api\"}",
+            TENANTS),
+        CONFIG(ROUTE("\"timeout-ms\":1,\"service\":\"llm\""),
+               "\"tenants\":[{\"name\":\"t\",\"api-keys\":[\"k\"]},"
+               "{\"name\":\"u\",\"api-keys\":[\"k\"]}]"),
+    };
+    for (size_t i = 0; i < BBM_COUNT(texts); i++) {
+        bbm_config *cfg = read_config(texts[i]);
+        ck_assert_msg(cfg == NULL, "text %zu was taken", i);
+    }
+    bbm_config *cfg = read_config(CONFIG(
+        ROUTE("\"timeout-ms\":1,\"service\":\"llm\""), "\"tenants\":[]"));
+    ck_assert_ptr_nonnull(cfg);
+    bbm_config_destroy(cfg);
+}
+END_TEST
+
+START_TEST(list_entries)
+{
+    static const char text[] =
+        "{\"instances\":[{\"service\":\"llm\",\"address\":\"10.0.0.9:80\","
+        "\"zone\":\"a\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
+        "\"models\":[{\"name\":\"m\",\"version\":3}],\"id\":\"i-1\","
+        "\"born\":17},"
+        "{\"service\":\"llm\",\"address\":\"10.0.0.8:80\",\"zone\":\"a\","
+        "\"slots\":4,\"state\":\"draining\",\"id\":\"i-2\"},"
+        "{\"id\":\"i-3\"},7,null,"
+        "{\"service\":\"llm\",\"address\":\"nowhere\",\"zone\":\"a\","
+        "\"slots\":4,\"state\":\"ready\",\"id\":\"i-4\"},"
+        "{\"service\":\"llm\",\"address\":\"10.0.0.8:80\",\"zone\":\"a\","
+        "\"slots\":\"many\",\"state\":\"ready\",\"id\":\"i-5\"},"
+        "{\"service\":\"llm\",\"address\":\"10.0.0.8:80\",\"zone\":\"a\","
+        "\"slots\":4,\"state\":\"asleep\",\"id\":\"i-6\"}],"
+        "\"next-token\":\"p-50\"}";
+    bbm_listing l = {0};
+    size_t bad = 0;
+    char next[BBM_NAME_SIZE];
+    ck_assert_int_eq(platform_list_read(text, strlen(text), &l, &bad, next),
+                     BBM_OK);
+    ck_assert_str_eq(next, "p-50");
+    ck_assert_uint_eq(l.len, 2);
+    ck_assert_uint_eq(bad, 6);
+    const bbm_listed *one = bbm_listing_find(&l, "i-1");
+    ck_assert_uint_eq(bbm_listed_version(one, "m"), 3);
+    ck_assert_uint_eq(one->born_ms, 17);
+    ck_assert(bbm_listing_find(&l, "i-2")->leaving);
+    bbm_listing_free(&l);
+    ck_assert_int_lt(platform_list_read("{", 1, &l, &bad, next), 0);
+}
+END_TEST
+
+START_TEST(listings_are_told_as_changes)
+{
+    bbm_listing a = {0};
+    bbm_listing b = {0};
+    bbm_listing c = {0};
+    bbm_listing_add(&a, &(bbm_listed){.id = "x", .pool = "p"});
+    bbm_listing_add(&a, &(bbm_listed){.id = "y", .pool = "p"});
+    bbm_listing_copy(&c, &a);
+    bbm_listing_add(&b,
+                    &(bbm_listed){.id = "y", .pool = "p", .leaving = true});
+    bbm_listing_add(&b, &(bbm_listed){.id = "z", .pool = "q"});
+    bbm_buf buf = {0};
+    ck_assert_uint_eq(bbm_listing_diff(&a, &b, &buf), 3);
+    bbm_reader rd = bbm_reader_of(buf.data, buf.len);
+    bbm_listing_patch(&c, &rd);
+    ck_assert(bbm_reader_done(&rd));
+    bbm_buf none = {0};
+    ck_assert_uint_eq(bbm_listing_diff(&b, &c, &none), 0);
+    bbm_buf_free(&buf);
+    bbm_buf_free(&none);
+    bbm_listing_free(&a);
+    bbm_listing_free(&b);
+    bbm_listing_free(&c);
+}
+END_TEST
+
+START_TEST(only_we_set_our_headers)
+{
+    static const char *const ours[] = {
+        "X-Bluebellmoor-Retain",
+        "x-bluebellmoor-pin-ms",
+        "X-Bluebellmoor-Kv-Backup",
+        "Kv-From",
+        "X-Bluebellmoor-Cache-Salt",
+        "X-Bluebellmoor-Kv-Source",
+        "X-Bluebellmoor-Kv-Target",
+        "X-Bluebellmoor-Tenant",
+        "X-Bluebellmoor-Expect-Instance",
+        "X-Bluebellmoor-Expect-Version",
+        "X-Bluebellmoor-Request-Priority",
+        "X-Bluebellmoor-Deadline-Ms",
+        "Authorization",
+        "Connection",
+        "Transfer-Encoding",
+        "Content-Length",
+        "Upgrade",
+        "TE",
+    };
+    for (size_t i = 0; i < BBM_COUNT(ours); i++) {
+        platform_caller c = {0};
+        ck_assert_msg(!platform_caller_header(&c, ours[i], "1"), "%s passes",
+                      ours[i]);
+    }
+    platform_caller c = {0};
+    ck_assert(platform_caller_header(&c, "X-Bluebellmoor-Attempt-Id", "a1"));
+    ck_assert(platform_caller_header(&c, "X-Bluebellmoor-Length-Hint", "9"));
+    ck_assert(platform_caller_header(&c, "Last-Event-Id", "4"));
+    ck_assert_str_eq(c.id, "a1");
+    ck_assert(platform_header_listed("close, X-Private", "x-private"));
+    ck_assert(!platform_header_listed("close, X-Private", "x-priv"));
+}
+END_TEST
+
+START_TEST(prompts_are_read)
+{
+    platform_caller c = {0};
+    bbm_ask ask = {0};
+    platform_caller_header(&c, "X-Bluebellmoor-Token-Count", "1460,80");
+    platform_caller_header(&c, "X-Bluebellmoor-Prefix-Hash",
+                           "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    platform_caller_header(&c, "X-Bluebellmoor-Model", "m");
+    platform_caller_header(&c, "X-Bluebellmoor-Deadline-Ms", "6000");
+    platform_caller_header(&c, "Authorization", "bearer key");
+    platform_caller_ask(&c, &ask);
+    ck_assert_int_eq(ask.prompt_tokens, 1460);
+    ck_assert_int_eq(ask.output_tokens, 80);
+    ck_assert_uint_eq(ask.parts_len, 3);
+    ck_assert_uint_eq(ask.parts[1].tokens, 410);
+    ck_assert_int_eq(ask.patience, 6 * BBM_SECOND);
+    ck_assert_str_eq(c.key, "key");
+}
+END_TEST
+
+START_TEST(lengths_in_doubt)
+{
+    static const struct {
+        const char *names[2];
+        const char *values[2];
+        bool doubt;
+    } rows[] = {
+        {{"Content-Length", "X"}, {"5", ""}, false},
+        {{"Transfer-Encoding", "X"}, {"chunked", ""}, false},
+        {{"Content-Length", "Content-Length"}, {"5", "6"}, true},
+        {{"Content-Length", "Transfer-Encoding"}, {"5", "chunked"}, true},
+        {{"Transfer-Encoding", "X"}, {"xchunked", ""}, true},
+        {{"Transfer-Encoding", "X"}, {"gzip, chunked", ""}, true},
+        {{"Content-Length", "X"}, {"+5", ""}, true},
+        {{"Content-Length", "X"}, {"", ""}, true},
+        {{"Transfer-Encoding ", "X"}, {"chunked", ""}, true},
+    };
+    for (size_t i = 0; i < BBM_COUNT(rows); i++) {
+        platform_caller c = {0};
+        for (int k = 0; k < 2; k++)
+            platform_caller_header(&c, rows[i].names[k], rows[i].values[k]);
+        ck_assert_msg((c.twice_framed || c.bad_name) == rows[i].doubt,
+                      "row %zu", i);
+    }
+}
+END_TEST
+
+START_TEST(heads_are_judged)
+{
+    bbm_send once = {.repeatable = false};
+    bbm_send again = {.repeatable = true};
+    bbm_forward_end end;
+    ck_assert(bbm_gate_passes(&once, &(bbm_head){.status = 200}, &end));
+    ck_assert(bbm_gate_passes(&once, &(bbm_head){.status = 500}, &end));
+    ck_assert(bbm_gate_passes(&once, &(bbm_head){.status = 404}, &end));
+    /* A promise that the upstream didn't give must not reach the caller. */
+    static const uint32_t promises[] = {408, 429, 503};
+    for (size_t i = 0; i < BBM_COUNT(promises); i++) {
+        bbm_head h = {.status = promises[i]};
+        ck_assert(!bbm_gate_passes(&once, &h, &end));
+        ck_assert_int_eq(end, BBM_FORWARD_FAILED);
+        h.not_run = true;
+        ck_assert(!bbm_gate_passes(&once, &h, &end));
+        ck_assert_int_eq(end, BBM_FORWARD_NOT_RUN);
+    }
+    ck_assert(!bbm_gate_passes(&again, &(bbm_head){.status = 500}, &end));
+    ck_assert_int_eq(end, BBM_FORWARD_FAILED);
+    ck_assert(!bbm_gate_passes(
+        &once, &(bbm_head){.status = 200, .other_id = true}, &end));
+    ck_assert_int_eq(end, BBM_FORWARD_LOST);
+    ck_assert(!bbm_gate_passes(
+        &once, &(bbm_head){.status = 200, .encoded = true}, &end));
+}
+END_TEST
+
+START_TEST(answers_of_others_are_known)
+{
+    platform_answer a = {.keep_s = -1};
+    platform_answer_header(&a, "a1", "X-Bluebellmoor-Attempt-Id", "a1");
+    ck_assert(!a.head.other_id);
+    platform_answer_header(&a, "a1", "X-Bluebellmoor-Attempt-Id", "a2");
+    ck_assert(a.head.other_id);
+    ck_assert(!platform_answer_header(&a, "a1", "Keep-Alive", "timeout=10"));
+    ck_assert_int_eq(a.keep_s, 10);
+    ck_assert(
+        platform_answer_header(&a, "a1", "X-Bluebellmoor-Server-Stamp", "s"));
+    ck_assert(!platform_answer_header(&a, "a1", "Connection", "close"));
+    ck_assert(a.closes);
+}
+END_TEST
+
+START_TEST(orders_and_reports)
+{
+    bbm_rollout_act act = {.version = 2, .sequence = 4, .fence = 41};
+    bbm_name_set(act.model, "m");
+    bbm_buf body = {0};
+    platform_order_body(&act, "vm-7", &body);
+    bbm_buf_add(&body, "", 1);
+    ck_assert_ptr_nonnull(strstr((char *)body.data, "\"precondition\":4"));
+    ck_assert_ptr_nonnull(strstr((char *)body.data, "\"fencing-token\":41"));
+    ck_assert_ptr_nonnull(strstr((char *)body.data, "\"mode\":\"wait\""));
+    bbm_buf_free(&body);
+    static const char text[] =
+        "{\"phase\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1}],"
+        "\"busy\":true,\"sequence\":2,\"queued\":1,\"born\":99}";
+    bbm_runner_report r;
+    ck_assert_int_eq(platform_report_read(text, strlen(text), &r), BBM_OK);
+    ck_assert(r.busy);
+    ck_assert_uint_eq(r.sequence, 2);
+    ck_assert_uint_eq(r.born_ms, 99);
+    ck_assert_int_lt(platform_report_read("{}", 2, &r), 0);
+    ck_assert_int_eq(platform_order_answer(412), BBM_ORDER_FENCED);
+    ck_assert_int_eq(platform_order_answer(500), BBM_ORDER_SILENT);
+}
+END_TEST
+
+START_TEST(events_are_cut_whole)
+{
+    event_cutter c = {0};
+    ck_assert_uint_eq(event_cutter_add(&c, "id: 1\nda", 8), 0);
+    size_t n = event_cutter_add(&c, "ta: x\n\nid: 2\ndata", 17);
+    ck_assert_uint_eq(n, 15);
+    ck_assert_str_eq(c.last_id, "1");
+    event_cutter_drop(&c, n);
+    ck_assert_uint_eq(c.bytes.len, 10);
+    n = event_cutter_add(&c, ": y\r\n\r\n", 7);
+    ck_assert_uint_eq(n, 17);
+    ck_assert_str_eq(c.last_id, "2");
+    event_cutter_free(&c);
+}
+END_TEST
+
+TEST_MAIN("platform", config_is_translated, invalid_configs_are_refused,
+          list_entries, listings_are_told_as_changes, only_we_set_our_headers,
+          prompts_are_read, lengths_in_doubt, heads_are_judged,
+          answers_of_others_are_known, orders_and_reports,
+          events_are_cut_whole);
--- /dev/null
+++ b/tests/test_share.c
@@ -0,0 +1,166 @@
+/* Rates by shares of demand: no refusal well below the rate however many VMs
+   there are, and no overrun beyond what is tolerated. */
+#include "bbm_share.h"
+#include "test_main.h"
+
+#include <string.h>
+
+#define VMS_MOST 100
+#define STEP (20 * BBM_MS)
+/* Sums get round this often, as the leader tells them. */
+#define TELL (350 * BBM_MS)
+
+typedef struct world {
+    bbm_shares *vms[VMS_MOST];
+    size_t len;
+    bbm_time now;
+    bbm_rng rng;
+    double ran[4096]; /* tokens in each step */
+    size_t steps;
+    uint64_t asked;
+    uint64_t refused;
+} world;
+
+static void
+begin(world *w, size_t vms, const bbm_share_terms *terms)
+{
+    memset(w, 0, sizeof(*w));
+    w->len = vms;
+    w->now = BBM_SECOND;
+    w->rng = bbm_rng_of(7);
+    for (size_t i = 0; i < vms; i++) {
+        w->vms[i] = bbm_shares_create(i + 1);
+        bbm_shares_vms(w->vms[i], vms);
+        bbm_shares_customer(w->vms[i], "c", terms, w->now);
+    }
+}
+
+static void
+end(world *w)
+{
+    for (size_t i = 0; i < w->len; i++)
+        bbm_shares_destroy(w->vms[i]);
+}
+
+static void
+tell(world *w)
+{
+    bbm_share_demand sum = {0};
+    for (size_t i = 0; i < w->len; i++) {
+        bbm_share_demand d = bbm_shares_demand(w->vms[i], "c", w->now);
+        sum.lately += d.lately;
+        sum.now += d.now;
+    }
+    for (size_t i = 0; i < w->len; i++)
+        bbm_shares_total(w->vms[i], "c", &sum, w->len, w->now);
+}
+
+/* Requests of so many tokens come at a rate, each at a VM of its own. */
+static void
+play(world *w, double per_s, double tokens, bbm_time span)
+{
+    bbm_time until = w->now + span;
+    double chance = per_s * (double)STEP / (double)BBM_SECOND;
+    for (; w->now < until; w->now += STEP) {
+        if (w->now % TELL < STEP)
+            tell(w);
+        double due = chance;
+        for (; due > 0 && bbm_rng_unit(&w->rng) < due; due -= 1) {
+            bbm_time wait;
+            size_t vm = (size_t)bbm_rng_below(&w->rng, w->len);
+            w->asked++;
+            if (bbm_shares_take(w->vms[vm], "c", tokens, w->now, &wait))
+                w->ran[w->steps] += tokens;
+            else
+                w->refused++;
+        }
+        w->steps++;
+    }
+}
+
+static double
+most_in_window(const world *w, bbm_time window)
+{
+    size_t steps = (size_t)(window / STEP);
+    double most = 0;
+    for (size_t i = 0; i < w->steps; i++) {
+        double sum = 0;
+        for (size_t k = i; k < i + steps && k < w->steps; k++)
+            sum += w->ran[k];
+        most = sum > most ? sum : most;
+    }
+    return most;
+}
+
+/* At 87 VMs a part is smaller than one request. */
+START_TEST(none_refused_below_the_rate)
+{
+    static const size_t sizes[] = {1, 9, 87};
+    for (size_t i = 0; i < 3; i++) {
+        world w;
+        begin(&w, sizes[i],
+              &(bbm_share_terms){.rate = 200000, .burst = 200000});
+        play(&w, 11, 9200, 4 * BBM_SECOND);
+        w.refused = 0;
+        w.asked = 0;
+        play(&w, 11, 9200, 20 * BBM_SECOND);
+        ck_assert_uint_eq(w.refused, 0);
+        end(&w);
+    }
+}
+END_TEST
+
+/* Demand rises to 3.4 and 4.6 times the rate at once. */
+START_TEST(overrun_is_bounded)
+{
+    static const size_t sizes[] = {9, 87};
+    bbm_share_terms terms = {.rate = 60000, .burst = 60000, .slack = 164000};
+    for (size_t i = 0; i < 2; i++) {
+        world w;
+        begin(&w, sizes[i], &terms);
+        play(&w, 5, 9200, 10 * BBM_SECOND);
+        play(&w, 22, 9200, 20 * BBM_SECOND);
+        play(&w, 2, 9200, 5 * BBM_SECOND);
+        play(&w, 30, 9200, 10 * BBM_SECOND);
+        double allowed = terms.rate * 8 + terms.burst + terms.slack;
+        ck_assert_double_le(most_in_window(&w, 8 * BBM_SECOND), allowed);
+        ck_assert_uint_gt(w.refused, w.asked / 3);
+        end(&w);
+    }
+}
+END_TEST
+
+/* A part that grows must not come with tokens that another has spent. */
+START_TEST(moving_demand_makes_no_tokens)
+{
+    bbm_share_terms terms = {.rate = 60000, .burst = 60000, .slack = 60000};
+    world w;
+    begin(&w, 2, &terms);
+    for (int i = 0; i < 40; i++) {
+        bbm_time wait;
+        size_t vm = (size_t)(i / 10 % 2);
+        for (int k = 0; k < 8; k++) {
+            if (bbm_shares_take(w.vms[vm], "c", 1000, w.now, &wait))
+                w.ran[w.steps] += 1000;
+        }
+        w.steps++;
+        w.now += STEP;
+        tell(&w);
+    }
+    double allowed = terms.rate * 0.8 + terms.burst + terms.slack;
+    ck_assert_double_le(most_in_window(&w, 800 * BBM_MS), allowed);
+    end(&w);
+}
+END_TEST
+
+START_TEST(unlimited_without_terms)
+{
+    bbm_shares *s = bbm_shares_create(1);
+    bbm_time wait;
+    ck_assert(bbm_shares_take(s, "nobody", 1e12, 1, &wait));
+    bbm_shares_destroy(s);
+}
+END_TEST
+
+TEST_MAIN("share", none_refused_below_the_rate, overrun_is_bounded,
+          moving_demand_makes_no_tokens, unlimited_without_terms);
