--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -8,12 +8,14 @@
 #include <string.h>
 
 #define STEP (10 * BBM_MS)
+#define FIRST (100 * BBM_SECOND)
 
 typedef struct place {
     char name[BBM_NAME_SIZE];
     bbm_node *node;
     bbm_member_id disk;
     uint64_t run;
+    int starts;
     bbm_time frozen_until;
     fake_disk files;
 } place;
@@ -31,10 +33,22 @@
 };
 
 static int
-index_of(const fleet *f, const char *name)
+index_of(const fleet *f, const bbm_action *a)
 {
-    int i = atoi(name + 3) - 1;
-    return i >= 0 && i < f->desc.nodes ? i : -1;
+    int i = atoi(a->u.send.to + 3) - 1;
+    if (a->u.send.to[0])
+        return i >= 0 && i < f->desc.nodes ? i : -1;
+    for (int j = 0; j < f->desc.nodes; j++) {
+        if (strcmp(f->peers[j].address, a->u.send.address) == 0)
+            return j;
+    }
+    return -1;
+}
+
+static int
+disks_of(const fleet_desc *d)
+{
+    return d->seeds ? d->disks : d->founders;
 }
 
 /* ---- actions ---- */
@@ -56,7 +70,7 @@
     int to;
     switch (a->kind) {
     case BBM_ACT_SEND:
-        to = index_of(f, a->u.send.to);
+        to = index_of(f, a);
         if (to >= 0)
             net_post(&f->net, f->now, i, to, a->u.send.bytes.data,
                      a->u.send.bytes.len);
@@ -150,9 +164,19 @@
     d.seed = f->desc.seed + f->runs;
     d.disk = p->disk;
     d.saved = p->disk ? &saved : NULL;
-    d.peers = f->peers;
-    /* At most a handful is named in settings; the rest is learnt. */
-    d.peers_len = (size_t)(f->desc.nodes < 8 ? f->desc.nodes : 8);
+    if (f->desc.seeds) {
+        d.self_repair = true;
+        d.first_start = p->starts == 0 && f->now == FIRST;
+        d.seeds_len = (size_t)f->desc.seeds;
+        for (int j = 0; j < f->desc.seeds; j++)
+            bbm_text_set(d.seeds[j], BBM_ADDRESS_SIZE, f->peers[j].address);
+    }
+    else {
+        d.peers = f->peers;
+        /* At most a handful is named in settings; the rest is learnt. */
+        d.peers_len = (size_t)(f->desc.nodes < 8 ? f->desc.nodes : 8);
+    }
+    p->starts++;
     d.now = f->now;
     d.founders_len = (size_t)f->desc.founders;
     for (int j = 0; j < f->desc.founders; j++)
@@ -179,6 +203,14 @@
     p->node = NULL;
 }
 
+void
+fleet_wipe(fleet *f, int i)
+{
+    place *p = &f->places[i];
+    fake_disk_clear(&p->files);
+    p->disk += 1000;
+}
+
 void
 fleet_freeze(fleet *f, int i, bbm_time span)
 {
@@ -254,7 +286,7 @@
     f->desc = *desc;
     f->hooks = *hooks;
     f->rng = bbm_rng_of(desc->seed);
-    f->now = 100 * BBM_SECOND;
+    f->now = FIRST;
     net_init(&f->net, &(net_desc){.seed = desc->seed, .longest = desc->delay});
     f->places = bbm_calloc((size_t)desc->nodes, sizeof(place));
     f->peers = bbm_calloc((size_t)desc->nodes, sizeof(bbm_peer));
@@ -264,7 +296,7 @@
         bbm_name_set(f->peers[i].name, p->name);
         snprintf(f->peers[i].address, BBM_ADDRESS_SIZE, "10.0.%d.%d:7400",
                  i / 250, i % 250 + 1);
-        p->disk = i < desc->founders ? (uint64_t)i + 1001 : 0;
+        p->disk = i < disks_of(desc) ? (uint64_t)i + 1001 : 0;
     }
     for (int i = 0; i < desc->nodes; i++)
         fleet_start(f, i);
@@ -313,7 +345,7 @@
 int
 fleet_leader(const fleet *f)
 {
-    for (int i = 0; i < f->desc.founders; i++) {
+    for (int i = 0; i < disks_of(&f->desc); i++) {
         if (fleet_up(f, i)
             && bbm_node_count(f->places[i].node, f->now).is_leader)
             return i;
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -13,7 +13,9 @@
 typedef struct fleet_desc {
     uint64_t seed;
     int nodes;
-    int founders;
+    int founders;       /**< Named as founders; each has a disk. */
+    int seeds;          /**< Addresses to join by; then nobody is named. */
+    int disks;          /**< With seeds: the first so many have a disk. */
     bbm_time delay;     /**< Longest delay of a message. */
     bbm_time sync;      /**< Longest time of a sync. */
     double loss;        /**< Share of messages lost. */
@@ -57,6 +59,8 @@
 bool fleet_give(fleet *f, int i, const bbm_event *ev);
 /** End a node at once; what was not synced is lost in part. */
 void fleet_crash(fleet *f, int i);
+/** Replace the disk of one that is down by an empty one. */
+void fleet_wipe(fleet *f, int i);
 /** Start it again, with its disk. */
 void fleet_start(fleet *f, int i);
 void fleet_freeze(fleet *f, int i, bbm_time span);
--- /dev/null
+++ b/tests/test_joining.c
@@ -0,0 +1,360 @@
+/* Daemons that know only addresses to join by: one control group comes to be,
+   keeps what it acknowledged, and replaces what it loses. */
+#include "fleet.h"
+#include "test_main.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#define NODES 6
+#define SEEDS 3
+#define DISKS 5
+/* Time in which a repair must be done: a silent voter is given up after 2.5 s,
+   and a learner catches up meanwhile. */
+#define REPAIR (6 * BBM_SECOND)
+#define OPS 64
+
+typedef struct world {
+    fleet *fleet;
+    uint64_t ops;
+    int code[OPS]; /* of an operator's call; 1: not answered */
+    char body[OPS][4096];
+} world;
+
+static void
+on_answer(void *context, const fleet_answer *answer)
+{
+    world *w = context;
+    if (!answer->operator_call || answer->id >= OPS)
+        return;
+    w->code[answer->id] = answer->code;
+    size_t len = answer->len < sizeof(w->body[0]) - 1
+                     ? answer->len
+                     : sizeof(w->body[0]) - 1;
+    if (len)
+        memcpy(w->body[answer->id], answer->body, len);
+    w->body[answer->id][len] = 0;
+}
+
+static void
+open_world(world *w, uint64_t seed)
+{
+    *w = (world){0};
+    w->fleet = fleet_create(
+        &(fleet_desc){
+            .seed = seed,
+            .nodes = NODES,
+            .seeds = SEEDS,
+            .disks = DISKS,
+            .delay = 5 * BBM_MS,
+            .sync = 2 * BBM_MS,
+        },
+        &(fleet_hooks){.context = w, .answer = on_answer});
+    fleet_run(w->fleet, 4 * BBM_SECOND);
+}
+
+static void
+close_world(world *w)
+{
+    fleet_destroy(w->fleet);
+}
+
+/* ---- operators' calls ---- */
+
+static const char document[] =
+    "{\"rates\":[{\"name\":\"r\",\"tokens_per_s\":1000,\"burst\":10000}],"
+    "\"customers\":[{\"name\":\"c\",\"rate\":\"r\"}],"
+    "\"services\":[{\"name\":\"s\",\"zone\":\"z\",\"url\":\"http://h:1\"}],"
+    "\"routes\":[{\"name\":\"w\",\"path\":\"/browse\",\"services\":[\"s\"],"
+    "\"repeatable\":true}]}";
+
+static uint64_t
+call(world *w, int node, bbm_operator_event ev)
+{
+    uint64_t op = ++w->ops;
+    ck_assert_uint_lt(op, OPS);
+    w->code[op] = 1;
+    ev.op = op;
+    bbm_event event = {.kind = BBM_EV_OPERATOR, .u.call = ev};
+    if (!fleet_give(w->fleet, node, &event))
+        w->code[op] = BBM_ERR_NOT_READY;
+    return op;
+}
+
+static uint64_t
+publish(world *w, int node, uint64_t version, const char *source)
+{
+    bbm_operator_event ev = {.verb = BBM_VERB_PUBLISH, .version = version};
+    snprintf(ev.id, sizeof(ev.id), "%s", source);
+    ev.text = (bbm_bytes){.data = (const uint8_t *)document,
+                          .len = strlen(document)};
+    ev.source =
+        (bbm_bytes){.data = (const uint8_t *)source, .len = strlen(source)};
+    return call(w, node, ev);
+}
+
+/* Publishes and waits; fails unless it is acknowledged. */
+static void
+must_publish(world *w, int node, uint64_t version, const char *source)
+{
+    uint64_t op = publish(w, node, version, source);
+    for (int i = 0; i < 300 && w->code[op] == 1; i++)
+        fleet_step(w->fleet);
+    ck_assert_msg(w->code[op] == BBM_OK, "publish %s: %d", source,
+                  w->code[op]);
+}
+
+static uint64_t
+read_source(world *w, int node)
+{
+    return call(w, node, (bbm_operator_event){.verb = BBM_VERB_SOURCE});
+}
+
+static void
+must_read(world *w, int node, const char *source)
+{
+    uint64_t op = read_source(w, node);
+    for (int i = 0; i < 200 && w->code[op] == 1; i++)
+        fleet_step(w->fleet);
+    ck_assert_msg(w->code[op] == BBM_OK, "read at %d: %d", node, w->code[op]);
+    ck_assert_str_eq(w->body[op], source);
+}
+
+/* ---- what the group is ---- */
+
+static json_t *
+status(world *w, int node)
+{
+    uint64_t op = call(w, node, (bbm_operator_event){.verb = BBM_VERB_STATUS});
+    ck_assert_int_eq(w->code[op], BBM_OK);
+    json_t *doc = json_loads(w->body[op], 0, NULL);
+    ck_assert_ptr_nonnull(doc);
+    return doc;
+}
+
+/* Voters as the leader counts them; *disk gets a daemon's own, if a voter. */
+static size_t
+voters(world *w, const char *name, bool *is_voter)
+{
+    int leader = fleet_leader(w->fleet);
+    ck_assert_int_ge(leader, 0);
+    json_t *doc = status(w, leader);
+    size_t len = 0;
+    size_t i;
+    json_t *m;
+    *is_voter = false;
+    json_array_foreach(json_object_get(doc, "control"), i, m)
+    {
+        if (!json_is_true(json_object_get(m, "voter")))
+            continue;
+        len++;
+        const char *known = json_string_value(json_object_get(m, "name"));
+        *is_voter = *is_voter || strcmp(known, name) == 0;
+    }
+    json_decref(doc);
+    return len;
+}
+
+static int
+leaders(const world *w)
+{
+    int len = 0;
+    for (int i = 0; i < NODES; i++) {
+        len += fleet_up(w->fleet, i)
+               && bbm_node_count(fleet_node(w->fleet, i), fleet_now(w->fleet))
+                      .is_leader;
+    }
+    return len;
+}
+
+/* A voter that doesn't lead. */
+static int
+follower(world *w)
+{
+    for (int i = 0; i < DISKS; i++) {
+        bool is_voter;
+        voters(w, fleet_name(w->fleet, i), &is_voter);
+        if (is_voter && i != fleet_leader(w->fleet))
+            return i;
+    }
+    ck_abort_msg("no voter but the leader");
+    return -1;
+}
+
+/* ---- tests ---- */
+
+START_TEST(seeds_found_one_group)
+{
+    for (uint64_t seed = 1; seed <= 10; seed++) {
+        world w;
+        bool is_voter;
+        open_world(&w, seed);
+        ck_assert_int_eq(leaders(&w), 1);
+        ck_assert_uint_eq(voters(&w, "vm-1", &is_voter), DISKS);
+        must_publish(&w, NODES - 1, 1, "first");
+        for (int i = 0; i < NODES; i++)
+            must_read(&w, i, "first");
+        close_world(&w);
+    }
+}
+END_TEST
+
+START_TEST(restart_of_all_founds_no_second_group)
+{
+    world w;
+    open_world(&w, 21);
+    must_publish(&w, 0, 7, "kept");
+    for (int i = 0; i < NODES; i++)
+        fleet_crash(w.fleet, i);
+    for (int i = 0; i < NODES; i++)
+        fleet_start(w.fleet, i);
+    fleet_run(w.fleet, 8 * BBM_SECOND);
+    ck_assert_int_eq(leaders(&w), 1);
+    for (int i = 0; i < NODES; i++)
+        must_read(&w, i, "kept");
+    close_world(&w);
+}
+END_TEST
+
+START_TEST(lost_disk_of_the_first_seed_founds_nothing)
+{
+    world w;
+    open_world(&w, 22);
+    must_publish(&w, 0, 3, "kept");
+    fleet_crash(w.fleet, 0);
+    fleet_wipe(w.fleet, 0);
+    fleet_start(w.fleet, 0);
+    fleet_run(w.fleet, REPAIR + 4 * BBM_SECOND);
+    ck_assert_int_eq(leaders(&w), 1);
+    must_read(&w, 0, "kept");
+    bool is_voter;
+    ck_assert_uint_eq(voters(&w, "vm-1", &is_voter), DISKS);
+    ck_assert(is_voter);
+    close_world(&w);
+}
+END_TEST
+
+/* The disks of most voters are lost, one after the other. */
+START_TEST(disks_lost_in_turn_lose_no_version)
+{
+    world w;
+    open_world(&w, 23);
+    must_publish(&w, 1, 5, "kept");
+    for (int i = 0; i < DISKS; i++) {
+        fleet_crash(w.fleet, i);
+        fleet_wipe(w.fleet, i);
+        fleet_start(w.fleet, i);
+        fleet_run(w.fleet, REPAIR);
+    }
+    for (int i = 0; i < NODES; i++)
+        must_read(&w, i, "kept");
+    must_publish(&w, 2, 6, "next");
+    close_world(&w);
+}
+END_TEST
+
+START_TEST(voters_that_end_for_good_one_by_one_give_way)
+{
+    world w;
+    open_world(&w, 24);
+    must_publish(&w, 0, 1, "one");
+    /* Two of five: what is left is enough for three. */
+    for (int k = 0; k < 3; k++) {
+        fleet_crash(w.fleet, follower(&w));
+        fleet_run(w.fleet, REPAIR);
+    }
+    int leader = fleet_leader(w.fleet);
+    must_publish(&w, leader, 2, "two");
+    must_read(&w, leader, "two");
+    close_world(&w);
+}
+END_TEST
+
+/* A frozen voter is removed.  When it is back it must not serve what it knew:
+   it follows the others at once, and is admitted anew. */
+START_TEST(removed_voter_follows_the_others)
+{
+    world w;
+    open_world(&w, 25);
+    must_publish(&w, 0, 1, "old");
+    int frozen = follower(&w);
+    fleet_freeze(w.fleet, frozen, 12 * BBM_SECOND);
+    fleet_run(w.fleet, REPAIR);
+    must_publish(&w, fleet_leader(w.fleet), 2, "new");
+    fleet_run(w.fleet, 7 * BBM_SECOND);
+    ck_assert(fleet_up(w.fleet, frozen));
+    must_read(&w, frozen, "new");
+    fleet_run(w.fleet, 2 * REPAIR);
+    ck_assert_int_eq(leaders(&w), 1);
+    must_publish(&w, frozen, 3, "newest");
+    close_world(&w);
+}
+END_TEST
+
+START_TEST(read_of_a_VM_cut_off_is_refused)
+{
+    world w;
+    open_world(&w, 26);
+    must_publish(&w, 0, 1, "old");
+    int alone = follower(&w);
+    net_isolate(fleet_net(w.fleet), alone, true);
+    fleet_run(w.fleet, BBM_SECOND);
+    must_publish(&w, fleet_leader(w.fleet), 2, "new");
+    uint64_t op = read_source(&w, alone);
+    fleet_run(w.fleet, 2 * BBM_SECOND);
+    ck_assert_int_eq(w.code[op], BBM_ERR_NO_QUORUM);
+    net_isolate(fleet_net(w.fleet), alone, false);
+    fleet_run(w.fleet, 4 * BBM_SECOND);
+    must_read(&w, alone, "new");
+    close_world(&w);
+}
+END_TEST
+
+START_TEST(highest_version_wins_and_never_goes_back)
+{
+    world w;
+    open_world(&w, 27);
+    must_publish(&w, 0, 9, "nine");
+    uint64_t lower = publish(&w, 1, 8, "eight");
+    uint64_t same = publish(&w, 2, 9, "nine");
+    uint64_t other = publish(&w, 3, 9, "another nine");
+    fleet_run(w.fleet, 2 * BBM_SECOND);
+    ck_assert_int_ne(w.code[lower], 1);
+    ck_assert_int_eq(w.code[same], BBM_OK);
+    ck_assert_int_eq(w.code[other], BBM_ERR_CONFLICT);
+    for (int i = 0; i < NODES; i++)
+        must_read(&w, i, "nine");
+    close_world(&w);
+}
+END_TEST
+
+/* Without most voters nothing is acknowledged, and nothing is lost. */
+START_TEST(minority_acknowledges_nothing)
+{
+    world w;
+    open_world(&w, 28);
+    must_publish(&w, 0, 1, "one");
+    for (int i = 1; i < DISKS; i++)
+        fleet_crash(w.fleet, i);
+    uint64_t op = publish(&w, 0, 2, "two");
+    fleet_run(w.fleet, 8 * BBM_SECOND);
+    ck_assert_int_ne(w.code[op], BBM_OK);
+    for (int i = 1; i < DISKS; i++)
+        fleet_start(w.fleet, i);
+    fleet_run(w.fleet, 8 * BBM_SECOND);
+    must_publish(&w, 1, 3, "three");
+    for (int i = 0; i < NODES; i++)
+        must_read(&w, i, "three");
+    close_world(&w);
+}
+END_TEST
+
+TEST_MAIN("joining", seeds_found_one_group,
+          restart_of_all_founds_no_second_group,
+          lost_disk_of_the_first_seed_founds_nothing,
+          disks_lost_in_turn_lose_no_version,
+          voters_that_end_for_good_one_by_one_give_way,
+          removed_voter_follows_the_others, read_of_a_VM_cut_off_is_refused,
+          highest_version_wins_and_never_goes_back,
+          minority_acknowledges_nothing);
