News are sent once: a start of all VMs doesn't fill the memory

Cause: VMs that start without a view poll every 120 ms, and each poll got up to 256 KiB of old revisions, however many answers were under way. Change: a VM with nothing gets the whole, which holds few texts; what is under way isn't sent again for 2 s; members of the control group ask for no commands.

--- a/node/node_core.h
+++ b/node/node_core.h
@@ -124,7 +124,9 @@
 typedef struct node_child {
     char name[BBM_NAME_SIZE]; /**< Which. */
     bbm_time polled;          /**< When last. */
-    uint64_t has;             /**< Public index that it has. */
+    uint64_t has;             /**< Public index that it has, or will have
+                                   when what was sent arrives. */
+    bbm_time told;            /**< When something was sent last. */
     UT_hash_handle hh;        /**< By name. */
 } node_child;
 
@@ -291,6 +293,7 @@
     uint64_t list_epoch;   /**< Term of the leader that told it; 0: own. */
     uint64_t list_version; /**< Its number under that leader. */
     bbm_time list_read;    /**< When it was read from the platform; 0. */
+    bbm_time listed_at;    /**< When we ourselves read it last; 0. */
     bbm_time list_due;     /**< Next look at it. */
     bool list_lost;        /**< It could not be read. */
     bbm_time list_changed; /**< Leader: when it last changed. */
--- a/node/node_relay.c
+++ b/node/node_relay.c
@@ -22,6 +22,11 @@
 #define MISSED_MOST 2
 /* Bytes of commands in one message. */
 #define NEWS_BYTES ((size_t)256 * 1024)
+/* What is under way to a child isn't sent again before this: when all VMs
+   start at once their questions come faster than a link takes the answers. */
+#define NEWS_AGAIN (2 * BBM_SECOND)
+/* A member of the group has its log, and needs no commands from news. */
+#define HAS_LOG UINT64_MAX
 #define AGE_MOST (3600 * BBM_SECOND)
 /* News so young come from a leader that leads. */
 #define NEWS_FRESH BBM_SECOND
@@ -131,7 +136,7 @@
         return;
     bbm_buf *buf = node_send(n, n->parent, NODE_POLL);
     bbm_put_i64(buf, n->now);
-    bbm_put_u64(buf, bbm_state_public_index(n->state));
+    bbm_put_u64(buf, n->in_group ? HAS_LOG : bbm_state_public_index(n->state));
 }
 
 static void
@@ -200,17 +205,22 @@
     return len;
 }
 
-/* What a daemon lacks: commands, or the whole if the tail is too short. */
+/* What a daemon lacks: commands, or the whole if it has nothing or the tail is
+   too short: the whole holds a few texts, the tail all. */
 static void
-put_news(bbm_node *n, bbm_buf *buf, uint64_t has, uint64_t *now_has)
+put_news(bbm_node *n, bbm_buf *buf, node_child *c)
 {
     uint64_t mine = bbm_state_public_index(n->state);
-    uint64_t since = has;
+    uint64_t since = c->has;
     bbm_put_str(buf, n->leader);
     bbm_put_u64(buf, n->leader_term);
     bbm_put_u64(buf, mine);
-    size_t sent = put_items(n, buf, &since);
-    bool whole = sent == 0 && has < mine;
+    size_t sent = 0;
+    if (c->has == 0)
+        bbm_put_u64(buf, 0);
+    else
+        sent = put_items(n, buf, &since);
+    bool whole = sent == 0 && c->has < mine;
     bbm_put_u64(buf, whole);
     if (whole) {
         bbm_buf snapshot = {0};
@@ -219,7 +229,20 @@
         bbm_buf_free(&snapshot);
         since = mine;
     }
-    *now_has = since;
+    if (since != c->has)
+        c->told = n->now;
+    c->has = since;
+}
+
+/* Only how fresh and new our view is. */
+static void
+put_no_news(const bbm_node *n, bbm_buf *buf)
+{
+    bbm_put_str(buf, n->leader);
+    bbm_put_u64(buf, n->leader_term);
+    bbm_put_u64(buf, bbm_state_public_index(n->state));
+    bbm_put_u64(buf, 0);
+    bbm_put_u64(buf, 0);
 }
 
 static node_child *
@@ -250,7 +273,12 @@
     bbm_buf *buf = node_send(n, from, NODE_NEWS);
     bbm_put_i64(buf, sent);
     bbm_put_i64(buf, age < AGE_MOST ? age : AGE_MOST);
-    put_news(n, buf, has, &c->has);
+    if (has < c->has && n->now - c->told < NEWS_AGAIN) {
+        put_no_news(n, buf);
+        return BBM_OK;
+    }
+    c->has = has;
+    put_news(n, buf, c);
     return BBM_OK;
 }
 
@@ -264,7 +292,7 @@
         bbm_buf *buf = node_send(n, c->name, NODE_PUSH);
         bbm_put_i64(buf, 0);
         bbm_put_i64(buf, 0);
-        put_news(n, buf, c->has, &c->has);
+        put_news(n, buf, c);
     }
 }
 
@@ -333,7 +361,7 @@
             n->poll_missed = 0;
     }
     if (asked && !complete && !n->in_group)
-        n->poll_at = n->now;
+        n->poll_at = n->now + (mine != before ? 0 : POLL_RETRY);
     update_stale(n);
     return BBM_OK;
 }
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -16,6 +16,7 @@
     bbm_member_id disk;
     uint64_t run;
     int starts;
+    size_t sent;
     bbm_time frozen_until;
     fake_disk files;
 } place;
@@ -71,6 +72,7 @@
     switch (a->kind) {
     case BBM_ACT_SEND:
         to = index_of(f, a);
+        f->places[i].sent += a->u.send.bytes.len;
         if (to >= 0)
             net_post(&f->net, f->now, i, to, a->u.send.bytes.data,
                      a->u.send.bytes.len);
@@ -112,14 +114,20 @@
         if (h->order)
             h->order(h->context, i, a);
         return;
+    case BBM_ACT_LIST:
+        if (h->list)
+            h->list(h->context, i);
+        return;
+    case BBM_ACT_LOG:
+        if (h->log)
+            h->log(h->context, i, a->u.log.event);
+        return;
     case BBM_ACT_WATCH:
     case BBM_ACT_READY:
     case BBM_ACT_FORWARD:
-    case BBM_ACT_LIST:
     case BBM_ACT_ROLLOUT:
     case BBM_ACT_STORE:
     case BBM_ACT_LIMITS:
-    case BBM_ACT_LOG:
     case BBM_ACT_STOPPED:
         return;
     }
@@ -367,6 +375,12 @@
     return fleet_give(f, i, &ev);
 }
 
+size_t
+fleet_sent(const fleet *f, int i)
+{
+    return f->places[i].sent;
+}
+
 double
 fleet_cpu_ns(const fleet *f)
 {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -45,6 +45,8 @@
     void (*cut)(void *context, int node, uint64_t request, int code);
     void (*answer)(void *context, const fleet_answer *answer);
     void (*order)(void *context, int node, const bbm_action *a);
+    void (*list)(void *context, int node);
+    void (*log)(void *context, int node, bbm_log_event event);
 } fleet_hooks;
 
 fleet *fleet_create(const fleet_desc *desc, const fleet_hooks *hooks);
@@ -72,6 +74,8 @@
 /** Publish a text on top of a revision; answers by the hook. */
 bool fleet_publish(fleet *f, int i, uint64_t op, const char *id,
                    uint64_t expected, const char *text);
+/** Bytes of messages that a daemon has sent so far. */
+size_t fleet_sent(const fleet *f, int i);
 /** Processor time spent in nodes so far, nanoseconds. */
 double fleet_cpu_ns(const fleet *f);
 
--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -29,9 +29,8 @@
     if (!answer->operator_call || answer->id >= OPS)
         return;
     w->code[answer->id] = answer->code;
-    size_t len = answer->len < sizeof(w->body[0]) - 1
-                     ? answer->len
-                     : sizeof(w->body[0]) - 1;
+    size_t len = answer->len < sizeof(w->body[0]) - 1 ? answer->len
+                                                      : sizeof(w->body[0]) - 1;
     if (len)
         memcpy(w->body[answer->id], answer->body, len);
     w->body[answer->id][len] = 0;
@@ -86,7 +85,8 @@
 publish(world *w, int node, uint64_t version, const char *source)
 {
     bbm_operator_event ev = {.verb = BBM_VERB_PUBLISH, .version = version};
-    snprintf(ev.id, sizeof(ev.id), "%s", source);
+    snprintf(ev.id, sizeof(ev.id), "v%llu-%c", (unsigned long long)version,
+             source[0]);
     ev.text = (bbm_bytes){.data = (const uint8_t *)document,
                           .len = strlen(document)};
     ev.source =
@@ -350,6 +350,49 @@
 }
 END_TEST
 
+/* Load: all VMs of a large system start at once, each without a view, over
+   links on which question and answer need a second.  What waits to be sent is
+   kept in memory: it may not be more than the state once for each VM. */
+START_TEST(start_of_all_sends_the_state_once)
+{
+    enum { VMS = 60, VERSIONS = 12, SIZE = 50000 };
+    static char source[SIZE + 1];
+    memset(source, 'x', SIZE);
+    world w = {0};
+    w.fleet = fleet_create(
+        &(fleet_desc){
+            .seed = 29,
+            .nodes = VMS,
+            .seeds = SEEDS,
+            .disks = SEEDS,
+            .delay = 5 * BBM_MS,
+            .sync = 2 * BBM_MS,
+            .node.texts_kept = 2,
+        },
+        &(fleet_hooks){.context = &w, .answer = on_answer});
+    fleet_run(w.fleet, 4 * BBM_SECOND);
+    for (int i = 1; i <= VERSIONS; i++) {
+        source[0] = (char)('a' + i);
+        must_publish(&w, 0, (uint64_t)i, source);
+    }
+    for (int i = 0; i < VMS; i++)
+        fleet_crash(w.fleet, i);
+    fleet_net(w.fleet)->desc.longest = BBM_SECOND / 2;
+    size_t before[SEEDS];
+    for (int i = 0; i < SEEDS; i++)
+        before[i] = fleet_sent(w.fleet, i);
+    for (int i = 0; i < VMS; i++)
+        fleet_start(w.fleet, i);
+    fleet_run(w.fleet, 6 * BBM_SECOND);
+    const size_t kept = 2; /* revisions whose texts a state holds */
+    for (int i = 0; i < SEEDS; i++) {
+        size_t sent = fleet_sent(w.fleet, i) - before[i];
+        ck_assert_uint_lt(sent, VMS * kept * (SIZE + sizeof(document)));
+    }
+    close_world(&w);
+}
+END_TEST
+
 TEST_MAIN("joining", seeds_found_one_group,
           restart_of_all_founds_no_second_group,
           lost_disk_of_the_first_seed_founds_nothing,
@@ -357,4 +400,4 @@
           voters_that_end_for_good_one_by_one_give_way,
           removed_voter_follows_the_others, read_of_a_VM_cut_off_is_refused,
           highest_version_wins_and_never_goes_back,
-          minority_acknowledges_nothing);
+          minority_acknowledges_nothing, start_of_all_sends_the_state_once);
