A new leader keeps the told list until it has read its own

Cause: a leader that had never read the list of upstreams, only been told of it, took its empty copy for the list and told all VMs that every upstream was gone, until its first look.

--- a/node/node_rollout.c
+++ b/node/node_rollout.c
@@ -61,7 +61,9 @@
 void
 node_rollout_tick(bbm_node *n)
 {
-    if (!n->gate || !take_office(n) || !n->list_read)
+    /* What an earlier leader told stays in force until our own look. */
+    if (!n->gate || !take_office(n) || !n->listed_at
+        || n->listed_at < n->lead_since)
         return;
     take_targets(n);
     bbm_rollout_runners(n->rollout, &n->listed, n->now);
--- a/node/node_upstreams.c
+++ b/node/node_upstreams.c
@@ -189,6 +189,7 @@
         node_log(n, BBM_EVENT_LIST_BACK, "", "");
     n->list_lost = false;
     n->list_read = n->now;
+    n->listed_at = n->now;
     bbm_listing_copy(&n->listed, listing);
     if (node_leads(n)) {
         node_rollout_tick(n);
--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -393,6 +393,93 @@
 }
 END_TEST
 
+/* ---- the list of upstreams under a new leader ---- */
+
+#define UPSTREAMS 3
+#define LIST_TIME (300 * BBM_MS)
+
+typedef struct list_world {
+    world world;
+    bbm_time due[NODES]; /* answer of the list; 0: not asked */
+    int found;           /* upstreams that a daemon heard of */
+    int lost;            /* upstreams that a daemon believed gone */
+} list_world;
+
+static void
+on_list(void *context, int node)
+{
+    list_world *w = context;
+    if (w->world.fleet)
+        w->due[node] = fleet_now(w->world.fleet) + LIST_TIME;
+}
+
+static void
+on_log(void *context, int node, bbm_log_event event)
+{
+    (void)node;
+    list_world *w = context;
+    w->found += event == BBM_EVENT_UPSTREAM_NEW;
+    w->lost += event == BBM_EVENT_UPSTREAM_GONE;
+}
+
+static void
+run_with_list(list_world *w, bbm_time span)
+{
+    bbm_listing listing = {0};
+    for (int i = 0; i < UPSTREAMS; i++) {
+        bbm_listed u = {.pool = "p", .zone = "zone-0", .slots = 4};
+        snprintf(u.id, sizeof(u.id), "runner-%d", i);
+        snprintf(u.address, sizeof(u.address), "10.9.0.%d:80", i + 1);
+        bbm_listing_add(&listing, &u);
+    }
+    fleet *f = w->world.fleet;
+    bbm_time end = fleet_now(f) + span;
+    while (fleet_now(f) < end) {
+        fleet_step(f);
+        for (int i = 0; i < NODES; i++) {
+            if (!w->due[i] || fleet_now(f) < w->due[i])
+                continue;
+            w->due[i] = 0;
+            bbm_event ev = {.kind = BBM_EV_LISTING};
+            ev.u.listing.listing = &listing;
+            fleet_give(f, i, &ev);
+        }
+    }
+    bbm_listing_free(&listing);
+}
+
+/* A new leader that hasn't read the list tells nobody that it is empty. */
+START_TEST(new_leader_keeps_the_upstreams_that_were_told)
+{
+    list_world w = {0};
+    w.world.fleet = fleet_create(
+        &(fleet_desc){
+            .seed = 30,
+            .nodes = NODES,
+            .seeds = SEEDS,
+            .disks = DISKS,
+            .delay = 5 * BBM_MS,
+            .sync = 2 * BBM_MS,
+            .node.discovery = true,
+        },
+        &(fleet_hooks){.context = &w, .list = on_list, .log = on_log});
+    run_with_list(&w, 4 * BBM_SECOND);
+    publish(&w.world, 0, 1, "one");
+    run_with_list(&w, 4 * BBM_SECOND);
+    ck_assert_int_eq(w.found, NODES * UPSTREAMS);
+    /* A rolling restart: later leaders know the list only from others. */
+    for (int i = 0; i < 2 * NODES; i++) {
+        fleet_crash(w.world.fleet, i % NODES);
+        run_with_list(&w, BBM_SECOND);
+        fleet_start(w.world.fleet, i % NODES);
+        run_with_list(&w, 4 * BBM_SECOND);
+        ck_assert_int_ge(fleet_leader(w.world.fleet), 0);
+        ck_assert_int_eq(w.lost, 0);
+    }
+    close_world(&w.world);
+}
+END_TEST
+
 TEST_MAIN("joining", seeds_found_one_group,
           restart_of_all_founds_no_second_group,
           lost_disk_of_the_first_seed_founds_nothing,
@@ -400,4 +487,5 @@
           voters_that_end_for_good_one_by_one_give_way,
           removed_voter_follows_the_others, read_of_a_VM_cut_off_is_refused,
           highest_version_wins_and_never_goes_back,
-          minority_acknowledges_nothing, start_of_all_sends_the_state_once);
+          minority_acknowledges_nothing, start_of_all_sends_the_state_once,
+          new_leader_keeps_the_upstreams_that_were_told);
