--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -466,7 +466,7 @@
     run_with_list(&w, 4 * BBM_SECOND);
     publish(&w.world, 0, 1, "one");
     run_with_list(&w, 4 * BBM_SECOND);
-    ck_assert_int_eq(w.found, NODES * UPSTREAMS);
+    ck_assert_int_eq(w.found, (intmax_t)NODES * UPSTREAMS);
     /* A rolling restart: later leaders know the list only from others. */
     for (int i = 0; i < 2 * NODES; i++) {
         fleet_crash(w.world.fleet, i % NODES);
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -170,7 +170,7 @@
     bbm_rollout_target(w.ro, "m", 3, w.now);
     play(&w, 8 * BBM_SECOND);
     ck_assert_uint_eq(at_version(&w, 3), RUNNERS);
-    ck_assert_uint_lt(w.loads, 2 * RUNNERS);
+    ck_assert_uint_lt(w.loads, (uintmax_t)2 * RUNNERS);
     end(&w);
 }
 END_TEST
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -65,7 +65,8 @@
         if (w->now % TELL < STEP)
             tell(w);
         double due = chance;
-        for (; due > 0 && bbm_rng_unit(&w->rng) < due; due -= 1) {
+        while (due > 0 && bbm_rng_unit(&w->rng) < due) {
+            due -= 1;
             bbm_time wait;
             size_t vm = (size_t)bbm_rng_below(&w->rng, w->len);
             w->asked++;
