--- /dev/null
+++ b/daemon/calls.c
@@ -0,0 +1,112 @@
+#include "calls.h"
+
+#include "bbm_mem.h"
+#include "mailbox.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+
+#define BOX_SIZE 16384
+
+struct calls {
+    calls_desc desc;
+    mailbox *box;
+    CURLM *multi;
+    pthread_t thread;
+    atomic_bool stop;
+};
+
+static void
+do_jobs(calls *c)
+{
+    void *job;
+    while ((job = mailbox_take(c->box)) != NULL)
+        c->desc.job(c->desc.context, job);
+}
+
+/* Lets transfers go on; returns how many run. */
+static int
+drive(calls *c)
+{
+    int running = 0;
+    int left;
+    CURLMsg *msg;
+    curl_multi_perform(c->multi, &running);
+    while ((msg = curl_multi_info_read(c->multi, &left)) != NULL) {
+        if (msg->msg == CURLMSG_DONE)
+            c->desc.done(c->desc.context, msg->easy_handle, msg->data.result);
+    }
+    return running;
+}
+
+static void *
+run(void *context)
+{
+    calls *c = context;
+    while (!atomic_load(&c->stop)) {
+        do_jobs(c);
+        if (c->desc.turn)
+            c->desc.turn(c->desc.context);
+        drive(c);
+        curl_multi_poll(c->multi, NULL, 0, c->desc.wait_ms, NULL);
+    }
+    do_jobs(c);
+    return NULL;
+}
+
+calls *
+calls_create(const calls_desc *desc)
+{
+    calls *c = bbm_calloc(1, sizeof(*c));
+    c->desc = *desc;
+    c->box = mailbox_create(BOX_SIZE);
+    c->multi = curl_multi_init();
+    if (desc->keep)
+        curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS, desc->keep);
+    if (pthread_create(&c->thread, NULL, run, c) != 0)
+        abort();
+    return c;
+}
+
+void
+calls_stop(calls *c, int turns, int wait_ms)
+{
+    atomic_store(&c->stop, true);
+    curl_multi_wakeup(c->multi);
+    pthread_join(c->thread, NULL);
+    for (int i = 0; i < turns && drive(c) > 0; i++)
+        curl_multi_poll(c->multi, NULL, 0, wait_ms, NULL);
+}
+
+void
+calls_destroy(calls *c)
+{
+    if (!c)
+        return;
+    void *job;
+    while ((job = mailbox_take(c->box)) != NULL)
+        c->desc.drop(job);
+    curl_multi_cleanup(c->multi);
+    mailbox_destroy(c->box);
+    free(c);
+}
+
+void
+calls_put(calls *c, void *job)
+{
+    mailbox_put_waiting(c->box, job);
+    curl_multi_wakeup(c->multi);
+}
+
+void
+calls_add(calls *c, CURL *easy)
+{
+    curl_multi_add_handle(c->multi, easy);
+}
+
+void
+calls_remove(calls *c, CURL *easy)
+{
+    curl_multi_remove_handle(c->multi, easy);
+}
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -1,5 +1,6 @@
 #include "forward.h"
 
+#include "calls.h"
 #include "control.h"
 #include "events.h"
 
@@ -12,7 +13,6 @@
 #include <sys/socket.h>
 #include <uthash.h>
 
-#define BOX_SIZE 16384
 #define WAIT_MS 1000
 /* An upstream that hasn't taken a connection by then gets no request. */
 #define CONNECT_MS 300L
@@ -34,7 +34,6 @@
     JOB_START,
     JOB_CANCEL,
     JOB_RESUME,
-    JOB_STOP,
 } job_kind;
 
 typedef struct job {
@@ -70,12 +69,9 @@
 
 struct forward {
     mailbox *control;
-    mailbox *box;
-    CURLM *multi;
+    calls *calls;
     flight *flights;
     long reuse_s; /* shortest time told for which connections are kept */
-    pthread_t thread;
-    bool stop;
 };
 
 /* ---- other threads' side ---- */
@@ -91,8 +87,7 @@
     if (send)
         j->send = *send;
     bbm_text_set(j->last_event, sizeof(j->last_event), last_event);
-    mailbox_put_waiting(f->box, j);
-    curl_multi_wakeup(f->multi);
+    calls_put(f->calls, j);
 }
 
 static void
@@ -447,7 +442,7 @@
 free_flight(forward *f, flight *x)
 {
     HASH_DEL(f->flights, x);
-    curl_multi_remove_handle(f->multi, x->easy);
+    calls_remove(f->calls, x->easy);
     curl_easy_cleanup(x->easy);
     curl_slist_free_all(x->lines);
     exchange_headers_free(&x->head);
@@ -481,7 +476,7 @@
     x->easy = curl_easy_init();
     HASH_ADD(hh, f->flights, request, sizeof(x->request), x);
     set_options(x);
-    curl_multi_add_handle(f->multi, x->easy);
+    calls_add(f->calls, x->easy);
 }
 
 /* A stream without a length that ends inside an event was cut, however
@@ -521,18 +516,11 @@
 }
 
 static void
-check_done(forward *f)
-{
-    CURLMsg *msg;
-    int left;
-    while ((msg = curl_multi_info_read(f->multi, &left)) != NULL) {
-        if (msg->msg != CURLMSG_DONE)
-            continue;
-        flight *x = NULL;
-        CURLcode rc = msg->data.result;
-        curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &x);
-        finish(f, x, rc);
-    }
+on_done(void *context, CURL *easy, CURLcode code)
+{
+    flight *x = NULL;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &x);
+    finish(context, x, code);
 }
 
 /* ---- the thread ---- */
@@ -548,8 +536,18 @@
 }
 
 static void
-do_job(forward *f, job *j)
+drop_job(void *what)
+{
+    job *j = what;
+    exchange_unref(j->ex);
+    free(j);
+}
+
+static void
+do_job(void *context, void *what)
 {
+    forward *f = context;
+    job *j = what;
     flight *x;
     switch (j->kind) {
     case JOB_START:
@@ -563,28 +561,8 @@
     case JOB_RESUME:
         resume(f, j->request);
         break;
-    case JOB_STOP:
-        f->stop = true;
-        break;
     }
-    exchange_unref(j->ex);
-    free(j);
-}
-
-static void *
-run(void *context)
-{
-    forward *f = context;
-    while (!f->stop) {
-        job *j;
-        while ((j = mailbox_take(f->box)) != NULL)
-            do_job(f, j);
-        int running;
-        curl_multi_perform(f->multi, &running);
-        check_done(f);
-        curl_multi_poll(f->multi, NULL, 0, WAIT_MS, NULL);
-    }
-    return NULL;
+    drop_job(j);
 }
 
 forward *
@@ -592,11 +570,14 @@
 {
     forward *f = bbm_calloc(1, sizeof(*f));
     f->control = control;
-    f->box = mailbox_create(BOX_SIZE);
-    f->multi = curl_multi_init();
-    curl_multi_setopt(f->multi, CURLMOPT_MAXCONNECTS, KEEP_CONNECTIONS);
-    if (pthread_create(&f->thread, NULL, run, f) != 0)
-        abort();
+    f->calls = calls_create(&(calls_desc){
+        .context = f,
+        .job = do_job,
+        .done = on_done,
+        .drop = drop_job,
+        .wait_ms = WAIT_MS,
+        .keep = KEEP_CONNECTIONS,
+    });
     return f;
 }
 
@@ -605,8 +586,7 @@
 {
     if (!f)
         return;
-    put_job(f, JOB_STOP, 0, NULL, NULL, "");
-    pthread_join(f->thread, NULL);
+    calls_stop(f->calls, 0, 0);
     flight *x, *next;
     HASH_ITER(hh, f->flights, x, next)
     {
@@ -620,12 +600,6 @@
 {
     if (!f)
         return;
-    job *j;
-    while ((j = mailbox_take(f->box)) != NULL) {
-        exchange_unref(j->ex);
-        free(j);
-    }
-    curl_multi_cleanup(f->multi);
-    mailbox_destroy(f->box);
+    calls_destroy(f->calls);
     free(f);
 }
--- a/daemon/provider.c
+++ b/daemon/provider.c
@@ -1,14 +1,13 @@
 #include "provider.h"
 
 #include "bbm_table.h"
+#include "calls.h"
 #include "control.h"
 
 #include <curl/curl.h>
-#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define BOX_SIZE 4096
 #define WAIT_MS 200
 #define CONNECT_MS 150L
 #define LIST_MS 900L
@@ -34,7 +33,6 @@
     JOB_LIST,
     JOB_ROLLOUT,
     JOB_STORE,
-    JOB_STOP,
 } job_kind;
 
 typedef struct job {
@@ -74,10 +72,7 @@
 
 struct provider {
     provider_desc desc;
-    mailbox *box;
-    CURLM *multi;
-    pthread_t thread;
-    bool stop;
+    calls *calls;
     bbm_listing listing; /* pages read so far */
     size_t bad;          /* entries that can't be read */
     size_t pages;
@@ -90,8 +85,7 @@
 static void
 put_job(provider *p, job *j)
 {
-    mailbox_put_waiting(p->box, j);
-    curl_multi_wakeup(p->multi);
+    calls_put(p->calls, j);
 }
 
 static job *
@@ -201,7 +195,7 @@
         curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
     }
-    curl_multi_add_handle(p->multi, e);
+    calls_add(p->calls, e);
 }
 
 static void
@@ -265,8 +259,9 @@
 }
 
 static void
-ask_stores(provider *p)
+ask_stores(void *context)
 {
+    provider *p = context;
     bbm_time now = control_now();
     for (store_row *s = p->stores; s; s = s->hh.next) {
         if (!s->on || s->asking || now < s->next)
@@ -355,13 +350,14 @@
 }
 
 static void
-end_call(provider *p, CURL *easy, CURLcode rc)
+end_call(void *context, CURL *easy, CURLcode rc)
 {
+    provider *p = context;
     call *c = NULL;
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &c);
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    curl_multi_remove_handle(p->multi, easy);
+    calls_remove(p->calls, easy);
     curl_easy_cleanup(easy);
     bool answered = rc == CURLE_OK;
     switch (c->kind) {
@@ -384,8 +380,10 @@
 /* ---- the thread ---- */
 
 static void
-do_job(provider *p, job *j)
+do_job(void *context, void *what)
 {
+    provider *p = context;
+    job *j = what;
     switch (j->kind) {
     case JOB_LIST:
         begin_list(p);
@@ -396,51 +394,24 @@
     case JOB_STORE:
         watch_store(p, j);
         break;
-    case JOB_STOP:
-        p->stop = true;
-        break;
     }
     free(j);
 }
 
-static void
-end_done(provider *p)
-{
-    CURLMsg *msg;
-    int left;
-    while ((msg = curl_multi_info_read(p->multi, &left)) != NULL) {
-        if (msg->msg == CURLMSG_DONE)
-            end_call(p, msg->easy_handle, msg->data.result);
-    }
-}
-
-static void *
-run(void *context)
-{
-    provider *p = context;
-    while (!p->stop) {
-        job *j;
-        while ((j = mailbox_take(p->box)) != NULL)
-            do_job(p, j);
-        ask_stores(p);
-        int running;
-        curl_multi_perform(p->multi, &running);
-        end_done(p);
-        curl_multi_poll(p->multi, NULL, 0, WAIT_MS, NULL);
-    }
-    return NULL;
-}
-
 provider *
 provider_create(const provider_desc *desc)
 {
     provider *p = bbm_calloc(1, sizeof(*p));
     p->desc = *desc;
-    p->box = mailbox_create(BOX_SIZE);
-    p->multi = curl_multi_init();
-    curl_multi_setopt(p->multi, CURLMOPT_MAXCONNECTS, KEEP_CONNECTIONS);
-    if (pthread_create(&p->thread, NULL, run, p) != 0)
-        abort();
+    p->calls = calls_create(&(calls_desc){
+        .context = p,
+        .job = do_job,
+        .done = end_call,
+        .turn = ask_stores,
+        .drop = free,
+        .wait_ms = WAIT_MS,
+        .keep = KEEP_CONNECTIONS,
+    });
     return p;
 }
 
@@ -451,21 +422,9 @@
 {
     if (!p)
         return;
-    put_job(p, new_job(JOB_STOP));
-    pthread_join(p->thread, NULL);
-    int running = 1;
-    for (int i = 0; i < LAST_TURNS && running; i++) {
-        curl_multi_perform(p->multi, &running);
-        end_done(p);
-        if (running)
-            curl_multi_poll(p->multi, NULL, 0, LAST_WAIT_MS, NULL);
-    }
+    calls_stop(p->calls, LAST_TURNS, LAST_WAIT_MS);
     bbm_listing_free(&p->listing);
     BBM_TABLE_FREE(store_row, p->stores);
-    job *j;
-    while ((j = mailbox_take(p->box)) != NULL)
-        free(j);
-    curl_multi_cleanup(p->multi);
-    mailbox_destroy(p->box);
+    calls_destroy(p->calls);
     free(p);
 }
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -1,5 +1,6 @@
 #include "traffic.h"
 
+#include "calls.h"
 #include "control.h"
 #include "traffic_request.h"
 
@@ -9,7 +10,6 @@
 #include <strings.h>
 #include <uthash.h>
 
-#define BOX_SIZE 16384
 #define WAIT_MS 50
 /* Tokens generated are told to control this often. */
 #define PROGRESS_PERIOD (200 * BBM_MS)
@@ -22,7 +22,6 @@
     JOB_START,
     JOB_CANCEL,
     JOB_RESUME,
-    JOB_STOP,
 } job_kind;
 
 typedef struct job {
@@ -34,11 +33,9 @@
 
 struct traffic {
     mailbox *control;
-    mailbox *box;
-    CURLM *multi;
+    calls *calls;
     traffic_transfer *transfers;
-    pthread_t thread;
-    bool stop;
+    bbm_time checked; /* times of transfers, last */
 };
 
 /* ---- other threads' side ---- */
@@ -53,8 +50,7 @@
     j->ex = ex ? exchange_ref(ex) : NULL;
     if (start)
         j->start = *start;
-    mailbox_put_waiting(t->box, j);
-    curl_multi_wakeup(t->multi);
+    calls_put(t->calls, j);
 }
 
 static void
@@ -257,7 +253,7 @@
 free_transfer(traffic *t, traffic_transfer *x)
 {
     HASH_DEL(t->transfers, x);
-    curl_multi_remove_handle(t->multi, x->easy);
+    calls_remove(t->calls, x->easy);
     curl_easy_cleanup(x->easy);
     curl_slist_free_all(x->headers);
     answer_watch_free(&x->watch);
@@ -290,7 +286,7 @@
     HASH_ADD(hh, t->transfers, request, sizeof(x->request), x);
     traffic_request_set(x);
     set_callbacks(x);
-    curl_multi_add_handle(t->multi, x->easy);
+    calls_add(t->calls, x->easy);
 }
 
 /* ---- ending ---- */
@@ -329,18 +325,11 @@
 }
 
 static void
-check_done(traffic *t)
+on_done(void *context, CURL *easy, CURLcode code)
 {
-    CURLMsg *msg;
-    int left;
-    while ((msg = curl_multi_info_read(t->multi, &left)) != NULL) {
-        if (msg->msg != CURLMSG_DONE)
-            continue;
-        traffic_transfer *x = NULL;
-        CURLcode rc = msg->data.result;
-        curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &x);
-        finish(t, x, rc);
-    }
+    traffic_transfer *x = NULL;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &x);
+    finish(context, x, code);
 }
 
 static bool
@@ -362,9 +351,13 @@
 }
 
 static void
-check_times(traffic *t)
+check_times(void *context)
 {
+    traffic *t = context;
     bbm_time now = control_now();
+    if (now - t->checked <= WAIT_MS * BBM_MS)
+        return;
+    t->checked = now;
     traffic_transfer *x, *next;
     HASH_ITER(hh, t->transfers, x, next)
     {
@@ -395,8 +388,18 @@
 }
 
 static void
-do_job(traffic *t, job *j)
+drop_job(void *what)
+{
+    job *j = what;
+    exchange_unref(j->ex);
+    free(j);
+}
+
+static void
+do_job(void *context, void *what)
 {
+    traffic *t = context;
+    job *j = what;
     traffic_transfer *x;
     switch (j->kind) {
     case JOB_START:
@@ -410,34 +413,8 @@
     case JOB_RESUME:
         resume(t, j->request);
         break;
-    case JOB_STOP:
-        t->stop = true;
-        break;
     }
-    exchange_unref(j->ex);
-    free(j);
-}
-
-static void *
-run(void *context)
-{
-    traffic *t = context;
-    bbm_time checked = 0;
-    while (!t->stop) {
-        job *j;
-        while ((j = mailbox_take(t->box)) != NULL)
-            do_job(t, j);
-        int running;
-        curl_multi_perform(t->multi, &running);
-        check_done(t);
-        bbm_time now = control_now();
-        if (now - checked > WAIT_MS * BBM_MS) {
-            checked = now;
-            check_times(t);
-        }
-        curl_multi_poll(t->multi, NULL, 0, WAIT_MS, NULL);
-    }
-    return NULL;
+    drop_job(j);
 }
 
 traffic *
@@ -445,19 +422,22 @@
 {
     traffic *t = bbm_calloc(1, sizeof(*t));
     t->control = control;
-    t->box = mailbox_create(BOX_SIZE);
-    t->multi = curl_multi_init();
-    curl_multi_setopt(t->multi, CURLMOPT_MAXCONNECTS, KEEP_CONNECTIONS);
-    if (pthread_create(&t->thread, NULL, run, t) != 0)
-        abort();
+    t->calls = calls_create(&(calls_desc){
+        .context = t,
+        .job = do_job,
+        .done = on_done,
+        .turn = check_times,
+        .drop = drop_job,
+        .wait_ms = WAIT_MS,
+        .keep = KEEP_CONNECTIONS,
+    });
     return t;
 }
 
 void
 traffic_stop(traffic *t)
 {
-    put_job(t, JOB_STOP, 0, NULL, NULL);
-    pthread_join(t->thread, NULL);
+    calls_stop(t->calls, 0, 0);
     traffic_transfer *x, *next;
     HASH_ITER(hh, t->transfers, x, next)
     {
@@ -471,12 +451,6 @@
 {
     if (!t)
         return;
-    job *j;
-    while ((j = mailbox_take(t->box)) != NULL) {
-        exchange_unref(j->ex);
-        free(j);
-    }
-    curl_multi_cleanup(t->multi);
-    mailbox_destroy(t->box);
+    calls_destroy(t->calls);
     free(t);
 }
--- a/daemon/watcher.c
+++ b/daemon/watcher.c
@@ -1,16 +1,16 @@
 #include "watcher.h"
 
 #include "bbm_table.h"
+#include "calls.h"
 #include "control.h"
 #include "watcher_report.h"
 
 #include <curl/curl.h>
 #include <jansson.h>
-#include <pthread.h>
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define BOX_SIZE 4096
 #define WAIT_MS 20
 #define REPORT_LIMIT_MS 1000L
 #define CONNECT_LIMIT_MS 500L
@@ -19,7 +19,6 @@
 typedef enum job_kind {
     JOB_WATCH,
     JOB_ORDER,
-    JOB_STOP,
 } job_kind;
 
 typedef struct job {
@@ -52,12 +51,9 @@
 
 struct watcher {
     mailbox *control;
-    mailbox *box;
     bbm_time period;
-    CURLM *multi;
+    calls *calls;
     runner *runners;
-    pthread_t thread;
-    bool stop;
 };
 
 /* ---- other threads' side ---- */
@@ -69,8 +65,7 @@
     j->kind = kind;
     if (action)
         j->action = *action;
-    mailbox_put_waiting(w->box, j);
-    curl_multi_wakeup(w->multi);
+    calls_put(w->calls, j);
 }
 
 void
@@ -156,7 +151,7 @@
                  (unsigned long long)r->after);
     r->asking = true;
     r->next = now + w->period;
-    curl_multi_add_handle(w->multi, new_call(c, url, REPORT_LIMIT_MS));
+    calls_add(w->calls, new_call(c, url, REPORT_LIMIT_MS));
 }
 
 static void
@@ -180,7 +175,7 @@
     curl_easy_setopt(e, CURLOPT_POSTFIELDS, c->body);
     curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
-    curl_multi_add_handle(w->multi, e);
+    calls_add(w->calls, e);
 }
 
 /* ---- answers ---- */
@@ -234,13 +229,14 @@
 }
 
 static void
-end_call(watcher *w, CURL *easy, CURLcode rc)
+end_call(void *context, CURL *easy, CURLcode rc)
 {
+    watcher *w = context;
     call *c = NULL;
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &c);
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    curl_multi_remove_handle(w->multi, easy);
+    calls_remove(w->calls, easy);
     curl_easy_cleanup(easy);
     runner *r = c->runner;
     if (!r) {
@@ -291,8 +287,10 @@
 }
 
 static void
-do_job(watcher *w, job *j)
+do_job(void *context, void *what)
 {
+    watcher *w = context;
+    job *j = what;
     switch (j->kind) {
     case JOB_WATCH:
         watch(w, &j->action);
@@ -300,16 +298,14 @@
     case JOB_ORDER:
         send_order(w, &j->action);
         break;
-    case JOB_STOP:
-        w->stop = true;
-        break;
     }
     free(j);
 }
 
 static void
-ask_due(watcher *w)
+ask_due(void *context)
 {
+    watcher *w = context;
     bbm_time now = control_now();
     for (runner *r = w->runners; r; r = r->hh.next) {
         if (!r->asking && now >= r->next)
@@ -317,44 +313,20 @@
     }
 }
 
-static void
-end_done(watcher *w)
-{
-    CURLMsg *msg;
-    int left;
-    while ((msg = curl_multi_info_read(w->multi, &left)) != NULL) {
-        if (msg->msg == CURLMSG_DONE)
-            end_call(w, msg->easy_handle, msg->data.result);
-    }
-}
-
-static void *
-run(void *context)
-{
-    watcher *w = context;
-    while (!w->stop) {
-        job *j;
-        while ((j = mailbox_take(w->box)) != NULL)
-            do_job(w, j);
-        ask_due(w);
-        int running;
-        curl_multi_perform(w->multi, &running);
-        end_done(w);
-        curl_multi_poll(w->multi, NULL, 0, WAIT_MS, NULL);
-    }
-    return NULL;
-}
-
 watcher *
 watcher_create(mailbox *control, bbm_time period)
 {
     watcher *w = bbm_calloc(1, sizeof(*w));
     w->control = control;
     w->period = period;
-    w->box = mailbox_create(BOX_SIZE);
-    w->multi = curl_multi_init();
-    if (pthread_create(&w->thread, NULL, run, w) != 0)
-        abort();
+    w->calls = calls_create(&(calls_desc){
+        .context = w,
+        .job = do_job,
+        .done = end_call,
+        .turn = ask_due,
+        .drop = free,
+        .wait_ms = WAIT_MS,
+    });
     return w;
 }
 
@@ -364,20 +336,8 @@
 {
     if (!w)
         return;
-    put_job(w, JOB_STOP, NULL);
-    pthread_join(w->thread, NULL);
-    int running = 1;
-    while (running) {
-        curl_multi_perform(w->multi, &running);
-        end_done(w);
-        if (running)
-            curl_multi_poll(w->multi, NULL, 0, WAIT_MS, NULL);
-    }
+    calls_stop(w->calls, INT_MAX, WAIT_MS);
     BBM_TABLE_FREE(runner, w->runners);
-    job *j;
-    while ((j = mailbox_take(w->box)) != NULL)
-        free(j);
-    curl_multi_cleanup(w->multi);
-    mailbox_destroy(w->box);
+    calls_destroy(w->calls);
     free(w);
 }
