--- /dev/null
+++ b/stand/pool.c
@@ -0,0 +1,103 @@
+/** @file
+ *  The provider's list and an upstream of it, to test against.
+ *
+ *      stand_pool list PORT UPSTREAM-PORT...
+ *      stand_pool upstream PORT
+ *
+ *  The list names the upstreams as instances of the service "api".  An
+ *  upstream answers any request and counts it by its id: GET /runs gives the
+ *  counts; after GET /fault it closes the connection of the next request
+ *  instead of answering, having run it; GET /fault?off=1 takes that back.
+ */
+#include "stand_http.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct pool {
+    char **ports; /* of a list; NULL: an upstream */
+    int ports_len;
+    const char *port;
+    pthread_mutex_t lock;
+    json_t *runs; /* by the request's id */
+    bool drop_next;
+} pool;
+
+static enum MHD_Result
+reply_list(const pool *p, stand_request *q)
+{
+    json_t *list = json_array();
+    for (int i = 0; i < p->ports_len; i++) {
+        char id[32];
+        char address[32];
+        snprintf(id, sizeof(id), "i-%s", p->ports[i]);
+        snprintf(address, sizeof(address), "127.0.0.1:%s", p->ports[i]);
+        json_array_append_new(
+            list, json_pack("{s:s, s:s, s:s, s:s, s:s, s:i}", "id", id,
+                            "service", "api", "address", address, "zone",
+                            "zone-1", "state", "ready", "slots", 8));
+    }
+    return stand_reply(q, 200, json_pack("{s:o}", "instances", list));
+}
+
+static enum MHD_Result
+run(pool *p, stand_request *q)
+{
+    const char *id = stand_header(q, "X-Bluebellmoor-Attempt-Id");
+    pthread_mutex_lock(&p->lock);
+    json_int_t before = json_integer_value(json_object_get(p->runs, id));
+    json_object_set_new(p->runs, id, json_integer(before + 1));
+    bool drop = p->drop_next;
+    p->drop_next = false;
+    pthread_mutex_unlock(&p->lock);
+    if (drop)
+        return stand_drop(q);
+    return stand_reply(q, 200, json_pack("{s:s}", "upstream", p->port));
+}
+
+static enum MHD_Result
+on_request(void *context, stand_request *q)
+{
+    pool *p = context;
+    if (p->ports)
+        return reply_list(p, q);
+    if (strcmp(q->path, "/runs") == 0) {
+        pthread_mutex_lock(&p->lock);
+        json_t *runs = json_deep_copy(p->runs);
+        pthread_mutex_unlock(&p->lock);
+        return stand_reply(q, 200, runs);
+    }
+    if (strcmp(q->path, "/fault") == 0) {
+        pthread_mutex_lock(&p->lock);
+        p->drop_next = stand_argument(q, "off") == NULL;
+        pthread_mutex_unlock(&p->lock);
+        return stand_reply(q, 200, json_object());
+    }
+    return run(p, q);
+}
+
+int
+main(int argc, char **argv)
+{
+    bool is_list = argc > 3 && strcmp(argv[1], "list") == 0;
+    bool is_upstream = argc == 3 && strcmp(argv[1], "upstream") == 0;
+    if (!is_list && !is_upstream) {
+        fputs("usage: stand_pool list PORT UPSTREAM-PORT... | upstream PORT\n",
+              stderr);
+        return 2;
+    }
+    pool p = {.port = argv[2], .runs = json_object()};
+    if (is_list) {
+        p.ports = argv + 3;
+        p.ports_len = argc - 3;
+    }
+    pthread_mutex_init(&p.lock, NULL);
+    stand_block_signals();
+    stand_server *s =
+        stand_listen((uint16_t)strtoul(argv[2], NULL, 10), on_request, &p);
+    stand_wait();
+    stand_close(s);
+    json_decref(p.runs);
+}
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -529,10 +529,111 @@
     finish
 }
 
+# VMs that know seeds, a list of upstreams, and the provider's control address.
+pool_vm_ip() { echo "127.0.1.$1"; }
+pool_settings() { # VM: settings; a disk on the first three
+    local ip folder=""
+    ip=$(pool_vm_ip "$1")
+    [ "$1" -le 3 ] && folder="$dir/disk-$1"
+    cat >"$dir/vm-$1.json" <<JSON
+{"name": "vm-$1", "zone": "zone-$((1 + $1 % 2))",
+ "peer_address": "$ip:$FLEET_PORT", "caller_address": "$ip:$((FLEET_PORT + 1))",
+ "admin_address": "$ip:$((FLEET_PORT + 2))", "ready_address": "$ip:$((FLEET_PORT + 3))",
+ "control_address": "$ip:$((FLEET_PORT + 4))", "directory_address": "$ip:$((FLEET_PORT + 5))",
+ "list_address": "127.0.0.1:$((FLEET_PORT + 6))", "data_folder": "$folder",
+ "private_network": true, "seeds": ["127.0.1.1:1", "127.0.1.2:1", "127.0.1.3:1"],
+ "first_start": $2, "self_repair": true, "election_ms": 450, "gossip_ms": 300,
+ "list_ms": 300, "fresh_bound_ms": 600000, "cut_bound_ms": 600000}
+JSON
+}
+pool_ready() { curl -sf -m 2 "http://$(pool_vm_ip "$1"):$((FLEET_PORT + 3))/-/readyz"; }
+pool_control() { # VM METHOD [BODY]: status of a call about the configuration
+    curl -s -m 3 -o "$dir/answer" -w '%{http_code}' -X "$2" ${3:+-d "$3"} \
+        "http://$(pool_vm_ip "$1"):$((FLEET_PORT + 4))/-/config"
+}
+pool_config() { # VERSION
+    cat <<JSON
+{"version":$1,"routes":[
+ {"name":"safe","host":"a.example","path-prefix":"/safe/","type":"safe","timeout-ms":3000,
+  "target-latency-ms":500,"max-attempts":3,"public":true,"service":"api"},
+ {"name":"once","host":"a.example","path-prefix":"/once/","type":"once","timeout-ms":3000,
+  "target-latency-ms":500,"max-attempts":1,"public":true,"service":"api"}],
+ "services":[{"name":"api","max-connections":100}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+ "tenants":[]}
+JSON
+}
+pool_ask() { # VM PATH ID: status of a request
+    curl -s -m 5 -o "$dir/answer" -w '%{http_code}' -H 'Host: a.example' \
+        -H "X-Bluebellmoor-Attempt-Id: $3" -d '{}' \
+        "http://$(pool_vm_ip "$1"):$((FLEET_PORT + 1))$2"
+}
+pool_asks() { [ "$(pool_ask "$@")" = 200 ]; }
+pool_runs() { # ID: at all upstreams
+    local port
+    for port in 520 521; do
+        curl -s "http://127.0.0.1:$((FLEET_PORT + port))/runs"
+    done | grep -o "\"$1\": *[0-9]*" | awk -F: '{n += $2} END {print n + 0}'
+}
+pool_has() { # VM VERSION: the newest configuration there
+    [ "$(pool_control "$1" GET)" = 200 ] && grep -q "\"version\":$2" "$dir/answer"
+}
+
+t_pools() { # the users' provider: seeds, list, configuration, lost disk, lost upstream
+    begin pools
+    local i
+    fleet_run "$dir/list.log" "$FLEET_BUILD/stand_pool" list $((FLEET_PORT + 6)) \
+        $((FLEET_PORT + 520)) $((FLEET_PORT + 521))
+    for i in 520 521; do
+        fleet_run "$dir/upstream-$i.log" "$FLEET_BUILD/stand_pool" upstream $((FLEET_PORT + i))
+    done
+    local upstream=$fleet_last_pid
+    for i in 1 2 3 4; do
+        mkdir -p "$dir/disk-$i"
+        pool_settings "$i" true
+        fleet_daemon "$dir" "$i"
+    done
+    check "version 1 is acknowledged at a VM without a disk" \
+        fleet_until 10 pool_takes 4 1
+    for i in 1 2 3 4; do
+        check "vm-$i becomes ready" fleet_until 10 pool_ready "$i"
+        check "vm-$i serves" fleet_until 5 pool_asks "$i" /safe/x "first-$i"
+    done
+    check "a request ran once" test "$(pool_runs first-2)" = 1
+    check "an unknown host is refused" test \
+        "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: b.example' "http://127.0.1.1:$((FLEET_PORT + 1))/safe/x")" = 404
+    check "a lower version changes nothing" test "$(pool_control 1 PUT "$(pool_config 0)")" != 200
+    check "other content under the same version is refused" test \
+        "$(pool_control 1 PUT "$(pool_config 1 | sed 's/3000/2000/')")" = 409
+    # An upstream that ran a call that may not be repeated, and closed.
+    for i in 520 521; do curl -s "http://127.0.0.1:$((FLEET_PORT + i))/fault" >/dev/null; done
+    check "its outcome is not known" test "$(pool_ask 1 /once/x lost-1)" = 502
+    check "it ran once" test "$(pool_runs lost-1)" = 1
+    for i in 520 521; do curl -s "http://127.0.0.1:$((FLEET_PORT + i))/fault?off=1" >/dev/null; done
+    # A lost disk: its VM comes back empty, and is told.
+    fleet_end "${fleet_daemon_pid[1]}"
+    rm -rf "$dir/disk-1"
+    mkdir "$dir/disk-1"
+    pool_settings 1 false
+    check "version 2 is acknowledged without it" fleet_until 10 pool_takes 2 2
+    fleet_daemon "$dir" 1
+    for i in 1 2 3 4; do
+        check "vm-$i has version 2" fleet_until 10 pool_has "$i" 2
+    done
+    # An upstream that is gone, though the list names it.
+    kill -KILL "$upstream"
+    for i in 1 2 3 4 5 6 7 8; do
+        check "request $i is served by the other" pool_asks 3 /safe/x "gone-$i"
+    done
+    check "each decision has its line" grep -q '"event":511.*"id":"gone-' "$dir/vm-3.log"
+    finish
+}
+pool_takes() { [ "$(pool_control "$1" PUT "$(pool_config "$2")")" = 200 ]; }
+
 scenarios=(streams leader_killed bookings_once key_withdrawn isolated frozen
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
-    operator_commands disk_full)
+    operator_commands disk_full pools)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed"
