A silent attempt stays while no other upstream is free

Cause: a repeatable request whose upstream had said nothing for its patience was taken from it before another one was found. With none free it was refused, or waited, while the old attempt went on; its answer began, and the refusal broke it off right after the head. Ruled out: SIGTERM (the VM wasn't stopped), the config change beside it (idle), the caller's time. Change: another upstream is chosen first, and the attempt replaced only then.

--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -632,6 +632,22 @@
     return p && !p->engine && (double)(g->now - r->sent) > patience;
 }
 
+/* Sends it to another upstream that is free now.  If there is none the attempt
+   under way remains: its upstream may only be slow, and answer yet. */
+static void
+try_another(bbm_gate *g, gate_request *r)
+{
+    size_t failed_before = r->failed_len;
+    gate_choice c;
+    remember_failed(r, r->upstream);
+    if (gate_choose(g, r, &c) != GATE_PICK_SEND || !take_retry(g, r)) {
+        r->failed_len = failed_before;
+        return;
+    }
+    leave_upstream(r);
+    send_to(g, r, &c);
+}
+
 /* An upstream from which nothing comes is suspected; a repeatable request
    tries another one at once. */
 static void
@@ -643,11 +659,8 @@
         gate_bad(g, u, BBM_FORWARD_LOST);
     bool again = r->repeatable && r->ran < r->attempts_most
                  && (silent || is_slow_call(g, r));
-    if (!again || !take_retry(g, r))
-        return;
-    /* The next attempt takes the place of this one. */
-    remember_failed(r, u);
-    send_again(g, r);
+    if (again)
+        try_another(g, r);
 }
 
 void
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -288,6 +288,36 @@
 }
 END_TEST
 
+/* A runner that loads weights is silent, and then answers: seen as a stream
+   broken off right after its head, as the request had been given up while it
+   looked for another runner. */
+START_TEST(silent_attempt_stays_while_nobody_else_is_free)
+{
+    world w = begin(2, 0);
+    ask(&w, "/ask/a", 1);
+    bbm_send s = sent(&w);
+    for (size_t i = 0; i < w.listing.len; i++) {
+        bbm_listed *u = &w.listing.items[i];
+        u->loading = strcmp(u->id, s.upstream) != 0;
+    }
+    relist(&w);
+    for (int i = 0; i < 40; i++) {
+        w.now += 50 * BBM_MS;
+        bbm_gate_tick(w.gate, w.now);
+        nothing(&w);
+    }
+    bbm_gate_head(w.gate, s.request, s.attempt, 1, w.now);
+    for (int i = 0; i < 10; i++) {
+        w.now += 50 * BBM_MS;
+        bbm_gate_tick(w.gate, w.now);
+        nothing(&w);
+    }
+    ends(&w, &s, BBM_FORWARD_WHOLE, 200, "9");
+    ck_assert_uint_eq(next(&w, BBM_GATE_ENDED)->u.ended.status, 200);
+    end(&w);
+}
+END_TEST
+
 START_TEST(gone_callers_are_cut)
 {
     world w = begin(1, 0);
@@ -657,6 +687,7 @@
 TEST_MAIN("gate", once_means_once, not_run_goes_elsewhere,
           safe_calls_run_on_two_at_most, unsent_says_not_run,
           refusals_are_true, streams_go_on, retries_have_a_budget,
-          route_times_end, gone_callers_are_cut, leaving_ones_get_nothing,
+          route_times_end, silent_attempt_stays_while_nobody_else_is_free,
+          gone_callers_are_cut, leaving_ones_get_nothing,
           age_of_weights_is_their_own, salts_wall_versions, chains_have_homes,
           recovers_from_dark_runners, overload_is_refused_at_once);
