A stopping VM takes only what it can end once callers should have left

Change: from half of entry_ms on, for as long as a caller may keep an address, a request whose time limit ends after the stop is refused as not run; shorter ones are served on. Test stopping_vm_takes_what_it_can_end fails before.

--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -129,6 +129,21 @@
     return *customer ? BBM_OK : BBM_ERR_BAD_KEY;
 }
 
+/* A stopping VM serves on who kept its address, which is allowed for half of
+   entry_time; after that it takes only what surely ends before it does. */
+static bool
+would_be_cut(const bbm_node *n, const bbm_call_event *ev,
+             const bbm_route *route)
+{
+    bbm_time since = n->now - n->drain_since;
+    if (!n->stopping || !n->desc.stop_most || since < n->desc.entry_time / 2)
+        return false;
+    bbm_time longest = route->timeout_ms * BBM_MS;
+    if (!longest || (ev->ask.patience > 0 && ev->ask.patience < longest))
+        longest = ev->ask.patience;
+    return longest <= 0 || longest > n->desc.stop_most - since;
+}
+
 void
 node_gate_call(bbm_node *n, const bbm_call_event *ev)
 {
@@ -146,6 +161,8 @@
     const bbm_customer *customer = NULL;
     int code =
         route ? find_customer(n, ev, route, &customer) : BBM_ERR_NO_ROUTE;
+    if (code == BBM_OK && would_be_cut(n, ev, route))
+        code = BBM_ERR_DRAINING;
     if (code < 0) {
         deny(n, ev, code);
         return;
--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -480,6 +480,77 @@
 }
 END_TEST
 
+/* ---- a VM that stops ---- */
+
+static const char pools[] =
+    "{\"pools\":[{\"name\":\"p\",\"slots\":4}],\"routes\":["
+    "{\"name\":\"long\",\"host\":\"h\",\"path\":\"/long/\",\"pools\":[\"p\"],"
+    "\"open\":true,\"stream\":true,\"timeout_ms\":15000,\"aim_ms\":400},"
+    "{\"name\":\"short\",\"host\":\"h\",\"path\":\"/short/"
+    "\",\"pools\":[\"p\"],"
+    "\"open\":true,\"timeout_ms\":1000,\"aim_ms\":100}]}";
+
+typedef struct stop_world {
+    list_world list;
+    int code; /* of the last refusal; 0: taken */
+} stop_world;
+
+static void
+on_refusal(void *context, const fleet_answer *answer)
+{
+    stop_world *w = context;
+    if (!answer->operator_call)
+        w->code = answer->code;
+}
+
+static int
+call_stopping(stop_world *w, const char *path)
+{
+    static uint64_t requests;
+    bbm_event ev = {.kind = BBM_EV_CALL};
+    ev.u.request_to_pool.host = "h";
+    ev.u.request_to_pool.path = path;
+    ev.u.request_to_pool.ask.request = ++requests;
+    w->code = BBM_OK;
+    ck_assert(fleet_give(w->list.world.fleet, 0, &ev));
+    return w->code;
+}
+
+/* Seen on a VM that took a long stream 3.2 s after SIGTERM, and broke it off
+   when its time to stop came. */
+START_TEST(stopping_vm_takes_what_it_can_end)
+{
+    stop_world w = {0};
+    w.list.world.fleet = fleet_create(
+        &(fleet_desc){
+            .seed = 31,
+            .nodes = 1,
+            .seeds = 1,
+            .disks = 1,
+            .sync = 2 * BBM_MS,
+            .node.discovery = true,
+            .node.entry_time = 5200 * BBM_MS,
+            .node.stop_most = 7400 * BBM_MS,
+        },
+        &(fleet_hooks){.context = &w, .list = on_list, .answer = on_refusal});
+    fleet *f = w.list.world.fleet;
+    run_with_list(&w.list, 3 * BBM_SECOND);
+    ck_assert(fleet_publish(f, 0, 1, "first", 0, pools));
+    run_with_list(&w.list, 3 * BBM_SECOND);
+    ck_assert_int_eq(call_stopping(&w, "/long/x"), BBM_OK);
+    bbm_event stop = {.kind = BBM_EV_STOP};
+    ck_assert(fleet_give(f, 0, &stop));
+    run_with_list(&w.list, BBM_SECOND);
+    ck_assert_int_eq(call_stopping(&w, "/long/x"), BBM_OK);
+    run_with_list(&w.list, 2 * BBM_SECOND);
+    ck_assert_int_eq(call_stopping(&w, "/long/x"), BBM_ERR_DRAINING);
+    ck_assert_int_eq(call_stopping(&w, "/short/x"), BBM_OK);
+    run_with_list(&w.list, 2500 * BBM_MS);
+    ck_assert_int_eq(call_stopping(&w, "/short/x"), BBM_ERR_DRAINING);
+    close_world(&w.list.world);
+}
+END_TEST
+
 TEST_MAIN("joining", seeds_found_one_group,
           restart_of_all_founds_no_second_group,
           lost_disk_of_the_first_seed_founds_nothing,
@@ -488,4 +559,5 @@
           removed_voter_follows_the_others, read_of_a_VM_cut_off_is_refused,
           highest_version_wins_and_never_goes_back,
           minority_acknowledges_nothing, start_of_all_sends_the_state_once,
-          new_leader_keeps_the_upstreams_that_were_told);
+          new_leader_keeps_the_upstreams_that_were_told,
+          stopping_vm_takes_what_it_can_end);
