--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -228,14 +228,6 @@
     }
 }
 
-static gate_pool *
-pool_of(const bbm_gate *g, const char *name)
-{
-    gate_pool *p = NULL;
-    HASH_FIND_STR(g->pools, name, p);
-    return p;
-}
-
 void
 bbm_gate_configure(bbm_gate *g, const bbm_config *cfg, bbm_time now)
 {
@@ -246,7 +238,7 @@
         take_pool(g, c);
     drop_pools(g);
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next)
-        u->pool = pool_of(g, u->info.pool);
+        u->pool = gate_pool_named(g, u->info.pool);
     take_stores(g, cfg);
     take_customers(g, cfg);
     gate_pump(g);
@@ -322,7 +314,7 @@
     u->listed_once = true;
     u->info = *info;
     u->listed = true;
-    u->pool = pool_of(g, info->pool);
+    u->pool = gate_pool_named(g, info->pool);
 }
 
 void
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -216,11 +216,25 @@
 
 /* ---- gate_request.c ---- */
 
+/** The shortest time after which a caller is told to come back. */
+#define GATE_BACK_LEAST (50 * BBM_MS)
+
 /** Try to send a request; it is held or refused otherwise. */
 void gate_try(bbm_gate *g, gate_request *r);
 /** Look at all requests that wait. */
 void gate_pump(bbm_gate *g);
 /** Release a request. */
 void gate_request_free(bbm_gate *g, gate_request *r);
+/** Send a request to the chosen upstream. */
+void gate_send(bbm_gate *g, gate_request *r, const gate_choice *c);
+/** Take a request off its upstream's counts. */
+void gate_leave(gate_request *r);
+/** End a request unsent, or with an unknown outcome if it may have run. */
+void gate_refuse(bbm_gate *g, gate_request *r, int code, bbm_time back,
+                 const char *why);
+/** End a request that is under way; without a code nobody is told. */
+void gate_cut(bbm_gate *g, gate_request *r, int code, const char *why);
+/** A pool by name, or NULL. */
+gate_pool *gate_pool_named(const bbm_gate *g, const char *name);
 
 #endif
