--- a/node/node.c
+++ b/node/node.c
@@ -398,7 +398,7 @@
         free(q);
     }
     BBM_TABLE_FREE(node_watch, n->watches);
-    BBM_TABLE_FREE(node_tenant, n->tenants);
+    BBM_TABLE_FREE(node_customer, n->customers);
 }
 
 void
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -149,11 +149,11 @@
 } node_queue;
 
 /** Requests of one customer. */
-typedef struct node_tenant {
+typedef struct node_customer {
     char name[BBM_NAME_SIZE]; /**< Customer. */
     size_t open;              /**< Requests open. */
     UT_hash_handle hh;        /**< By name. */
-} node_tenant;
+} node_customer;
 
 /** A runner that reports are asked from. */
 typedef struct node_watch {
@@ -259,7 +259,7 @@
     uint64_t books_index;             /**< Of the last books in the log. */
     bbm_time rate_at;                 /**< Next look at the rates. */
     bbm_retry_budget retries;         /**< For repeatable requests. */
-    node_tenant *tenants;             /**< Open requests. */
+    node_customer *customers;         /**< Open requests. */
     node_request *requests;           /**< All open. */
     struct request_list waiting_rate; /**< STAGE_RATE. */
     uint32_t service_turn;            /**< Round robin over services. */
--- a/node/node_request.c
+++ b/node/node_request.c
@@ -27,17 +27,17 @@
     };
 }
 
-/* ---- tenants and queues ---- */
+/* ---- customers and queues ---- */
 
-static node_tenant *
-tenant_of(bbm_node *n, const char *customer)
+static node_customer *
+customer_of(bbm_node *n, const char *customer)
 {
-    node_tenant *t = NULL;
-    HASH_FIND_STR(n->tenants, customer, t);
+    node_customer *t = NULL;
+    HASH_FIND_STR(n->customers, customer, t);
     if (!t) {
         t = bbm_calloc(1, sizeof(*t));
         bbm_name_set(t->name, customer);
-        HASH_ADD_STR(n->tenants, name, t);
+        HASH_ADD_STR(n->customers, name, t);
     }
     return t;
 }
@@ -67,9 +67,9 @@
         bbm_admission_remove(queue_of(n, r->model)->admission, r->id, false);
     node_run_leave(n, r, false);
     node_rate_settle(n, r);
-    node_tenant *t = tenant_of(n, r->customer);
+    node_customer *t = customer_of(n, r->customer);
     if (--t->open == 0) {
-        HASH_DEL(n->tenants, t);
+        HASH_DEL(n->customers, t);
         free(t);
     }
     HASH_DEL(n->requests, r);
@@ -231,7 +231,7 @@
     else
         r->prompt_tokens = (double)route->cost;
     HASH_ADD(hh, n->requests, id, sizeof(r->id), r);
-    tenant_of(n, r->customer)->open++;
+    customer_of(n, r->customer)->open++;
     return r;
 }
 
@@ -248,8 +248,8 @@
         return BBM_ERR_BUSY;
     if (!customer)
         return BBM_OK;
-    node_tenant *t = NULL;
-    HASH_FIND_STR(n->tenants, customer->name, t);
+    node_customer *t = NULL;
+    HASH_FIND_STR(n->customers, customer->name, t);
     if (t && t->open >= (size_t)customer->open_most)
         return BBM_ERR_BUSY;
     return BBM_OK;
--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -1,5 +1,6 @@
 /* Daemons that know only addresses to join by: one control group comes to be,
-   keeps what it acknowledged, and replaces what it loses. */
+   keeps what it acknowledged, and replaces what it loses; what a new leader
+   tells of upstreams; and what a VM that stops still takes. */
 #include "fleet.h"
 #include "test_main.h"
 
