HTTP transfers are made in one place; parameters that nothing read are gone

Cause: a reading of the whole change. forward, traffic, provider and watcher each set the same safe options of a transfer (no proxy from the environment, no signal, protocols, connect time), and two or three of them the same fresh connection, body and method, header list and hand-over of an exchange. Change: calls_easy, calls_once, calls_request, calls_header and exchange_carry serve all of them; gate_advance stands for eleven copies of one line. Removed: the weights' version that an answer's head carried through five files to a function that ignored it, the time that bbm_rollout_runners ignored, and a wrapper around calls_put. A stream's limit and a rendezvous weight are computed once where they were twice. Behaviour: as before; the tests keep their assertions, two calls lose an argument.

--- a/daemon/calls.c
+++ b/daemon/calls.c
@@ -6,6 +6,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define BOX_SIZE 16384
 
@@ -110,3 +111,48 @@
 {
     curl_multi_remove_handle(c->multi, easy);
 }
+
+/* ---- transfers ---- */
+
+CURL *
+calls_easy(const char *url, const char *protocols, long connect_ms)
+{
+    CURL *e = curl_easy_init();
+    curl_easy_setopt(e, CURLOPT_URL, url);
+    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(e, CURLOPT_PROXY, "");
+    curl_easy_setopt(e, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, protocols);
+    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
+    return e;
+}
+
+void
+calls_once(CURL *easy)
+{
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
+void
+calls_request(CURL *easy, const char *method, const bbm_buf *body)
+{
+    if (body) {
+        const char *data = body->len ? (char *)body->data : "";
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)body->len);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, data);
+    }
+    if (strcmp(method, "HEAD") == 0)
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    else
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+}
+
+void
+calls_header(struct curl_slist **lines, const char *line)
+{
+    struct curl_slist *longer = curl_slist_append(*lines, line);
+    if (longer)
+        *lines = longer;
+}
--- a/daemon/calls.h
+++ b/daemon/calls.h
@@ -13,6 +13,8 @@
 #ifndef CALLS_H
 #define CALLS_H
 
+#include "bbm_pack.h"
+
 #include <curl/curl.h>
 
 /** Such a thread; opaque. */
@@ -39,6 +41,18 @@
 void calls_destroy(calls *c);
 /** Put a job; waits while the mailbox is full. */
 void calls_put(calls *c, void *job);
+/* ---- transfers ---- */
+
+/** A transfer that takes nothing from the environment and follows nowhere:
+ *  @p protocols as libcurl lists them, @p connect_ms to connect. */
+CURL *calls_easy(const char *url, const char *protocols, long connect_ms);
+/** What is sent on it may not be sent twice: a connection of its own. */
+void calls_once(CURL *easy);
+/** Its method, and its body, which must outlive it; NULL: none. */
+void calls_request(CURL *easy, const char *method, const bbm_buf *body);
+/** Append a line to a list of headers. */
+void calls_header(struct curl_slist **lines, const char *line);
+
 /** Begin a transfer. */
 void calls_add(calls *c, CURL *easy);
 /** Forget a transfer, ended or not. */
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -440,7 +440,6 @@
         ev.kind = BBM_EV_HEAD;
         ev.u.head.request = item->id;
         ev.u.head.attempt = item->attempt;
-        ev.u.head.version = item->version;
         break;
     case CONTROL_FORWARDED:
         take_forwarded(c, &item->forwarded);
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -49,7 +49,6 @@
     bbm_report report;           /**< Its events are owned by the item. */
     bbm_cache_event *events;     /**< Of the report. */
     bool good;                   /**< It could be read, or it answers. */
-    uint64_t version;            /**< Weights that answer. */
     bbm_forwarded forwarded;     /**< CONTROL_FORWARDED. */
     bbm_listing listing;         /**< CONTROL_LISTING; owned. */
     bbm_runner_report runner;    /**< CONTROL_RUNNER. */
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -131,6 +131,15 @@
     bbm_buf_add(&ex->out, data, len);
 }
 
+void
+exchange_carry(exchange *ex, void *thread, void (*drained)(exchange *ex))
+{
+    pthread_mutex_lock(&ex->lock);
+    ex->traffic = thread;
+    ex->drained = drained;
+    pthread_mutex_unlock(&ex->lock);
+}
+
 bool
 exchange_write(exchange *ex, const void *data, size_t len)
 {
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -129,6 +129,8 @@
 /** The answer's head is known.  False if the caller is gone. */
 bool exchange_head(exchange *ex, unsigned status, const char *type,
                    const char *upstream, int64_t cached);
+/** From now on @p thread fills it, and @p drained asks that for more. */
+void exchange_carry(exchange *ex, void *thread, void (*drained)(exchange *ex));
 /** Add bytes; false if there is no room: pause until `drained`.  Without bytes
  *  it only tells whether there is room. */
 bool exchange_write(exchange *ex, const void *data, size_t len);
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -100,10 +100,7 @@
 forward_start(forward *f, exchange *ex, const bbm_send *send,
               const char *last_event)
 {
-    pthread_mutex_lock(&ex->lock);
-    ex->traffic = f;
-    ex->drained = on_drained;
-    pthread_mutex_unlock(&ex->lock);
+    exchange_carry(ex, f, on_drained);
     put_job(f, JOB_START, send->request, ex, send, last_event);
 }
 
@@ -121,7 +118,6 @@
     control_item *item = control_item_create(CONTROL_HEAD);
     item->id = x->request;
     item->attempt = x->send.attempt;
-    item->version = x->says.version;
     mailbox_put_waiting(x->thread->control, item);
 }
 
@@ -323,9 +319,7 @@
         snprintf(line, sizeof(line), "%s: %s", name, value);
     else
         snprintf(line, sizeof(line), "%s;", name);
-    struct curl_slist *longer = curl_slist_append(x->lines, line);
-    if (longer)
-        x->lines = longer;
+    calls_header(&x->lines, line);
 }
 
 static bool
@@ -346,9 +340,7 @@
     if (is_sent_along(x->ex, name))
         return;
     snprintf(line, sizeof(line), "%s:", name);
-    struct curl_slist *longer = curl_slist_append(x->lines, line);
-    if (longer)
-        x->lines = longer;
+    calls_header(&x->lines, line);
 }
 
 static void
@@ -376,42 +368,20 @@
 }
 
 static void
-set_body(flight *x)
+make_easy(flight *x)
 {
     const exchange *ex = x->ex;
-    bool framed = ex->caller_says.lengths || ex->caller_says.chunked;
-    if (framed) {
-        /* The body outlives the transfer: it is not copied. */
-        const char *body = ex->body.len ? (char *)ex->body.data : "";
-        curl_easy_setopt(x->easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                         (curl_off_t)ex->body.len);
-        curl_easy_setopt(x->easy, CURLOPT_POSTFIELDS, body);
-    }
-    if (strcmp(ex->method, "HEAD") == 0)
-        curl_easy_setopt(x->easy, CURLOPT_NOBODY, 1L);
-    else
-        curl_easy_setopt(x->easy, CURLOPT_CUSTOMREQUEST, ex->method);
-}
-
-static void
-set_options(flight *x)
-{
-    CURL *e = x->easy;
     char url[BBM_NAME_SIZE + 16];
     long reuse = x->thread->reuse_s ? x->thread->reuse_s : REUSE_UNTOLD_S;
     if (!x->send.repeatable && reuse > REUSE_ONCE_S)
         reuse = REUSE_ONCE_S;
     snprintf(url, sizeof(url), "http://%s/", x->send.address);
-    curl_easy_setopt(e, CURLOPT_URL, url);
-    curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, x->ex->target);
+    CURL *e = calls_easy(url, "http", CONNECT_MS);
+    x->easy = e;
+    curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, ex->target);
     curl_easy_setopt(e, CURLOPT_PRIVATE, x);
-    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(e, CURLOPT_PROXY, "");
-    curl_easy_setopt(e, CURLOPT_FOLLOWLOCATION, 0L);
-    curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
     curl_easy_setopt(e, CURLOPT_BUFFERSIZE, READ_BYTES);
     curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, reuse);
     curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
@@ -424,7 +394,8 @@
     curl_easy_setopt(e, CURLOPT_WRITEDATA, x);
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_connected);
     curl_easy_setopt(e, CURLOPT_PREREQDATA, x);
-    set_body(x);
+    bool framed = ex->caller_says.lengths || ex->caller_says.chunked;
+    calls_request(e, ex->method, framed ? &ex->body : NULL);
     add_headers(x);
 }
 
@@ -473,9 +444,8 @@
     x->length = -1;
     memcpy(x->after, j->last_event, sizeof(x->after));
     memcpy(x->events.last_id, j->last_event, sizeof(x->after));
-    x->easy = curl_easy_init();
     HASH_ADD(hh, f->flights, request, sizeof(x->request), x);
-    set_options(x);
+    make_easy(x);
     calls_add(f->calls, x->easy);
 }
 
--- a/daemon/provider.c
+++ b/daemon/provider.c
@@ -82,12 +82,6 @@
 
 /* ---- other threads' side ---- */
 
-static void
-put_job(provider *p, job *j)
-{
-    calls_put(p->calls, j);
-}
-
 static job *
 new_job(job_kind kind)
 {
@@ -99,7 +93,7 @@
 void
 provider_list(provider *p)
 {
-    put_job(p, new_job(JOB_LIST));
+    calls_put(p->calls, new_job(JOB_LIST));
 }
 
 void
@@ -108,7 +102,7 @@
     job *j = new_job(JOB_ROLLOUT);
     j->act = *act;
     j->not_after = not_after;
-    put_job(p, j);
+    calls_put(p->calls, j);
 }
 
 void
@@ -117,7 +111,7 @@
     job *j = new_job(JOB_STORE);
     bbm_name_set(j->address, address);
     j->on = on;
-    put_job(p, j);
+    calls_put(p->calls, j);
 }
 
 /* ---- calls ---- */
@@ -173,14 +167,9 @@
            long limit_ms)
 {
     char url[URL_SIZE];
-    CURL *e = curl_easy_init();
     snprintf(url, sizeof(url), "http://%s%s", address, path);
-    curl_easy_setopt(e, CURLOPT_URL, url);
+    CURL *e = calls_easy(url, "http", CONNECT_MS);
     curl_easy_setopt(e, CURLOPT_PRIVATE, c);
-    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(e, CURLOPT_PROXY, "");
-    curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http");
-    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
     curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, limit_ms);
     curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, REUSE_S);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
@@ -191,10 +180,8 @@
         curl_easy_setopt(e, CURLOPT_HTTPHEADER, c->lines);
     if (c->body)
         curl_easy_setopt(e, CURLOPT_POSTFIELDS, c->body);
-    if (c->kind == CALL_ORDER) {
-        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
-        curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
-    }
+    if (c->kind == CALL_ORDER)
+        calls_once(e);
     calls_add(p->calls, e);
 }
 
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -62,10 +62,7 @@
 void
 traffic_start(traffic *t, exchange *ex, const bbm_start *start)
 {
-    pthread_mutex_lock(&ex->lock);
-    ex->traffic = t;
-    ex->drained = on_drained;
-    pthread_mutex_unlock(&ex->lock);
+    exchange_carry(ex, t, on_drained);
     put_job(t, JOB_START, start->request, ex, start);
 }
 
@@ -282,9 +279,8 @@
     x->start = j->start;
     x->begun = control_now();
     x->moved = x->begun;
-    x->easy = curl_easy_init();
     HASH_ADD(hh, t->transfers, request, sizeof(x->request), x);
-    traffic_request_set(x);
+    traffic_request_make(x);
     set_callbacks(x);
     calls_add(t->calls, x->easy);
 }
--- a/daemon/traffic_request.c
+++ b/daemon/traffic_request.c
@@ -1,5 +1,7 @@
 #include "traffic_request.h"
 
+#include "calls.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,9 +15,7 @@
 {
     char line[EXCHANGE_HEADER_SIZE + BBM_NAME_SIZE];
     snprintf(line, sizeof(line), format, value);
-    struct curl_slist *longer = curl_slist_append(x->headers, line);
-    if (longer)
-        x->headers = longer;
+    calls_header(&x->headers, line);
 }
 
 /* Only these headers reach an upstream; none that a caller's key is in. */
@@ -40,47 +40,24 @@
         add_header(x, "X-Cache-Import: %s", "1");
 }
 
-static void
-set_method(traffic_transfer *x)
-{
-    const char *method = x->ex->method;
-    bool has_body = x->ex->body.len || strcmp(method, "POST") == 0
-                    || strcmp(method, "PUT") == 0;
-    if (has_body) {
-        /* The body outlives the transfer: it is not copied. */
-        const char *body = x->ex->body.len ? (char *)x->ex->body.data : "";
-        curl_easy_setopt(x->easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                         (curl_off_t)x->ex->body.len);
-        curl_easy_setopt(x->easy, CURLOPT_POSTFIELDS, body);
-    }
-    if (strcmp(method, "HEAD") == 0)
-        curl_easy_setopt(x->easy, CURLOPT_NOBODY, 1L);
-    else
-        curl_easy_setopt(x->easy, CURLOPT_CUSTOMREQUEST, method);
-}
-
 void
-traffic_request_set(traffic_transfer *x)
+traffic_request_make(traffic_transfer *x)
 {
-    CURL *e = x->easy;
+    const exchange *ex = x->ex;
     BBM_AUTO_FREE char *url = NULL;
-    if (asprintf(&url, "%s%s%s", x->start.url, x->ex->path, x->ex->query) < 0)
+    if (asprintf(&url, "%s%s%s", x->start.url, ex->path, ex->query) < 0)
         abort();
-    curl_easy_setopt(e, CURLOPT_URL, url);
+    CURL *e = calls_easy(url, "http,https", CONNECT_MS);
+    x->easy = e;
     curl_easy_setopt(e, CURLOPT_PRIVATE, x);
-    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(e, CURLOPT_PROXY, "");
-    curl_easy_setopt(e, CURLOPT_FOLLOWLOCATION, 0L);
-    curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(e, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
     curl_easy_setopt(e, CURLOPT_BUFFERSIZE, READ_BYTES);
     add_headers(x);
     curl_easy_setopt(e, CURLOPT_HTTPHEADER, x->headers);
-    if (x->start.once) {
-        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
-        curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
-    }
-    set_method(x);
+    if (x->start.once)
+        calls_once(e);
+    bool has_body = ex->body.len || strcmp(ex->method, "POST") == 0
+                    || strcmp(ex->method, "PUT") == 0;
+    calls_request(e, ex->method, has_body ? &ex->body : NULL);
 }
--- a/daemon/traffic_request.h
+++ b/daemon/traffic_request.h
@@ -33,7 +33,7 @@
     UT_hash_handle hh;
 } traffic_transfer;
 
-/** Set address, headers, body and limits of a transfer's handle. */
-void traffic_request_set(traffic_transfer *x);
+/** Make the handle of a transfer: address, headers, body and limits. */
+void traffic_request_make(traffic_transfer *x);
 
 #endif
--- a/daemon/watcher.c
+++ b/daemon/watcher.c
@@ -114,13 +114,8 @@
 static CURL *
 new_call(call *c, const char *url, long limit_ms)
 {
-    CURL *e = curl_easy_init();
-    curl_easy_setopt(e, CURLOPT_URL, url);
+    CURL *e = calls_easy(url, "http,https", CONNECT_LIMIT_MS);
     curl_easy_setopt(e, CURLOPT_PRIVATE, c);
-    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(e, CURLOPT_PROXY, "");
-    curl_easy_setopt(e, CURLOPT_PROTOCOLS_STR, "http,https");
-    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_LIMIT_MS);
     curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, limit_ms);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
     curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
@@ -173,8 +168,7 @@
     c->headers = curl_slist_append(NULL, "Content-Type: application/json");
     curl_easy_setopt(e, CURLOPT_HTTPHEADER, c->headers);
     curl_easy_setopt(e, CURLOPT_POSTFIELDS, c->body);
-    curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
+    calls_once(e);
     calls_add(w->calls, e);
 }
 
--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -231,7 +231,7 @@
 void
 bbm_gate_configure(bbm_gate *g, const bbm_config *cfg, bbm_time now)
 {
-    g->now = now > g->now ? now : g->now;
+    gate_advance(g, now);
     for (gate_pool *p = g->pools; p; p = p->hh.next)
         p->kept = false;
     for (const bbm_pool *c = cfg->pools; c; c = c->hh.next)
@@ -320,7 +320,7 @@
 void
 bbm_gate_listing(bbm_gate *g, const bbm_listing *listing, bbm_time now)
 {
-    g->now = now > g->now ? now : g->now;
+    gate_advance(g, now);
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next)
         u->listed = false;
     for (size_t i = 0; i < listing->len; i++)
@@ -340,7 +340,7 @@
 bbm_gate_weights(bbm_gate *g, const char *model, uint64_t version,
                  bbm_time age, bbm_time now)
 {
-    g->now = now > g->now ? now : g->now;
+    gate_advance(g, now);
     gate_weights *w = NULL;
     HASH_FIND_STR(g->weights, model, w);
     if (!w) {
@@ -378,7 +378,7 @@
 void
 bbm_gate_put_load(bbm_gate *g, bbm_time now, bbm_buf *buf)
 {
-    g->now = now > g->now ? now : g->now;
+    gate_advance(g, now);
     size_t len = 0;
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
         u->told = (bbm_load){0};
@@ -420,7 +420,7 @@
 void
 bbm_gate_get_totals(bbm_gate *g, bbm_reader *rd, bbm_time now)
 {
-    g->now = now > g->now ? now : g->now;
+    gate_advance(g, now);
     size_t vms = bbm_get_u32(rd, BBM_LOADS_MOST);
     take_sums(g, rd);
     size_t len = bbm_get_u32(rd, BBM_LOADS_MOST);
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -202,9 +202,9 @@
  *  route. */
 void bbm_gate_begin(bbm_gate *g, const bbm_ask *ask, const bbm_route *route,
                     const bbm_customer *customer, bbm_time now);
-/** The head of an answer was passed on; @p version as told, 0: untold. */
+/** The head of an answer was passed on. */
 void bbm_gate_head(bbm_gate *g, uint64_t request, uint32_t attempt,
-                   uint64_t version, bbm_time now);
+                   bbm_time now);
 /** An attempt ended. */
 void bbm_gate_end(bbm_gate *g, const bbm_forwarded *f, bbm_time now);
 /** The caller went away. */
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -36,11 +36,9 @@
 }
 
 void
-bbm_gate_head(bbm_gate *g, uint64_t request, uint32_t attempt,
-              uint64_t version, bbm_time now)
+bbm_gate_head(bbm_gate *g, uint64_t request, uint32_t attempt, bbm_time now)
 {
-    (void)version;
-    g->now = now > g->now ? now : g->now;
+    gate_advance(g, now);
     gate_request *r = find(g, request);
     if (!r || r->stage != GATE_SENT || r->attempt != attempt)
         return;
@@ -164,7 +162,7 @@
 void
 bbm_gate_end(bbm_gate *g, const bbm_forwarded *f, bbm_time now)
 {
-    g->now = now > g->now ? now : g->now;
+    gate_advance(g, now);
     gate_request *r = find(g, f->request);
     if (!r || r->stage == GATE_WAITING || r->attempt != f->attempt)
         return;
@@ -190,7 +188,7 @@
 void
 bbm_gate_gone(bbm_gate *g, uint64_t request, bbm_time now)
 {
-    g->now = now > g->now ? now : g->now;
+    gate_advance(g, now);
     gate_request *r = find(g, request);
     if (!r)
         return;
@@ -204,7 +202,7 @@
 bbm_gate_end_customer(bbm_gate *g, const char *customer, int code,
                       bbm_time now)
 {
-    g->now = now > g->now ? now : g->now;
+    gate_advance(g, now);
     gate_request *r, *next;
     HASH_ITER(hh, g->requests, r, next)
     {
@@ -287,7 +285,7 @@
 void
 bbm_gate_tick(bbm_gate *g, bbm_time now)
 {
-    g->now = now > g->now ? now : g->now;
+    gate_advance(g, now);
     gate_request *r, *next;
     HASH_ITER(hh, g->requests, r, next)
     {
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -170,6 +170,14 @@
 /** Note it; returns when it was noted before, or 0. */
 bbm_time gate_note(bbm_gate *g, uint64_t key);
 
+/** The present moment; an older one changes nothing. */
+static inline void
+gate_advance(bbm_gate *g, bbm_time now)
+{
+    if (now > g->now)
+        g->now = now;
+}
+
 /** Queue an output about a request. */
 bbm_gate_output *gate_output(bbm_gate *g, bbm_gate_kind kind,
                              const gate_request *r);
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -361,6 +361,8 @@
 {
     const gate_upstream *before = NULL;
     const gate_upstream *after = NULL;
+    uint64_t before_weight = 0;
+    uint64_t after_weight = 0;
     bbm_time begun = chosen->upstream->cold_since;
     for (const gate_upstream *u = g->upstreams; u; u = u->hh.next) {
         bool same =
@@ -371,12 +373,14 @@
             continue;
         uint64_t weight = weight_of(r, u);
         if (weight > chosen->weight) {
-            if (!before || weight > weight_of(r, before))
+            if (!before || weight > before_weight) {
                 before = u;
+                before_weight = weight;
+            }
         }
-        else if (u->cold_since < begun
-                 && (!after || weight > weight_of(r, after))) {
+        else if (u->cold_since < begun && (!after || weight > after_weight)) {
             after = u;
+            after_weight = weight;
         }
     }
     if (before)
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -340,8 +340,11 @@
     if (r->until == BBM_NEVER)
         r->until = g->now + 3600 * BBM_SECOND;
     r->start_by = r->until;
-    if (r->stream && start_limit(g, route) < r->until)
-        r->start_by = start_limit(g, route);
+    if (r->stream) {
+        bbm_time limit_by_silence = start_limit(g, route);
+        if (limit_by_silence < r->start_by)
+            r->start_by = limit_by_silence;
+    }
     choose_pools(g, r, route);
     copy_prompt(r, ask);
     HASH_ADD(hh, g->requests, number, sizeof(r->number), r);
@@ -371,7 +374,7 @@
 bbm_gate_begin(bbm_gate *g, const bbm_ask *ask, const bbm_route *route,
                const bbm_customer *customer, bbm_time now)
 {
-    g->now = now > g->now ? now : g->now;
+    gate_advance(g, now);
     g->counts.begun++;
     gate_request *r = make_request(g, ask, route, customer);
     bbm_time wait = 0;
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -253,7 +253,6 @@
         struct {
             uint64_t request;    /**< Number. */
             uint32_t attempt;    /**< As in bbm_send. */
-            uint64_t version;    /**< Weights that answer; 0: untold. */
         } head;                  /**< BBM_EV_HEAD. */
         bbm_forwarded forwarded; /**< BBM_EV_FORWARDED. */
         struct {
--- a/node/node.c
+++ b/node/node.c
@@ -261,7 +261,7 @@
     case BBM_EV_HEAD:
         if (n->gate)
             bbm_gate_head(n->gate, ev->u.head.request, ev->u.head.attempt,
-                          ev->u.head.version, n->now);
+                          n->now);
         return;
     case BBM_EV_FORWARDED:
         if (n->gate)
--- a/node/node_rollout.c
+++ b/node/node_rollout.c
@@ -66,7 +66,7 @@
         || n->listed_at < n->lead_since)
         return;
     take_targets(n);
-    bbm_rollout_runners(n->rollout, &n->listed, n->now);
+    bbm_rollout_runners(n->rollout, &n->listed);
     for (size_t i = 0; i < n->listed.len; i++) {
         const char *id = n->listed.items[i].id;
         bbm_rollout_load(n->rollout, id, bbm_gate_open(n->gate, id),
--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -168,9 +168,8 @@
 }
 
 void
-bbm_rollout_runners(bbm_rollout *ro, const bbm_listing *listing, bbm_time now)
+bbm_rollout_runners(bbm_rollout *ro, const bbm_listing *listing)
 {
-    (void)now;
     for (runner *r = ro->runners; r; r = r->hh.next)
         r->listed = false;
     for (size_t i = 0; i < listing->len; i++) {
--- a/rollout/bbm_rollout.h
+++ b/rollout/bbm_rollout.h
@@ -9,7 +9,7 @@
  *
  *      bbm_rollout *ro = bbm_rollout_create(&(bbm_rollout_desc){.fence = 7});
  *      bbm_rollout_target(ro, "m", 3, now);
- *      bbm_rollout_runners(ro, &listing, now);
+ *      bbm_rollout_runners(ro, &listing);
  *      while ((act = bbm_rollout_take(ro, now)) != NULL) ... ask or order ...
  *      bbm_rollout_report(ro, id, &report, now);
  *      bbm_rollout_ordered(ro, id, BBM_ORDER_TAKEN, now);
@@ -84,8 +84,7 @@
 void bbm_rollout_target(bbm_rollout *ro, const char *model, uint64_t version,
                         bbm_time now);
 /** The runners as they are listed. */
-void bbm_rollout_runners(bbm_rollout *ro, const bbm_listing *listing,
-                         bbm_time now);
+void bbm_rollout_runners(bbm_rollout *ro, const bbm_listing *listing);
 /** Requests of all VMs at a runner, and the milliseconds that their unread
  *  prompts take. */
 void bbm_rollout_load(bbm_rollout *ro, const char *id, double open,
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -226,7 +226,7 @@
     world w = begin(4, 0);
     ask(&w, "/ask/a", 3);
     bbm_send s = sent(&w);
-    bbm_gate_head(w.gate, s.request, s.attempt, 1, w.now);
+    bbm_gate_head(w.gate, s.request, s.attempt, w.now);
     ends(&w, &s, BBM_FORWARD_CUT, 200, "17");
     const bbm_gate_output *out = next(&w, BBM_GATE_SEND);
     ck_assert(out->u.send.resumes);
@@ -237,7 +237,7 @@
     ck_assert_int_eq(next(&w, BBM_GATE_CUT)->u.cut.code, BBM_ERR_UPSTREAM_CUT);
     ask(&w, "/check/a", 3);
     s = sent(&w);
-    bbm_gate_head(w.gate, s.request, s.attempt, 1, w.now);
+    bbm_gate_head(w.gate, s.request, s.attempt, w.now);
     ends(&w, &s, BBM_FORWARD_CUT, 200, "4");
     next(&w, BBM_GATE_CUT);
     nothing(&w);
@@ -306,7 +306,7 @@
         bbm_gate_tick(w.gate, w.now);
         nothing(&w);
     }
-    bbm_gate_head(w.gate, s.request, s.attempt, 1, w.now);
+    bbm_gate_head(w.gate, s.request, s.attempt, w.now);
     for (int i = 0; i < 10; i++) {
         w.now += 50 * BBM_MS;
         bbm_gate_tick(w.gate, w.now);
@@ -523,8 +523,7 @@
             j->headed = true;
             bbm_time took = f->now - f->arrived[j->send.request * VMS + j->vm];
             f->in_time += took <= 600 * BBM_MS;
-            bbm_gate_head(w->gate, j->send.request, j->send.attempt, 1,
-                          f->now);
+            bbm_gate_head(w->gate, j->send.request, j->send.attempt, f->now);
         }
         if (f->now >= j->end) {
             j->used = false;
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -121,7 +121,7 @@
         loading += r->busy;
     }
     w->most_loading = loading > w->most_loading ? loading : w->most_loading;
-    bbm_rollout_runners(w->ro, &w->listing, w->now);
+    bbm_rollout_runners(w->ro, &w->listing);
     const bbm_rollout_act *act;
     while ((act = bbm_rollout_take(w->ro, w->now)) != NULL) {
         bbm_rollout_act copy = *act;
@@ -218,7 +218,7 @@
     world w;
     begin(&w);
     bbm_rollout_target(w.ro, "m", 2, w.now);
-    bbm_rollout_runners(w.ro, &w.listing, w.now);
+    bbm_rollout_runners(w.ro, &w.listing);
     const bbm_rollout_act *act = NULL;
     for (int i = 0; i < 100 && !(act && act->order); i++) {
         w.now += STEP;
