Old weights get only requests that begin in time however slow the runner is

Cause: a request sent on old weights 6.25 s after newer ones were acknowledged waited 1.84 s at a slow runner and began at 8.09 s. The margin of 1.5 s was a guess at the wait. Ruled out: a margin by the runner's smoothed lateness; the wait came at once, before any lateness was seen. Now such a request must be able to begin in time if it waits as long as its caller does. Test: old_weights_end_in_time_at_slow_runners, failed before.

--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -48,11 +48,11 @@
 /* Runners with the newest weights are preferred while the answer begins within
    so many times its aim. */
 #define AIMS_FOR_NEW 2.0
-/* A request on old weights is sent so long before they are no longer allowed:
-   it may wait at its runner. */
-#define OLD_MARGIN (1500 * BBM_MS)
-/* Of the last requests' worth of old weights this is kept as a margin for
-   clocks and messages. */
+/* A request may wait at its runner for as long as its caller waits for its
+   beginning, and must not begin on weights that are too old by then; callers
+   that wait longer than this don't keep runners idle. */
+#define OLD_WAIT_MOST (3 * BBM_SECOND)
+/* Times of old weights are kept by this margin for clocks and messages. */
 #define FINE_MARGIN (100 * BBM_MS)
 
 typedef struct candidate {
@@ -148,7 +148,10 @@
 {
     uint64_t version = bbm_listed_version(&u->info, r->model);
     bbm_time age = age_of(g, w, version);
-    if (age >= g->desc.old_weights_most - OLD_MARGIN) {
+    bbm_time wait = r->start_by - g->now;
+    if (wait > OLD_WAIT_MOST)
+        wait = OLD_WAIT_MOST;
+    if (age + wait + FINE_MARGIN >= g->desc.old_weights_most) {
         f->loading++;
         return;
     }
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -378,6 +378,26 @@
 }
 END_TEST
 
+/* A runner may be slower than anyone knows: whatever it gets may begin as late
+   as the caller waits for it, and not on weights that are too old by then. */
+START_TEST(old_weights_end_in_time_at_slow_runners)
+{
+    world w = begin(2, 0);
+    bbm_gate_weights(w.gate, "m", 2, 0, w.now);
+    w.now += 5 * BBM_SECOND;
+    ask(&w, "/check/a", 1);
+    bbm_send s = sent(&w);
+    ck_assert_uint_eq(s.version, 1);
+    ends(&w, &s, BBM_FORWARD_WHOLE, 200, "");
+    next(&w, BBM_GATE_ENDED);
+    w.now += 1250 * BBM_MS;
+    ask(&w, "/check/a", 2);
+    const bbm_gate_output *out = bbm_gate_take(w.gate);
+    ck_assert(!out || out->kind != BBM_GATE_SEND);
+    end(&w);
+}
+END_TEST
+
 START_TEST(salts_wall_versions)
 {
     world w = begin(1, 0);
@@ -689,5 +709,6 @@
           refusals_are_true, streams_go_on, retries_have_a_budget,
           route_times_end, silent_attempt_stays_while_nobody_else_is_free,
           gone_callers_are_cut, leaving_ones_get_nothing,
-          age_of_weights_is_their_own, salts_wall_versions, chains_have_homes,
-          recovers_from_dark_runners, overload_is_refused_at_once);
+          age_of_weights_is_their_own, old_weights_end_in_time_at_slow_runners,
+          salts_wall_versions, chains_have_homes, recovers_from_dark_runners,
+          overload_is_refused_at_once);
