A learner that was removed while away notices it

Ruled out: a voter in the same place steps down and is left out after three election times, as removed_voter_follows_the_others shows. Now a leader counts as known only if it was heard within an election time.

--- a/node/node_join.c
+++ b/node/node_join.c
@@ -346,7 +346,9 @@
 static void
 check_left_out(bbm_node *n)
 {
-    if (bbm_raft_leader(n->raft)) {
+    /* A learner runs no elections, and keeps the last leader it knew. */
+    bbm_time heard = bbm_raft_heard_leader(n->raft);
+    if (bbm_raft_leader(n->raft) && n->now - heard <= n->desc.election) {
         n->group_led = n->now;
         if (n->left_out && bbm_raft_member_of(n->raft, n->desc.disk))
             n->in_group = true;
--- a/raft/bbm_raft.c
+++ b/raft/bbm_raft.c
@@ -337,6 +337,12 @@
     return quorum_acked(r) + span;
 }
 
+bbm_time
+bbm_raft_heard_leader(const bbm_raft *r)
+{
+    return r->role == BBM_LEADER ? r->now : r->heard_leader;
+}
+
 bbm_time
 bbm_raft_heard(const bbm_raft *r, bbm_member_id id)
 {
--- a/raft/bbm_raft.h
+++ b/raft/bbm_raft.h
@@ -217,6 +217,8 @@
 /** The moment until which nobody else can lead; 0 unless leader with an
  *  entry of its own term committed. */
 bbm_time bbm_raft_lease_until(const bbm_raft *r);
+/** Last moment at which a leader was heard, its own included; 0: never. */
+bbm_time bbm_raft_heard_leader(const bbm_raft *r);
 /** Last moment at which a member was heard by the leader; 0: never. */
 bbm_time bbm_raft_heard(const bbm_raft *r, bbm_member_id id);
 
--- a/raft/raft_core.h
+++ b/raft/raft_core.h
@@ -48,6 +48,7 @@
     uint64_t applied;                       /**< Highest index handed out. */
     bbm_time now;                           /**< Latest moment seen. */
     bbm_time timeout_at;                    /**< Start an election then. */
+    bbm_time heard_leader;                  /**< Last word of one. */
     bbm_time quiet_until;                   /**< Give no vote before. */
     bbm_time beat_at;                       /**< Next heartbeat. */
     bbm_time led_since;                     /**< When leadership began. */
--- a/raft/raft_replicate.c
+++ b/raft/raft_replicate.c
@@ -179,6 +179,7 @@
     raft_follow(r, m->term, m->from);
     reply->term = r->term;
     raft_reset_timeout(r);
+    r->heard_leader = r->now;
     r->quiet_until = r->now + r->desc.election;
     return true;
 }
--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -37,8 +37,9 @@
     w->body[answer->id][len] = 0;
 }
 
+/* Of an odd number of disks all vote. */
 static void
-open_world(world *w, uint64_t seed)
+open_world_of(world *w, uint64_t seed, int disks)
 {
     *w = (world){0};
     w->fleet = fleet_create(
@@ -46,7 +47,7 @@
             .seed = seed,
             .nodes = NODES,
             .seeds = SEEDS,
-            .disks = DISKS,
+            .disks = disks,
             .delay = 5 * BBM_MS,
             .sync = 2 * BBM_MS,
         },
@@ -54,6 +55,12 @@
     fleet_run(w->fleet, 4 * BBM_SECOND);
 }
 
+static void
+open_world(world *w, uint64_t seed)
+{
+    open_world_of(w, seed, DISKS);
+}
+
 static void
 close_world(world *w)
 {
@@ -293,6 +300,40 @@
 }
 END_TEST
 
+/* A disk of the group that is no voter. */
+static int
+learner(world *w, int disks)
+{
+    for (int i = 0; i < disks; i++) {
+        bool is_voter;
+        voters(w, fleet_name(w->fleet, i), &is_voter);
+        if (!is_voter && fleet_up(w->fleet, i))
+            return i;
+    }
+    ck_abort_msg("all disks are voters");
+    return -1;
+}
+
+/* The same of a learner: it runs no elections, by which it would notice, and
+   its next hello may be seconds away. */
+START_TEST(removed_learner_follows_the_others)
+{
+    for (uint64_t seed = 1; seed <= 8; seed++) {
+        world w;
+        open_world_of(&w, seed, DISKS - 1);
+        must_publish(&w, 0, 1, "old");
+        int alone = learner(&w, DISKS - 1);
+        net_isolate(fleet_net(w.fleet), alone, true);
+        fleet_run(w.fleet, 3 * BBM_SECOND + (bbm_time)seed * 200 * BBM_MS);
+        must_publish(&w, fleet_leader(w.fleet), 2, "new");
+        net_isolate(fleet_net(w.fleet), alone, false);
+        fleet_run(w.fleet, 1500 * BBM_MS);
+        must_read(&w, alone, "new");
+        close_world(&w);
+    }
+}
+END_TEST
+
 START_TEST(read_of_a_VM_cut_off_is_refused)
 {
     world w;
@@ -557,7 +598,8 @@
           lost_disk_of_the_first_seed_founds_nothing,
           disks_lost_in_turn_lose_no_version,
           voters_that_end_for_good_one_by_one_give_way,
-          removed_voter_follows_the_others, read_of_a_VM_cut_off_is_refused,
+          removed_voter_follows_the_others, removed_learner_follows_the_others,
+          read_of_a_VM_cut_off_is_refused,
           highest_version_wins_and_never_goes_back,
           minority_acknowledges_nothing, start_of_all_sends_the_state_once,
           new_leader_keeps_the_upstreams_that_were_told,
