--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -14,8 +14,6 @@
 #define RETRY_USED 0.8
 /* Time of a plain call before any was seen, milliseconds. */
 #define SERVICE_MS 30.0
-/* Notes that are kept. */
-#define NOTES_MOST 8192
 /* Bits in a byte, and kilobits per millisecond in a Mbit per second. */
 #define BITS 8.0
 #define BITS_PER_MS 1000.0
@@ -38,6 +36,7 @@
     g->rng = bbm_rng_of(desc->seed);
     g->vms = 1;
     g->shares = bbm_shares_create(desc->seed);
+    g->places = bbm_places_create();
     TAILQ_INIT(&g->waiting);
     STAILQ_INIT(&g->outputs);
     return g;
@@ -54,11 +53,13 @@
         gate_request_free(g, r);
     }
     BBM_TABLE_FREE(gate_pool, g->pools);
+    HASH_CLEAR(by_hash, g->hashed);
     BBM_TABLE_FREE(gate_upstream, g->upstreams);
     BBM_TABLE_FREE(gate_weights, g->weights);
     BBM_TABLE_FREE(gate_store, g->stores);
     BBM_TABLE_FREE(gate_customer, g->customers);
-    BBM_TABLE_FREE(gate_note_row, g->notes);
+    bbm_places_destroy(g->places);
+    bbm_buf_free(&g->placed);
     gate_queued *q;
     while ((q = STAILQ_FIRST(&g->outputs)) != NULL) {
         STAILQ_REMOVE_HEAD(&g->outputs, link);
@@ -93,40 +94,6 @@
     return &g->taken->out;
 }
 
-/* ---- notes ---- */
-
-bbm_time
-gate_noted(const bbm_gate *g, uint64_t key)
-{
-    gate_note_row *row = NULL;
-    HASH_FIND(hh, g->notes, &key, sizeof(key), row);
-    return row ? row->at : 0;
-}
-
-bbm_time
-gate_note(bbm_gate *g, uint64_t key)
-{
-    gate_note_row *row = NULL;
-    HASH_FIND(hh, g->notes, &key, sizeof(key), row);
-    bbm_time before = row ? row->at : 0;
-    if (row) {
-        /* To the end: the oldest are forgotten first. */
-        HASH_DEL(g->notes, row);
-    }
-    else {
-        row = bbm_calloc(1, sizeof(*row));
-        row->key = key;
-    }
-    row->at = g->now;
-    HASH_ADD(hh, g->notes, key, sizeof(key), row);
-    if (HASH_COUNT(g->notes) > NOTES_MOST) {
-        gate_note_row *oldest = g->notes;
-        HASH_DEL(g->notes, oldest);
-        free(oldest);
-    }
-    return before;
-}
-
 /* ---- configuration ---- */
 
 static void
@@ -194,7 +161,10 @@
         else {
             s = bbm_calloc(1, sizeof(*s));
             bbm_name_set(s->address, c->address);
+            s->hash = bbm_hash_text(c->address, 0);
         }
+        bbm_name_set(s->zone, c->zone);
+        s->memory = (double)c->memory_tokens;
         HASH_ADD_STR(g->stores, address, s);
     }
     BBM_TABLE_FREE(gate_store, old);
@@ -264,7 +234,7 @@
         return;
     /* A store that comes back is empty. */
     if (alive && !s->alive)
-        BBM_TABLE_FREE(gate_note_row, g->notes);
+        s->since = g->now;
     s->alive = alive;
 }
 
@@ -305,6 +275,7 @@
         u->hash = bbm_hash_text(info->id, 0);
         bbm_name_set(u->info.id, info->id);
         HASH_ADD_KEYPTR(hh, g->upstreams, u->info.id, strlen(u->info.id), u);
+        HASH_ADD(by_hash, g->hashed, hash, sizeof(u->hash), u);
     }
     else if (u->info.born_ms != info->born_ms) {
         start_anew(u);
@@ -321,6 +292,8 @@
 bbm_gate_listing(bbm_gate *g, const bbm_listing *listing, bbm_time now)
 {
     gate_advance(g, now);
+    if (!g->places_since)
+        g->places_since = g->now;
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next)
         u->listed = false;
     for (size_t i = 0; i < listing->len; i++)
@@ -330,6 +303,7 @@
     {
         if (u->listed || u->open)
             continue;
+        HASH_DELETE(by_hash, g->hashed, u);
         HASH_DEL(g->upstreams, u);
         free(u);
     }
@@ -362,6 +336,14 @@
 
 /* ---- loads ---- */
 
+gate_upstream *
+gate_upstream_hashed(const bbm_gate *g, uint64_t hash)
+{
+    gate_upstream *u = NULL;
+    HASH_FIND(by_hash, g->hashed, &hash, sizeof(hash), u);
+    return u;
+}
+
 static void
 put_one(const bbm_gate *g, gate_upstream *u, bbm_buf *buf)
 {
@@ -379,6 +361,7 @@
 bbm_gate_put_load(bbm_gate *g, bbm_time now, bbm_buf *buf)
 {
     gate_advance(g, now);
+    g->load_changed = false;
     size_t len = 0;
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
         u->told = (bbm_load){0};
@@ -410,10 +393,9 @@
     for (size_t i = 0; i < len && !rd->failed; i++) {
         bbm_load l;
         bbm_load_get(rd, &l);
-        for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
-            if (u->hash == l.upstream)
-                u->all = l;
-        }
+        gate_upstream *u = gate_upstream_hashed(g, l.upstream);
+        if (u)
+            u->all = l;
     }
 }
 
@@ -438,6 +420,50 @@
     }
 }
 
+bool
+bbm_gate_load_changed(const bbm_gate *g)
+{
+    return g->load_changed;
+}
+
+/* ---- placements ---- */
+
+void
+gate_placed(bbm_gate *g, const bbm_placed *row)
+{
+    bbm_places_add(g->places, row, g->now);
+    /* Nobody takes them where a VM is alone. */
+    if (g->placed_len == BBM_PLACED_MOST) {
+        g->placed.len = 0;
+        g->placed_len = 0;
+    }
+    bbm_placed_put(&g->placed, row);
+    g->placed_len++;
+}
+
+void
+bbm_gate_put_placed(bbm_gate *g, bbm_buf *buf)
+{
+    bbm_put_u64(buf, g->placed_len);
+    if (g->placed_len)
+        bbm_buf_add(buf, g->placed.data, g->placed.len);
+    g->placed.len = 0;
+    g->placed_len = 0;
+}
+
+void
+bbm_gate_get_placed(bbm_gate *g, bbm_reader *rd, bool own, bbm_time now)
+{
+    gate_advance(g, now);
+    size_t len = bbm_get_u32(rd, BBM_PLACED_MOST);
+    for (size_t i = 0; i < len && !rd->failed; i++) {
+        bbm_placed row;
+        bbm_placed_get(rd, &row);
+        if (!rd->failed && !own)
+            bbm_places_add(g->places, &row, g->now);
+    }
+}
+
 double
 bbm_gate_open(const bbm_gate *g, const char *upstream)
 {
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -136,6 +136,9 @@
             uint32_t candidates; /**< Upstreams that could have got it. */
             int64_t wait_ms;     /**< Expected before its answer begins. */
             int64_t held_ms;     /**< For so long it was held here. */
+            int64_t prompt;      /**< Prompt tokens. */
+            int64_t held;        /**< Of them the upstream likely has these. */
+            int64_t offered;     /**< Its source has these; 0: unknown. */
         } send;                  /**< BBM_GATE_SEND. */
         struct {
             int code;             /**< Why. */
@@ -224,6 +227,14 @@
 /** Take over the sums of all VMs; sets the reader's error. */
 void bbm_gate_get_totals(bbm_gate *g, bbm_reader *rd, bbm_time now);
 
+/** True if a request began or ended since the load was told. */
+bool bbm_gate_load_changed(const bbm_gate *g);
+/** Append where this VM sent which shared parts since the last call. */
+void bbm_gate_put_placed(bbm_gate *g, bbm_buf *buf);
+/** Take over what a VM appended; its own if @p own.  Sets the reader's
+ *  error. */
+void bbm_gate_get_placed(bbm_gate *g, bbm_reader *rd, bool own, bbm_time now);
+
 /** Requests of all VMs at an upstream, as far as it is known. */
 double bbm_gate_open(const bbm_gate *g, const char *upstream);
 /** Milliseconds that their unread prompts take there. */
--- /dev/null
+++ b/gate/bbm_places.c
@@ -0,0 +1,198 @@
+#include "bbm_places.h"
+
+#include "bbm_table.h"
+
+#include <string.h>
+
+/* Prefixes that are remembered: some seconds' worth of a large fleet. */
+#define PREFIXES_MOST 16384
+/* Holders whose tokens are counted: those that ended make room. */
+#define HOLDERS_COUNTED 2048
+
+typedef struct prefix {
+    uint64_t key;
+    bbm_holder holders[BBM_HOLDERS_MOST];
+    size_t len;
+    UT_hash_handle hh; /* by key, the longest unused first */
+} prefix;
+
+typedef struct sent_count {
+    uint64_t holder;
+    double tokens;
+    UT_hash_handle hh;
+} sent_count;
+
+struct bbm_places {
+    prefix *prefixes;
+    sent_count *counts;
+};
+
+void
+bbm_placed_put(bbm_buf *buf, const bbm_placed *row)
+{
+    bbm_put_u64(buf, row->holder);
+    bbm_put_u64(buf, row->store);
+    bbm_put_u64(buf, row->fresh);
+    bbm_put_u64(buf, row->ready_ms);
+    bbm_put_u64(buf, row->had);
+    bbm_put_u64(buf, row->keys_len);
+    for (uint32_t i = 0; i < row->keys_len; i++)
+        bbm_put_u64(buf, row->keys[i]);
+}
+
+void
+bbm_placed_get(bbm_reader *rd, bbm_placed *row)
+{
+    *row = (bbm_placed){0};
+    row->holder = bbm_get_u64(rd);
+    row->store = bbm_get_u64(rd);
+    row->fresh = bbm_get_u32(rd, UINT32_MAX);
+    row->ready_ms = bbm_get_u32(rd, UINT32_MAX);
+    row->had = bbm_get_u32(rd, BBM_PLACED_KEYS);
+    row->keys_len = bbm_get_u32(rd, BBM_PLACED_KEYS);
+    for (uint32_t i = 0; i < row->keys_len && !rd->failed; i++)
+        row->keys[i] = bbm_get_u64(rd);
+}
+
+bbm_places *
+bbm_places_create(void)
+{
+    return bbm_calloc(1, sizeof(bbm_places));
+}
+
+void
+bbm_places_destroy(bbm_places *p)
+{
+    if (!p)
+        return;
+    BBM_TABLE_FREE(prefix, p->prefixes);
+    BBM_TABLE_FREE(sent_count, p->counts);
+    free(p);
+}
+
+static sent_count *
+count_of(bbm_places *p, uint64_t holder)
+{
+    sent_count *c = NULL;
+    HASH_FIND(hh, p->counts, &holder, sizeof(holder), c);
+    if (!c) {
+        c = bbm_calloc(1, sizeof(*c));
+        c->holder = holder;
+        HASH_ADD(hh, p->counts, holder, sizeof(holder), c);
+        if (HASH_COUNT(p->counts) > HOLDERS_COUNTED) {
+            sent_count *oldest = p->counts;
+            HASH_DEL(p->counts, oldest);
+            free(oldest);
+        }
+    }
+    return c;
+}
+
+static prefix *
+use_prefix(bbm_places *p, uint64_t key)
+{
+    prefix *x = NULL;
+    HASH_FIND(hh, p->prefixes, &key, sizeof(key), x);
+    if (x) {
+        /* To the end: the longest unused are forgotten first. */
+        HASH_DEL(p->prefixes, x);
+    }
+    else {
+        x = bbm_calloc(1, sizeof(*x));
+        x->key = key;
+    }
+    HASH_ADD(hh, p->prefixes, key, sizeof(key), x);
+    if (HASH_COUNT(p->prefixes) > PREFIXES_MOST) {
+        prefix *oldest = p->prefixes;
+        HASH_DEL(p->prefixes, oldest);
+        free(oldest);
+    }
+    return x;
+}
+
+/* The holder's row, or that of the one that was used longest ago. */
+static bbm_holder *
+row_for(prefix *x, uint64_t holder)
+{
+    size_t oldest = 0;
+    for (size_t i = 0; i < x->len; i++) {
+        if (x->holders[i].holder == holder)
+            return &x->holders[i];
+        if (x->holders[i].ready < x->holders[oldest].ready)
+            oldest = i;
+    }
+    if (x->len < BBM_HOLDERS_MOST)
+        oldest = x->len++;
+    x->holders[oldest] = (bbm_holder){.holder = holder};
+    return &x->holders[oldest];
+}
+
+/* What was there stays since when it is. */
+static void
+note(bbm_places *p, uint64_t key, const bbm_holder *use, bool had)
+{
+    bbm_holder *row = row_for(use_prefix(p, key), use->holder);
+    if (!had || !row->since) {
+        row->since = use->since;
+        row->ready = use->ready;
+    }
+    row->mark = count_of(p, use->holder)->tokens;
+}
+
+void
+bbm_places_add(bbm_places *p, const bbm_placed *row, bbm_time now)
+{
+    bbm_holder use = {
+        .holder = row->holder,
+        .since = now,
+        .ready = now + (bbm_time)row->ready_ms * BBM_MS,
+    };
+    bbm_holder kept = use;
+    kept.holder = row->store;
+    count_of(p, row->holder)->tokens += row->fresh;
+    if (row->store)
+        count_of(p, row->store)->tokens += row->fresh;
+    for (uint32_t i = 0; i < row->keys_len; i++) {
+        note(p, row->keys[i], &use, i < row->had);
+        if (row->store)
+            note(p, row->keys[i], &kept, false);
+    }
+}
+
+static const prefix *
+find(const bbm_places *p, uint64_t key)
+{
+    prefix *x = NULL;
+    HASH_FIND(hh, p->prefixes, &key, sizeof(key), x);
+    return x;
+}
+
+const bbm_holder *
+bbm_places_has(const bbm_places *p, const bbm_place_query *q)
+{
+    const prefix *x = find(p, q->key);
+    for (size_t i = 0; x && i < x->len; i++) {
+        const bbm_holder *row = &x->holders[i];
+        if (row->holder != q->holder)
+            continue;
+        sent_count *c = NULL;
+        HASH_FIND(hh, p->counts, &q->holder, sizeof(q->holder), c);
+        double followed = c ? c->tokens - row->mark : 0;
+        return followed <= q->room && row->since >= q->since ? row : NULL;
+    }
+    return NULL;
+}
+
+bool
+bbm_places_knows(const bbm_places *p, uint64_t key)
+{
+    return find(p, key) != NULL;
+}
+
+const bbm_holder *
+bbm_places_holders(const bbm_places *p, uint64_t key, size_t *len)
+{
+    const prefix *x = find(p, key);
+    *len = x ? x->len : 0;
+    return x ? x->holders : NULL;
+}
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -50,6 +50,7 @@
     u->answered = g->now;
     u->unread -= r->unread;
     r->unread = 0;
+    g->load_changed = true;
     double took = (double)(g->now - r->sent) / (double)BBM_MS;
     u->late_ms += (took - r->expected_ms - u->late_ms) * SERVICE_STEP;
 }
@@ -98,7 +99,7 @@
 static void
 send_again(bbm_gate *g, gate_request *r)
 {
-    gate_leave(r);
+    gate_leave(g, r);
     r->stage = GATE_WAITING;
     r->link.tqe_prev = NULL;
     gate_try(g, r);
@@ -263,7 +264,7 @@
         r->failed_len = failed_before;
         return;
     }
-    gate_leave(r);
+    gate_leave(g, r);
     gate_send(g, r, &c);
 }
 
--- /dev/null
+++ b/gate/gate_cache.c
@@ -0,0 +1,178 @@
+#include "gate_core.h"
+
+#include <string.h>
+
+/* What a runner likely has of a prompt, and who else has the rest.
+
+   Answers prompts whose shared parts cost their reader more than the rest of
+   the request, while fetching them costs little. */
+
+/* Of a runner's memory this holds what was read lately: the rest is lost to
+   blocks that are half filled and to outputs that were longer than told. */
+#define KEPT_SHARE 0.8
+/* The same of a store. */
+#define STORE_SHARE 0.9
+/* Milliseconds for finding a source, beside the fetch itself. */
+#define FETCH_BASE 3.0
+/* Fetching from another zone takes so many times as long. */
+#define FETCH_FAR 2.0
+/* A store's link is about half as fast as a runner's, and all share it. */
+#define STORE_FACTOR 2.0
+#define STORE_MS 5.0
+/* Shorter shared parts are read faster than a store is asked. */
+#define STORE_LEAST 512
+
+static uint64_t
+place_key(const gate_prefix *prefix, uint64_t version)
+{
+    return bbm_hash64(&prefix->key, sizeof(prefix->key), version);
+}
+
+static const bbm_holder *
+has_at(const bbm_gate *g, const gate_upstream *u, uint64_t key)
+{
+    bbm_place_query q = {
+        .key = key,
+        .holder = u->hash,
+        .room = u->pool->memory * KEPT_SHARE,
+        .since = u->cold_since,
+    };
+    return bbm_places_has(g->places, &q);
+}
+
+static const bbm_holder *
+has_in_store(const bbm_gate *g, const gate_store *s, uint64_t key)
+{
+    bbm_place_query q = {
+        .key = key,
+        .holder = s->hash,
+        .room = s->memory * STORE_SHARE,
+        .since = s->since,
+    };
+    return s->alive ? bbm_places_has(g->places, &q) : NULL;
+}
+
+static double
+fetch_ms(const gate_upstream *u, const char *zone, double tokens)
+{
+    bool near = strcmp(u->info.zone, zone) == 0;
+    return FETCH_BASE + tokens * u->pool->fetch * (near ? 1 : FETCH_FAR);
+}
+
+static void
+offer(gate_cached *c, const char *address, double tokens, double ms)
+{
+    if (c->offered > 0 && c->fetch_ms <= ms)
+        return;
+    c->source = address;
+    c->offered = tokens;
+    c->fetch_ms = ms;
+}
+
+/* One that may have it by the time that it is asked: asking in vain costs
+   next to nothing. */
+static void
+suggest(gate_cached *c, const char *address)
+{
+    if (!c->source)
+        c->source = address;
+}
+
+static bool
+is_source(const bbm_gate *g, const gate_upstream *s, const gate_upstream *u,
+          const char *model, uint64_t version)
+{
+    return s != u && s->listed && s->pool == u->pool && !s->info.loading
+           && g->now >= s->suspect_until && g->now >= s->avoid_until
+           && bbm_listed_version(&s->info, model) == version;
+}
+
+static void
+find_source(const bbm_gate *g, const gate_request *r, const gate_upstream *u,
+            uint64_t version, size_t level, gate_cached *c)
+{
+    const gate_prefix *prefix = &r->prefixes[level];
+    uint64_t key = place_key(prefix, version);
+    double lacks = prefix->tokens - c->held;
+    size_t len;
+    const bbm_holder *holders = bbm_places_holders(g->places, key, &len);
+    for (size_t i = 0; i < len; i++) {
+        const gate_upstream *s = gate_upstream_hashed(g, holders[i].holder);
+        if (!s || !is_source(g, s, u, r->model, version))
+            continue;
+        if (holders[i].ready > g->now || !has_at(g, s, key))
+            suggest(c, s->info.address);
+        else
+            offer(c, s->info.address, prefix->tokens,
+                  fetch_ms(u, s->info.zone, lacks));
+    }
+    for (const gate_store *s = g->stores; s; s = s->hh.next) {
+        const bbm_holder *h = has_in_store(g, s, key);
+        if (h && h->ready > g->now)
+            suggest(c, s->address);
+        else if (h)
+            offer(c, s->address, prefix->tokens,
+                  STORE_MS + fetch_ms(u, s->zone, lacks * STORE_FACTOR));
+    }
+}
+
+void
+gate_look_up(const bbm_gate *g, const gate_request *r, const gate_upstream *u,
+             uint64_t version, gate_cached *c)
+{
+    *c = (gate_cached){0};
+    size_t level = r->prefixes_len;
+    while (level > 0 && !c->held) {
+        const gate_prefix *prefix = &r->prefixes[--level];
+        if (!has_at(g, u, place_key(prefix, version)))
+            continue;
+        c->held = prefix->tokens;
+        c->had = level + 1;
+    }
+    for (level = r->prefixes_len; level > c->had && !c->offered; level--)
+        find_source(g, r, u, version, level - 1, c);
+}
+
+bool
+gate_knows_prompt(const bbm_gate *g, const gate_request *r, uint64_t version)
+{
+    if (!r->prefixes_len)
+        return true;
+    const gate_prefix *longest = &r->prefixes[r->prefixes_len - 1];
+    return bbm_places_knows(g->places, place_key(longest, version));
+}
+
+const gate_store *
+gate_store_for(const bbm_gate *g, const gate_request *r, uint64_t version)
+{
+    if (r->shared < STORE_LEAST)
+        return NULL;
+    const gate_prefix *longest = &r->prefixes[r->prefixes_len - 1];
+    uint64_t key = place_key(longest, version);
+    const gate_store *found = NULL;
+    for (const gate_store *s = g->stores; s; s = s->hh.next) {
+        if (has_in_store(g, s, key))
+            return NULL;
+        if (s->alive && !found)
+            found = s;
+    }
+    return found;
+}
+
+void
+gate_tell_placed(bbm_gate *g, const gate_request *r, const gate_choice *c)
+{
+    if (!c->version || !r->prefixes_len)
+        return;
+    bbm_placed row = {
+        .holder = c->upstream->hash,
+        .store = c->keep ? c->keep->hash : 0,
+        .fresh = (uint32_t)(r->prompt - c->held + r->output),
+        .ready_ms = c->wait_ms > 0 ? (uint32_t)c->wait_ms : 0,
+        .had = (uint32_t)c->had,
+        .keys_len = (uint32_t)r->prefixes_len,
+    };
+    for (size_t i = 0; i < r->prefixes_len; i++)
+        row.keys[i] = place_key(&r->prefixes[i], c->version);
+    gate_placed(g, &row);
+}
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -7,6 +7,7 @@
 #include "bbm_gate.h"
 #include "bbm_hash.h"
 #include "bbm_loads.h"
+#include "bbm_places.h"
 #include "bbm_retry.h"
 #include "bbm_share.h"
 
@@ -37,6 +38,7 @@
     bbm_listed info;        /**< As listed. */
     gate_pool *pool;        /**< Its pool; NULL: none is configured. */
     uint64_t hash;          /**< Of its id. */
+    UT_hash_handle by_hash; /**< By that. */
     bbm_time cold_since;    /**< When it last began without what it has. */
     bool listed_once;       /**< It was listed before. */
     bool listed;            /**< In the last listing. */
@@ -70,10 +72,20 @@
 /** A store of KV cache. */
 typedef struct gate_store {
     char address[BBM_NAME_SIZE]; /**< IP:port. */
+    char zone[BBM_NAME_SIZE];    /**< Its availability zone. */
+    uint64_t hash;               /**< Of the address. */
+    double memory;               /**< Tokens that it holds. */
     bool alive;                  /**< Answers. */
+    bbm_time since;              /**< It has answered since then. */
     UT_hash_handle hh;           /**< By address. */
 } gate_store;
 
+/** A prefix of a prompt that others may share. */
+typedef struct gate_prefix {
+    uint64_t key;  /**< Hash of its parts and of who may share it. */
+    double tokens; /**< Its length. */
+} gate_prefix;
+
 /** Where a request is. */
 typedef enum gate_stage {
     GATE_WAITING,   /**< For an upstream. */
@@ -92,7 +104,9 @@
     char model[BBM_NAME_SIZE];                  /**< Model, or "". */
     bbm_part parts[BBM_PARTS_MOST];             /**< Of its prompt. */
     size_t parts_len;                           /**< How many. */
-    uint64_t chain;         /**< Hash of its shared parts. */
+    gate_prefix prefixes[BBM_PLACED_KEYS];      /**< Shared, shortest first. */
+    size_t prefixes_len;                        /**< How many. */
+    uint64_t chain;         /**< Key of the longest of them. */
     double shared;          /**< Their tokens. */
     double prompt;          /**< Prompt tokens; 0: none told. */
     double output;          /**< Output tokens at most. */
@@ -138,6 +152,7 @@
     size_t vms;                          /**< That share rates and retries. */
     gate_pool *pools;                    /**< By name. */
     gate_upstream *upstreams;            /**< By id. */
+    gate_upstream *hashed;               /**< The same, by hash. */
     gate_weights *weights;               /**< By model. */
     gate_store *stores;                  /**< By address. */
     bbm_shares *shares;                  /**< Rates of the customers. */
@@ -145,7 +160,11 @@
     gate_request *requests;              /**< All open. */
     struct gate_queue waiting;           /**< By priority, then by arrival. */
     size_t waiting_len;                  /**< How many. */
-    struct gate_note *notes;             /**< What was placed where, lately. */
+    bbm_places *places;                  /**< Where shared parts are kept. */
+    bbm_time places_since;               /**< When it began to learn that. */
+    bbm_buf placed;                      /**< Sends that others aren't told. */
+    size_t placed_len;                   /**< How many. */
+    bool load_changed;                   /**< Since it was last told. */
     STAILQ_HEAD(, gate_queued) outputs;  /**< To be taken. */
     gate_queued *taken;                  /**< Handed out last. */
     bbm_gate_counts counts;              /**< For metrics. */
@@ -158,18 +177,6 @@
     UT_hash_handle hh;        /**< By hash. */
 } gate_customer;
 
-/** That something was done for a chain of parts, by a key of both. */
-typedef struct gate_note {
-    uint64_t key;      /**< Hash of what and for which chain. */
-    bbm_time at;       /**< When last. */
-    UT_hash_handle hh; /**< By key, the oldest first. */
-} gate_note_row;
-
-/** When something was last noted; 0: never, or long ago. */
-bbm_time gate_noted(const bbm_gate *g, uint64_t key);
-/** Note it; returns when it was noted before, or 0. */
-bbm_time gate_note(bbm_gate *g, uint64_t key);
-
 /** The present moment; an older one changes nothing. */
 static inline void
 gate_advance(bbm_gate *g, bbm_time now)
@@ -182,6 +189,11 @@
 bbm_gate_output *gate_output(bbm_gate *g, bbm_gate_kind kind,
                              const gate_request *r);
 
+/** An upstream by the hash of its id, or NULL. */
+gate_upstream *gate_upstream_hashed(const bbm_gate *g, uint64_t hash);
+/** A request was sent: remember where its parts are, and tell the others. */
+void gate_placed(bbm_gate *g, const bbm_placed *row);
+
 /* ---- gate_place.c ---- */
 
 /** Where a request goes. */
@@ -190,9 +202,12 @@
     uint64_t version;           /**< Weights that it has; 0: unknown. */
     double wait_ms;             /**< Expected to the answer's beginning. */
     double miss;                /**< Prompt tokens that it must read. */
+    size_t had;                 /**< Shared prefixes that it holds. */
+    double held;                /**< Prompt tokens that it likely holds. */
+    double offered;             /**< That its source does; 0: none known. */
     uint32_t candidates;        /**< How many could have got it. */
     char source[BBM_NAME_SIZE]; /**< Holder of its cache entries, or "". */
-    char keep[BBM_NAME_SIZE];   /**< Store for new ones, or "". */
+    const gate_store *keep;     /**< Gets what it reads; NULL: none. */
     char salt[BBM_SALT_SIZE];   /**< Scope of cache entries, or "". */
 } gate_choice;
 
@@ -211,6 +226,30 @@
 /** Prompt tokens there that have no answer yet. */
 double gate_unread_at(const gate_upstream *u);
 
+/* ---- gate_cache.c ---- */
+
+/** What a runner likely has of a prompt, and who has more. */
+typedef struct gate_cached {
+    double held;        /**< Tokens that it has. */
+    size_t had;         /**< Shared prefixes that it has. */
+    const char *source; /**< Who has more, or NULL. */
+    double offered;     /**< Tokens that the source has. */
+    double fetch_ms;    /**< To fetch what it lacks of them. */
+} gate_cached;
+
+/** Look up a prompt at a runner with these weights. */
+void gate_look_up(const bbm_gate *g, const gate_request *r,
+                  const gate_upstream *u, uint64_t version, gate_cached *c);
+/** True if anyone is known to have been sent all of what it shares. */
+bool gate_knows_prompt(const bbm_gate *g, const gate_request *r,
+                       uint64_t version);
+/** The store that should get what is read of it, or NULL. */
+const gate_store *gate_store_for(const bbm_gate *g, const gate_request *r,
+                                 uint64_t version);
+/** Remember, and tell the others, where a request is sent. */
+void gate_tell_placed(bbm_gate *g, const gate_request *r,
+                      const gate_choice *c);
+
 /* ---- gate_health.c ---- */
 
 /** An attempt at an upstream was answered well. */
@@ -236,7 +275,7 @@
 /** Send a request to the chosen upstream. */
 void gate_send(bbm_gate *g, gate_request *r, const gate_choice *c);
 /** Take a request off its upstream's counts. */
-void gate_leave(gate_request *r);
+void gate_leave(bbm_gate *g, gate_request *r);
 /** End a request unsent, or with an unknown outcome if it may have run. */
 void gate_refuse(bbm_gate *g, gate_request *r, int code, bbm_time back,
                  const char *why);
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -7,18 +7,17 @@
 
 /* Where a request goes.
 
-   Answers the load of prompts with long shared parts: reading a shared part
-   again costs its reader more than the rest of the request, fetching it costs
-   little, and what a runner has is best known to nobody.  So each chain of
-   shared parts has a home by rendezvous over the runners that may get it, and
-   leaves it only when the wait there is longer than a fetch. */
+   Answers the load of prompts with long shared parts: each goes where its
+   answer begins first, by what waits there, what the runner lacks of the
+   prompt, and whether that can be fetched.  Where nothing is known of a prompt
+   it has a home by rendezvous over the runners that may get it, so that VMs
+   which have just started agree. */
 
 /* Milliseconds that one open request adds to each step of a runner. */
 #define STEP_PER_OPEN 0.3
-/* Milliseconds for finding a source, beside the fetch itself. */
+/* A fetch from an unknown source: milliseconds beside the fetch itself, and
+   how many times as long it takes as within a zone. */
 #define FETCH_BASE 3.0
-/* Fetching from another zone takes twice as long; a source's zone isn't
-   known before it is chosen. */
 #define FETCH_FACTOR 2.0
 /* Running requests hold their tokens in the memory that keeps shared parts,
    and more of them than a runner reads from at a time end no sooner: so much
@@ -29,16 +28,15 @@
 #define PREFER_MS 150.0
 /* Share of fetches that are taken to find nothing. */
 #define FETCH_DOUBT 0.5
-/* Of all VMs so many write a chain to the store when they first meet it: each
-   writes what belongs to the request alone as well, and the store's link and
-   room are shared by all. */
-#define KEEPERS 12.0
+/* For so long a VM that has started doesn't know what others placed. */
+#define LEARN_TIME (10 * BBM_SECOND)
 /* A runner that has had its weights for so long has its chains. */
 #define WARM_TIME (8 * BBM_SECOND)
-/* For so long a chain is taken to stay where it was placed away from home, and
-   milliseconds in favour of those before in its order. */
-#define PLACED_TIME (4 * BBM_SECOND)
-#define AWAY_HELD_MS 10.0
+/* Milliseconds in favour of the home of a prompt that nobody has. */
+#define HOME_MS 30.0
+/* What is fetched drives out something else: that costs so much of the time
+   that reading it would take. */
+#define COPY_SHARE 0.1
 /* A third place for a chain costs so many times its reading. */
 #define CROWDING 2.0
 /* A runner without a free slot keeps a request for about so long. */
@@ -59,8 +57,8 @@
     gate_upstream *upstream;
     uint64_t weight; /* of the rendezvous */
     uint64_t version;
-    bool old;    /* newer weights were named too long ago */
-    bool holds;  /* this VM placed the chain there lately, or it is the home */
+    bool old; /* newer weights were named too long ago */
+    gate_cached cached;
     double miss; /* prompt tokens that it must read */
     bool full;   /* more would only wait there, and drive out what is kept */
     double cost;
@@ -69,6 +67,7 @@
 typedef struct field {
     candidate *items;
     size_t len;
+    bool blind;     /* who has the prompt is a guess */
     size_t loading; /* runners that will have newer weights soon */
     size_t others;  /* listed, but avoided */
 } field;
@@ -208,35 +207,8 @@
     return old;
 }
 
-/* ---- what was placed where ---- */
-
-static uint64_t
-place_key(const gate_request *r, const gate_upstream *u, uint64_t version)
-{
-    uint64_t seed = bbm_hash64(&version, sizeof(version), u->hash);
-    return bbm_hash64(&r->chain, sizeof(r->chain), seed);
-}
-
-static bool
-was_placed(const bbm_gate *g, const gate_request *r, const candidate *c)
-{
-    uint64_t key = place_key(r, c->upstream, c->version);
-    bbm_time at = gate_noted(g, key);
-    return at && g->now - at < PLACED_TIME;
-}
-
 /* ---- cost ---- */
 
-static const gate_store *
-live_store(const bbm_gate *g)
-{
-    for (const gate_store *s = g->stores; s; s = s->hh.next) {
-        if (s->alive)
-            return s;
-    }
-    return NULL;
-}
-
 static double
 zone_ms(const bbm_gate *g, const gate_upstream *u)
 {
@@ -266,38 +238,60 @@
     return wait;
 }
 
-/* What it costs to place a chain away from its home.  Its second runner gets
-   it from the first or from a store, though nobody knows for sure that they
-   have it; any further one also drives out what it holds for others. */
+/* What it costs to place a chain away from its home when nothing is known of
+   it.  Its second runner gets it from the first, though nobody knows for sure
+   that it has it; any further one also drives out what it holds for others. */
 static double
 away_ms(const gate_request *r, const candidate *c, size_t rank)
 {
     const gate_pool *p = c->upstream->pool;
     double fetch = FETCH_BASE + r->shared * p->fetch * FETCH_FACTOR;
     double read = r->shared / p->speed;
-    if (c->holds)
-        return AWAY_HELD_MS * (double)rank;
+    if (rank == 0)
+        return 0;
     if (rank > 1)
         return read * CROWDING;
     return fetch < read ? fetch + (read - fetch) * FETCH_DOUBT : read;
 }
 
+static void
+guess(const gate_request *r, candidate *c, size_t rank)
+{
+    c->miss = r->prompt - r->shared;
+    c->cost += away_ms(r, c, rank) + c->miss / c->upstream->pool->speed;
+    if (rank > 0)
+        c->miss += r->shared * FETCH_DOUBT;
+}
+
+static void
+reckon(const gate_request *r, candidate *c, size_t rank)
+{
+    const gate_cached *k = &c->cached;
+    double speed = c->upstream->pool->speed;
+    double there = k->offered > 0 ? k->offered : k->held;
+    c->miss = r->prompt - there;
+    c->cost += c->miss / speed + k->fetch_ms;
+    c->cost += (there - k->held) / speed * COPY_SHARE;
+    if (rank > 0 && there < r->shared)
+        c->cost += HOME_MS;
+}
+
 static void
 cost_runners(bbm_gate *g, const gate_request *r, field *f)
 {
     qsort(f->items, f->len, sizeof(*f->items), by_weight);
+    f->blind = g->now - g->places_since < LEARN_TIME;
+    for (size_t i = 0; i < f->len && f->blind; i++)
+        f->blind = !gate_knows_prompt(g, r, f->items[i].version);
     for (size_t i = 0; i < f->len; i++) {
         candidate *c = &f->items[i];
-        c->holds = i == 0 || was_placed(g, r, c);
-        c->miss = r->prompt - r->shared;
-        if (!c->holds)
-            c->miss += r->shared * FETCH_DOUBT;
-        c->cost = runner_wait(c->upstream)
-                  + (r->prompt - r->shared) / c->upstream->pool->speed
-                  + zone_ms(g, c->upstream);
+        c->cost = runner_wait(c->upstream) + zone_ms(g, c->upstream);
         c->full = is_full(r, c->upstream);
-        if (i > 0)
-            c->cost += away_ms(r, c, i);
+        gate_look_up(g, r, c->upstream, c->version, &c->cached);
+        if (f->blind)
+            guess(r, c, i);
+        else
+            reckon(r, c, i);
     }
 }
 
@@ -346,14 +340,6 @@
         snprintf(salt, BBM_SALT_SIZE, "one/%.48s", r->id);
 }
 
-/* True if a store was not given this chain yet, as far as this VM knows. */
-static bool
-is_new_chain(bbm_gate *g, const gate_request *r, const char *salt)
-{
-    uint64_t key = bbm_hash_text(salt, r->chain);
-    return gate_note(g, key) == 0;
-}
-
 /* Who likely holds the chain, if it isn't the chosen one.  A runner that comes
    before it in the chain's order was its home, though it may get no new work
    now; if none does, and the chosen one has only just begun under these
@@ -392,25 +378,22 @@
 }
 
 static void
-plan_cache(bbm_gate *g, const gate_request *r, const candidate *chosen,
-           gate_choice *c)
+plan_cache(const bbm_gate *g, const gate_request *r, const field *f,
+           const candidate *chosen, gate_choice *c)
 {
     make_salt(r, chosen->version, c->salt);
+    c->had = chosen->cached.had;
+    c->held = chosen->cached.held;
+    c->offered = chosen->cached.offered;
     if (!chosen->version || r->shared <= 0)
         return;
-    const gate_store *store = live_store(g);
-    const gate_upstream *holder = likely_holder(g, r, chosen);
-    bool is_new = is_new_chain(g, r, c->salt);
-    gate_note(g, place_key(r, chosen->upstream, chosen->version));
-    bool mine = bbm_rng_unit(&g->rng) * (double)g->vms < KEEPERS;
-    if (store && is_new && mine)
-        bbm_name_set(c->keep, store->address);
-    /* Where few write, what is new here is new in the store as well. */
-    bool stored = store && (!is_new || (double)g->vms <= KEEPERS);
-    if (holder && !stored)
+    c->keep = gate_store_for(g, r, chosen->version);
+    const gate_upstream *holder =
+        f->blind ? likely_holder(g, r, chosen) : NULL;
+    if (chosen->cached.source)
+        bbm_name_set(c->source, chosen->cached.source);
+    else if (holder)
         bbm_name_set(c->source, holder->info.address);
-    else if (store)
-        bbm_name_set(c->source, store->address);
 }
 
 static void
@@ -423,7 +406,7 @@
     c->miss = best->miss;
     if (best->upstream->pool->engine && r->model[0]) {
         c->version = best->version;
-        plan_cache(g, r, best, c);
+        plan_cache(g, r, f, best, c);
     }
 }
 
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -28,11 +28,12 @@
 /* ---- releasing ---- */
 
 void
-gate_leave(gate_request *r)
+gate_leave(bbm_gate *g, gate_request *r)
 {
     gate_upstream *u = r->upstream;
     if (!u)
         return;
+    g->load_changed = true;
     u->open--;
     u->unread -= r->unread;
     u->memory -= r->memory;
@@ -55,7 +56,7 @@
 gate_request_free(bbm_gate *g, gate_request *r)
 {
     stop_waiting(g, r);
-    gate_leave(r);
+    gate_leave(g, r);
     HASH_DEL(g->requests, r);
     free(r);
 }
@@ -148,7 +149,8 @@
     bbm_name_set(s->pool, u->info.pool);
     bbm_name_set(s->customer, r->customer);
     bbm_name_set(s->source, c->source);
-    bbm_name_set(s->keep, c->keep);
+    if (c->keep)
+        bbm_name_set(s->keep, c->keep->address);
     memcpy(s->salt, c->salt, sizeof(s->salt));
 }
 
@@ -169,6 +171,8 @@
     u->open++;
     u->unread += r->unread;
     u->memory += r->memory;
+    g->load_changed = true;
+    gate_tell_placed(g, r, c);
     bbm_gate_output *out = gate_output(g, BBM_GATE_SEND, r);
     fill_send(r, c, &out->u.send.send);
     out->u.send.resumes = r->last_event[0] != '\0';
@@ -176,6 +180,9 @@
     out->u.send.candidates = c->candidates;
     out->u.send.wait_ms = (int64_t)c->wait_ms;
     out->u.send.held_ms = held_ms(g, r);
+    out->u.send.prompt = (int64_t)r->prompt;
+    out->u.send.held = (int64_t)c->held;
+    out->u.send.offered = (int64_t)c->offered;
     g->counts.sent++;
     if (r->attempt > 1)
         g->counts.sent_again++;
@@ -275,6 +282,21 @@
     }
 }
 
+/* Of many prefixes the shortest and the longest ones are looked at. */
+static void
+add_prefix(gate_request *r)
+{
+    if (r->prefixes_len < BBM_PLACED_KEYS)
+        r->prefixes_len++;
+    else
+        memmove(&r->prefixes[1], &r->prefixes[2],
+                (BBM_PLACED_KEYS - 2) * sizeof(r->prefixes[0]));
+    r->prefixes[r->prefixes_len - 1] = (gate_prefix){
+        .key = r->chain,
+        .tokens = r->shared,
+    };
+}
+
 /* The last part belongs to the request, or to its session if that is all
    there is. */
 static void
@@ -293,9 +315,14 @@
         r->chain =
             bbm_hash64(&r->parts[i].id, sizeof(r->parts[i].id), r->chain);
         r->shared += r->parts[i].tokens;
+        add_prefix(r);
     }
     if (r->shared > r->prompt)
         r->shared = r->prompt;
+    for (size_t i = 0; i < r->prefixes_len; i++) {
+        if (r->prefixes[i].tokens > r->prompt)
+            r->prefixes[i].tokens = r->prompt;
+    }
 }
 
 /* Callers leave a stream that is silent for too long, before its first event
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -31,8 +31,8 @@
     NODE_GRANT,     /**< The owner's grant. */
     NODE_FOUND,     /**< Found a group of these data folders. */
     NODE_UPSTREAMS, /**< Changes of the listing, or the whole. */
-    NODE_LOADS,     /**< A VM's load and demand, for the leader. */
-    NODE_TOTALS,    /**< The sums of all VMs. */
+    NODE_LOADS,     /**< A VM's load, demand and placements. */
+    NODE_TOTALS,    /**< The leader's sums of them. */
     NODE_MESSAGES,  /**< Number of kinds. */
 } node_message;
 
@@ -300,8 +300,10 @@
     node_store stores[NODE_STORES_MOST]; /**< Of KV cache. */
     size_t stores_len;                   /**< How many. */
     uint64_t gate_revision;              /**< Revision that the gate has. */
-    bbm_loads *loads;                    /**< Leader: of all VMs. */
-    bbm_time loads_at;     /**< Next tale of load, or of the sums. */
+    bbm_loads *loads;                    /**< As the VMs told them. */
+    bbm_time loads_at;     /**< Next tale of load, though nothing changed. */
+    bbm_buf placed;        /**< Leader of many: placements to be passed on. */
+    size_t placed_len;     /**< VMs that told them. */
     bbm_rollout *rollout;  /**< Leader only. */
     uint64_t rollout_term; /**< Its term. */
 
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -270,6 +270,11 @@
         node_log_number(a, "weights", (int64_t)s->version);
     if (s->source[0])
         node_log_text(a, "source", s->source);
+    if (out->u.send.prompt) {
+        node_log_number(a, "prompt_tokens", out->u.send.prompt);
+        node_log_number(a, "held_tokens", out->u.send.held);
+        node_log_number(a, "offered_tokens", out->u.send.offered);
+    }
     if (out->u.send.resumes)
         node_log_text(a, "after_event", out->u.send.last_event);
 }
--- a/node/node_upstreams.c
+++ b/node/node_upstreams.c
@@ -20,9 +20,13 @@
 /* A change needs some time on its way before a VM that lacks it gets the
    whole. */
 #define CHANGE_TIME (120 * BBM_MS)
-/* With more VMs loads are told less often: each so many milliseconds apart at
-   the leader. */
-#define LOADS_APART (4 * BBM_MS)
+/* Up to so many VMs tell each other what they send where; more of them tell
+   the leader, which tells all.  Messages then grow with the VMs, and not with
+   their square. */
+#define DIRECT_MOST 16
+/* The leader of many hears and tells so often for each of them. */
+#define LOADS_APART (1 * BBM_MS)
+#define LOADS_LEAST (40 * BBM_MS)
 #define AGE_MOST (3600 * BBM_SECOND)
 
 static bool
@@ -42,11 +46,19 @@
     return vms;
 }
 
+static bool
+tells_directly(size_t vms)
+{
+    return vms <= DIRECT_MOST;
+}
+
 static bbm_time
 load_period(const bbm_node *n, size_t vms)
 {
+    if (tells_directly(vms))
+        return n->desc.load_period;
     bbm_time spread = (bbm_time)vms * LOADS_APART;
-    return spread > n->desc.load_period ? spread : n->desc.load_period;
+    return spread > LOADS_LEAST ? spread : LOADS_LEAST;
 }
 
 /* ---- taking a listing into force ---- */
@@ -267,6 +279,37 @@
     return good ? BBM_OK : BBM_ERR_DECODE;
 }
 
+/* ---- loads and placements ---- */
+
+/* The sums of what all VMs told, as far as this one heard them. */
+static void
+add_up(bbm_node *n)
+{
+    bbm_buf sums = {0};
+    bbm_loads_put(n->loads, n->now, &sums);
+    bbm_reader rd = bbm_reader_of(sums.data, sums.len);
+    bbm_gate_get_totals(n->gate, &rd, n->now);
+    bbm_buf_free(&sums);
+}
+
+static bool
+take_placed(bbm_node *n, const char *from, bbm_bytes placed)
+{
+    bbm_reader rd = bbm_reader_of(placed.data, placed.len);
+    bool own = strcmp(from, n->desc.name) == 0;
+    bbm_gate_get_placed(n->gate, &rd, own, n->now);
+    return bbm_reader_done(&rd);
+}
+
+/* The leader of many passes placements on with its next sums. */
+static void
+pass_on_placed(bbm_node *n, const char *from, bbm_bytes placed)
+{
+    bbm_put_str(&n->placed, from);
+    bbm_put_bytes(&n->placed, placed.data, placed.len);
+    n->placed_len++;
+}
+
 int
 node_upstreams_loads(bbm_node *n, const char *from, bbm_reader *rd)
 {
@@ -275,8 +318,15 @@
     if (!n->loads)
         n->loads = bbm_loads_create();
     bbm_loads_take(n->loads, from, rd, n->now);
-    if (!bbm_reader_done(rd))
+    bbm_bytes placed = bbm_get_bytes(rd);
+    if (!bbm_reader_done(rd) || !n->gate)
+        return BBM_ERR_DECODE;
+    if (!take_placed(n, from, placed))
         return BBM_ERR_DECODE;
+    if (tells_directly(count_vms(n)))
+        add_up(n);
+    else if (node_leads(n))
+        pass_on_placed(n, from, placed);
     bool lacks = epoch != n->list_epoch || version != n->list_version;
     bool known = n->list_epoch == n->leader_term && node_leads(n);
     if (lacks && known && n->now - n->list_changed > CHANGE_TIME)
@@ -314,21 +364,31 @@
     bool same = epoch == n->list_epoch && version == n->list_version;
     if (same && n->now - age > n->list_read)
         n->list_read = n->now - age;
-    bbm_gate_get_totals(n->gate, rd, n->now);
-    return bbm_reader_done(rd) ? BBM_OK : BBM_ERR_DECODE;
+    bbm_bytes sums = bbm_get_bytes(rd);
+    size_t groups = bbm_get_u32(rd, BBM_LOADS_MOST);
+    for (size_t i = 0; i < groups && !rd->failed; i++) {
+        char vm[BBM_NAME_SIZE];
+        bbm_get_name(rd, vm);
+        bbm_bytes placed = bbm_get_bytes(rd);
+        if (!rd->failed && !take_placed(n, vm, placed))
+            return BBM_ERR_DECODE;
+    }
+    if (!bbm_reader_done(rd))
+        return BBM_ERR_DECODE;
+    if (!sums.len)
+        return BBM_OK;
+    bbm_reader in = bbm_reader_of(sums.data, sums.len);
+    bbm_gate_get_totals(n->gate, &in, n->now);
+    return bbm_reader_done(&in) ? BBM_OK : BBM_ERR_DECODE;
 }
 
+/* Where all tell each other, the leader has no sums to tell. */
 static void
-tell_totals(bbm_node *n)
+tell_totals(bbm_node *n, bool direct)
 {
-    bbm_buf own = {0};
-    bbm_gate_put_load(n->gate, n->now, &own);
-    if (!n->loads)
-        n->loads = bbm_loads_create();
-    bbm_reader rd = bbm_reader_of(own.data, own.len);
-    bbm_loads_take(n->loads, n->desc.name, &rd, n->now);
     bbm_buf sums = {0};
-    bbm_loads_put(n->loads, n->now, &sums);
+    if (!direct)
+        bbm_loads_put(n->loads, n->now, &sums);
     const bbm_member *m;
     for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
         if (!is_reachable(n, m))
@@ -338,23 +398,51 @@
         bbm_put_u64(buf, n->list_version);
         bbm_put_i64(buf, age_of_list(n));
         put_stores(n, buf);
-        bbm_buf_add(buf, sums.data, sums.len);
+        bbm_put_bytes(buf, sums.data, sums.len);
+        bbm_put_u64(buf, n->placed_len);
+        bbm_buf_add(buf, n->placed.data, n->placed.len);
     }
-    rd = bbm_reader_of(sums.data, sums.len);
-    bbm_gate_get_totals(n->gate, &rd, n->now);
-    bbm_buf_free(&own);
     bbm_buf_free(&sums);
+    n->placed.len = 0;
+    n->placed_len = 0;
 }
 
 static void
-tell_load(bbm_node *n)
+send_load(bbm_node *n, const char *to, const bbm_buf *own,
+          const bbm_buf *placed)
 {
-    if (!n->leader[0] || strcmp(n->leader, n->desc.name) == 0)
-        return;
-    bbm_buf *buf = node_send(n, n->leader, NODE_LOADS);
+    bbm_buf *buf = node_send(n, to, NODE_LOADS);
     bbm_put_u64(buf, n->list_epoch);
     bbm_put_u64(buf, n->list_version);
-    bbm_gate_put_load(n->gate, n->now, buf);
+    bbm_buf_add(buf, own->data, own->len);
+    bbm_put_bytes(buf, placed->data, placed->len);
+}
+
+/* To all, or to the leader; what nobody can hear isn't kept for later. */
+static void
+tell_load(bbm_node *n, bool direct)
+{
+    bbm_buf own = {0};
+    bbm_buf placed = {0};
+    bbm_gate_put_load(n->gate, n->now, &own);
+    bbm_gate_put_placed(n->gate, &placed);
+    if (!n->loads)
+        n->loads = bbm_loads_create();
+    bbm_reader rd = bbm_reader_of(own.data, own.len);
+    bbm_loads_take(n->loads, n->desc.name, &rd, n->now);
+    bool leads = node_leads(n);
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        bool hears = direct || strcmp(m->name, n->leader) == 0;
+        if (hears && is_reachable(n, m))
+            send_load(n, m->name, &own, &placed);
+    }
+    if (direct || leads)
+        add_up(n);
+    if (!direct && leads)
+        pass_on_placed(n, n->desc.name, bbm_buf_view(&placed));
+    bbm_buf_free(&own);
+    bbm_buf_free(&placed);
 }
 
 void
@@ -363,15 +451,18 @@
     if (!n->configured)
         return;
     look_at_list(n);
-    if (n->now < n->loads_at)
-        return;
     size_t vms = count_vms(n);
-    n->loads_at = n->now + load_period(n, vms);
+    bool direct = tells_directly(vms);
+    bool due = n->now >= n->loads_at;
+    if (!due && !(direct && bbm_gate_load_changed(n->gate)))
+        return;
     bbm_gate_vms(n->gate, vms);
+    tell_load(n, direct);
+    if (!due)
+        return;
+    n->loads_at = n->now + load_period(n, vms);
     if (node_leads(n))
-        tell_totals(n);
-    else
-        tell_load(n);
+        tell_totals(n, direct);
 }
 
 void
@@ -380,4 +471,5 @@
     bbm_listing_free(&n->listed);
     bbm_listing_free(&n->listing);
     bbm_loads_destroy(n->loads);
+    bbm_buf_free(&n->placed);
 }
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -6,6 +6,7 @@
 #include "test_main.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 static const char document[] =
@@ -40,7 +41,8 @@
     bbm_listed u = {.slots = strcmp(pool, "api") == 0 ? 6 : 64};
     bbm_name_set(u.id, id);
     bbm_name_set(u.pool, pool);
-    bbm_name_set(u.address, "10.0.0.1:80");
+    /* Runners are told apart by it as sources. */
+    snprintf(u.address, sizeof(u.address), "10.0.0.%d:80", atoi(id + 2) + 1);
     if (version)
         bbm_listed_set_version(&u, "m", version);
     bbm_listing_add(&w->listing, &u);
@@ -53,14 +55,14 @@
 }
 
 static world
-begin(int runners, int servers)
+begin_seeded(int runners, int servers, uint64_t seed)
 {
     world w = {.now = 100 * BBM_SECOND};
     bbm_mistakes wrong = {0};
     w.cfg = bbm_config_create(document, strlen(document), &wrong);
     ck_assert_ptr_nonnull(w.cfg);
     w.gate = bbm_gate_create(
-        &(bbm_gate_desc){.zone = "a", .seed = 1, .retry_slack = 100});
+        &(bbm_gate_desc){.zone = "a", .seed = seed, .retry_slack = 100});
     bbm_gate_configure(w.gate, w.cfg, w.now);
     char id[BBM_NAME_SIZE];
     for (int i = 0; i < runners; i++) {
@@ -75,6 +77,12 @@
     return w;
 }
 
+static world
+begin(int runners, int servers)
+{
+    return begin_seeded(runners, servers, 1);
+}
+
 static void
 end(world *w)
 {
@@ -419,6 +427,8 @@
 #define RUNNERS 8
 #define KEPT 64
 #define SESSIONS 90
+#define FETCH_TIME (20 * BBM_MS)
+#define TELL_PERIOD (20 * BBM_MS)
 
 /* A runner: reads prompts one after the other, keeps chains until newer ones
    need their room. */
@@ -474,6 +484,22 @@
     return found;
 }
 
+/* True if the runner that the send names has the chain. */
+static bool
+can_fetch(const fleet *f, const bbm_send *s, uint64_t chain)
+{
+    int address = 0;
+    if (sscanf(s->source, "10.0.0.%d:80", &address) != 1)
+        return false;
+    const fake_runner *r = &f->runners[address - 1];
+    size_t most = 24 - r->running;
+    for (size_t i = 0; i < r->len && i < most; i++) {
+        if (r->chains[i] == chain)
+            return r->dark_until <= f->now;
+    }
+    return false;
+}
+
 static void
 run_job(fleet *f, size_t vm, const bbm_send *s, uint64_t session)
 {
@@ -483,10 +509,13 @@
     size_t at = (size_t)atoi(s->upstream + 2);
     fake_runner *r = &f->runners[at];
     f->sent++;
+    bool fetched = can_fetch(f, s, session);
     bool kept = use_chain(r, session);
-    f->misses += !kept;
-    double tokens = kept ? 2890 : 9190;
+    f->misses += !kept && !fetched;
+    double tokens = kept || fetched ? 2890 : 9190;
     bbm_time reads = (bbm_time)(tokens / 51.0 * (double)BBM_MS);
+    if (!kept && fetched)
+        reads += FETCH_TIME;
     bbm_time from = r->free_at > f->now ? r->free_at : f->now;
     if (r->dark_until > f->now)
         from = f->now + 3600 * BBM_SECOND;
@@ -588,6 +617,21 @@
     bbm_buf_free(&sums);
 }
 
+static void
+tell_placed(fleet *f)
+{
+    for (size_t vm = 0; vm < VMS; vm++) {
+        bbm_buf one = {0};
+        bbm_gate_put_placed(f->vms[vm].gate, &one);
+        for (size_t to = 0; to < VMS; to++) {
+            bbm_reader rd = bbm_reader_of(one.data, one.len);
+            bbm_gate_get_placed(f->vms[to].gate, &rd, to == vm, f->now);
+            ck_assert(bbm_reader_done(&rd));
+        }
+        bbm_buf_free(&one);
+    }
+}
+
 static void
 play(fleet *f, double per_s, bbm_time span)
 {
@@ -615,8 +659,10 @@
                 bbm_gate_tick(f->vms[vm].gate, f->now);
             take_outputs(f, vm);
         }
-        if (f->now % (250 * BBM_MS) == 0)
+        if (f->now % TELL_PERIOD == 0) {
+            tell_placed(f);
             tell_loads(f);
+        }
     }
 }
 
@@ -627,7 +673,7 @@
     f->rng = bbm_rng_of(11);
     f->loads = bbm_loads_create();
     for (size_t vm = 0; vm < VMS; vm++) {
-        f->vms[vm] = begin(RUNNERS, 0);
+        f->vms[vm] = begin_seeded(RUNNERS, 0, vm + 1);
         bbm_gate_vms(f->vms[vm].gate, VMS);
     }
     f->now = f->vms[0].now;
@@ -657,6 +703,39 @@
 }
 END_TEST
 
+/* What one VM sent, the others know: they send it to the same place, or name
+   that as the source.  Other weights, and what a store has, are told apart. */
+START_TEST(placements_are_told)
+{
+    fleet *f = begin_fleet();
+    world *a = &f->vms[0];
+    world *b = &f->vms[1];
+    /* Homes are guessed by VMs that have only started. */
+    a->now = b->now = f->now += 20 * BBM_SECOND;
+    bbm_gate_tick(a->gate, a->now);
+    bbm_gate_tick(b->gate, b->now);
+    ask(a, "/check/a", 7);
+    bbm_send first = sent(a);
+    tell_placed(f);
+    a->now = b->now = f->now += BBM_SECOND;
+    for (uint64_t i = 0; i < 6; i++) {
+        ask(b, "/check/a", 7);
+        bbm_send s = sent(b);
+        bool there = strcmp(s.upstream, first.upstream) == 0;
+        ck_assert(there || s.source[0]);
+        ck_assert(i > 0 || there);
+    }
+    for (size_t i = 0; i < RUNNERS; i++)
+        bbm_listed_set_version(&b->listing.items[i], "m", 2);
+    relist(b);
+    ask(b, "/check/a", 7);
+    bbm_send other = sent(b);
+    ck_assert_str_eq(other.source, "");
+    ck_assert_str_ne(other.salt, first.salt);
+    end_fleet(f);
+}
+END_TEST
+
 /* A quarter of the runners goes dark for 5 s under that load.  A fleet that
    takes slow answers for failures, or lets requests drive out what is kept,
    stays slow for good; it must be as good as before within 5 s. */
@@ -710,5 +789,6 @@
           route_times_end, silent_attempt_stays_while_nobody_else_is_free,
           gone_callers_are_cut, leaving_ones_get_nothing,
           age_of_weights_is_their_own, old_weights_end_in_time_at_slow_runners,
-          salts_wall_versions, chains_have_homes, recovers_from_dark_runners,
-          overload_is_refused_at_once);
+          salts_wall_versions, chains_have_homes, placements_are_told,
+
+          recovers_from_dark_runners, overload_is_refused_at_once);
