Held requests come one by one, and old weights go before late answers

And a runner that alone had new weights got what it could begin within twice the aim: late, which is worth less than an answer made on old weights. Now VMs tell how much they hold; each held request is drawn with the chance that there is room, again each 30 ms. Newest weights get what begins within 0.7 of the aim. Tests: held_requests_come_one_by_one (15 sends at once before, 6 allowed), old_weights_rather_than_late; both failed before.

--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -367,6 +367,8 @@
         u->told = (bbm_load){0};
         len += u->open > 0 || g->now < u->suspect_until;
     }
+    g->held_told = (uint32_t)g->waiting_len;
+    bbm_put_u64(buf, g->held_told);
     bbm_put_u64(buf, len);
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
         if (u->open > 0 || g->now < u->suspect_until)
@@ -404,6 +406,8 @@
 {
     gate_advance(g, now);
     size_t vms = bbm_get_u32(rd, BBM_LOADS_MOST);
+    uint32_t held = bbm_get_u32(rd, UINT32_MAX);
+    g->held_elsewhere = held > g->held_told ? held - g->held_told : 0;
     take_sums(g, rd);
     size_t len = bbm_get_u32(rd, BBM_LOADS_MOST);
     for (size_t i = 0; i < len && !rd->failed; i++) {
--- a/gate/bbm_loads.c
+++ b/gate/bbm_loads.c
@@ -13,6 +13,7 @@
     size_t loads_len;
     bbm_demand *demands;
     size_t demands_len;
+    uint32_t held;
     bbm_time heard;
     UT_hash_handle hh;
 } vm_row;
@@ -106,6 +107,7 @@
         HASH_ADD_STR(all->vms, name, row);
     }
     row->heard = now;
+    row->held = bbm_get_u32(rd, UINT32_MAX);
     row->loads_len = bbm_get_u32(rd, BBM_LOADS_MOST);
     row->loads = bbm_realloc(row->loads, row->loads_len * sizeof(*row->loads));
     for (size_t i = 0; i < row->loads_len; i++)
@@ -154,6 +156,7 @@
 {
     load_sum *loads = NULL;
     demand_sum *demands = NULL;
+    uint64_t held = 0;
     vm_row *vm, *next;
     HASH_ITER(hh, all->vms, vm, next)
     {
@@ -161,12 +164,14 @@
             drop_vm(all, vm);
             continue;
         }
+        held += vm->held;
         for (size_t i = 0; i < vm->loads_len; i++)
             add_load(&loads, &vm->loads[i]);
         for (size_t i = 0; i < vm->demands_len; i++)
             add_demand(&demands, &vm->demands[i]);
     }
     bbm_put_u64(buf, HASH_COUNT(all->vms));
+    bbm_put_u64(buf, held);
     bbm_put_u64(buf, HASH_COUNT(loads));
     for (const load_sum *s = loads; s; s = s->hh.next)
         bbm_load_put(buf, &s->load);
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -124,6 +124,7 @@
     bbm_time sent;          /**< This attempt. */
     bbm_time head;          /**< Its answer began; 0: not yet. */
     double expected_ms;     /**< To the beginning of the answer. */
+    bbm_time draw_at;       /**< While waiting: its next chance. */
     uint32_t attempt;       /**< Attempts sent. */
     uint32_t ran;           /**< Attempts that may have run. */
     uint64_t failed[GATE_FAILED_MOST];  /**< Upstreams that failed it. */
@@ -160,6 +161,8 @@
     gate_request *requests;              /**< All open. */
     struct gate_queue waiting;           /**< By priority, then by arrival. */
     size_t waiting_len;                  /**< How many. */
+    uint32_t held_told;                  /**< That many, as last told. */
+    uint32_t held_elsewhere;             /**< Waiting at other VMs. */
     bbm_places *places;                  /**< Where shared parts are kept. */
     bbm_time places_since;               /**< When it began to learn that. */
     bbm_buf placed;                      /**< Sends that others aren't told. */
@@ -219,6 +222,9 @@
     GATE_PICK_NOBODY, /**< There is no upstream. */
 } gate_pick;
 
+/** How many requests like this one the upstreams of a pool may get before
+ *  they are full. */
+double gate_room(const bbm_gate *g, const gate_request *r, const char *pool);
 /** Choose an upstream. */
 gate_pick gate_choose(bbm_gate *g, const gate_request *r, gate_choice *c);
 /** Requests of all VMs at an upstream, as far as it is known. */
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -45,7 +45,7 @@
 #define ZONE_MS 2.0
 /* Runners with the newest weights are preferred while the answer begins within
    so many times its aim. */
-#define AIMS_FOR_NEW 2.0
+#define AIMS_FOR_NEW 0.7
 /* A request may wait at its runner for as long as its caller waits for its
    beginning, and must not begin on weights that are too old by then; callers
    that wait longer than this don't keep runners idle. */
@@ -227,6 +227,23 @@
            || gate_unread_at(u) / u->pool->speed > BACKLOG_MS;
 }
 
+double
+gate_room(const bbm_gate *g, const gate_request *r, const char *pool)
+{
+    double tokens = 0;
+    for (const gate_upstream *u = g->upstreams; u; u = u->hh.next) {
+        if (!u->listed || !u->pool || strcmp(u->info.pool, pool) != 0
+            || u->info.leaving || u->info.loading || gate_avoids(g, u))
+            continue;
+        double room = u->pool->memory * RUNNING_SHARE - memory_at(u);
+        double backlog = BACKLOG_MS * u->pool->speed - gate_unread_at(u);
+        room = backlog < room ? backlog : room;
+        tokens += room > 0 ? room : 0;
+    }
+    double size = r->prompt + r->output;
+    return size > 0 ? tokens / size : tokens;
+}
+
 static double
 runner_wait(const gate_upstream *u)
 {
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -25,6 +25,9 @@
    refused together don't return together. */
 #define BACK_SPREAD 0.5
 
+/* A held request is drawn again when what others sent meanwhile is known. */
+#define DRAW_PERIOD (30 * BBM_MS)
+
 /* ---- releasing ---- */
 
 void
@@ -209,6 +212,23 @@
            && !g->desc.unsafe_no_hold;
 }
 
+/* When a runner becomes free, all VMs would send what they hold there at once,
+   before any hears of the others' sends.  So each held request is drawn with
+   the chance that there is room for it, and again when the others were heard.
+ */
+static bool
+has_its_turn(bbm_gate *g, gate_request *r, const gate_choice *c)
+{
+    double held = (double)g->held_elsewhere + (double)g->waiting_len;
+    bool alone = !r->link.tqe_prev || !g->held_elsewhere;
+    if (alone || !c->upstream->pool->engine)
+        return true;
+    if (g->now < r->draw_at)
+        return false;
+    r->draw_at = g->now + DRAW_PERIOD;
+    return bbm_rng_unit(&g->rng) * held < gate_room(g, r, r->pools[0]);
+}
+
 void
 gate_try(bbm_gate *g, gate_request *r)
 {
@@ -217,7 +237,8 @@
     bool begun = r->last_event[0] != '\0';
     switch (gate_choose(g, r, &c)) {
     case GATE_PICK_SEND:
-        gate_send(g, r, &c);
+        if (has_its_turn(g, r, &c))
+            gate_send(g, r, &c);
         return;
     case GATE_PICK_LATE:
         if (begun)
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -421,6 +421,33 @@
 }
 END_TEST
 
+/* What is late is worth less than what old weights make: a runner that alone
+   has new ones gets no more than it can begin in time. */
+START_TEST(old_weights_rather_than_late)
+{
+    world w = begin(2, 0);
+    /* Homes are guessed by VMs that have only started. */
+    w.now += 20 * BBM_SECOND;
+    bbm_gate_weights(w.gate, "m", 2, 0, w.now);
+    w.now += 3 * BBM_SECOND;
+    bbm_listed_set_version(&w.listing.items[0], "m", 2);
+    relist(&w);
+    size_t with_new = 0;
+    size_t with_old = 0;
+    for (uint64_t i = 1; i <= 5; i++) {
+        ask(&w, "/check/a", i);
+        bool is_new = sent(&w).version == 2;
+        with_new += is_new;
+        with_old += !is_new;
+    }
+    /* Each is read for 180 ms, and should begin within 600 ms. */
+    ck_assert_uint_ge(with_new, 2);
+    ck_assert_uint_le(with_new, 3);
+    ck_assert_uint_ge(with_old, 2);
+    end(&w);
+}
+END_TEST
+
 /* ---- loads ---- */
 
 #define VMS 3
@@ -703,6 +730,22 @@
 }
 END_TEST
 
+/* Takes what a gate sends, and counts what goes to a runner. */
+static size_t
+count_sends(world *w, const char *upstream, bbm_send *last)
+{
+    size_t len = 0;
+    const bbm_gate_output *out;
+    while ((out = bbm_gate_take(w->gate)) != NULL) {
+        if (out->kind != BBM_GATE_SEND
+            || strcmp(out->u.send.send.upstream, upstream) != 0)
+            continue;
+        *last = out->u.send.send;
+        len++;
+    }
+    return len;
+}
+
 /* What one VM sent, the others know: they send it to the same place, or name
    that as the source.  Other weights, and what a store has, are told apart. */
 START_TEST(placements_are_told)
@@ -736,6 +779,49 @@
 }
 END_TEST
 
+/* A runner becomes free while every VM holds requests.  It must not get many
+   times what it can begin in time, though no VM knows yet what the others
+   send: a crowd there is late together, and drives out all that it keeps. */
+START_TEST(held_requests_come_one_by_one)
+{
+    fleet *f = begin_fleet();
+    for (size_t vm = 0; vm < VMS; vm++) {
+        world *w = &f->vms[vm];
+        for (size_t i = 0; i < RUNNERS; i++)
+            w->listing.items[i].loading = true;
+        relist(w);
+        for (uint64_t i = 0; i < 8; i++)
+            ask(w, "/check/a", 10 * vm + i + 1);
+        nothing(w);
+    }
+    f->now += 20 * BBM_MS;
+    tell_loads(f);
+    size_t sends = 0;
+    for (size_t vm = 0; vm < VMS; vm++) {
+        world *w = &f->vms[vm];
+        bbm_send s;
+        w->now = f->now += BBM_MS;
+        w->listing.items[3].loading = false;
+        relist(w);
+        sends += count_sends(w, "r-03", &s);
+    }
+    /* It reads 180 ms for each; half a second's worth is its room. */
+    ck_assert_uint_le(sends, 6);
+    for (int i = 0; i < 20; i++) {
+        f->now += 20 * BBM_MS;
+        tell_loads(f);
+        for (size_t vm = 0; vm < VMS; vm++) {
+            bbm_send s;
+            bbm_gate_tick(f->vms[vm].gate, f->now);
+            sends += count_sends(&f->vms[vm], "r-03", &s);
+        }
+    }
+    /* It isn't left idle either. */
+    ck_assert_uint_ge(sends, 2);
+    end_fleet(f);
+}
+END_TEST
+
 /* A quarter of the runners goes dark for 5 s under that load.  A fleet that
    takes slow answers for failures, or lets requests drive out what is kept,
    stays slow for good; it must be as good as before within 5 s. */
@@ -790,5 +876,5 @@
           gone_callers_are_cut, leaving_ones_get_nothing,
           age_of_weights_is_their_own, old_weights_end_in_time_at_slow_runners,
           salts_wall_versions, chains_have_homes, placements_are_told,
-
+          held_requests_come_one_by_one, old_weights_rather_than_late,
           recovers_from_dark_runners, overload_is_refused_at_once);
