--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -110,7 +110,7 @@
 uint64_t bbm_log_dropped(void);
 
 /** Fields of one event at most. */
-#define BBM_LOG_PAIRS 12
+#define BBM_LOG_PAIRS 18
 
 /** A field of an event. */
 typedef struct bbm_log_pair {
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -136,10 +136,12 @@
             uint32_t candidates; /**< Upstreams that could have got it. */
             int64_t wait_ms;     /**< Expected before its answer begins. */
             int64_t held_ms;     /**< For so long it was held here. */
-            int64_t prompt;      /**< Prompt tokens. */
-            int64_t held;        /**< Of them the upstream likely has these. */
-            int64_t offered;     /**< Its source has these; 0: unknown. */
-        } send;                  /**< BBM_GATE_SEND. */
+            const char *after;   /**< How the attempt before ended, or NULL. */
+            uint32_t after_status; /**< Its HTTP status; 0: none. */
+            int64_t prompt;        /**< Prompt tokens. */
+            int64_t held;    /**< Of them the upstream likely has these. */
+            int64_t offered; /**< Its source has these; 0: unknown. */
+        } send;              /**< BBM_GATE_SEND. */
         struct {
             int code;             /**< Why. */
             bbm_time retry_after; /**< When to come back; 0: untold. */
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -160,6 +160,12 @@
              begun ? "the upstream broke off" : "the upstream failed");
 }
 
+static const char *const end_names[] = {
+    [BBM_FORWARD_WHOLE] = "whole",   [BBM_FORWARD_NOT_RUN] = "not run",
+    [BBM_FORWARD_UNSENT] = "unsent", [BBM_FORWARD_FAILED] = "failed",
+    [BBM_FORWARD_LOST] = "lost",     [BBM_FORWARD_CUT] = "cut",
+};
+
 void
 bbm_gate_end(bbm_gate *g, const bbm_forwarded *f, bbm_time now)
 {
@@ -167,6 +173,8 @@
     gate_request *r = find(g, f->request);
     if (!r || r->stage == GATE_WAITING || r->attempt != f->attempt)
         return;
+    r->after = end_names[f->end];
+    r->after_status = f->status;
     switch (f->end) {
     case BBM_FORWARD_WHOLE:
         end_whole(g, r, f);
@@ -264,6 +272,8 @@
         r->failed_len = failed_before;
         return;
     }
+    r->after = "silent";
+    r->after_status = 0;
     gate_leave(g, r);
     gate_send(g, r, &c);
 }
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -126,6 +126,8 @@
     double expected_ms;     /**< To the beginning of the answer. */
     bbm_time draw_at;       /**< While waiting: its next chance. */
     uint32_t attempt;       /**< Attempts sent. */
+    const char *after;      /**< How the last one ended; NULL: the first. */
+    uint32_t after_status;  /**< Its HTTP status; 0: none. */
     uint32_t ran;           /**< Attempts that may have run. */
     uint64_t failed[GATE_FAILED_MOST];  /**< Upstreams that failed it. */
     size_t failed_len;                  /**< How many. */
@@ -222,9 +224,8 @@
     GATE_PICK_NOBODY, /**< There is no upstream. */
 } gate_pick;
 
-/** How many requests like this one the upstreams of a pool may get before
- *  they are full. */
-double gate_room(const bbm_gate *g, const gate_request *r, const char *pool);
+/** How many requests like this one a runner may get before it is full. */
+double gate_room(const gate_request *r, const gate_upstream *u);
 /** Choose an upstream. */
 gate_pick gate_choose(bbm_gate *g, const gate_request *r, gate_choice *c);
 /** Requests of all VMs at an upstream, as far as it is known. */
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -228,20 +228,13 @@
 }
 
 double
-gate_room(const bbm_gate *g, const gate_request *r, const char *pool)
+gate_room(const gate_request *r, const gate_upstream *u)
 {
-    double tokens = 0;
-    for (const gate_upstream *u = g->upstreams; u; u = u->hh.next) {
-        if (!u->listed || !u->pool || strcmp(u->info.pool, pool) != 0
-            || u->info.leaving || u->info.loading || gate_avoids(g, u))
-            continue;
-        double room = u->pool->memory * RUNNING_SHARE - memory_at(u);
-        double backlog = BACKLOG_MS * u->pool->speed - gate_unread_at(u);
-        room = backlog < room ? backlog : room;
-        tokens += room > 0 ? room : 0;
-    }
+    double room = u->pool->memory * RUNNING_SHARE - memory_at(u);
+    double backlog = BACKLOG_MS * u->pool->speed - gate_unread_at(u);
     double size = r->prompt + r->output;
-    return size > 0 ? tokens / size : tokens;
+    room = backlog < room ? backlog : room;
+    return size > 0 ? room / size : room;
 }
 
 static double
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -53,6 +53,7 @@
     TAILQ_REMOVE(&g->waiting, r, link);
     r->link.tqe_prev = NULL;
     g->waiting_len--;
+    g->load_changed = true;
 }
 
 void
@@ -131,6 +132,7 @@
     else
         TAILQ_INSERT_HEAD(&g->waiting, r, link);
     g->waiting_len++;
+    g->load_changed = true;
 }
 
 static void
@@ -183,6 +185,8 @@
     out->u.send.candidates = c->candidates;
     out->u.send.wait_ms = (int64_t)c->wait_ms;
     out->u.send.held_ms = held_ms(g, r);
+    out->u.send.after = r->after;
+    out->u.send.after_status = r->after_status;
     out->u.send.prompt = (int64_t)r->prompt;
     out->u.send.held = (int64_t)c->held;
     out->u.send.offered = (int64_t)c->offered;
@@ -226,7 +230,7 @@
     if (g->now < r->draw_at)
         return false;
     r->draw_at = g->now + DRAW_PERIOD;
-    return bbm_rng_unit(&g->rng) * held < gate_room(g, r, r->pools[0]);
+    return bbm_rng_unit(&g->rng) * held < gate_room(r, c->upstream);
 }
 
 void
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -261,6 +261,10 @@
     node_log_text(a, "id", out->id);
     node_log_text(a, "upstream", s->upstream);
     node_log_number(a, "attempt", s->attempt);
+    if (out->u.send.after) {
+        node_log_text(a, "after", out->u.send.after);
+        node_log_number(a, "after_status", out->u.send.after_status);
+    }
     node_log_number(a, "wait_ms", out->u.send.wait_ms);
     node_log_number(a, "held_ms", out->u.send.held_ms);
     node_log_number(a, "candidates", out->u.send.candidates);
