A restart of all elects and connects at once

Cause: all VMs lose power at 34.0 s and are back from 35.0 to 35.3 s, but the group had a leader only at 35.8 s: each voter gave no vote for an election time after its start, since it may have granted a lease before. VMs that started before their seeds connected a second later, with the kernel's next packet. Now a voter tells in its pre-vote answers that it neither led nor heard a leader since its start; if all voters of the same group and term do, nobody holds a lease, and the vote goes on. A connection that isn't there after 200 ms is begun anew. Ruled out: a shorter election time, which living leaders would lose too.

--- a/daemon/transport.c
+++ b/daemon/transport.c
@@ -17,7 +17,10 @@
 #define MESSAGE_MOST ((size_t)64 * 1024 * 1024)
 /* Pauses between tries to reach a peer, milliseconds. */
 #define RECONNECT_LEAST 50
-#define RECONNECT_MOST 1000
+#define RECONNECT_MOST 250
+/* A connection that isn't there after this is begun anew: where a machine has
+   no power, the next packet that opens it would be sent after a second. */
+#define OPENING_MOST (200 * BBM_MS)
 #define URL_SIZE (BBM_ADDRESS_SIZE + 8)
 #define CUT_FILE_PERIOD (100 * BBM_MS)
 
@@ -25,6 +28,8 @@
     char name[BBM_NAME_SIZE];
     char address[BBM_ADDRESS_SIZE];
     nng_socket socket;
+    bbm_time opened;
+    atomic_bool connected; /* set by the library's threads */
     UT_hash_handle hh;
 } link_to;
 
@@ -121,6 +126,14 @@
     free(l);
 }
 
+static void
+on_connection(nng_pipe pipe, nng_pipe_ev event, void *context)
+{
+    (void)pipe;
+    link_to *l = context;
+    atomic_store(&l->connected, event == NNG_PIPE_EV_ADD_POST);
+}
+
 static link_to *
 open_link(transport *t, const char *name, const char *address)
 {
@@ -133,6 +146,9 @@
         free(l);
         return NULL;
     }
+    l->opened = control_now();
+    nng_pipe_notify(l->socket, NNG_PIPE_EV_ADD_POST, on_connection, l);
+    nng_pipe_notify(l->socket, NNG_PIPE_EV_REM_POST, on_connection, l);
     nng_socket_set_int(l->socket, NNG_OPT_SENDBUF, SEND_QUEUE);
     nng_socket_set_ms(l->socket, NNG_OPT_RECONNMINT, RECONNECT_LEAST);
     nng_socket_set_ms(l->socket, NNG_OPT_RECONNMAXT, RECONNECT_MOST);
@@ -150,7 +166,9 @@
 {
     link_to *l = NULL;
     HASH_FIND_STR(t->links, name, l);
-    if (l && strcmp(l->address, address) != 0) {
+    bool hangs = l && !atomic_load(&l->connected)
+                 && control_now() - l->opened > OPENING_MOST;
+    if (l && (hangs || strcmp(l->address, address) != 0)) {
         close_link(t, l);
         l = NULL;
     }
--- a/raft/bbm_raft.c
+++ b/raft/bbm_raft.c
@@ -11,14 +11,27 @@
 #define DEFAULT_DRIFT_PPM 1000
 #define DEFAULT_BATCH_BYTES ((size_t)512 * 1024)
 #define HEARTBEATS_PER_ELECTION 5
+/* A member that has just started asks for pre-votes so many times sooner. */
+#define ANEW_PER_ELECTION 5
 
 /* ---- roles ---- */
 
+bool
+raft_is_anew(const bbm_raft *r)
+{
+    return !r->heard_leader && !r->led_since;
+}
+
+/* Members that have just started have no leader to wait for; a pre-vote
+   disturbs none that there is.  A vote takes its time. */
 void
 raft_reset_timeout(bbm_raft *r)
 {
-    uint64_t spread = bbm_rng_below(&r->rng, (uint64_t)r->desc.election);
-    r->timeout_at = r->now + r->desc.election + (bbm_time)spread;
+    bbm_time least = r->desc.election;
+    if (raft_is_anew(r) && r->role != BBM_CANDIDATE)
+        least /= ANEW_PER_ELECTION;
+    uint64_t spread = bbm_rng_below(&r->rng, (uint64_t)least);
+    r->timeout_at = r->now + least + (bbm_time)spread;
 }
 
 void
--- a/raft/raft_core.h
+++ b/raft/raft_core.h
@@ -19,6 +19,7 @@
     bbm_time heard;   /**< Own clock when it last answered. */
     bbm_time snapshot_sent; /**< Own clock when a snapshot went there. */
     bool granted;           /**< Voted for us in this round. */
+    bool anew;              /**< Said in it that it has just started. */
 } raft_peer;
 
 /** An output in the queue. */
@@ -91,6 +92,8 @@
 void raft_follow(bbm_raft *r, uint64_t term, bbm_member_id leader);
 /** Put off the next election by a random time. */
 void raft_reset_timeout(bbm_raft *r);
+/** True if we have neither led nor heard a leader since our start. */
+bool raft_is_anew(const bbm_raft *r);
 /** Start asking for pre-votes. */
 void raft_start_prevote(bbm_raft *r);
 /** Begin to lead. */
--- a/raft/raft_message.h
+++ b/raft/raft_message.h
@@ -26,14 +26,17 @@
     raft_message_kind kind; /**< Which. */
     bbm_member_id from;     /**< Sender. */
     bbm_member_id to;       /**< Receiver: its data folder. */
-    uint64_t term;        /**< Sender's term; asked-for term in a pre-vote. */
-    uint64_t index;       /**< Last or previous index; match in a reply. */
-    uint64_t index_term;  /**< Term at that index. */
-    uint64_t commit;      /**< Leader's commit index. */
-    bbm_time sent;        /**< Leader's clock when it sent; echoed. */
-    bool granted;         /**< Vote given, or entries taken. */
-    bbm_entry *entries;   /**< RAFT_APPEND; data points into the bytes. */
-    size_t len;           /**< Entries. */
+    uint64_t term;       /**< Sender's term; asked-for term in a pre-vote. */
+    uint64_t index;      /**< Last or previous index; match in a reply. */
+    uint64_t index_term; /**< Term at that index. */
+    uint64_t commit;     /**< Leader's commit index. */
+    bbm_time sent;       /**< Leader's clock when it sent; echoed. */
+    bool granted;        /**< Vote given, or entries taken. */
+    bool anew;           /**< Pre-vote answer: the sender neither led nor heard
+                              a leader since its start.  Vote: all did so. */
+    uint64_t group_at;   /**< Index of the group that the sender goes by. */
+    bbm_entry *entries;  /**< RAFT_APPEND; data points into the bytes. */
+    size_t len;          /**< Entries. */
     bbm_raft_group group; /**< RAFT_SNAPSHOT. */
     bbm_bytes data;       /**< RAFT_SNAPSHOT. */
 } raft_message;
--- a/raft/raft_vote.c
+++ b/raft/raft_vote.c
@@ -2,18 +2,36 @@
 
 /* Elections: pre-votes, votes, and what wins them. */
 
+/* True if every voter, and not just a quorum, has answered in this term and by
+   this group that it neither led nor heard a leader since it started.  Then
+   nobody holds a lease: one given before was lost with its holder's start, and
+   a later one would need a vote from one of them, in a higher term. */
+static bool
+all_are_anew(const bbm_raft *r)
+{
+    for (size_t i = 0; i < r->group.len; i++) {
+        if (r->group.members[i].voter && !r->peers[i].anew)
+            return false;
+    }
+    return raft_is_anew(r);
+}
+
 static void
 ask_all(bbm_raft *r, raft_message_kind kind, uint64_t term, bool durable)
 {
     uint64_t last = raft_log_last(&r->log);
+    bool anew = kind == RAFT_VOTE && all_are_anew(r);
     for (size_t i = 0; i < r->group.len; i++) {
         const bbm_raft_member *member = &r->group.members[i];
-        r->peers[i].granted = member->id == r->desc.id;
-        if (member->id == r->desc.id || !member->voter)
+        bool self = member->id == r->desc.id;
+        r->peers[i].granted = self;
+        r->peers[i].anew = self && raft_is_anew(r);
+        if (self || !member->voter)
             continue;
         raft_message m = {
             .kind = kind,
             .to = member->id,
+            .anew = anew,
             .term = term,
             .index = last,
             .index_term = raft_log_term(&r->log, last),
@@ -92,7 +110,12 @@
         .kind = pre ? RAFT_PREVOTE_REPLY : RAFT_VOTE_REPLY,
         .to = m->from,
     };
-    bool quiet = keeps_quiet(r);
+    /* Nobody leads if all of us have just started. */
+    bool quiet = keeps_quiet(r) && !(m->anew && raft_is_anew(r));
+    /* Of two that ask at once only one is to go on, or neither wins. */
+    bool gives_way = r->role != BBM_PREVOTER || m->from < r->desc.id;
+    reply.anew = pre && raft_is_anew(r) && gives_way;
+    reply.group_at = raft_log_group_index(&r->log);
     if (!pre && !quiet && m->term > r->term)
         raft_follow(r, m->term, 0);
     bool current = pre ? m->term > r->term : m->term == r->term;
@@ -109,6 +132,20 @@
     raft_send(r, &reply, true);
 }
 
+/* A voter that keeps quiet only because it has just started. */
+static void
+hear_anew(bbm_raft *r, const raft_message *m)
+{
+    int pos = raft_position(r, m->from);
+    bool same =
+        m->term == r->term && m->group_at == raft_log_group_index(&r->log);
+    if (r->role != BBM_PREVOTER || pos < 0 || !m->anew || !same)
+        return;
+    r->peers[pos].anew = true;
+    if (all_are_anew(r))
+        start_election(r);
+}
+
 void
 raft_on_vote_reply(bbm_raft *r, const raft_message *m)
 {
@@ -116,6 +153,8 @@
     if (!m->granted) {
         if (m->term > r->term)
             raft_follow(r, m->term, 0);
+        else if (pre)
+            hear_anew(r, m);
         return;
     }
     bbm_raft_role asked = pre ? BBM_PREVOTER : BBM_CANDIDATE;
--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -225,6 +225,28 @@
 }
 END_TEST
 
+/* Of voters that all have just started none can hold a lease: they need not
+   wait for one to run out, which takes a second here. */
+START_TEST(restart_of_all_elects_at_once)
+{
+    for (uint64_t seed = 1; seed <= 8; seed++) {
+        world w;
+        open_world(&w, seed);
+        must_publish(&w, 0, 7, "kept");
+        for (int i = 0; i < NODES; i++)
+            fleet_crash(w.fleet, i);
+        /* What was under way has been lost by then. */
+        fleet_run(w.fleet, 100 * BBM_MS);
+        for (int i = 0; i < NODES; i++)
+            fleet_start(w.fleet, i);
+        fleet_run(w.fleet, 800 * BBM_MS);
+        ck_assert_int_eq(leaders(&w), 1);
+        must_read(&w, 0, "kept");
+        close_world(&w);
+    }
+}
+END_TEST
+
 START_TEST(lost_disk_of_the_first_seed_founds_nothing)
 {
     world w;
@@ -594,7 +616,7 @@
 END_TEST
 
 TEST_MAIN("joining", seeds_found_one_group,
-          restart_of_all_founds_no_second_group,
+          restart_of_all_founds_no_second_group, restart_of_all_elects_at_once,
           lost_disk_of_the_first_seed_founds_nothing,
           disks_lost_in_turn_lose_no_version,
           voters_that_end_for_good_one_by_one_give_way,
