--- a/tests/raft_history.c
+++ b/tests/raft_history.c
@@ -256,6 +256,19 @@
     h->result.freezes++;
 }
 
+/* The whole group, most of which is back at once. */
+static void
+crash_all(history *h)
+{
+    for (int i = 0; i < h->desc.members; i++) {
+        place *p = &h->places[i];
+        if (p->up)
+            crash(h, p);
+        if (!p->up && bbm_rng_below(&h->rng, 5) > 0)
+            start(h, p);
+    }
+}
+
 /* Two members that don't hear each other, though a third hears both. */
 static void
 cut_pair(history *h)
@@ -273,7 +286,7 @@
     place *p = &h->places[pick_place(h)];
     int minority = (h->desc.members - 1) / 2;
     bool weak_disk = h->desc.weakness == RAFT_OLD_IDENTITY;
-    switch (bbm_rng_below(&h->rng, 7)) {
+    switch (bbm_rng_below(&h->rng, 8)) {
     case 0:
         if (p->up)
             crash(h, p);
@@ -297,6 +310,10 @@
         cut_pair(h);
         return;
     case 6:
+        if (bbm_rng_below(&h->rng, 12) == 0)
+            crash_all(h);
+        return;
+    case 7:
         /* Only as many disks as the group can lose. */
         if (p->up && !p->lost && (weak_disk || count_down(h) < minority)
             && bbm_rng_below(&h->rng, 4) == 0)
