A VM that starts keeps requests until it knows the configuration

Cause: after a restart of all VMs callers were refused at 35.2 s, came back after 0.3 s, were refused again and left, though the VM served from 35.4 s on. Now a request that comes within 2 s of the start is kept for 0.4 s at the most; its times count from its arrival. After that it is refused as before. Ruled out: a longer time to come back, which callers of short calls don't have. Test: starting_vm_keeps_requests_for_a_moment, failed before (refused).

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -31,6 +31,8 @@
     exchange *ex;
     uint32_t attempt; /* last one started */
     bool ended;       /* that attempt has ended */
+    bbm_time came;
+    bool again; /* is to be given to the node again */
     UT_hash_handle hh;
 } open_row;
 
@@ -39,6 +41,7 @@
     bbm_node *node;
     open_row *rows;
     bbm_time presence_at; /* next look for callers that left */
+    bool later;           /* some are to be given to the node again */
     bool stopped;
 } control;
 
@@ -106,6 +109,16 @@
 
 /* ---- actions ---- */
 
+static void
+do_later(control *c, uint64_t request)
+{
+    open_row *row = find_row(c, request);
+    if (!row)
+        return;
+    row->again = true;
+    c->later = true;
+}
+
 static void
 do_start(control *c, const bbm_start *start)
 {
@@ -230,6 +243,9 @@
     case BBM_ACT_FORWARD:
         do_forward(c, a);
         return;
+    case BBM_ACT_LATER:
+        do_later(c, a->u.later.request);
+        return;
     case BBM_ACT_LIST:
         if (c->desc->provider)
             provider_list(c->desc->provider);
@@ -302,6 +318,7 @@
     open_row *row = bbm_calloc(1, sizeof(*row));
     row->id = ex->id;
     row->ex = exchange_ref(ex);
+    row->came = control_now();
     HASH_ADD(hh, c->rows, id, sizeof(row->id), row);
     bbm_event ev = {0};
     switch (ex->kind) {
@@ -330,6 +347,27 @@
     step(c, &ev);
 }
 
+/* What the node put off. */
+static void
+give_again(control *c)
+{
+    if (!c->later)
+        return;
+    c->later = false;
+    bbm_time now = control_now();
+    open_row *row, *next;
+    HASH_ITER(hh, c->rows, row, next)
+    {
+        if (!row->again)
+            continue;
+        row->again = false;
+        bbm_event ev = {.kind = BBM_EV_CALL};
+        front_provider_call(row->ex, &ev.u.request_to_pool);
+        ev.u.request_to_pool.ask.waited = now - row->came;
+        step(c, &ev);
+    }
+}
+
 static void
 take_finished(control *c, control_item *item)
 {
@@ -554,6 +592,7 @@
     bbm_event ev = {.kind = BBM_EV_TICK};
     ev.u.tick.wall_ms = control_wall_ms();
     step(c, &ev);
+    give_again(c);
     atomic_store(c->desc->last_tick, control_now());
 }
 
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -74,6 +74,7 @@
     int64_t prompt_tokens; /**< As the caller tells; -1: untold. */
     int64_t output_tokens; /**< At most; -1: untold. */
     bbm_time patience;     /**< The caller waits so long; 0: untold. */
+    bbm_time waited;       /**< Of that it has waited here already. */
 } bbm_ask;
 
 /** An attempt to be made. */
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -353,14 +353,14 @@
 /* Callers leave a stream that is silent for too long, before its first event
    as well. */
 static bbm_time
-start_limit(const bbm_gate *g, const bbm_route *route)
+start_limit(const gate_request *r, const bbm_route *route)
 {
     bbm_time most = SILENCE_LEAST;
     bbm_time aims = route->aim_ms * BBM_MS * SILENCE_AIMS;
     bbm_time gaps = route->gap_ms * BBM_MS * SILENCE_GAPS;
     most = aims > most ? aims : most;
     most = gaps > most ? gaps : most;
-    return g->now + most - ANSWER_MARGIN;
+    return r->arrived + most - ANSWER_MARGIN;
 }
 
 static gate_request *
@@ -370,7 +370,7 @@
     gate_request *r = bbm_calloc(1, sizeof(*r));
     r->number = ask->request;
     bbm_name_set(r->id, ask->id);
-    r->arrived = g->now;
+    r->arrived = g->now - ask->waited;
     r->stream = route->stream;
     r->resumable = route->stream && route->resumable;
     r->repeatable = route->repeatable || r->resumable;
@@ -385,15 +385,15 @@
     r->aim = route->aim_ms * BBM_MS;
     r->until = BBM_NEVER;
     if (ask->patience > 0)
-        r->until = g->now + ask->patience - ANSWER_MARGIN;
-    bbm_time limit = g->now + route->timeout_ms * BBM_MS;
+        r->until = r->arrived + ask->patience - ANSWER_MARGIN;
+    bbm_time limit = r->arrived + route->timeout_ms * BBM_MS;
     if (route->timeout_ms && limit < r->until)
         r->until = limit;
     if (r->until == BBM_NEVER)
         r->until = g->now + 3600 * BBM_SECOND;
     r->start_by = r->until;
     if (r->stream) {
-        bbm_time limit_by_silence = start_limit(g, route);
+        bbm_time limit_by_silence = start_limit(r, route);
         if (limit_by_silence < r->start_by)
             r->start_by = limit_by_silence;
     }
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -291,6 +291,7 @@
     BBM_ACT_WATCH,   /**< Ask a runner for reports, or stop. */
     BBM_ACT_READY,   /**< Readiness changed. */
     BBM_ACT_FORWARD, /**< Send a request to a pool's upstream. */
+    BBM_ACT_LATER,   /**< Give a request's BBM_EV_CALL again soon. */
     BBM_ACT_LIST,    /**< Read the list of upstreams. */
     BBM_ACT_ROLLOUT, /**< Ask a runner, or give it an order. */
     BBM_ACT_STORE,   /**< Watch a store of KV cache, or stop. */
@@ -368,6 +369,9 @@
             bool resumes;  /**< Goes on after last_event. */
             char last_event[BBM_EVENT_ID_SIZE]; /**< Passed on last. */
         } forward;                              /**< BBM_ACT_FORWARD. */
+        struct {
+            uint64_t request; /**< Number. */
+        } later;              /**< BBM_ACT_LATER. */
         struct {
             bbm_rollout_act act; /**< What. */
             bbm_time not_after;  /**< Don't send after this. */
--- a/node/node_act.c
+++ b/node/node_act.c
@@ -39,6 +39,7 @@
     case BBM_ACT_WATCH:
     case BBM_ACT_READY:
     case BBM_ACT_FORWARD:
+    case BBM_ACT_LATER:
     case BBM_ACT_LIST:
     case BBM_ACT_ROLLOUT:
     case BBM_ACT_STORE:
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -6,6 +6,11 @@
    its outputs. */
 
 #define COME_BACK_SOON (300 * BBM_MS)
+/* A VM that has just started knows the configuration soon.  For so long after
+   its start it keeps requests, each as long as many callers find an answer in
+   good time; those that came later would be refused twice. */
+#define STARTING_MOST (2 * BBM_SECOND)
+#define KEEP_MOST (400 * BBM_MS)
 /* The view of the configuration counts as current at this age. */
 #define CURRENT_AGE (1500 * BBM_MS)
 /* Without a control group a VM serves with what others told it after this:
@@ -150,12 +155,25 @@
     return longest <= 0 || longest > n->desc.stop_most - since;
 }
 
+static bool
+may_be_kept(const bbm_node *n, const bbm_call_event *ev)
+{
+    return n->gate && !n->stopping && n->now - n->started < STARTING_MOST
+           && ev->ask.waited < KEEP_MOST;
+}
+
 void
 node_gate_call(bbm_node *n, const bbm_call_event *ev)
 {
-    n->counts.requests++;
     const bbm_config *cfg = node_config(n);
-    if (!n->gate || !cfg || !n->caught_up) {
+    bool ready = n->gate && cfg && n->caught_up;
+    if (!ready && may_be_kept(n, ev)) {
+        bbm_action *a = node_act(n, BBM_ACT_LATER);
+        a->u.later.request = ev->ask.request;
+        return;
+    }
+    n->counts.requests++;
+    if (!ready) {
         deny(n, ev, BBM_ERR_NOT_READY);
         return;
     }
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -114,6 +114,10 @@
         if (h->order)
             h->order(h->context, i, a);
         return;
+    case BBM_ACT_LATER:
+        if (h->later)
+            h->later(h->context, i, a->u.later.request);
+        return;
     case BBM_ACT_LIST:
         if (h->list)
             h->list(h->context, i);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -46,6 +46,7 @@
     void (*answer)(void *context, const fleet_answer *answer);
     void (*order)(void *context, int node, const bbm_action *a);
     void (*list)(void *context, int node);
+    void (*later)(void *context, int node, uint64_t request);
     void (*log)(void *context, int node, bbm_log_event event);
 } fleet_hooks;
 
--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -580,6 +580,72 @@
     return w->code;
 }
 
+/* ---- a VM that starts ---- */
+
+typedef struct start_world {
+    stop_world stop;
+    uint64_t later; /* request that is to be given again */
+} start_world;
+
+static void
+on_later(void *context, int node, uint64_t request)
+{
+    (void)node;
+    start_world *w = context;
+    w->later = request;
+}
+
+static int
+call_starting(start_world *w, uint64_t request, bbm_time waited)
+{
+    bbm_event ev = {.kind = BBM_EV_CALL};
+    ev.u.request_to_pool.host = "h";
+    ev.u.request_to_pool.path = "/long/x";
+    ev.u.request_to_pool.ask.request = request;
+    ev.u.request_to_pool.ask.waited = waited;
+    w->later = 0;
+    w->stop.code = BBM_OK;
+    ck_assert(fleet_give(w->stop.list.world.fleet, 2, &ev));
+    return w->stop.code;
+}
+
+/* All VMs start anew under load, and know the configuration after some tenths
+   of a second: callers that come meanwhile are kept for that, and not refused
+   twice; but not for longer than an answer is of use. */
+START_TEST(starting_vm_keeps_requests_for_a_moment)
+{
+    start_world w = {0};
+    w.stop.list.world.fleet = fleet_create(
+        &(fleet_desc){
+            .seed = 32,
+            .nodes = 3,
+            .seeds = 1,
+            .disks = 1,
+            .sync = 2 * BBM_MS,
+            .delay = BBM_MS,
+            .node.discovery = true,
+        },
+        &(fleet_hooks){.context = &w,
+                       .list = on_list,
+                       .later = on_later,
+                       .answer = on_refusal});
+    fleet *f = w.stop.list.world.fleet;
+    run_with_list(&w.stop.list, 4 * BBM_SECOND);
+    ck_assert(fleet_publish(f, 0, 1, "first", 0, pools));
+    run_with_list(&w.stop.list, 3 * BBM_SECOND);
+    fleet_crash(f, 2);
+    fleet_start(f, 2);
+    ck_assert_int_eq(call_starting(&w, 9, 0), BBM_OK);
+    ck_assert_uint_eq(w.later, 9);
+    ck_assert_int_eq(call_starting(&w, 10, 500 * BBM_MS), BBM_ERR_NOT_READY);
+    ck_assert_uint_eq(w.later, 0);
+    run_with_list(&w.stop.list, 3 * BBM_SECOND);
+    ck_assert_int_eq(call_starting(&w, 9, 300 * BBM_MS), BBM_OK);
+    ck_assert_uint_eq(w.later, 0);
+    close_world(&w.stop.list.world);
+}
+END_TEST
+
 /* Seen on a VM that took a long stream 3.2 s after SIGTERM, and broke it off
    when its time to stop came. */
 START_TEST(stopping_vm_takes_what_it_can_end)
@@ -625,4 +691,5 @@
           highest_version_wins_and_never_goes_back,
           minority_acknowledges_nothing, start_of_all_sends_the_state_once,
           new_leader_keeps_the_upstreams_that_were_told,
+          starting_vm_keeps_requests_for_a_moment,
           stopping_vm_takes_what_it_can_end);
