--- a/daemon/control.c
+++ b/daemon/control.c
@@ -21,6 +21,8 @@
 /* Callers of pools are looked for this often: a caller that left must be
    noticed in half a second. */
 #define GONE_MOST 256
+/* Requests that were put off and are given to the node at one tick. */
+#define AGAIN_MOST 256
 #define PRESENT_PERIOD (120 * BBM_MS)
 /* Items taken between two ticks at the most. */
 #define ITEMS_PER_TURN 512
@@ -347,20 +349,30 @@
     step(c, &ev);
 }
 
-/* What the node put off. */
+/* What the node put off; a step may end any of the rows. */
 static void
 give_again(control *c)
 {
+    uint64_t put_off[AGAIN_MOST];
+    size_t len = 0;
     if (!c->later)
         return;
     c->later = false;
-    bbm_time now = control_now();
-    open_row *row, *next;
-    HASH_ITER(hh, c->rows, row, next)
-    {
+    for (open_row *row = c->rows; row; row = row->hh.next) {
         if (!row->again)
             continue;
+        if (len == AGAIN_MOST) {
+            c->later = true;
+            break;
+        }
         row->again = false;
+        put_off[len++] = row->id;
+    }
+    bbm_time now = control_now();
+    for (size_t i = 0; i < len; i++) {
+        open_row *row = find_row(c, put_off[i]);
+        if (!row)
+            continue;
         bbm_event ev = {.kind = BBM_EV_CALL};
         front_provider_call(row->ex, &ev.u.request_to_pool);
         ev.u.request_to_pool.ask.waited = now - row->came;
