One reckoning of a fetch, and a comment at its own function

Cause: read again, away_ms in gate_place.c and fetch_ms in gate_cache.c were the same formula with constants of their own, and the story of choose_by_weights stood above new_ones_bear_it. Ruled out: one predicate for likely_holder and is_source; they differ in what an avoided or loading runner may still offer.

--- a/gate/gate_cache.c
+++ b/gate/gate_cache.c
@@ -52,13 +52,18 @@
     return s->alive ? bbm_places_has(g->places, &q) : NULL;
 }
 
-static double
-fetch_ms(const gate_upstream *u, const char *zone, double tokens)
+double
+gate_fetch_ms(const gate_upstream *u, double tokens, bool near)
 {
-    bool near = strcmp(u->info.zone, zone) == 0;
     return FETCH_BASE + tokens * u->pool->fetch * (near ? 1 : FETCH_FAR);
 }
 
+static bool
+is_near(const gate_upstream *u, const char *zone)
+{
+    return strcmp(u->info.zone, zone) == 0;
+}
+
 static void
 offer(gate_cached *c, const char *address, uint64_t store, double tokens,
       double ms)
@@ -106,7 +111,7 @@
             suggest(c, s->info.address);
         else
             offer(c, s->info.address, 0, prefix->tokens,
-                  fetch_ms(u, s->info.zone, lacks));
+                  gate_fetch_ms(u, lacks, is_near(u, s->info.zone)));
     }
     for (const gate_store *s = g->stores; s; s = s->hh.next) {
         const bbm_holder *h = has_in_store(g, s, key);
@@ -114,7 +119,9 @@
             suggest(c, s->address);
         else if (h)
             offer(c, s->address, s->hash, prefix->tokens,
-                  STORE_MS + fetch_ms(u, s->zone, lacks * STORE_FACTOR));
+                  STORE_MS
+                      + gate_fetch_ms(u, lacks * STORE_FACTOR,
+                                      is_near(u, s->zone)));
     }
 }
 
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -250,6 +250,9 @@
     double fetch_ms;    /**< To fetch what it lacks of them. */
 } gate_cached;
 
+/** Milliseconds in which a runner fetches tokens from its own zone, or from
+ *  another or an unknown one. */
+double gate_fetch_ms(const gate_upstream *u, double tokens, bool near);
 /** Look up a prompt at a runner with these weights. */
 void gate_look_up(const bbm_gate *g, const gate_request *r,
                   const gate_upstream *u, uint64_t version, gate_cached *c);
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -15,10 +15,6 @@
 
 /* Milliseconds that one open request adds to each step of a runner. */
 #define STEP_PER_OPEN 0.3
-/* A fetch from an unknown source: milliseconds beside the fetch itself, and
-   how many times as long it takes as within a zone. */
-#define FETCH_BASE 3.0
-#define FETCH_FACTOR 2.0
 /* Running requests hold their tokens in the memory that keeps shared parts,
    and more of them than a runner reads from at a time end no sooner: so much
    of the memory is for them, and so long a backlog. */
@@ -265,9 +261,8 @@
 static double
 away_ms(const gate_request *r, const candidate *c, size_t rank)
 {
-    const gate_pool *p = c->upstream->pool;
-    double fetch = FETCH_BASE + r->shared * p->fetch * FETCH_FACTOR;
-    double read = r->shared / p->speed;
+    double fetch = gate_fetch_ms(c->upstream, r->shared, false);
+    double read = r->shared / c->upstream->pool->speed;
     if (rank == 0)
         return 0;
     if (rank > 1)
@@ -515,10 +510,8 @@
     }
 }
 
-/* Runners with old weights: what they make is worth little, but more than an
-   answer that comes far too late.  So the newest ones get what they can begin
-   in good time, the old ones what they may and can, and the newest the rest
-   as long as the callers wait for it. */
+/* Where VMs hear late of each other, the runners with new weights would get
+   what all of them choose at once. */
 static bool
 new_ones_bear_it(bbm_gate *g, const field *f)
 {
@@ -529,6 +522,10 @@
     return bbm_rng_unit(&g->rng) * all < most * NEW_SHARE;
 }
 
+/* Runners with old weights: what they make is worth little, but more than an
+   answer that comes far too late.  So the newest ones get what they can begin
+   in good time, the old ones what they may and can, and the newest the rest
+   as long as the callers wait for it. */
 static gate_pick
 choose_by_weights(bbm_gate *g, const gate_request *r, const field *all,
                   gate_choice *c)
