Early votes compare groups by their members, not by a place in the log

Cause: read again, a voter's answer that it has just started bore the log index of its group, so that only voters of one group would skip the wait for a lease. After a compaction that index is 0 for every group: two different groups passed for one. Now the answer bears a mark of the members and who votes. Test: early_votes_need_one_group, failed before.

--- a/raft/raft_message.c
+++ b/raft/raft_message.c
@@ -21,7 +21,7 @@
     bbm_put_i64(buf, m->sent);
     bbm_put_u64(buf, m->granted);
     bbm_put_u64(buf, m->anew);
-    bbm_put_u64(buf, m->group_at);
+    bbm_put_u64(buf, m->group_mark);
     bbm_put_u64(buf, m->len);
     for (size_t i = 0; i < m->len; i++) {
         bbm_put_u64(buf, m->entries[i].term);
@@ -73,7 +73,7 @@
     m->sent = bbm_get_i64(&rd);
     m->granted = bbm_get_u32(&rd, 1) != 0;
     m->anew = bbm_get_u32(&rd, 1) != 0;
-    m->group_at = bbm_get_u64(&rd);
+    m->group_mark = bbm_get_u64(&rd);
     m->len = bbm_get_u32(&rd, RAFT_ENTRIES_MOST);
     if (m->len && m->kind == RAFT_APPEND && !rd.failed)
         decode_entries(&rd, m);
--- a/raft/raft_message.h
+++ b/raft/raft_message.h
@@ -34,7 +34,7 @@
     bool granted;        /**< Vote given, or entries taken. */
     bool anew;           /**< Pre-vote answer: the sender neither led nor heard
                               a leader since its start.  Vote: all did so. */
-    uint64_t group_at;   /**< Index of the group that the sender goes by. */
+    uint64_t group_mark; /**< Of the group that the sender goes by. */
     bbm_entry *entries;  /**< RAFT_APPEND; data points into the bytes. */
     size_t len;          /**< Entries. */
     bbm_raft_group group; /**< RAFT_SNAPSHOT. */
--- a/raft/raft_vote.c
+++ b/raft/raft_vote.c
@@ -16,6 +16,19 @@
     return raft_is_anew(r);
 }
 
+/* The same for the same members and voters, in whatever order: after a
+   compaction the group's place in the log is no longer known. */
+static uint64_t
+mark_of_group(const bbm_raft *r)
+{
+    uint64_t mark = 0;
+    for (size_t i = 0; i < r->group.len; i++) {
+        const bbm_raft_member *m = &r->group.members[i];
+        mark += bbm_hash64(&m->id, sizeof(m->id), m->voter);
+    }
+    return mark;
+}
+
 static void
 ask_all(bbm_raft *r, raft_message_kind kind, uint64_t term, bool durable)
 {
@@ -115,7 +128,7 @@
     /* Of two that ask at once only one is to go on, or neither wins. */
     bool gives_way = r->role != BBM_PREVOTER || m->from < r->desc.id;
     reply.anew = pre && raft_is_anew(r) && gives_way;
-    reply.group_at = raft_log_group_index(&r->log);
+    reply.group_mark = mark_of_group(r);
     if (!pre && !quiet && m->term > r->term)
         raft_follow(r, m->term, 0);
     bool current = pre ? m->term > r->term : m->term == r->term;
@@ -137,8 +150,7 @@
 hear_anew(bbm_raft *r, const raft_message *m)
 {
     int pos = raft_position(r, m->from);
-    bool same =
-        m->term == r->term && m->group_at == raft_log_group_index(&r->log);
+    bool same = m->term == r->term && m->group_mark == mark_of_group(r);
     if (r->role != BBM_PREVOTER || pos < 0 || !m->anew || !same)
         return;
     r->peers[pos].anew = true;
