--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -85,11 +85,13 @@
                   const char *upstream, int64_t cached_tokens)
 {
     pthread_mutex_lock(&ex->lock);
-    ex->has_head = true;
-    ex->status = status;
-    ex->cached_tokens = cached_tokens;
-    bbm_text_set(ex->answer_type, sizeof(ex->answer_type), type);
-    bbm_name_set(ex->upstream, upstream);
+    if (!ex->finished) {
+        ex->has_head = true;
+        ex->status = status;
+        ex->cached_tokens = cached_tokens;
+        bbm_text_set(ex->answer_type, sizeof(ex->answer_type), type);
+        bbm_name_set(ex->upstream, upstream);
+    }
     bool connected = ex->connection != NULL;
     pthread_mutex_unlock(&ex->lock);
     return connected;
@@ -100,13 +102,17 @@
                            exchange_headers *headers)
 {
     pthread_mutex_lock(&ex->lock);
-    ex->has_head = true;
-    ex->verbatim = true;
-    ex->status = status;
-    ex->content_length = length;
-    exchange_headers_free(&ex->answer_headers);
-    ex->answer_headers = *headers;
-    *headers = (exchange_headers){0};
+    /* The upstream's head may arrive when control has just answered with an
+       error that isn't queued yet; that body must not get this head. */
+    if (!ex->finished) {
+        ex->has_head = true;
+        ex->verbatim = true;
+        ex->status = status;
+        ex->content_length = length;
+        exchange_headers_free(&ex->answer_headers);
+        ex->answer_headers = *headers;
+        *headers = (exchange_headers){0};
+    }
     bool connected = ex->connection != NULL;
     /* The head alone doesn't resume the connection: the first body bytes or
        the end of the answer do.  Until then an error can replace the head. */
@@ -115,11 +121,11 @@
 }
 
 /* Called with the lock held.  Discards the bytes if the client has
-   disconnected. */
+   disconnected or the answer has ended. */
 static void
 append_bytes(exchange *ex, const void *data, size_t len)
 {
-    if (!ex->connection)
+    if (!ex->connection || ex->finished)
         return;
     if (ex->out_pos == ex->out.len) {
         ex->out.len = 0;
@@ -147,7 +153,7 @@
 exchange_write(exchange *ex, const void *data, size_t len)
 {
     pthread_mutex_lock(&ex->lock);
-    bool has_room = !ex->connection
+    bool has_room = !ex->connection || ex->finished
                     || ex->out.len - ex->out_pos < EXCHANGE_HIGH_WATER_BYTES;
     if (has_room && len)
         append_bytes(ex, data, len);
@@ -176,11 +182,13 @@
                 const void *data, size_t len)
 {
     pthread_mutex_lock(&ex->lock);
-    ex->has_head = true;
-    ex->status = status;
-    bbm_text_set(ex->answer_type, sizeof(ex->answer_type), type);
-    append_bytes(ex, data, len);
-    ex->finished = true;
+    if (!ex->finished) {
+        ex->has_head = true;
+        ex->status = status;
+        bbm_text_set(ex->answer_type, sizeof(ex->answer_type), type);
+        append_bytes(ex, data, len);
+        ex->finished = true;
+    }
     resume_connection(ex);
     pthread_mutex_unlock(&ex->lock);
 }
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -155,12 +155,13 @@
 void exchange_headers_free(exchange_headers *h);
 
 /** Set the head of an answer that is passed on unchanged.  Takes over the
- *  content of @p headers; @p length is -1 if unknown.  Returns false if the
- *  client has disconnected. */
+ *  content of @p headers; @p length is -1 if unknown.  No effect if the answer
+ *  has ended already.  Returns false if the client has disconnected. */
 bool exchange_set_verbatim_head(exchange *ex, unsigned status, int64_t length,
                                 exchange_headers *headers);
 /** Set the head of an upstream's answer.  @p cached_tokens is -1 if unknown.
- *  Returns false if the client has disconnected. */
+ *  No effect if the answer has ended already.  Returns false if the client has
+ *  disconnected. */
 bool exchange_set_head(exchange *ex, unsigned status, const char *type,
                        const char *upstream, int64_t cached_tokens);
 /** Set the thread that fills the answer, and `on_drained`. */
@@ -168,13 +169,14 @@
                            void (*on_drained)(exchange *ex));
 /** Append answer bytes.  Returns false if the buffer is full: nothing was
  *  added, and the producer must pause until `on_drained`.  With @p len 0 it
- *  only checks for room.  If the client has disconnected, bytes are discarded
- *  and the result is true. */
+ *  only checks for room.  If the client has disconnected or the answer has
+ *  ended, bytes are discarded and the result is true. */
 bool exchange_write(exchange *ex, const void *data, size_t len);
 /** End the answer; @p truncated if it is incomplete.  No effect if it has
  *  ended already. */
 void exchange_finish(exchange *ex, bool truncated);
-/** Set head and body of a complete answer. */
+/** Set head and body of a complete answer.  No effect if the answer has ended
+ *  already. */
 void exchange_answer(exchange *ex, unsigned status, const char *type,
                      const void *data, size_t len);
 /** Answer with an error.  An answer whose status can't change any more ends as
