--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -75,6 +75,12 @@
       "runner answered a rollout request")                                    \
     X(BBM_EVENT_STORE_UP, 418, INFO, "KV cache store is reachable")           \
     X(BBM_EVENT_STORE_DOWN, 419, WARN, "KV cache store is unreachable")       \
+    X(BBM_EVENT_UPSTREAM_SAYS_LEAVING, 420, INFO,                             \
+      "upstream stated in an answer that it leaves")                          \
+    X(BBM_EVENT_UPSTREAM_PAUSED, 421, INFO,                                   \
+      "upstream asked for no requests for a while")                           \
+    X(BBM_EVENT_UPSTREAM_BAD_NOTICE, 422, WARN,                               \
+      "invalid Server-Leaving or Retry-After of upstreams ignored")           \
     X(BBM_EVENT_REQUEST_SENT, 510, INFO, "request sent to an upstream")       \
     X(BBM_EVENT_REQUEST_RETRIED, 511, INFO,                                   \
       "request sent to another upstream")                                     \
--- a/daemon/calls.c
+++ b/daemon/calls.c
@@ -52,7 +52,10 @@
         if (c->desc.before_poll)
             c->desc.before_poll(c->desc.context);
         drive_transfers(c);
-        curl_multi_poll(c->multi, NULL, 0, c->desc.wait_ms, NULL);
+        int wait_ms = c->desc.wait_limit_ms
+                          ? c->desc.wait_limit_ms(c->desc.context)
+                          : c->desc.wait_ms;
+        curl_multi_poll(c->multi, NULL, 0, wait_ms, NULL);
     }
     run_queued_jobs(c);
     return NULL;
--- a/daemon/calls.h
+++ b/daemon/calls.h
@@ -34,6 +34,9 @@
     void (*transfer_done)(void *context, CURL *easy, CURLcode code);
     /** Called once per loop, before transfers are driven; may be NULL. */
     void (*before_poll)(void *context);
+    /** Longest wait in ms that the transfers allow, at most wait_ms; NULL:
+     *  wait_ms. */
+    int (*wait_limit_ms)(void *context);
     void (*free_job)(void *job); /**< Releases a job that was never run. */
     int wait_ms;               /**< Longest wait for events in one loop, ms. */
     long idle_connections_max; /**< Idle connections kept open; 0: libcurl's
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -495,6 +495,7 @@
         ev.kind = BBM_EV_RESPONSE_HEAD;
         ev.u.response_head.request = item->id;
         ev.u.response_head.attempt = item->attempt;
+        ev.u.response_head.notice = item->notice;
         break;
     case CONTROL_FORWARD_FINISHED:
         handle_forward_finished(c, &item->forwarded);
@@ -507,11 +508,13 @@
         ev.u.rollout_report.id = item->name;
         ev.u.rollout_report.report =
             item->succeeded ? &item->runner_report : NULL;
+        ev.u.rollout_report.leaving = item->notice.leaving;
         break;
     case CONTROL_ROLLOUT_ANSWER:
         ev.kind = BBM_EV_ROLLOUT_ANSWER;
         ev.u.rollout_answer.id = item->name;
         ev.u.rollout_answer.answer = item->order_answer;
+        ev.u.rollout_answer.leaving = item->notice.leaving;
         break;
     case CONTROL_STORE_STATUS:
         ev.kind = BBM_EV_STORE_STATUS;
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -63,6 +63,8 @@
     bool succeeded;                   /**< The listing or report was read; the
                                            store answers. */
     bbm_forward_result forwarded;     /**< CONTROL_FORWARD_FINISHED. */
+    bbm_upstream_notice notice;       /**< CONTROL_RESPONSE_HEAD; of the
+                                           rollout's calls only `leaving`. */
     bbm_listing listing;              /**< CONTROL_LISTING; owned. */
     bbm_runner_report runner_report;  /**< CONTROL_ROLLOUT_REPORT. */
     bbm_order_answer order_answer;    /**< CONTROL_ROLLOUT_ANSWER. */
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -4,13 +4,15 @@
 #include "control.h"
 #include "events.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
+#include <linux/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <uthash.h>
 
 #define POLL_WAIT_MS 1000
@@ -33,6 +35,19 @@
 #define READ_BUFFER_BYTES 16384L
 /* Buffer for a header line; longer lines of an answer are dropped. */
 #define HEADER_LINE_BYTES 8192
+/* Limits on what a faulty upstream may send: the heads of an answer, interim
+   ones included; the body of an answer that isn't passed on, and the time for
+   it; and bytes of the framing, such as chunk extensions, between two pieces
+   of a body. */
+#define HEAD_BYTES_MAX ((size_t)64 * 1024)
+#define REFUSED_BODY_BYTES_MAX ((size_t)16 * 1024)
+#define REFUSED_BODY_TIME_MAX (100 * BBM_MS)
+#define FRAMING_BYTES_MAX ((uint64_t)256 * 1024)
+/* Period of the checks of the last two limits.  They are checked sooner after
+   this number of loops in which libcurl called no callback: it may be reading
+   much and passing on nothing. */
+#define CHECK_PERIOD (50 * BBM_MS)
+#define SILENT_LOOPS_MAX 4
 
 typedef enum job_kind {
     JOB_START,
@@ -59,22 +74,53 @@
     struct curl_slist *request_headers;
     exchange_headers answer_headers; /* to be passed on */
     platform_response parsed_head;
+    bbm_upstream_notice notice; /* valid if head_checked */
     long status;
-    int64_t content_length; /* -1: unknown */
-    event_splitter events;  /* used if the stream is resumable */
-    char tail[2];           /* last two body bytes; 0: none */
-    bool sent;              /* the upstream may have received bytes */
-    bool accepted;          /* the answer is passed to the client */
-    bool head_checked;      /* the final head has been received */
+    int64_t content_length;      /* -1: unknown */
+    event_splitter events;       /* used if the stream is resumable */
+    char tail[2];                /* last two body bytes; 0: none */
+    size_t head_bytes;           /* received of all heads */
+    size_t refused_bytes;        /* body bytes received of a refused answer */
+    bbm_time refused_at;         /* when that head was received */
+    uint64_t body_bytes;         /* received of an accepted answer */
+    uint64_t checked_body_bytes; /* body_bytes at the last check */
+    uint64_t checked_socket_bytes; /* received by the socket by then */
+    int opened_socket;             /* opened since the last send; -1: none */
+    int socket;                    /* of its connection; -1: unknown */
+    bool fresh_connection;         /* never use an idle connection */
+    bool unusable_connection; /* the connection had unread bytes before the
+                                 request was sent */
+    bool sent;                /* the upstream may have received bytes */
+    bool accepted;            /* the answer is passed to the client */
+    bool head_checked;        /* the final head has been received */
     bool paused;
     bbm_forward_outcome outcome; /* valid if head_checked and not accepted */
     UT_hash_handle hh;
 } attempt;
 
+/* An open connection to an upstream, by its addresses: libcurl doesn't tell
+   which socket a transfer uses. */
+typedef struct connection_key {
+    struct in_addr remote;
+    int remote_port;
+    int local_port;
+} connection_key;
+
+typedef struct connection {
+    connection_key key;
+    int fd;
+    UT_hash_handle hh;    /* by key */
+    UT_hash_handle by_fd; /* by socket */
+} connection;
+
 struct forward {
+    connection *connections;
+    connection *connections_by_fd;
     mailbox *control;
     calls *calls;
     attempt *attempts;
+    bbm_time last_check_at; /* of the limits on faulty answers */
+    int silent_loops;       /* loops without a callback of a transfer */
     /* Longest idle time for reuse: the shortest keep-alive timeout announced
        by an upstream less 1 s, but at least 1 s; 0: none was announced. */
     long reuse_s;
@@ -124,6 +170,7 @@
     control_item *item = control_item_create(CONTROL_RESPONSE_HEAD);
     item->id = x->request;
     item->attempt = x->send.attempt;
+    item->notice = x->notice;
     mailbox_put_waiting(x->thread->control, item);
 }
 
@@ -137,6 +184,7 @@
         .attempt = x->send.attempt,
         .outcome = end,
         .status = (uint32_t)x->status,
+        .notice = x->notice,
     };
     memcpy(item->forwarded.last_event_id, x->events.last_id,
            sizeof(x->events.last_id));
@@ -209,6 +257,10 @@
     if (x->status < 200)
         return true;
     x->head_checked = true;
+    long connects = 0;
+    curl_easy_getinfo(x->easy, CURLINFO_NUM_CONNECTS, &connects);
+    x->parsed_head.head.reused_connection = connects == 0;
+    platform_response_notice(&x->parsed_head, (uint32_t)x->status, &x->notice);
     forbid_reuse_after_partial_upload(x);
     update_reuse_limit(x);
     x->parsed_head.head.status = (uint32_t)x->status;
@@ -219,8 +271,10 @@
         accepted = false;
         x->outcome = BBM_FORWARD_FAILED;
     }
-    if (!accepted)
+    if (!accepted) {
+        x->refused_at = control_now();
         return x->outcome != BBM_FORWARD_NO_ANSWER;
+    }
     x->accepted = true;
     int64_t length = x->send.stream ? -1 : x->content_length;
     if (!resumes)
@@ -235,6 +289,10 @@
 {
     attempt *x = context;
     size_t len = size * n;
+    x->thread->silent_loops = 0;
+    x->head_bytes += len;
+    if (x->head_bytes > HEAD_BYTES_MAX)
+        return 0;
     if (len >= 5 && memcmp(data, "HTTP/", 5) == 0)
         parse_status_line(x, data, len);
     else if (len == 2 && data[0] == '\r')
@@ -272,12 +330,16 @@
 {
     attempt *x = context;
     size_t len = size * n;
-    if (!x->accepted)
-        return len;
+    x->thread->silent_loops = 0;
+    if (!x->accepted) {
+        x->refused_bytes += len;
+        return x->refused_bytes <= REFUSED_BODY_BYTES_MAX ? len : 0;
+    }
     if (!exchange_write(x->ex, NULL, 0)) {
         x->paused = true;
         return CURL_WRITEFUNC_PAUSE;
     }
+    x->body_bytes += len;
     update_tail(x, data, len);
     if (x->send.resumable)
         write_complete_events(x, data, len);
@@ -288,19 +350,74 @@
 
 /* ---- sending ---- */
 
+static void
+forget_connection(forward *f, connection *c)
+{
+    HASH_DEL(f->connections, c);
+    HASH_DELETE(by_fd, f->connections_by_fd, c);
+    free(c);
+}
+
+static int
+on_close(void *context, curl_socket_t fd)
+{
+    forward *f = context;
+    connection *c = NULL;
+    HASH_FIND(by_fd, f->connections_by_fd, &fd, sizeof(fd), c);
+    if (c)
+        forget_connection(f, c);
+    return close(fd);
+}
+
+/* Finds the socket of the attempt's connection, which is new if the attempt
+   has opened a socket. */
+static void
+find_socket(attempt *x, const char *remote_ip, int remote_port, int local_port)
+{
+    forward *f = x->thread;
+    connection_key key = {.remote_port = remote_port,
+                          .local_port = local_port};
+    connection *c = NULL;
+    inet_pton(AF_INET, remote_ip, &key.remote);
+    HASH_FIND(hh, f->connections, &key, sizeof(key), c);
+    x->socket = c ? c->fd : -1;
+    if (x->opened_socket < 0)
+        return;
+    x->socket = x->opened_socket;
+    x->opened_socket = -1;
+    if (c)
+        forget_connection(f, c);
+    c = bbm_calloc(1, sizeof(*c));
+    c->key = key;
+    c->fd = x->socket;
+    HASH_ADD(hh, f->connections, key, sizeof(c->key), c);
+    HASH_ADD(by_fd, f->connections_by_fd, fd, sizeof(c->fd), c);
+}
+
+/* True if bytes arrived on an idle connection.  They belong to no request:
+   what follows them can't be told from the next answer. */
+static bool
+has_unread_bytes(const attempt *x)
+{
+    char byte;
+    return x->socket >= 0
+           && recv(x->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* libcurl calls this right before it sends the request, and again if it is
    about to resend it because a reused connection was dead. */
 static int
 on_before_send(void *context, char *remote_ip, char *local_ip, int remote_port,
                int local_port)
 {
-    (void)remote_ip;
     (void)local_ip;
-    (void)remote_port;
-    (void)local_port;
     attempt *x = context;
     if (x->sent && !x->send.repeatable)
         return CURL_PREREQFUNC_ABORT;
+    find_socket(x, remote_ip, remote_port, local_port);
+    x->unusable_connection = !x->fresh_connection && has_unread_bytes(x);
+    if (x->unusable_connection)
+        return CURL_PREREQFUNC_ABORT;
     x->sent = true;
     return CURL_PREREQFUNC_OK;
 }
@@ -308,8 +425,9 @@
 static int
 on_socket(void *context, curl_socket_t fd, curlsocktype purpose)
 {
-    (void)context;
     (void)purpose;
+    attempt *x = context;
+    x->opened_socket = fd;
     unsigned unacked_timeout_ms = UNACKED_TIMEOUT_MS;
     int probe_count = KEEPALIVE_PROBE_COUNT;
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_timeout_ms,
@@ -396,10 +514,14 @@
     curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(e, CURLOPT_BUFFERSIZE, READ_BUFFER_BYTES);
     curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, reuse);
+    curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, x->fresh_connection ? 1L : 0L);
     curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(e, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_INTERVAL_S);
     curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, (long)KEEPALIVE_INTERVAL_S);
     curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
+    curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, x);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, x->thread);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, x);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
@@ -454,6 +576,8 @@
     x->ex = exchange_ref(j->ex);
     x->thread = f;
     x->send = j->send;
+    x->opened_socket = -1;
+    x->socket = -1;
     x->parsed_head.keep_alive_s = -1;
     x->content_length = -1;
     memcpy(x->resume_after, j->last_event, sizeof(x->resume_after));
@@ -487,9 +611,29 @@
     return x->sent ? BBM_FORWARD_NO_ANSWER : BBM_FORWARD_UNSENT;
 }
 
+/* Starts the transfer again, on a new connection. */
+static void
+reconnect(forward *f, attempt *x)
+{
+    x->unusable_connection = false;
+    x->fresh_connection = true;
+    x->opened_socket = -1;
+    x->socket = -1;
+    calls_remove(f->calls, x->easy);
+    curl_easy_cleanup(x->easy);
+    curl_slist_free_all(x->request_headers);
+    x->request_headers = NULL;
+    create_easy(x);
+    calls_add(f->calls, x->easy);
+}
+
 static void
 finish(forward *f, attempt *x, CURLcode rc)
 {
+    if (x->unusable_connection && !x->sent) {
+        reconnect(f, x);
+        return;
+    }
     bbm_forward_outcome end = outcome_of(x, rc);
     if (end == BBM_FORWARD_COMPLETE) {
         if (x->events.bytes.len)
@@ -508,6 +652,71 @@
     finish(context, x, code);
 }
 
+/* ---- limits on faulty answers ---- */
+
+/* Bytes that the attempt's socket has received; 0: unknown. */
+static uint64_t
+received_by_socket(const attempt *x)
+{
+    struct tcp_info info = {0};
+    socklen_t len = sizeof(info);
+    if (x->socket < 0
+        || getsockopt(x->socket, IPPROTO_TCP, TCP_INFO, &info, &len) < 0
+        || len < offsetof(struct tcp_info, tcpi_bytes_received)
+                     + sizeof(info.tcpi_bytes_received))
+        return 0;
+    return info.tcpi_bytes_received;
+}
+
+/* True if the upstream has sent much since the last check, but no byte of the
+   body. */
+static bool
+sends_only_framing(attempt *x)
+{
+    if (x->body_bytes != x->checked_body_bytes || x->paused) {
+        x->checked_body_bytes = x->body_bytes;
+        x->checked_socket_bytes = 0;
+        return false;
+    }
+    uint64_t received = received_by_socket(x);
+    if (!x->checked_socket_bytes)
+        x->checked_socket_bytes = received;
+    return received > x->checked_socket_bytes + FRAMING_BYTES_MAX;
+}
+
+static void
+check_limits(void *context)
+{
+    forward *f = context;
+    bbm_time now = control_now();
+    if (now - f->last_check_at < CHECK_PERIOD
+        && ++f->silent_loops < SILENT_LOOPS_MAX)
+        return;
+    f->last_check_at = now;
+    f->silent_loops = 0;
+    attempt *x, *next;
+    HASH_ITER(hh, f->attempts, x, next)
+    {
+        bool refused = x->head_checked && !x->accepted;
+        bool exceeded = refused ? now - x->refused_at > REFUSED_BODY_TIME_MAX
+                                : x->accepted && sends_only_framing(x);
+        if (exceeded)
+            finish(f, x, CURLE_ABORTED_BY_CALLBACK);
+    }
+}
+
+/* A refused answer is waited for only until its time limit. */
+static int
+wait_limit_ms(void *context)
+{
+    const forward *f = context;
+    for (const attempt *x = f->attempts; x; x = x->hh.next) {
+        if (x->head_checked && !x->accepted)
+            return CHECK_PERIOD / BBM_MS;
+    }
+    return POLL_WAIT_MS;
+}
+
 /* ---- the thread ---- */
 
 static void
@@ -559,6 +768,8 @@
         .context = f,
         .run_job = run_job,
         .transfer_done = on_done,
+        .before_poll = check_limits,
+        .wait_limit_ms = wait_limit_ms,
         .free_job = free_job,
         .wait_ms = POLL_WAIT_MS,
         .idle_connections_max = IDLE_CONNECTIONS_MAX,
@@ -586,5 +797,10 @@
     if (!f)
         return;
     calls_destroy(f->calls);
+    connection *c, *next;
+    HASH_ITER(hh, f->connections, c, next)
+    {
+        forget_connection(f, c);
+    }
     free(f);
 }
--- a/daemon/provider.c
+++ b/daemon/provider.c
@@ -21,6 +21,8 @@
 #define STORE_RETRY_DELAY (200 * BBM_MS)
 #define BODY_BYTES_MAX ((size_t)8 * 1024 * 1024)
 #define PAGES_MAX 200
+/* Longer header lines of an answer are ignored. */
+#define HEADER_LINE_BYTES 1024
 #define URL_SIZE 384
 #define IDLE_CONNECTIONS_MAX 8L
 /* At shutdown calls in flight are waited for by at most this number of waits
@@ -67,7 +69,8 @@
     bbm_time not_after; /* CALL_ORDER: latest time of sending */
     bool expired;       /* not sent, as not_after had passed */
     bbm_buf answer;
-    char *body; /* of an order; owned */
+    platform_response head; /* parsed headers of the answer */
+    char *body;             /* of an order; owned */
     struct curl_slist *headers;
     watched_store *store; /* CALL_STORE */
 } call;
@@ -165,6 +168,27 @@
     free(c);
 }
 
+/* Parses the headers of a runner's answer. */
+static size_t
+on_header(char *data, size_t size, size_t n, void *context)
+{
+    call *c = context;
+    size_t len = size * n;
+    char line[HEADER_LINE_BYTES];
+    if (len >= sizeof(line))
+        return len;
+    memcpy(line, data, len);
+    line[len] = '\0';
+    char *colon = strchr(line, ':');
+    if (!colon)
+        return len;
+    *colon = '\0';
+    char *value = colon + 1 + strspn(colon + 1, " \t");
+    value[strcspn(value, "\r\n")] = '\0';
+    platform_response_add_header(&c->head, "", line, value);
+    return len;
+}
+
 static void
 start_call(provider *p, call *c, const char *address, const char *path,
            long timeout_ms)
@@ -175,6 +199,8 @@
     curl_easy_setopt(e, CURLOPT_PRIVATE, c);
     curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, timeout_ms);
     curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, CONNECTION_IDLE_MAX_S);
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
     curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_before_send);
@@ -327,6 +353,7 @@
 {
     control_item *item = control_item_create(CONTROL_ROLLOUT_REPORT);
     bbm_name_set(item->name, c->id);
+    item->notice.leaving = c->head.leaving;
     item->succeeded =
         succeeded
         && platform_report_read((char *)c->answer.data, c->answer.len,
@@ -340,6 +367,7 @@
 {
     control_item *item = control_item_create(CONTROL_ROLLOUT_ANSWER);
     bbm_name_set(item->name, c->id);
+    item->notice.leaving = c->head.leaving;
     item->order_answer = answered ? platform_order_answer((unsigned)status)
                                   : BBM_ORDER_NO_ANSWER;
     mailbox_put_waiting(p->desc.control, item);
--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -252,6 +252,7 @@
     u->half_open = false;
     u->failure_share = 0;
     u->lateness_ms = 0;
+    u->pause_until = 0;
 }
 
 /* A restart and new weights empty a runner's cache. */
@@ -289,6 +290,7 @@
     u->was_listed = true;
     u->info = *info;
     u->listed = true;
+    u->unlisted_at = 0;
     u->pool = gate_find_pool(g, info->pool);
 }
 
@@ -305,7 +307,9 @@
     gate_upstream *u, *next;
     HASH_ITER(hh, g->upstreams, u, next)
     {
-        if (u->listed || u->open_requests)
+        if (!u->listed && !u->unlisted_at)
+            u->unlisted_at = g->now;
+        if (u->listed || u->open_requests || gate_keeps_notice(g, u))
             continue;
         HASH_DELETE(by_hash, g->upstreams_by_hash, u);
         HASH_DEL(g->upstreams, u);
@@ -358,10 +362,19 @@
         .backlog_tokens = u->backlog_tokens,
         .memory_tokens = u->memory_tokens,
         .suspecting_vms = g->now < u->suspect_until,
+        .paused_vms = gate_is_paused(g, u),
+        .leaving_run = u->leaving_run,
     };
     bbm_load_put(buf, &u->reported);
 }
 
+static bool
+has_load_to_report(const bbm_gate *g, const gate_upstream *u)
+{
+    return u->open_requests > 0 || g->now < u->suspect_until
+           || gate_is_paused(g, u) || u->leaving_run;
+}
+
 void
 bbm_gate_put_load(bbm_gate *g, bbm_time now, bbm_buf *buf)
 {
@@ -370,13 +383,13 @@
     size_t len = 0;
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
         u->reported = (bbm_load){0};
-        len += u->open_requests > 0 || g->now < u->suspect_until;
+        len += has_load_to_report(g, u);
     }
     g->held_reported = (uint32_t)g->waiting_len;
     bbm_put_u64(buf, g->held_reported);
     bbm_put_u64(buf, len);
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
-        if (u->open_requests > 0 || g->now < u->suspect_until)
+        if (has_load_to_report(g, u))
             put_upstream_load(g, u, buf);
     }
     bbm_put_u64(buf, HASH_COUNT(g->customers));
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -137,12 +137,22 @@
                                 forwarded. */
 } bbm_forward_outcome;
 
+/** What the head of an upstream's answer says of the upstream itself. */
+typedef struct bbm_upstream_notice {
+    bool leaving;   /**< It will stop soon, and wants no new requests. */
+    bbm_time pause; /**< With status 503: it wants no requests of this VM for
+                         this time; 0: unspecified. */
+    bool invalid;   /**< One of these headers had a value that can't be
+                         used. */
+} bbm_upstream_notice;
+
 /** Result of an attempt. */
 typedef struct bbm_forward_result {
     uint64_t request;                      /**< Request number. */
     uint32_t attempt;                      /**< As in bbm_forward_request. */
     bbm_forward_outcome outcome;           /**< How the attempt ended. */
     uint32_t status;                       /**< HTTP status; 0: no answer. */
+    bbm_upstream_notice notice;            /**< All zero without an answer. */
     char last_event_id[BBM_EVENT_ID_SIZE]; /**< Id of the last complete event
                                                 that was forwarded; "":
                                                 none. */
@@ -155,6 +165,9 @@
     BBM_GATE_ABORT, /**< Abort the current attempt, if any; with an error code,
                          end the answer to the client with that error too. */
     BBM_GATE_ENDED, /**< A request has completed; to be logged. */
+    BBM_GATE_UPSTREAM_NOTICE, /**< An upstream has stated that it leaves, or
+                                   that it wants no requests for a while; to be
+                                   logged. */
 } bbm_gate_kind;
 
 /** An output. */
@@ -203,7 +216,12 @@
             uint32_t attempts; /**< Number of attempts made. */
             uint32_t status;   /**< HTTP status. */
         } ended;               /**< BBM_GATE_ENDED. */
-    } u;                       /**< Selected by kind. */
+        struct {
+            char upstream[BBM_NAME_SIZE]; /**< The upstream. */
+            bbm_upstream_notice notice;   /**< What it stated; its fields that
+                                               were known before are zero. */
+        } upstream_notice;                /**< BBM_GATE_UPSTREAM_NOTICE. */
+    } u;                                  /**< Selected by kind. */
 } bbm_gate_output;
 
 /** Metrics: counters unless marked as gauges. */
@@ -217,6 +235,9 @@
                                 upstreams refused the request. */
     uint64_t refused_no_upstream; /**< Refused or aborted: no upstream
                                        available. */
+    uint64_t refused_paused; /**< Refused: all upstreams want no requests for a
+                                  while. */
+    uint64_t pauses;         /**< Pauses that upstreams have asked for. */
     uint64_t outcome_unknown;    /**< Ended with an error before the head of an
                                       answer, but the request may have run. */
     uint64_t aborted;            /**< Answers aborted after their head. */
@@ -262,10 +283,14 @@
 void bbm_gate_begin_request(bbm_gate *g, const bbm_gate_request_desc *request,
                             const bbm_route *route,
                             const bbm_customer *customer, bbm_time now);
-/** Record that the head of an attempt's answer was forwarded to the client.
- *  Ignored unless it is the current attempt of an open request. */
+/** Record that the head of an attempt's answer was forwarded to the client,
+ *  and what it says of the upstream.  Ignored unless it is the current attempt
+ *  of an open request. */
 void bbm_gate_record_head(bbm_gate *g, uint64_t request, uint32_t attempt,
-                          bbm_time now);
+                          const bbm_upstream_notice *notice, bbm_time now);
+/** Record that an upstream has stated that it leaves, in an answer other than
+ *  to a client's request.  Ignored if it is unknown. */
+void bbm_gate_record_leaving(bbm_gate *g, const char *upstream, bbm_time now);
 /** Record the result of an attempt, and retry or end the request.  Ignored
  *  unless it is the current attempt of an open request. */
 void bbm_gate_end_attempt(bbm_gate *g, const bbm_forward_result *result,
@@ -319,6 +344,10 @@
     bool not_run;    /**< Has the header by which the upstream states that it
                           did not run the request. */
     bool wrong_request_id;    /**< Carries the id of another request. */
+    bool has_request_id;      /**< Carries the id of this request. */
+    bool reused_connection;   /**< The connection carried other requests
+                                   before. */
+    bool has_signature;       /**< Carries the upstream's signature. */
     bool unexpected_encoding; /**< The content encoding isn't the requested
                                    one. */
 } bbm_response_head;
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -40,7 +40,7 @@
 
 void
 bbm_gate_record_head(bbm_gate *g, uint64_t request, uint32_t attempt,
-                     bbm_time now)
+                     const bbm_upstream_notice *notice, bbm_time now)
 {
     gate_advance(g, now);
     gate_request *r = find_request(g, request);
@@ -48,6 +48,7 @@
         return;
     r->stage = GATE_ANSWERING;
     r->head_at = g->now;
+    gate_record_notice(g, r, notice);
     if (!r->last_event_id[0])
         bbm_histogram_add(&g->counts.time_to_head, g->now - r->arrived_at);
     gate_upstream *u = r->upstream;
@@ -118,8 +119,13 @@
     gate_record_refusal(g, r->upstream, status);
     r->attempts_run--;
     add_failed_upstream(r, r->upstream);
-    bool may_retry = r->attempts < r->attempts_max + EXTRA_SENDS_MAX
-                     && g->now < r->deadline && acquire_retry(g, r);
+    /* An upstream that asks for a pause is asked only once, so going on from
+       there doesn't add load where there is too much. */
+    r->attempts_paused += gate_is_paused(g, r->upstream);
+    bool may_retry =
+        r->attempts - r->attempts_paused < r->attempts_max + EXTRA_SENDS_MAX
+        && r->failed_len < GATE_FAILED_MAX && g->now < r->deadline
+        && acquire_retry(g, r);
     if (may_retry) {
         retry(g, r);
         return;
@@ -130,7 +136,7 @@
         return;
     }
     g->counts.refused_load += r->attempts_run == 0;
-    gate_refuse(g, r, BBM_ERR_OVERLOAD, r->target_latency / 2,
+    gate_refuse(g, r, BBM_ERR_OVERLOAD, gate_jitter(g, r->target_latency / 2),
                 "refused by the upstream");
 }
 
@@ -144,7 +150,7 @@
         retry(g, r);
         return;
     }
-    gate_refuse(g, r, BBM_ERR_NO_UPSTREAM, r->target_latency,
+    gate_refuse(g, r, BBM_ERR_NO_UPSTREAM, gate_jitter(g, r->target_latency),
                 "no upstream could be reached");
 }
 
@@ -188,6 +194,8 @@
         return;
     r->previous_outcome = outcome_names[result->outcome];
     r->previous_status = result->status;
+    if (r->stage == GATE_SENT)
+        gate_record_notice(g, r, &result->notice);
     switch (result->outcome) {
     case BBM_FORWARD_COMPLETE:
         end_complete(g, r, result);
@@ -244,7 +252,8 @@
         if (r->last_event_id[0])
             gate_abort(g, r, BBM_ERR_UPSTREAM_CUT, "deadline reached");
         else
-            gate_refuse(g, r, BBM_ERR_OVERLOAD, GATE_RETRY_AFTER_MIN,
+            gate_refuse(g, r, BBM_ERR_OVERLOAD,
+                        gate_jitter(g, GATE_RETRY_AFTER_MIN),
                         "deadline reached");
         return;
     case GATE_SENT:
@@ -339,7 +348,14 @@
                      const bbm_response_head *head,
                      bbm_forward_outcome *outcome)
 {
-    if (head->wrong_request_id) {
+    /* A faulty upstream may send an answer twice, and the second copy where
+       the next answer is expected; or bytes that only look like an answer. */
+    bool may_be_another_requests =
+        head->wrong_request_id
+        || (head->reused_connection && !head->has_request_id);
+    bool unsigned_success =
+        head->status >= 200 && head->status < 300 && !head->has_signature;
+    if (may_be_another_requests || unsigned_success) {
         *outcome = BBM_FORWARD_NO_ANSWER;
         return false;
     }
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -9,6 +9,7 @@
 #include "bbm_loads.h"
 #include "bbm_places.h"
 #include "bbm_retry.h"
+#include "bbm_returns.h"
 #include "bbm_share.h"
 
 #include <sys/queue.h>
@@ -35,6 +36,7 @@
                                     answer, smoothed; only for services. */
     bbm_retry_budget retry_budget; /**< This VM's part of the retry budget of
                                         the pool. */
+    bbm_returns returns;           /**< When refused clients return. */
     UT_hash_handle hh;             /**< By name. */
 } gate_pool;
 
@@ -63,6 +65,12 @@
     bbm_time suspect_until; /**< Reported to the other VMs as suspected to have
                                  failed until then. */
     uint32_t consecutive_failures; /**< Failures since the last success. */
+    bbm_time pause_until; /**< It has asked for no requests until then. */
+    uint64_t leaving_run; /**< Start time, in ms of calendar time plus 1, of
+                               the run of the upstream that has told this VM
+                               that it leaves; 0: none has. */
+    bbm_time unlisted_at; /**< When a listing first lacked it; valid unless
+                               listed. */
     bool half_open; /**< After a failure: gets one request at a time until one
                          succeeds. */
     double failure_share;    /**< Share of attempts that failed, smoothed. */
@@ -157,12 +165,16 @@
     const char *previous_outcome; /**< How the previous attempt ended; NULL:
                                        there was none. */
     uint32_t previous_status;     /**< Its HTTP status; 0: no answer. */
-    uint32_t attempts_run; /**< Number of attempts that run now or may have
-                                run. */
+    uint32_t attempts_paused; /**< Number of attempts at upstreams that asked
+                                   for a pause instead. */
+    uint32_t attempts_run;    /**< Number of attempts that run now or may have
+                                   run. */
     uint64_t failed_upstreams[GATE_FAILED_MAX]; /**< Upstreams that failed or
                                                      refused it, by hash. */
     size_t failed_len;       /**< Number of these upstreams. */
     gate_upstream *upstream; /**< Upstream of the current attempt, or NULL. */
+    uint64_t upstream_run;   /**< Its start time when the attempt was sent, as
+                                  gate_run_of. */
     uint32_t backlog_tokens; /**< Its part of the upstream's counter. */
     uint32_t memory_tokens;  /**< Its part of the upstream's counter. */
     char last_event_id[BBM_EVENT_ID_SIZE]; /**< Id of the last event that was
@@ -261,6 +273,10 @@
     double offered_tokens;   /**< Prompt tokens that the source likely has; 0:
                                   unknown. */
     uint32_t candidates;     /**< Number of eligible upstreams. */
+    gate_pool *paused_pool;  /**< GATE_PICK_PAUSED: the pool. */
+    size_t paused;           /**< GATE_PICK_PAUSED: number of its upstreams
+                                  that want no requests for a while. */
+    bbm_time pause_end;      /**< GATE_PICK_PAUSED: earliest end of that. */
     char source_address[BBM_NAME_SIZE]; /**< Where it can fetch cache entries,
                                              or "". */
     uint64_t source_store_hash; /**< Hash of the source if that is a store;
@@ -274,9 +290,11 @@
 typedef enum gate_pick {
     GATE_PICK_SEND, /**< Send it to the chosen upstream. */
     GATE_PICK_HOLD, /**< Hold it: its upstreams are full, or load weights. */
-    GATE_PICK_TOO_LATE,    /**< No upstream can begin the answer in time; the
-                                choice's expected_ms says how long it would
-                                take; 0: unknown. */
+    GATE_PICK_TOO_LATE, /**< No upstream can begin the answer in time; the
+                             choice's expected_ms says how long it would
+                             take; 0: unknown. */
+    GATE_PICK_PAUSED,   /**< All upstreams that could take it want no requests
+                             for a while. */
     GATE_PICK_NO_UPSTREAM, /**< No pool of the route has an upstream. */
 } gate_pick;
 
@@ -329,6 +347,32 @@
 void gate_record_placement(bbm_gate *g, const gate_request *r,
                            const gate_choice *c);
 
+/* ---- gate_notice.c ---- */
+
+/** Start time of the run of an upstream that is listed, in ms of calendar time
+ *  plus 1, so that an unknown one isn't 0. */
+static inline uint64_t
+gate_run_of(const gate_upstream *u)
+{
+    return u->info.started_at_ms + 1;
+}
+/** Record what an answer says of its upstream.  @p run is the run that got the
+ *  request: a notice of an earlier run is ignored. */
+void gate_record_notice(bbm_gate *g, const gate_request *r,
+                        const bbm_upstream_notice *notice);
+/** True if the upstream leaves: by its listing, by its own word, or by what it
+ *  told other VMs. */
+bool gate_is_leaving(const gate_upstream *u);
+/** True if the upstream wants no requests of this VM now. */
+bool gate_is_paused(const bbm_gate *g, const gate_upstream *u);
+/** True if an upstream that is no longer listed must be kept, as the next
+ *  listing may have it again and its notice still holds. */
+bool gate_keeps_notice(const bbm_gate *g, const gate_upstream *u);
+/** Time after which a client that is refused because of pauses should
+ *  return. */
+bbm_time gate_pause_retry_after(bbm_gate *g, const gate_request *r,
+                                const gate_choice *c);
+
 /* ---- gate_health.c ---- */
 
 /** Record a successful attempt. */
@@ -358,6 +402,9 @@
 void gate_send(bbm_gate *g, gate_request *r, const gate_choice *c);
 /** Remove a request from the counters of its upstream, if it has one. */
 void gate_release_upstream(bbm_gate *g, gate_request *r);
+/** Add a random part to a Retry-After, so that clients that are refused at the
+ *  same time don't all return at the same time. */
+bbm_time gate_jitter(bbm_gate *g, bbm_time retry_after);
 /** End a request with an error whose code says that it did not run; if it may
  *  have run, with BBM_ERR_UPSTREAM instead.  Frees the request. */
 void gate_refuse(bbm_gate *g, gate_request *r, int code, bbm_time retry_after,
--- /dev/null
+++ b/gate/gate_notice.c
@@ -0,0 +1,99 @@
+#include "gate_core.h"
+
+#include <string.h>
+
+/* What upstreams state of themselves in their answers: that they leave, and
+   that they want no requests for a while.
+
+   Answers the load around a planned stop, where a listing comes too late, and
+   an overload that an upstream sees before the loads of other VMs arrive.
+   Neither is a fault, so neither counts against the upstream's health.
+
+   Both belong to one run of the upstream.  A pause holds for this VM only: the
+   upstream asked this one.  The other VMs hear of it as load. */
+
+/* A pause is capped at this: an upstream that asks for more is listed as
+   leaving or gone by then. */
+#define PAUSE_MAX (600 * BBM_SECOND)
+/* An upstream that has stated that it leaves is remembered for this time after
+   it was last listed.  A listing may lack it for a moment and then have it
+   again as ready. */
+#define LEAVING_MEMORY (60 * BBM_SECOND)
+/* Share of the capacity after a pause that is meant for returning clients; the
+   rest is for new ones. */
+#define RETURN_CAPACITY_SHARE 0.5
+
+void
+gate_record_notice(bbm_gate *g, const gate_request *r,
+                   const bbm_upstream_notice *notice)
+{
+    gate_upstream *u = r->upstream;
+    bbm_upstream_notice news = {.invalid = notice->invalid};
+    if (u && r->upstream_run == gate_run_of(u)) {
+        news.leaving = notice->leaving && u->leaving_run != gate_run_of(u);
+        news.pause = notice->pause < PAUSE_MAX ? notice->pause : PAUSE_MAX;
+    }
+    if (news.leaving) {
+        u->leaving_run = gate_run_of(u);
+        g->load_changed = true;
+    }
+    if (news.pause > 0 && g->now + news.pause > u->pause_until) {
+        u->pause_until = g->now + news.pause;
+        g->load_changed = true;
+        g->counts.pauses++;
+    }
+    if (!u || (!news.leaving && !news.pause && !news.invalid))
+        return;
+    bbm_gate_output *out = gate_push_output(g, BBM_GATE_UPSTREAM_NOTICE, r);
+    bbm_name_set(out->u.upstream_notice.upstream, u->info.id);
+    out->u.upstream_notice.notice = news;
+}
+
+void
+bbm_gate_record_leaving(bbm_gate *g, const char *upstream, bbm_time now)
+{
+    gate_advance(g, now);
+    gate_upstream *u = NULL;
+    HASH_FIND_STR(g->upstreams, upstream, u);
+    if (!u)
+        return;
+    u->leaving_run = gate_run_of(u);
+    g->load_changed = true;
+}
+
+bool
+gate_is_leaving(const gate_upstream *u)
+{
+    return u->info.leaving || u->leaving_run == gate_run_of(u)
+           || u->totals.leaving_run == gate_run_of(u);
+}
+
+bool
+gate_is_paused(const bbm_gate *g, const gate_upstream *u)
+{
+    return g->now < u->pause_until;
+}
+
+bool
+gate_keeps_notice(const bbm_gate *g, const gate_upstream *u)
+{
+    return gate_is_paused(g, u)
+           || (u->leaving_run && g->now - u->unlisted_at < LEAVING_MEMORY);
+}
+
+bbm_time
+gate_pause_retry_after(bbm_gate *g, const gate_request *r,
+                       const gate_choice *c)
+{
+    gate_pool *p = c->paused_pool;
+    double service_ms = p->is_engine
+                            ? r->prompt_tokens / p->prefill_tokens_per_ms
+                            : p->service_ms / (p->slots ? p->slots : 1);
+    /* The other VMs send their clients to the same upstreams. */
+    double spacing_ms = service_ms * (double)g->vms / (double)c->paused
+                        / RETURN_CAPACITY_SHARE;
+    bbm_time at =
+        bbm_returns_schedule(&p->returns, c->pause_end,
+                             (bbm_time)(spacing_ms * (double)BBM_MS), g->now);
+    return at - g->now;
+}
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -94,6 +94,8 @@
     size_t loading; /* number of runners that load weights, or whose weights
                        are too old */
     size_t avoided; /* number of upstreams left out because they are avoided */
+    size_t paused;  /* number left out because they want no requests now */
+    bbm_time pause_end; /* earliest end of that; valid if paused */
 } candidate_set;
 
 /* ---- load of an upstream ---- */
@@ -192,6 +194,14 @@
     };
 }
 
+static void
+leave_out_paused(candidate_set *set, const gate_upstream *u)
+{
+    if (!set->paused || u->pause_until < set->pause_end)
+        set->pause_end = u->pause_until;
+    set->paused++;
+}
+
 static void
 collect_candidates(bbm_gate *g, const gate_request *r, const char *pool,
                    bool avoided, candidate_set *set)
@@ -200,14 +210,19 @@
     set->len = 0;
     set->loading = 0;
     set->avoided = 0;
+    set->paused = 0;
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
         if (!u->listed || !u->pool || strcmp(u->info.pool, pool) != 0
-            || u->info.leaving)
+            || gate_is_leaving(u))
             continue;
         if (u->info.loading) {
             set->loading++;
             continue;
         }
+        if (gate_is_paused(g, u)) {
+            leave_out_paused(set, u);
+            continue;
+        }
         if (has_failed(r, u))
             continue;
         if (!avoided && gate_is_avoided(g, u)) {
@@ -282,6 +297,15 @@
     return wait;
 }
 
+/* A runner that asked other VMs for a pause is loaded more than its reported
+   load says: the share of the VMs measures by how much. */
+static double
+paused_elsewhere_ms(const bbm_gate *g, const gate_upstream *u)
+{
+    double paused = of_other_vms(u->totals.paused_vms, u->reported.paused_vms);
+    return SLOT_WAIT_MS * paused / (double)g->vms;
+}
+
 /* Extra cost of a runner by its rank in the rendezvous order of the chain (0:
    home), if the holders are unknown.  The runner of rank 1 would fetch the
    prefix from the home, which may not have it; any further one would also
@@ -336,8 +360,9 @@
             !gate_has_placement(g, r, set->items[i].version);
     for (size_t i = 0; i < set->len; i++) {
         candidate *c = &set->items[i];
-        c->cost_ms =
-            runner_wait_ms(c->upstream) + cross_zone_ms(g, c->upstream);
+        c->cost_ms = runner_wait_ms(c->upstream)
+                     + cross_zone_ms(g, c->upstream)
+                     + paused_elsewhere_ms(g, c->upstream);
         c->is_full = is_full(r, c->upstream);
         gate_find_cached(g, r, c->upstream, c->version, &c->cached);
         bool sampled = i == 0 || c->cached.prefixes_held == r->prefixes_len
@@ -368,7 +393,7 @@
         cost += u->lateness_ms > 0 ? u->lateness_ms : 0;
         /* Breaks ties at random. */
         cost += bbm_rng_unit(&g->rng);
-        c->cost_ms = cost + cross_zone_ms(g, u);
+        c->cost_ms = cost + cross_zone_ms(g, u) + paused_elsewhere_ms(g, u);
     }
 }
 
@@ -629,8 +654,16 @@
         collect_candidates(g, r, pool, true, set);
     if (!set->len && g->now >= r->start_deadline)
         return GATE_PICK_TOO_LATE;
+    if (!set->len && set->loading)
+        return GATE_PICK_HOLD;
+    if (!set->len && set->paused) {
+        c->paused_pool = gate_find_pool(g, pool);
+        c->paused = set->paused;
+        c->pause_end = set->pause_end;
+        return GATE_PICK_PAUSED;
+    }
     if (!set->len)
-        return set->loading ? GATE_PICK_HOLD : GATE_PICK_NO_UPSTREAM;
+        return GATE_PICK_NO_UPSTREAM;
     if (count_old(set))
         return choose_by_weights(g, r, set, c);
     placement_option o = evaluate(g, r, set);
@@ -644,8 +677,15 @@
     gate_pick pick = GATE_PICK_NO_UPSTREAM;
     candidate_set set = {0};
     set.items = bbm_calloc(HASH_COUNT(g->upstreams), sizeof(*set.items));
-    for (size_t i = 0; i < r->pools_len && pick == GATE_PICK_NO_UPSTREAM; i++)
+    for (size_t i = 0; i < r->pools_len && pick == GATE_PICK_NO_UPSTREAM;
+         i++) {
         pick = choose_in_pool(g, r, r->pools[i], &set, c);
+        /* Another pool of the route may take it at once. */
+        if (pick == GATE_PICK_PAUSED)
+            pick = GATE_PICK_NO_UPSTREAM;
+    }
     free(set.items);
+    if (pick == GATE_PICK_NO_UPSTREAM && c->paused_pool)
+        return GATE_PICK_PAUSED;
     return pick;
 }
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -21,6 +21,9 @@
    latency, up to the maximum: a new listing may be about to arrive. */
 #define NO_UPSTREAM_HOLD_RATIO 0.5
 #define NO_UPSTREAM_HOLD_MAX (400 * BBM_MS)
+/* If all upstreams want no requests for a while, a request is held for them up
+   to this share of its target latency. */
+#define PAUSE_HOLD_RATIO 0.5
 /* Maximum Retry-After of a refusal. */
 #define RETRY_AFTER_MAX (5 * BBM_SECOND)
 /* Retry-After is increased at random by up to this share of it, so that
@@ -70,11 +73,17 @@
 
 /* ---- refusals and aborts ---- */
 
+bbm_time
+gate_jitter(bbm_gate *g, bbm_time retry_after)
+{
+    return retry_after
+           + (bbm_time)((double)retry_after * RETRY_AFTER_JITTER_RATIO
+                        * bbm_rng_unit(&g->rng));
+}
+
 static bbm_time
-jittered_retry_after(bbm_gate *g, bbm_time retry_after)
+limit_retry_after(bbm_time retry_after)
 {
-    retry_after += (bbm_time)((double)retry_after * RETRY_AFTER_JITTER_RATIO
-                              * bbm_rng_unit(&g->rng));
     if (retry_after < GATE_RETRY_AFTER_MIN)
         return GATE_RETRY_AFTER_MIN;
     return retry_after > RETRY_AFTER_MAX ? RETRY_AFTER_MAX : retry_after;
@@ -95,7 +104,7 @@
     bbm_gate_output *out = gate_push_output(g, BBM_GATE_REFUSE, r);
     out->u.refuse.code = r->attempts_run ? BBM_ERR_UPSTREAM : code;
     out->u.refuse.retry_after =
-        r->attempts_run ? 0 : jittered_retry_after(g, retry_after);
+        r->attempts_run ? 0 : limit_retry_after(retry_after);
     out->u.refuse.reason = reason;
     out->u.refuse.elapsed_ms = held_ms(g, r);
     if (r->attempts_run)
@@ -178,6 +187,7 @@
     r->head_at = 0;
     r->expected_ms = c->expected_ms;
     r->upstream = u;
+    r->upstream_run = gate_run_of(u);
     r->backlog_tokens = (uint32_t)c->miss_tokens;
     r->memory_tokens = (uint32_t)(r->prompt_tokens + r->output_tokens_max);
     u->open_requests++;
@@ -212,10 +222,33 @@
     bbm_time retry_after =
         (bbm_time)((c->expected_ms - left_ms) * (double)BBM_MS);
     g->counts.refused_load += r->attempts_run == 0;
-    gate_refuse(g, r, BBM_ERR_OVERLOAD, retry_after,
+    gate_refuse(g, r, BBM_ERR_OVERLOAD, gate_jitter(g, retry_after),
                 "no upstream can begin the answer in time");
 }
 
+/* Holds a request for upstreams that all want none for a while, if the first
+   of them takes it again well before its target latency; otherwise its client
+   is told at once when to return. */
+static bool
+may_hold_for_pause(const gate_request *r, const gate_choice *c)
+{
+    bbm_time max = (bbm_time)((double)r->target_latency * PAUSE_HOLD_RATIO);
+    return c->pause_end - r->arrived_at <= max
+           && c->pause_end < r->start_deadline;
+}
+
+static void
+end_paused(bbm_gate *g, gate_request *r, const gate_choice *c)
+{
+    g->counts.refused_paused++;
+    if (r->last_event_id[0])
+        gate_abort(g, r, BBM_ERR_UPSTREAM_CUT,
+                   "no upstream resumes the stream for a while");
+    else
+        gate_refuse(g, r, BBM_ERR_OVERLOAD, gate_pause_retry_after(g, r, c),
+                    "all upstreams want no requests for a while");
+}
+
 static bool
 may_hold_without_upstream(const bbm_gate *g, const gate_request *r)
 {
@@ -267,9 +300,16 @@
         if (g->now < r->deadline)
             enqueue(g, r);
         else
-            gate_refuse(g, r, BBM_ERR_OVERLOAD, GATE_RETRY_AFTER_MIN,
+            gate_refuse(g, r, BBM_ERR_OVERLOAD,
+                        gate_jitter(g, GATE_RETRY_AFTER_MIN),
                         "deadline reached while held");
         return;
+    case GATE_PICK_PAUSED:
+        if (may_hold_for_pause(r, &c))
+            enqueue(g, r);
+        else
+            end_paused(g, r, &c);
+        return;
     case GATE_PICK_NO_UPSTREAM:
         if (may_hold_without_upstream(g, r)) {
             enqueue(g, r);
@@ -280,8 +320,8 @@
             gate_abort(g, r, BBM_ERR_UPSTREAM_CUT,
                        "no upstream to resume the stream");
         else
-            gate_refuse(g, r, BBM_ERR_NO_UPSTREAM, r->target_latency,
-                        "no upstream");
+            gate_refuse(g, r, BBM_ERR_NO_UPSTREAM,
+                        gate_jitter(g, r->target_latency), "no upstream");
         return;
     }
 }
@@ -463,7 +503,8 @@
         if (!bbm_shares_reserve(g->shares, r->customer, tokens, g->now,
                                 &wait)) {
             g->counts.refused_rate++;
-            gate_refuse(g, r, BBM_ERR_RATE, wait, "customer's rate exceeded");
+            gate_refuse(g, r, BBM_ERR_RATE, gate_jitter(g, wait),
+                        "customer's rate exceeded");
             return;
         }
         r->reserved_tokens = tokens;
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -299,20 +299,23 @@
         } entries;                /**< BBM_EV_ENTRIES. */
         bbm_pool_request_event pool_request; /**< BBM_EV_POOL_REQUEST. */
         struct {
-            uint64_t request;         /**< Request number. */
-            uint32_t attempt;         /**< As in bbm_forward_request. */
-        } response_head;              /**< BBM_EV_RESPONSE_HEAD. */
-        bbm_forward_result forwarded; /**< BBM_EV_FORWARD_FINISHED. */
+            uint64_t request;           /**< Request number. */
+            uint32_t attempt;           /**< As in bbm_forward_request. */
+            bbm_upstream_notice notice; /**< What it says of the upstream. */
+        } response_head;                /**< BBM_EV_RESPONSE_HEAD. */
+        bbm_forward_result forwarded;   /**< BBM_EV_FORWARD_FINISHED. */
         struct {
             const bbm_listing *listing; /**< NULL: the read failed. */
         } listing;                      /**< BBM_EV_LISTING. */
         struct {
             const char *id;                  /**< Runner. */
             const bbm_runner_report *report; /**< NULL: no answer. */
+            bool leaving;                    /**< It states that it leaves. */
         } rollout_report;                    /**< BBM_EV_ROLLOUT_REPORT. */
         struct {
             const char *id;          /**< Runner. */
             bbm_order_answer answer; /**< Its answer. */
+            bool leaving;            /**< It states that it leaves. */
         } rollout_answer;            /**< BBM_EV_ROLLOUT_ANSWER. */
         struct {
             const char *address; /**< IP:port of the store. */
--- a/node/node.c
+++ b/node/node.c
@@ -278,7 +278,8 @@
     case BBM_EV_RESPONSE_HEAD:
         if (n->gate)
             bbm_gate_record_head(n->gate, ev->u.response_head.request,
-                                 ev->u.response_head.attempt, n->now);
+                                 ev->u.response_head.attempt,
+                                 &ev->u.response_head.notice, n->now);
         return;
     case BBM_EV_FORWARD_FINISHED:
         if (n->gate)
@@ -289,10 +290,14 @@
             node_upstreams_process_read(n, ev->u.listing.listing);
         return;
     case BBM_EV_ROLLOUT_REPORT:
+        if (n->gate && ev->u.rollout_report.leaving)
+            bbm_gate_record_leaving(n->gate, ev->u.rollout_report.id, n->now);
         node_rollout_apply_report(n, ev->u.rollout_report.id,
                                   ev->u.rollout_report.report);
         return;
     case BBM_EV_ROLLOUT_ANSWER:
+        if (n->gate && ev->u.rollout_answer.leaving)
+            bbm_gate_record_leaving(n->gate, ev->u.rollout_answer.id, n->now);
         node_rollout_apply_answer(n, ev->u.rollout_answer.id,
                                   ev->u.rollout_answer.answer);
         return;
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -323,15 +323,18 @@
                                    the state received from other VMs, which
                                    stays in force; else NULL. */
 
-    bbm_gate *gate;                  /**< Requests to pools; NULL: no
-                                          discovery. */
-    bbm_time sample_window_start;    /**< Log sampling: start of the current
-                                          window of a second. */
-    uint64_t sample_window_requests; /**< Log sampling: first attempts in the
-                                          window. */
-    uint64_t sample_one_in;          /**< Log sampling: one in this number of
-                                          successful requests is logged; 0:
-                                          all. */
+    bbm_gate *gate;                    /**< Requests to pools; NULL: no
+                                            discovery. */
+    bbm_time invalid_notice_logged_at; /**< Last log line about an invalid
+                                            notice of an upstream; 0: none. */
+    uint64_t invalid_notices;          /**< Invalid notices since that line. */
+    bbm_time sample_window_start;      /**< Log sampling: start of the current
+                                            window of a second. */
+    uint64_t sample_window_requests;   /**< Log sampling: first attempts in the
+                                            window. */
+    uint64_t sample_one_in;            /**< Log sampling: one in this number of
+                                            successful requests is logged; 0:
+                                            all. */
     bool caught_up;                /**< The configuration was current once, or
                                         CATCH_UP_TIMEOUT passed; stays set. */
     TAILQ_HEAD(, node_read) reads; /**< Wait for a fresh state. */
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -20,6 +20,8 @@
    the start, the VM serves with the one that other VMs sent it.  The time
    lets a control group form or elect a leader first. */
 #define CATCH_UP_TIMEOUT (4 * BBM_SECOND)
+/* Period of log lines about invalid notices of upstreams. */
+#define INVALID_NOTICE_LOG_PERIOD (60 * BBM_SECOND)
 /* Up to this rate all requests are logged; above it only a sample of the
    successful ones. */
 #define LOG_ALL_REQUESTS_PER_S 60
@@ -375,6 +377,42 @@
     node_log_number(l, "attempts", out->u.ended.attempts);
 }
 
+/* At most one line per period for all upstreams: a faulty one may send such
+   values in every answer. */
+static void
+log_invalid_notice(bbm_node *n, const char *upstream)
+{
+    n->invalid_notices++;
+    if (n->invalid_notice_logged_at
+        && n->now - n->invalid_notice_logged_at < INVALID_NOTICE_LOG_PERIOD)
+        return;
+    n->invalid_notice_logged_at = n->now;
+    bbm_action *l = node_log_event(n, BBM_EVENT_UPSTREAM_BAD_NOTICE);
+    node_log_text(l, "upstream", upstream);
+    node_log_number(l, "answers", (int64_t)n->invalid_notices);
+    n->invalid_notices = 0;
+}
+
+static void
+process_upstream_notice(bbm_node *n, const bbm_gate_output *out)
+{
+    const bbm_upstream_notice *notice = &out->u.upstream_notice.notice;
+    const char *upstream = out->u.upstream_notice.upstream;
+    if (notice->leaving) {
+        bbm_action *l = node_log_event(n, BBM_EVENT_UPSTREAM_SAYS_LEAVING);
+        node_log_text(l, "id", out->id);
+        node_log_text(l, "upstream", upstream);
+    }
+    if (notice->pause > 0) {
+        bbm_action *l = node_log_event(n, BBM_EVENT_UPSTREAM_PAUSED);
+        node_log_text(l, "id", out->id);
+        node_log_text(l, "upstream", upstream);
+        node_log_number(l, "pause_ms", notice->pause / BBM_MS);
+    }
+    if (notice->invalid)
+        log_invalid_notice(n, upstream);
+}
+
 void
 node_gate_process_outputs(bbm_node *n)
 {
@@ -393,6 +431,9 @@
         case BBM_GATE_ENDED:
             process_ended(n, out);
             break;
+        case BBM_GATE_UPSTREAM_NOTICE:
+            process_upstream_notice(n, out);
+            break;
         }
     }
 }
--- /dev/null
+++ b/tests/test_forward.c
@@ -0,0 +1,655 @@
+/* The forwarding thread against an upstream that sends late, foreign, cut or
+   endless answers. */
+#include "bbm_codes.h"
+#include "control.h"
+#include "forward.h"
+#include "test_main.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* An attempt must end within this time where the upstream's answer is refused
+   or broken; far below the deadline of the requests. */
+#define END_MS_MAX 3000
+#define DEADLINE (60 * BBM_SECOND)
+/* Bytes of an answer without end that may be read before it is cut. */
+#define READ_BYTES_MAX ((uint64_t)32 * 1024 * 1024)
+
+/* ---- the upstream ---- */
+
+struct upstream;
+
+/* Sends the answer to request number @p n (from 1) on its connection. */
+typedef void upstream_script(struct upstream *u, int fd, int n);
+
+typedef struct upstream {
+    int listener;
+    uint16_t port;
+    upstream_script *script;
+    pthread_t thread;
+    atomic_int connections;
+    atomic_int requests;
+    atomic_bool stopping;
+    atomic_ullong sent_bytes;
+    char id[BBM_NAME_SIZE]; /* attempt id of the request being answered */
+} upstream;
+
+static bool
+send_bytes(upstream *u, int fd, const char *data, size_t len)
+{
+    while (len) {
+        ssize_t n = send(fd, data, len, MSG_NOSIGNAL);
+        if (n <= 0)
+            return false;
+        atomic_fetch_add(&u->sent_bytes, (unsigned long long)n);
+        data += n;
+        len -= (size_t)n;
+    }
+    return true;
+}
+
+static bool
+send_text(upstream *u, int fd, const char *text)
+{
+    return send_bytes(u, fd, text, strlen(text));
+}
+
+/* Sends an answer with the id and the text of a request. */
+static bool
+send_answer(upstream *u, int fd, const char *id, const char *more)
+{
+    char text[512];
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 200 OK\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+             "X-Bluebellmoor-Server-Stamp: s-%s\r\n%sContent-Length: %zu\r\n"
+             "\r\nbody of %s",
+             id, id, more, strlen("body of ") + strlen(id), id);
+    return send_text(u, fd, text);
+}
+
+/* Reads a request without a body; false if the connection has ended. */
+static bool
+read_request(upstream *u, int fd)
+{
+    static const char name[] = "X-Bluebellmoor-Attempt-Id: ";
+    char head[4096] = "";
+    size_t len = 0;
+    while (!strstr(head, "\r\n\r\n")) {
+        ssize_t n = recv(fd, head + len, sizeof(head) - 1 - len, 0);
+        if (n <= 0)
+            return false;
+        len += (size_t)n;
+        head[len] = '\0';
+    }
+    const char *id = strstr(head, name);
+    ck_assert_ptr_nonnull(id);
+    sscanf(id + strlen(name), "%30s", u->id);
+    return true;
+}
+
+static void *
+run_connection(upstream *u, int fd)
+{
+    while (!atomic_load(&u->stopping) && read_request(u, fd))
+        u->script(u, fd, atomic_fetch_add(&u->requests, 1) + 1);
+    close(fd);
+    return NULL;
+}
+
+static void *
+run_upstream(void *context)
+{
+    upstream *u = context;
+    int fd;
+    while ((fd = accept(u->listener, NULL, NULL)) >= 0) {
+        struct timeval timeout = {.tv_usec = 500000};
+        setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+        setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
+        atomic_fetch_add(&u->connections, 1);
+        run_connection(u, fd);
+    }
+    return NULL;
+}
+
+/* ---- the fixture ---- */
+
+typedef struct fixture {
+    upstream upstream;
+    mailbox *control;
+    forward *forward;
+    uint64_t requests;
+} fixture;
+
+/* An attempt and how it ended. */
+typedef struct ended {
+    exchange *ex;
+    bbm_forward_result result;
+    int64_t ms;
+} ended;
+
+static void
+set_up(fixture *w, upstream_script *script)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t len = sizeof(address);
+    *w = (fixture){.upstream = {.script = script}};
+    upstream *u = &w->upstream;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    u->listener = socket(AF_INET, SOCK_STREAM, 0);
+    ck_assert_int_eq(bind(u->listener, (void *)&address, sizeof(address)), 0);
+    ck_assert_int_eq(listen(u->listener, 16), 0);
+    getsockname(u->listener, (void *)&address, &len);
+    u->port = ntohs(address.sin_port);
+    pthread_create(&u->thread, NULL, run_upstream, u);
+    w->control = mailbox_create(256);
+    w->forward = forward_create(w->control);
+}
+
+static void
+tear_down(fixture *w)
+{
+    forward_stop(w->forward);
+    forward_destroy(w->forward);
+    atomic_store(&w->upstream.stopping, true);
+    shutdown(w->upstream.listener, SHUT_RDWR);
+    pthread_join(w->upstream.thread, NULL);
+    close(w->upstream.listener);
+    control_item *item;
+    while ((item = mailbox_take(w->control)) != NULL)
+        control_item_destroy(item);
+    mailbox_destroy(w->control);
+}
+
+/* An exchange of a client that is connected: the exchange only compares the
+   connection with NULL while it isn't suspended. */
+static exchange *
+create_exchange(uint64_t id)
+{
+    static char connection;
+    exchange *ex = exchange_create(EXCHANGE_POOL, id);
+    ex->connection = (void *)&connection;
+    ex->method = bbm_strdup("GET");
+    ex->host = bbm_strdup("h");
+    ex->request_target = bbm_strdup("/a/b");
+    snprintf(ex->parsed_headers.id, sizeof(ex->parsed_headers.id), "id-%d",
+             (int)id);
+    exchange_headers_add(&ex->headers, "X-Bluebellmoor-Attempt-Id",
+                         ex->parsed_headers.id);
+    ex->parsed_headers.client_timeout_ms = DEADLINE / BBM_MS;
+    return ex;
+}
+
+static exchange *
+start_request(fixture *w, bool repeatable, bool stream)
+{
+    exchange *ex = create_exchange(++w->requests);
+    bbm_forward_request send = {
+        .request = ex->id,
+        .attempt = 1,
+        .repeatable = repeatable,
+        .stream = stream,
+        .deadline = control_now() + DEADLINE,
+        .priority = -1,
+    };
+    bbm_name_set(send.upstream, "u");
+    snprintf(send.address, sizeof(send.address), "127.0.0.1:%u",
+             w->upstream.port);
+    forward_start(w->forward, ex, &send, "");
+    return ex;
+}
+
+/* The next item of a kind; fails if it doesn't arrive within @p ms. */
+static control_item *
+expect_item(fixture *w, control_kind kind, int64_t ms)
+{
+    bbm_time until = control_now() + ms * BBM_MS;
+    while (control_now() < until) {
+        control_item *item = mailbox_take(w->control);
+        if (item && item->kind == kind)
+            return item;
+        if (item)
+            control_item_destroy(item);
+        else
+            mailbox_wait(w->control, 10);
+    }
+    ck_abort_msg("no item of kind %d within %lld ms", (int)kind,
+                 (long long)ms);
+    return NULL;
+}
+
+static ended
+run_request(fixture *w, bool repeatable, bool stream)
+{
+    bbm_time started_at = control_now();
+    ended e = {.ex = start_request(w, repeatable, stream)};
+    control_item *item = expect_item(w, CONTROL_FORWARD_FINISHED, END_MS_MAX);
+    e.result = item->forwarded;
+    e.ms = (control_now() - started_at) / BBM_MS;
+    control_item_destroy(item);
+    return e;
+}
+
+static void
+check_whole(ended *e)
+{
+    char body[BBM_NAME_SIZE + 16];
+    snprintf(body, sizeof(body), "body of %s", e->ex->parsed_headers.id);
+    ck_assert_msg(e->result.outcome == BBM_FORWARD_COMPLETE, "%s: outcome %d",
+                  body, (int)e->result.outcome);
+    ck_assert_uint_eq(e->ex->out.len, strlen(body));
+    ck_assert_mem_eq(e->ex->out.data, body, strlen(body));
+    exchange_unref(e->ex);
+}
+
+/* No byte of an answer went to the client. */
+static void
+check_nothing_passed(ended *e)
+{
+    ck_assert_int_ne(e->result.outcome, BBM_FORWARD_COMPLETE);
+    ck_assert_uint_eq(e->ex->out.len, 0);
+    ck_assert(!e->ex->verbatim);
+    exchange_unref(e->ex);
+}
+
+static uint64_t
+resident_peak_kib(void)
+{
+    struct rusage usage;
+    getrusage(RUSAGE_SELF, &usage);
+    return (uint64_t)usage.ru_maxrss;
+}
+
+/* ---- answers of other requests ---- */
+
+static void
+answer_then_copy(upstream *u, int fd, int n)
+{
+    static char previous[BBM_NAME_SIZE];
+    if (n % 2 == 0)
+        send_answer(u, fd, previous, "");
+    bbm_name_set(previous, u->id);
+    send_answer(u, fd, u->id, "");
+}
+
+/* A copy of the previous answer arrives where the next answer is expected. */
+START_TEST(late_copy_is_not_the_next_answer)
+{
+    fixture w;
+    set_up(&w, answer_then_copy);
+    ended first = run_request(&w, false, false);
+    check_whole(&first);
+    ended second = run_request(&w, false, false);
+    check_nothing_passed(&second);
+    ended third = run_request(&w, false, false);
+    check_whole(&third);
+    tear_down(&w);
+}
+END_TEST
+
+static void
+answer_with_copy_behind(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_answer(u, fd, u->id, "");
+    send_answer(u, fd, u->id, "");
+}
+
+/* A second copy directly behind an answer is never read as an answer, and
+   its connection isn't used again. */
+START_TEST(copy_behind_an_answer_is_dropped)
+{
+    fixture w;
+    set_up(&w, answer_with_copy_behind);
+    for (int i = 0; i < 5; i++) {
+        ended e = run_request(&w, false, false);
+        check_whole(&e);
+        usleep(20000);
+    }
+    ck_assert_int_eq(atomic_load(&w.upstream.connections), 5);
+    tear_down(&w);
+}
+END_TEST
+
+static void
+answer_without_id(upstream *u, int fd, int n)
+{
+    if (n == 1)
+        send_answer(u, fd, u->id, "");
+    else
+        send_text(u, fd,
+                  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                  "X-Bluebellmoor-Server-Stamp: s\r\n\r\nno");
+}
+
+/* Without its id, an answer on a connection that was in use before may be
+   another request's. */
+START_TEST(answer_without_id_is_not_passed_on)
+{
+    fixture w;
+    set_up(&w, answer_without_id);
+    ended first = run_request(&w, false, false);
+    check_whole(&first);
+    ended second = run_request(&w, false, false);
+    check_nothing_passed(&second);
+    ck_assert_int_eq(second.result.outcome, BBM_FORWARD_NO_ANSWER);
+    tear_down(&w);
+}
+END_TEST
+
+static void
+answer_without_stamp(upstream *u, int fd, int n)
+{
+    char text[256];
+    (void)n;
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 200 OK\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+             "Content-Length: 2\r\n\r\nno",
+             u->id);
+    send_text(u, fd, text);
+}
+
+START_TEST(success_without_signature_is_not_passed_on)
+{
+    fixture w;
+    set_up(&w, answer_without_stamp);
+    ended e = run_request(&w, false, false);
+    check_nothing_passed(&e);
+    ck_assert_int_eq(e.result.outcome, BBM_FORWARD_NO_ANSWER);
+    tear_down(&w);
+}
+END_TEST
+
+/* The upstream's head arrives after control has answered with an error that
+   the client's thread hasn't queued yet.  The client then got the upstream's
+   status and signature with the error's body. */
+START_TEST(late_head_does_not_change_an_error)
+{
+    exchange *ex = create_exchange(1);
+    exchange_headers headers = {0};
+    exchange_headers_add(&headers, "X-Bluebellmoor-Server-Stamp", "s");
+    exchange_fail(ex, BBM_ERR_UPSTREAM_TIMEOUT, 0);
+    size_t len = ex->out.len;
+    exchange_set_verbatim_head(ex, 200, 10, &headers);
+    exchange_write(ex, "0123456789", 10);
+    exchange_finish(ex, false);
+    ck_assert_uint_eq(ex->status, 504);
+    ck_assert(!ex->verbatim);
+    ck_assert_uint_eq(ex->out.len, len);
+    exchange_answer(ex, 200, "text/plain", "x", 1);
+    exchange_set_head(ex, 200, "text/plain", "u", -1);
+    ck_assert_uint_eq(ex->status, 504);
+    ck_assert_uint_eq(ex->out.len, len);
+    exchange_headers_free(&headers);
+    exchange_unref(ex);
+}
+END_TEST
+
+/* ---- answers without end ---- */
+
+static const char head_start[] = "HTTP/1.1 200 OK\r\n";
+
+static void
+send_forever(upstream *u, int fd, const char *text)
+{
+    static char block[65536];
+    size_t len = strlen(text);
+    size_t fill = sizeof(block) - sizeof(block) % len;
+    for (size_t i = 0; i < fill; i++)
+        block[i] = text[i % len];
+    while (!atomic_load(&u->stopping) && send_bytes(u, fd, block, fill)
+           && atomic_load(&u->sent_bytes) < 8 * READ_BYTES_MAX)
+        ;
+}
+
+static void
+send_stream_head(upstream *u, int fd, const char *more)
+{
+    char text[512];
+    snprintf(text, sizeof(text),
+             "%sX-Bluebellmoor-Attempt-Id: %s\r\n"
+             "X-Bluebellmoor-Server-Stamp: s\r\n%s\r\n",
+             head_start, u->id, more);
+    send_text(u, fd, text);
+}
+
+static void
+endless_status_line(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_text(u, fd, "HTTP/1.1 200 ");
+    send_forever(u, fd, "OK");
+}
+
+static void
+endless_header_line(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_text(u, fd, head_start);
+    send_text(u, fd, "X-Long: ");
+    send_forever(u, fd, "abcdefgh");
+}
+
+static void
+endless_headers(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_text(u, fd, head_start);
+    send_forever(u, fd, "X-More: 1\r\n");
+}
+
+static void
+endless_interim_answers(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_forever(u, fd, "HTTP/1.1 102 Processing\r\n\r\n");
+}
+
+static void
+endless_bytes_without_head(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_forever(u, fd, "no answer at all");
+}
+
+static void
+endless_chunk_extension(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+    send_text(u, fd, "5;x=");
+    send_forever(u, fd, "abcdefgh");
+}
+
+static void
+endless_trailers(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+    send_text(u, fd, "5\r\nhello\r\n0\r\n");
+    send_forever(u, fd, "X-More: 1\r\n");
+}
+
+static void
+endless_refused_body(upstream *u, int fd, int n)
+{
+    char text[256];
+    (void)n;
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 503 Full\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+             "X-Bluebellmoor-Not-Executed: 1\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n",
+             u->id);
+    send_text(u, fd, text);
+    send_forever(u, fd, "8\r\nabcdefgh\r\n");
+}
+
+static void
+slow_refused_body(upstream *u, int fd, int n)
+{
+    char text[256];
+    (void)n;
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 503 Full\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+             "X-Bluebellmoor-Not-Executed: 1\r\nContent-Length: 1000\r\n\r\n",
+             u->id);
+    send_text(u, fd, text);
+    for (int i = 0; i < 60 && !atomic_load(&u->stopping); i++) {
+        if (!send_text(u, fd, "a"))
+            return;
+        usleep(100000);
+    }
+}
+
+/* Each ends by itself, in bounded bytes, time and memory, and its connection
+   is closed. */
+START_TEST(answers_without_end_are_cut)
+{
+    static const struct {
+        upstream_script *script;
+        bbm_forward_outcome outcome;
+    } rows[] = {
+        {endless_status_line, BBM_FORWARD_NO_ANSWER},
+        {endless_header_line, BBM_FORWARD_NO_ANSWER},
+        {endless_headers, BBM_FORWARD_NO_ANSWER},
+        {endless_interim_answers, BBM_FORWARD_NO_ANSWER},
+        {endless_bytes_without_head, BBM_FORWARD_NO_ANSWER},
+        {endless_chunk_extension, BBM_FORWARD_TRUNCATED},
+        {endless_trailers, BBM_FORWARD_TRUNCATED},
+        {endless_refused_body, BBM_FORWARD_NOT_RUN},
+        {slow_refused_body, BBM_FORWARD_NOT_RUN},
+    };
+    for (size_t i = 0; i < BBM_COUNT(rows); i++) {
+        fixture w;
+        set_up(&w, rows[i].script);
+        uint64_t before_kib = resident_peak_kib();
+        ended e = run_request(&w, false, false);
+        ck_assert_msg(e.result.outcome == rows[i].outcome,
+                      "row %zu: outcome %d", i, (int)e.result.outcome);
+        ck_assert_msg(e.ms < END_MS_MAX, "row %zu: %lld ms", i,
+                      (long long)e.ms);
+        ck_assert_msg(atomic_load(&w.upstream.sent_bytes) < READ_BYTES_MAX,
+                      "row %zu: %llu bytes", i,
+                      atomic_load(&w.upstream.sent_bytes));
+        ck_assert_msg(resident_peak_kib() - before_kib < 8192,
+                      "row %zu: memory grew by %llu KiB", i,
+                      (unsigned long long)(resident_peak_kib() - before_kib));
+        exchange_unref(e.ex);
+        w.upstream.script = answer_then_copy;
+        atomic_store(&w.upstream.requests, 0);
+        ended next = run_request(&w, false, false);
+        check_whole(&next);
+        ck_assert_int_eq(atomic_load(&w.upstream.connections), 2);
+        tear_down(&w);
+    }
+}
+END_TEST
+
+static void
+body_beyond_its_length(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_answer(u, fd, u->id, "");
+    send_forever(u, fd, "more");
+}
+
+START_TEST(bytes_beyond_the_length_are_dropped)
+{
+    fixture w;
+    set_up(&w, body_beyond_its_length);
+    for (int i = 0; i < 3; i++) {
+        ended e = run_request(&w, false, false);
+        check_whole(&e);
+        usleep(20000);
+    }
+    ck_assert_int_eq(atomic_load(&w.upstream.connections), 3);
+    /* Without the delay they may arrive after the next request was sent, whose
+       answer is then lost, but not mixed. */
+    for (int i = 0; i < 20; i++) {
+        ended e = run_request(&w, false, false);
+        if (e.result.outcome == BBM_FORWARD_COMPLETE)
+            check_whole(&e);
+        else
+            check_nothing_passed(&e);
+    }
+    ck_assert(atomic_load(&w.upstream.sent_bytes) < READ_BYTES_MAX);
+    tear_down(&w);
+}
+END_TEST
+
+/* A sound stream with long pauses between its events isn't cut. */
+static void
+slow_stream(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+    for (int i = 0; i < 4; i++) {
+        send_text(u, fd, "9\r\ndata: x\n\n\r\n");
+        usleep(400000);
+    }
+    send_text(u, fd, "0\r\n\r\n");
+}
+
+START_TEST(slow_streams_are_not_cut)
+{
+    fixture w;
+    set_up(&w, slow_stream);
+    ended e = run_request(&w, false, true);
+    ck_assert_int_eq(e.result.outcome, BBM_FORWARD_COMPLETE);
+    ck_assert_uint_eq(e.ex->out.len, 4 * strlen("data: x\n\n"));
+    exchange_unref(e.ex);
+    tear_down(&w);
+}
+END_TEST
+
+/* ---- what upstreams say of themselves ---- */
+
+static void
+leaving_answer(upstream *u, int fd, int n)
+{
+    char text[256];
+    if (n == 1) {
+        send_answer(u, fd, u->id, "Server-Leaving: 1\r\n");
+        return;
+    }
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 503 Full\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+             "X-Bluebellmoor-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
+             "Retry-After: 1.25\r\nContent-Length: 0\r\n\r\n",
+             u->id);
+    send_text(u, fd, text);
+}
+
+START_TEST(notices_are_reported)
+{
+    fixture w;
+    set_up(&w, leaving_answer);
+    exchange *ex = start_request(&w, false, false);
+    control_item *head = expect_item(&w, CONTROL_RESPONSE_HEAD, END_MS_MAX);
+    ck_assert(head->notice.leaving);
+    control_item_destroy(head);
+    control_item *end = expect_item(&w, CONTROL_FORWARD_FINISHED, END_MS_MAX);
+    ck_assert(end->forwarded.notice.leaving);
+    ck_assert_int_eq(end->forwarded.notice.pause, 0);
+    control_item_destroy(end);
+    exchange_unref(ex);
+    ended e = run_request(&w, false, false);
+    ck_assert_int_eq(e.result.outcome, BBM_FORWARD_NOT_RUN);
+    ck_assert(e.result.notice.leaving);
+    ck_assert_int_eq(e.result.notice.pause, 1250 * BBM_MS);
+    exchange_unref(e.ex);
+    tear_down(&w);
+}
+END_TEST
+
+TEST_MAIN("forward", late_copy_is_not_the_next_answer,
+          copy_behind_an_answer_is_dropped, answer_without_id_is_not_passed_on,
+          success_without_signature_is_not_passed_on,
+          late_head_does_not_change_an_error, answers_without_end_are_cut,
+          bytes_beyond_the_length_are_dropped, slow_streams_are_not_cut,
+          notices_are_reported);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -27,6 +27,8 @@
     "\"stream\":true,\"resumable\":true,\"timeout_ms\":15000,\"aim_ms\":400,"
     "\"gap_ms\":300,\"attempts\":2}]}";
 
+static const bbm_upstream_notice no_notice = {0};
+
 typedef struct fixture {
     bbm_config *cfg;
     bbm_gate *gate;
@@ -236,7 +238,7 @@
     fixture w = setup(4, 0);
     begin_request(&w, "/ask/a", 3);
     bbm_forward_request s = expect_send(&w);
-    bbm_gate_record_head(w.gate, s.request, s.attempt, w.now);
+    bbm_gate_record_head(w.gate, s.request, s.attempt, &no_notice, w.now);
     end_attempt(&w, &s, BBM_FORWARD_TRUNCATED, 200, "17");
     const bbm_gate_output *out = expect_output(&w, BBM_GATE_SEND);
     ck_assert(out->u.send.resumes);
@@ -248,7 +250,7 @@
                      BBM_ERR_UPSTREAM_CUT);
     begin_request(&w, "/check/a", 3);
     s = expect_send(&w);
-    bbm_gate_record_head(w.gate, s.request, s.attempt, w.now);
+    bbm_gate_record_head(w.gate, s.request, s.attempt, &no_notice, w.now);
     end_attempt(&w, &s, BBM_FORWARD_TRUNCATED, 200, "4");
     expect_output(&w, BBM_GATE_ABORT);
     expect_no_output(&w);
@@ -317,7 +319,7 @@
         bbm_gate_tick(w.gate, w.now);
         expect_no_output(&w);
     }
-    bbm_gate_record_head(w.gate, s.request, s.attempt, w.now);
+    bbm_gate_record_head(w.gate, s.request, s.attempt, &no_notice, w.now);
     for (int i = 0; i < 10; i++) {
         w.now += 50 * BBM_MS;
         bbm_gate_tick(w.gate, w.now);
@@ -358,6 +360,345 @@
 }
 END_TEST
 
+/* Ends an attempt with status 503, not run, and a pause. */
+static void
+refuse_with_pause(fixture *w, const bbm_forward_request *s, bbm_time pause)
+{
+    bbm_forward_result f = {
+        .request = s->request,
+        .attempt = s->attempt,
+        .outcome = BBM_FORWARD_NOT_RUN,
+        .status = 503,
+        .notice = {.pause = pause},
+    };
+    bbm_gate_end_attempt(w->gate, &f, w->now);
+}
+
+/* The next output other than a notice, or NULL. */
+static const bbm_gate_output *
+next_decision(fixture *w)
+{
+    const bbm_gate_output *out;
+    while ((out = bbm_gate_next_output(w->gate)) != NULL
+           && out->kind == BBM_GATE_UPSTREAM_NOTICE)
+        ;
+    return out;
+}
+
+/* Sends requests that are answered at once, and counts those to an
+   upstream. */
+static size_t
+count_served_by(fixture *w, const char *upstream, int requests)
+{
+    size_t len = 0;
+    for (int i = 0; i < requests; i++) {
+        begin_request(w, "/once/a", 0);
+        const bbm_gate_output *out = next_decision(w);
+        ck_assert_ptr_nonnull(out);
+        ck_assert_int_eq(out->kind, BBM_GATE_SEND);
+        bbm_forward_request s = out->u.send.send;
+        len += strcmp(s.upstream, upstream) == 0;
+        end_attempt(w, &s, BBM_FORWARD_COMPLETE, 200, "");
+        expect_output(w, BBM_GATE_ENDED);
+    }
+    return len;
+}
+
+/* Makes an upstream say in an answer that it leaves; returns its index. */
+static size_t
+let_one_say_it_leaves(fixture *w, char upstream[BBM_NAME_SIZE])
+{
+    begin_request(w, "/once/a", 0);
+    bbm_forward_request s = expect_send(w);
+    bbm_upstream_notice leaving = {.leaving = true};
+    bbm_gate_record_head(w->gate, s.request, s.attempt, &leaving, w->now);
+    const bbm_gate_output *out = expect_output(w, BBM_GATE_UPSTREAM_NOTICE);
+    ck_assert(out->u.upstream_notice.notice.leaving);
+    end_attempt(w, &s, BBM_FORWARD_COMPLETE, 200, "");
+    expect_output(w, BBM_GATE_ENDED);
+    bbm_name_set(upstream, s.upstream);
+    size_t i = 0;
+    while (strcmp(w->listing.items[i].id, upstream) != 0)
+        i++;
+    return i;
+}
+
+/* An upstream that says that it leaves gets no requests from then on, whatever
+   the listing says, until it has restarted. */
+START_TEST(upstream_that_says_it_leaves_gets_no_requests)
+{
+    fixture w = setup(0, 4);
+    char leaving[BBM_NAME_SIZE];
+    size_t i = let_one_say_it_leaves(&w, leaving);
+    ck_assert_uint_eq(count_served_by(&w, leaving, 50), 0);
+    apply_listing(&w);
+    ck_assert_uint_eq(count_served_by(&w, leaving, 50), 0);
+    /* One listing lacks it, the next has it again as ready. */
+    bbm_listing_entry entry = w.listing.items[i];
+    w.listing.items[i] = w.listing.items[--w.listing.len];
+    apply_listing(&w);
+    w.now += 5 * BBM_SECOND;
+    apply_listing(&w);
+    w.listing.items[w.listing.len++] = entry;
+    apply_listing(&w);
+    ck_assert_uint_eq(count_served_by(&w, leaving, 50), 0);
+    w.listing.items[w.listing.len - 1].started_at_ms = 5000;
+    apply_listing(&w);
+    ck_assert_uint_gt(count_served_by(&w, leaving, 50), 0);
+    teardown(&w);
+}
+END_TEST
+
+/* An answer that says that its upstream leaves arrives after the upstream has
+   restarted under the same id. */
+START_TEST(notice_of_an_earlier_run_is_ignored)
+{
+    fixture w = setup(0, 1);
+    begin_request(&w, "/once/a", 0);
+    bbm_forward_request s = expect_send(&w);
+    w.listing.items[0].started_at_ms = 7000;
+    apply_listing(&w);
+    bbm_upstream_notice leaving = {.leaving = true};
+    bbm_gate_record_head(w.gate, s.request, s.attempt, &leaving, w.now);
+    end_attempt(&w, &s, BBM_FORWARD_COMPLETE, 200, "");
+    expect_output(&w, BBM_GATE_ENDED);
+    ck_assert_uint_eq(count_served_by(&w, s.upstream, 5), 5);
+    teardown(&w);
+}
+END_TEST
+
+static void
+exchange_two_loads(fixture *a, fixture *b)
+{
+    fixture *vms[] = {a, b};
+    bbm_loads *loads = bbm_loads_create();
+    for (size_t i = 0; i < 2; i++) {
+        bbm_buf one = {0};
+        bbm_gate_put_load(vms[i]->gate, vms[i]->now, &one);
+        bbm_reader rd = bbm_reader_of(one.data, one.len);
+        bbm_loads_add_report(loads, i ? "b" : "a", &rd, vms[i]->now);
+        bbm_buf_free(&one);
+    }
+    bbm_buf sums = {0};
+    bbm_loads_put_totals(loads, a->now, &sums);
+    for (size_t i = 0; i < 2; i++) {
+        bbm_reader rd = bbm_reader_of(sums.data, sums.len);
+        bbm_gate_get_totals(vms[i]->gate, &rd, vms[i]->now);
+        ck_assert(bbm_reader_done(&rd));
+    }
+    bbm_buf_free(&sums);
+    bbm_loads_destroy(loads);
+}
+
+/* Other VMs hear that an upstream leaves, and of its pauses as load. */
+START_TEST(notices_reach_other_vms)
+{
+    fixture a = setup(0, 4);
+    fixture b = setup_seeded(0, 4, 2);
+    bbm_gate_set_vm_count(a.gate, 2, false);
+    bbm_gate_set_vm_count(b.gate, 2, false);
+    char leaving[BBM_NAME_SIZE];
+    let_one_say_it_leaves(&a, leaving);
+    exchange_two_loads(&a, &b);
+    ck_assert_uint_eq(count_served_by(&b, leaving, 50), 0);
+    begin_request(&a, "/once/a", 0);
+    bbm_forward_request s = expect_send(&a);
+    refuse_with_pause(&a, &s, 2 * BBM_SECOND);
+    while (bbm_gate_next_output(a.gate))
+        ;
+    exchange_two_loads(&a, &b);
+    ck_assert_uint_lt(count_served_by(&b, s.upstream, 60), 20);
+    teardown(&a);
+    teardown(&b);
+}
+END_TEST
+
+/* ---- pauses ---- */
+
+/* Upstreams with 6 slots and a service time of 30 ms, under 100 requests per
+   second of clients that return once, at the time that they were told.
+   @p pausing of the four refuse whatever arrives within a second, and ask for
+   a pause until its end. */
+typedef struct pause_world {
+    fixture w;
+    struct {
+        bbm_forward_request send;
+        bbm_time end_at; /* 0: unused */
+    } jobs[64];
+    bbm_time return_at[512]; /* 0: unused */
+    size_t open[4];
+    size_t open_max;
+    size_t refusals_by_upstreams;
+    size_t served;
+    size_t refused;
+    size_t refused_twice;
+    bbm_time held_max;
+} pause_world;
+
+#define PAUSE_WORLD_FROM (100 * BBM_SECOND + 500 * BBM_MS)
+#define PAUSE_WORLD_UNTIL (PAUSE_WORLD_FROM + BBM_SECOND)
+
+static void
+take_decisions(pause_world *p, int pausing, bool returned)
+{
+    const bbm_gate_output *out;
+    while ((out = next_decision(&p->w)) != NULL) {
+        if (out->kind == BBM_GATE_REFUSE) {
+            size_t i = 0;
+            p->refused++;
+            p->refused_twice += returned;
+            ck_assert_int_gt(out->u.refuse.retry_after, 0);
+            if (out->u.refuse.elapsed_ms * BBM_MS > p->held_max)
+                p->held_max = out->u.refuse.elapsed_ms * BBM_MS;
+            while (p->return_at[i])
+                i++;
+            if (!returned)
+                p->return_at[i] = p->w.now + out->u.refuse.retry_after;
+            continue;
+        }
+        if (out->kind != BBM_GATE_SEND)
+            continue;
+        bbm_forward_request s = out->u.send.send;
+        int at = atoi(s.upstream + 2);
+        bool pauses = at < pausing && p->w.now >= PAUSE_WORLD_FROM
+                      && p->w.now < PAUSE_WORLD_UNTIL;
+        if (pauses) {
+            p->refusals_by_upstreams++;
+            refuse_with_pause(&p->w, &s, PAUSE_WORLD_UNTIL - p->w.now);
+            continue;
+        }
+        size_t i = 0;
+        while (p->jobs[i].end_at)
+            i++;
+        p->jobs[i].send = s;
+        p->jobs[i].end_at = p->w.now + 30 * BBM_MS;
+        if (++p->open[at] > p->open_max)
+            p->open_max = p->open[at];
+    }
+}
+
+static void
+step_pause_world(pause_world *p, int pausing, bool arrives)
+{
+    p->w.now += 2 * BBM_MS;
+    for (size_t i = 0; i < BBM_COUNT(p->jobs); i++) {
+        if (!p->jobs[i].end_at || p->jobs[i].end_at > p->w.now)
+            continue;
+        bbm_forward_request s = p->jobs[i].send;
+        p->jobs[i].end_at = 0;
+        p->open[atoi(s.upstream + 2)]--;
+        p->served++;
+        end_attempt(&p->w, &s, BBM_FORWARD_COMPLETE, 200, "");
+        take_decisions(p, pausing, false);
+    }
+    for (size_t i = 0; i < BBM_COUNT(p->return_at); i++) {
+        if (!p->return_at[i] || p->return_at[i] > p->w.now)
+            continue;
+        p->return_at[i] = 0;
+        begin_request(&p->w, "/once/a", 0);
+        take_decisions(p, pausing, true);
+    }
+    if (arrives) {
+        begin_request(&p->w, "/once/a", 0);
+        take_decisions(p, pausing, false);
+    }
+    bbm_gate_tick(p->w.gate, p->w.now);
+    take_decisions(p, pausing, false);
+}
+
+static pause_world
+play_pauses(int pausing)
+{
+    pause_world p = {.w = setup(0, 4)};
+    for (int i = 0; i < 1500; i++)
+        step_pause_world(&p, pausing, i % 5 == 0);
+    for (int i = 0; i < 1500; i++)
+        step_pause_world(&p, pausing, false);
+    teardown(&p.w);
+    return p;
+}
+
+/* One upstream pauses: it is asked once, and all clients are served. */
+START_TEST(pause_of_one_upstream_costs_no_client)
+{
+    pause_world p = play_pauses(1);
+    ck_assert_uint_le(p.refusals_by_upstreams, 1);
+    ck_assert_uint_eq(p.refused, 0);
+    ck_assert_uint_eq(p.served, 300);
+}
+END_TEST
+
+START_TEST(pause_of_most_upstreams_costs_no_client)
+{
+    pause_world p = play_pauses(3);
+    ck_assert_uint_le(p.refusals_by_upstreams, 3);
+    ck_assert_uint_eq(p.refused, 0);
+    ck_assert_uint_eq(p.served, 300);
+}
+END_TEST
+
+/* All pause: each is asked once, clients are refused at once, return one after
+   the other once the pause is over, and are all served then.  Those that come
+   shortly before its end are held. */
+START_TEST(clients_return_in_turn_after_a_pause_of_all)
+{
+    pause_world p = play_pauses(4);
+    ck_assert_uint_le(p.refusals_by_upstreams, 4);
+    ck_assert_uint_ge(p.refused, 80);
+    ck_assert_int_le(p.held_max, 0);
+    ck_assert_uint_eq(p.refused_twice, 0);
+    ck_assert_uint_eq(p.served, 300);
+    /* Together they would need more than all slots at the end of the pause. */
+    ck_assert_uint_le(p.open_max, 6);
+}
+END_TEST
+
+/* A held request isn't sent to an upstream that asks for a pause meanwhile,
+   and a pause isn't a fault: the upstream serves in full right after it. */
+START_TEST(pause_is_no_fault)
+{
+    fixture w = setup(0, 1);
+    bbm_forward_request sends[4];
+    for (int i = 0; i < 4; i++) {
+        begin_request(&w, "/once/a", 0);
+        sends[i] = expect_send(&w);
+    }
+    refuse_with_pause(&w, &sends[0], 60 * BBM_MS);
+    expect_output(&w, BBM_GATE_UPSTREAM_NOTICE);
+    while (bbm_gate_next_output(w.gate))
+        ;
+    begin_request(&w, "/once/a", 0);
+    expect_no_output(&w);
+    w.now += 50 * BBM_MS;
+    bbm_gate_tick(w.gate, w.now);
+    expect_no_output(&w);
+    w.now += 11 * BBM_MS;
+    bbm_gate_tick(w.gate, w.now);
+    expect_send(&w);
+    begin_request(&w, "/once/a", 0);
+    expect_send(&w);
+    teardown(&w);
+}
+END_TEST
+
+/* An absurd pause ends: the upstream is asked again some minutes later. */
+START_TEST(absurd_pause_is_limited)
+{
+    fixture w = setup(0, 1);
+    begin_request(&w, "/once/a", 0);
+    bbm_forward_request s = expect_send(&w);
+    refuse_with_pause(&w, &s, 86400 * BBM_SECOND);
+    while (bbm_gate_next_output(w.gate))
+        ;
+    begin_request(&w, "/once/a", 0);
+    expect_output(&w, BBM_GATE_REFUSE);
+    w.now += 601 * BBM_SECOND;
+    begin_request(&w, "/once/a", 0);
+    expect_send(&w);
+    teardown(&w);
+}
+END_TEST
+
 /* ---- weights ---- */
 
 /* The age of the weights of a runner that is two versions behind counts from
@@ -610,7 +951,7 @@
                 f->now - f->arrived_at[j->send.request * VMS + j->vm];
             f->in_time += latency <= 600 * BBM_MS;
             bbm_gate_record_head(w->gate, j->send.request, j->send.attempt,
-                                 f->now);
+                                 &no_notice, f->now);
         }
         if (f->now >= j->end_at) {
             j->used = false;
@@ -969,7 +1310,12 @@
           route_timeout_is_enforced,
           silent_attempt_continues_without_alternative,
           client_disconnect_aborts_request, leaving_upstreams_get_no_requests,
-          weights_age_from_first_newer_version,
+          upstream_that_says_it_leaves_gets_no_requests,
+          notice_of_an_earlier_run_is_ignored, notices_reach_other_vms,
+          pause_of_one_upstream_costs_no_client,
+          pause_of_most_upstreams_costs_no_client,
+          clients_return_in_turn_after_a_pause_of_all, pause_is_no_fault,
+          absurd_pause_is_limited, weights_age_from_first_newer_version,
           old_weights_limit_includes_wait, cache_salt_differs_by_version,
           chains_stay_at_their_homes,
           delayed_placements_do_not_flood_new_weights,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -274,7 +274,24 @@
     bbm_forward_request repeatable_request = {.repeatable = true};
     bbm_forward_outcome outcome;
     ck_assert(bbm_gate_accept_head(
+        &not_repeatable,
+        &(bbm_response_head){.status = 200, .has_signature = true}, &outcome));
+    /* Bytes without the upstream's signature are no success of it. */
+    ck_assert(!bbm_gate_accept_head(
         &not_repeatable, &(bbm_response_head){.status = 200}, &outcome));
+    ck_assert_int_eq(outcome, BBM_FORWARD_NO_ANSWER);
+    /* On a connection that is in use again, an answer without an id may be
+       another request's, and so may a refusal. */
+    bbm_response_head reused = {
+        .status = 200, .has_signature = true, .reused_connection = true};
+    ck_assert(!bbm_gate_accept_head(&not_repeatable, &reused, &outcome));
+    ck_assert_int_eq(outcome, BBM_FORWARD_NO_ANSWER);
+    reused.not_run = true;
+    ck_assert(!bbm_gate_accept_head(&not_repeatable, &reused, &outcome));
+    ck_assert_int_eq(outcome, BBM_FORWARD_NO_ANSWER);
+    reused.not_run = false;
+    reused.has_request_id = true;
+    ck_assert(bbm_gate_accept_head(&not_repeatable, &reused, &outcome));
     ck_assert(bbm_gate_accept_head(
         &not_repeatable, &(bbm_response_head){.status = 500}, &outcome));
     ck_assert(bbm_gate_accept_head(
@@ -301,7 +318,8 @@
     ck_assert_int_eq(outcome, BBM_FORWARD_NO_ANSWER);
     ck_assert(!bbm_gate_accept_head(
         &not_repeatable,
-        &(bbm_response_head){.status = 200, .unexpected_encoding = true},
+        &(bbm_response_head){
+            .status = 200, .has_signature = true, .unexpected_encoding = true},
         &outcome));
 }
 END_TEST
@@ -325,6 +343,69 @@
 }
 END_TEST
 
+/* Retry-After counts with status 503 only, as seconds with a fraction. */
+START_TEST(notices_of_upstreams_are_parsed)
+{
+    static const struct {
+        const char *name;
+        const char *value;
+        uint32_t status;
+        bbm_upstream_notice expected;
+    } rows[] = {
+        {"Server-Leaving", "1", 200, {.leaving = true}},
+        {"server-leaving", "1", 404, {.leaving = true}},
+        {"Server-Leaving", "0", 200, {.invalid = true}},
+        {"Server-Leaving", "yes", 200, {.invalid = true}},
+        {"Server-Leaving", "", 200, {.invalid = true}},
+        {"Retry-After", "2", 503, {.pause = 2 * BBM_SECOND}},
+        {"Retry-After", "2", 200, {0}},
+        {"Retry-After", "0.25", 503, {.pause = 250 * BBM_MS}},
+        {"Retry-After", "0", 503, {0}},
+        {"Retry-After", "-3", 503, {.invalid = true}},
+        {"Retry-After", "1e9", 503, {.invalid = true}},
+        {"Retry-After", "inf", 503, {.invalid = true}},
+        {"Retry-After", "", 503, {.invalid = true}},
+        {"Retry-After", "1.", 503, {.invalid = true}},
+        {"Retry-After",
+         "Fri, 31 Dec 1999 23:59:59 GMT",
+         503,
+         {.invalid = true}},
+        {"Retry-After",
+         "99999999999999999999999999",
+         503,
+         {.pause = 86400 * BBM_SECOND}},
+        {"Retry-Later", "2", 503, {0}},
+    };
+    for (size_t i = 0; i < BBM_COUNT(rows); i++) {
+        platform_response a = {.keep_alive_s = -1};
+        bbm_upstream_notice notice;
+        platform_response_add_header(&a, "a1", rows[i].name, rows[i].value);
+        platform_response_notice(&a, rows[i].status, &notice);
+        ck_assert_msg(notice.leaving == rows[i].expected.leaving
+                          && notice.pause == rows[i].expected.pause
+                          && notice.invalid == rows[i].expected.invalid,
+                      "row %zu", i);
+    }
+}
+END_TEST
+
+/* A client's timeout is a number that it chose freely. */
+START_TEST(client_timeout_does_not_overflow)
+{
+    static const char *const values[] = {
+        "9223372036854775807", "9300000000000", "99999999999999999999999"};
+    for (size_t i = 0; i < BBM_COUNT(values); i++) {
+        platform_request c = {0};
+        bbm_gate_request_desc desc = {0};
+        platform_request_add_header(&c, "X-Bluebellmoor-Deadline-Ms",
+                                    values[i]);
+        platform_request_describe(&c, &desc);
+        ck_assert_int_gt(desc.client_timeout, 86400 * BBM_SECOND);
+        ck_assert_int_lt(desc.client_timeout, BBM_NEVER / 2);
+    }
+}
+END_TEST
+
 START_TEST(orders_and_reports)
 {
     bbm_rollout_action act = {.version = 2, .sequence = 4, .fence = 41};
@@ -371,4 +452,5 @@
           reserved_headers_are_not_forwarded, prompt_headers_are_parsed,
           ambiguous_framing_is_detected, response_heads_are_classified,
           mismatched_attempt_id_is_detected, orders_and_reports,
+          notices_of_upstreams_are_parsed, client_timeout_does_not_overflow,
           events_are_split_when_complete);
