--- a/base/bbm_codes.h
+++ b/base/bbm_codes.h
@@ -43,6 +43,8 @@
       "this VM cannot prove that its keys are fresh")                         \
     X(BBM_ERR_KEY_WITHDRAWN, -113, 401, UNKNOWN,                              \
       "the key was withdrawn while the request ran")                          \
+    X(BBM_ERR_KEY_IN_TARGET, -115, 400, NO,                                   \
+      "the key must not be in the path or query")                             \
     X(BBM_ERR_KEYS_STALE_CUT, -114, 503, UNKNOWN,                             \
       "this VM could not prove that its keys are fresh any longer")           \
     X(BBM_ERR_RATE, -120, 429, NO, "the customer's rate is used up")          \
--- a/daemon/bbm_settings.c
+++ b/daemon/bbm_settings.c
@@ -68,6 +68,11 @@
          "served"),
     TEXT(secret_file, "file with at least 32 bytes, the same for all daemons; "
                       "required unless private_network"),
+    {.name = "serve_stale_keys",
+     .kind = BBM_FIELD_BOOL,
+     SETTINGS_OFFSET(serve_stale_keys),
+     .description = "true: keyed routes of pools are served whatever the age "
+                    "of the view of the keys"},
     {.name = "private_network",
      .kind = BBM_FIELD_BOOL,
      SETTINGS_OFFSET(private_network),
--- a/daemon/bbm_settings.h
+++ b/daemon/bbm_settings.h
@@ -68,6 +68,8 @@
     int64_t fresh_bound_ms;   /**< If this VM's copy of the API keys is
                                    older, no request starts on a route
                                    with keys; milliseconds. */
+    bool serve_stale_keys;    /**< Routes of pools with keys serve whatever
+                                   the age of the copy. */
     int64_t cut_bound_ms;     /**< If the copy is older than this, open
                                    requests on such routes are aborted;
                                    milliseconds. */
--- a/daemon/front_provider.c
+++ b/daemon/front_provider.c
@@ -38,6 +38,36 @@
     ex->headers.len = len;
 }
 
+/* True if a text contains the key, as it is or percent-encoded. */
+static bool
+contains_key(const char *text, const char *key)
+{
+    if (strstr(text, key))
+        return true;
+    if (!strchr(text, '%'))
+        return false;
+    BBM_AUTO_FREE char *decoded = bbm_strdup(text);
+    MHD_http_unescape(decoded);
+    return strstr(decoded, key) != NULL;
+}
+
+/* Drops the headers that contain the caller's key: no upstream may see it. */
+static void
+drop_headers_with_key(exchange *ex, const char *key)
+{
+    size_t len = 0;
+    for (size_t i = 0; i < ex->headers.len; i++) {
+        exchange_header *h = &ex->headers.items[i];
+        if (!contains_key(h->value, key)) {
+            ex->headers.items[len++] = *h;
+            continue;
+        }
+        free(h->name);
+        free(h->value);
+    }
+    ex->headers.len = len;
+}
+
 void
 front_provider_read_headers(exchange *ex, struct MHD_Connection *connection,
                             const uint8_t *key_secret)
@@ -55,7 +85,14 @@
     if (ex->has_key)
         ex->key_digest =
             bbm_digest_of(parsed->key, strlen(parsed->key), key_secret);
+    /* The target is forwarded unchanged or not at all. */
+    bool key_in_target =
+        ex->has_key && contains_key(ex->request_target, parsed->key);
+    if (ex->has_key)
+        drop_headers_with_key(ex, parsed->key);
     explicit_bzero(parsed->key, sizeof(parsed->key));
+    if (key_in_target)
+        exchange_fail(ex, BBM_ERR_KEY_IN_TARGET, 0);
     if (parsed->ambiguous_framing || parsed->invalid_header_name) {
         ex->closes_connection = true;
         exchange_fail(ex, BBM_ERR_FRAMING, 0);
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -107,9 +107,9 @@
                                     requests; the node sets zone and seed. */
     bbm_time now;              /**< Current time. */
     bbm_time election_timeout; /**< 0: 1 s. */
-    bbm_time key_age_max;      /**< Engine and service routes that need a key
-                                    refuse requests while the keys are older,
-                                    and the VM is not ready; 0: 5 s. */
+    bbm_time key_age_max;      /**< Routes that need a key refuse requests
+                                    while the keys are older, and the VM is not
+                                    ready; 0: 5 s. */
     bbm_time key_age_abort;    /**< Requests with a key on these routes are
                                     ended at this age of the keys;
                                     0: 10 s. */
@@ -123,6 +123,8 @@
                                     services; 0: 4,000. */
     size_t snapshot_interval_entries; /**< Log entries between snapshots;
                                            0: 512. */
+    bool serve_stale_keys; /**< Pool routes that need a key serve whatever the
+                                age of the keys. */
     bbm_policy policy;                /**< How a runner is chosen. */
     bool no_fair_queuing;             /**< Benchmarks only: no fair queuing. */
     bool unsafe_stale_keys; /**< Tests only: serve with stale keys. */
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -142,6 +142,8 @@
         return BBM_OK;
     if (!ev->has_key)
         return BBM_ERR_NO_KEY;
+    if (n->keys_stale && !n->desc.serve_stale_keys)
+        return BBM_ERR_KEYS_STALE;
     if (!bbm_registry_find_key(bbm_state_registry(n->state), &ev->key, &key))
         return BBM_ERR_BAD_KEY;
     *customer = bbm_config_customer(cfg, key.customer);
--- a/stand/pool.c
+++ b/stand/pool.c
@@ -6,7 +6,8 @@
  *
  *  The list names the upstreams as instances of the service "api".  An
  *  upstream answers every request and counts the runs of each attempt id;
- *  GET /runs returns the counts.  After GET /fault it runs the next request
+ *  GET /runs returns the counts, GET /seen headers, path and query arguments of
+ *  the last request.  After GET /fault it runs the next request
  *  but closes the connection without an answer; GET /fault?off=1 cancels
  *  that.
  */
@@ -23,6 +24,7 @@
     const char *port;
     pthread_mutex_t lock;
     json_t *run_counts; /* by attempt id */
+    json_t *last_request; /* headers, path and query arguments */
     bool drop_next;
 } pool;
 
@@ -43,11 +45,27 @@
     return stand_reply(q, 200, json_pack("{s:o}", "instances", list));
 }
 
+static enum MHD_Result
+add_field(void *context, enum MHD_ValueKind kind, const char *name,
+          const char *value)
+{
+    (void)kind;
+    json_object_set_new(context, name, json_string(value ? value : ""));
+    return MHD_YES;
+}
+
 static enum MHD_Result
 run_request(pool *p, stand_request *q)
 {
     const char *id = stand_header(q, "X-Bluebellmoor-Attempt-Id");
+    q->signature = p->port;
     pthread_mutex_lock(&p->lock);
+    json_object_clear(p->last_request);
+    json_object_set_new(p->last_request, "path", json_string(q->path));
+    MHD_get_connection_values(
+        q->connection,
+        (enum MHD_ValueKind)(MHD_HEADER_KIND | MHD_GET_ARGUMENT_KIND),
+        add_field, p->last_request);
     json_int_t before = json_integer_value(json_object_get(p->run_counts, id));
     json_object_set_new(p->run_counts, id, json_integer(before + 1));
     bool drop = p->drop_next;
@@ -64,11 +82,13 @@
     pool *p = context;
     if (p->ports)
         return reply_list(p, q);
-    if (strcmp(q->path, "/runs") == 0) {
+    bool wants_last_request = strcmp(q->path, "/seen") == 0;
+    if (wants_last_request || strcmp(q->path, "/runs") == 0) {
         pthread_mutex_lock(&p->lock);
-        json_t *runs = json_deep_copy(p->run_counts);
+        json_t *copy = json_deep_copy(wants_last_request ? p->last_request
+                                                         : p->run_counts);
         pthread_mutex_unlock(&p->lock);
-        return stand_reply(q, 200, runs);
+        return stand_reply(q, 200, copy);
     }
     if (strcmp(q->path, "/fault") == 0) {
         pthread_mutex_lock(&p->lock);
@@ -89,7 +109,9 @@
               stderr);
         return 2;
     }
-    pool p = {.port = argv[2], .run_counts = json_object()};
+    pool p = {.port = argv[2],
+              .run_counts = json_object(),
+              .last_request = json_object()};
     if (is_list) {
         p.ports = argv + 3;
         p.ports_len = argc - 3;
@@ -101,4 +123,5 @@
     stand_wait();
     stand_close(s);
     json_decref(p.run_counts);
+    json_decref(p.last_request);
 }
--- a/stand/stand_http.c
+++ b/stand/stand_http.c
@@ -133,12 +133,18 @@
 }
 
 static void
-add_request_id(const stand_request *r, struct MHD_Response *response)
+add_ids(const stand_request *r, struct MHD_Response *response)
 {
     const char *id =
         r->response_id ? r->response_id : stand_header(r, "X-Request-Id");
     if (*id)
         MHD_add_response_header(response, "X-Request-Id", id);
+    if (!r->signature)
+        return;
+    MHD_add_response_header(response, "X-Bluebellmoor-Attempt-Id",
+                            stand_header(r, "X-Bluebellmoor-Attempt-Id"));
+    MHD_add_response_header(response, "X-Bluebellmoor-Server-Stamp",
+                            r->signature);
 }
 
 enum MHD_Result
@@ -149,7 +155,7 @@
     struct MHD_Response *response = MHD_create_response_from_buffer(
         strlen(text), text, MHD_RESPMEM_MUST_FREE);
     MHD_add_response_header(response, "Content-Type", "application/json");
-    add_request_id(r, response);
+    add_ids(r, response);
     enum MHD_Result rc = MHD_queue_response(r->connection, status, response);
     MHD_destroy_response(response);
     return rc;
@@ -163,7 +169,7 @@
         MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
                                           read_block, context, free_context);
     MHD_add_response_header(response, "Content-Type", type);
-    add_request_id(r, response);
+    add_ids(r, response);
     enum MHD_Result rc = MHD_queue_response(r->connection, 200, response);
     MHD_destroy_response(response);
     return rc;
--- a/stand/stand_http.h
+++ b/stand/stand_http.h
@@ -25,6 +25,9 @@
     bbm_buf body;                      /**< Complete; a 0 byte follows it. */
     const char *response_id; /**< X-Request-Id of the answer; NULL: the
                                 request's own. */
+    const char *signature;   /**< Signature of an upstream of a pool: sent
+                                with the request's attempt id.  NULL: neither
+                                is sent. */
 } stand_request;
 
 /** Handles a request; called concurrently for several connections. */
--- a/store/bbm_store.c
+++ b/store/bbm_store.c
@@ -35,6 +35,8 @@
     uint64_t generation;    /* of the current snapshot and log */
     uint64_t log_size;      /* synced bytes of the log */
     uint64_t snapshot_size; /* bytes of the snapshot */
+    bool folder_unsynced;   /* names were changed, but a sync of the folder
+                               failed */
     bbm_raft_saved saved;   /* as read at opening, until bbm_store_load */
     size_t saved_cap;       /* allocated entries of saved */
 };
@@ -207,38 +209,53 @@
     closedir(dir);
 }
 
-/* Highest generation whose log has its final name; 0 if there is none. */
-static uint64_t
-find_generation(bbm_store *s)
+/* Finds the highest generation whose log has its final name; 0 if there is
+   none.  A folder that can't be listed is an error: it may have one. */
+static int
+find_generation(bbm_store *s, uint64_t *highest)
 {
-    uint64_t highest = 0;
+    *highest = 0;
     int fd = openat(s->folder, ".", O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    DIR *dir = fd >= 0 ? fdopendir(fd) : NULL;
-    if (!dir)
-        return 0;
-    for (struct dirent *e; (e = readdir(dir)) != NULL;) {
+    if (fd < 0)
+        return BBM_ERR_IO;
+    DIR *dir = fdopendir(fd);
+    if (!dir) {
+        close(fd);
+        return BBM_ERR_IO;
+    }
+    struct dirent *e;
+    while (errno = 0, (e = readdir(dir)) != NULL) {
         char *end = NULL;
         uint64_t generation = strtoull(e->d_name, &end, 10);
         if (end != e->d_name && strcmp(end, ".log") == 0
-            && generation > highest)
-            highest = generation;
+            && generation > *highest)
+            *highest = generation;
     }
+    bool complete = errno == 0;
     closedir(dir);
-    return highest;
+    return complete ? BBM_OK : BBM_ERR_IO;
 }
 
 static int
-open_log(bbm_store *s)
+open_log(const bbm_store *s, const char *name)
+{
+    return openat(s->folder, name, O_WRONLY | O_APPEND | O_CLOEXEC);
+}
+
+static void
+use_log(bbm_store *s, int fd)
 {
-    char name[FILE_NAME_SIZE];
-    file_name(name, s->generation, "log");
-    int fd = openat(s->folder, name, O_WRONLY | O_APPEND | O_CLOEXEC);
-    if (fd < 0)
-        return BBM_ERR_IO;
     if (s->log >= 0)
         close(s->log);
     s->log = fd;
-    return BBM_OK;
+}
+
+/* Makes changed names durable. */
+static int
+sync_folder(bbm_store *s)
+{
+    s->folder_unsynced = fsync(s->folder) < 0;
+    return s->folder_unsynced ? store_errno_code() : BBM_OK;
 }
 
 static int
@@ -270,7 +287,11 @@
     if (faccessat(s->folder, IDENTITY_FILE, F_OK, 0) < 0) {
         /* A folder with a log must not get a new identity: under it, the
            member could vote again in a term in which it has voted. */
-        if (find_generation(s)) {
+        uint64_t generation;
+        int rc = find_generation(s, &generation);
+        if (rc < 0)
+            return rc;
+        if (generation) {
             snprintf(report->failed_file, sizeof(report->failed_file), "%s",
                      IDENTITY_FILE);
             return BBM_ERR_CORRUPT;
@@ -287,7 +308,9 @@
 }
 
 /* Writes snapshot and log of the next generation and switches to them.  The
-   generation becomes valid when the log is renamed to its final name. */
+   generation becomes valid when the log is renamed to its final name.  The log
+   is opened before, so that after the renaming no write can go to the old
+   one. */
 static int
 write_pair(bbm_store *s, const bbm_buf *snapshot, const bbm_buf *log)
 {
@@ -301,21 +324,25 @@
     int rc = store_file_create(s->folder, snap_name, snapshot);
     if (rc == BBM_OK)
         rc = store_file_create(s->folder, log_tmp, log);
-    if (rc == BBM_OK && fsync(s->folder) < 0)
-        rc = store_errno_code();
+    int fd = rc == BBM_OK ? open_log(s, log_tmp) : -1;
+    if (rc == BBM_OK && fd < 0)
+        rc = BBM_ERR_IO;
+    if (rc == BBM_OK)
+        rc = sync_folder(s);
     if (rc == BBM_OK && renameat(s->folder, log_tmp, s->folder, log_name) < 0)
         rc = store_errno_code();
     if (rc < 0) {
+        if (fd >= 0)
+            close(fd);
         unlinkat(s->folder, snap_name, 0);
         unlinkat(s->folder, log_tmp, 0);
         return rc;
     }
+    use_log(s, fd);
     s->generation = generation;
     s->log_size = log->len;
     s->snapshot_size = snapshot->len;
-    rc = open_log(s);
-    if (rc == BBM_OK && fsync(s->folder) < 0)
-        rc = store_errno_code();
+    rc = sync_folder(s);
     if (rc == BBM_OK)
         remove_stale_files(s);
     return rc;
@@ -326,13 +353,15 @@
 {
     char name[FILE_NAME_SIZE];
     uint64_t valid_size = 0;
-    s->generation = find_generation(s);
+    int rc = find_generation(s, &s->generation);
+    if (rc < 0)
+        return rc;
     if (!s->generation) {
         bbm_buf empty = {0};
         return write_pair(s, &empty, &empty);
     }
     file_name(name, s->generation, "snapshot");
-    int rc = read_file(s, name, &valid_size, &s->snapshot_size, report);
+    rc = read_file(s, name, &valid_size, &s->snapshot_size, report);
     if (rc == BBM_OK && valid_size != s->snapshot_size) {
         snprintf(report->failed_file, sizeof(report->failed_file), "%s", name);
         return BBM_ERR_CORRUPT;
@@ -341,10 +370,12 @@
     uint64_t size = 0;
     if (rc == BBM_OK)
         rc = read_file(s, name, &valid_size, &size, report);
-    if (rc == BBM_OK)
-        rc = open_log(s);
+    int fd = rc == BBM_OK ? open_log(s, name) : -1;
+    if (rc == BBM_OK && fd < 0)
+        rc = BBM_ERR_IO;
     if (rc < 0)
         return rc;
+    use_log(s, fd);
     report->torn_bytes = (size_t)(size - valid_size);
     s->log_size = valid_size;
     if (size > valid_size
@@ -414,7 +445,11 @@
 static int
 append_synced(bbm_store *store, const bbm_buf *log)
 {
-    int rc = store_write_all(store->log, log->data, log->len);
+    /* The current log may not have its final name on disk yet. */
+    int rc = store->folder_unsynced ? sync_folder(store) : BBM_OK;
+    if (rc < 0)
+        return rc;
+    rc = store_write_all(store->log, log->data, log->len);
     if (rc == BBM_OK && fdatasync(store->log) < 0)
         rc = store_errno_code();
     /* Remove what may have been written in part. */
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -579,6 +579,39 @@
     [ "$(pool_control "$1" GET)" = 200 ] && grep -q "\"version\":$2" "$dir/answer"
 }
 
+pool_answers() { # EXPECTED-STATUS TARGET [CURL OPTIONS...]: a request to vm-1 with key-one
+    local expected=$1 target=$2
+    shift 2
+    [ "$(curl -s -m 5 -o "$dir/answer" -w '%{http_code}' -H 'Host: a.example' \
+        -H "X-Bluebellmoor-Attempt-Id: $expected-$RANDOM" -H 'Authorization: Bearer key-one' \
+        "$@" "http://$(pool_vm_ip 1):$((FLEET_PORT + 1))$target")" = "$expected" ]
+}
+
+t_pool_keys() { # no upstream of a pool receives a key
+    begin pool_keys
+    fleet_run "$dir/list.log" "$FLEET_BUILD/stand_pool" list $((FLEET_PORT + 6)) $((FLEET_PORT + 520))
+    fleet_run "$dir/upstream.log" "$FLEET_BUILD/stand_pool" upstream $((FLEET_PORT + 520))
+    mkdir -p "$dir/disk-1"
+    pool_settings 1 true
+    sed -i 's/"127.0.1.1:1", "127.0.1.2:1", "127.0.1.3:1"/"127.0.1.1:1"/' "$dir/vm-1.json"
+    fleet_daemon "$dir" 1
+    pool_config 1 | sed 's/"public":true/"public":false/g; s/"tenants":\[\]/"tenants":[{"name":"t","api-keys":["key-one"]}]/' >"$dir/keyed.json"
+    accepts_keyed() { [ "$(pool_control 1 PUT "$(cat "$dir/keyed.json")")" = 200 ]; }
+    check "the configuration is acknowledged" fleet_until 10 accepts_keyed
+    check "a request with the key is served" fleet_until 10 pool_answers 200 /safe/x
+    check "one with the key in other headers is served" pool_answers 200 /safe/x \
+        -H 'X-Api-Key: key-one' -H 'Cookie: k=key%2Done' -H 'X-Other: y'
+    curl -s "http://127.0.0.1:$((FLEET_PORT + 520))/seen" >"$dir/seen"
+    check "its other headers reach the upstream" grep -qi 'x-other' "$dir/seen"
+    check "the key does not" bash -c "! grep -q 'key-one\|key%2Done' '$dir/seen'"
+    check "one with the key in its query is rejected" pool_answers 400 '/safe/x?api_key=key-one'
+    check "encoded too" pool_answers 400 '/safe/x?api_key=%6bey-one'
+    check "one with the key in its path is rejected" pool_answers 400 '/safe/key-one/x'
+    curl -s "http://127.0.0.1:$((FLEET_PORT + 520))/seen" >"$dir/seen"
+    check "none of them reached the upstream" bash -c "! grep -q 'key-one' '$dir/seen'"
+    finish
+}
+
 t_pools() { # seeds, list and configuration of the provider; lost disk, failed upstream
     begin pools
     local i
@@ -633,7 +666,7 @@
 scenarios=(streams leader_killed bookings_once key_withdrawn isolated frozen
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
-    operator_commands disk_full pools)
+    operator_commands disk_full pools pool_keys)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed"
--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -180,19 +180,26 @@
 }
 
 /* A voter that is not the leader. */
+/* A voter other than the leader and VM @p except. */
 static int
-find_follower(world *w)
+find_follower_except(world *w, int except)
 {
     for (int i = 0; i < DISKS; i++) {
         bool is_voter;
         count_voters(w, fleet_name(w->fleet, i), &is_voter);
-        if (is_voter && i != fleet_leader(w->fleet))
+        if (is_voter && i != except && i != fleet_leader(w->fleet))
             return i;
     }
     ck_abort_msg("no voter but the leader");
     return -1;
 }
 
+static int
+find_follower(world *w)
+{
+    return find_follower_except(w, -1);
+}
+
 /* ---- tests ---- */
 
 START_TEST(seeds_bootstrap_one_group)
@@ -293,10 +300,13 @@
     create_world(&w, 24);
     must_publish(&w, 0, 1, "one");
     /* Two of five voters may fail: the remaining three are a majority. */
-    for (int k = 0; k < 3; k++) {
-        fleet_crash(w.fleet, find_follower(&w));
-        fleet_run(w.fleet, REPAIR_TIMEOUT);
-    }
+    int first = find_follower(&w);
+    fleet_crash(w.fleet, first);
+    fleet_run(w.fleet, REPAIR_TIMEOUT);
+    int second = find_follower_except(&w, first);
+    ck_assert_int_ne(first, second);
+    fleet_crash(w.fleet, second);
+    fleet_run(w.fleet, REPAIR_TIMEOUT);
     int leader = fleet_leader(w.fleet);
     must_publish(&w, leader, 2, "two");
     must_read(&w, leader, "two");
@@ -698,6 +708,77 @@
 }
 END_TEST
 
+/* ---- keys of an isolated VM ---- */
+
+static const char keyed_pools[] =
+    "{\"rates\":[{\"name\":\"r\",\"tokens_per_s\":1000,\"burst\":10000}],"
+    "\"customers\":[{\"name\":\"c\",\"rate\":\"r\"}],"
+    "\"pools\":[{\"name\":\"p\",\"slots\":4}],\"routes\":["
+    "{\"name\":\"keyed\",\"host\":\"h\",\"path\":\"/keyed/\","
+    "\"pools\":[\"p\"],\"timeout_ms\":1000,\"aim_ms\":100},"
+    "{\"name\":\"open\",\"host\":\"h\",\"path\":\"/open/\","
+    "\"pools\":[\"p\"],\"open\":true,\"timeout_ms\":1000,"
+    "\"aim_ms\":100}]}";
+
+/* Sends a request with a key that no configuration has to VM 2; returns the
+   code of its refusal, or BBM_OK. */
+static int
+request_with_unknown_key(stop_world *w, const char *path)
+{
+    static uint64_t requests = 1000;
+    bbm_event ev = {.kind = BBM_EV_POOL_REQUEST};
+    ev.u.pool_request.host = "h";
+    ev.u.pool_request.path = path;
+    ev.u.pool_request.has_key = true;
+    ev.u.pool_request.request.request = ++requests;
+    w->code = BBM_OK;
+    ck_assert(fleet_deliver(w->list.world.fleet, 2, &ev));
+    return w->code;
+}
+
+static void
+play_isolated_vm(bool serve_stale_keys, int expected)
+{
+    stop_world w = {0};
+    w.list.world.fleet = fleet_create(
+        &(fleet_desc){
+            .seed = 33,
+            .nodes = 3,
+            .seeds = 1,
+            .disks = 1,
+            .sync_max = 2 * BBM_MS,
+            .delay_max = BBM_MS,
+            .node.discovery = true,
+            .node.serve_stale_keys = serve_stale_keys,
+        },
+        &(fleet_hooks){
+            .context = &w, .read_listing = on_list, .answer = on_refusal});
+    fleet *f = w.list.world.fleet;
+    run_with_list(&w.list, 4 * BBM_SECOND);
+    ck_assert(fleet_publish(f, 0, 1, "first", 0, keyed_pools));
+    run_with_list(&w.list, 3 * BBM_SECOND);
+    ck_assert_int_eq(request_with_unknown_key(&w, "/keyed/x"),
+                     BBM_ERR_BAD_KEY);
+    net_isolate(fleet_net(f), 2, true);
+    run_with_list(&w.list, 8 * BBM_SECOND);
+    ck_assert_int_eq(request_with_unknown_key(&w, "/keyed/x"), expected);
+    ck_assert_int_eq(request_with_unknown_key(&w, "/open/x"), BBM_OK);
+    net_isolate(fleet_net(f), 2, false);
+    run_with_list(&w.list, 4 * BBM_SECOND);
+    ck_assert_int_eq(request_with_unknown_key(&w, "/keyed/x"),
+                     BBM_ERR_BAD_KEY);
+    destroy_world(&w.list.world);
+}
+
+/* A VM that can't know whether a key was withdrawn doesn't serve keyed routes
+   of pools either, unless its settings allow that. */
+START_TEST(isolated_vm_stops_keyed_pool_routes)
+{
+    play_isolated_vm(false, BBM_ERR_KEYS_STALE);
+    play_isolated_vm(true, BBM_ERR_BAD_KEY);
+}
+END_TEST
+
 TEST_MAIN("joining", seeds_bootstrap_one_group,
           restart_of_all_bootstraps_no_second_group,
           restart_of_all_elects_without_lease_wait,
@@ -710,4 +791,5 @@
           minority_acknowledges_nothing, start_of_all_sends_the_state_once,
           new_leader_keeps_reported_upstreams,
           starting_vm_holds_requests_briefly,
-          stopping_vm_accepts_requests_it_can_finish);
+          stopping_vm_accepts_requests_it_can_finish,
+          isolated_vm_stops_keyed_pool_routes);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -3,6 +3,7 @@
 #include "test_main.h"
 
 #include <dirent.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
@@ -258,7 +259,161 @@
 }
 END_TEST
 
+/* ---- failing calls ---- */
+
+/* The linker's --wrap option directs the store's calls here. */
+typedef enum faulty_call {
+    FAULTY_NONE,
+    FAULTY_LISTING,  /* listing the folder */
+    FAULTY_OPEN_LOG, /* opening a log for appending */
+    FAULTY_SYNC,     /* the sync of the folder after the next renaming */
+} faulty_call;
+
+static faulty_call faulty;
+static bool renamed;
+
+DIR *__real_fdopendir(int fd);
+int __real_openat(int folder, const char *name, int flags, mode_t mode);
+int __real_fsync(int fd);
+int __real_renameat(int from, const char *old, int to, const char *name);
+DIR *__wrap_fdopendir(int fd);
+int __wrap_openat(int folder, const char *name, int flags, mode_t mode);
+int __wrap_fsync(int fd);
+int __wrap_renameat(int from, const char *old, int to, const char *name);
+
+DIR *
+__wrap_fdopendir(int fd)
+{
+    if (faulty == FAULTY_LISTING) {
+        errno = EMFILE;
+        return NULL;
+    }
+    return __real_fdopendir(fd);
+}
+
+int
+__wrap_openat(int folder_fd, const char *name, int flags, mode_t mode)
+{
+    if (faulty == FAULTY_OPEN_LOG && (flags & O_APPEND)) {
+        errno = EMFILE;
+        return -1;
+    }
+    return __real_openat(folder_fd, name, flags, mode);
+}
+
+int
+__wrap_fsync(int fd)
+{
+    if (faulty == FAULTY_SYNC && renamed) {
+        errno = EIO;
+        return -1;
+    }
+    return __real_fsync(fd);
+}
+
+int
+__wrap_renameat(int from, const char *old, int to, const char *name)
+{
+    renamed = true;
+    return __real_renameat(from, old, to, name);
+}
+
+/* An empty identity file name and a log: the identity was lost.  A folder that
+   can't be listed must not be taken for an empty one, which would get a new
+   identity or a fresh generation over an existing one. */
+START_TEST(folder_that_cannot_be_listed_is_an_error)
+{
+    bbm_store_report report;
+    make_folder();
+    bbm_store *s = open_store(&report);
+    ck_assert_int_eq(write_entry(s, 1, "one"), 0);
+    bbm_store_close(s);
+    faulty = FAULTY_LISTING;
+    int rc = bbm_store_open(folder, &s, &report);
+    faulty = FAULTY_NONE;
+    ck_assert_int_eq(rc, BBM_ERR_IO);
+    s = open_store(&report);
+    ck_assert(!report.created);
+    bbm_raft_saved saved;
+    bbm_store_load(s, &saved);
+    ck_assert_uint_eq(saved.len, 1);
+    free_saved(&saved);
+    bbm_store_close(s);
+    remove_folder();
+}
+END_TEST
+
+static int
+write_snapshot(bbm_store *s, uint64_t index)
+{
+    bbm_raft_snapshot snapshot = {.index = index, .term = 1};
+    bbm_buf_add(&snapshot.data, "state", 5);
+    bbm_raft_persist p = {
+        .seq = index, .term = 1, .vote = 7, .snapshot = &snapshot};
+    int rc = bbm_store_write(s, &p, 1);
+    bbm_buf_free(&snapshot.data);
+    return rc;
+}
+
+/* A snapshot whose log can't be opened leaves the old log in force: later
+   writes are read back.  They went to the old log while the new one was the
+   valid one. */
+START_TEST(writes_after_a_failed_snapshot_are_read_back)
+{
+    bbm_store_report report;
+    make_folder();
+    bbm_store *s = open_store(&report);
+    ck_assert_int_eq(write_entry(s, 1, "one"), 0);
+    faulty = FAULTY_OPEN_LOG;
+    int rc = write_snapshot(s, 1);
+    faulty = FAULTY_NONE;
+    ck_assert_int_lt(rc, 0);
+    ck_assert_int_eq(write_entry(s, 2, "two"), 0);
+    bbm_store_close(s);
+    s = open_store(&report);
+    bbm_raft_saved saved;
+    bbm_store_load(s, &saved);
+    ck_assert_uint_eq(saved.len, 2);
+    ck_assert_mem_eq(saved.entries[1].data, "two", 3);
+    free_saved(&saved);
+    bbm_store_close(s);
+    remove_folder();
+}
+END_TEST
+
+/* While the name of the current log may not be durable, no write to it
+   succeeds. */
+START_TEST(writes_need_the_log_to_have_its_name)
+{
+    bbm_store_report report;
+    make_folder();
+    bbm_store *s = open_store(&report);
+    ck_assert_int_eq(write_entry(s, 1, "one"), 0);
+    renamed = false;
+    faulty = FAULTY_SYNC;
+    int rc = write_snapshot(s, 1);
+    int rc_entry = write_entry(s, 2, "two");
+    faulty = FAULTY_NONE;
+    ck_assert_int_lt(rc, 0);
+    ck_assert_int_lt(rc_entry, 0);
+    ck_assert_int_eq(write_entry(s, 2, "two"), 0);
+    bbm_store_close(s);
+    s = open_store(&report);
+    bbm_raft_saved saved;
+    bbm_store_load(s, &saved);
+    ck_assert_uint_eq(saved.snapshot.index, 1);
+    ck_assert_uint_eq(saved.len, 1);
+    ck_assert_mem_eq(saved.entries[0].data, "two", 3);
+    free_saved(&saved);
+    bbm_store_close(s);
+    remove_folder();
+}
+END_TEST
+
 TEST_MAIN("store", written_entries_are_read_back, batched_writes_are_read_back,
           torn_tail_is_truncated_to_complete_records,
           corruption_error_names_the_file, lost_identity_is_not_replaced,
-          snapshot_replaces_the_log, write_succeeds_after_disk_full);
+          snapshot_replaces_the_log, write_succeeds_after_disk_full,
+          folder_that_cannot_be_listed_is_an_error,
+          writes_after_a_failed_snapshot_are_read_back,
+          writes_need_the_log_to_have_its_name);
