Leaving upstreams survive restarts, stalled streams end, held requests after a stop

A stream without any limit was cut after an hour; it isn't any more. - After a stop of the process of more than 1.5 s held requests were sent with keys and loads checked before it; they are refused, not run. - drain under the address sanitizer: pthread_cancel ended the signal thread in sigtimedwait, so its frame stayed poisoned when the thread's data was freed; it could also have ended it with a lock held.

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -76,14 +76,15 @@
     platform_response parsed_head;
     bbm_upstream_notice notice; /* valid if head_checked */
     long status;
-    int64_t content_length;      /* -1: unknown */
-    event_splitter events;       /* used if the stream is resumable */
-    char tail[2];                /* last two body bytes; 0: none */
-    size_t head_bytes;           /* received of all heads */
-    size_t refused_bytes;        /* body bytes received of a refused answer */
-    bbm_time refused_at;         /* when that head was received */
-    uint64_t body_bytes;         /* received of an accepted answer */
-    uint64_t checked_body_bytes; /* body_bytes at the last check */
+    int64_t content_length; /* -1: unknown */
+    event_splitter events;  /* used if the stream is resumable */
+    char tail[2];           /* last two body bytes; 0: none */
+    size_t head_bytes;      /* received of all heads */
+    size_t refused_bytes;   /* body bytes received of a refused answer */
+    bbm_time refused_at;    /* when that head was received */
+    uint64_t body_bytes;    /* received of an accepted answer */
+    bbm_time progress_at;   /* last complete event, or head, of a stream */
+    uint64_t checked_body_bytes;   /* body_bytes at the last check */
     uint64_t checked_socket_bytes; /* received by the socket by then */
     int opened_socket;             /* opened since the last send; -1: none */
     int socket;                    /* of its connection; -1: unknown */
@@ -276,6 +277,7 @@
         return x->outcome != BBM_FORWARD_NO_ANSWER;
     }
     x->accepted = true;
+    x->progress_at = control_now();
     int64_t length = x->send.stream ? -1 : x->content_length;
     if (!resumes)
         exchange_set_verbatim_head(x->ex, (unsigned)x->status, length,
@@ -314,6 +316,17 @@
     event_splitter_consume(&x->events, complete_len);
 }
 
+/* True if an event ends in these bytes. */
+static bool
+completes_event(const attempt *x, const char *data, size_t len)
+{
+    bool after_newline = x->tail[1] == '\n' && data[0] == '\n';
+    bool after_return =
+        x->tail[1] == '\r' && x->tail[0] == '\n' && data[0] == '\n';
+    return after_newline || after_return || memmem(data, len, "\n\n", 2)
+           || memmem(data, len, "\n\r\n", 3);
+}
+
 static void
 update_tail(attempt *x, const char *data, size_t len)
 {
@@ -340,6 +353,8 @@
         return CURL_WRITEFUNC_PAUSE;
     }
     x->body_bytes += len;
+    if (x->send.stream && completes_event(x, data, len))
+        x->progress_at = control_now();
     update_tail(x, data, len);
     if (x->send.resumable)
         write_complete_events(x, data, len);
@@ -684,6 +699,24 @@
     return received > x->checked_socket_bytes + FRAMING_BYTES_MAX;
 }
 
+/* A stream that sends some bytes now and then, but no event. */
+static bool
+is_stalled(const attempt *x, bbm_time now)
+{
+    return x->send.stream && x->send.stall_timeout && !x->paused
+           && now - x->progress_at > x->send.stall_timeout;
+}
+
+static bool
+is_over_limit(attempt *x, bbm_time now)
+{
+    if (!x->head_checked)
+        return false;
+    if (!x->accepted)
+        return now - x->refused_at > REFUSED_BODY_TIME_MAX;
+    return is_stalled(x, now) || sends_only_framing(x);
+}
+
 static void
 check_limits(void *context)
 {
@@ -697,10 +730,7 @@
     attempt *x, *next;
     HASH_ITER(hh, f->attempts, x, next)
     {
-        bool refused = x->head_checked && !x->accepted;
-        bool exceeded = refused ? now - x->refused_at > REFUSED_BODY_TIME_MAX
-                                : x->accepted && sends_only_framing(x);
-        if (exceeded)
+        if (is_over_limit(x, now))
             finish(f, x, CURLE_ABORTED_BY_CALLBACK);
     }
 }
@@ -726,6 +756,7 @@
     if (!x || !x->paused)
         return;
     x->paused = false;
+    x->progress_at = control_now();
     curl_easy_pause(x->easy, CURLPAUSE_CONT);
 }
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -65,6 +65,7 @@
     front_limits limits;
     const char *settings_path;
     pthread_t signal_thread;
+    atomic_bool signals_done; /* ends the signal thread */
 } daemon_parts;
 
 /* ---- arguments ---- */
@@ -328,6 +329,8 @@
     for (;;) {
         struct timespec wait = {.tv_sec = RELOAD_PERIOD_S};
         int number = sigtimedwait(&set, NULL, &wait);
+        if (atomic_load(&p->signals_done))
+            return NULL;
         int64_t mtime = settings_mtime(p);
         if (number == SIGHUP || mtime != last_mtime) {
             last_mtime = mtime;
@@ -339,7 +342,6 @@
             _exit(EXIT_SECOND_SIGNAL);
         request_stop(p, number);
     }
-    return NULL;
 }
 
 static void
@@ -398,7 +400,9 @@
             },
             &p->stop_now);
         bbm_log(BBM_EVENT_STOPPED, NULL);
-        pthread_cancel(p->signal_thread);
+        /* Not cancelled: it may hold a lock while it rereads the settings. */
+        atomic_store(&p->signals_done, true);
+        pthread_kill(p->signal_thread, SIGHUP);
         pthread_join(p->signal_thread, NULL);
     }
     close_parts(p);
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -114,12 +114,14 @@
     char store_address[BBM_NAME_SIZE];  /**< KV cache store that the upstream
                                              sends a copy of new cache entries,
                                              or "". */
-    int priority;      /**< 0 (most urgent) to 9; -1: unspecified. */
-    bbm_time deadline; /**< Time by which the answer must be complete. */
-    bool repeatable;   /**< After a failure, the request may run again on
-                            another upstream. */
-    bool stream;       /**< The answer is an event stream. */
-    bool resumable;    /**< The stream can resume on another upstream. */
+    int priority;           /**< 0 (most urgent) to 9; -1: unspecified. */
+    bbm_time deadline;      /**< Time by which the answer must be complete. */
+    bbm_time stall_timeout; /**< A stream without a complete event for this
+                                 time is cut; 0: unlimited. */
+    bool repeatable;        /**< After a failure, the request may run again on
+                                 another upstream. */
+    bool stream;            /**< The answer is an event stream. */
+    bool resumable;         /**< The stream can resume on another upstream. */
 } bbm_forward_request;
 
 /** Outcome of an attempt. */
@@ -291,6 +293,9 @@
 /** Record that an upstream has stated that it leaves, in an answer other than
  *  to a client's request.  Ignored if it is unknown. */
 void bbm_gate_record_leaving(bbm_gate *g, const char *upstream, bbm_time now);
+/** Mark the entries of a listing as leaving whose upstreams have stated that,
+ *  to this VM or to others, in the run that the entry has. */
+void bbm_gate_mark_listing(const bbm_gate *g, bbm_listing *listing);
 /** Record the result of an attempt, and retry or end the request.  Ignored
  *  unless it is the current attempt of an open request. */
 void bbm_gate_end_attempt(bbm_gate *g, const bbm_forward_result *result,
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -256,8 +256,11 @@
                         gate_jitter(g, GATE_RETRY_AFTER_MIN),
                         "deadline reached");
         return;
-    case GATE_SENT:
     case GATE_ANSWERING:
+        if (!r->has_time_limit)
+            return;
+        /* fall through */
+    case GATE_SENT:
         gate_abort(g, r, BBM_ERR_UPSTREAM_TIMEOUT, "deadline reached");
         return;
     }
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -153,6 +153,11 @@
     bbm_time arrived_at;      /**< When it arrived. */
     bbm_time deadline;       /**< Time by which the answer must be complete. */
     bbm_time start_deadline; /**< Time by which the answer must begin. */
+    bool has_time_limit;     /**< The client or the route has set a limit;
+                                  otherwise the deadline ends a request whose
+                                  answer hasn't begun. */
+    bbm_time silence_limit;  /**< Streams: time without an event after which
+                                  the client is assumed to have left. */
     bbm_time sent_at;        /**< When the current attempt was sent. */
     bbm_time head_at;        /**< When its answer began; 0: not yet. */
     double expected_ms;      /**< Expected time from sent_at until the answer
@@ -196,14 +201,16 @@
 
 /** A gate. */
 struct bbm_gate {
-    bbm_gate_desc desc;       /**< Parameters, with defaults set. */
-    bbm_rng rng;              /**< Random number generator. */
-    bbm_time now;             /**< Latest time that was passed in. */
-    size_t vms;               /**< Number of VMs that share rates and the retry
-                                   budget; at least 1. */
-    bool placements_delayed;  /**< See bbm_gate_set_vm_count. */
-    gate_pool *pools;         /**< By name. */
-    gate_upstream *upstreams; /**< By id. */
+    bbm_gate_desc desc; /**< Parameters, with defaults set. */
+    bbm_rng rng;        /**< Random number generator. */
+    bbm_time now;       /**< Latest time that was passed in. */
+    bool was_stopped;   /**< There was a gap in time since held requests were
+                             last dispatched. */
+    size_t vms;         /**< Number of VMs that share rates and the retry
+                             budget; at least 1. */
+    bool placements_delayed;          /**< See bbm_gate_set_vm_count. */
+    gate_pool *pools;                 /**< By name. */
+    gate_upstream *upstreams;         /**< By id. */
     gate_upstream *upstreams_by_hash; /**< The same upstreams, by hash. */
     gate_weights *weights;            /**< By model. */
     gate_store *stores;               /**< By address. */
@@ -242,12 +249,18 @@
     UT_hash_handle hh;        /**< By hash. */
 } gate_customer;
 
+/** Events and ticks normally follow each other within milliseconds.  After a
+ *  longer gap this process was stopped, and what it held is out of date. */
+#define GATE_CLOCK_GAP (1500 * BBM_MS)
+
 /** Set the current time; an earlier one than before is ignored. */
 static inline void
 gate_advance(bbm_gate *g, bbm_time now)
 {
-    if (now > g->now)
-        g->now = now;
+    if (now <= g->now)
+        return;
+    g->was_stopped = g->was_stopped || now - g->now > GATE_CLOCK_GAP;
+    g->now = now;
 }
 
 /** Queue an output that concerns a request; the caller fills it in. */
@@ -349,12 +362,12 @@
 
 /* ---- gate_notice.c ---- */
 
-/** Start time of the run of an upstream that is listed, in ms of calendar time
+/** Start time of the run of an upstream in its listing, in ms of calendar time
  *  plus 1, so that an unknown one isn't 0. */
 static inline uint64_t
-gate_run_of(const gate_upstream *u)
+gate_run_of(const bbm_listing_entry *info)
 {
-    return u->info.started_at_ms + 1;
+    return info->started_at_ms + 1;
 }
 /** Record what an answer says of its upstream.  @p run is the run that got the
  *  request: a notice of an earlier run is ignored. */
--- a/gate/gate_notice.c
+++ b/gate/gate_notice.c
@@ -29,12 +29,13 @@
 {
     gate_upstream *u = r->upstream;
     bbm_upstream_notice news = {.invalid = notice->invalid};
-    if (u && r->upstream_run == gate_run_of(u)) {
-        news.leaving = notice->leaving && u->leaving_run != gate_run_of(u);
+    if (u && r->upstream_run == gate_run_of(&u->info)) {
+        news.leaving =
+            notice->leaving && u->leaving_run != gate_run_of(&u->info);
         news.pause = notice->pause < PAUSE_MAX ? notice->pause : PAUSE_MAX;
     }
     if (news.leaving) {
-        u->leaving_run = gate_run_of(u);
+        u->leaving_run = gate_run_of(&u->info);
         g->load_changed = true;
     }
     if (news.pause > 0 && g->now + news.pause > u->pause_until) {
@@ -57,15 +58,15 @@
     HASH_FIND_STR(g->upstreams, upstream, u);
     if (!u)
         return;
-    u->leaving_run = gate_run_of(u);
+    u->leaving_run = gate_run_of(&u->info);
     g->load_changed = true;
 }
 
 bool
 gate_is_leaving(const gate_upstream *u)
 {
-    return u->info.leaving || u->leaving_run == gate_run_of(u)
-           || u->totals.leaving_run == gate_run_of(u);
+    return u->info.leaving || u->leaving_run == gate_run_of(&u->info)
+           || u->totals.leaving_run == gate_run_of(&u->info);
 }
 
 bool
@@ -97,3 +98,17 @@
                              (bbm_time)(spacing_ms * (double)BBM_MS), g->now);
     return at - g->now;
 }
+
+void
+bbm_gate_mark_listing(const bbm_gate *g, bbm_listing *listing)
+{
+    for (size_t i = 0; i < listing->len; i++) {
+        bbm_listing_entry *info = &listing->items[i];
+        gate_upstream *u = NULL;
+        HASH_FIND_STR(g->upstreams, info->id, u);
+        if (u
+            && (u->leaving_run == gate_run_of(info)
+                || u->totals.leaving_run == gate_run_of(info)))
+            info->leaving = true;
+    }
+}
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -17,6 +17,9 @@
 #define STREAM_SILENCE_MIN (2 * BBM_SECOND)
 #define STREAM_SILENCE_TARGET_RATIO 4
 #define STREAM_SILENCE_GAP_RATIO 8
+/* A stream is cut after this multiple of that silence: by then its client has
+   left, even if it waits longer than assumed. */
+#define STALL_RATIO 2
 /* If there is no upstream, a request is held for this share of its target
    latency, up to the maximum: a new listing may be about to arrive. */
 #define NO_UPSTREAM_HOLD_RATIO 0.5
@@ -164,6 +167,7 @@
         .repeatable = r->repeatable && r->attempts_run < r->attempts_max,
         .stream = r->stream,
         .resumable = r->resumable,
+        .stall_timeout = r->silence_limit * STALL_RATIO,
     };
     bbm_name_set(s->upstream, u->info.id);
     bbm_name_set(s->address, u->info.address);
@@ -187,7 +191,7 @@
     r->head_at = 0;
     r->expected_ms = c->expected_ms;
     r->upstream = u;
-    r->upstream_run = gate_run_of(u);
+    r->upstream_run = gate_run_of(&u->info);
     r->backlog_tokens = (uint32_t)c->miss_tokens;
     r->memory_tokens = (uint32_t)(r->prompt_tokens + r->output_tokens_max);
     u->open_requests++;
@@ -326,10 +330,32 @@
     }
 }
 
+/* The held requests of a process that was stopped: their keys, upstreams and
+   loads were checked before, and their clients may have left. */
+static void
+refuse_all_held(bbm_gate *g)
+{
+    gate_request *r, *next;
+    for (r = TAILQ_FIRST(&g->waiting); r; r = next) {
+        next = TAILQ_NEXT(r, link);
+        g->counts.refused_load += r->attempts_run == 0;
+        if (r->last_event_id[0])
+            gate_abort(g, r, BBM_ERR_UPSTREAM_CUT,
+                       "held while the process was stopped");
+        else
+            gate_refuse(g, r, BBM_ERR_OVERLOAD,
+                        gate_jitter(g, GATE_RETRY_AFTER_MIN),
+                        "held while the process was stopped");
+    }
+}
+
 void
 gate_dispatch_waiting(bbm_gate *g)
 {
     gate_request *r, *next;
+    if (g->was_stopped)
+        refuse_all_held(g);
+    g->was_stopped = false;
     for (r = TAILQ_FIRST(&g->waiting); r; r = next) {
         next = TAILQ_NEXT(r, link);
         gate_dispatch(g, r);
@@ -416,7 +442,7 @@
 /* A client abandons a stream that is silent for too long also before its first
    event; so the answer must begin before. */
 static bbm_time
-start_deadline_of(const gate_request *r, const bbm_route *route)
+silence_limit_of(const bbm_route *route)
 {
     bbm_time max = STREAM_SILENCE_MIN;
     bbm_time target_limit =
@@ -425,7 +451,7 @@
         route->target_gap_ms * BBM_MS * STREAM_SILENCE_GAP_RATIO;
     max = target_limit > max ? target_limit : max;
     max = gap_limit > max ? gap_limit : max;
-    return r->arrived_at + max - ANSWER_MARGIN;
+    return max;
 }
 
 static gate_request *
@@ -454,13 +480,16 @@
     bbm_time limit = r->arrived_at + route->timeout_ms * BBM_MS;
     if (route->timeout_ms && limit < r->deadline)
         r->deadline = limit;
-    if (r->deadline == BBM_NEVER)
+    r->has_time_limit = r->deadline != BBM_NEVER;
+    if (!r->has_time_limit)
         r->deadline = g->now + DEADLINE_DEFAULT;
     r->start_deadline = r->deadline;
     if (r->stream) {
-        bbm_time silence_limit = start_deadline_of(r, route);
-        if (silence_limit < r->start_deadline)
-            r->start_deadline = silence_limit;
+        r->silence_limit = silence_limit_of(route);
+        bbm_time latest_start =
+            r->arrived_at + r->silence_limit - ANSWER_MARGIN;
+        if (latest_start < r->start_deadline)
+            r->start_deadline = latest_start;
     }
     choose_pools(g, r, route);
     copy_prompt(r, request);
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -123,10 +123,10 @@
                                     services; 0: 4,000. */
     size_t snapshot_interval_entries; /**< Log entries between snapshots;
                                            0: 512. */
-    bool serve_stale_keys; /**< Pool routes that need a key serve whatever the
-                                age of the keys. */
-    bbm_policy policy;                /**< How a runner is chosen. */
-    bool no_fair_queuing;             /**< Benchmarks only: no fair queuing. */
+    bool serve_stale_keys;  /**< Pool routes that need a key serve whatever the
+                                 age of the keys. */
+    bbm_policy policy;      /**< How a runner is chosen. */
+    bool no_fair_queuing;   /**< Benchmarks only: no fair queuing. */
     bool unsafe_stale_keys; /**< Tests only: serve with stale keys. */
     bool unsafe_no_claim;   /**< Tests only: run without a claim. */
     bool unsafe_no_sync;    /**< Tests only: acknowledge before the sync
--- a/node/node_upstreams.c
+++ b/node/node_upstreams.c
@@ -174,6 +174,7 @@
     bbm_listing_copy(&fresh, &n->raw_listing);
     if (n->rollout)
         bbm_rollout_mark_listing(n->rollout, &fresh);
+    bbm_gate_mark_listing(n->gate, &fresh);
     bool new_term = n->listing_term != n->leader_term;
     size_t changes = bbm_listing_diff(&n->listing, &fresh, &diff);
     if (changes || new_term) {
--- a/stand/pool.c
+++ b/stand/pool.c
@@ -6,10 +6,9 @@
  *
  *  The list names the upstreams as instances of the service "api".  An
  *  upstream answers every request and counts the runs of each attempt id;
- *  GET /runs returns the counts, GET /seen headers, path and query arguments of
- *  the last request.  After GET /fault it runs the next request
- *  but closes the connection without an answer; GET /fault?off=1 cancels
- *  that.
+ *  GET /runs returns the counts, GET /seen headers, path and query arguments
+ * of the last request.  After GET /fault it runs the next request but closes
+ * the connection without an answer; GET /fault?off=1 cancels that.
  */
 #include "stand_http.h"
 
@@ -23,7 +22,7 @@
     int ports_len;
     const char *port;
     pthread_mutex_t lock;
-    json_t *run_counts; /* by attempt id */
+    json_t *run_counts;   /* by attempt id */
     json_t *last_request; /* headers, path and query arguments */
     bool drop_next;
 } pool;
--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -708,6 +708,57 @@
 }
 END_TEST
 
+/* ---- an upstream that says it leaves ---- */
+
+typedef struct leaving_world {
+    list_world list; /* first: on_list gets a pointer to it */
+    int told[NODES]; /* listings that show a leaving upstream, by VM */
+} leaving_world;
+
+static void
+on_leaving_log(void *context, int node, bbm_log_event event)
+{
+    leaving_world *w = context;
+    w->told[node] += event == BBM_EVENT_UPSTREAM_LEAVING;
+}
+
+/* A runner tells the leader that it leaves, while the provider's listing still
+   has it as ready.  All VMs learn it with the leader's listing, also one that
+   has restarted since. */
+START_TEST(leaving_upstream_is_known_after_a_restart)
+{
+    leaving_world w = {0};
+    w.list.world.fleet = fleet_create(
+        &(fleet_desc){
+            .seed = 34,
+            .nodes = 3,
+            .seeds = 1,
+            .disks = 1,
+            .sync_max = 2 * BBM_MS,
+            .delay_max = BBM_MS,
+            .node.discovery = true,
+        },
+        &(fleet_hooks){
+            .context = &w, .read_listing = on_list, .log = on_leaving_log});
+    fleet *f = w.list.world.fleet;
+    run_with_list(&w.list, 4 * BBM_SECOND);
+    ck_assert(fleet_publish(f, 0, 1, "first", 0, pools));
+    run_with_list(&w.list, 3 * BBM_SECOND);
+    bbm_event ev = {.kind = BBM_EV_ROLLOUT_ANSWER};
+    ev.u.rollout_answer.id = "runner-0";
+    ev.u.rollout_answer.leaving = true;
+    ck_assert(fleet_deliver(f, 0, &ev));
+    run_with_list(&w.list, 2 * BBM_SECOND);
+    for (int i = 0; i < 3; i++)
+        ck_assert_int_eq(w.told[i], 1);
+    fleet_crash(f, 2);
+    fleet_start(f, 2);
+    run_with_list(&w.list, 3 * BBM_SECOND);
+    ck_assert_int_eq(w.told[2], 2);
+    destroy_world(&w.list.world);
+}
+END_TEST
+
 /* ---- keys of an isolated VM ---- */
 
 static const char keyed_pools[] =
@@ -792,4 +843,5 @@
           new_leader_keeps_reported_upstreams,
           starting_vm_holds_requests_briefly,
           stopping_vm_accepts_requests_it_can_finish,
+          leaving_upstream_is_known_after_a_restart,
           isolated_vm_stops_keyed_pool_routes);
