Many VMs place by the homes of chains, not by late loads

Cause: with many VMs a request went to the holder, the home or one of three random runners, by loads and placements up to 0.2 s old. Change: a chain has one home by its hash, more if it is asked for more often than one runner can take (bbm_chains); being elsewhere costs; the load of others fades once its report is older than 0.4 s; a store or the runner that was the home before is named as source, the stores within this VM's part of their time.

--- a/gate/bbm_places.c
+++ b/gate/bbm_places.c
@@ -2,8 +2,11 @@
 
 #include "bbm_table.h"
 
+#include <math.h>
 #include <string.h>
 
+/* Time constant of the smoothed rate of placements. */
+#define RATE_SMOOTHING_TIME (2 * BBM_SECOND)
 /* Maximum number of prefixes: as many as a large fleet uses within some
    seconds. */
 #define PREFIXES_MAX 16384
@@ -16,6 +19,8 @@
     uint64_t key;
     bbm_holder holders[BBM_HOLDERS_MAX];
     size_t len;
+    double placements; /* smoothed count */
+    bbm_time placed_at;
     UT_hash_handle hh; /* by key, least recently used first */
 } prefix;
 
@@ -134,12 +139,30 @@
     return &x->holders[oldest];
 }
 
+static double
+count_placements(const prefix *x, bbm_time now)
+{
+    return x->placements
+           * exp(-(double)(now - x->placed_at) / (double)RATE_SMOOTHING_TIME);
+}
+
+double
+bbm_places_rate(const bbm_places *p, uint64_t key, bbm_time now)
+{
+    prefix *x = NULL;
+    HASH_FIND(hh, p->prefixes, &key, sizeof(key), x);
+    return x ? count_placements(x, now) * (double)BBM_SECOND
+                   / (double)RATE_SMOOTHING_TIME
+             : 0;
+}
+
 /* Records a placement of a prefix at a holder.  If the holder already had the
  * prefix, its sent_at and ready_at stay. */
 static void
 record_holder(bbm_places *p, uint64_t key, const bbm_holder *placed, bool had)
 {
-    bbm_holder *row = find_or_add_holder(touch_prefix(p, key), placed->holder);
+    prefix *x = touch_prefix(p, key);
+    bbm_holder *row = find_or_add_holder(x, placed->holder);
     if (!had || !row->sent_at) {
         row->sent_at = placed->sent_at;
         row->ready_at = placed->ready_at;
@@ -147,6 +170,17 @@
     row->tokens_at_last_use = find_or_add_count(p, placed->holder)->tokens;
 }
 
+static void
+count_placement(const bbm_places *p, uint64_t key, bbm_time now)
+{
+    prefix *x = NULL;
+    HASH_FIND(hh, p->prefixes, &key, sizeof(key), x);
+    if (!x)
+        return;
+    x->placements = count_placements(x, now) + 1;
+    x->placed_at = now;
+}
+
 /* Records that a prefix was fetched from a store: that counts as a use there,
    so it is evicted later. */
 static void
@@ -176,6 +210,7 @@
         find_or_add_count(p, row->store)->tokens += row->new_tokens;
     for (uint32_t i = 0; i < row->keys_len; i++) {
         record_holder(p, row->keys[i], &placed, i < row->prefixes_held);
+        count_placement(p, row->keys[i], now);
         if (row->store)
             record_holder(p, row->keys[i], &in_store, false);
         else if (row->source)
--- a/gate/bbm_places.h
+++ b/gate/bbm_places.h
@@ -87,6 +87,8 @@
 bbm_places *bbm_places_create(void);
 /** Destroy an index; NULL is allowed. */
 void bbm_places_destroy(bbm_places *p);
+/** Smoothed rate of placements of a prefix, per second. */
+double bbm_places_rate(const bbm_places *p, uint64_t key, bbm_time now);
 /** Record a placement of any VM, received at @p now. */
 void bbm_places_add(bbm_places *p, const bbm_placement *row, bbm_time now);
 /** The holder's record if it was sent the prefix and likely still has it;
--- a/gate/gate_cache.c
+++ b/gate/gate_cache.c
@@ -18,17 +18,14 @@
 #define FETCH_BASE_MS 3.0
 /* Time per token to fetch from another zone, relative to the own one. */
 #define FETCH_CROSS_ZONE_RATIO 2.0
-/* Time per token to fetch from a store, relative to a runner: the link of a
-   store is about half as fast, and all runners share it. */
-#define STORE_FETCH_RATIO 2.0
 /* Further fixed time of a fetch from a store, for the lookup. */
 #define STORE_LOOKUP_MS 5.0
 /* Minimum length of a shared prefix to be copied to a store: a shorter one is
    computed in less time than a lookup in the store takes. */
 #define STORE_MIN_TOKENS 512
 
-static uint64_t
-versioned_key(const gate_prefix *prefix, uint64_t version)
+uint64_t
+gate_versioned_key(const gate_prefix *prefix, uint64_t version)
 {
     return bbm_hash64(&prefix->key, sizeof(prefix->key), version);
 }
@@ -110,7 +107,7 @@
             uint64_t version, size_t level, gate_cached *c)
 {
     const gate_prefix *prefix = &r->prefixes[level];
-    uint64_t key = versioned_key(prefix, version);
+    uint64_t key = gate_versioned_key(prefix, version);
     double missing_tokens = prefix->tokens - c->held_tokens;
     size_t len;
     const bbm_holder *holders = bbm_places_holders(g->places, key, &len);
@@ -130,11 +127,11 @@
         if (h && h->ready_at > g->now)
             add_possible_source(c, s->address);
         else if (h)
-            add_source(c, s->address, s->hash, prefix->tokens,
-                       STORE_LOOKUP_MS
-                           + gate_fetch_ms(u,
-                                           missing_tokens * STORE_FETCH_RATIO,
-                                           is_same_zone(u, s->zone)));
+            add_source(
+                c, s->address, s->hash, prefix->tokens,
+                STORE_LOOKUP_MS
+                    + gate_fetch_ms(u, missing_tokens * GATE_STORE_FETCH_RATIO,
+                                    is_same_zone(u, s->zone)));
     }
 }
 
@@ -146,7 +143,7 @@
     size_t level = r->prefixes_len;
     while (level > 0 && !c->held_tokens) {
         const gate_prefix *prefix = &r->prefixes[--level];
-        if (!find_at_runner(g, u, versioned_key(prefix, version)))
+        if (!find_at_runner(g, u, gate_versioned_key(prefix, version)))
             continue;
         c->held_tokens = prefix->tokens;
         c->prefixes_held = level + 1;
@@ -162,21 +159,20 @@
     if (!r->prefixes_len)
         return true;
     const gate_prefix *longest = &r->prefixes[r->prefixes_len - 1];
-    return bbm_places_contains(g->places, versioned_key(longest, version));
+    return bbm_places_contains(g->places,
+                               gate_versioned_key(longest, version));
 }
 
 const gate_store *
-gate_store_for(const bbm_gate *g, const gate_request *r, uint64_t version)
+gate_store_of(const bbm_gate *g, const gate_request *r, uint64_t version)
 {
     if (r->shared_tokens < STORE_MIN_TOKENS)
         return NULL;
     const gate_prefix *longest = &r->prefixes[r->prefixes_len - 1];
-    uint64_t key = versioned_key(longest, version);
+    uint64_t key = gate_versioned_key(longest, version);
     const gate_store *found = NULL;
     uint64_t best = 0;
     for (const gate_store *s = g->stores; s; s = s->hh.next) {
-        if (find_in_store(g, s, key))
-            return NULL;
         /* Rendezvous hashing distributes the prefixes over the stores. */
         uint64_t weight = bbm_hash64(&key, sizeof(key), s->hash);
         if (s->alive && (!found || weight > best)) {
@@ -187,6 +183,20 @@
     return found;
 }
 
+const gate_store *
+gate_store_for(const bbm_gate *g, const gate_request *r, uint64_t version)
+{
+    if (r->shared_tokens < STORE_MIN_TOKENS)
+        return NULL;
+    const gate_prefix *longest = &r->prefixes[r->prefixes_len - 1];
+    uint64_t key = gate_versioned_key(longest, version);
+    for (const gate_store *s = g->stores; s; s = s->hh.next) {
+        if (find_in_store(g, s, key))
+            return NULL;
+    }
+    return gate_store_of(g, r, version);
+}
+
 void
 gate_record_placement(bbm_gate *g, const gate_request *r, const gate_choice *c)
 {
@@ -203,6 +213,6 @@
         .keys_len = (uint32_t)r->prefixes_len,
     };
     for (size_t i = 0; i < r->prefixes_len; i++)
-        row.keys[i] = versioned_key(&r->prefixes[i], c->version);
+        row.keys[i] = gate_versioned_key(&r->prefixes[i], c->version);
     gate_add_placement(g, &row);
 }
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -4,6 +4,7 @@
 #ifndef GATE_CORE_H
 #define GATE_CORE_H
 
+#include "bbm_chains.h"
 #include "bbm_gate.h"
 #include "bbm_hash.h"
 #include "bbm_loads.h"
@@ -224,8 +225,13 @@
                                            leader. */
     uint32_t held_elsewhere; /**< Number of requests held at other VMs, as last
                                   received. */
-    bbm_places *places;      /**< Which upstreams and stores likely hold which
-                                  shared prefixes. */
+    double store_tokens;     /**< Tokens that this VM's runners may fetch from
+                                  stores that may not have them. */
+    bbm_time store_tokens_at; /**< When that was last updated. */
+    bbm_time totals_at;       /**< When totals were last received; 0: never. */
+    bbm_chains *chains;       /**< Demand for chains of shared prompt parts. */
+    bbm_places *places;       /**< Which upstreams and stores likely hold which
+                                   shared prefixes. */
     bbm_time places_since; /**< When the first listing was applied, and with it
                                 the recording of placements began. */
     bbm_buf unsent_placements;    /**< Encoded placements that are still to be
@@ -313,19 +319,24 @@
 
 /** Number of requests of this size that a runner can accept before it is full;
  *  may be fractional, or negative if it is overfull. */
-double gate_runner_capacity(const gate_request *r, const gate_upstream *u);
+double gate_runner_capacity(const bbm_gate *g, const gate_request *r,
+                            const gate_upstream *u);
 /** Choose an upstream for a request; the choice is complete only if the result
  *  is GATE_PICK_SEND. */
 gate_pick gate_choose(bbm_gate *g, const gate_request *r, gate_choice *c);
 /** Open requests of all VMs at an upstream: own ones, and others as last
  *  reported. */
-double gate_open_requests(const gate_upstream *u);
+double gate_open_requests(const bbm_gate *g, const gate_upstream *u);
 /** Uncached prompt tokens of the open requests of all VMs at an upstream whose
  *  answers haven't begun. */
-double gate_backlog_tokens(const gate_upstream *u);
+double gate_backlog_tokens(const bbm_gate *g, const gate_upstream *u);
 
 /* ---- gate_cache.c ---- */
 
+/** Time per token to fetch from a store, relative to a runner: the link of a
+ *  store is about half as fast, and all runners share it. */
+#define GATE_STORE_FETCH_RATIO 2.0
+
 /** What a runner likely has cached of a prompt, and where the rest is. */
 typedef struct gate_cached {
     double held_tokens;         /**< Prompt tokens that it has. */
@@ -347,10 +358,16 @@
 void gate_find_cached(const bbm_gate *g, const gate_request *r,
                       const gate_upstream *u, uint64_t version,
                       gate_cached *c);
+/** Key of a prefix under a version of the weights. */
+uint64_t gate_versioned_key(const gate_prefix *prefix, uint64_t version);
 /** True if a placement of the longest shared prefix under this version of the
  *  weights is on record, or the prompt has no shared prefix. */
 bool gate_has_placement(const bbm_gate *g, const gate_request *r,
                         uint64_t version);
+/** The store that gets copies of the longest shared prefix, whether it has one
+ *  or not; NULL if the prefix is too short or no store responds. */
+const gate_store *gate_store_of(const bbm_gate *g, const gate_request *r,
+                                uint64_t version);
 /** The store that should get a copy of the longest shared prefix; NULL if a
  *  store has it already, if it is too short, or if no store responds. */
 const gate_store *gate_store_for(const bbm_gate *g, const gate_request *r,
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -57,13 +57,32 @@
    requests that VMs send there without knowing of each other's. */
 #define NEWEST_LOAD_SHARE 0.8
 /* Time constant of the smoothed prefill rate. */
-#define RATE_SMOOTHING_TIME BBM_SECOND
+#define RATE_SMOOTHING_TIME (2 * BBM_SECOND)
 /* If placements are delayed, all VMs would choose the same runner at once.  So
    each request prefers a few: the runners that hold the whole shared prefix,
    its home, and this number of others on average, drawn at random.  The rest
    get an extra cost. */
 #define RANDOM_CANDIDATE_COUNT 3.0
 #define NOT_SAMPLED_COST_MS 150.0
+/* Load of the other VMs counts in full up to this age, then less and less:
+   what they had sent by then has been processed, and where they send now isn't
+   known.  Otherwise all VMs would go on avoiding the runners that were busy at
+   the last report, and crowd at the others. */
+#define TOTALS_FRESH_TIME (400 * BBM_MS)
+#define TOTALS_FADING_TIME (600 * BBM_MS)
+/* If placements are delayed, extra cost of a runner that isn't a home of the
+   chain: a share of the time to compute the shared prefix there, as other
+   chains lose that room, and for short prefixes the minimum, as a choice by
+   late loads would send all VMs to the same runner. */
+#define AWAY_COST_RATIO 0.5
+#define AWAY_COST_MIN_MS 60.0
+/* Share of the time of the stores for fetches of what they may not have, and
+   the time for which a VM saves up its part. */
+#define STORE_LOAD_SHARE 0.5
+#define STORE_BURST_S 5.0
+/* Of the homes of a chain with several, each request considers this number,
+   drawn at random. */
+#define HOMES_DRAWN 2
 /* A request may wait at a runner until its start deadline, so a runner is
    eligible only if its weights won't be too old by then.  That wait is capped
    at this time; otherwise runners with old weights would be left idle when
@@ -81,6 +100,7 @@
                     the grace period */
     gate_cached cached;
     double miss_tokens; /* prompt tokens that it must process */
+    bool is_home;       /* a home of the chain that this request considers */
     bool is_full; /* a further request would only wait there, and evict cached
                      prefixes */
     double cost_ms;
@@ -91,6 +111,7 @@
     size_t len;
     bool holders_unknown; /* this VM has just started, and has no placement of
                              the prompt on record */
+    bool by_home;         /* costs are by the homes of the chain */
     size_t loading; /* number of runners that load weights, or whose weights
                        are too old */
     size_t avoided; /* number of upstreams left out because they are avoided */
@@ -103,29 +124,35 @@
 /* Load of the other VMs: the totals less what this VM contributed to them, as
    last reported. */
 static double
-of_other_vms(uint32_t all, uint32_t reported)
+of_other_vms(const bbm_gate *g, uint32_t all, uint32_t reported)
 {
-    return all > reported ? (double)(all - reported) : 0;
+    if (all <= reported)
+        return 0;
+    double age = (double)(g->now - g->totals_at - TOTALS_FRESH_TIME)
+                 / (double)TOTALS_FADING_TIME;
+    double weight = age <= 0 ? 1 : age >= 1 ? 0 : 1 - age;
+    return (double)(all - reported) * weight;
 }
 
 double
-gate_open_requests(const gate_upstream *u)
+gate_open_requests(const bbm_gate *g, const gate_upstream *u)
 {
-    return of_other_vms(u->totals.open_requests, u->reported.open_requests)
+    return of_other_vms(g, u->totals.open_requests, u->reported.open_requests)
            + u->open_requests;
 }
 
 double
-gate_backlog_tokens(const gate_upstream *u)
+gate_backlog_tokens(const bbm_gate *g, const gate_upstream *u)
 {
-    return of_other_vms(u->totals.backlog_tokens, u->reported.backlog_tokens)
+    return of_other_vms(g, u->totals.backlog_tokens,
+                        u->reported.backlog_tokens)
            + u->backlog_tokens;
 }
 
 static double
-total_memory_tokens(const gate_upstream *u)
+total_memory_tokens(const bbm_gate *g, const gate_upstream *u)
 {
-    return of_other_vms(u->totals.memory_tokens, u->reported.memory_tokens)
+    return of_other_vms(g, u->totals.memory_tokens, u->reported.memory_tokens)
            + u->memory_tokens;
 }
 
@@ -261,36 +288,37 @@
 }
 
 static bool
-is_full(const gate_request *r, const gate_upstream *u)
+is_full(const bbm_gate *g, const gate_request *r, const gate_upstream *u)
 {
-    double running = total_memory_tokens(u);
+    double running = total_memory_tokens(g, u);
     double room = u->pool->memory_tokens * RUNNING_MEMORY_SHARE;
     /* An idle runner accepts a request of any size. */
     if (running <= 0)
         return false;
     return running + r->prompt_tokens + r->output_tokens_max > room
-           || gate_backlog_tokens(u) / u->pool->prefill_tokens_per_ms
+           || gate_backlog_tokens(g, u) / u->pool->prefill_tokens_per_ms
                   > BACKLOG_MAX_MS;
 }
 
 double
-gate_runner_capacity(const gate_request *r, const gate_upstream *u)
+gate_runner_capacity(const bbm_gate *g, const gate_request *r,
+                     const gate_upstream *u)
 {
-    double room =
-        u->pool->memory_tokens * RUNNING_MEMORY_SHARE - total_memory_tokens(u);
+    double room = u->pool->memory_tokens * RUNNING_MEMORY_SHARE
+                  - total_memory_tokens(g, u);
     double backlog = BACKLOG_MAX_MS * u->pool->prefill_tokens_per_ms
-                     - gate_backlog_tokens(u);
+                     - gate_backlog_tokens(g, u);
     double size = r->prompt_tokens + r->output_tokens_max;
     room = backlog < room ? backlog : room;
     return size > 0 ? room / size : room;
 }
 
 static double
-runner_wait_ms(const gate_upstream *u)
+runner_wait_ms(const bbm_gate *g, const gate_upstream *u)
 {
     const gate_pool *p = u->pool;
-    double open = gate_open_requests(u);
-    double wait = gate_backlog_tokens(u) / p->prefill_tokens_per_ms
+    double open = gate_open_requests(g, u);
+    double wait = gate_backlog_tokens(g, u) / p->prefill_tokens_per_ms
                   + open * DECODE_STEP_MS_PER_REQUEST;
     if (open >= slots_of(u))
         wait += SLOT_WAIT_MS * (1 + open - slots_of(u)) / slots_of(u);
@@ -302,7 +330,8 @@
 static double
 paused_elsewhere_ms(const bbm_gate *g, const gate_upstream *u)
 {
-    double paused = of_other_vms(u->totals.paused_vms, u->reported.paused_vms);
+    double paused =
+        of_other_vms(g, u->totals.paused_vms, u->reported.paused_vms);
     return SLOT_WAIT_MS * paused / (double)g->vms;
 }
 
@@ -350,6 +379,83 @@
         c->cost_ms += NOT_HOME_COST_MS;
 }
 
+/* ---- homes ---- */
+
+static bool
+is_news_lost(const bbm_gate *g)
+{
+    return g->now - g->totals_at > TOTALS_FRESH_TIME;
+}
+
+static size_t
+count_homes(bbm_gate *g, const gate_request *r, const candidate_set *set)
+{
+    const candidate *home = &set->items[0];
+    const gate_prefix *longest = &r->prefixes[r->prefixes_len - 1];
+    bbm_chain_query q = {
+        .chain = r->chain_key,
+        .placed_rate = bbm_places_rate(
+            g->places, gate_versioned_key(longest, home->version), g->now),
+        .vms = g->vms,
+        .news_lost = is_news_lost(g),
+    };
+    double own_ms = (r->prompt_tokens - r->shared_tokens)
+                    / home->upstream->pool->prefill_tokens_per_ms;
+    size_t homes =
+        bbm_chains_homes(bbm_chains_rate(g->chains, &q, g->now), own_ms);
+    return homes < set->len ? homes : set->len;
+}
+
+/* Marks the homes that a request considers: the first one, or some of several
+   at random, so that VMs with the same late loads don't choose the same. */
+static void
+draw_homes(bbm_gate *g, candidate_set *set, size_t homes)
+{
+    for (size_t i = 0; i < HOMES_DRAWN && homes > 0; i++)
+        set->items[bbm_rng_below(&g->rng, homes)].is_home = true;
+}
+
+/* Unless the placements of the other VMs tell, a runner may or may not hold
+   the part of the shared prefix that this VM hasn't sent there. */
+static void
+add_home_costs(bbm_gate *g, const gate_request *r, candidate *c)
+{
+    const gate_cached *cached = &c->cached;
+    double speed = c->upstream->pool->prefill_tokens_per_ms;
+    double available = cached->offered_tokens > cached->held_tokens
+                           ? cached->offered_tokens
+                           : cached->held_tokens;
+    double unknown =
+        r->shared_tokens > available ? r->shared_tokens - available : 0;
+    c->miss_tokens = r->prompt_tokens - available;
+    if (is_news_lost(g))
+        c->miss_tokens -= unknown * (1 - FETCH_FAILURE_SHARE);
+    c->cost_ms += c->miss_tokens / speed + cached->fetch_ms;
+    if (!c->is_home) {
+        double away_ms = r->shared_tokens / speed * AWAY_COST_RATIO;
+        c->cost_ms += away_ms > AWAY_COST_MIN_MS ? away_ms : AWAY_COST_MIN_MS;
+    }
+}
+
+/* Placement by many VMs that hear of each other late: by the hash of the
+   chain, which needs no news.  Loads only move what a home can't take. */
+static void
+estimate_costs_by_home(bbm_gate *g, const gate_request *r, candidate_set *set)
+{
+    qsort(set->items, set->len, sizeof(*set->items), compare_weights);
+    draw_homes(g, set, count_homes(g, r, set));
+    set->by_home = true;
+    for (size_t i = 0; i < set->len; i++) {
+        candidate *c = &set->items[i];
+        c->cost_ms = runner_wait_ms(g, c->upstream)
+                     + cross_zone_ms(g, c->upstream)
+                     + paused_elsewhere_ms(g, c->upstream);
+        c->is_full = is_full(g, r, c->upstream);
+        gate_find_cached(g, r, c->upstream, c->version, &c->cached);
+        add_home_costs(g, r, c);
+    }
+}
+
 static void
 estimate_runner_costs(bbm_gate *g, const gate_request *r, candidate_set *set)
 {
@@ -360,10 +466,10 @@
             !gate_has_placement(g, r, set->items[i].version);
     for (size_t i = 0; i < set->len; i++) {
         candidate *c = &set->items[i];
-        c->cost_ms = runner_wait_ms(c->upstream)
+        c->cost_ms = runner_wait_ms(g, c->upstream)
                      + cross_zone_ms(g, c->upstream)
                      + paused_elsewhere_ms(g, c->upstream);
-        c->is_full = is_full(r, c->upstream);
+        c->is_full = is_full(g, r, c->upstream);
         gate_find_cached(g, r, c->upstream, c->version, &c->cached);
         bool sampled = i == 0 || c->cached.prefixes_held == r->prefixes_len
                        || bbm_rng_unit(&g->rng) * (double)set->len
@@ -383,7 +489,7 @@
     for (size_t i = 0; i < set->len; i++) {
         candidate *c = &set->items[i];
         const gate_upstream *u = c->upstream;
-        double open = gate_open_requests(u);
+        double open = gate_open_requests(g, u);
         double slots = slots_of(u);
         double cost = u->pool->service_ms;
         if (open >= slots)
@@ -465,10 +571,34 @@
     return g->now - emptied_at < WARM_TIME ? lower : NULL;
 }
 
+/* The stores serve one fetch after the other, and a runner waits for its own.
+   A runner that is expected to hold the prefix may always be told of the
+   store: it fetches only what it has evicted.  If nothing is known, this VM
+   uses its part of the time of the stores. */
+static bool
+may_ask_store(bbm_gate *g, const gate_request *r, const candidate *chosen)
+{
+    if (chosen->cached.prefixes_held == r->prefixes_len)
+        return true;
+    double tokens_per_s = 1000 / chosen->upstream->pool->fetch_ms_per_token
+                          / GATE_STORE_FETCH_RATIO
+                          * (double)HASH_COUNT(g->stores) * STORE_LOAD_SHARE
+                          / (double)g->vms;
+    double elapsed_s =
+        (double)(g->now - g->store_tokens_at) / (double)BBM_SECOND;
+    g->store_tokens += elapsed_s * tokens_per_s;
+    g->store_tokens_at = g->now;
+    if (g->store_tokens > tokens_per_s * STORE_BURST_S)
+        g->store_tokens = tokens_per_s * STORE_BURST_S;
+    if (g->store_tokens < 0)
+        return false;
+    g->store_tokens -= r->shared_tokens * FETCH_FAILURE_SHARE;
+    return true;
+}
+
 static void
-set_cache_plan(const bbm_gate *g, const gate_request *r,
-               const candidate_set *set, const candidate *chosen,
-               gate_choice *c)
+set_cache_plan(bbm_gate *g, const gate_request *r, const candidate_set *set,
+               const candidate *chosen, gate_choice *c)
 {
     make_salt(r, chosen->version, c->cache_salt);
     c->prefixes_held = chosen->cached.prefixes_held;
@@ -478,12 +608,20 @@
     if (!chosen->version || r->shared_tokens <= 0)
         return;
     c->store = gate_store_for(g, r, chosen->version);
+    bool holder_unknown =
+        set->holders_unknown
+        || (set->by_home && chosen->cached.prefixes_held < r->prefixes_len);
     const gate_upstream *holder =
-        set->holders_unknown ? likely_holder(g, r, chosen) : NULL;
+        holder_unknown ? likely_holder(g, r, chosen) : NULL;
+    const gate_store *store = set->by_home && may_ask_store(g, r, chosen)
+                                  ? gate_store_of(g, r, chosen->version)
+                                  : NULL;
     if (chosen->cached.source_address)
         bbm_name_set(c->source_address, chosen->cached.source_address);
     else if (holder)
         bbm_name_set(c->source_address, holder->info.address);
+    else if (store)
+        bbm_name_set(c->source_address, store->address);
 }
 
 static void
@@ -505,7 +643,7 @@
     c->candidates = (uint32_t)set->len;
     c->miss_tokens = best->miss_tokens;
     if (best->upstream->pool->is_engine)
-        record_prefill(g, best->miss_tokens);
+        record_prefill(g, r->prompt_tokens);
     if (best->upstream->pool->is_engine && r->model[0]) {
         c->version = best->version;
         set_cache_plan(g, r, set, best, c);
@@ -548,7 +686,9 @@
     if (!set->len)
         return o;
     bool runners = set->items[0].upstream->pool->is_engine;
-    if (runners)
+    if (runners && g->placements_delayed && r->prefixes_len)
+        estimate_costs_by_home(g, r, set);
+    else if (runners)
         estimate_runner_costs(g, r, set);
     else
         estimate_service_costs(g, set);
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -199,6 +199,8 @@
     u->memory_tokens += r->memory_tokens;
     g->load_changed = true;
     gate_record_placement(g, r, c);
+    if (r->prefixes_len)
+        bbm_chains_add_request(g->chains, r->chain_key, g->now);
     bbm_gate_output *out = gate_push_output(g, BBM_GATE_SEND, r);
     fill_forward_request(r, c, &out->u.send.send);
     out->u.send.resumes = r->last_event_id[0] != '\0';
@@ -279,7 +281,8 @@
     if (g->now < r->next_admission_at)
         return false;
     r->next_admission_at = g->now + ADMISSION_PERIOD;
-    return bbm_rng_unit(&g->rng) * held < gate_runner_capacity(r, c->upstream);
+    return bbm_rng_unit(&g->rng) * held
+           < gate_runner_capacity(g, r, c->upstream);
 }
 
 void
--- /dev/null
+++ b/tests/scale_world.h
@@ -0,0 +1,66 @@
+/** @file
+ *  Many gates and simulated runners under load, in virtual time.
+ *
+ *  Each VM has a gate of its own, and gets its part of the requests.  Loads
+ *  and placements go through a leader, which sends totals to all once per
+ *  report period, as with more than 16 VMs.  Runners process prompts one after
+ *  the other, keep parts of prompts in an LRU cache, fetch parts from a source
+ *  that has them, and lose their caches when they load weights.
+ *
+ *      scale_world *w = scale_create(&(scale_desc){.vms = 200, .runners = 117});
+ *      scale_run(w, 5 * BBM_SECOND);
+ *      scale_result r = scale_measure(w, 10 * BBM_SECOND);
+ *      scale_destroy(w);
+ */
+#ifndef SCALE_WORLD_H
+#define SCALE_WORLD_H
+
+#include "bbm_time.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Parameters. */
+typedef struct scale_desc {
+    size_t vms;
+    size_t runners;
+    double requests_per_s; /**< Over all VMs. */
+    size_t chains;         /**< Number of different chains of shared parts. */
+    double hot_share;      /**< Share of the requests with the first chain. */
+    uint64_t seed;
+} scale_desc;
+
+/** What clients got in a span of time. */
+typedef struct scale_result {
+    size_t requests;
+    size_t in_time;       /**< Answers that began within 600 ms. */
+    size_t refused;       /**< Refused by the gates. */
+    size_t failed;        /**< Ended in another way without an answer. */
+    int64_t p99_ms;       /**< Of the time until the answer began. */
+    double shared_tokens; /**< Tokens of shared parts in all prompts. */
+    double reread_tokens; /**< Of these, processed although a runner had
+                               processed them for the same weights within the
+                               last 10 s. */
+    double stored_tokens; /**< Tokens fetched from the store. */
+    double busiest;       /**< Requests at the busiest runner, relative to the
+                               mean of all. */
+} scale_result;
+
+/** A world; opaque. */
+typedef struct scale_world scale_world;
+
+/** Create a world whose runners all have version 1 of the weights. */
+scale_world *scale_create(const scale_desc *desc);
+void scale_destroy(scale_world *w);
+/** Let time pass under load. */
+void scale_run(scale_world *w, bbm_time span);
+/** Let time pass under load, and return what clients got. */
+scale_result scale_measure(scale_world *w, bbm_time span);
+/** Announce the next version of the weights: a quarter of the runners at a
+ *  time load it, each quarter for 1 s. */
+void scale_announce_version(scale_world *w);
+/** While the leader is lost, no VM hears of any other. */
+void scale_set_leader_lost(scale_world *w, bool lost);
+
+#endif
--- /dev/null
+++ b/tests/test_scale.c
@@ -0,0 +1,88 @@
+/* Placement by hundreds of VMs that hear of each other late. */
+#include "scale_world.h"
+#include "test_main.h"
+
+/* At least nine in ten answers begin in time, and at most a tenth of the shared
+   tokens is processed again. */
+#define IN_TIME_SHARE_MIN 0.9
+#define REREAD_SHARE_MAX 0.1
+
+static void
+check_result(const char *name, const scale_result *r)
+{
+    double in_time = (double)r->in_time / (double)r->requests;
+    double reread = r->reread_tokens / r->shared_tokens;
+    ck_assert_msg(in_time >= IN_TIME_SHARE_MIN, "%s: %.3f in time", name,
+                  in_time);
+    ck_assert_msg(reread <= REREAD_SHARE_MAX,
+                  "%s: %.3f of the shared tokens read again", name, reread);
+    ck_assert_uint_eq(r->failed, 0);
+}
+
+static scale_world *
+create_large(double hot_share)
+{
+    return scale_create(&(scale_desc){
+        .vms = 200,
+        .runners = 117,
+        .requests_per_s = 306,
+        .chains = 1283,
+        .hot_share = hot_share,
+        .seed = 5,
+    });
+}
+
+START_TEST(chains_are_read_once_per_version)
+{
+    scale_world *w = create_large(0);
+    scale_run(w, 12 * BBM_SECOND);
+    scale_result r = scale_measure(w, 5 * BBM_SECOND);
+    check_result("without a change", &r);
+    for (int i = 0; i < 3; i++) {
+        scale_announce_version(w);
+        r = scale_measure(w, 4 * BBM_SECOND);
+        check_result("new version", &r);
+    }
+    scale_destroy(w);
+}
+END_TEST
+
+/* The leader is lost while versions change: no VM hears of any other.  All
+   went on avoiding the runners that had been busy last, and crowded at the
+   others. */
+START_TEST(placement_needs_no_news)
+{
+    scale_world *w = create_large(0);
+    scale_run(w, 12 * BBM_SECOND);
+    scale_set_leader_lost(w, true);
+    for (int i = 0; i < 2; i++) {
+        scale_announce_version(w);
+        scale_result r = scale_measure(w, 4 * BBM_SECOND);
+        check_result("new version, no leader", &r);
+    }
+    scale_result r = scale_measure(w, 4 * BBM_SECOND);
+    check_result("no leader", &r);
+    scale_destroy(w);
+}
+END_TEST
+
+/* A quarter of all requests share one chain: far more than a runner can take.
+   It gets more homes, also under new weights and without news. */
+START_TEST(hot_chain_gets_more_homes)
+{
+    scale_world *w = create_large(0.28);
+    scale_run(w, 12 * BBM_SECOND);
+    scale_result r = scale_measure(w, 5 * BBM_SECOND);
+    check_result("hot chain", &r);
+    scale_announce_version(w);
+    r = scale_measure(w, 4 * BBM_SECOND);
+    check_result("hot chain, new version", &r);
+    scale_set_leader_lost(w, true);
+    r = scale_measure(w, 4 * BBM_SECOND);
+    check_result("hot chain, no leader", &r);
+    scale_destroy(w);
+}
+END_TEST
+
+TEST_MAIN("scale", chains_are_read_once_per_version, placement_needs_no_news,
+          hot_chain_gets_more_homes);
