News goes through a tree in each zone, not through the leader's link

Cause: beyond 16 VMs the leader got a report from each VM and sent totals and placements, some 10 kB, to each: 6.4 MB/s at 200 VMs in the test, over half of its link; with its own callers it was full, heartbeats came late, the leader lost its lease, and the rollout began anew with each new one (VERSION once). Change: node_news.c. The VMs of a zone form a tree with eight children each; reports are added up on the way to the leader, totals and listings are forwarded on the way back. A VM without totals for 0.5 s reports to the leader directly. The report period is at most 0.1 s now. totals_age_ms is a metric. Test: test_news, 200 nodes under 435 requests a second: no VM sends more than half of its link, totals are 0.4 s old at most everywhere, also after the first VMs of the zones failed (before: vm-1 sends 6.38 MB/s, failed). Conclusion: what grew with the square of the VMs was the leader's link.

--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -52,6 +52,8 @@
     {"term", "gauge", "Term of the control group", AT(term)},
     {"is_leader", "gauge", "1 on the leader", AT(is_leader)},
     {"keys_age_ms", "gauge", "Age of the view of the keys", AT(key_age_ms)},
+    {"totals_age_ms", "gauge", "Age of the totals of the load at upstreams",
+     AT(totals_age_ms)},
     {"list_age_ms", "gauge", "Age of the list of upstreams",
      AT(listing_age_ms)},
     {"listed_upstreams", "gauge", "Upstreams in the list", AT(upstreams)},
--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -36,6 +36,7 @@
     g->rng = bbm_rng_of(desc->seed);
     g->vms = 1;
     g->shares = bbm_shares_create(desc->seed);
+    g->chains = bbm_chains_create();
     g->places = bbm_places_create();
     TAILQ_INIT(&g->waiting);
     STAILQ_INIT(&g->outputs);
@@ -58,6 +59,7 @@
     BBM_TABLE_FREE(gate_weights, g->weights);
     BBM_TABLE_FREE(gate_store, g->stores);
     BBM_TABLE_FREE(gate_customer, g->customers);
+    bbm_chains_destroy(g->chains);
     bbm_places_destroy(g->places);
     bbm_buf_free(&g->unsent_placements);
     gate_queued_output *output;
@@ -386,6 +388,7 @@
         len += has_load_to_report(g, u);
     }
     g->held_reported = (uint32_t)g->waiting_len;
+    bbm_put_u64(buf, 1); /* VM */
     bbm_put_u64(buf, g->held_reported);
     bbm_put_u64(buf, len);
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
@@ -426,6 +429,7 @@
     size_t vms = bbm_get_u32(rd, BBM_LOADS_ROWS_MAX);
     uint32_t held = bbm_get_u32(rd, UINT32_MAX);
     g->held_elsewhere = held > g->held_reported ? held - g->held_reported : 0;
+    g->totals_at = g->now;
     get_upstream_totals(g, rd);
     size_t len = bbm_get_u32(rd, BBM_LOADS_ROWS_MAX);
     for (size_t i = 0; i < len && !rd->failed; i++) {
@@ -492,7 +496,7 @@
 {
     gate_upstream *u = NULL;
     HASH_FIND_STR(g->upstreams, upstream, u);
-    return u ? gate_open_requests(u) : 0;
+    return u ? gate_open_requests(g, u) : 0;
 }
 
 double
@@ -501,7 +505,7 @@
     gate_upstream *u = NULL;
     HASH_FIND_STR(g->upstreams, upstream, u);
     return u && u->pool
-               ? gate_backlog_tokens(u) / u->pool->prefill_tokens_per_ms
+               ? gate_backlog_tokens(g, u) / u->pool->prefill_tokens_per_ms
                : 0;
 }
 
--- a/gate/bbm_loads.c
+++ b/gate/bbm_loads.c
@@ -13,6 +13,7 @@
     size_t loads_len;
     bbm_demand *demands;
     size_t demands_len;
+    uint32_t vms; /* that the report is about */
     uint32_t held_requests;
     bbm_time last_report_at;
     UT_hash_handle hh;
@@ -112,6 +113,7 @@
         HASH_ADD_STR(all->vms, name, row);
     }
     row->last_report_at = now;
+    row->vms = bbm_get_u32(rd, BBM_LOADS_ROWS_MAX);
     row->held_requests = bbm_get_u32(rd, UINT32_MAX);
     row->loads_len = bbm_get_u32(rd, BBM_LOADS_ROWS_MAX);
     row->loads = bbm_realloc(row->loads, row->loads_len * sizeof(*row->loads));
@@ -165,6 +167,7 @@
     load_sum *loads = NULL;
     demand_sum *demands = NULL;
     uint64_t held = 0;
+    uint64_t vms = 0;
     vm_row *vm, *next;
     HASH_ITER(hh, all->vms, vm, next)
     {
@@ -172,13 +175,14 @@
             drop_vm(all, vm);
             continue;
         }
+        vms += vm->vms;
         held += vm->held_requests;
         for (size_t i = 0; i < vm->loads_len; i++)
             add_load(&loads, &vm->loads[i]);
         for (size_t i = 0; i < vm->demands_len; i++)
             add_demand(&demands, &vm->demands[i]);
     }
-    bbm_put_u64(buf, HASH_COUNT(all->vms));
+    bbm_put_u64(buf, vms);
     bbm_put_u64(buf, held);
     bbm_put_u64(buf, HASH_COUNT(loads));
     for (const load_sum *s = loads; s; s = s->hh.next)
--- a/gate/bbm_loads.h
+++ b/gate/bbm_loads.h
@@ -1,10 +1,11 @@
 /** @file
- *  Totals of the load and demand of all VMs, computed by the leader.
+ *  Totals of the load and demand of VMs.
  *
  *  Several times per second each VM reports its open requests per upstream,
  *  its held requests, the upstreams that it suspects to have failed, and the
- *  demand of its customers.  The leader adds up the reports of the last 1.5
- *  seconds and sends the totals to all VMs.
+ *  demand of its customers.  Reports of the last 1.5 seconds are added up, and
+ *  the sum has the form of a report itself: sums of some VMs go to the leader,
+ *  which sends the totals of all to all.
  *
  *      bbm_loads *all = bbm_loads_create();
  *      bbm_loads_add_report(all, "vm-2", &reader, now);
@@ -64,8 +65,8 @@
 bbm_loads *bbm_loads_create(void);
 /** Destroy a collection; NULL is allowed. */
 void bbm_loads_destroy(bbm_loads *all);
-/** Replace a VM's report.  Malformed input sets the reader's error and removes
- *  the VM. */
+/** Replace a VM's report, or sum of reports.  Malformed input sets the
+ * reader's error and removes the VM. */
 void bbm_loads_add_report(bbm_loads *all, const char *vm, bbm_reader *rd,
                           bbm_time now);
 /** Append the totals of the recent reports.  VMs without a recent report are
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -486,6 +486,8 @@
     uint64_t term;             /**< Term of the control group (gauge). */
     uint64_t is_leader;        /**< 1 if leading, else 0 (gauge). */
     uint64_t key_age_ms;       /**< Age of the keys (gauge). */
+    uint64_t totals_age_ms;    /**< Age of the leader's totals of the load at
+                                    upstreams (gauge); 0: none received. */
     uint64_t listing_age_ms;   /**< Age of the listing; 0 if it was never read
                                     (gauge). */
     uint64_t upstreams;        /**< Upstreams in the listing (gauge). */
--- a/node/node.c
+++ b/node/node.c
@@ -152,9 +152,9 @@
     case NODE_LISTING:
         return node_upstreams_receive_listing(n, from, rd);
     case NODE_LOADS:
-        return node_upstreams_receive_loads(n, from, rd);
+        return node_news_receive_loads(n, from, rd);
     case NODE_TOTALS:
-        return node_upstreams_receive_totals(n, from, rd);
+        return node_news_receive_totals(n, from, rd);
     case NODE_MESSAGE_COUNT:
         break;
     }
@@ -471,6 +471,8 @@
     c.term = n->leader_term;
     c.is_leader = node_leads(n);
     c.key_age_ms = (uint64_t)((now - n->fresh_at) / BBM_MS);
+    c.totals_age_ms =
+        n->totals_at ? (uint64_t)((now - n->totals_at) / BBM_MS) : 0;
     if (n->gate) {
         c.gate = bbm_gate_count(n->gate);
         c.upstreams = n->listing.len;
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -235,6 +235,13 @@
     TAILQ_ENTRY(node_queued_action) link; /**< In order. */
 } node_queued_action;
 
+/** A VM that reported to the leader directly, as it got no totals. */
+typedef struct node_direct {
+    char name[BBM_NAME_SIZE]; /**< Its name. */
+    bbm_time until;           /**< It is sent totals directly until then. */
+    UT_hash_handle hh;        /**< By name. */
+} node_direct;
+
 /** A node. */
 struct bbm_node {
     bbm_node_desc desc;     /**< With defaults filled in. */
@@ -357,10 +364,16 @@
     bbm_loads *loads;              /**< Latest report of each VM; NULL before
                                         the first. */
     bbm_time next_load_report_at;  /**< Next report even without a change. */
-    bbm_buf relayed_placements;    /**< Leader of more than DIRECT_VMS_MAX
-                                        VMs: placements to be sent with the
-                                        next totals. */
-    size_t relayed_placements_len; /**< Reports in relayed_placements. */
+    bbm_buf relayed_placements;    /**< Placements to be sent with the next
+                                        report or totals, in groups by VM. */
+    size_t relayed_placements_len; /**< Groups in relayed_placements. */
+    node_direct *direct;           /**< Leader: VMs that reported directly, by
+                                        name. */
+    uint64_t totals_term;          /**< Term of the leader of the last
+                                        totals. */
+    uint64_t totals_number;        /**< Number of these totals in that term. */
+    bbm_time totals_at;            /**< When they were received; leader: when
+                                        they were sent; 0: never. */
     bbm_rollout *rollout;          /**< NULL unless this node is the leader. */
     uint64_t rollout_term;         /**< Term of rollout. */
 
@@ -455,9 +468,32 @@
 /** Releases the waiting reads without an answer. */
 void node_read_destroy(bbm_node *n);
 
+/* ---- node_news.c ---- */
+
+/** Sends a message to another VM. */
+typedef void node_news_fn(bbm_node *n, const char *to, void *context);
+
+/** Call @p fn for each VM that gets the leader's news from this VM. */
+void node_news_to_children(bbm_node *n, node_news_fn *fn, void *context);
+/** Forward a message of the leader to these VMs.  @p body is at the start of
+ *  its content. */
+void node_news_forward(bbm_node *n, node_message_kind kind,
+                       const bbm_reader *body);
+/** Sends this VM's report, and the leader's totals, when they are due. */
+void node_news_tick(bbm_node *n);
+/** Processes a report of load and placements, of one VM or of several. */
+int node_news_receive_loads(bbm_node *n, const char *from, bbm_reader *rd);
+/** Processes the leader's totals. */
+int node_news_receive_totals(bbm_node *n, const char *from, bbm_reader *rd);
+
 /* ---- node_upstreams.c ---- */
 
-/** Reads the listing and reports the load when they are due. */
+/** Age of the listing in force, at most an hour; an hour if it is unknown. */
+bbm_time node_upstreams_listing_age(const bbm_node *n);
+/** Sends the complete listing in force to a VM. */
+void node_upstreams_send_listing(bbm_node *n, const char *to);
+
+/** Reads the listing, and reports the load, when they are due. */
 void node_upstreams_tick(bbm_node *n);
 /** Processes a listing that this VM read from the provider; NULL: the read
  *  failed. */
@@ -468,12 +504,6 @@
 /** Processes the leader's changes of the listing. */
 int node_upstreams_receive_listing(bbm_node *n, const char *from,
                                    bbm_reader *rd);
-/** Processes a VM's load and placements. */
-int node_upstreams_receive_loads(bbm_node *n, const char *from,
-                                 bbm_reader *rd);
-/** Processes the leader's totals. */
-int node_upstreams_receive_totals(bbm_node *n, const char *from,
-                                  bbm_reader *rd);
 /** Releases listings, loads and placements. */
 void node_upstreams_destroy(bbm_node *n);
 
--- /dev/null
+++ b/node/node_news.c
@@ -0,0 +1,541 @@
+/** @file
+ *  How VMs hear of each other's load and placements, and of the listing.
+ *
+ *  Up to 16 VMs send their reports to each other.  With more, the number of
+ *  messages and bytes must not grow with the square of the VMs, nor may all of
+ *  them pass through the leader's link: the VMs of each availability zone form
+ *  a tree.  Reports go up, and are added up on the way; the leader sends the
+ *  totals down, and each VM forwards them.  So the leader exchanges messages
+ *  with one VM per zone and with its children in its own zone, and between
+ *  zones each message passes once.  The listing takes the same way down.
+ *
+ *  The root of a zone's tree is its first alive VM by name, or the leader if
+ *  that is in the zone.  VMs may see different members for a moment: one that
+ *  gets no totals reports to the leader directly, and is answered directly.
+ *
+ *  A placement says that a part of a prompt was sent to an upstream, which is
+ *  then expected to cache it.
+ */
+#include "node_core.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Up to this number, VMs send load and placements to each other. */
+#define DIRECT_VMS_MAX 16
+/* Report period of more VMs: this multiple of their number, within the limits.
+   A longer one makes news old, a shorter one costs more messages. */
+#define LOAD_PERIOD_PER_VM (1 * BBM_MS)
+#define LOAD_PERIOD_MIN (40 * BBM_MS)
+#define LOAD_PERIOD_MAX (100 * BBM_MS)
+/* Children of a VM in the tree of its zone. */
+#define NEWS_FANOUT 8
+/* A VM that has got no totals for this time reports to the leader directly. */
+#define TOTALS_TIMEOUT (500 * BBM_MS)
+/* Time for which the leader answers such a VM directly. */
+#define DIRECT_TIME BBM_SECOND
+/* The latest change of the listing may take this time to reach a VM.  A VM
+   that reports an older version later than that is sent the complete
+   listing. */
+#define CHANGE_DELIVERY_TIME (120 * BBM_MS)
+
+/* ---- the tree ---- */
+
+/* True for other VMs that are not dead and whose run is known. */
+static bool
+is_reachable(const bbm_node *n, const bbm_member *m)
+{
+    return m->run && m->status != BBM_MEMBER_DEAD
+           && strcmp(m->name, n->desc.name) != 0;
+}
+
+static bool
+is_alive(const bbm_member *m)
+{
+    return m->status == BBM_MEMBER_ALIVE && m->run;
+}
+
+static size_t
+count_vms(const bbm_node *n)
+{
+    size_t vms = 0;
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++)
+        vms += is_alive(m);
+    return vms;
+}
+
+static bool
+reports_directly(size_t vms)
+{
+    return vms <= DIRECT_VMS_MAX;
+}
+
+static bbm_time
+load_period(const bbm_node *n, size_t vms)
+{
+    if (reports_directly(vms))
+        return n->desc.load_period;
+    bbm_time period = (bbm_time)vms * LOAD_PERIOD_PER_VM;
+    if (period < LOAD_PERIOD_MIN)
+        return LOAD_PERIOD_MIN;
+    return period < LOAD_PERIOD_MAX ? period : LOAD_PERIOD_MAX;
+}
+
+/* True if VM a precedes VM b in the tree of their zone: the leader first, then
+   by name. */
+static bool
+precedes(const bbm_node *n, const char *a, const char *b)
+{
+    bool a_leads = strcmp(a, n->leader) == 0;
+    bool b_leads = strcmp(b, n->leader) == 0;
+    if (a_leads != b_leads)
+        return a_leads;
+    return strcmp(a, b) < 0;
+}
+
+static int
+compare_names(const void *a, const void *b, void *context)
+{
+    const bbm_member *const *x = a;
+    const bbm_member *const *y = b;
+    if (strcmp((*x)->name, (*y)->name) == 0)
+        return 0;
+    return precedes(context, (*x)->name, (*y)->name) ? -1 : 1;
+}
+
+/* The alive VMs of a zone in the order of the tree; to be freed. */
+static const bbm_member **
+zone_members(const bbm_node *n, const char *zone, size_t *len)
+{
+    size_t count = 0;
+    const bbm_member *m;
+    while (bbm_members_at(n->members, count) != NULL)
+        count++;
+    const bbm_member **list = bbm_calloc(count + 1, sizeof(const void *));
+    *len = 0;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        if (is_alive(m) && strcmp(m->zone, zone) == 0)
+            list[(*len)++] = m;
+    }
+    qsort_r(list, *len, sizeof(const void *), compare_names, (void *)(uintptr_t)n);
+    return list;
+}
+
+/* The VM that gets this VM's reports: its parent in the tree, or the leader if
+   this VM is the root of its zone's tree or gets no totals. */
+static const char *
+report_receiver(const bbm_node *n, bool *direct)
+{
+    *direct = n->now - n->totals_at > TOTALS_TIMEOUT;
+    if (*direct)
+        return n->leader;
+    size_t len;
+    BBM_AUTO_FREE const bbm_member **zone =
+        zone_members(n, n->desc.zone, &len);
+    for (size_t rank = 1; rank < len; rank++) {
+        if (strcmp(zone[rank]->name, n->desc.name) != 0)
+            continue;
+        const bbm_member *parent = zone[(rank - 1) / NEWS_FANOUT];
+        return bbm_members_find(n->members, parent->name)->name;
+    }
+    return n->leader;
+}
+
+/* Calls fn for the children of this VM in the tree of its zone. */
+static void
+to_zone_children(bbm_node *n, node_news_fn *fn, void *context)
+{
+    size_t len;
+    BBM_AUTO_FREE const bbm_member **zone =
+        zone_members(n, n->desc.zone, &len);
+    size_t own = 0;
+    while (own < len && strcmp(zone[own]->name, n->desc.name) != 0)
+        own++;
+    size_t from = own * NEWS_FANOUT + 1;
+    for (size_t i = from; i < from + NEWS_FANOUT && i < len; i++)
+        fn(n, zone[i]->name, context);
+}
+
+/* True if a VM is the root of the tree of its zone. */
+static bool
+is_root(const bbm_node *n, const bbm_member *m)
+{
+    const bbm_member *other;
+    for (size_t i = 0; (other = bbm_members_at(n->members, i)) != NULL; i++) {
+        if (is_alive(other) && strcmp(other->zone, m->zone) == 0
+            && strcmp(other->name, m->name) != 0
+            && precedes(n, other->name, m->name))
+            return false;
+    }
+    return true;
+}
+
+static bool
+reported_directly(const bbm_node *n, const char *vm)
+{
+    node_direct *d = NULL;
+    HASH_FIND_STR(n->direct, vm, d);
+    return d && n->now < d->until;
+}
+
+/* Leader: calls fn for its children in its own zone, the roots of the other
+   zones, and the VMs that reported directly. */
+static void
+from_leader(bbm_node *n, node_news_fn *fn, void *context)
+{
+    const bbm_member *m;
+    to_zone_children(n, fn, context);
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        bool other_zone = strcmp(m->zone, n->desc.zone) != 0;
+        if (is_reachable(n, m)
+            && ((other_zone && is_alive(m) && is_root(n, m))
+                || reported_directly(n, m->name)))
+            fn(n, m->name, context);
+    }
+}
+
+void
+node_news_to_children(bbm_node *n, node_news_fn *fn, void *context)
+{
+    if (!reports_directly(count_vms(n))) {
+        if (node_leads(n))
+            from_leader(n, fn, context);
+        else
+            to_zone_children(n, fn, context);
+        return;
+    }
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        if (node_leads(n) && is_reachable(n, m))
+            fn(n, m->name, context);
+    }
+}
+
+/* A message that is forwarded. */
+typedef struct forwarded {
+    node_message_kind kind;
+    const bbm_reader *body;
+} forwarded;
+
+static void
+forward_body(bbm_node *n, const char *to, void *context)
+{
+    const forwarded *f = context;
+    bbm_buf *buf = node_send(n, to, f->kind);
+    bbm_buf_add(buf, f->body->data + f->body->pos,
+                f->body->len - f->body->pos);
+}
+
+void
+node_news_forward(bbm_node *n, node_message_kind kind, const bbm_reader *body)
+{
+    forwarded f = {.kind = kind, .body = body};
+    node_news_to_children(n, forward_body, &f);
+}
+
+/* ---- receiving reports ---- */
+
+/* Computes totals from the reports that this VM has received. */
+static void
+update_totals(bbm_node *n)
+{
+    bbm_buf totals = {0};
+    bbm_loads_put_totals(n->loads, n->now, &totals);
+    bbm_reader rd = bbm_reader_of(totals.data, totals.len);
+    bbm_gate_get_totals(n->gate, &rd, n->now);
+    bbm_buf_free(&totals);
+}
+
+static bool
+apply_placements(bbm_node *n, const char *from, bbm_bytes placements)
+{
+    bbm_reader rd = bbm_reader_of(placements.data, placements.len);
+    bool own = strcmp(from, n->desc.name) == 0;
+    bbm_gate_get_placements(n->gate, &rd, own, n->now);
+    return bbm_reader_done(&rd);
+}
+
+/* Adds a VM's placements to the next report or totals that this VM sends. */
+static void
+relay_placements(bbm_node *n, const char *from, bbm_bytes placements)
+{
+    bbm_put_str(&n->relayed_placements, from);
+    bbm_put_bytes(&n->relayed_placements, placements.data, placements.len);
+    n->relayed_placements_len++;
+}
+
+static void
+clear_relayed_placements(bbm_node *n)
+{
+    n->relayed_placements.len = 0;
+    n->relayed_placements_len = 0;
+}
+
+static void
+answer_directly(bbm_node *n, const char *vm)
+{
+    node_direct *d = NULL;
+    HASH_FIND_STR(n->direct, vm, d);
+    if (!d) {
+        d = bbm_calloc(1, sizeof(*d));
+        bbm_name_set(d->name, vm);
+        HASH_ADD_STR(n->direct, name, d);
+    }
+    d->until = n->now + DIRECT_TIME;
+}
+
+/* What a VM does with the placements in a message. */
+typedef enum placement_use {
+    PLACEMENTS_APPLY, /* they were made by other VMs */
+    PLACEMENTS_RELAY, /* they go up the tree, and come back with the totals */
+    PLACEMENTS_BOTH,  /* the leader's */
+} placement_use;
+
+/* Reads the placements in a message: groups of a VM's name and its rows. */
+static int
+receive_placements(bbm_node *n, bbm_reader *rd, placement_use use)
+{
+    size_t groups = bbm_get_u32(rd, BBM_LOADS_ROWS_MAX);
+    for (size_t i = 0; i < groups && !rd->failed; i++) {
+        char vm[BBM_NAME_SIZE];
+        bbm_get_name(rd, vm);
+        bbm_bytes placements = bbm_get_bytes(rd);
+        if (rd->failed)
+            break;
+        if (use != PLACEMENTS_RELAY && !apply_placements(n, vm, placements))
+            return BBM_ERR_DECODE;
+        if (use != PLACEMENTS_APPLY)
+            relay_placements(n, vm, placements);
+    }
+    return bbm_reader_done(rd) ? BBM_OK : BBM_ERR_DECODE;
+}
+
+/* Sends the complete listing to a VM that reports an older version. */
+static void
+update_listing_of(bbm_node *n, const char *vm, uint64_t term, uint64_t version)
+{
+    bool outdated = term != n->listing_term || version != n->listing_version;
+    bool has_current = n->listing_term && n->listing_term == n->leader_term;
+    if (outdated && has_current
+        && n->now - n->listing_changed_at > CHANGE_DELIVERY_TIME)
+        node_upstreams_send_listing(n, vm);
+}
+
+int
+node_news_receive_loads(bbm_node *n, const char *from, bbm_reader *rd)
+{
+    uint64_t term = bbm_get_u64(rd);
+    uint64_t version = bbm_get_u64(rd);
+    bool direct = bbm_get_u32(rd, 1) != 0;
+    if (!n->loads)
+        n->loads = bbm_loads_create();
+    bbm_loads_add_report(n->loads, from, rd, n->now);
+    if (rd->failed || !n->gate)
+        return BBM_ERR_DECODE;
+    bool all_to_all = reports_directly(count_vms(n));
+    bool leads = node_leads(n);
+    placement_use use = all_to_all ? PLACEMENTS_APPLY
+                        : leads    ? PLACEMENTS_BOTH
+                                   : PLACEMENTS_RELAY;
+    int rc = receive_placements(n, rd, use);
+    if (rc < 0)
+        return rc;
+    if (all_to_all)
+        update_totals(n);
+    if (leads && direct)
+        answer_directly(n, from);
+    if (leads || !all_to_all)
+        update_listing_of(n, from, term, version);
+    return BBM_OK;
+}
+
+/* ---- receiving totals ---- */
+
+static int
+receive_stores(bbm_node *n, bbm_reader *rd)
+{
+    size_t stores = bbm_get_u32(rd, NODE_STORES_MAX);
+    for (size_t i = 0; i < stores && !rd->failed; i++) {
+        char address[BBM_NAME_SIZE];
+        bbm_get_name(rd, address);
+        bool alive = bbm_get_u32(rd, 1) != 0;
+        if (!rd->failed)
+            bbm_gate_set_store_alive(n->gate, address, alive);
+    }
+    return rd->failed ? BBM_ERR_DECODE : BBM_OK;
+}
+
+/* The same totals may come by several ways, and older ones after newer. */
+static bool
+are_newer_totals(const bbm_node *n, uint64_t leader_term, uint64_t number)
+{
+    if (node_leads(n) || leader_term < n->leader_term)
+        return false;
+    return leader_term > n->totals_term
+           || (leader_term == n->totals_term && number > n->totals_number);
+}
+
+int
+node_news_receive_totals(bbm_node *n, const char *from, bbm_reader *rd)
+{
+    (void)from;
+    bbm_reader body = *rd;
+    uint64_t leader_term = bbm_get_u64(rd);
+    uint64_t number = bbm_get_u64(rd);
+    uint64_t term = bbm_get_u64(rd);
+    uint64_t version = bbm_get_u64(rd);
+    bbm_time age = bbm_get_i64(rd);
+    if (rd->failed)
+        return BBM_ERR_DECODE;
+    if (!n->gate || !are_newer_totals(n, leader_term, number))
+        return BBM_OK;
+    if (receive_stores(n, rd) < 0)
+        return BBM_ERR_DECODE;
+    bool same_version =
+        term == n->listing_term && version == n->listing_version;
+    if (same_version && n->now - age > n->listing_read_at)
+        n->listing_read_at = n->now - age;
+    bbm_bytes totals = bbm_get_bytes(rd);
+    if (receive_placements(n, rd, PLACEMENTS_APPLY) < 0)
+        return BBM_ERR_DECODE;
+    n->totals_term = leader_term;
+    n->totals_number = number;
+    n->totals_at = n->now;
+    node_news_forward(n, NODE_TOTALS, &body);
+    if (!totals.len)
+        return BBM_OK;
+    bbm_reader in = bbm_reader_of(totals.data, totals.len);
+    bbm_gate_get_totals(n->gate, &in, n->now);
+    return bbm_reader_done(&in) ? BBM_OK : BBM_ERR_DECODE;
+}
+
+/* ---- sending ---- */
+
+static void
+put_stores(const bbm_node *n, bbm_buf *buf)
+{
+    bbm_put_u64(buf, n->stores_len);
+    for (size_t i = 0; i < n->stores_len; i++) {
+        bbm_put_str(buf, n->stores[i].address);
+        bbm_put_u64(buf, n->stores[i].alive);
+    }
+}
+
+static void
+send_totals_to(bbm_node *n, const char *to, void *context)
+{
+    const bbm_buf *totals = context;
+    bbm_buf *buf = node_send(n, to, NODE_TOTALS);
+    bbm_put_u64(buf, n->leader_term);
+    bbm_put_u64(buf, n->totals_number);
+    bbm_put_u64(buf, n->listing_term);
+    bbm_put_u64(buf, n->listing_version);
+    bbm_put_i64(buf, node_upstreams_listing_age(n));
+    put_stores(n, buf);
+    bbm_put_bytes(buf, totals->data, totals->len);
+    bbm_put_u64(buf, n->relayed_placements_len);
+    bbm_buf_add(buf, n->relayed_placements.data, n->relayed_placements.len);
+}
+
+/* Leader.  If the VMs send their load directly, the message has no totals,
+   only the listing's age and the stores. */
+static void
+send_totals(bbm_node *n, bool all_to_all)
+{
+    bbm_buf totals = {0};
+    if (!all_to_all)
+        bbm_loads_put_totals(n->loads, n->now, &totals);
+    n->totals_term = n->leader_term;
+    n->totals_number++;
+    n->totals_at = n->now;
+    node_news_to_children(n, send_totals_to, &totals);
+    bbm_buf_free(&totals);
+    clear_relayed_placements(n);
+}
+
+/* Sends a report, which ends with the placements of this VM, or with those of
+   other VMs too (@p groups, already encoded). */
+static void
+send_load(bbm_node *n, const char *to, bool direct, const bbm_buf *load,
+          size_t groups_len, const bbm_buf *groups)
+{
+    bbm_buf *buf = node_send(n, to, NODE_LOADS);
+    bbm_put_u64(buf, n->listing_term);
+    bbm_put_u64(buf, n->listing_version);
+    bbm_put_u64(buf, direct);
+    bbm_buf_add(buf, load->data, load->len);
+    bbm_put_u64(buf, groups_len);
+    bbm_buf_add(buf, groups->data, groups->len);
+}
+
+/* Up to DIRECT_VMS_MAX VMs: sends this VM's load and new placements to all. */
+static void
+report_to_all(bbm_node *n, const bbm_buf *load)
+{
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        if (is_reachable(n, m))
+            send_load(n, m->name, false, load, n->relayed_placements_len,
+                      &n->relayed_placements);
+    }
+    clear_relayed_placements(n);
+    update_totals(n);
+}
+
+/* Sends the load of this VM and of those below it in the tree.  Placements
+   that can't be sent now are dropped. */
+static void
+report_up(bbm_node *n)
+{
+    bool direct;
+    const char *to = report_receiver(n, &direct);
+    const bbm_member *m = bbm_members_find(n->members, to);
+    if (m && is_reachable(n, m)) {
+        bbm_buf sum = {0};
+        bbm_loads_put_totals(n->loads, n->now, &sum);
+        send_load(n, m->name, direct, &sum, n->relayed_placements_len,
+                  &n->relayed_placements);
+        bbm_buf_free(&sum);
+    }
+    clear_relayed_placements(n);
+}
+
+static void
+report_load(bbm_node *n, bool all_to_all)
+{
+    bbm_buf load = {0};
+    bbm_buf placements = {0};
+    bbm_gate_put_load(n->gate, n->now, &load);
+    bbm_gate_put_placements(n->gate, &placements);
+    if (!n->loads)
+        n->loads = bbm_loads_create();
+    bbm_reader rd = bbm_reader_of(load.data, load.len);
+    bbm_loads_add_report(n->loads, n->desc.name, &rd, n->now);
+    relay_placements(n, n->desc.name, bbm_buf_view(&placements));
+    if (all_to_all)
+        report_to_all(n, &load);
+    else if (node_leads(n))
+        update_totals(n);
+    else
+        report_up(n);
+    bbm_buf_free(&load);
+    bbm_buf_free(&placements);
+}
+
+void
+node_news_tick(bbm_node *n)
+{
+    size_t vms = count_vms(n);
+    bool all_to_all = reports_directly(vms);
+    bool due = n->now >= n->next_load_report_at;
+    if (!due && !(all_to_all && bbm_gate_load_changed(n->gate)))
+        return;
+    bbm_gate_set_vm_count(n->gate, vms, !all_to_all);
+    report_load(n, all_to_all);
+    if (!due)
+        return;
+    n->next_load_report_at = n->now + load_period(n, vms);
+    if (node_leads(n))
+        send_totals(n, all_to_all);
+}
