--- a/stand/booking.c
+++ b/stand/booking.c
@@ -22,15 +22,6 @@
     json_t *last_request; /* path, query arguments and headers */
 } booking_service;
 
-static enum MHD_Result
-add_field(void *context, enum MHD_ValueKind kind, const char *name,
-          const char *value)
-{
-    (void)kind;
-    json_object_set_new(context, name, json_string(value ? value : ""));
-    return MHD_YES;
-}
-
 static enum MHD_Result
 run_booking(booking_service *b, stand_request *q)
 {
@@ -45,12 +36,7 @@
     json_int_t runs =
         json_integer_value(json_object_get(b->run_counts, name)) + 1;
     json_object_set_new(b->run_counts, name, json_integer(runs));
-    json_object_clear(b->last_request);
-    json_object_set_new(b->last_request, "path", json_string(q->path));
-    MHD_get_connection_values(
-        q->connection,
-        (enum MHD_ValueKind)(MHD_HEADER_KIND | MHD_GET_ARGUMENT_KIND),
-        add_field, b->last_request);
+    stand_describe(q, b->last_request);
     bool drop = b->drop_count > 0;
     if (drop)
         b->drop_count--;
--- a/stand/pool.c
+++ b/stand/pool.c
@@ -44,27 +44,13 @@
     return stand_reply(q, 200, json_pack("{s:o}", "instances", list));
 }
 
-static enum MHD_Result
-add_field(void *context, enum MHD_ValueKind kind, const char *name,
-          const char *value)
-{
-    (void)kind;
-    json_object_set_new(context, name, json_string(value ? value : ""));
-    return MHD_YES;
-}
-
 static enum MHD_Result
 run_request(pool *p, stand_request *q)
 {
     const char *id = stand_header(q, "X-Bluebellmoor-Attempt-Id");
     q->signature = p->port;
     pthread_mutex_lock(&p->lock);
-    json_object_clear(p->last_request);
-    json_object_set_new(p->last_request, "path", json_string(q->path));
-    MHD_get_connection_values(
-        q->connection,
-        (enum MHD_ValueKind)(MHD_HEADER_KIND | MHD_GET_ARGUMENT_KIND),
-        add_field, p->last_request);
+    stand_describe(q, p->last_request);
     json_int_t before = json_integer_value(json_object_get(p->run_counts, id));
     json_object_set_new(p->run_counts, id, json_integer(before + 1));
     bool drop = p->drop_next;
--- a/stand/stand_http.c
+++ b/stand/stand_http.c
@@ -117,6 +117,26 @@
     _Exit(0);
 }
 
+static enum MHD_Result
+add_field(void *context, enum MHD_ValueKind kind, const char *name,
+          const char *value)
+{
+    (void)kind;
+    json_object_set_new(context, name, json_string(value ? value : ""));
+    return MHD_YES;
+}
+
+void
+stand_describe(const stand_request *r, json_t *description)
+{
+    json_object_clear(description);
+    json_object_set_new(description, "path", json_string(r->path));
+    MHD_get_connection_values(
+        r->connection,
+        (enum MHD_ValueKind)(MHD_HEADER_KIND | MHD_GET_ARGUMENT_KIND),
+        add_field, description);
+}
+
 const char *
 stand_header(const stand_request *r, const char *name)
 {
--- a/stand/stand_http.h
+++ b/stand/stand_http.h
@@ -51,6 +51,9 @@
 void stand_block_signals(void);
 /** Exit the process with status 0; open streams are not awaited. */
 void stand_close(stand_server *s);
+/** Replace the content of an object by the path, the headers and the query
+ *  arguments of the request. */
+void stand_describe(const stand_request *r, json_t *description);
 /** A header of the request; "" if there is none. */
 const char *stand_header(const stand_request *r, const char *name);
 /** An argument of the query; NULL if there is none. */
