Test: members of the group that go for good are replaced by empty VMs elsewhere

Eight seeds, two replacements each, planned and not, the leader among them: as many voters as before, nothing lost.

--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -708,6 +708,88 @@
 }
 END_TEST
 
+/* ---- machines of the group that go for good ---- */
+
+#define VOTERS 3
+
+/* A group of three voters; the two other VMs with disks don't exist yet. */
+static void
+create_replaceable_world(world *w, uint64_t seed)
+{
+    *w = (world){0};
+    w->fleet = fleet_create(
+        &(fleet_desc){
+            .seed = seed,
+            .nodes = NODES,
+            .seeds = SEEDS,
+            .disks = DISKS,
+            .delay_max = 5 * BBM_MS,
+            .sync_max = 2 * BBM_MS,
+        },
+        &(fleet_hooks){.context = w, .answer = on_answer});
+    for (int i = VOTERS; i < DISKS; i++) {
+        fleet_crash(w->fleet, i);
+        fleet_wipe(w->fleet, i);
+    }
+    fleet_run(w->fleet, 4 * BBM_SECOND);
+}
+
+/* True if the group has three voters and none of them is a VM that went. */
+static bool
+is_group_whole(world *w, const bool *gone)
+{
+    bool is_voter = false;
+    if (fleet_leader(w->fleet) < 0 || count_voters(w, "", &is_voter) != VOTERS)
+        return false;
+    for (int i = 0; i < DISKS; i++) {
+        count_voters(w, fleet_name(w->fleet, i), &is_voter);
+        if (gone[i] && is_voter)
+            return false;
+    }
+    return true;
+}
+
+/* VMs of the group go for good, one after the other, the leader among them,
+   and empty ones come at other addresses, before the old one goes or after it.
+   Nothing acknowledged is lost, and the group has as many voters as before,
+   none of which is gone, without an operator. */
+START_TEST(members_that_go_for_good_are_replaced)
+{
+    for (uint64_t seed = 1; seed <= 8; seed++) {
+        world w;
+        bool gone[DISKS] = {false};
+        create_replaceable_world(&w, seed);
+        must_publish(&w, 0, 1, "kept");
+        for (int fresh = VOTERS; fresh < DISKS; fresh++) {
+            bool planned = (seed + (uint64_t)fresh) % 2;
+            int old = seed % 3 == 0 ? fleet_leader(w.fleet)
+                                    : find_follower_except(&w, fresh);
+            ck_assert_int_ge(old, 0);
+            if (planned) {
+                fleet_start(w.fleet, fresh);
+                fleet_run(w.fleet, BBM_SECOND);
+            }
+            fleet_crash(w.fleet, old);
+            gone[old] = true;
+            if (!planned) {
+                fleet_run(w.fleet, BBM_SECOND);
+                fleet_start(w.fleet, fresh);
+            }
+            fleet_run(w.fleet, 2 * REPAIR_TIMEOUT);
+            ck_assert_msg(is_group_whole(&w, gone),
+                          "seed %llu, after VM %d came",
+                          (unsigned long long)seed, fresh);
+            must_publish(&w, fleet_leader(w.fleet), (uint64_t)fresh, "next");
+        }
+        for (int i = 0; i < NODES; i++) {
+            if (!(i < DISKS && gone[i]))
+                must_read(&w, i, "next");
+        }
+        destroy_world(&w);
+    }
+}
+END_TEST
+
 /* ---- an upstream that says it leaves ---- */
 
 typedef struct leaving_world {
@@ -843,5 +925,6 @@
           new_leader_keeps_reported_upstreams,
           starting_vm_holds_requests_briefly,
           stopping_vm_accepts_requests_it_can_finish,
+          members_that_go_for_good_are_replaced,
           leaving_upstream_is_known_after_a_restart,
           isolated_vm_stops_keyed_pool_routes);
