Below 100 VMs news and placement stay as they were; old weights count the whole wait

Causes: - VERSION: the wait at a runner was capped at 3 s when old weights are judged, but clients of a route with pauses of 400 ms wait 3.2 s, and the request was begun after 3.1 s. The cap is now the stream's silence limit (test_gate/old_weights_limit_includes_the_whole_wait, failed before). The wait before an order holds with the trees only.

--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -70,6 +70,8 @@
    the last report, and crowd at the others. */
 #define TOTALS_FRESH_TIME (400 * BBM_MS)
 #define TOTALS_FADING_TIME (600 * BBM_MS)
+/* Number of VMs from which placements arrive too late to choose by them. */
+#define HOME_VMS_MIN 100
 /* If placements are delayed, extra cost of a runner that isn't a home of the
    chain: a share of the time to compute the shared prefix there, as other
    chains lose that room, and for short prefixes the minimum, as a choice by
@@ -85,7 +87,8 @@
 #define HOMES_DRAWN 2
 /* A request may wait at a runner until its start deadline, so a runner is
    eligible only if its weights won't be too old by then.  That wait is capped
-   at this time; otherwise runners with old weights would be left idle when
+   at this time, or at the silence after which the client of a stream leaves if
+   that is longer; otherwise runners with old weights would be left idle when
    clients wait for long. */
 #define OLD_WEIGHTS_WAIT_MAX (3 * BBM_SECOND)
 /* Safety margin of the limits on old weights, for clock differences and
@@ -207,9 +210,13 @@
     uint64_t version = bbm_listing_entry_version(&u->info, r->model);
     bbm_time age = weights_age(g, w, version);
     bbm_time wait = r->start_deadline - g->now;
-    if (wait > OLD_WEIGHTS_WAIT_MAX)
-        wait = OLD_WEIGHTS_WAIT_MAX;
-    if (age + wait + OLD_WEIGHTS_MARGIN >= g->desc.old_weights_max) {
+    bbm_time wait_max = r->silence_limit > OLD_WEIGHTS_WAIT_MAX
+                            ? r->silence_limit
+                            : OLD_WEIGHTS_WAIT_MAX;
+    if (wait > wait_max)
+        wait = wait_max;
+    if (age > 0
+        && age + wait + OLD_WEIGHTS_MARGIN >= g->desc.old_weights_max) {
         set->loading++;
         return;
     }
@@ -387,6 +394,15 @@
     return g->now - g->totals_at > TOTALS_FRESH_TIME;
 }
 
+/* Up to HOME_VMS_MIN VMs, placements of the others arrive soon enough to go
+   where a chain was sent last, while they arrive. */
+static bool
+chooses_by_home(const bbm_gate *g)
+{
+    return g->placements_delayed
+           && (g->vms >= HOME_VMS_MIN || is_news_lost(g));
+}
+
 static size_t
 count_homes(bbm_gate *g, const gate_request *r, const candidate_set *set)
 {
@@ -686,7 +702,7 @@
     if (!set->len)
         return o;
     bool runners = set->items[0].upstream->pool->is_engine;
-    if (runners && g->placements_delayed && r->prefixes_len)
+    if (runners && chooses_by_home(g) && r->prefixes_len)
         estimate_costs_by_home(g, r, set);
     else if (runners)
         estimate_runner_costs(g, r, set);
--- a/node/node_news.c
+++ b/node/node_news.c
@@ -1,13 +1,13 @@
 /** @file
  *  How VMs hear of each other's load and placements, and of the listing.
  *
- *  Up to 16 VMs send their reports to each other.  With more, the number of
- *  messages and bytes must not grow with the square of the VMs, nor may all of
- *  them pass through the leader's link: the VMs of each availability zone form
- *  a tree.  Reports go up, and are added up on the way; the leader sends the
- *  totals down, and each VM forwards them.  So the leader exchanges messages
- *  with one VM per zone and with its children in its own zone, and between
- *  zones each message passes once.  The listing takes the same way down.
+ *  Up to 16 VMs send their reports to each other, and fewer than 100 to the
+ *  leader, which sends totals to all.  With more, that would fill the leader's
+ *  link: the VMs of each availability zone form a tree.  Reports go up, and
+ * are added up on the way; the leader sends the totals down, and each VM
+ * forwards them.  So the leader exchanges messages with one VM per zone and
+ * with its children in its own zone, and between zones each message passes
+ * once.  The listing takes the same way down.
  *
  *  The root of a zone's tree is its first alive VM by name, or the leader if
  *  that is in the zone.  VMs may see different members for a moment: one that
@@ -24,6 +24,10 @@
 
 /* Up to this number, VMs send load and placements to each other. */
 #define DIRECT_VMS_MAX 16
+/* From this number on, they report through the trees; fewer report to the
+   leader, whose link still carries that, as each level of a tree delays news
+   by half a period. */
+#define TREE_VMS_MIN 100
 /* Report period of more VMs: this multiple of their number, within the limits.
    A longer one makes news old, a shorter one costs more messages. */
 #define LOAD_PERIOD_PER_VM (1 * BBM_MS)
@@ -77,6 +81,12 @@
     return vms <= DIRECT_VMS_MAX;
 }
 
+static bool
+uses_trees(size_t vms)
+{
+    return vms >= TREE_VMS_MIN;
+}
+
 static bbm_time
 load_period(const bbm_node *n, size_t vms)
 {
@@ -134,6 +144,8 @@
 static const char *
 report_receiver(const bbm_node *n)
 {
+    if (!uses_trees(count_vms(n)))
+        return n->leader;
     size_t len;
     BBM_AUTO_FREE const bbm_member **zone =
         zone_members(n, n->desc.zone, &len);
@@ -190,7 +202,7 @@
 void
 node_news_to_children(bbm_node *n, node_news_fn *fn, void *context)
 {
-    if (!reports_directly(count_vms(n))) {
+    if (uses_trees(count_vms(n))) {
         if (node_leads(n))
             from_leader(n, fn, context);
         else
@@ -229,7 +241,7 @@
 bbm_time
 node_news_delay(const bbm_node *n)
 {
-    return reports_directly(count_vms(n)) ? 0 : TREE_DELAY;
+    return uses_trees(count_vms(n)) ? TREE_DELAY : 0;
 }
 
 /* ---- receiving reports ---- */
--- a/node/node_rollout.c
+++ b/node/node_rollout.c
@@ -8,6 +8,11 @@
 
 #include <string.h>
 
+/* Where news reaches the VMs late, a runner gets requests for a while after it
+   was marked, and would reject them at the order, after they have waited
+   there. */
+#define DRAIN_TIME_MAX BBM_SECOND
+
 static const char *const answer_names[] = {
     [BBM_ORDER_ACCEPTED] = "taken",     [BBM_ORDER_ALREADY_DONE] = "holds",
     [BBM_ORDER_CONFLICT] = "conflict",  [BBM_ORDER_FENCED] = "fenced",
@@ -36,6 +41,7 @@
         n->rollout = bbm_rollout_create(&(bbm_rollout_desc){
             .fence = term,
             .drain_time_min = node_news_delay(n),
+            .drain_time_max = node_news_delay(n) ? DRAIN_TIME_MAX : 0,
         });
     }
     return true;
--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -13,7 +13,6 @@
 /* Share of the runners that must be updated before the rollout slows down. */
 #define SLOW_UPDATED_MIN_SHARE 0.5
 #define DEFAULT_DRAIN_TIME_MIN (20 * BBM_MS)
-#define DEFAULT_DRAIN_TIME_MAX BBM_SECOND
 /* Period of the checks whether a runner has open requests. */
 #define DRAIN_CHECK_PERIOD (20 * BBM_MS)
 /* Delay of the first report request after an accepted order: an earlier report
@@ -86,8 +85,6 @@
         ro->desc.slow_backlog_ms = DEFAULT_SLOW_BACKLOG_MS;
     if (!ro->desc.drain_time_min)
         ro->desc.drain_time_min = DEFAULT_DRAIN_TIME_MIN;
-    if (!ro->desc.drain_time_max)
-        ro->desc.drain_time_max = DEFAULT_DRAIN_TIME_MAX;
     if (!ro->desc.slow_time_max)
         ro->desc.slow_time_max = DEFAULT_SLOW_TIME_MAX;
     return ro;
--- a/rollout/bbm_rollout.h
+++ b/rollout/bbm_rollout.h
@@ -2,13 +2,13 @@
  *  Rollout of new weights to the runners of a pool.
  *
  *  Only one daemon, the leader, sends orders.  A runner that is to be updated
- *  first gets no new requests, and finishes those it has: a runner rejects
- * what it has queued when an order arrives, and these requests would have
- * waited there in vain.  Then the leader requests its report, sends an order
- * that is conditional on the sequence number of that report, and polls the
- * runner until it holds the new weights.  An order without an answer is sent
- * again with the same sequence number: if both arrive, the second one no
- * longer meets its condition, and the runner rejects it.
+ *  first gets no new requests, and may finish those it has: a runner rejects
+ *  what it has queued when an order arrives, after these requests have waited
+ *  there in vain.  Then the leader requests its report, sends an order that is
+ *  conditional on the sequence number of that report, and polls the runner
+ *  until it holds the new weights.  An order without an answer is sent again
+ *  with the same sequence number: if both arrive, the second one no longer
+ *  meets its condition, and the runner rejects it.
  *
  *      bbm_rollout *ro = bbm_rollout_create(&(bbm_rollout_desc){.fence = 7});
  *      bbm_rollout_set_target(ro, "m", 3, now);
@@ -49,9 +49,8 @@
     bbm_time drain_time_min; /**< Time from marking a runner as loading until
                                   no VM sends it new requests; 0: 20 ms. */
     bbm_time drain_time_max; /**< A runner is ordered to load once it has no
-                                  open requests, or after this time: requests
-                                  that it has queued by then are rejected by
-                                  it; 0: 1 s. */
+                                  open requests, or after this time; 0: after
+                                  drain_time_min. */
     bbm_time slow_time_max;  /**< Time after which the rollout of a version
                                    is no longer slow; 0: 4 s. */
 } bbm_rollout_desc;
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -854,6 +854,35 @@
 }
 END_TEST
 
+static const char long_gap_text[] =
+    "{\"pools\":[{\"name\":\"llm\",\"engine\":true,\"slots\":64,"
+    "\"memory_tokens\":113846,\"token_bytes\":163840,\"link_mbps\":550000,"
+    "\"prefill_tokens_per_s\":51000}],\"routes\":["
+    "{\"name\":\"ask\",\"host\":\"h\",\"path\":\"/ask/\",\"pools\":[\"llm\"],"
+    "\"stream\":true,\"timeout_ms\":15000,\"aim_ms\":400,\"gap_ms\":400,"
+    "\"attempts\":2}]}";
+
+/* Clients of this route wait for 3.2 s, and the runner may begin as late.
+   Guards against a cap of that wait below it: a request began on old weights
+   41 ms after they were too old. */
+START_TEST(old_weights_limit_includes_the_whole_wait)
+{
+    fixture w = setup(2, 0);
+    bbm_doc_errors errors = {0};
+    bbm_config_destroy(w.cfg);
+    w.cfg = bbm_config_create(long_gap_text, strlen(long_gap_text), &errors);
+    ck_assert_ptr_nonnull(w.cfg);
+    bbm_gate_configure(w.gate, w.cfg, w.now);
+    bbm_gate_add_version(w.gate, "m", 2, 0, w.now);
+    /* 8 s are allowed, of which the wait may take 3.17 s. */
+    w.now += 4850 * BBM_MS;
+    begin_request(&w, "/ask/a", 1);
+    const bbm_gate_output *out = bbm_gate_next_output(w.gate);
+    ck_assert(!out || out->kind != BBM_GATE_SEND);
+    teardown(&w);
+}
+END_TEST
+
 START_TEST(cache_salt_differs_by_version)
 {
     fixture w = setup(1, 0);
@@ -1405,27 +1434,25 @@
 }
 END_TEST
 
-TEST_MAIN("gate", unrepeatable_request_runs_once, not_run_is_retried_elsewhere,
-          repeatable_calls_run_at_most_twice,
-          unsent_request_is_reported_not_run, no_not_run_after_possible_run,
-          interrupted_streams_resume, retries_stay_within_budget,
-          route_timeout_is_enforced,
-          silent_attempt_continues_without_alternative,
-          client_disconnect_aborts_request, leaving_upstreams_get_no_requests,
-          upstream_that_says_it_leaves_gets_no_requests,
-          notice_of_an_earlier_run_is_ignored, notices_reach_other_vms,
-          suspicion_is_shared_between_many_vms,
-          pause_of_one_upstream_costs_no_client,
-          pause_of_most_upstreams_costs_no_client,
-          clients_return_in_turn_after_a_pause_of_all, pause_is_no_fault,
-          absurd_pause_is_limited, stream_without_limit_may_last,
-          held_requests_are_not_sent_after_a_stop,
-          weights_age_from_first_newer_version,
-          old_weights_limit_includes_wait, cache_salt_differs_by_version,
-          chains_stay_at_their_homes,
-          delayed_placements_do_not_flood_new_weights,
-          prompts_are_distributed_over_stores,
-          placements_are_shared_between_vms,
-          held_requests_do_not_flood_a_free_runner,
-          old_weights_are_preferred_to_late_answers,
-          recovers_from_unresponsive_runners, overload_is_refused_immediately);
+TEST_MAIN(
+    "gate", unrepeatable_request_runs_once, not_run_is_retried_elsewhere,
+    repeatable_calls_run_at_most_twice, unsent_request_is_reported_not_run,
+    no_not_run_after_possible_run, interrupted_streams_resume,
+    retries_stay_within_budget, route_timeout_is_enforced,
+    silent_attempt_continues_without_alternative,
+    client_disconnect_aborts_request, leaving_upstreams_get_no_requests,
+    upstream_that_says_it_leaves_gets_no_requests,
+    notice_of_an_earlier_run_is_ignored, notices_reach_other_vms,
+    suspicion_is_shared_between_many_vms,
+    pause_of_one_upstream_costs_no_client,
+    pause_of_most_upstreams_costs_no_client,
+    clients_return_in_turn_after_a_pause_of_all, pause_is_no_fault,
+    absurd_pause_is_limited, stream_without_limit_may_last,
+    held_requests_are_not_sent_after_a_stop,
+    weights_age_from_first_newer_version, old_weights_limit_includes_wait,
+    old_weights_limit_includes_the_whole_wait, cache_salt_differs_by_version,
+    chains_stay_at_their_homes, delayed_placements_do_not_flood_new_weights,
+    prompts_are_distributed_over_stores, placements_are_shared_between_vms,
+    held_requests_do_not_flood_a_free_runner,
+    old_weights_are_preferred_to_late_answers,
+    recovers_from_unresponsive_runners, overload_is_refused_immediately);
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -286,6 +286,9 @@
 {
     simulation sim;
     setup(&sim);
+    bbm_rollout_destroy(sim.ro);
+    sim.ro = bbm_rollout_create(
+        &(bbm_rollout_desc){.fence = 5, .drain_time_max = BBM_SECOND});
     run_for(&sim, 500 * BBM_MS);
     for (size_t i = 0; i < RUNNERS; i++)
         bbm_rollout_set_load(sim.ro, sim.listing.items[i].id,
