A planned stop answers the connections that have just been made

Cause: drain_under_load compared $? with 0 after a $(cat ...) in the same command, so it saw the status of cat and never that of the clients. At the end of a stop the daemon no longer accepted connections for 100 ms before it closed the listening socket; the kernel went on making them, and reset them with their requests at the close. Change: requests are rejected and connections accepted until 100 ms before the close; then a socket filter drops SYN segments alone, so nothing that has been connected, or half, is left in the backlog. A client that comes then tries again after a second, and is refused by the kernel. Ruled out: shutdown() of the listening socket, which resets the backlog too; accepting until the very close, which leaves a gap under load.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <jansson.h>
+#include <linux/filter.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
@@ -24,9 +25,8 @@
 struct front {
     front_desc desc;
     struct MHD_Daemon *daemon;
-    MHD_socket listen_socket; /* set once the front has been quiesced */
-    char *cert;               /* PEM; NULL: no TLS */
-    char *key;                /* PEM; wiped on release */
+    char *cert; /* PEM; NULL: no TLS */
+    char *key;  /* PEM; wiped on release */
     atomic_bool rejecting;
 };
 
@@ -557,7 +557,6 @@
 {
     front *f = bbm_calloc(1, sizeof(*f));
     f->desc = *desc;
-    f->listen_socket = MHD_INVALID_SOCKET;
     const bbm_settings *s = desc->settings;
     bool tls = desc->kind == FRONT_CALLERS && s->tls_cert_file[0];
     bool valid = true;
@@ -581,11 +580,29 @@
     return NULL;
 }
 
+/* Were the listening socket closed at once, or no longer accepted from, the
+   kernel would still make connections, and reset them with the requests that
+   they carry.  So it first drops the SYN segments alone: connections that have
+   been made, or are half made, are accepted and answered. */
 void
-front_quiesce(front *f)
-{
-    if (f->listen_socket == MHD_INVALID_SOCKET)
-        f->listen_socket = MHD_quiesce_daemon(f->daemon);
+front_refuse_connections(front *f)
+{
+    struct sock_filter drop_syn[] = {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, offsetof(struct tcphdr, th_flags)),
+        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+    };
+    struct sock_fprog program = {.len = BBM_COUNT(drop_syn),
+                                 .filter = drop_syn};
+    const union MHD_DaemonInfo *info =
+        MHD_get_daemon_info(f->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    if (!info
+        || setsockopt(info->listen_fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                      sizeof(program))
+               < 0)
+        bbm_log(BBM_EVENT_LISTENER_OPEN, "address", f->desc.address, NULL);
 }
 
 void
@@ -601,8 +618,6 @@
         return;
     if (f->daemon)
         MHD_stop_daemon(f->daemon);
-    if (f->listen_socket != MHD_INVALID_SOCKET)
-        close(f->listen_socket);
     if (f->key)
         explicit_bzero(f->key, strlen(f->key));
     free(f->cert);
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -7,7 +7,7 @@
  *
  *      front *f = front_create(&(front_desc){.settings = s, ...});
  *      ...
- *      front_quiesce(f);      accept no new connections
+ *      front_refuse_connections(f);
  *      front_destroy(f);
  */
 #ifndef FRONT_H
@@ -61,9 +61,9 @@
 /** Start listening.  NULL if the address can't be bound, or the certificate or
  *  its key can't be read. */
 front *front_create(const front_desc *desc);
-/** Stop accepting connections; open ones continue.  The listening socket is
- *  closed by front_destroy(). */
-void front_quiesce(front *f);
+/** Let clients make no new connections.  Those that have been made are still
+ *  accepted and answered, until front_destroy(). */
+void front_refuse_connections(front *f);
 /** From now on answer every new request with BBM_ERR_DRAINING. */
 void front_reject_requests(front *f);
 /** Close all connections and release; none may be suspended.  NULL is
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -33,7 +33,8 @@
 /* Period at which the settings file is checked for changes, as it may be
    replaced without a SIGHUP. */
 #define RELOAD_PERIOD_S 2
-/* Time for sending the last answers before the connections are closed. */
+/* Time for accepting the last connections and for sending the last answers
+   before all are closed. */
 #define FLUSH_DELAY_US 100000
 #define SETTINGS_ENV "BLUEBELLMOOR_CONFIG"
 /* glibc's malloc arenas; more of them would only spread the allocations over
@@ -241,10 +242,8 @@
 static void
 close_parts(daemon_parts *p)
 {
-    if (p->callers) {
-        front_quiesce(p->callers);
+    if (p->callers)
         front_reject_requests(p->callers);
-    }
     if (p->admin)
         front_reject_requests(p->admin);
     for (size_t i = 0; i < p->provider_fronts_len; i++)
@@ -253,6 +252,8 @@
         traffic_stop(p->traffic[i]);
     forward_stop(p->forward);
     fail_queued_items(p);
+    if (p->callers)
+        front_refuse_connections(p->callers);
     usleep(FLUSH_DELAY_US);
     front_destroy(p->callers);
     front_destroy(p->admin);
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -628,7 +628,7 @@
     check "it serves" fleet_until 10 pool_is_served 1 /safe/x first
     # Each client ends when its connection is refused.  Any other failure of
     # curl is a request that was accepted and got no answer.
-    local i clients=()
+    local i client_rc clients=()
     for i in 1 2 3 4; do
         bash -c 'n=0
             while true; do
@@ -645,7 +645,8 @@
     kill -TERM "${fleet_daemon_pid[1]}"
     for i in 0 1 2 3; do
         wait "${clients[i]}"
-        check "client $((i + 1)) got an answer to each request: $(cat "$dir/client-$((i + 1))")" test $? -eq 0
+        client_rc=$?
+        check "client $((i + 1)) got an answer to each request: $(cat "$dir/client-$((i + 1))")" test $client_rc -eq 0
     done
     wait "${fleet_daemon_pid[1]}"
     check "the exit status is 0" test $? -eq 0
