--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -40,6 +40,15 @@
     atomic_bool stopping;
     atomic_ullong sent_bytes;
     char id[BBM_NAME_SIZE]; /* attempt id of the request being answered */
+    struct broken_stream {
+        unsigned status;
+        const char *body; /* the whole stream */
+        size_t sent_len;  /* bytes of it that are sent */
+        enum { UNFRAMED, CHUNKED, LENGTH } framing;
+        bool ends_chunks; /* CHUNKED: with the last chunk */
+        bool announces_close;
+        bool resets;
+    } stream; /* sent by send_broken_stream */
 } upstream;
 
 static bool
@@ -187,26 +196,33 @@
     return ex;
 }
 
+/* Sends a request, or resumes its stream after an event unless @p last_event
+   is "". */
 static exchange *
-start_request(fixture *w, bool repeatable, bool stream)
+start_attempt(fixture *w, const bbm_forward_request *kind,
+              const char *last_event)
 {
     exchange *ex = create_exchange(++w->requests);
-    bbm_forward_request send = {
-        .request = ex->id,
-        .attempt = 1,
-        .repeatable = repeatable,
-        .stream = stream,
-        .deadline = control_now() + DEADLINE,
-        .priority = -1,
-        .stall_timeout = STALL_MS * BBM_MS,
-    };
+    bbm_forward_request send = *kind;
+    send.request = ex->id;
+    send.attempt = 1;
+    send.deadline = control_now() + DEADLINE;
+    send.priority = -1;
+    send.stall_timeout = STALL_MS * BBM_MS;
     bbm_name_set(send.upstream, "u");
     snprintf(send.address, sizeof(send.address), "127.0.0.1:%u",
              w->upstream.port);
-    forward_start(w->forward, ex, &send, "");
+    forward_start(w->forward, ex, &send, last_event);
     return ex;
 }
 
+static exchange *
+start_request(fixture *w, bool repeatable, bool stream)
+{
+    bbm_forward_request kind = {.repeatable = repeatable, .stream = stream};
+    return start_attempt(w, &kind, "");
+}
+
 /* The next item of a kind; fails if it doesn't arrive within @p ms. */
 static control_item *
 expect_item(fixture *w, control_kind kind, int64_t ms)
@@ -227,10 +243,11 @@
 }
 
 static ended
-run_request(fixture *w, bool repeatable, bool stream)
+run_attempt(fixture *w, const bbm_forward_request *kind,
+            const char *last_event)
 {
     bbm_time started_at = control_now();
-    ended e = {.ex = start_request(w, repeatable, stream)};
+    ended e = {.ex = start_attempt(w, kind, last_event)};
     control_item *item = expect_item(w, CONTROL_FORWARD_FINISHED, END_MS_MAX);
     e.result = item->forwarded;
     e.ms = (control_now() - started_at) / BBM_MS;
@@ -238,6 +255,13 @@
     return e;
 }
 
+static ended
+run_request(fixture *w, bool repeatable, bool stream)
+{
+    bbm_forward_request kind = {.repeatable = repeatable, .stream = stream};
+    return run_attempt(w, &kind, "");
+}
+
 static void
 check_whole(ended *e)
 {
@@ -636,6 +660,168 @@
 }
 END_TEST
 
+/* ---- streams that are broken off ---- */
+
+#define LF_STREAM                                                             \
+    ": hello\nid: 1\nevent: token\ndata: one\ndata: more\n\n"                 \
+    "id: 2\ndata: two\n\n: ping\n\nid: 3\ndata: three\n\n"
+#define CRLF_STREAM                                                           \
+    ": hello\r\nid: 1\r\nevent: token\r\ndata: one\r\ndata: more\r\n\r\n"     \
+    "id: 2\r\ndata: two\r\n\r\n: ping\r\n\r\nid: 3\r\ndata: three\r\n\r\n"
+
+static void
+send_broken_stream(upstream *u, int fd, int n)
+{
+    (void)n;
+    const struct broken_stream *s = &u->stream;
+    struct linger reset = {.l_onoff = 1};
+    char head[512];
+    char framing[64] = "";
+    if (s->framing == LENGTH)
+        snprintf(framing, sizeof(framing), "Content-Length: %zu\r\n",
+                 strlen(s->body));
+    else if (s->framing == CHUNKED)
+        snprintf(framing, sizeof(framing), "Transfer-Encoding: chunked\r\n");
+    snprintf(head, sizeof(head),
+             "HTTP/1.1 %u OK\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+             "X-Bluebellmoor-Server-Stamp: s\r\n"
+             "Content-Type: text/event-stream\r\n%s%s\r\n",
+             s->status, u->id, framing,
+             s->announces_close ? "Connection: close\r\n" : "");
+    send_text(u, fd, head);
+    if (s->framing == CHUNKED && s->sent_len) {
+        snprintf(head, sizeof(head), "%zx\r\n", s->sent_len);
+        send_text(u, fd, head);
+    }
+    send_bytes(u, fd, s->body, s->sent_len);
+    if (s->framing == CHUNKED && s->sent_len)
+        send_text(u, fd, "\r\n");
+    if (s->ends_chunks)
+        send_text(u, fd, "0\r\n\r\n");
+    if (s->resets)
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    shutdown(fd, s->resets ? SHUT_RD : SHUT_WR);
+}
+
+/* True if no event has begun after the last one that ended. */
+static bool
+is_between_events(const char *body, size_t len)
+{
+    bool lf = len >= 2 && memcmp(body + len - 2, "\n\n", 2) == 0;
+    bool crlf = len >= 4 && memcmp(body + len - 4, "\r\n\r\n", 4) == 0;
+    return lf || crlf;
+}
+
+static const bbm_forward_request plain_stream = {.stream = true};
+static const bbm_forward_request resumable_stream = {
+    .stream = true, .repeatable = true, .resumable = true};
+
+/* Plays one stream for a first attempt of both kinds and for a resumed one.
+   Each must end as broken off, or each as complete. */
+static void
+check_stream(const struct broken_stream *s, bool complete)
+{
+    static const struct {
+        const bbm_forward_request *kind;
+        const char *last_event;
+    } attempts[] = {{&plain_stream, ""},
+                    {&resumable_stream, ""},
+                    {&resumable_stream, "1"}};
+    for (size_t i = 0; i < BBM_COUNT(attempts); i++) {
+        if (attempts[i].last_event[0] && s->status != 200)
+            continue;
+        fixture w;
+        set_up(&w, send_broken_stream);
+        w.upstream.stream = *s;
+        ended e = run_attempt(&w, attempts[i].kind, attempts[i].last_event);
+        bool ended_complete = e.result.outcome == BBM_FORWARD_COMPLETE;
+        ck_assert_msg(ended_complete == complete,
+                      "attempt %zu, status %u, framing %d, reset %d: outcome "
+                      "%d after '%.*s'",
+                      i, s->status, (int)s->framing, s->resets,
+                      (int)e.result.outcome, (int)s->sent_len, s->body);
+        ck_assert_int_eq(e.ex->finished, complete);
+        if (complete) {
+            ck_assert_uint_eq(e.ex->out.len, s->sent_len);
+            ck_assert_mem_eq(e.ex->out.data, s->body, s->sent_len);
+        }
+        exchange_unref(e.ex);
+        tear_down(&w);
+    }
+}
+
+/* ORDER on rota-sladoled: a stream without length or chunks whose connection
+   closed between two lines of an event was passed on as complete. */
+START_TEST(unframed_stream_cut_within_an_event_is_not_complete)
+{
+    static const char *const bodies[] = {LF_STREAM, CRLF_STREAM};
+    static const unsigned statuses[] = {200, 206};
+    for (size_t i = 0; i < BBM_COUNT(bodies) * BBM_COUNT(statuses); i++) {
+        struct broken_stream s = {.body = bodies[i % 2],
+                                  .status = statuses[i / 2]};
+        size_t len = strlen(s.body);
+        for (s.sent_len = 0; s.sent_len < len; s.sent_len++) {
+            s.announces_close = s.sent_len % 2;
+            if (!is_between_events(s.body, s.sent_len))
+                check_stream(&s, false);
+        }
+        check_stream(&s, true);
+    }
+}
+END_TEST
+
+START_TEST(framed_stream_without_its_end_is_not_complete)
+{
+    struct broken_stream s = {.body = LF_STREAM, .status = 200};
+    size_t len = strlen(s.body);
+    for (s.sent_len = 0; s.sent_len < len; s.sent_len++) {
+        s.framing = s.sent_len % 2 ? CHUNKED : LENGTH;
+        check_stream(&s, false);
+    }
+    s.framing = CHUNKED;
+    check_stream(&s, false);
+    s.ends_chunks = true;
+    check_stream(&s, true);
+    s.framing = LENGTH;
+    s.ends_chunks = false;
+    check_stream(&s, true);
+    /* A proxy at the upstream may close the chunks of a stream that broke. */
+    s.framing = CHUNKED;
+    s.ends_chunks = true;
+    s.sent_len = (size_t)(strstr(s.body, "data: more") - s.body);
+    check_stream(&s, false);
+}
+END_TEST
+
+START_TEST(stream_that_is_reset_is_not_complete)
+{
+    struct broken_stream s = {
+        .body = LF_STREAM, .status = 200, .resets = true};
+    size_t len = strlen(s.body);
+    for (s.sent_len = 0; s.sent_len <= len; s.sent_len++)
+        check_stream(&s, false);
+}
+END_TEST
+
+/* An answer that is no stream may end with its connection, but not by a
+   reset. */
+START_TEST(unframed_answer_is_complete_unless_reset)
+{
+    static const bbm_forward_request plain = {0};
+    for (int resets = 0; resets < 2; resets++) {
+        fixture w;
+        set_up(&w, send_broken_stream);
+        w.upstream.stream = (struct broken_stream){
+            .body = "whole", .sent_len = 5, .status = 200, .resets = resets};
+        ended e = run_attempt(&w, &plain, "");
+        ck_assert_int_eq(e.result.outcome == BBM_FORWARD_COMPLETE, !resets);
+        ck_assert_int_eq(e.ex->finished, !resets);
+        exchange_unref(e.ex);
+        tear_down(&w);
+    }
+}
+END_TEST
+
 /* ---- what upstreams say of themselves ---- */
 
 static void
@@ -681,4 +867,8 @@
           success_without_signature_is_not_passed_on,
           late_head_does_not_change_an_error, answers_without_end_are_cut,
           bytes_beyond_the_length_are_dropped, stalled_streams_are_cut,
-          slow_streams_are_not_cut, notices_are_reported);
+          slow_streams_are_not_cut,
+          unframed_stream_cut_within_an_event_is_not_complete,
+          framed_stream_without_its_end_is_not_complete,
+          stream_that_is_reset_is_not_complete,
+          unframed_answer_is_complete_unless_reset, notices_are_reported);
