A stream that ends within an event is broken off, whatever its last byte

Cause: an answer with neither a length nor chunks ends with its connection. The rule for streams that can be resumed was another one, with its own copy of how events end. Resets and missing ends of framed answers were seen before, so libcurl and the end towards the client are ruled out as causes there. Fix: one event_scanner, fed with each byte of a stream, knows whether an event is open; both kinds of streams, the splitter and the check for stalled streams use it. An answer whose close is its only end must also have had an event. Status 204 and answers to HEAD have no body and stay complete. It works since a break within an event leaves the scanner in a line or in an event at each byte, whatever the pieces it came in. A break exactly between two events of an unframed stream can't be told from its end.

--- a/daemon/events.c
+++ b/daemon/events.c
@@ -2,20 +2,38 @@
 
 #include <string.h>
 
-/* Length of the complete events at the front: up to and with the last blank
-   line. */
-static size_t
-complete_length(const uint8_t *data, size_t len)
+/* Returns true if the byte ends an event. */
+static bool
+scan_byte(event_scanner *sc, char byte)
 {
-    for (size_t i = len; i >= 2; i--) {
-        if (data[i - 1] != '\n')
-            continue;
-        bool blank = data[i - 2] == '\n'
-                     || (i >= 4 && data[i - 2] == '\r' && data[i - 3] == '\n');
-        if (blank)
-            return i;
+    if (byte != '\n') {
+        sc->after_cr = byte == '\r' && !sc->in_line;
+        sc->in_line = true;
+        return false;
     }
-    return 0;
+    bool blank = !sc->in_line || sc->after_cr;
+    sc->in_line = false;
+    sc->after_cr = false;
+    sc->in_event = !blank;
+    sc->ended_event = sc->ended_event || blank;
+    return blank;
+}
+
+size_t
+event_scanner_append(event_scanner *sc, const char *data, size_t len)
+{
+    size_t end = 0;
+    for (size_t i = 0; i < len; i++) {
+        if (scan_byte(sc, data[i]))
+            end = i + 1;
+    }
+    return end;
+}
+
+bool
+event_scanner_within_event(const event_scanner *sc)
+{
+    return sc->in_line || sc->in_event;
 }
 
 /* Takes over the value of an `id:` line; other lines, and values that are
@@ -42,10 +60,14 @@
 size_t
 event_splitter_append(event_splitter *sp, const char *data, size_t len)
 {
+    size_t old_len = sp->bytes.len;
     bbm_buf_add(&sp->bytes, data, len);
-    size_t end = complete_length(sp->bytes.data, sp->bytes.len);
-    const uint8_t *line = sp->bytes.data;
-    const uint8_t *stop = line + end;
+    size_t end = event_scanner_append(&sp->scanner, data, len);
+    if (!end)
+        return sp->complete_len;
+    const uint8_t *line = sp->bytes.data + sp->complete_len;
+    sp->complete_len = old_len + end;
+    const uint8_t *stop = sp->bytes.data + sp->complete_len;
     while (line < stop) {
         const uint8_t *next = memchr(line, '\n', (size_t)(stop - line));
         if (!next)
@@ -53,13 +75,14 @@
         parse_id(sp, line, (size_t)(next - line));
         line = next + 1;
     }
-    return end;
+    return sp->complete_len;
 }
 
 void
 event_splitter_consume(event_splitter *sp, size_t len)
 {
     sp->bytes.len -= len;
+    sp->complete_len -= len;
     memmove(sp->bytes.data, sp->bytes.data + len, sp->bytes.len);
 }
 
--- a/daemon/events.h
+++ b/daemon/events.h
@@ -1,6 +1,13 @@
 /** @file
- *  Splits a server-sent event stream that arrives in pieces of any length, so
- *  that only complete events are passed on.
+ *  Finds the ends of the events in a server-sent event stream that arrives in
+ *  pieces of any length.  Lines end with LF or CRLF, events with a blank line.
+ *
+ *      event_scanner sc = {0};
+ *      size_t n = event_scanner_append(&sc, data, len);
+ *      ... the last event that ended did so after n bytes of data ...
+ *      if (event_scanner_within_event(&sc)) ...
+ *
+ *  A splitter also holds back the bytes of an event until it is complete:
  *
  *      event_splitter sp = {0};
  *      size_t n = event_splitter_append(&sp, data, len);
@@ -14,9 +21,25 @@
 
 #include "bbm_gate.h"
 
+/** Position in a stream; zero at its beginning. */
+typedef struct event_scanner {
+    bool in_line;     /**< The current line has bytes. */
+    bool in_event;    /**< A line of the current event has ended. */
+    bool after_cr;    /**< The current line consists of one CR. */
+    bool ended_event; /**< An event has ended. */
+} event_scanner;
+
+/** Move on by @p len bytes.  Returns the number of these bytes up to the end
+ *  of the last event that ended in them; 0: none did. */
+size_t event_scanner_append(event_scanner *sc, const char *data, size_t len);
+/** True if the stream would be broken off if it ended here. */
+bool event_scanner_within_event(const event_scanner *sc);
+
 /** Bytes that were appended and not consumed yet. */
 typedef struct event_splitter {
     bbm_buf bytes;
+    size_t complete_len;   /**< Length of the complete events at the front. */
+    event_scanner scanner; /**< After all bytes. */
     char last_id[BBM_EVENT_ID_SIZE]; /**< Id of the last complete event that
                                           had one; "": none had. */
 } event_splitter;
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -77,8 +77,8 @@
     bbm_upstream_notice notice; /* valid if head_checked */
     long status;
     int64_t content_length; /* -1: unknown */
-    event_splitter events;  /* used if the stream is resumable */
-    char tail[2];           /* last two body bytes; 0: none */
+    bool chunked;           /* the answer's transfer encoding */
+    event_splitter events;  /* of a stream; holds bytes if it is resumable */
     size_t head_bytes;      /* received of all heads */
     size_t refused_bytes;   /* body bytes received of a refused answer */
     bbm_time refused_at;    /* when that head was received */
@@ -204,6 +204,7 @@
     x->status = separator ? strtol(separator + 1, NULL, 10) : 0;
     x->parsed_head = (platform_response){.keep_alive_s = -1};
     x->content_length = -1;
+    x->chunked = false;
     exchange_headers_free(&x->answer_headers);
 }
 
@@ -226,6 +227,8 @@
         value[--end] = '\0';
     if (strcasecmp(text, "Content-Length") == 0)
         x->content_length = strtoll(value, NULL, 10);
+    if (strcasecmp(text, "Transfer-Encoding") == 0)
+        x->chunked = true;
     if (platform_response_add_header(&x->parsed_head, x->ex->parsed_headers.id,
                                      text, value))
         exchange_headers_add(&x->answer_headers, text, value);
@@ -307,35 +310,27 @@
 /* ---- the body of an answer ---- */
 
 static void
-write_complete_events(attempt *x, const char *data, size_t len)
+write_complete_events(attempt *x, size_t complete_len)
 {
-    size_t complete_len = event_splitter_append(&x->events, data, len);
-    if (!complete_len)
-        return;
     exchange_write(x->ex, x->events.bytes.data, complete_len);
     event_splitter_consume(&x->events, complete_len);
 }
 
-/* True if an event ends in these bytes. */
-static bool
-completes_event(const attempt *x, const char *data, size_t len)
-{
-    bool after_newline = x->tail[1] == '\n' && data[0] == '\n';
-    bool after_return =
-        x->tail[1] == '\r' && x->tail[0] == '\n' && data[0] == '\n';
-    return after_newline || after_return || memmem(data, len, "\n\n", 2)
-           || memmem(data, len, "\n\r\n", 3);
-}
-
 static void
-update_tail(attempt *x, const char *data, size_t len)
+write_stream_bytes(attempt *x, const char *data, size_t len)
 {
-    if (len >= 2)
-        memcpy(x->tail, data + len - 2, 2);
-    else if (len == 1) {
-        x->tail[0] = x->tail[1];
-        x->tail[1] = data[0];
+    size_t complete_len;
+    if (x->send.resumable) {
+        complete_len = event_splitter_append(&x->events, data, len);
+        if (complete_len)
+            write_complete_events(x, complete_len);
     }
+    else {
+        complete_len = event_scanner_append(&x->events.scanner, data, len);
+        exchange_write(x->ex, data, len);
+    }
+    if (complete_len)
+        x->progress_at = control_now();
 }
 
 static size_t
@@ -353,11 +348,8 @@
         return CURL_WRITEFUNC_PAUSE;
     }
     x->body_bytes += len;
-    if (x->send.stream && completes_event(x, data, len))
-        x->progress_at = control_now();
-    update_tail(x, data, len);
-    if (x->send.resumable)
-        write_complete_events(x, data, len);
+    if (x->send.stream)
+        write_stream_bytes(x, data, len);
     else
         exchange_write(x->ex, data, len);
     return len;
@@ -603,14 +595,18 @@
 }
 
 /* A stream without Content-Length that ends within an event is truncated, even
-   if the connection was closed in good order. */
+   if the connection was closed in good order.  If that close is its only end,
+   it must have had an event. */
 static bool
 ends_within_event(const attempt *x)
 {
-    if (!x->send.stream || x->status != 200 || x->content_length >= 0)
+    bool has_events = x->send.stream && x->status >= 200 && x->status < 300
+                      && x->status != 204
+                      && strcmp(x->ex->method, "HEAD") != 0;
+    if (!has_events || x->content_length >= 0)
         return false;
-    return x->send.resumable ? x->events.bytes.len > 0
-                             : x->tail[1] && x->tail[1] != '\n';
+    const event_scanner *sc = &x->events.scanner;
+    return event_scanner_within_event(sc) || (!x->chunked && !sc->ended_event);
 }
 
 static bbm_forward_outcome
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -803,6 +803,18 @@
 }
 END_TEST
 
+START_TEST(stream_answer_without_content_is_complete)
+{
+    fixture w;
+    set_up(&w, send_broken_stream);
+    w.upstream.stream = (struct broken_stream){.body = "", .status = 204};
+    ended e = run_attempt(&w, &plain_stream, "");
+    ck_assert_int_eq(e.result.outcome, BBM_FORWARD_COMPLETE);
+    exchange_unref(e.ex);
+    tear_down(&w);
+}
+END_TEST
+
 /* An answer that is no stream may end with its connection, but not by a
    reset. */
 START_TEST(unframed_answer_is_complete_unless_reset)
@@ -871,4 +883,5 @@
           unframed_stream_cut_within_an_event_is_not_complete,
           framed_stream_without_its_end_is_not_complete,
           stream_that_is_reset_is_not_complete,
+          stream_answer_without_content_is_complete,
           unframed_answer_is_complete_unless_reset, notices_are_reported);
