A broken answer to a client of HTTP/1.0 ends with a reset

Cause: libmicrohttpd can't chunk for such a client, and shuts its connection down in good order after an error too. Fix: the connection is reset before libmicrohttpd closes it, so the client's read fails.

--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -95,6 +95,7 @@
                                             neither. */
     platform_config config;            /**< Configuration to be published;
                                             provider's calls only. */
+    bool is_http_1_0;                  /**< The client doesn't know chunks. */
     size_t entries_max; /**< Most entries to return; 0: the default. */
     char *new_key;      /**< API key created by this call; returned once,
                              then wiped.  NULL: none. */
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -32,6 +32,16 @@
 
 /* ---- answers ---- */
 
+/* A client of HTTP/1.0 takes the orderly close of its connection for the end
+   of an answer without length.  This resets the connection instead, which
+   libmicrohttpd then closes. */
+static void
+reset_connection(int fd)
+{
+    struct sockaddr none = {.sa_family = AF_UNSPEC};
+    connect(fd, &none, sizeof(none));
+}
+
 static ssize_t
 read_answer(void *context, uint64_t pos, char *buf, size_t max)
 {
@@ -52,6 +62,8 @@
         result = (ssize_t)n;
     }
     else if (ex->finished) {
+        if (ex->truncated && ex->is_http_1_0 && ex->socket >= 0)
+            reset_connection(ex->socket);
         result = ex->truncated ? MHD_CONTENT_READER_END_WITH_ERROR
                                : MHD_CONTENT_READER_END_OF_STREAM;
     }
@@ -429,12 +441,12 @@
            const char *method, const char *version, const char *data,
            size_t *len, void **state)
 {
-    (void)version;
     front *f = context;
     exchange *ex = *state;
     if (!ex)
         return MHD_NO;
     if (!ex->method) {
+        ex->is_http_1_0 = strcmp(version, MHD_HTTP_VERSION_1_0) == 0;
         read_request_head(f, connection, url, method, ex);
         /* A request of ambiguous length has already been answered; its body
            isn't read. */
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -316,11 +316,15 @@
     start_runners 1
     start_ready_fleet 1 1
     curl -s "http://127.0.0.1:$((FLEET_PORT + 501))/fault" -d '{"cut_after":3}' >/dev/null
-    curl -sN -m 10 -o "$dir/stream" "$(url 1 /v1/completions)" \
-        -H "Authorization: Bearer $key" \
-        -d '{"model":"garden","prompt":"x","stream":true,"max_tokens":20}'
-    check "the connection was aborted" test $? -ne 0
-    check "the stream contains error -131" grep -q -e '-131' "$dir/stream"
+    local options
+    for options in "" "-H Connection:close" "--http1.0"; do
+        # shellcheck disable=SC2086
+        curl -sN -m 10 -o "$dir/stream" "$(url 1 /v1/completions)" $options \
+            -H "Authorization: Bearer $key" \
+            -d '{"model":"garden","prompt":"x","stream":true,"max_tokens":20}'
+        check "the connection was aborted ($options)" test $? -ne 0
+        check "the stream contains error -131 ($options)" grep -q -e '-131' "$dir/stream"
+    done
     finish
 }
 
