--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -305,8 +305,8 @@
         return x->sent ? BBM_ERR_UPSTREAM_TIMEOUT : BBM_ERR_UPSTREAM_CONNECT;
     if (rc == CURLE_OK && x->rejected)
         return BBM_ERR_UPSTREAM;
-    bool truncated =
-        x->parser.is_event_stream && x->status == 200 && !x->parser.saw_done;
+    bool truncated = x->parser.is_event_stream && x->status >= 200
+                     && x->status < 300 && !x->parser.saw_done;
     if (rc == CURLE_OK && !truncated)
         return BBM_OK;
     if (!x->sent)
