--- a/daemon/front.c
+++ b/daemon/front.c
@@ -39,7 +39,8 @@
 reset_connection(int fd)
 {
     struct sockaddr none = {.sa_family = AF_UNSPEC};
-    connect(fd, &none, sizeof(none));
+    /* It fails only if the client has closed the connection already. */
+    (void)connect(fd, &none, sizeof(none));
 }
 
 static ssize_t
