--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -83,6 +83,10 @@
       "upstream asked for no requests for a while")                           \
     X(BBM_EVENT_UPSTREAM_BAD_NOTICE, 422, WARN,                               \
       "upstream's notice that it leaves or pauses is invalid, ignored")       \
+    X(BBM_EVENT_PART_QUARANTINED, 423, WARN,                                  \
+      "prompt part quarantined: runners crash on it")                         \
+    X(BBM_EVENT_PART_RELEASED, 424, INFO,                                     \
+      "prompt part released from quarantine")                                 \
     X(BBM_EVENT_REQUEST_SENT, 510, INFO, "request sent to an upstream")       \
     X(BBM_EVENT_REQUEST_RETRIED, 511, INFO,                                   \
       "request sent to another upstream")                                     \
@@ -92,6 +96,8 @@
     X(BBM_EVENT_REQUEST_COMPLETED, 514, INFO, "complete answer delivered")    \
     X(BBM_EVENT_ATTEMPT_FAILED, 515, INFO, "attempt ended without an answer") \
     X(BBM_EVENT_REQUEST_DENIED, 516, INFO, "request denied")                  \
+    X(BBM_EVENT_ATTEMPT_DISCONNECTED, 517, INFO,                              \
+      "upstream closed the connection of an attempt")                         \
     X(BBM_EVENT_REQUEST_FAILED, 500, WARN, "request ended with an error")     \
     X(BBM_EVENT_RETRY, 501, INFO, "request retried")                          \
     X(BBM_EVENT_CLAIM_UNKNOWN, 502, WARN, "claim closed, outcome unknown")    \
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -497,6 +497,12 @@
         ev.u.response_head.attempt = item->attempt;
         ev.u.response_head.notice = item->notice;
         break;
+    case CONTROL_STREAM_PROGRESS:
+        ev.kind = BBM_EV_STREAM_PROGRESS;
+        ev.u.stream_progress.request = item->id;
+        ev.u.stream_progress.attempt = item->attempt;
+        ev.u.stream_progress.began_at = item->began_at;
+        break;
     case CONTROL_FORWARD_FINISHED:
         handle_forward_finished(c, &item->forwarded);
         return;
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -27,6 +27,8 @@
     CONTROL_ORDER_RESULT,        /**< Result of an order to an engine. */
     CONTROL_LOG,                 /**< Log event of another thread. */
     CONTROL_RESPONSE_HEAD,       /**< Head of an answer from a pool. */
+    CONTROL_STREAM_PROGRESS,     /**< A stream from a pool has been sending
+                                      events for a second. */
     CONTROL_FORWARD_FINISHED,    /**< An attempt at a pool ended. */
     CONTROL_LISTING,             /**< A read of the list of upstreams ended. */
     CONTROL_ROLLOUT_REPORT,      /**< Result of a runner's report, for the
@@ -63,6 +65,8 @@
     bool succeeded;                   /**< The listing or report was read; the
                                            store answers. */
     bbm_forward_result forwarded;     /**< CONTROL_FORWARD_FINISHED. */
+    bbm_time began_at;                /**< CONTROL_STREAM_PROGRESS: arrival of
+                                           the first bytes of its body. */
     bbm_upstream_notice notice;       /**< CONTROL_RESPONSE_HEAD; of the
                                            rollout's calls only `leaving`. */
     bbm_listing listing;              /**< CONTROL_LISTING; owned. */
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -36,6 +36,7 @@
     free(ex->query);
     free(ex->request_target);
     free(ex->host);
+    platform_request_free(&ex->parsed_headers);
     exchange_headers_free(&ex->headers);
     exchange_headers_free(&ex->answer_headers);
     bbm_buf_free(&ex->config.document);
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <linux/tcp.h>
 #include <stdlib.h>
@@ -48,6 +49,9 @@
    much and passing on nothing. */
 #define CHECK_PERIOD (50 * BBM_MS)
 #define SILENT_LOOPS_MAX 4
+/* A stream that sends events for this time after its first bytes is reported
+   as sound. */
+#define PROGRESS_TIME BBM_SECOND
 
 typedef enum job_kind {
     JOB_START,
@@ -84,6 +88,8 @@
     bbm_time refused_at;    /* when that head was received */
     uint64_t body_bytes;    /* received of an accepted answer */
     bbm_time progress_at;   /* last complete event, or head, of a stream */
+    bbm_time began_at;      /* first bytes of an accepted body; 0: none */
+    bool progress_reported;
     uint64_t checked_body_bytes;   /* body_bytes at the last check */
     uint64_t checked_socket_bytes; /* received by the socket by then */
     int opened_socket;             /* opened since the last send; -1: none */
@@ -176,7 +182,46 @@
 }
 
 static void
-report_result(const attempt *x, bbm_forward_outcome end)
+report_progress(const attempt *x)
+{
+    control_item *item = control_item_create(CONTROL_STREAM_PROGRESS);
+    item->id = x->request;
+    item->attempt = x->send.attempt;
+    item->began_at = x->began_at;
+    mailbox_put_waiting(x->thread->control, item);
+}
+
+/* True if the upstream closed or reset the connection of a request that it may
+   have received, before the end of its answer.  A silent machine, whose
+   connection times out, doesn't count. */
+static bool
+is_disconnected(const attempt *x, CURLcode rc, bbm_forward_outcome end)
+{
+    long error = 0;
+    bool unfinished =
+        end == BBM_FORWARD_TRUNCATED || end == BBM_FORWARD_NO_ANSWER;
+    if (!x->sent || !unfinished)
+        return false;
+    switch (rc) {
+    case CURLE_OK:
+        return x->accepted;
+    case CURLE_GOT_NOTHING:
+    case CURLE_PARTIAL_FILE:
+    /* libcurl tries again if a reused connection is closed without an
+       answer. */
+    case CURLE_COULDNT_CONNECT:
+        return true;
+    case CURLE_SEND_ERROR:
+    case CURLE_RECV_ERROR:
+        curl_easy_getinfo(x->easy, CURLINFO_OS_ERRNO, &error);
+        return error != ETIMEDOUT;
+    default:
+        return false;
+    }
+}
+
+static void
+report_result(const attempt *x, bbm_forward_outcome end, CURLcode rc)
 {
     control_item *item = control_item_create(CONTROL_FORWARD_FINISHED);
     item->id = x->request;
@@ -185,6 +230,8 @@
         .attempt = x->send.attempt,
         .outcome = end,
         .status = (uint32_t)x->status,
+        .disconnected = is_disconnected(x, rc, end),
+        .began_at = x->began_at,
         .notice = x->notice,
     };
     memcpy(item->forwarded.last_event_id, x->events.last_id,
@@ -329,8 +376,14 @@
         complete_len = event_scanner_append(&x->events.scanner, data, len);
         exchange_write(x->ex, data, len);
     }
-    if (complete_len)
-        x->progress_at = control_now();
+    if (!complete_len)
+        return;
+    x->progress_at = control_now();
+    if (!x->progress_reported
+        && x->progress_at - x->began_at >= PROGRESS_TIME) {
+        x->progress_reported = true;
+        report_progress(x);
+    }
 }
 
 static size_t
@@ -347,6 +400,8 @@
         x->paused = true;
         return CURL_WRITEFUNC_PAUSE;
     }
+    if (!x->began_at)
+        x->began_at = control_now();
     x->body_bytes += len;
     if (x->send.stream)
         write_stream_bytes(x, data, len);
@@ -651,7 +706,7 @@
             exchange_write(x->ex, x->events.bytes.data, x->events.bytes.len);
         exchange_finish(x->ex, false);
     }
-    report_result(x, end);
+    report_result(x, end, rc);
     free_attempt(f, x);
 }
 
--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -38,6 +38,7 @@
     g->shares = bbm_shares_create(desc->seed);
     g->chains = bbm_chains_create();
     g->places = bbm_places_create();
+    g->quarantine = bbm_quarantine_create(desc->seed);
     TAILQ_INIT(&g->waiting);
     STAILQ_INIT(&g->outputs);
     return g;
@@ -61,6 +62,7 @@
     BBM_TABLE_FREE(gate_customer, g->customers);
     bbm_chains_destroy(g->chains);
     bbm_places_destroy(g->places);
+    bbm_quarantine_destroy(g->quarantine);
     bbm_buf_free(&g->unsent_placements);
     gate_queued_output *output;
     while ((output = STAILQ_FIRST(&g->outputs)) != NULL) {
@@ -228,6 +230,7 @@
     for (gate_pool *p = g->pools; p; p = p->hh.next)
         set_retry_budget(g, p);
     bbm_shares_set_vm_count(g->shares, vms);
+    bbm_quarantine_set_vm_count(g->quarantine, vms);
 }
 
 void
@@ -454,7 +457,7 @@
     return g->load_changed;
 }
 
-/* ---- placements ---- */
+/* ---- news ---- */
 
 void
 gate_add_placement(bbm_gate *g, const bbm_placement *row)
@@ -471,17 +474,19 @@
 }
 
 void
-bbm_gate_put_placements(bbm_gate *g, bbm_buf *buf)
+bbm_gate_put_news(bbm_gate *g, bbm_time now, bbm_buf *buf)
 {
+    gate_advance(g, now);
     bbm_put_u64(buf, g->unsent_placements_len);
     if (g->unsent_placements_len)
         bbm_buf_add(buf, g->unsent_placements.data, g->unsent_placements.len);
     g->unsent_placements.len = 0;
     g->unsent_placements_len = 0;
+    bbm_quarantine_put_news(g->quarantine, g->now, buf);
 }
 
 void
-bbm_gate_get_placements(bbm_gate *g, bbm_reader *rd, bool own, bbm_time now)
+bbm_gate_get_news(bbm_gate *g, bbm_reader *rd, bool own, bbm_time now)
 {
     gate_advance(g, now);
     size_t len = bbm_get_u32(rd, BBM_PLACEMENTS_MAX);
@@ -491,6 +496,8 @@
         if (!rd->failed && !own)
             bbm_places_add(g->places, &row, g->now);
     }
+    bbm_quarantine_get_news(g->quarantine, rd, own, g->now);
+    gate_apply_quarantine(g);
 }
 
 double
@@ -517,5 +524,6 @@
     bbm_gate_counts c = g->counts;
     c.open_requests = HASH_COUNT(g->requests);
     c.held_requests = g->waiting_len;
+    c.quarantined_parts = bbm_quarantine_count(g->quarantine, g->now);
     return c;
 }
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -38,10 +38,11 @@
 #include "bbm_config.h"
 #include "bbm_histogram.h"
 #include "bbm_listing.h"
+#include "bbm_quarantine.h"
 #include "bbm_time.h"
 
-/** Maximum number of prompt parts that are used; further parts count as part
- *  of the last one, which isn't shared. */
+/** Maximum number of prompt parts that are placed by; further parts count as
+ *  part of the last one, which isn't shared. */
 #define BBM_PROMPT_PARTS_MAX 16
 /** Size of a cache salt in bytes, including the terminating NUL. */
 #define BBM_SALT_SIZE 128
@@ -83,7 +84,7 @@
     uint64_t request;  /**< Request number, unique within this process. */
     const char *id;    /**< Request ID given by the client, for the log. */
     const char *model; /**< Requested model, or "". */
-    const bbm_prompt_part *parts; /**< Parts of the prompt. */
+    const bbm_prompt_part *parts; /**< All parts of the prompt. */
     size_t parts_len;             /**< Number of parts. */
     int64_t prompt_tokens;     /**< As given by the client; -1: unspecified. */
     int64_t output_tokens_max; /**< Output token limit; -1: unspecified. */
@@ -150,10 +151,14 @@
 
 /** Result of an attempt. */
 typedef struct bbm_forward_result {
-    uint64_t request;                      /**< Request number. */
-    uint32_t attempt;                      /**< As in bbm_forward_request. */
-    bbm_forward_outcome outcome;           /**< How the attempt ended. */
-    uint32_t status;                       /**< HTTP status; 0: no answer. */
+    uint64_t request;            /**< Request number. */
+    uint32_t attempt;            /**< As in bbm_forward_request. */
+    bbm_forward_outcome outcome; /**< How the attempt ended. */
+    uint32_t status;             /**< HTTP status; 0: no answer. */
+    bool disconnected; /**< The upstream closed the connection before the end
+                            of its answer. */
+    bbm_time began_at; /**< When the first bytes of the answer's body arrived;
+                            0: none did. */
     bbm_upstream_notice notice;            /**< All zero without an answer. */
     char last_event_id[BBM_EVENT_ID_SIZE]; /**< Id of the last complete event
                                                 that was forwarded; "":
@@ -170,8 +175,15 @@
     BBM_GATE_UPSTREAM_NOTICE, /**< An upstream has stated that it leaves, or
                                    that it wants no requests for a while; to be
                                    logged. */
+    BBM_GATE_DISCONNECTED, /**< An upstream has ended an attempt, which accuses
+                                the parts of its prompt; to be logged. */
+    BBM_GATE_QUARANTINE,   /**< A prompt part was quarantined or released; to
+                                be logged. */
 } bbm_gate_kind;
 
+/** Maximum number of parts in BBM_GATE_DISCONNECTED. */
+#define BBM_GATE_LOGGED_PARTS_MAX 8
+
 /** An output. */
 typedef struct bbm_gate_output {
     bbm_gate_kind kind;     /**< Selects the member of the union. */
@@ -204,6 +216,10 @@
                                        retry; 0: unspecified. */
             const char *reason;   /**< For the log. */
             int64_t elapsed_ms;   /**< Time since the request arrived. */
+            uint64_t part;        /**< Quarantined part of its prompt; valid if
+                                       part_number. */
+            size_t part_number;   /**< Place of that part, from 1; 0: it has
+                                       none. */
         } refuse;                 /**< BBM_GATE_REFUSE. */
         struct {
             int code;            /**< Error code; BBM_OK: the client has
@@ -223,7 +239,22 @@
             bbm_upstream_notice notice;   /**< What it stated; its fields that
                                                were known before are zero. */
         } upstream_notice;                /**< BBM_GATE_UPSTREAM_NOTICE. */
-    } u;                                  /**< Selected by kind. */
+        struct {
+            char upstream[BBM_NAME_SIZE]; /**< The upstream. */
+            uint64_t run; /**< Start time of its run, in ms of calendar time
+                               plus 1. */
+            size_t parts_len; /**< Number of parts of the prompt, less the
+                                   last. */
+            /** Ids of the first of these parts. */
+            uint64_t parts[BBM_GATE_LOGGED_PARTS_MAX];
+        } disconnected; /**< BBM_GATE_DISCONNECTED. */
+        struct {
+            bbm_quarantine_change change; /**< The change. */
+            /** Ids of the upstreams that crashed, separated by commas; "?" for
+             *  one that is unknown by now. */
+            char upstreams[256];
+        } quarantine; /**< BBM_GATE_QUARANTINE. */
+    } u;              /**< Selected by kind. */
 } bbm_gate_output;
 
 /** Metrics: counters unless marked as gauges. */
@@ -240,6 +271,11 @@
     uint64_t refused_paused; /**< Refused: all upstreams want no requests for a
                                   while. */
     uint64_t pauses;         /**< Pauses that upstreams have asked for. */
+    uint64_t refused_quarantined; /**< Refused or aborted: a part of the prompt
+                                       is quarantined. */
+    uint64_t disconnects; /**< Attempts that upstreams ended by closing the
+                               connection. */
+    uint64_t quarantined_parts;  /**< Quarantined prompt parts (gauge). */
     uint64_t outcome_unknown;    /**< Ended with an error before the head of an
                                       answer, but the request may have run. */
     uint64_t aborted;            /**< Answers aborted after their head. */
@@ -290,6 +326,11 @@
  *  of an open request. */
 void bbm_gate_record_head(bbm_gate *g, uint64_t request, uint32_t attempt,
                           const bbm_upstream_notice *notice, bbm_time now);
+/** Record that the stream of an attempt, which began at @p began_at, has been
+ *  sending events for long.  Ignored unless it is the current attempt of an
+ *  open request. */
+void bbm_gate_record_progress(bbm_gate *g, uint64_t request, uint32_t attempt,
+                              bbm_time began_at, bbm_time now);
 /** Record that an upstream has stated that it leaves, in an answer other than
  *  to a client's request.  Ignored if it is unknown. */
 void bbm_gate_record_leaving(bbm_gate *g, const char *upstream, bbm_time now);
@@ -324,14 +365,13 @@
 /** True if the load of an upstream, or the number of held requests, has
  *  changed since the last bbm_gate_put_load. */
 bool bbm_gate_load_changed(const bbm_gate *g);
-/** Append the placements of this VM since the last call, to be sent to the
- *  other VMs. */
-void bbm_gate_put_placements(bbm_gate *g, bbm_buf *buf);
-/** Apply the placements of a VM.  If @p own, they are this VM's own, which the
- *  gate has recorded already: they are skipped.  Malformed input sets the
- *  reader's error. */
-void bbm_gate_get_placements(bbm_gate *g, bbm_reader *rd, bool own,
-                             bbm_time now);
+/** Append what this VM has to tell the other VMs: its placements since the
+ *  last call, and crashes and quarantined prompt parts. */
+void bbm_gate_put_news(bbm_gate *g, bbm_time now, bbm_buf *buf);
+/** Apply the news of a VM.  If @p own, they are this VM's own, which the gate
+ *  has recorded already: they are skipped.  Malformed input sets the reader's
+ *  error. */
+void bbm_gate_get_news(bbm_gate *g, bbm_reader *rd, bool own, bbm_time now);
 
 /** Open requests of all VMs at an upstream, as last reported; 0 if it is
  *  unknown. */
--- /dev/null
+++ b/gate/bbm_quarantine.c
@@ -0,0 +1,573 @@
+#include "quarantine_core.h"
+
+#include "bbm_mem.h"
+#include "bbm_table.h"
+
+#include <string.h>
+
+/* A request that was sent this long after a crash was sent in spite of it:
+   longer than what VMs tell each other takes to arrive. */
+#define CRASH_KNOWN_AFTER (300 * BBM_MS)
+/* Time after the third crash in which sound parts that are in use are
+   acquitted: an answer counts a second after it began, and what another VM
+   has seen arrives within half a second. */
+#define ACQUITTAL_TIME (1500 * BBM_MS)
+/* A runner that has crashed answers nothing again within this time.  Later, an
+   answer may be by its next run, of which this VM hasn't heard. */
+#define RESTART_TIME_MIN BBM_SECOND
+/* Time in quarantine; doubled each further time, up to the maximum. */
+#define QUARANTINE_FIRST (600 * BBM_SECOND)
+#define QUARANTINE_MAX (7200 * BBM_SECOND)
+/* A part is forgotten this long after the last evidence. */
+#define ACCUSED_MEMORY (600 * BBM_SECOND)
+#define ACQUITTED_MEMORY (30 * BBM_SECOND)
+#define RUN_MEMORY (60 * BBM_SECOND)
+/* Maximum number of parts and runs that are remembered. */
+#define PARTS_MAX 4096
+#define RUNS_MAX 512
+/* How often crashes, acquittals and new entries are sent. */
+#define SENDS 3
+
+/* ---- creation ---- */
+
+bbm_quarantine *
+bbm_quarantine_create(uint64_t seed)
+{
+    bbm_quarantine *q = bbm_calloc(1, sizeof(*q));
+    q->rng = bbm_rng_of(seed);
+    q->vms = 1;
+    STAILQ_INIT(&q->news);
+    STAILQ_INIT(&q->changes);
+    return q;
+}
+
+void
+bbm_quarantine_destroy(bbm_quarantine *q)
+{
+    if (!q)
+        return;
+    BBM_TABLE_FREE(quarantine_part, q->parts);
+    BBM_TABLE_FREE(quarantine_run, q->runs);
+    quarantine_news *n;
+    while ((n = STAILQ_FIRST(&q->news)) != NULL) {
+        STAILQ_REMOVE_HEAD(&q->news, link);
+        free(n);
+    }
+    quarantine_change *c;
+    while ((c = STAILQ_FIRST(&q->changes)) != NULL) {
+        STAILQ_REMOVE_HEAD(&q->changes, link);
+        free(c);
+    }
+    free(q);
+}
+
+void
+bbm_quarantine_set_vm_count(bbm_quarantine *q, size_t vms)
+{
+    q->vms = vms ? vms : 1;
+}
+
+/* ---- changes ---- */
+
+static void
+push_change(bbm_quarantine *q, bbm_quarantine_change_kind kind,
+            const quarantine_part *p)
+{
+    quarantine_change *c = bbm_calloc(1, sizeof(*c));
+    c->change.kind = kind;
+    c->change.entry = p->entry;
+    STAILQ_INSERT_TAIL(&q->changes, c, link);
+}
+
+bool
+bbm_quarantine_next_change(bbm_quarantine *q, bbm_quarantine_change *change)
+{
+    quarantine_change *c = STAILQ_FIRST(&q->changes);
+    if (!c)
+        return false;
+    *change = c->change;
+    STAILQ_REMOVE_HEAD(&q->changes, link);
+    free(c);
+    return true;
+}
+
+/* ---- parts ---- */
+
+static quarantine_part *
+find_part(const bbm_quarantine *q, uint64_t part)
+{
+    quarantine_part *p = NULL;
+    HASH_FIND(hh, q->parts, &part, sizeof(part), p);
+    return p;
+}
+
+static void
+lift(bbm_quarantine *q, quarantine_part *p)
+{
+    p->in_force = false;
+    q->in_force_len--;
+}
+
+static void
+forget_part(bbm_quarantine *q, quarantine_part *p)
+{
+    if (p->in_force)
+        lift(q, p);
+    HASH_DEL(q->parts, p);
+    free(p);
+}
+
+/* Rows are in the order of their creation, so the first of those with the
+   fewest crashes is the oldest. */
+static void
+forget_least_accused(bbm_quarantine *q)
+{
+    quarantine_part *least = NULL;
+    for (quarantine_part *p = q->parts; p; p = p->hh.next) {
+        bool fewer = !least || p->entry.crashes_len < least->entry.crashes_len;
+        if (!p->in_force && fewer)
+            least = p;
+    }
+    forget_part(q, least ? least : q->parts);
+}
+
+static quarantine_part *
+find_or_add_part(bbm_quarantine *q, uint64_t part)
+{
+    quarantine_part *p = find_part(q, part);
+    if (p)
+        return p;
+    if (HASH_COUNT(q->parts) >= PARTS_MAX)
+        forget_least_accused(q);
+    p = bbm_calloc(1, sizeof(*p));
+    p->entry.part = part;
+    HASH_ADD(hh, q->parts, entry.part, sizeof(part), p);
+    return p;
+}
+
+/* ---- runs ---- */
+
+static quarantine_run *
+find_run(const bbm_quarantine *q, const bbm_upstream_run *run)
+{
+    quarantine_run *r = NULL;
+    HASH_FIND(hh, q->runs, run, sizeof(*run), r);
+    return r;
+}
+
+static quarantine_run *
+find_or_add_run(bbm_quarantine *q, const bbm_upstream_run *run)
+{
+    quarantine_run *r = find_run(q, run);
+    if (r)
+        return r;
+    if (HASH_COUNT(q->runs) >= RUNS_MAX) {
+        quarantine_run *oldest = q->runs;
+        HASH_DEL(q->runs, oldest);
+        free(oldest);
+    }
+    r = bbm_calloc(1, sizeof(*r));
+    r->run = *run;
+    HASH_ADD(hh, q->runs, run, sizeof(r->run), r);
+    return r;
+}
+
+static bool
+is_same_run(const bbm_upstream_run *a, const bbm_upstream_run *b)
+{
+    return a->upstream == b->upstream && a->run == b->run;
+}
+
+/* ---- verdicts ---- */
+
+static void
+put_in_force(bbm_quarantine *q, quarantine_part *p, bbm_time until,
+             bbm_quarantine_change_kind kind)
+{
+    p->in_force = true;
+    q->in_force_len++;
+    p->entry.until = until;
+    push_change(q, kind, p);
+}
+
+static void
+quarantine(bbm_quarantine *q, quarantine_part *p, bbm_time now)
+{
+    bbm_time span = QUARANTINE_FIRST;
+    for (uint32_t i = 0; i < p->times && span < QUARANTINE_MAX; i++)
+        span *= 2;
+    if (span > QUARANTINE_MAX)
+        span = QUARANTINE_MAX;
+    p->times++;
+    put_in_force(q, p, now + span, BBM_PART_QUARANTINED);
+    quarantine_announce(q, p, SENDS, now);
+}
+
+static bool
+is_proved(const bbm_quarantine *q, const quarantine_part *p, bbm_time now)
+{
+    if (!p->counted_at || !p->crashed_again
+        || now - p->counted_at < ACQUITTAL_TIME)
+        return false;
+    for (size_t i = 0; i < QUARANTINE_ANSWERS_MIN; i++) {
+        if (q->answers_began_at[i] <= p->counted_at)
+            return false;
+    }
+    return true;
+}
+
+/* ---- evidence ---- */
+
+/* True if the request of this crash was sent in spite of the first one. */
+static bool
+is_sent_later(const bbm_quarantine_entry *e, const bbm_part_crash *crash)
+{
+    return crash->sent_at > e->crashes[0].at + CRASH_KNOWN_AFTER;
+}
+
+static void
+remove_crash(bbm_quarantine_entry *e, size_t i)
+{
+    e->crashes_len--;
+    memmove(&e->crashes[i], &e->crashes[i + 1],
+            (e->crashes_len - i) * sizeof(e->crashes[0]));
+}
+
+/* To be called after crashes were removed from a part. */
+static void
+recount(quarantine_part *p)
+{
+    const bbm_quarantine_entry *e = &p->entry;
+    p->counted_at = e->crashes_len >= QUARANTINE_CRASHES_MIN
+                        ? e->crashes[QUARANTINE_CRASHES_MIN - 1].at
+                        : 0;
+    p->crashed_again = false;
+    for (size_t i = 1; i < e->crashes_len; i++)
+        p->crashed_again =
+            p->crashed_again || is_sent_later(e, &e->crashes[i]);
+}
+
+static bool
+is_recorded(const bbm_quarantine_entry *e, const bbm_upstream_run *run)
+{
+    for (size_t i = 0; i < e->crashes_len; i++) {
+        if (is_same_run(&e->crashes[i].run, run))
+            return true;
+    }
+    return false;
+}
+
+/* Adds a crash unless its run is recorded; the oldest one gives way. */
+static void
+add_crash(bbm_quarantine_entry *e, const bbm_part_crash *crash)
+{
+    if (is_recorded(e, &crash->run))
+        return;
+    if (e->crashes_len == BBM_QUARANTINE_CRASHES_MAX)
+        remove_crash(e, 0);
+    e->crashes[e->crashes_len++] = *crash;
+}
+
+static void
+accuse_part(bbm_quarantine *q, uint64_t part, const bbm_part_crash *crash,
+            bbm_time now)
+{
+    quarantine_part *p = find_or_add_part(q, part);
+    bbm_quarantine_entry *e = &p->entry;
+    if (crash->at <= p->acquitted_at)
+        return;
+    p->changed_at = now;
+    if (crash->at > e->last_crash_at)
+        e->last_crash_at = crash->at;
+    p->crashed_again =
+        p->crashed_again || (e->crashes_len && is_sent_later(e, crash));
+    add_crash(e, crash);
+    if (!p->counted_at && e->crashes_len >= QUARANTINE_CRASHES_MIN)
+        p->counted_at = crash->at;
+    bool again = !p->in_force && p->times > 0 && crash->sent_at > e->until;
+    if (again)
+        quarantine(q, p, now);
+}
+
+void
+quarantine_accuse(bbm_quarantine *q, const bbm_part_crash *crash,
+                  const uint64_t *parts, size_t len, bbm_time now)
+{
+    quarantine_run *r = find_or_add_run(q, &crash->run);
+    if (crash->at <= r->alive_at)
+        return;
+    if (crash->at > r->at)
+        r->at = crash->at;
+    for (size_t i = 0; i < len; i++)
+        accuse_part(q, parts[i], crash, now);
+}
+
+bool
+quarantine_acquit(bbm_quarantine *q, uint64_t part, bbm_time began_at,
+                  bbm_time now)
+{
+    quarantine_part *p = find_part(q, part);
+    if (!p || began_at <= p->acquitted_at)
+        return false;
+    bbm_quarantine_entry *e = &p->entry;
+    bool released = p->in_force && began_at > e->last_crash_at;
+    size_t before = e->crashes_len;
+    p->acquitted_at = began_at;
+    p->changed_at = now;
+    if (released) {
+        push_change(q, BBM_PART_RELEASED, p);
+        lift(q, p);
+    }
+    if (began_at > e->last_crash_at)
+        p->times = 0;
+    for (size_t i = e->crashes_len; i > 0; i--) {
+        if (e->crashes[i - 1].at < began_at)
+            remove_crash(e, i - 1);
+    }
+    if (e->crashes_len < before)
+        recount(p);
+    return released || e->crashes_len < before;
+}
+
+bool
+quarantine_withdraw(bbm_quarantine *q, const bbm_upstream_run *run,
+                    bbm_time at, bbm_time now)
+{
+    quarantine_run *r = find_or_add_run(q, run);
+    if (at <= r->alive_at)
+        return false;
+    r->alive_at = at;
+    for (quarantine_part *p = q->parts; p; p = p->hh.next) {
+        bbm_quarantine_entry *e = &p->entry;
+        size_t before = e->crashes_len;
+        for (size_t i = e->crashes_len; i > 0; i--) {
+            const bbm_part_crash *c = &e->crashes[i - 1];
+            if (is_same_run(&c->run, run) && c->at <= at)
+                remove_crash(e, i - 1);
+        }
+        if (e->crashes_len == before)
+            continue;
+        recount(p);
+        p->changed_at = now;
+    }
+    return true;
+}
+
+void
+quarantine_adopt(bbm_quarantine *q, uint64_t part, bbm_time until,
+                 bbm_time last_crash_at, uint32_t times, bbm_time now)
+{
+    quarantine_part *p = find_or_add_part(q, part);
+    if (p->in_force || until <= now || last_crash_at <= p->acquitted_at)
+        return;
+    p->changed_at = now;
+    p->times = times;
+    if (last_crash_at > p->entry.last_crash_at)
+        p->entry.last_crash_at = last_crash_at;
+    put_in_force(q, p, until, BBM_PART_REPORTED);
+    quarantine_announce(q, p, 0, now);
+}
+
+/* ---- what this VM sees ---- */
+
+static void
+tell_crash(bbm_quarantine *q, const bbm_part_crash *crash,
+           const uint64_t *parts, size_t len, bbm_time now)
+{
+    while (len) {
+        size_t n =
+            len < QUARANTINE_ROW_PARTS_MAX ? len : QUARANTINE_ROW_PARTS_MAX;
+        quarantine_news *row =
+            quarantine_push_news(q, QUARANTINE_NEWS_CRASH, SENDS, now);
+        row->u.crash.crash = *crash;
+        row->u.crash.len = n;
+        memcpy(row->u.crash.parts, parts, n * sizeof(*parts));
+        parts += n;
+        len -= n;
+    }
+}
+
+void
+bbm_quarantine_add_crash(bbm_quarantine *q, const bbm_part_crash *crash,
+                         const uint64_t *parts, size_t len, bbm_time now)
+{
+    if (!len)
+        return;
+    quarantine_accuse(q, crash, parts, len, now);
+    tell_crash(q, crash, parts, len, now);
+}
+
+static void
+acquit_and_tell(bbm_quarantine *q, uint64_t part, bbm_time began_at,
+                bbm_time now)
+{
+    if (!quarantine_acquit(q, part, began_at, now))
+        return;
+    quarantine_news *row =
+        quarantine_push_news(q, QUARANTINE_NEWS_ACQUITTAL, SENDS, now);
+    row->u.acquittal.part = part;
+    row->u.acquittal.began_at = began_at;
+}
+
+/* A run that has answered a request which was sent after its crash. */
+static void
+withdraw_and_tell(bbm_quarantine *q, const bbm_part_answer *answer,
+                  bbm_time now)
+{
+    const quarantine_run *r = find_run(q, &answer->run);
+    if (!r || answer->sent_at <= r->at
+        || answer->sent_at - r->at >= RESTART_TIME_MIN
+        || !quarantine_withdraw(q, &answer->run, r->at, now))
+        return;
+    quarantine_news *row =
+        quarantine_push_news(q, QUARANTINE_NEWS_ALIVE, SENDS, now);
+    row->u.alive.run = r->run;
+    row->u.alive.at = r->at;
+}
+
+void
+bbm_quarantine_add_answer(bbm_quarantine *q, const bbm_part_answer *answer,
+                          const uint64_t *parts, size_t len, bbm_time now)
+{
+    q->answers_began_at[q->next_answer] = answer->began_at;
+    q->next_answer = (q->next_answer + 1) % QUARANTINE_ANSWERS_MIN;
+    if (!q->parts)
+        return;
+    for (size_t i = 0; i < len; i++)
+        acquit_and_tell(q, parts[i], answer->began_at, now);
+    withdraw_and_tell(q, answer, now);
+}
+
+/* ---- decisions ---- */
+
+static bool
+is_outdated(const quarantine_part *p, bbm_time now)
+{
+    bool accused = p->entry.crashes_len > 0 || p->times > 0;
+    bbm_time since =
+        p->changed_at > p->entry.until ? p->changed_at : p->entry.until;
+    return now - since > (accused ? ACCUSED_MEMORY : ACQUITTED_MEMORY);
+}
+
+static void
+decide(bbm_quarantine *q, quarantine_part *p, bbm_time now)
+{
+    if (p->in_force && now >= p->entry.until) {
+        lift(q, p);
+        push_change(q, BBM_PART_EXPIRED, p);
+        p->entry.crashes_len = 0;
+        recount(p);
+    }
+    if (!p->in_force && is_proved(q, p, now))
+        quarantine(q, p, now);
+    if (p->in_force && now >= p->announce_at)
+        quarantine_announce(q, p, 1, now);
+    if (!p->in_force && is_outdated(p, now))
+        forget_part(q, p);
+}
+
+void
+bbm_quarantine_tick(bbm_quarantine *q, bbm_time now)
+{
+    quarantine_part *p, *next;
+    HASH_ITER(hh, q->parts, p, next)
+    {
+        decide(q, p, now);
+    }
+    quarantine_run *r, *next_run;
+    HASH_ITER(hh, q->runs, r, next_run)
+    {
+        if (now - r->at <= RUN_MEMORY || now - r->alive_at <= RUN_MEMORY)
+            continue;
+        HASH_DEL(q->runs, r);
+        free(r);
+    }
+}
+
+/* ---- requests ---- */
+
+static bool
+contains(const uint64_t *parts, size_t len, uint64_t part)
+{
+    for (size_t i = 0; i < len; i++) {
+        if (parts[i] == part)
+            return true;
+    }
+    return false;
+}
+
+/* True if all crashes of a part are crashes of the other one too, as far as
+   these are recorded. */
+static bool
+explains(const quarantine_part *other, const quarantine_part *p)
+{
+    const bbm_quarantine_entry *e = &other->entry;
+    for (size_t i = 0; i < p->entry.crashes_len; i++) {
+        const bbm_part_crash *c = &p->entry.crashes[i];
+        bool forgotten = e->crashes_len == BBM_QUARANTINE_CRASHES_MAX
+                         && c->at < e->crashes[0].at;
+        if (!forgotten && !is_recorded(e, &c->run))
+            return false;
+    }
+    return p->entry.crashes_len > 0;
+}
+
+/* True if another quarantined part, which isn't among these, explains the
+   crashes of this one. */
+static bool
+is_explained(const bbm_quarantine *q, const quarantine_part *p,
+             const uint64_t *parts, size_t len)
+{
+    for (const quarantine_part *o = q->parts; o; o = o->hh.next) {
+        if (o->in_force && !contains(parts, len, o->entry.part)
+            && explains(o, p))
+            return true;
+    }
+    return false;
+}
+
+bbm_parts_verdict
+bbm_quarantine_judge(const bbm_quarantine *q, const uint64_t *parts,
+                     size_t len, bbm_time now,
+                     const bbm_quarantine_entry **entry)
+{
+    bbm_parts_verdict verdict = BBM_PARTS_CLEAR;
+    *entry = NULL;
+    for (size_t i = 0; q->parts && i < len; i++) {
+        const quarantine_part *p = find_part(q, parts[i]);
+        if (!p || !p->in_force || now >= p->entry.until)
+            continue;
+        *entry = &p->entry;
+        verdict = BBM_PARTS_TRIAL;
+        if (!is_explained(q, p, parts, len))
+            return BBM_PARTS_REFUSED;
+    }
+    return verdict;
+}
+
+bool
+bbm_quarantine_begin_trial(bbm_quarantine *q, const uint64_t *parts,
+                           size_t len, bbm_time now)
+{
+    for (size_t i = 0; i < len; i++) {
+        const quarantine_part *p = find_part(q, parts[i]);
+        if (p && p->in_force && p->tried_at
+            && now - p->tried_at < BBM_TRIAL_TIME)
+            return false;
+    }
+    for (size_t i = 0; i < len; i++) {
+        quarantine_part *p = find_part(q, parts[i]);
+        if (p && p->in_force)
+            p->tried_at = now;
+    }
+    return true;
+}
+
+size_t
+bbm_quarantine_count(const bbm_quarantine *q, bbm_time now)
+{
+    size_t count = 0;
+    for (const quarantine_part *p = q->parts; p; p = p->hh.next)
+        count += p->in_force && now < p->entry.until;
+    return count;
+}
--- /dev/null
+++ b/gate/bbm_quarantine.h
@@ -0,0 +1,159 @@
+/** @file
+ *  Quarantine of prompt parts that crash runners.
+ *
+ *  Answers the load in which one part of a prompt ends each runner that begins
+ *  to write an answer on it.  Such requests come at any VM, share their
+ *  customer and their other parts with sound ones, and no two VMs see the same
+ *  one: without a common memory they end one runner after the other.
+ *
+ *  A runner that ends accuses the parts of all requests that were open there,
+ *  as none of the VMs knows which one ended it.  An answer that was completed
+ *  acquits its parts of all crashes before it began.  So a sound part that is
+ *  in use is acquitted within moments, and one that crashes runners never is.
+ *  A part is quarantined when
+ *  - three runs of runners have crashed on it since it was acquitted last,
+ *  - among them one on a request that was sent after the first crash was
+ * known: a loss of many runners at once accuses what they had in common,
+ *  - and since the third crash, time for acquittals of other VMs has passed
+ *    and other answers began and were completed: otherwise no runner works.
+ *  A run that completes a request sent after its supposed crash hasn't
+ *  crashed.
+ *
+ *  Requests with a quarantined part are to be refused for ten minutes.  One
+ *  further crash in the same time after that doubles it.  Parts that always
+ *  came together are quarantined together.  A request that has only some of
+ *  them can tell which one it is: each VM sends one at a time, as a trial.
+ *
+ *      bbm_quarantine *q = bbm_quarantine_create(seed);
+ *      bbm_quarantine_add_crash(q, &crash, ids, len, now);
+ *      bbm_quarantine_add_answer(q, &answer, ids, len, now);
+ *      bbm_quarantine_tick(q, now);
+ *      const bbm_quarantine_entry *e;
+ *      if (bbm_quarantine_judge(q, ids, len, now, &e) == BBM_PARTS_REFUSED)
+ *          ... refuse the request until e->until ...
+ *
+ *  The VMs send each other what they see and what they conclude.  Crashes are
+ *  sent several times, as messages may be lost; quarantined parts again and
+ *  again, for VMs that have restarted or joined.  Several VMs may accuse a
+ * part for the same crash: it counts once per run of a runner.
+ *
+ *  Memory is bounded: parts with the fewest crashes, and of these the oldest,
+ *  are forgotten first.  Pure: the caller passes in the time.
+ */
+#ifndef BBM_QUARANTINE_H
+#define BBM_QUARANTINE_H
+
+#include "bbm_pack.h"
+#include "bbm_time.h"
+
+/** Maximum number of crashes that are recorded per part. */
+#define BBM_QUARANTINE_CRASHES_MAX 8
+
+/** Time in which a trial ends, and its result is known to all VMs. */
+#define BBM_TRIAL_TIME (2 * BBM_SECOND)
+
+/** One run of an upstream, from its start to its end. */
+typedef struct bbm_upstream_run {
+    uint64_t upstream; /**< Hash of the upstream's id. */
+    uint64_t run;      /**< Start time of the run, as in its listing. */
+} bbm_upstream_run;
+
+/** A request ended because its upstream closed the connection. */
+typedef struct bbm_part_crash {
+    bbm_upstream_run run; /**< Where. */
+    bbm_time sent_at;     /**< When the request was sent there. */
+    bbm_time at;          /**< When the connection ended. */
+} bbm_part_crash;
+
+/** An answer was completed, or has been sending events for long. */
+typedef struct bbm_part_answer {
+    bbm_upstream_run run; /**< By whom. */
+    bbm_time sent_at;     /**< When the request was sent there. */
+    bbm_time began_at;    /**< When the first bytes of the answer's body
+                               arrived. */
+} bbm_part_answer;
+
+/** What is known of a part. */
+typedef struct bbm_quarantine_entry {
+    uint64_t part;          /**< Id of the part. */
+    bbm_time until;         /**< Quarantined until then; 0: never was. */
+    bbm_time last_crash_at; /**< Latest crash that it is accused of. */
+    size_t crashes_len;     /**< Number of crashes that are recorded. */
+    bbm_part_crash crashes[BBM_QUARANTINE_CRASHES_MAX]; /**< Since it was last
+                                                             acquitted, in the
+                                                             order in which
+                                                             they became
+                                                             known. */
+} bbm_quarantine_entry;
+
+/** Whether a request may be sent. */
+typedef enum bbm_parts_verdict {
+    BBM_PARTS_CLEAR,   /**< None of its parts is quarantined. */
+    BBM_PARTS_TRIAL,   /**< It may be sent as a trial: all crashes that its
+                            quarantined parts are accused of had another
+                            quarantined part too, which it lacks. */
+    BBM_PARTS_REFUSED, /**< It must not be sent. */
+} bbm_parts_verdict;
+
+/** Why a part's state has changed; to be logged. */
+typedef enum bbm_quarantine_change_kind {
+    BBM_PART_QUARANTINED, /**< By the crashes that this VM knows. */
+    BBM_PART_REPORTED,    /**< By another VM. */
+    BBM_PART_RELEASED,    /**< An answer acquitted it, here or elsewhere. */
+    BBM_PART_EXPIRED,     /**< Its time has passed. */
+} bbm_quarantine_change_kind;
+
+/** A change. */
+typedef struct bbm_quarantine_change {
+    bbm_quarantine_change_kind kind; /**< What has changed. */
+    bbm_quarantine_entry entry;      /**< The part after the change; if it was
+                                          released, before. */
+} bbm_quarantine_change;
+
+/** The quarantine; opaque. */
+typedef struct bbm_quarantine bbm_quarantine;
+
+/** Create an empty quarantine.
+ *  @param seed Seed of the random times at which parts are announced. */
+bbm_quarantine *bbm_quarantine_create(uint64_t seed);
+/** Destroy it; NULL is allowed. */
+void bbm_quarantine_destroy(bbm_quarantine *q);
+/** Set the number of VMs, among which the announcements are divided. */
+void bbm_quarantine_set_vm_count(bbm_quarantine *q, size_t vms);
+
+/** Record that a request with these parts was ended by its upstream.  The last
+ *  part of a prompt is the request's own and isn't passed. */
+void bbm_quarantine_add_crash(bbm_quarantine *q, const bbm_part_crash *crash,
+                              const uint64_t *parts, size_t len, bbm_time now);
+/** Record a sound answer to a request with these parts. */
+void bbm_quarantine_add_answer(bbm_quarantine *q,
+                               const bbm_part_answer *answer,
+                               const uint64_t *parts, size_t len,
+                               bbm_time now);
+/** Decide on accused parts, and forget old ones. */
+void bbm_quarantine_tick(bbm_quarantine *q, bbm_time now);
+/** Judge a request by its parts.
+ *  @param entry Receives the part for which it isn't clear; valid until the
+ *               quarantine changes. */
+bbm_parts_verdict bbm_quarantine_judge(const bbm_quarantine *q,
+                                       const uint64_t *parts, size_t len,
+                                       bbm_time now,
+                                       const bbm_quarantine_entry **entry);
+/** Begin a trial; false if another one of these parts has begun here less than
+ *  BBM_TRIAL_TIME ago. */
+bool bbm_quarantine_begin_trial(bbm_quarantine *q, const uint64_t *parts,
+                                size_t len, bbm_time now);
+/** Number of quarantined parts. */
+size_t bbm_quarantine_count(const bbm_quarantine *q, bbm_time now);
+/** The next change, or false if there is none. */
+bool bbm_quarantine_next_change(bbm_quarantine *q,
+                                bbm_quarantine_change *change);
+
+/** Append what is to be sent to the other VMs now. */
+void bbm_quarantine_put_news(bbm_quarantine *q, bbm_time now, bbm_buf *buf);
+/** Apply the news of a VM; if @p own, they are this VM's and are skipped.
+ *  Malformed input sets the reader's error. */
+void bbm_quarantine_get_news(bbm_quarantine *q, bbm_reader *rd, bool own,
+                             bbm_time now);
+
+#endif
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -61,6 +61,16 @@
         (duration_ms - r->expected_ms - u->lateness_ms) * SMOOTHING_WEIGHT;
 }
 
+void
+bbm_gate_record_progress(bbm_gate *g, uint64_t request, uint32_t attempt,
+                         bbm_time began_at, bbm_time now)
+{
+    gate_advance(g, now);
+    const gate_request *r = find_request(g, request);
+    if (r && r->stage == GATE_ANSWERING && r->attempts == attempt)
+        gate_record_sound_answer(g, r, began_at);
+}
+
 static void
 end_complete(bbm_gate *g, gate_request *r, const bbm_forward_result *result)
 {
@@ -69,6 +79,8 @@
         gate_record_failure(g, u, BBM_FORWARD_FAILED);
     else
         gate_record_success(g, u);
+    if (result->status >= 200 && result->status < 300 && result->began_at)
+        gate_record_sound_answer(g, r, result->began_at);
     double duration_ms = (double)(g->now - r->sent_at) / (double)BBM_MS;
     if (u->pool && !u->pool->is_engine && result->status < 500)
         u->pool->service_ms +=
@@ -196,6 +208,8 @@
     r->previous_status = result->status;
     if (r->stage == GATE_SENT)
         gate_record_notice(g, r, &result->notice);
+    if (result->disconnected)
+        gate_record_disconnect(g, r);
     switch (result->outcome) {
     case BBM_FORWARD_COMPLETE:
         end_complete(g, r, result);
@@ -315,7 +329,8 @@
         gate_record_failure(g, u, BBM_FORWARD_NO_ANSWER);
     bool retryable = r->repeatable && r->attempts_run < r->attempts_max
                      && (silent || is_slow_call(g, r));
-    if (retryable)
+    const bbm_quarantine_entry *e;
+    if (retryable && gate_judge_parts(g, r, &e) == BBM_PARTS_CLEAR)
         retry_elsewhere(g, r);
 }
 
@@ -323,6 +338,8 @@
 bbm_gate_tick(bbm_gate *g, bbm_time now)
 {
     gate_advance(g, now);
+    bbm_quarantine_tick(g->quarantine, g->now);
+    gate_apply_quarantine(g);
     gate_request *r, *next;
     HASH_ITER(hh, g->requests, r, next)
     {
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -133,6 +133,10 @@
     char model[BBM_NAME_SIZE];                 /**< Requested model, or "". */
     bbm_prompt_part parts[BBM_PROMPT_PARTS_MAX]; /**< Parts of the prompt. */
     size_t parts_len;                            /**< Number of parts. */
+    bool is_trial;       /**< It may be sent although its prompt has a
+                              quarantined part. */
+    uint64_t *part_ids;  /**< Ids of all parts but the last; owned. */
+    size_t part_ids_len; /**< Number of these. */
     gate_prefix prefixes[BBM_PLACEMENT_PREFIXES_MAX]; /**< Shared prefixes,
                                                            shortest first. */
     size_t prefixes_len;      /**< Number of prefixes. */
@@ -234,6 +238,7 @@
                                    shared prefixes. */
     bbm_time places_since; /**< When the first listing was applied, and with it
                                 the recording of placements began. */
+    bbm_quarantine *quarantine;   /**< Prompt parts that crash runners. */
     bbm_buf unsent_placements;    /**< Encoded placements that are still to be
                                        sent to the other VMs. */
     size_t unsent_placements_len; /**< Number of these placements. */
@@ -421,6 +426,21 @@
 /** True if the upstream has answered this VM within the last second. */
 bool gate_has_answered_lately(const bbm_gate *g, const gate_upstream *u);
 
+/* ---- gate_quarantine.c ---- */
+
+/** Record that the current attempt was ended by its upstream. */
+void gate_record_disconnect(bbm_gate *g, const gate_request *r);
+/** Record that the answer to the current attempt is sound. */
+void gate_record_sound_answer(bbm_gate *g, const gate_request *r,
+                              bbm_time began_at);
+/** Judge whether a request may be sent, by the parts of its prompt.  @p entry
+ *  receives the part for which it isn't clear. */
+bbm_parts_verdict gate_judge_parts(const bbm_gate *g, const gate_request *r,
+                                   const bbm_quarantine_entry **entry);
+/** Push outputs for changes of the quarantine, and abort the attempts whose
+ *  answers haven't begun and whose prompts have a quarantined part. */
+void gate_apply_quarantine(bbm_gate *g);
+
 /* ---- gate_request.c ---- */
 
 /** Minimum Retry-After of a refusal. */
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -71,6 +71,7 @@
     dequeue(g, r);
     gate_release_upstream(g, r);
     HASH_DEL(g->requests, r);
+    free(r->part_ids);
     free(r);
 }
 
@@ -98,25 +99,77 @@
     return (g->now - r->arrived_at) / BBM_MS;
 }
 
-/* Refuses with this Retry-After, without a random part.  If an attempt may
-   have run, the code must not claim that the request did not run. */
-static void
-refuse_as_scheduled(bbm_gate *g, gate_request *r, int code,
-                    bbm_time retry_after, const char *reason)
+/* Pushes a refusal.  If an attempt may have run, the code must not claim that
+   the request did not run. */
+static bbm_gate_output *
+push_refusal(bbm_gate *g, const gate_request *r, int code,
+             bbm_time retry_after, const char *reason)
 {
     bbm_gate_output *out = gate_push_output(g, BBM_GATE_REFUSE, r);
     out->u.refuse.code = r->attempts_run ? BBM_ERR_UPSTREAM : code;
-    out->u.refuse.retry_after =
-        r->attempts_run ? 0 : limit_retry_after(retry_after);
+    out->u.refuse.retry_after = r->attempts_run ? 0 : retry_after;
     out->u.refuse.reason = reason;
     out->u.refuse.elapsed_ms = held_ms(g, r);
     if (r->attempts_run)
         g->counts.outcome_unknown++;
     else
         bbm_shares_refund(g->shares, r->customer, r->reserved_tokens);
+    return out;
+}
+
+/* Refuses with this Retry-After, without a random part. */
+static void
+refuse_as_scheduled(bbm_gate *g, gate_request *r, int code,
+                    bbm_time retry_after, const char *reason)
+{
+    push_refusal(g, r, code, limit_retry_after(retry_after), reason);
     gate_request_free(g, r);
 }
 
+/* The client is told how long the quarantine or the trial lasts: to come back
+   sooner is of no use.  A stream that has begun is aborted instead. */
+static void
+end_quarantined(bbm_gate *g, gate_request *r, const bbm_quarantine_entry *e,
+                bbm_time retry_after)
+{
+    static const char reason[] = "a part of the prompt crashes runners";
+    size_t place = 0;
+    g->counts.refused_quarantined++;
+    if (r->last_event_id[0]) {
+        gate_abort(g, r, BBM_ERR_UPSTREAM_CUT, reason);
+        return;
+    }
+    while (r->part_ids[place] != e->part)
+        place++;
+    bbm_gate_output *out =
+        push_refusal(g, r, BBM_ERR_QUARANTINED, retry_after, reason);
+    out->u.refuse.part = e->part;
+    out->u.refuse.part_number = place + 1;
+    gate_request_free(g, r);
+}
+
+/* Returns true if the request was ended. */
+static bool
+refuse_quarantined(bbm_gate *g, gate_request *r)
+{
+    const bbm_quarantine_entry *e;
+    switch (gate_judge_parts(g, r, &e)) {
+    case BBM_PARTS_CLEAR:
+        return false;
+    case BBM_PARTS_TRIAL:
+        r->is_trial = r->is_trial
+                      || bbm_quarantine_begin_trial(g->quarantine, r->part_ids,
+                                                    r->part_ids_len, g->now);
+        if (!r->is_trial)
+            end_quarantined(g, r, e, add_jitter(g, BBM_TRIAL_TIME));
+        return !r->is_trial;
+    case BBM_PARTS_REFUSED:
+        end_quarantined(g, r, e, e->until - g->now);
+        return true;
+    }
+    return false;
+}
+
 void
 gate_refuse(bbm_gate *g, gate_request *r, int code, bbm_time retry_after,
             const char *reason)
@@ -297,6 +350,8 @@
 gate_dispatch(bbm_gate *g, gate_request *r)
 {
     gate_choice c;
+    if (refuse_quarantined(g, r))
+        return;
     /* A stream that has begun and can't be resumed is aborted, not refused. */
     bool stream_begun = r->last_event_id[0] != '\0';
     switch (gate_choose(g, r, &c)) {
@@ -427,6 +482,12 @@
     r->output_tokens_max = request->output_tokens_max > 0
                                ? (double)request->output_tokens_max
                                : 0;
+    if (request->parts_len > 1) {
+        r->part_ids_len = request->parts_len - 1;
+        r->part_ids = bbm_calloc(r->part_ids_len, sizeof(*r->part_ids));
+    }
+    for (size_t i = 0; i < r->part_ids_len; i++)
+        r->part_ids[i] = request->parts[i].id;
     r->parts_len = request->parts_len < BBM_PROMPT_PARTS_MAX
                        ? request->parts_len
                        : BBM_PROMPT_PARTS_MAX;
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -158,6 +158,8 @@
     BBM_EV_POOL_REQUEST,        /**< Client request on a host's route. */
     BBM_EV_RESPONSE_HEAD,       /**< The head of the upstream's response was
                                      passed on. */
+    BBM_EV_STREAM_PROGRESS,     /**< The stream of a pool request has been
+                                     sending events for long. */
     BBM_EV_FORWARD_FINISHED,    /**< An attempt of a pool request ended. */
     BBM_EV_LISTING,             /**< The list of upstreams was read. */
     BBM_EV_ROLLOUT_REPORT,      /**< Runner's report for the rollout. */
@@ -305,7 +307,12 @@
             uint32_t attempt;           /**< As in bbm_forward_request. */
             bbm_upstream_notice notice; /**< What it says of the upstream. */
         } response_head;                /**< BBM_EV_RESPONSE_HEAD. */
-        bbm_forward_result forwarded;   /**< BBM_EV_FORWARD_FINISHED. */
+        struct {
+            uint64_t request;         /**< Request number. */
+            uint32_t attempt;         /**< As in bbm_forward_request. */
+            bbm_time began_at;        /**< When its first bytes arrived. */
+        } stream_progress;            /**< BBM_EV_STREAM_PROGRESS. */
+        bbm_forward_result forwarded; /**< BBM_EV_FORWARD_FINISHED. */
         struct {
             const bbm_listing *listing; /**< NULL: the read failed. */
         } listing;                      /**< BBM_EV_LISTING. */
--- a/node/node.c
+++ b/node/node.c
@@ -281,6 +281,12 @@
                                  ev->u.response_head.attempt,
                                  &ev->u.response_head.notice, n->now);
         return;
+    case BBM_EV_STREAM_PROGRESS:
+        if (n->gate)
+            bbm_gate_record_progress(n->gate, ev->u.stream_progress.request,
+                                     ev->u.stream_progress.attempt,
+                                     ev->u.stream_progress.began_at, n->now);
+        return;
     case BBM_EV_FORWARD_FINISHED:
         if (n->gate)
             bbm_gate_end_attempt(n->gate, &ev->u.forwarded, n->now);
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -38,7 +38,7 @@
     NODE_RATE_GRANT,    /**< Rate owner's grant to a holder. */
     NODE_BOOTSTRAP,     /**< Members with which to bootstrap the group. */
     NODE_LISTING,       /**< Changes of the listing, or the complete one. */
-    NODE_LOADS,         /**< A VM's load, demand and new placements. */
+    NODE_LOADS,         /**< A VM's load, demand and news. */
     NODE_TOTALS,        /**< The leader's totals over all VMs. */
     NODE_MESSAGE_COUNT, /**< Number of kinds. */
 } node_message_kind;
@@ -353,24 +353,24 @@
     bbm_time listing_changed_at;    /**< Leader: latest change of listing. */
     node_store stores[NODE_STORES_MAX]; /**< Stores of KV cache. */
     size_t stores_len;                  /**< Stores in use. */
-    uint64_t gate_revision;        /**< Configuration revision of the gate. */
-    bbm_loads *loads;              /**< Latest report of each VM; NULL before
-                                        the first. */
-    bbm_time next_load_report_at;  /**< Next report even without a change. */
-    bbm_buf relayed_placements;    /**< Placements to be sent with the next
-                                        report or totals, in groups by VM. */
-    size_t relayed_placements_len; /**< Groups in relayed_placements. */
-    bbm_buf sent_totals;           /**< Leader: the totals sent last. */
-    size_t totals_requests;        /**< Leader: VMs that have asked for totals
-                                        since. */
-    bbm_time totals_asked_at;      /**< When this VM last asked for totals. */
-    uint64_t totals_term;          /**< Term of the leader of the last
-                                        totals. */
-    uint64_t totals_number;        /**< Number of these totals in that term. */
-    bbm_time totals_at;            /**< When they were received; leader: when
-                                        they were sent; 0: never. */
-    bbm_rollout *rollout;          /**< NULL unless this node is the leader. */
-    uint64_t rollout_term;         /**< Term of rollout. */
+    uint64_t gate_revision;       /**< Configuration revision of the gate. */
+    bbm_loads *loads;             /**< Latest report of each VM; NULL before
+                                       the first. */
+    bbm_time next_load_report_at; /**< Next report even without a change. */
+    bbm_buf relayed_news;         /**< News to be sent with the next
+                                             report or totals, in groups by VM. */
+    size_t relayed_news_len;      /**< Groups in relayed_news. */
+    bbm_buf sent_totals;          /**< Leader: the totals sent last. */
+    size_t totals_requests;       /**< Leader: VMs that have asked for totals
+                                       since. */
+    bbm_time totals_asked_at;     /**< When this VM last asked for totals. */
+    uint64_t totals_term;         /**< Term of the leader of the last
+                                       totals. */
+    uint64_t totals_number;       /**< Number of these totals in that term. */
+    bbm_time totals_at;           /**< When they were received; leader: when
+                                       they were sent; 0: never. */
+    bbm_rollout *rollout;         /**< NULL unless this node is the leader. */
+    uint64_t rollout_term;        /**< Term of rollout. */
 
     bool ready_reported;     /**< Value of the latest BBM_ACT_READY. */
     bool stopping;           /**< BBM_EV_STOP was received. */
@@ -478,7 +478,7 @@
 bbm_time node_news_delay(const bbm_node *n);
 /** Sends this VM's report, and the leader's totals, when they are due. */
 void node_news_tick(bbm_node *n);
-/** Processes a report of load and placements, of one VM or of several. */
+/** Processes a report of load and news, of one VM or of several. */
 int node_news_receive_loads(bbm_node *n, const char *from, bbm_reader *rd);
 /** Processes the leader's totals. */
 int node_news_receive_totals(bbm_node *n, const char *from, bbm_reader *rd);
@@ -501,7 +501,7 @@
 /** Processes the leader's changes of the listing. */
 int node_upstreams_receive_listing(bbm_node *n, const char *from,
                                    bbm_reader *rd);
-/** Releases listings, loads and placements. */
+/** Releases listings, loads and news. */
 void node_upstreams_destroy(bbm_node *n);
 
 /* ---- node_gate.c ---- */
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -333,6 +333,14 @@
            sizeof(out->u.send.last_event_id));
 }
 
+static void
+log_part(bbm_action *a, const char *name, uint64_t part)
+{
+    char text[32];
+    snprintf(text, sizeof(text), "%016llx", (unsigned long long)part);
+    node_log_text(a, name, text);
+}
+
 static void
 process_refuse(bbm_node *n, const bbm_gate_output *out)
 {
@@ -347,6 +355,10 @@
     node_log_text(l, "why", out->u.refuse.reason);
     node_log_number(l, "held_ms", out->u.refuse.elapsed_ms);
     node_log_number(l, "retry_after_ms", retry_after / BBM_MS);
+    if (out->u.refuse.part_number) {
+        log_part(l, "part", out->u.refuse.part);
+        node_log_number(l, "part_number", (int64_t)out->u.refuse.part_number);
+    }
     node_log_number(l, "upstreams", (int64_t)n->listing.len);
     node_log_number(l, "list_age_ms", (n->now - n->listing_read_at) / BBM_MS);
 }
@@ -415,6 +427,52 @@
         log_invalid_notice(n, upstream);
 }
 
+static void
+process_disconnected(bbm_node *n, const bbm_gate_output *out)
+{
+    char text[BBM_GATE_LOGGED_PARTS_MAX * 17 + 1] = "";
+    size_t len = 0;
+    for (size_t i = 0;
+         i < out->u.disconnected.parts_len && i < BBM_GATE_LOGGED_PARTS_MAX;
+         i++)
+        len += (size_t)snprintf(
+            text + len, sizeof(text) - len, "%s%016llx", i ? "," : "",
+            (unsigned long long)out->u.disconnected.parts[i]);
+    bbm_action *l = node_log_event(n, BBM_EVENT_ATTEMPT_DISCONNECTED);
+    node_log_text(l, "id", out->id);
+    node_log_text(l, "upstream", out->u.disconnected.upstream);
+    node_log_number(l, "run", (int64_t)out->u.disconnected.run - 1);
+    node_log_number(l, "parts", (int64_t)out->u.disconnected.parts_len);
+    node_log_text(l, "accused", text);
+}
+
+static void
+process_quarantine(bbm_node *n, const bbm_gate_output *out)
+{
+    static const char *const causes[] = {
+        [BBM_PART_QUARANTINED] = "crashes",
+        [BBM_PART_REPORTED] = "another VM",
+        [BBM_PART_RELEASED] = "a sound answer",
+        [BBM_PART_EXPIRED] = "its time has passed",
+    };
+    const bbm_quarantine_change *change = &out->u.quarantine.change;
+    const bbm_quarantine_entry *e = &change->entry;
+    bool quarantined = change->kind == BBM_PART_QUARANTINED
+                       || change->kind == BBM_PART_REPORTED;
+    bbm_action *l = node_log_event(n, quarantined ? BBM_EVENT_PART_QUARANTINED
+                                                  : BBM_EVENT_PART_RELEASED);
+    log_part(l, "part", e->part);
+    node_log_text(l, "why", causes[change->kind]);
+    node_log_number(l, "crashes", (int64_t)e->crashes_len);
+    node_log_text(l, "crashed", out->u.quarantine.upstreams);
+    if (e->crashes_len)
+        node_log_number(l, "first_crash_age_ms",
+                        (n->now - e->crashes[0].at) / BBM_MS);
+    node_log_number(l, "last_crash_age_ms",
+                    (n->now - e->last_crash_at) / BBM_MS);
+    node_log_number(l, "left_ms", (e->until - n->now) / BBM_MS);
+}
+
 void
 node_gate_process_outputs(bbm_node *n)
 {
@@ -436,6 +494,12 @@
         case BBM_GATE_UPSTREAM_NOTICE:
             process_upstream_notice(n, out);
             break;
+        case BBM_GATE_DISCONNECTED:
+            process_disconnected(n, out);
+            break;
+        case BBM_GATE_QUARANTINE:
+            process_quarantine(n, out);
+            break;
         }
     }
 }
--- a/node/node_news.c
+++ b/node/node_news.c
@@ -1,5 +1,5 @@
 /** @file
- *  How VMs hear of each other's load and placements, and of the listing.
+ *  How VMs hear of each other's load and news, and of the listing.
  *
  *  Up to 16 VMs send their reports to each other, and fewer than 100 to the
  *  leader, which sends totals to all.  With more, that would fill the leader's
@@ -14,7 +14,8 @@
  *  gets no totals asks the leader for them.  The leader answers only some of
  *  these requests, so that its link doesn't fill when many VMs ask.
  *
- *  A placement says that a part of a prompt was sent to an upstream, which is
+ *  News are placements and crashes of runners (see bbm_gate_put_news).  A
+ *  placement says that a part of a prompt was sent to an upstream, which is
  *  then expected to cache it.
  */
 #include "node_core.h"
@@ -22,7 +23,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Up to this number, VMs send load and placements to each other. */
+/* Up to this number, VMs send load and news to each other. */
 #define DIRECT_VMS_MAX 16
 /* From this number on, they report through the trees; fewer report to the
    leader, whose link still carries that, as each level of a tree delays news
@@ -229,52 +230,52 @@
 }
 
 static bool
-apply_placements(bbm_node *n, const char *from, bbm_bytes placements)
+apply_news(bbm_node *n, const char *from, bbm_bytes news)
 {
-    bbm_reader rd = bbm_reader_of(placements.data, placements.len);
+    bbm_reader rd = bbm_reader_of(news.data, news.len);
     bool own = strcmp(from, n->desc.name) == 0;
-    bbm_gate_get_placements(n->gate, &rd, own, n->now);
+    bbm_gate_get_news(n->gate, &rd, own, n->now);
     return bbm_reader_done(&rd);
 }
 
-/* Adds a VM's placements to the next report or totals that this VM sends. */
+/* Adds a VM's news to the next report or totals that this VM sends. */
 static void
-relay_placements(bbm_node *n, const char *from, bbm_bytes placements)
+relay_news(bbm_node *n, const char *from, bbm_bytes news)
 {
-    bbm_put_str(&n->relayed_placements, from);
-    bbm_put_bytes(&n->relayed_placements, placements.data, placements.len);
-    n->relayed_placements_len++;
+    bbm_put_str(&n->relayed_news, from);
+    bbm_put_bytes(&n->relayed_news, news.data, news.len);
+    n->relayed_news_len++;
 }
 
 static void
-clear_relayed_placements(bbm_node *n)
+clear_relayed_news(bbm_node *n)
 {
-    n->relayed_placements.len = 0;
-    n->relayed_placements_len = 0;
+    n->relayed_news.len = 0;
+    n->relayed_news_len = 0;
 }
 
-/* What a VM does with the placements in a message. */
-typedef enum placement_use {
-    PLACEMENTS_APPLY, /* they were made by other VMs */
-    PLACEMENTS_RELAY, /* they go up the tree, and come back with the totals */
-    PLACEMENTS_BOTH,  /* the leader's */
-} placement_use;
+/* What a VM does with the news in a message. */
+typedef enum news_use {
+    NEWS_APPLY, /* they were made by other VMs */
+    NEWS_RELAY, /* they go up the tree, and come back with the totals */
+    NEWS_BOTH,  /* the leader's */
+} news_use;
 
-/* Reads the placements in a message: groups of a VM's name and its rows. */
+/* Reads the news in a message: groups of a VM's name and its bytes. */
 static int
-receive_placements(bbm_node *n, bbm_reader *rd, placement_use use)
+receive_news(bbm_node *n, bbm_reader *rd, news_use use)
 {
     size_t groups = bbm_get_u32(rd, BBM_LOADS_ROWS_MAX);
     for (size_t i = 0; i < groups && !rd->failed; i++) {
         char vm[BBM_NAME_SIZE];
         bbm_get_name(rd, vm);
-        bbm_bytes placements = bbm_get_bytes(rd);
+        bbm_bytes news = bbm_get_bytes(rd);
         if (rd->failed)
             break;
-        if (use != PLACEMENTS_RELAY && !apply_placements(n, vm, placements))
+        if (use != NEWS_RELAY && !apply_news(n, vm, news))
             return BBM_ERR_DECODE;
-        if (use != PLACEMENTS_APPLY)
-            relay_placements(n, vm, placements);
+        if (use != NEWS_APPLY)
+            relay_news(n, vm, news);
     }
     return bbm_reader_done(rd) ? BBM_OK : BBM_ERR_DECODE;
 }
@@ -289,7 +290,7 @@
     }
 }
 
-/* The totals that were sent last, with or without placements. */
+/* The totals that were sent last, with or without news. */
 typedef struct totals_message {
     size_t groups_len;
     const bbm_buf *groups;
@@ -351,10 +352,8 @@
         return BBM_ERR_DECODE;
     bool all_to_all = reports_directly(count_vms(n));
     bool leads = node_leads(n);
-    placement_use use = all_to_all ? PLACEMENTS_APPLY
-                        : leads    ? PLACEMENTS_BOTH
-                                   : PLACEMENTS_RELAY;
-    int rc = receive_placements(n, rd, use);
+    news_use use = all_to_all ? NEWS_APPLY : leads ? NEWS_BOTH : NEWS_RELAY;
+    int rc = receive_news(n, rd, use);
     if (rc < 0)
         return rc;
     if (all_to_all)
@@ -411,7 +410,7 @@
     if (same_version && n->now - age > n->listing_read_at)
         n->listing_read_at = n->now - age;
     bbm_bytes totals = bbm_get_bytes(rd);
-    if (receive_placements(n, rd, PLACEMENTS_APPLY) < 0)
+    if (receive_news(n, rd, NEWS_APPLY) < 0)
         return BBM_ERR_DECODE;
     n->totals_term = leader_term;
     n->totals_number = number;
@@ -432,8 +431,8 @@
 send_totals(bbm_node *n, bool all_to_all)
 {
     totals_message message = {
-        .groups_len = n->relayed_placements_len,
-        .groups = &n->relayed_placements,
+        .groups_len = n->relayed_news_len,
+        .groups = &n->relayed_news,
     };
     n->sent_totals.len = 0;
     if (!all_to_all)
@@ -443,7 +442,7 @@
     n->totals_at = n->now;
     n->totals_requests = 0;
     node_news_to_children(n, send_totals_to, &message);
-    clear_relayed_placements(n);
+    clear_relayed_news(n);
 }
 
 /* Begins a report, or a request for totals. */
@@ -469,7 +468,7 @@
     begin_loads(n, n->leader, true);
 }
 
-/* Sends a report, which ends with the placements of this VM, or with those of
+/* Sends a report, which ends with the news of this VM, or with those of
    other VMs too (@p groups, already encoded). */
 static void
 send_load(bbm_node *n, const char *to, const bbm_buf *load, size_t groups_len,
@@ -481,22 +480,21 @@
     bbm_buf_add(buf, groups->data, groups->len);
 }
 
-/* Up to DIRECT_VMS_MAX VMs: sends this VM's load and new placements to all. */
+/* Up to DIRECT_VMS_MAX VMs: sends this VM's load and news to all. */
 static void
 report_to_all(bbm_node *n, const bbm_buf *load)
 {
     const bbm_member *m;
     for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
         if (is_reachable(n, m))
-            send_load(n, m->name, load, n->relayed_placements_len,
-                      &n->relayed_placements);
+            send_load(n, m->name, load, n->relayed_news_len, &n->relayed_news);
     }
-    clear_relayed_placements(n);
+    clear_relayed_news(n);
     update_totals(n);
 }
 
-/* Sends the load of this VM and of those below it in the tree.  Placements
-   that can't be sent now are dropped. */
+/* Sends the load of this VM and of those below it in the tree.  News that
+ * can't be sent now are dropped. */
 static void
 report_up(bbm_node *n)
 {
@@ -504,11 +502,10 @@
     if (m && is_reachable(n, m)) {
         bbm_buf sum = {0};
         bbm_loads_put_totals(n->loads, n->now, &sum);
-        send_load(n, m->name, &sum, n->relayed_placements_len,
-                  &n->relayed_placements);
+        send_load(n, m->name, &sum, n->relayed_news_len, &n->relayed_news);
         bbm_buf_free(&sum);
     }
-    clear_relayed_placements(n);
+    clear_relayed_news(n);
     ask_for_totals(n);
 }
 
@@ -516,14 +513,14 @@
 report_load(bbm_node *n, bool all_to_all)
 {
     bbm_buf load = {0};
-    bbm_buf placements = {0};
+    bbm_buf news = {0};
     bbm_gate_put_load(n->gate, n->now, &load);
-    bbm_gate_put_placements(n->gate, &placements);
+    bbm_gate_put_news(n->gate, n->now, &news);
     if (!n->loads)
         n->loads = bbm_loads_create();
     bbm_reader rd = bbm_reader_of(load.data, load.len);
     bbm_loads_add_report(n->loads, n->desc.name, &rd, n->now);
-    relay_placements(n, n->desc.name, bbm_buf_view(&placements));
+    relay_news(n, n->desc.name, bbm_buf_view(&news));
     if (all_to_all)
         report_to_all(n, &load);
     else if (node_leads(n))
@@ -531,7 +528,7 @@
     else
         report_up(n);
     bbm_buf_free(&load);
-    bbm_buf_free(&placements);
+    bbm_buf_free(&news);
 }
 
 void
--- a/tests/scale_world.c
+++ b/tests/scale_world.c
@@ -387,7 +387,7 @@
         snprintf(name, sizeof(name), "vm-%zu", vm);
         bbm_gate_set_vm_count(w->vms[vm].gate, w->desc.vms, true);
         bbm_gate_put_load(w->vms[vm].gate, w->now, &load);
-        bbm_gate_put_placements(w->vms[vm].gate, &placements[vm]);
+        bbm_gate_put_news(w->vms[vm].gate, w->now, &placements[vm]);
         bbm_reader rd = bbm_reader_of(load.data, load.len);
         bbm_loads_add_report(w->loads, name, &rd, w->now);
         bbm_buf_free(&load);
@@ -397,7 +397,7 @@
         for (size_t from = 0; from < w->desc.vms; from++) {
             bbm_reader rd =
                 bbm_reader_of(placements[from].data, placements[from].len);
-            bbm_gate_get_placements(w->vms[vm].gate, &rd, from == vm, w->now);
+            bbm_gate_get_news(w->vms[vm].gate, &rd, from == vm, w->now);
         }
         bbm_reader rd = bbm_reader_of(totals.data, totals.len);
         bbm_gate_get_totals(w->vms[vm].gate, &rd, w->now);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -834,6 +834,114 @@
 }
 END_TEST
 
+/* ---- crashes ---- */
+
+static void
+close_without_answer(upstream *u, int fd, int n)
+{
+    (void)u;
+    (void)n;
+    shutdown(fd, SHUT_RDWR);
+}
+
+static void
+reset_without_answer(upstream *u, int fd, int n)
+{
+    struct linger reset = {.l_onoff = 1};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    close_without_answer(u, fd, n);
+}
+
+/* Answers once, then ends with the next request on the same connection, as a
+   process that crashes: nothing listens any more. */
+static void
+crash_at_second_request(upstream *u, int fd, int n)
+{
+    if (n == 1) {
+        send_answer(u, fd, u->id, "");
+        return;
+    }
+    shutdown(u->listener, SHUT_RDWR);
+    close_without_answer(u, fd, n);
+}
+
+static void
+answer_with_error(upstream *u, int fd, int n)
+{
+    (void)n;
+    char text[256];
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 500 Error\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+             "X-Bluebellmoor-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n",
+             u->id);
+    send_text(u, fd, text);
+}
+
+/* What accuses a prompt must be an end by the upstream, not a limit of this
+   daemon or an answer. */
+START_TEST(only_closed_connections_count_as_disconnects)
+{
+    static const struct {
+        upstream_script *script;
+        bool stream;
+        bool disconnected;
+    } rows[] = {
+        {close_without_answer, false, true},
+        {reset_without_answer, true, true},
+        {send_broken_stream, true, true},
+        {stalled_stream, true, false},
+        {endless_headers, false, false},
+        {answer_with_error, true, false},
+        {slow_stream, true, false},
+    };
+    for (size_t i = 0; i < BBM_COUNT(rows); i++) {
+        fixture w;
+        set_up(&w, rows[i].script);
+        w.upstream.stream = (struct broken_stream){
+            .body = LF_STREAM, .status = 200, .sent_len = 20};
+        ended e = run_request(&w, false, rows[i].stream);
+        ck_assert_msg(e.result.disconnected == rows[i].disconnected,
+                      "row %zu: outcome %d", i, (int)e.result.outcome);
+        exchange_unref(e.ex);
+        tear_down(&w);
+    }
+}
+END_TEST
+
+/* libcurl connects again after a close on a connection that was in use
+   before, and is refused. */
+START_TEST(crash_on_a_reused_connection_is_a_disconnect)
+{
+    for (int repeatable = 0; repeatable < 2; repeatable++) {
+        fixture w;
+        set_up(&w, crash_at_second_request);
+        ended first = run_request(&w, repeatable, false);
+        check_whole(&first);
+        ck_assert(!first.result.disconnected);
+        ck_assert_int_gt(first.result.began_at, 0);
+        ended second = run_request(&w, repeatable, false);
+        ck_assert_int_eq(second.result.outcome, BBM_FORWARD_NO_ANSWER);
+        ck_assert(second.result.disconnected);
+        exchange_unref(second.ex);
+        tear_down(&w);
+    }
+}
+END_TEST
+
+START_TEST(long_streams_are_reported_as_sound)
+{
+    fixture w;
+    set_up(&w, slow_stream);
+    exchange *ex = start_request(&w, false, true);
+    control_item *item = expect_item(&w, CONTROL_STREAM_PROGRESS, END_MS_MAX);
+    ck_assert_uint_eq(item->id, ex->id);
+    ck_assert_int_ge(control_now() - item->began_at, BBM_SECOND);
+    control_item_destroy(item);
+    exchange_unref(ex);
+    tear_down(&w);
+}
+END_TEST
+
 /* ---- what upstreams say of themselves ---- */
 
 static void
@@ -884,4 +992,7 @@
           framed_stream_without_its_end_is_not_complete,
           stream_that_is_reset_is_not_complete,
           stream_answer_without_content_is_complete,
-          unframed_answer_is_complete_unless_reset, notices_are_reported);
+          unframed_answer_is_complete_unless_reset,
+          only_closed_connections_count_as_disconnects,
+          crash_on_a_reused_connection_is_a_disconnect,
+          long_streams_are_reported_as_sound, notices_are_reported);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -1132,10 +1132,10 @@
 {
     for (size_t vm = 0; vm < VMS; vm++) {
         bbm_buf one = {0};
-        bbm_gate_put_placements(f->vms[vm].gate, &one);
+        bbm_gate_put_news(f->vms[vm].gate, f->now, &one);
         for (size_t to = 0; to < VMS; to++) {
             bbm_reader rd = bbm_reader_of(one.data, one.len);
-            bbm_gate_get_placements(f->vms[to].gate, &rd, to == vm, f->now);
+            bbm_gate_get_news(f->vms[to].gate, &rd, to == vm, f->now);
             ck_assert(bbm_reader_done(&rd));
         }
         bbm_buf_free(&one);
--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,388 @@
+/* The quarantine of prompt parts that crash runners: what accuses, acquits and
+   quarantines a part, and what VMs tell each other. */
+#include "bbm_quarantine.h"
+#include "test_main.h"
+
+#include <string.h>
+
+#define DEADLY 7
+#define SOUND 8
+#define START (1000 * BBM_SECOND)
+#define NEWS_PERIOD (100 * BBM_MS)
+#define FIRST_QUARANTINE (600 * BBM_SECOND)
+
+/* Time by which a part must be quarantined after its third crash, if others
+   are answered meanwhile: less than VMs have by the users' rules. */
+#define DECISION_TIME_MAX (2500 * BBM_MS)
+
+static bbm_upstream_run
+run_at(uint64_t upstream)
+{
+    return (bbm_upstream_run){.upstream = upstream, .run = 1};
+}
+
+static void
+crash(bbm_quarantine *q, uint64_t upstream, uint64_t part, bbm_time sent_at,
+      bbm_time at)
+{
+    bbm_part_crash c = {.run = run_at(upstream), .sent_at = sent_at, .at = at};
+    bbm_quarantine_add_crash(q, &c, &part, 1, at);
+}
+
+static void
+answer(bbm_quarantine *q, uint64_t upstream, uint64_t part, bbm_time began_at,
+       bbm_time at)
+{
+    bbm_part_answer a = {.run = run_at(upstream),
+                         .sent_at = began_at - 10 * BBM_MS,
+                         .began_at = began_at};
+    bbm_quarantine_add_answer(q, &a, &part, 1, at);
+}
+
+/* Ticks for a span, in which other requests are answered. */
+static bbm_time
+pass(bbm_quarantine *q, bbm_time now, bbm_time span)
+{
+    for (bbm_time t = now; t < now + span; t += 50 * BBM_MS) {
+        answer(q, 500, SOUND, t - 20 * BBM_MS, t);
+        bbm_quarantine_tick(q, t);
+    }
+    return now + span;
+}
+
+static bool
+is_refused(const bbm_quarantine *q, uint64_t part, bbm_time now)
+{
+    const bbm_quarantine_entry *e;
+    return bbm_quarantine_judge(q, &part, 1, now, &e) == BBM_PARTS_REFUSED;
+}
+
+/* Crashes a second apart, each on a request sent after the one before. */
+static bbm_time
+crash_often(bbm_quarantine *q, uint64_t part, int count, bbm_time now)
+{
+    for (int i = 0; i < count; i++) {
+        crash(q, 1 + (uint64_t)i, part, now - 100 * BBM_MS, now);
+        now = pass(q, now, BBM_SECOND);
+    }
+    return now;
+}
+
+static bbm_quarantine *
+create_with_deadly(bbm_time *now)
+{
+    bbm_quarantine *q = bbm_quarantine_create(1);
+    *now = crash_often(q, DEADLY, 3, START);
+    *now = pass(q, *now, DECISION_TIME_MAX - BBM_SECOND);
+    ck_assert(is_refused(q, DEADLY, *now));
+    return q;
+}
+
+START_TEST(third_crash_quarantines)
+{
+    bbm_quarantine *q = bbm_quarantine_create(1);
+    bbm_time now = crash_often(q, DEADLY, 2, START);
+    now = pass(q, now, 60 * BBM_SECOND);
+    ck_assert(!is_refused(q, DEADLY, now));
+    crash(q, 3, DEADLY, now - 100 * BBM_MS, now);
+    ck_assert(!is_refused(q, DEADLY, now));
+    now = pass(q, now, DECISION_TIME_MAX);
+    ck_assert(is_refused(q, DEADLY, now));
+    ck_assert(!is_refused(q, SOUND, now));
+    ck_assert_uint_eq(bbm_quarantine_count(q, now), 1);
+    bbm_quarantine_change change;
+    ck_assert(bbm_quarantine_next_change(q, &change));
+    ck_assert_int_eq(change.kind, BBM_PART_QUARANTINED);
+    ck_assert_uint_eq(change.entry.part, DEADLY);
+    ck_assert_uint_eq(change.entry.crashes_len, 3);
+    ck_assert(!bbm_quarantine_next_change(q, &change));
+    bbm_quarantine_destroy(q);
+}
+END_TEST
+
+/* One crash ends many requests, and several VMs report them. */
+START_TEST(crash_of_a_run_counts_once)
+{
+    bbm_quarantine *q = bbm_quarantine_create(1);
+    bbm_time now = START;
+    for (int i = 0; i < 20; i++) {
+        crash(q, 1, DEADLY, now - 100 * BBM_MS, now);
+        now = pass(q, now, 400 * BBM_MS);
+    }
+    ck_assert(!is_refused(q, DEADLY, now));
+    bbm_quarantine_destroy(q);
+}
+END_TEST
+
+START_TEST(loss_of_many_runners_at_once_quarantines_nothing)
+{
+    bbm_quarantine *q = bbm_quarantine_create(1);
+    for (uint64_t i = 0; i < 12; i++)
+        crash(q, i, DEADLY, START - (bbm_time)(20 * i) * BBM_MS,
+              START + (bbm_time)(10 * i) * BBM_MS);
+    bbm_time now = pass(q, START, 30 * BBM_SECOND);
+    ck_assert(!is_refused(q, DEADLY, now));
+    bbm_quarantine_destroy(q);
+}
+END_TEST
+
+START_TEST(answer_that_began_later_acquits)
+{
+    bbm_quarantine *q = bbm_quarantine_create(1);
+    bbm_time now = START;
+    for (int i = 0; i < 10; i++) {
+        now = crash_often(q, DEADLY, 2, now);
+        answer(q, 400, DEADLY, now - 20 * BBM_MS, now);
+    }
+    now = pass(q, now, 5 * BBM_SECOND);
+    ck_assert(!is_refused(q, DEADLY, now));
+    bbm_quarantine_destroy(q);
+}
+END_TEST
+
+/* It began before the part crashed anything. */
+START_TEST(answer_that_began_earlier_does_not_acquit)
+{
+    bbm_quarantine *q = bbm_quarantine_create(1);
+    bbm_time now = crash_often(q, DEADLY, 3, START);
+    answer(q, 400, DEADLY, START - BBM_SECOND, now);
+    now = pass(q, now, DECISION_TIME_MAX);
+    ck_assert(is_refused(q, DEADLY, now));
+    bbm_quarantine_destroy(q);
+}
+END_TEST
+
+/* If no runner works, the parts that all requests share aren't the cause. */
+START_TEST(nothing_is_quarantined_while_nothing_is_answered)
+{
+    bbm_quarantine *q = bbm_quarantine_create(1);
+    bbm_time now = START;
+    for (uint64_t i = 0; i < 8; i++) {
+        crash(q, i, DEADLY, now - 100 * BBM_MS, now);
+        now += BBM_SECOND;
+        bbm_quarantine_tick(q, now);
+    }
+    bbm_quarantine_tick(q, now + 10 * BBM_SECOND);
+    ck_assert(!is_refused(q, DEADLY, now + 10 * BBM_SECOND));
+    bbm_quarantine_destroy(q);
+}
+END_TEST
+
+/* A faulty runner that breaks off answers, and goes on. */
+START_TEST(run_that_answers_later_requests_has_not_crashed)
+{
+    bbm_quarantine *q = bbm_quarantine_create(1);
+    bbm_time now = START;
+    for (uint64_t i = 0; i < 12; i++) {
+        crash(q, i, DEADLY, now - 100 * BBM_MS, now);
+        now = pass(q, now, 500 * BBM_MS);
+        answer(q, i, SOUND, now, now + 20 * BBM_MS);
+        now = pass(q, now, 500 * BBM_MS);
+    }
+    now = pass(q, now, 5 * BBM_SECOND);
+    ck_assert(!is_refused(q, DEADLY, now));
+    bbm_quarantine_destroy(q);
+}
+END_TEST
+
+START_TEST(answer_releases)
+{
+    bbm_time now;
+    bbm_quarantine *q = create_with_deadly(&now);
+    answer(q, 400, DEADLY, now - 20 * BBM_MS, now);
+    ck_assert(!is_refused(q, DEADLY, now));
+    bbm_quarantine_destroy(q);
+}
+END_TEST
+
+START_TEST(quarantine_ends_and_one_crash_renews_it)
+{
+    bbm_time now;
+    bbm_quarantine *q = create_with_deadly(&now);
+    now = pass(q, now, FIRST_QUARANTINE);
+    ck_assert(!is_refused(q, DEADLY, now));
+    crash(q, 50, DEADLY, now, now + 100 * BBM_MS);
+    now += 100 * BBM_MS;
+    ck_assert(is_refused(q, DEADLY, now));
+    ck_assert(is_refused(q, DEADLY, now + FIRST_QUARANTINE + BBM_SECOND));
+    ck_assert(!is_refused(q, DEADLY, now + 3 * FIRST_QUARANTINE));
+    bbm_quarantine_destroy(q);
+}
+END_TEST
+
+START_TEST(parts_that_came_together_are_tried_apart)
+{
+    bbm_quarantine *q = bbm_quarantine_create(1);
+    uint64_t both[] = {DEADLY, 9};
+    uint64_t companion = 9;
+    uint64_t deadly = DEADLY;
+    const bbm_quarantine_entry *e;
+    bbm_time now = START;
+    for (uint64_t i = 0; i < 3; i++) {
+        bbm_part_crash c = {
+            .run = run_at(i), .sent_at = now - 100 * BBM_MS, .at = now};
+        bbm_quarantine_add_crash(q, &c, both, 2, now);
+        now = pass(q, now, BBM_SECOND);
+    }
+    now = pass(q, now, DECISION_TIME_MAX);
+    ck_assert_uint_eq(bbm_quarantine_count(q, now), 2);
+    ck_assert_int_eq(bbm_quarantine_judge(q, both, 2, now, &e),
+                     BBM_PARTS_REFUSED);
+    ck_assert_int_eq(bbm_quarantine_judge(q, &companion, 1, now, &e),
+                     BBM_PARTS_TRIAL);
+    ck_assert(bbm_quarantine_begin_trial(q, &companion, 1, now));
+    ck_assert(!bbm_quarantine_begin_trial(q, &companion, 1, now + BBM_MS));
+    /* Crashes without the companion settle it as well. */
+    crash(q, 30, DEADLY, now, now + 100 * BBM_MS);
+    now += 100 * BBM_MS;
+    ck_assert_int_eq(bbm_quarantine_judge(q, &deadly, 1, now, &e),
+                     BBM_PARTS_REFUSED);
+    answer(q, 400, companion, now - BBM_MS, now);
+    ck_assert_int_eq(bbm_quarantine_judge(q, &companion, 1, now, &e),
+                     BBM_PARTS_CLEAR);
+    ck_assert(is_refused(q, DEADLY, now));
+    bbm_quarantine_destroy(q);
+}
+END_TEST
+
+/* Any caller can have a request with many new parts ended by a crash. */
+START_TEST(memory_is_bounded_and_keeps_what_is_quarantined)
+{
+    bbm_time now;
+    bbm_quarantine *q = create_with_deadly(&now);
+    uint64_t parts[1500];
+    for (uint64_t i = 0; i < 40; i++) {
+        for (uint64_t k = 0; k < BBM_COUNT(parts); k++)
+            parts[k] = 1000 + i * BBM_COUNT(parts) + k;
+        bbm_part_crash c = {.run = run_at(100 + i), .sent_at = now, .at = now};
+        bbm_quarantine_add_crash(q, &c, parts, BBM_COUNT(parts), now);
+        bbm_buf buf = {0};
+        bbm_quarantine_put_news(q, now, &buf);
+        ck_assert_uint_lt(buf.len, 128 * 1024);
+        bbm_buf_free(&buf);
+        now = pass(q, now, 100 * BBM_MS);
+    }
+    ck_assert(is_refused(q, DEADLY, now));
+    bbm_quarantine_destroy(q);
+}
+END_TEST
+
+/* ---- several VMs ---- */
+
+#define VMS 10
+
+/* Everything that each VM has to tell reaches all. */
+static void
+exchange_news(bbm_quarantine **vms, bbm_time now)
+{
+    for (size_t from = 0; from < VMS; from++) {
+        bbm_buf buf = {0};
+        bbm_quarantine_put_news(vms[from], now, &buf);
+        for (size_t to = 0; to < VMS; to++) {
+            bbm_reader rd = bbm_reader_of(buf.data, buf.len);
+            bbm_quarantine_get_news(vms[to], &rd, to == from, now);
+            ck_assert(bbm_reader_done(&rd));
+        }
+        bbm_buf_free(&buf);
+    }
+}
+
+static bbm_time
+pass_together(bbm_quarantine **vms, bbm_time now, bbm_time span)
+{
+    bbm_time end = now + span;
+    for (; now < end; now += NEWS_PERIOD) {
+        for (size_t vm = 0; vm < VMS; vm++)
+            pass(vms[vm], now, NEWS_PERIOD);
+        exchange_news(vms, now);
+    }
+    return now;
+}
+
+/* No two VMs see the same crash. */
+START_TEST(vms_put_together_what_each_has_seen)
+{
+    bbm_quarantine *vms[VMS];
+    bbm_time now = START;
+    for (size_t vm = 0; vm < VMS; vm++) {
+        vms[vm] = bbm_quarantine_create(vm);
+        bbm_quarantine_set_vm_count(vms[vm], VMS);
+    }
+    for (uint64_t i = 0; i < 3; i++) {
+        crash(vms[2 * i], i, DEADLY, now - 100 * BBM_MS, now);
+        now = pass_together(vms, now, BBM_SECOND);
+    }
+    now = pass_together(vms, now, DECISION_TIME_MAX - BBM_SECOND);
+    for (size_t vm = 0; vm < VMS; vm++)
+        ck_assert(is_refused(vms[vm], DEADLY, now));
+    /* VMs that restart hear of it within three seconds. */
+    for (size_t vm = 0; vm < VMS; vm += 2) {
+        bbm_quarantine_destroy(vms[vm]);
+        vms[vm] = bbm_quarantine_create(100 + vm);
+        bbm_quarantine_set_vm_count(vms[vm], VMS);
+    }
+    now = pass_together(vms, now, 3 * BBM_SECOND);
+    for (size_t vm = 0; vm < VMS; vm++)
+        ck_assert(is_refused(vms[vm], DEADLY, now));
+    /* They don't prolong it for each other. */
+    now = pass_together(vms, now, FIRST_QUARANTINE);
+    for (size_t vm = 0; vm < VMS; vm++) {
+        ck_assert(!is_refused(vms[vm], DEADLY, now));
+        bbm_quarantine_destroy(vms[vm]);
+    }
+}
+END_TEST
+
+START_TEST(acquittal_reaches_other_vms)
+{
+    bbm_quarantine *vms[VMS];
+    bbm_time now = START;
+    for (size_t vm = 0; vm < VMS; vm++)
+        vms[vm] = bbm_quarantine_create(vm);
+    for (uint64_t i = 0; i < 8; i++) {
+        crash(vms[i], i, DEADLY, now - 100 * BBM_MS, now);
+        now = pass_together(vms, now, 600 * BBM_MS);
+        if (i % 2)
+            answer(vms[9], 400, DEADLY, now - 20 * BBM_MS, now);
+    }
+    now = pass_together(vms, now, 3 * BBM_SECOND);
+    for (size_t vm = 0; vm < VMS; vm++) {
+        ck_assert(!is_refused(vms[vm], DEADLY, now));
+        bbm_quarantine_destroy(vms[vm]);
+    }
+}
+END_TEST
+
+START_TEST(malformed_news_are_rejected)
+{
+    bbm_quarantine *q = bbm_quarantine_create(1);
+    bbm_rng rng = bbm_rng_of(20261204);
+    for (int i = 0; i < 20000; i++) {
+        bbm_buf buf = {0};
+        size_t len = (size_t)bbm_rng_below(&rng, 40);
+        bbm_put_u64(&buf, bbm_rng_below(&rng, 5));
+        bbm_put_u64(&buf, bbm_rng_below(&rng, 6));
+        for (size_t k = 0; k < len; k++) {
+            uint8_t byte = (uint8_t)bbm_rng_next(&rng);
+            bbm_buf_add(&buf, &byte, 1);
+        }
+        bbm_reader rd = bbm_reader_of(buf.data, buf.len);
+        bbm_quarantine_get_news(q, &rd, false, START);
+        bbm_quarantine_tick(q, START);
+        bbm_buf_free(&buf);
+    }
+    bbm_quarantine_destroy(q);
+}
+END_TEST
+
+TEST_MAIN("quarantine", third_crash_quarantines, crash_of_a_run_counts_once,
+          loss_of_many_runners_at_once_quarantines_nothing,
+          answer_that_began_later_acquits,
+          answer_that_began_earlier_does_not_acquit,
+          nothing_is_quarantined_while_nothing_is_answered,
+          run_that_answers_later_requests_has_not_crashed, answer_releases,
+          quarantine_ends_and_one_crash_renews_it,
+          parts_that_came_together_are_tried_apart,
+          memory_is_bounded_and_keeps_what_is_quarantined,
+          vms_put_together_what_each_has_seen, acquittal_reaches_other_vms,
+          malformed_news_are_rejected);
--- a/tests/test_tainted.c
+++ b/tests/test_tainted.c
@@ -23,10 +23,11 @@
 #define VMS_MAX 200
 #define RUNNERS_MAX 120
 #define PARTS_MAX 40
-#define CRASHES_MAX 4096
+#define DEADLY_PARTS_MAX 4
 #define SESSIONS 90
 #define FIRST_PART 1
 #define DEADLY_PART 7000
+#define COMPANION (SESSIONS + 5)
 #define BEGIN_TIME (4 * BBM_SECOND)
 
 static const char config_text[] =
@@ -59,6 +60,8 @@
     bbm_time end;
     int ordinary_crashes;    /* runners that crash at a time, each 2 s */
     bbm_time vm_restarts_at; /* half of the VMs; 0: never */
+    bool companion;          /* deadly requests share a session that few sound
+                                ones have */
     double cut_share;        /* of answers that a sound runner breaks off */
 } load;
 
@@ -99,6 +102,12 @@
     bbm_time down_since;
 } sim_runner;
 
+typedef struct deadly_part {
+    size_t crashes;
+    bbm_time last_counted_at; /* the crash that CRASHES_ALLOWED counts to */
+    size_t late;              /* requests that reached a runner too late */
+} deadly_part;
+
 typedef struct world {
     load load;
     bbm_config *cfg;
@@ -116,10 +125,8 @@
     bbm_rng rng;
     bbm_time started_at;
     bbm_time now;
-    bbm_time crashes[CRASHES_MAX]; /* by a deadly part */
-    size_t crashes_len;
+    deadly_part deadly[DEADLY_PARTS_MAX];
     size_t crashed_runs; /* also ordinary crashes */
-    size_t deadly_late;  /* that reached a runner too late */
 } world;
 
 static bbm_time
@@ -184,6 +191,9 @@
         .attempt = a->send.attempt,
         .outcome = outcome,
         .status = outcome == BBM_FORWARD_COMPLETE || a->begun ? 200 : 0,
+        .disconnected = outcome == BBM_FORWARD_TRUNCATED
+                        || outcome == BBM_FORWARD_NO_ANSWER,
+        .began_at = a->begun ? a->begin_at : 0,
     };
     TAILQ_REMOVE(&w->attempts, a, link);
     bbm_gate_end_attempt(w->gates[a->vm], &result, w->now);
@@ -237,6 +247,12 @@
     add_call(w, &again);
 }
 
+static deadly_part *
+deadly_of(world *w, const call *c)
+{
+    return &w->deadly[c->deadly_part - DEADLY_PART];
+}
+
 static void
 start_attempt(world *w, int vm, const bbm_gate_output *out)
 {
@@ -257,9 +273,11 @@
         a->begin_at = w->now;
         return;
     }
-    bool late = w->crashes_len >= CRASHES_ALLOWED
-                && w->now > w->crashes[CRASHES_ALLOWED - 1] + CONTACT_TIME;
-    w->deadly_late += a->c->deadly && late;
+    if (!a->c->deadly)
+        return;
+    deadly_part *d = deadly_of(w, a->c);
+    d->late += d->crashes >= CRASHES_ALLOWED
+               && w->now > d->last_counted_at + CONTACT_TIME;
 }
 
 static void
@@ -304,8 +322,9 @@
         return;
     }
     if (!a->begun && w->now >= a->begin_at && a->c->deadly) {
-        if (w->crashes_len < CRASHES_MAX)
-            w->crashes[w->crashes_len++] = w->now;
+        deadly_part *d = deadly_of(w, a->c);
+        if (d->crashes++ < CRASHES_ALLOWED)
+            d->last_counted_at = w->now;
         crash(w, a->runner);
         return;
     }
@@ -358,7 +377,7 @@
     }
     w->calls[vm][number] = c;
     parts[len++] = (bbm_prompt_part){FIRST_PART + !c->plan, 2520};
-    while (c->deadly && len < w->load.deadly_place) {
+    while (c->plan != w->load.ask && len < w->load.deadly_place) {
         parts[len] = (bbm_prompt_part){20 + len, 16};
         len++;
     }
@@ -404,6 +423,10 @@
         };
         c.deadly = deadly_now(w) && c.plan != w->load.ask
                    && bbm_rng_unit(&w->rng) < w->load.deadly_share;
+        if (w->load.companion && !c.deadly)
+            c.session = bbm_rng_unit(&w->rng) < 0.01 ? COMPANION : c.session;
+        if (w->load.companion && c.deadly)
+            c.session = COMPANION;
         if (c.deadly)
             c.deadly_part =
                 DEADLY_PART
@@ -427,7 +450,7 @@
         for (int to = 0; w->news[from].len && to < w->load.vms; to++) {
             bbm_reader rd =
                 bbm_reader_of(w->news[from].data, w->news[from].len);
-            bbm_gate_get_placements(w->gates[to], &rd, to == from, w->now);
+            bbm_gate_get_news(w->gates[to], &rd, to == from, w->now);
             ck_assert(bbm_reader_done(&rd));
         }
         w->news[from].len = 0;
@@ -453,7 +476,7 @@
         bbm_reader rd = bbm_reader_of(one.data, one.len);
         bbm_loads_add_report(w->loads, name, &rd, w->now);
         bbm_buf_free(&one);
-        bbm_gate_put_placements(w->gates[vm], &w->news[vm]);
+        bbm_gate_put_news(w->gates[vm], w->now, &w->news[vm]);
     }
     bbm_loads_put_totals(w->loads, w->now, &w->totals);
 }
@@ -585,14 +608,14 @@
 
 /* Sound requests that share the first part with the deadly ones. */
 static service
-sound_service(const world *w, bbm_time from, bbm_time until)
+sound_service(const world *w, bbm_time from, bbm_time until, bool companions)
 {
     service s = {0};
     const call *c;
     TAILQ_FOREACH(c, &w->past, link)
     {
         if (c->deadly || !c->first || c->plan == w->load.ask || c->at < from
-            || c->at >= until)
+            || c->at >= until || (companions && c->session != COMPANION))
             continue;
         s.calls++;
         s.begun += c->begun;
@@ -605,19 +628,24 @@
 {
     world *w = create_world(l);
     run_world(w);
-    ck_assert_uint_ge(w->crashes_len, 3);
-    bbm_time last =
-        w->crashes[w->crashes_len < CRASHES_ALLOWED ? w->crashes_len - 1
-                                                    : CRASHES_ALLOWED - 1];
+    bbm_time last = 0;
+    size_t crashes = 0;
+    for (int i = 0; i < l->deadly_parts; i++) {
+        const deadly_part *d = &w->deadly[i];
+        ck_assert_uint_ge(d->crashes, 3);
+        ck_assert_msg(d->late <= ALLOWED_LATER, "seed %d: %zu late",
+                      (int)l->seed, d->late);
+        last = d->last_counted_at > last ? d->last_counted_at : last;
+        crashes += d->crashes;
+    }
     service before =
-        sound_service(w, w->started_at, w->started_at + BEGIN_TIME);
-    service after =
-        sound_service(w, last + 2 * CONTACT_TIME, w->now - BBM_SECOND);
-    printf("%d VMs, seed %d: %zu crashes, %zu late, sound %zu of %zu before, "
-           "%zu of %zu after\n",
-           l->vms, (int)l->seed, w->crashes_len, w->deadly_late, before.begun,
-           before.calls, after.begun, after.calls);
-    ck_assert_uint_le(w->deadly_late, ALLOWED_LATER);
+        sound_service(w, w->started_at, w->started_at + BEGIN_TIME, false);
+    service after = sound_service(w, last + 2 * CONTACT_TIME,
+                                  w->now - BBM_SECOND, l->companion);
+    printf("%d VMs, seed %d: %zu crashes, sound %zu of %zu before, %zu of %zu "
+           "after\n",
+           l->vms, (int)l->seed, crashes, before.begun, before.calls,
+           after.begun, after.calls);
     ck_assert_uint_ge(after.calls, 20);
     ck_assert(2 * after.begun * before.calls >= before.begun * after.calls);
     destroy_world(w);
@@ -661,5 +689,105 @@
 }
 END_TEST
 
+START_TEST(several_parts_that_crash_runners_at_once)
+{
+    load l = few_vms;
+    l.seed = 11;
+    l.deadly_parts = 3;
+    l.deadly_share = 0.1;
+    check_tainted(&l);
+}
+END_TEST
+
+START_TEST(part_that_crashes_runners_returns_after_a_pause)
+{
+    load l = few_vms;
+    l.seed = 12;
+    l.pause_from = 8 * BBM_SECOND;
+    l.pause_until = 30 * BBM_SECOND;
+    l.end = 45 * BBM_SECOND;
+    check_tainted(&l);
+}
+END_TEST
+
+START_TEST(part_that_crashes_runners_beyond_the_placed_parts)
+{
+    load l = few_vms;
+    l.seed = 13;
+    l.deadly_place = BBM_PROMPT_PARTS_MAX + 4;
+    check_tainted(&l);
+}
+END_TEST
+
+/* A stream that is resumed elsewhere would take the next runner with it. */
+START_TEST(resumed_streams_do_not_crash_runner_after_runner)
+{
+    load l = few_vms;
+    l.seed = 14;
+    l.ask = true;
+    check_tainted(&l);
+}
+END_TEST
+
+START_TEST(restarted_vms_know_the_part_that_crashes_runners)
+{
+    load l = few_vms;
+    l.seed = 15;
+    l.vm_restarts_at = 12 * BBM_SECOND;
+    check_tainted(&l);
+}
+END_TEST
+
+START_TEST(ordinary_crashes_beside_a_part_that_crashes_runners)
+{
+    load l = few_vms;
+    l.seed = 16;
+    l.ordinary_crashes = 2;
+    l.cut_share = 0.02;
+    check_tainted(&l);
+}
+END_TEST
+
+/* A sound part that always came with the one that crashes runners. */
+START_TEST(companion_part_is_tried_alone)
+{
+    for (uint64_t seed = 17; seed <= 20; seed++) {
+        load l = few_vms;
+        l.seed = seed;
+        l.companion = true;
+        l.end = 80 * BBM_SECOND;
+        check_tainted(&l);
+    }
+}
+END_TEST
+
+/* Losses of many runners at once and answers that are broken off accuse sound
+   parts, but none is quarantined. */
+START_TEST(ordinary_crashes_quarantine_no_part)
+{
+    for (uint64_t seed = 21; seed <= 24; seed++) {
+        load l = few_vms;
+        l.seed = seed;
+        l.deadly_parts = 0;
+        l.ordinary_crashes = 9;
+        l.cut_share = 0.05;
+        world *w = create_world(&l);
+        run_world(w);
+        ck_assert_uint_gt(w->crashed_runs, 40);
+        for (int vm = 0; vm < l.vms; vm++)
+            ck_assert_uint_eq(bbm_gate_count(w->gates[vm]).refused_quarantined,
+                              0);
+        destroy_world(w);
+    }
+}
+END_TEST
+
 TEST_MAIN("tainted", part_that_crashes_runners_is_not_sent_on,
-          part_that_crashes_runners_is_known_to_200_vms);
+          part_that_crashes_runners_is_known_to_200_vms,
+          several_parts_that_crash_runners_at_once,
+          part_that_crashes_runners_returns_after_a_pause,
+          part_that_crashes_runners_beyond_the_placed_parts,
+          resumed_streams_do_not_crash_runner_after_runner,
+          restarted_vms_know_the_part_that_crashes_runners,
+          ordinary_crashes_beside_a_part_that_crashes_runners,
+          companion_part_is_tried_alone, ordinary_crashes_quarantine_no_part);
