Quarantined parts are tried, so that sound ones that came along are released

Test: part_with_other_crashes_is_tried, parts_of_most_requests_stay_in_use (red before: 11 requests too late, and a companion part 0 of 31 served while a trial with both parts settled both). Change: explained are crashes that another quarantined part of a request's own lacks has too; fewer than three others, and it is tried. Other requests are tried with the chance of one by the number of VMs, until such a trial fails. With that as a net the verdict needs to wait 0.5 s instead of 1.5 s, and for one answer instead of three. Ruled out: not quarantining what another part explains, as that may be a sound one.

--- a/gate/bbm_quarantine.c
+++ b/gate/bbm_quarantine.c
@@ -8,10 +8,10 @@
 /* A request that was sent this long after a crash was sent in spite of it:
    longer than what VMs tell each other takes to arrive. */
 #define CRASH_KNOWN_AFTER (300 * BBM_MS)
-/* Time after the third crash in which sound parts that are in use are
-   acquitted: an answer counts a second after it began, and what another VM
-   has seen arrives within half a second. */
-#define ACQUITTAL_TIME (1500 * BBM_MS)
+/* Time after the third crash in which most sound parts that are in use are
+   acquitted, with what other VMs have seen.  The rest is released by trials:
+   to wait longer costs more runners. */
+#define ACQUITTAL_TIME (500 * BBM_MS)
 /* A runner that has crashed answers nothing again within this time.  Later, an
    answer may be by its next run, of which this VM hasn't heard. */
 #define RESTART_TIME_MIN BBM_SECOND
@@ -105,6 +105,8 @@
 lift(bbm_quarantine *q, quarantine_part *p)
 {
     p->in_force = false;
+    p->entry.trial_failed = false;
+    p->entry.proved_alone = false;
     q->in_force_len--;
 }
 
@@ -206,14 +208,9 @@
 static bool
 is_proved(const bbm_quarantine *q, const quarantine_part *p, bbm_time now)
 {
-    if (!p->counted_at || !p->crashed_again
-        || now - p->counted_at < ACQUITTAL_TIME)
-        return false;
-    for (size_t i = 0; i < QUARANTINE_ANSWERS_MIN; i++) {
-        if (q->answers_began_at[i] <= p->counted_at)
-            return false;
-    }
-    return true;
+    return p->counted_at && p->crashed_again
+           && now - p->counted_at >= ACQUITTAL_TIME
+           && q->answer_began_at > p->counted_at;
 }
 
 /* ---- evidence ---- */
@@ -285,8 +282,35 @@
     if (!p->counted_at && e->crashes_len >= QUARANTINE_CRASHES_MIN)
         p->counted_at = crash->at;
     bool again = !p->in_force && p->times > 0 && crash->sent_at > e->until;
-    if (again)
-        quarantine(q, p, now);
+    if (!again)
+        return;
+    quarantine(q, p, now);
+    e->trial_failed = true;
+    e->proved_alone = true;
+}
+
+static quarantine_part *
+find_quarantined(const bbm_quarantine *q, uint64_t part, bbm_time now)
+{
+    quarantine_part *p = q->parts ? find_part(q, part) : NULL;
+    return p && p->in_force && now < p->entry.until ? p : NULL;
+}
+
+static void
+record_failed_trial(bbm_quarantine *q, const uint64_t *parts, size_t len,
+                    bbm_time now)
+{
+    size_t quarantined = 0;
+    for (size_t i = 0; i < len; i++)
+        quarantined += find_quarantined(q, parts[i], now) != NULL;
+    for (size_t i = 0; i < len; i++) {
+        quarantine_part *p = find_quarantined(q, parts[i], now);
+        if (!p)
+            continue;
+        p->entry.trial_failed = true;
+        p->entry.proved_alone = p->entry.proved_alone || quarantined == 1;
+        quarantine_announce(q, p, SENDS, now);
+    }
 }
 
 void
@@ -300,6 +324,8 @@
         r->at = crash->at;
     for (size_t i = 0; i < len; i++)
         accuse_part(q, parts[i], crash, now);
+    if (crash->trial)
+        record_failed_trial(q, parts, len, now);
 }
 
 bool
@@ -354,17 +380,21 @@
 }
 
 void
-quarantine_adopt(bbm_quarantine *q, uint64_t part, bbm_time until,
-                 bbm_time last_crash_at, uint32_t times, bbm_time now)
+quarantine_adopt(bbm_quarantine *q, const bbm_quarantine_entry *entry,
+                 uint32_t times, bbm_time now)
 {
-    quarantine_part *p = find_or_add_part(q, part);
-    if (p->in_force || until <= now || last_crash_at <= p->acquitted_at)
+    quarantine_part *p = find_or_add_part(q, entry->part);
+    if (entry->until <= now || entry->last_crash_at <= p->acquitted_at)
+        return;
+    p->entry.trial_failed = p->entry.trial_failed || entry->trial_failed;
+    p->entry.proved_alone = p->entry.proved_alone || entry->proved_alone;
+    if (p->in_force)
         return;
     p->changed_at = now;
     p->times = times;
-    if (last_crash_at > p->entry.last_crash_at)
-        p->entry.last_crash_at = last_crash_at;
-    put_in_force(q, p, until, BBM_PART_REPORTED);
+    if (entry->last_crash_at > p->entry.last_crash_at)
+        p->entry.last_crash_at = entry->last_crash_at;
+    put_in_force(q, p, entry->until, BBM_PART_REPORTED);
     quarantine_announce(q, p, 0, now);
 }
 
@@ -429,8 +459,8 @@
 bbm_quarantine_add_answer(bbm_quarantine *q, const bbm_part_answer *answer,
                           const uint64_t *parts, size_t len, bbm_time now)
 {
-    q->answers_began_at[q->next_answer] = answer->began_at;
-    q->next_answer = (q->next_answer + 1) % QUARANTINE_ANSWERS_MIN;
+    if (answer->began_at > q->answer_began_at)
+        q->answer_began_at = answer->began_at;
     if (!q->parts)
         return;
     for (size_t i = 0; i < len; i++)
@@ -496,36 +526,41 @@
     return false;
 }
 
-/* True if all crashes of a part are crashes of the other one too, as far as
-   these are recorded. */
+/* True if a run crashed with the part, as far as that is recorded. */
 static bool
-explains(const quarantine_part *other, const quarantine_part *p)
-{
-    const bbm_quarantine_entry *e = &other->entry;
-    for (size_t i = 0; i < p->entry.crashes_len; i++) {
-        const bbm_part_crash *c = &p->entry.crashes[i];
-        bool forgotten = e->crashes_len == BBM_QUARANTINE_CRASHES_MAX
-                         && c->at < e->crashes[0].at;
-        if (!forgotten && !is_recorded(e, &c->run))
-            return false;
-    }
-    return p->entry.crashes_len > 0;
+has_crash(const bbm_quarantine_entry *e, const bbm_part_crash *crash)
+{
+    bool forgotten = e->crashes_len == BBM_QUARANTINE_CRASHES_MAX
+                     && crash->at < e->crashes[0].at;
+    return forgotten || is_recorded(e, &crash->run);
 }
 
-/* True if another quarantined part, which isn't among these, explains the
-   crashes of this one. */
+/* True if a quarantined part that isn't among these has the crash too. */
 static bool
-is_explained(const bbm_quarantine *q, const quarantine_part *p,
+is_explained(const bbm_quarantine *q, const bbm_part_crash *crash,
              const uint64_t *parts, size_t len)
 {
     for (const quarantine_part *o = q->parts; o; o = o->hh.next) {
         if (o->in_force && !contains(parts, len, o->entry.part)
-            && explains(o, p))
+            && has_crash(&o->entry, crash))
             return true;
     }
     return false;
 }
 
+/* True if none of a part's crashes is explained, or enough of them remain. */
+static bool
+is_guilty(const bbm_quarantine *q, const quarantine_part *p,
+          const uint64_t *parts, size_t len)
+{
+    const bbm_quarantine_entry *e = &p->entry;
+    size_t explained = 0;
+    for (size_t i = 0; i < e->crashes_len; i++)
+        explained += is_explained(q, &e->crashes[i], parts, len);
+    return e->proved_alone || !explained
+           || e->crashes_len - explained >= QUARANTINE_CRASHES_MIN;
+}
+
 bbm_parts_verdict
 bbm_quarantine_judge(const bbm_quarantine *q, const uint64_t *parts,
                      size_t len, bbm_time now,
@@ -533,14 +568,14 @@
 {
     bbm_parts_verdict verdict = BBM_PARTS_CLEAR;
     *entry = NULL;
-    for (size_t i = 0; q->parts && i < len; i++) {
-        const quarantine_part *p = find_part(q, parts[i]);
-        if (!p || !p->in_force || now >= p->entry.until)
+    for (size_t i = 0; i < len; i++) {
+        const quarantine_part *p = find_quarantined(q, parts[i], now);
+        if (!p)
             continue;
         *entry = &p->entry;
-        verdict = BBM_PARTS_TRIAL;
-        if (!is_explained(q, p, parts, len))
-            return BBM_PARTS_REFUSED;
+        if (is_guilty(q, p, parts, len))
+            return BBM_PARTS_GUILTY;
+        verdict = BBM_PARTS_DOUBTED;
     }
     return verdict;
 }
@@ -549,15 +584,20 @@
 bbm_quarantine_begin_trial(bbm_quarantine *q, const uint64_t *parts,
                            size_t len, bbm_time now)
 {
+    const bbm_quarantine_entry *e;
+    bool guilty =
+        bbm_quarantine_judge(q, parts, len, now, &e) == BBM_PARTS_GUILTY;
     for (size_t i = 0; i < len; i++) {
-        const quarantine_part *p = find_part(q, parts[i]);
-        if (p && p->in_force && p->tried_at
-            && now - p->tried_at < BBM_TRIAL_TIME)
+        const quarantine_part *p = find_quarantined(q, parts[i], now);
+        bool in_trial = p && p->tried_at && now - p->tried_at < BBM_TRIAL_TIME;
+        if (in_trial || (p && guilty && p->entry.trial_failed))
             return false;
     }
+    if (guilty && bbm_rng_below(&q->rng, q->vms) > 0)
+        return false;
     for (size_t i = 0; i < len; i++) {
-        quarantine_part *p = find_part(q, parts[i]);
-        if (p && p->in_force)
+        quarantine_part *p = find_quarantined(q, parts[i], now);
+        if (p)
             p->tried_at = now;
     }
     return true;
--- a/gate/bbm_quarantine.h
+++ b/gate/bbm_quarantine.h
@@ -15,21 +15,29 @@
  *  - among them one on a request that was sent after the first crash was
  * known: a loss of many runners at once accuses what they had in common,
  *  - and since the third crash, time for acquittals of other VMs has passed
- *    and other answers began and were completed: otherwise no runner works.
+ *    and another answer began and was completed: otherwise no runner works.
  *  A run that completes a request sent after its supposed crash hasn't
  *  crashed.
  *
  *  Requests with a quarantined part are to be refused for ten minutes.  One
- *  further crash in the same time after that doubles it.  Parts that always
- *  came together are quarantined together.  A request that has only some of
- *  them can tell which one it is: each VM sends one at a time, as a trial.
+ *  further crash in the same time after that doubles it.
+ *
+ *  Sound parts may be quarantined too: those that always came with the one
+ *  that crashes runners, or, if most runners are down, those that most
+ * requests have.  So some requests are sent in spite of it, as trials.  A
+ * sound answer releases its parts.
+ *  - If less than three crashes remain without those of quarantined parts that
+ *    a request lacks, it is sent, one at a time at each VM.
+ *  - Any other request is sent with a probability of one by the number of VMs,
+ *    until such a trial has crashed a runner.
  *
  *      bbm_quarantine *q = bbm_quarantine_create(seed);
  *      bbm_quarantine_add_crash(q, &crash, ids, len, now);
  *      bbm_quarantine_add_answer(q, &answer, ids, len, now);
  *      bbm_quarantine_tick(q, now);
  *      const bbm_quarantine_entry *e;
- *      if (bbm_quarantine_judge(q, ids, len, now, &e) == BBM_PARTS_REFUSED)
+ *      if (bbm_quarantine_judge(q, ids, len, now, &e) != BBM_PARTS_CLEAR
+ *          && !bbm_quarantine_begin_trial(q, ids, len, now))
  *          ... refuse the request until e->until ...
  *
  *  The VMs send each other what they see and what they conclude.  Crashes are
@@ -63,6 +71,7 @@
     bbm_upstream_run run; /**< Where. */
     bbm_time sent_at;     /**< When the request was sent there. */
     bbm_time at;          /**< When the connection ended. */
+    bool trial;           /**< The request was a trial. */
 } bbm_part_crash;
 
 /** An answer was completed, or has been sending events for long. */
@@ -75,8 +84,11 @@
 
 /** What is known of a part. */
 typedef struct bbm_quarantine_entry {
-    uint64_t part;          /**< Id of the part. */
-    bbm_time until;         /**< Quarantined until then; 0: never was. */
+    uint64_t part;     /**< Id of the part. */
+    bbm_time until;    /**< Quarantined until then; 0: never was. */
+    bool trial_failed; /**< A trial has crashed a runner. */
+    bool
+        proved_alone; /**< It was the only quarantined part of such a trial. */
     bbm_time last_crash_at; /**< Latest crash that it is accused of. */
     size_t crashes_len;     /**< Number of crashes that are recorded. */
     bbm_part_crash crashes[BBM_QUARANTINE_CRASHES_MAX]; /**< Since it was last
@@ -89,10 +101,9 @@
 /** Whether a request may be sent. */
 typedef enum bbm_parts_verdict {
     BBM_PARTS_CLEAR,   /**< None of its parts is quarantined. */
-    BBM_PARTS_TRIAL,   /**< It may be sent as a trial: all crashes that its
-                            quarantined parts are accused of had another
-                            quarantined part too, which it lacks. */
-    BBM_PARTS_REFUSED, /**< It must not be sent. */
+    BBM_PARTS_DOUBTED, /**< Other quarantined parts, which it lacks, explain
+                            most crashes of its own. */
+    BBM_PARTS_GUILTY, /**< One of its parts is quarantined in its own right. */
 } bbm_parts_verdict;
 
 /** Why a part's state has changed; to be logged. */
@@ -139,8 +150,9 @@
                                        const uint64_t *parts, size_t len,
                                        bbm_time now,
                                        const bbm_quarantine_entry **entry);
-/** Begin a trial; false if another one of these parts has begun here less than
- *  BBM_TRIAL_TIME ago. */
+/** Decide whether a request with quarantined parts is sent as a trial; to be
+ *  called once per request.  False also if another trial of these parts has
+ *  begun here less than BBM_TRIAL_TIME ago. */
 bool bbm_quarantine_begin_trial(bbm_quarantine *q, const uint64_t *parts,
                                 size_t len, bbm_time now);
 /** Number of quarantined parts. */
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -429,7 +429,7 @@
 /* ---- gate_quarantine.c ---- */
 
 /** Record that the current attempt was ended by its upstream. */
-void gate_record_disconnect(bbm_gate *g, const gate_request *r);
+void gate_record_disconnect(bbm_gate *g, gate_request *r);
 /** Record that the answer to the current attempt is sound. */
 void gate_record_sound_answer(bbm_gate *g, const gate_request *r,
                               bbm_time began_at);
--- a/gate/gate_quarantine.c
+++ b/gate/gate_quarantine.c
@@ -19,8 +19,10 @@
 }
 
 void
-gate_record_disconnect(bbm_gate *g, const gate_request *r)
+gate_record_disconnect(bbm_gate *g, gate_request *r)
 {
+    bool trial = r->is_trial;
+    r->is_trial = false;
     g->counts.disconnects++;
     if (!is_at_runner(r) || !r->part_ids_len)
         return;
@@ -28,6 +30,7 @@
         .run = run_of(r),
         .sent_at = r->sent_at,
         .at = g->now,
+        .trial = trial,
     };
     bbm_quarantine_add_crash(g->quarantine, &crash, r->part_ids,
                              r->part_ids_len, g->now);
@@ -89,8 +92,8 @@
     HASH_ITER(hh, g->requests, r, next)
     {
         const bbm_quarantine_entry *e;
-        if (r->stage != GATE_SENT
-            || gate_judge_parts(g, r, &e) != BBM_PARTS_REFUSED)
+        if (r->stage != GATE_SENT || r->is_trial
+            || gate_judge_parts(g, r, &e) != BBM_PARTS_GUILTY)
             continue;
         g->counts.refused_quarantined++;
         gate_abort(g, r, BBM_ERR_UPSTREAM,
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -126,8 +126,9 @@
     gate_request_free(g, r);
 }
 
-/* The client is told how long the quarantine or the trial lasts: to come back
-   sooner is of no use.  A stream that has begun is aborted instead. */
+/* The client is told how long the quarantine lasts, or the trial of another
+   request: to come back sooner is of no use.  A stream that has begun is
+   aborted instead. */
 static void
 end_quarantined(bbm_gate *g, gate_request *r, const bbm_quarantine_entry *e,
                 bbm_time retry_after)
@@ -153,21 +154,18 @@
 refuse_quarantined(bbm_gate *g, gate_request *r)
 {
     const bbm_quarantine_entry *e;
-    switch (gate_judge_parts(g, r, &e)) {
-    case BBM_PARTS_CLEAR:
+    bbm_parts_verdict verdict = gate_judge_parts(g, r, &e);
+    if (verdict == BBM_PARTS_CLEAR || r->is_trial)
         return false;
-    case BBM_PARTS_TRIAL:
-        r->is_trial = r->is_trial
-                      || bbm_quarantine_begin_trial(g->quarantine, r->part_ids,
-                                                    r->part_ids_len, g->now);
-        if (!r->is_trial)
-            end_quarantined(g, r, e, add_jitter(g, BBM_TRIAL_TIME));
-        return !r->is_trial;
-    case BBM_PARTS_REFUSED:
-        end_quarantined(g, r, e, e->until - g->now);
-        return true;
-    }
-    return false;
+    r->is_trial = bbm_quarantine_begin_trial(g->quarantine, r->part_ids,
+                                             r->part_ids_len, g->now);
+    if (r->is_trial)
+        return false;
+    end_quarantined(g, r, e,
+                    verdict == BBM_PARTS_DOUBTED
+                        ? add_jitter(g, BBM_TRIAL_TIME)
+                        : e->until - g->now);
+    return true;
 }
 
 void
--- a/gate/quarantine_core.h
+++ b/gate/quarantine_core.h
@@ -12,9 +12,6 @@
 
 /** Number of crashes from which a part is quarantined. */
 #define QUARANTINE_CRASHES_MIN 3
-/** Number of answers that must have begun and ended since the last of these
- *  crashes. */
-#define QUARANTINE_ANSWERS_MIN 3
 /** Maximum number of parts in one news row; more are sent in several. */
 #define QUARANTINE_ROW_PARTS_MAX 32
 
@@ -73,9 +70,7 @@
             bbm_time at;
         } alive; /**< QUARANTINE_NEWS_ALIVE. */
         struct {
-            uint64_t part;
-            bbm_time until;
-            bbm_time last_crash_at;
+            bbm_quarantine_entry entry; /* sent without the crashes */
             uint32_t times;
         } quarantined;                  /**< QUARANTINE_NEWS_QUARANTINED. */
     } u;                                /**< Selected by kind. */
@@ -90,18 +85,16 @@
 
 /** A quarantine. */
 struct bbm_quarantine {
-    bbm_rng rng;            /**< For the times of announcements. */
-    size_t vms;             /**< Number of VMs. */
-    quarantine_part *parts; /**< By id. */
-    size_t in_force_len;    /**< Number of parts in force. */
-    quarantine_run *runs;   /**< By run. */
-    bbm_time answers_began_at[QUARANTINE_ANSWERS_MIN]; /**< When the last
-                                                            answers that ended
-                                                            here began. */
-    size_t next_answer;                                /**< Oldest of these. */
-    STAILQ_HEAD(, quarantine_news) news;               /**< To be sent. */
-    size_t news_len;                                   /**< Number of these. */
-    STAILQ_HEAD(, quarantine_change) changes;          /**< To be logged. */
+    bbm_rng rng;              /**< For the times of announcements. */
+    size_t vms;               /**< Number of VMs. */
+    quarantine_part *parts;   /**< By id. */
+    size_t in_force_len;      /**< Number of parts in force. */
+    quarantine_run *runs;     /**< By run. */
+    bbm_time answer_began_at; /**< Latest beginning of an answer that ended
+                                   here; 0: none has. */
+    STAILQ_HEAD(, quarantine_news) news;      /**< To be sent. */
+    size_t news_len;                          /**< Number of these. */
+    STAILQ_HEAD(, quarantine_change) changes; /**< To be logged. */
 };
 
 /** Accuse parts of a crash. */
@@ -115,9 +108,11 @@
  *  that wasn't known. */
 bool quarantine_withdraw(bbm_quarantine *q, const bbm_upstream_run *run,
                          bbm_time at, bbm_time now);
-/** Adopt the quarantine of a part by another VM. */
-void quarantine_adopt(bbm_quarantine *q, uint64_t part, bbm_time until,
-                      bbm_time last_crash_at, uint32_t times, bbm_time now);
+/** Adopt the quarantine of a part by another VM.
+ *  @param entry What that VM knows of it, without the crashes.
+ *  @param times Number of times that it was quarantined. */
+void quarantine_adopt(bbm_quarantine *q, const bbm_quarantine_entry *entry,
+                      uint32_t times, bbm_time now);
 
 /** Queue news, to be sent @p sends times; the caller fills in the union. */
 quarantine_news *quarantine_push_news(bbm_quarantine *q,
--- a/gate/quarantine_news.c
+++ b/gate/quarantine_news.c
@@ -49,9 +49,7 @@
         return;
     quarantine_news *n =
         quarantine_push_news(q, QUARANTINE_NEWS_QUARANTINED, sends, now);
-    n->u.quarantined.part = p->entry.part;
-    n->u.quarantined.until = p->entry.until;
-    n->u.quarantined.last_crash_at = p->entry.last_crash_at;
+    n->u.quarantined.entry = p->entry;
     n->u.quarantined.times = p->times;
 }
 
@@ -77,6 +75,7 @@
         put_run(buf, &n->u.crash.crash.run);
         put_age(buf, n->u.crash.crash.sent_at, now);
         put_age(buf, n->u.crash.crash.at, now);
+        bbm_put_u64(buf, n->u.crash.crash.trial);
         bbm_put_u64(buf, n->u.crash.len);
         for (size_t i = 0; i < n->u.crash.len; i++)
             bbm_put_u64(buf, n->u.crash.parts[i]);
@@ -90,9 +89,11 @@
         put_age(buf, n->u.alive.at, now);
         return;
     case QUARANTINE_NEWS_QUARANTINED:
-        bbm_put_u64(buf, n->u.quarantined.part);
-        put_age(buf, now, n->u.quarantined.until);
-        put_age(buf, n->u.quarantined.last_crash_at, now);
+        bbm_put_u64(buf, n->u.quarantined.entry.part);
+        put_age(buf, now, n->u.quarantined.entry.until);
+        put_age(buf, n->u.quarantined.entry.last_crash_at, now);
+        bbm_put_u64(buf, n->u.quarantined.entry.trial_failed);
+        bbm_put_u64(buf, n->u.quarantined.entry.proved_alone);
         bbm_put_u64(buf, n->u.quarantined.times);
         return;
     }
@@ -145,6 +146,7 @@
     bbm_part_crash crash = {.run = get_run(rd)};
     crash.sent_at = now - get_age(rd);
     crash.at = now - get_age(rd);
+    crash.trial = bbm_get_u32(rd, 1) != 0;
     size_t len = bbm_get_u32(rd, QUARANTINE_ROW_PARTS_MAX);
     uint64_t parts[QUARANTINE_ROW_PARTS_MAX];
     for (size_t i = 0; i < len; i++)
@@ -176,12 +178,14 @@
         return;
     }
     case QUARANTINE_NEWS_QUARANTINED: {
-        part = bbm_get_u64(rd);
-        bbm_time until = now + get_age(rd);
-        at = now - get_age(rd);
+        bbm_quarantine_entry entry = {.part = bbm_get_u64(rd)};
+        entry.until = now + get_age(rd);
+        entry.last_crash_at = now - get_age(rd);
+        entry.trial_failed = bbm_get_u32(rd, 1) != 0;
+        entry.proved_alone = bbm_get_u32(rd, 1) != 0;
         uint32_t times = bbm_get_u32(rd, UINT32_MAX);
         if (!rd->failed && !own)
-            quarantine_adopt(q, part, until, at, times, now);
+            quarantine_adopt(q, &entry, times, now);
         return;
     }
     default:
