A daemon waits for an address that is still in use; failed scenarios keep their logs

Change: it tries for 5 s and says so (event 109). A scenario that fails copies its logs to target/process, as three lines weren't enough to trace STREAMS.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -36,6 +36,9 @@
 /* Time for accepting the last connections and for sending the last answers
    before all are closed. */
 #define FLUSH_DELAY_US 100000
+/* A process that was killed holds its addresses until all of it has ended. */
+#define LISTEN_TIMEOUT (5 * BBM_SECOND)
+#define LISTEN_RETRY_US 100000
 #define SETTINGS_ENV "BLUEBELLMOOR_CONFIG"
 /* glibc's malloc arenas; more of them would only spread the allocations over
    more memory. */
@@ -47,6 +50,8 @@
     uint8_t message_secret[BBM_DIGEST_SIZE];
     uint8_t key_secret[BBM_DIGEST_SIZE];
     mailbox *box;
+    bbm_time started_at;
+    bool listen_retried; /* an address was in use, which was logged */
     atomic_bool ready;
     atomic_bool stop_now;
     atomic_llong last_tick;
@@ -145,10 +150,26 @@
     return BBM_OK;
 }
 
+/* Waits before another try to listen on an address.  Returns false once it has
+   been tried for LISTEN_TIMEOUT since the start. */
+static bool
+wait_to_listen(daemon_parts *p, const char *address)
+{
+    if (control_now() - p->started_at >= LISTEN_TIMEOUT) {
+        bbm_log(BBM_EVENT_LISTEN_FAILED, "address", address, NULL);
+        return false;
+    }
+    if (!p->listen_retried)
+        bbm_log(BBM_EVENT_LISTEN_RETRIED, "address", address, NULL);
+    p->listen_retried = true;
+    usleep(LISTEN_RETRY_US);
+    return true;
+}
+
 static front *
 open_front(daemon_parts *p, front_kind kind, const char *address)
 {
-    front *f = front_create(&(front_desc){
+    const front_desc desc = {
         .settings = p->settings,
         .kind = kind,
         .address = address,
@@ -160,9 +181,10 @@
         .last_tick = &p->last_tick,
         .next_id = &p->next_id,
         .control_mailbox = p->box,
-    });
-    if (!f)
-        bbm_log(BBM_EVENT_LISTEN_FAILED, "address", address, NULL);
+    };
+    front *f;
+    while ((f = front_create(&desc)) == NULL && wait_to_listen(p, address))
+        ;
     return f;
 }
 
@@ -204,15 +226,16 @@
 {
     const bbm_settings *s = p->settings;
     p->box = mailbox_create(MAILBOX_SIZE);
+    p->started_at = control_now();
     atomic_store(&p->last_tick, control_now());
     int rc = open_disk(p);
     if (rc < 0)
         return rc;
-    p->transport = transport_create(s, p->run, p->message_secret, p->box);
-    if (!p->transport) {
-        bbm_log(BBM_EVENT_LISTEN_FAILED, "address", s->peer_address, NULL);
+    do
+        p->transport = transport_create(s, p->run, p->message_secret, p->box);
+    while (!p->transport && wait_to_listen(p, s->peer_address));
+    if (!p->transport)
         return BBM_ERR_IO;
-    }
     start_upstream_threads(p);
     front_kind kind = s->list_address[0] ? FRONT_POOL_CALLERS : FRONT_CALLERS;
     p->callers = open_front(p, kind, s->caller_address);
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -23,6 +23,14 @@
     echo "  $name: check failed: $text"
     check_failed=1
 }
+keep_logs() { # the ends of the logs are printed, the whole logs kept
+    local kept
+    kept=target/process/$name-$(date +%H%M%S)-$FLEET_PORT
+    mkdir -p "$kept"
+    cp "$dir"/*.log "$dir"/*.json "$kept"
+    tail -n 3 "$dir"/vm-*.log
+    echo "  whole logs: $kept"
+}
 finish() {
     if [ $check_failed -eq 0 ]; then
         passed=$((passed + 1))
@@ -30,11 +38,11 @@
     elif grep -q "process scenario $name\b" KNOWN-RED.txt; then
         known_red=$((known_red + 1))
         echo "KNOWN RED $name"
-        tail -n 3 "$dir"/vm-*.log
+        keep_logs
     else
         failed=$((failed + 1))
         echo "FAIL $name"
-        tail -n 3 "$dir"/vm-*.log
+        keep_logs
     fi
     fleet_stop
     rm -rf "$dir"
@@ -487,6 +495,24 @@
     finish
 }
 
+t_address_in_use() { # a daemon waits for an address that another process gives up
+    begin address_in_use
+    start_runners 1
+    local holder port
+    port=$(fleet_peer_port 1)
+    fleet_run "$dir/holder.log" "$FLEET_BUILD/stand_booking" "$port"
+    holder=$fleet_last_pid
+    check "the address is held" fleet_until 5 curl -s "http://127.0.0.1:$port/runs"
+    fleet_start "$dir" 1 1
+    check "the daemon says that it tries again" fleet_until 3 grep -q '"event":109' "$dir/vm-1.log"
+    fleet_terminate "$holder"
+    write_config
+    check "it starts" fleet_publish "$dir/config.json" 0
+    check "it becomes ready" fleet_until 15 fleet_ready 1
+    check "nothing failed" test -z "$(grep '"event":106' "$dir/vm-1.log")"
+    finish
+}
+
 t_operator_commands() { # each command of the operator program, as text and as JSON
     begin operator_commands
     start_runners 2
@@ -711,7 +737,7 @@
 scenarios=(streams leader_killed bookings_once key_withdrawn isolated frozen
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
-    operator_commands disk_full pools pool_keys drain_under_load)
+    address_in_use operator_commands disk_full pools pool_keys drain_under_load)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
