Slow disks don't prevent the election of a leader

Cause: a vote is sent once it is synced. The candidate's timeout ran on meanwhile: with a write of half a timeout it gave up its term before the other one could answer, and that one, its own timeout over, began the next. A vote that came after the timeout was dropped, term and vote were two writes one after the other, and two that asked for pre-votes together both went on and split the votes. Change: no pre-vote before the own vote is synced, then a full timeout; late votes count in their term; one write for both; the lower identity first, for a quarter of a timeout only, as the other may reach a quorum that this one doesn't.

--- a/raft/bbm_raft.c
+++ b/raft/bbm_raft.c
@@ -37,14 +37,15 @@
 }
 
 void
-raft_become_follower(bbm_raft *r, uint64_t term, bbm_member_id leader)
+raft_adopt_term(bbm_raft *r, uint64_t term, bbm_member_id leader, bool persist)
 {
     bool change =
         r->role != BBM_FOLLOWER || r->leader != leader || r->term != term;
     if (term > r->term) {
         r->term = term;
         r->vote = 0;
-        raft_persist(r, NULL, 0, 0);
+        if (persist)
+            raft_persist(r, NULL, 0, 0);
     }
     if (r->role != BBM_FOLLOWER)
         raft_reset_timeout(r);
@@ -54,6 +55,12 @@
         raft_queue_output(r, BBM_RAFT_ROLE);
 }
 
+void
+raft_become_follower(bbm_raft *r, uint64_t term, bbm_member_id leader)
+{
+    raft_adopt_term(r, term, leader, true);
+}
+
 /* Latest sending time of which a quorum has answered a request sent then or
    later; this member counts with the present time. */
 static bbm_time
@@ -196,7 +203,9 @@
             raft_broadcast(r);
         return;
     }
-    if (r->now >= r->election_timeout_at && raft_is_voter(r))
+    bool vote_synced =
+        r->persist_confirmed >= r->vote_write || r->desc.unsafe_no_sync;
+    if (r->now >= r->election_timeout_at && raft_is_voter(r) && vote_synced)
         raft_start_prevote(r);
 }
 
@@ -241,8 +250,12 @@
 bbm_raft_persisted(bbm_raft *r, uint64_t seq, bbm_time now)
 {
     update_clock(r, now);
+    bool vote_synced = r->persist_confirmed < r->vote_write
+                       && seq >= r->vote_write && r->role != BBM_LEADER;
     if (seq > r->persist_confirmed)
         r->persist_confirmed = seq;
+    if (vote_synced)
+        raft_reset_timeout(r);
     size_t len_left = 0;
     for (size_t i = 0; i < r->pending_writes_len; i++) {
         if (r->pending_writes[i].seq <= seq)
--- a/raft/raft_core.h
+++ b/raft/raft_core.h
@@ -20,7 +20,8 @@
                                     has answered; basis of the lease. */
     bbm_time last_contact_at;  /**< Time of its last answer. */
     bbm_time snapshot_sent_at; /**< Time of the last snapshot sent to it. */
-    bool granted;              /**< Granted the vote in this round. */
+    bool granted;              /**< Granted the vote in this term. */
+    bool pregranted;           /**< Granted the pre-vote in this round. */
     bool no_leader_seen; /**< Reported in this round that it has neither led
                               nor received from a leader since its start. */
 } raft_peer;
@@ -53,6 +54,7 @@
     uint64_t last_applied;                 /**< Highest index output. */
     bbm_time now;                          /**< Latest time passed in. */
     bbm_time election_timeout_at;          /**< Start of a pre-vote. */
+    bbm_time prevote_started_at;           /**< Start of the last one. */
     bbm_time last_leader_contact_at;       /**< 0: none since the start. */
     bbm_time no_vote_until;                /**< Votes are withheld while a
                                                 lease may be valid. */
@@ -63,7 +65,8 @@
     raft_peer peers[BBM_RAFT_MEMBERS_MAX]; /**< By position in group. */
     uint64_t persist_issued;               /**< Last write number issued. */
     uint64_t persist_confirmed;            /**< Last one confirmed. */
-    raft_pending_write *pending_writes;    /**< In order of seq. */
+    uint64_t vote_write; /**< Number of the write of the last vote. */
+    raft_pending_write *pending_writes; /**< In order of seq. */
     size_t pending_writes_len;
     size_t pending_writes_cap;
     uint64_t durable_index;            /**< Last index synced here. */
@@ -100,6 +103,11 @@
 /** Highest value that a quorum of voters has reached; 0 without voters.
  *  @p values is indexed like the group; learners' values are ignored. */
 int64_t raft_quorum_value(const bbm_raft *r, const int64_t *values);
+/** Become a follower in @p term.  @p leader is 0 if it is unknown.  A higher
+ *  term is persisted if @p persist; otherwise the caller writes it, with its
+ *  vote. */
+void raft_adopt_term(bbm_raft *r, uint64_t term, bbm_member_id leader,
+                     bool persist);
 /** Become a follower in @p term; a higher term is persisted.  @p leader is 0
  *  if it is unknown. */
 void raft_become_follower(bbm_raft *r, uint64_t term, bbm_member_id leader);
