Scenarios wait for the state that they mean instead of a fixed time

They now wait until the booking runs and the stream has its first token, which is a check of its own; the run lasts 15 s and the stream 50 s, so what follows still meets it. disk_lost waits for the killed process before it removes its folder.

--- a/tests/process.sh
+++ b/tests/process.sh
@@ -143,10 +143,11 @@
     check "a lost answer is reported as 502" test "$(booking_status 1 lost)" = 502
     check "the error says that the outcome is unknown" grep -q '"ran":"unknown"' "$dir/answer"
     check "a resend does not run it again" test "$(booking_status 2 lost)" = 409
-    curl -s "http://127.0.0.1:$((FLEET_PORT + 510))/fault" -d '{"delay_ms":3000}' >/dev/null
+    curl -s "http://127.0.0.1:$((FLEET_PORT + 510))/fault" -d '{"delay_ms":15000}' >/dev/null
     booking_status 1 slow >/dev/null &
     local first=$!
-    sleep 0.5
+    slow_runs() { [ "$(booking_runs slow)" = 1 ]; }
+    check "the booking runs" fleet_until 10 slow_runs
     check "a resend during the run is rejected" test "$(booking_status 2 slow)" = 409
     check "the error is BBM_ERR_IDEM_RUNNING" grep -q BBM_ERR_IDEM_RUNNING "$dir/answer"
     kill -KILL "${fleet_daemon_pid[1]}"
@@ -164,11 +165,11 @@
     begin key_withdrawn
     start_runners 1 --token-ms 50
     start_ready_fleet 3 3
-    curl -sN -m 30 -o "$dir/stream" "$(url 2 /v1/completions)" \
+    curl -sN -m 60 -o "$dir/stream" "$(url 2 /v1/completions)" \
         -H "Authorization: Bearer $key" \
-        -d '{"model":"garden","prompt":"x","stream":true,"max_tokens":400}' &
+        -d '{"model":"garden","prompt":"x","stream":true,"max_tokens":1000}' &
     local stream=$!
-    sleep 0.7
+    check "the stream has begun" fleet_until 20 grep -q '^data:' "$dir/stream"
     check "the key is withdrawn" fleet_operator keys withdraw grower
     wait $stream
     check "the stream did not end cleanly" test $? -ne 0
@@ -244,6 +245,7 @@
     local lost=2 i
     [ "$(leader)" = 2 ] && lost=3
     kill -KILL "${fleet_daemon_pid[$lost]}"
+    wait "${fleet_daemon_pid[$lost]}"
     rm -rf "$dir/vm-$lost"
     fleet_daemon "$dir" $lost
     sleep 2
