--- a/gate/bbm_quarantine.h
+++ b/gate/bbm_quarantine.h
@@ -11,9 +11,9 @@
  *  acquits its parts of all crashes before it began.  So a sound part that is
  *  in use is acquitted within moments, and one that crashes runners never is.
  *  A part is quarantined when
- *  - three runs of runners have crashed on it since it was acquitted last,
- *  - among them one on a request that was sent after the first crash was
- * known: a loss of many runners at once accuses what they had in common,
+ *  - three runs of runners have crashed on it since it was last acquitted,
+ *  - one of these crashes ended a request that was sent after the first crash
+ *    was known, as a loss of many runners accuses what they had in common,
  *  - and since the third crash, time for acquittals of other VMs has passed
  *    and another answer began and was completed: otherwise no runner works.
  *  A run that completes a request sent after its supposed crash hasn't
@@ -24,10 +24,10 @@
  *
  *  Sound parts may be quarantined too: those that always came with the one
  *  that crashes runners, or, if most runners are down, those that most
- * requests have.  So some requests are sent in spite of it, as trials.  A
- * sound answer releases its parts.
- *  - If less than three crashes remain without those of quarantined parts that
- *    a request lacks, it is sent, one at a time at each VM.
+ *  requests have.  So some requests are sent in spite of it, as trials.  A
+ *  sound answer releases its parts.
+ *  - A request is sent if less than three crashes of its parts remain without
+ *    those of quarantined parts that it lacks; one at a time at each VM.
  *  - Any other request is sent with a probability of one by the number of VMs,
  *    until such a trial has crashed a runner.
  *
@@ -43,7 +43,7 @@
  *  The VMs send each other what they see and what they conclude.  Crashes are
  *  sent several times, as messages may be lost; quarantined parts again and
  *  again, for VMs that have restarted or joined.  Several VMs may accuse a
- * part for the same crash: it counts once per run of a runner.
+ *  part for the same crash: it counts once per run of a runner.
  *
  *  Memory is bounded: parts with the fewest crashes, and of these the oldest,
  *  are forgotten first.  Pure: the caller passes in the time.
@@ -84,11 +84,10 @@
 
 /** What is known of a part. */
 typedef struct bbm_quarantine_entry {
-    uint64_t part;     /**< Id of the part. */
-    bbm_time until;    /**< Quarantined until then; 0: never was. */
-    bool trial_failed; /**< A trial has crashed a runner. */
-    bool
-        proved_alone; /**< It was the only quarantined part of such a trial. */
+    uint64_t part;          /**< Id of the part. */
+    bbm_time until;         /**< Quarantined until then; 0: never was. */
+    bool trial_failed;      /**< A trial has crashed a runner. */
+    bool proved_alone;      /**< In a trial without other such parts. */
     bbm_time last_crash_at; /**< Latest crash that it is accused of. */
     size_t crashes_len;     /**< Number of crashes that are recorded. */
     bbm_part_crash crashes[BBM_QUARANTINE_CRASHES_MAX]; /**< Since it was last
