Quarantined prompt parts survive a restart of all VMs

Evidence: test_joining, quarantined_parts_survive_a_restart_of_all, red before: three VMs restart, and the part is sent. Change: the leader keeps the parts in the replicated state, as a new type of command at the end of the list, and each VM adopts them. A VM that announces a part which others have acquitted is told so.

--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -316,6 +316,14 @@
  *  upstreams. */
 void bbm_gate_set_vm_count(bbm_gate *g, size_t vms, bool placements_delayed);
 
+/** Quarantine a prompt part as it is on record, unless it was acquitted
+ *  since. */
+void bbm_gate_add_quarantined(bbm_gate *g, const bbm_quarantine_entry *entry,
+                              uint32_t times, bbm_time now);
+/** The i-th quarantined prompt part; false past the end. */
+bool bbm_gate_quarantined_at(const bbm_gate *g, size_t i,
+                             bbm_quarantine_entry *entry, uint32_t *times);
+
 /** Start a request.  The route must have pools; the customer is NULL on a
  *  route that requires no API key. */
 void bbm_gate_begin_request(bbm_gate *g, const bbm_gate_request_desc *request,
--- a/gate/bbm_quarantine.c
+++ b/gate/bbm_quarantine.c
@@ -379,13 +379,26 @@
     return true;
 }
 
+static void
+tell_acquittal(bbm_quarantine *q, const quarantine_part *p, bbm_time now)
+{
+    quarantine_news *row =
+        quarantine_push_news(q, QUARANTINE_NEWS_ACQUITTAL, SENDS, now);
+    row->u.acquittal.part = p->entry.part;
+    row->u.acquittal.began_at = p->acquitted_at;
+}
+
 void
-quarantine_adopt(bbm_quarantine *q, const bbm_quarantine_entry *entry,
-                 uint32_t times, bbm_time now)
+bbm_quarantine_adopt(bbm_quarantine *q, const bbm_quarantine_entry *entry,
+                     uint32_t times, bbm_time now)
 {
     quarantine_part *p = find_or_add_part(q, entry->part);
-    if (entry->until <= now || entry->last_crash_at <= p->acquitted_at)
+    if (entry->until <= now)
+        return;
+    if (entry->last_crash_at <= p->acquitted_at) {
+        tell_acquittal(q, p, now);
         return;
+    }
     p->entry.trial_failed = p->entry.trial_failed || entry->trial_failed;
     p->entry.proved_alone = p->entry.proved_alone || entry->proved_alone;
     if (p->in_force)
@@ -431,12 +444,8 @@
 acquit_and_tell(bbm_quarantine *q, uint64_t part, bbm_time began_at,
                 bbm_time now)
 {
-    if (!quarantine_acquit(q, part, began_at, now))
-        return;
-    quarantine_news *row =
-        quarantine_push_news(q, QUARANTINE_NEWS_ACQUITTAL, SENDS, now);
-    row->u.acquittal.part = part;
-    row->u.acquittal.began_at = began_at;
+    if (quarantine_acquit(q, part, began_at, now))
+        tell_acquittal(q, find_part(q, part), now);
 }
 
 /* A run that has answered a request which was sent after its crash. */
@@ -603,6 +612,20 @@
     return true;
 }
 
+bool
+bbm_quarantine_at(const bbm_quarantine *q, size_t i,
+                  bbm_quarantine_entry *entry, uint32_t *times)
+{
+    for (const quarantine_part *p = q->parts; p; p = p->hh.next) {
+        if (!p->in_force || i--)
+            continue;
+        *entry = p->entry;
+        *times = p->times;
+        return true;
+    }
+    return false;
+}
+
 size_t
 bbm_quarantine_count(const bbm_quarantine *q, bbm_time now)
 {
--- a/gate/bbm_quarantine.h
+++ b/gate/bbm_quarantine.h
@@ -154,6 +154,16 @@
  *  begun here less than BBM_TRIAL_TIME ago. */
 bool bbm_quarantine_begin_trial(bbm_quarantine *q, const uint64_t *parts,
                                 size_t len, bbm_time now);
+/** Quarantine a part that another VM has quarantined, or this one before a
+ *  restart, unless an answer since its last crash has acquitted it.
+ *  @param entry What is known of it, without the crashes.
+ *  @param times Number of times that it was quarantined. */
+void bbm_quarantine_adopt(bbm_quarantine *q, const bbm_quarantine_entry *entry,
+                          uint32_t times, bbm_time now);
+/** The i-th quarantined part, and the number of times that it was; false past
+ *  the end. */
+bool bbm_quarantine_at(const bbm_quarantine *q, size_t i,
+                       bbm_quarantine_entry *entry, uint32_t *times);
 /** Number of quarantined parts. */
 size_t bbm_quarantine_count(const bbm_quarantine *q, bbm_time now);
 /** The next change, or false if there is none. */
--- a/gate/gate_quarantine.c
+++ b/gate/gate_quarantine.c
@@ -65,6 +65,22 @@
                                 g->now, entry);
 }
 
+void
+bbm_gate_add_quarantined(bbm_gate *g, const bbm_quarantine_entry *entry,
+                         uint32_t times, bbm_time now)
+{
+    gate_advance(g, now);
+    bbm_quarantine_adopt(g->quarantine, entry, times, g->now);
+    gate_apply_quarantine(g);
+}
+
+bool
+bbm_gate_quarantined_at(const bbm_gate *g, size_t i,
+                        bbm_quarantine_entry *entry, uint32_t *times)
+{
+    return bbm_quarantine_at(g->quarantine, i, entry, times);
+}
+
 static void
 push_change(bbm_gate *g, const bbm_quarantine_change *change)
 {
--- a/gate/quarantine_core.h
+++ b/gate/quarantine_core.h
@@ -108,12 +108,6 @@
  *  that wasn't known. */
 bool quarantine_withdraw(bbm_quarantine *q, const bbm_upstream_run *run,
                          bbm_time at, bbm_time now);
-/** Adopt the quarantine of a part by another VM.
- *  @param entry What that VM knows of it, without the crashes.
- *  @param times Number of times that it was quarantined. */
-void quarantine_adopt(bbm_quarantine *q, const bbm_quarantine_entry *entry,
-                      uint32_t times, bbm_time now);
-
 /** Queue news, to be sent @p sends times; the caller fills in the union. */
 quarantine_news *quarantine_push_news(bbm_quarantine *q,
                                       quarantine_news_kind kind, int sends,
--- a/gate/quarantine_news.c
+++ b/gate/quarantine_news.c
@@ -185,7 +185,7 @@
         entry.proved_alone = bbm_get_u32(rd, 1) != 0;
         uint32_t times = bbm_get_u32(rd, UINT32_MAX);
         if (!rd->failed && !own)
-            quarantine_adopt(q, &entry, times, now);
+            bbm_quarantine_adopt(q, &entry, times, now);
         return;
     }
     default:
--- a/node/node.c
+++ b/node/node.c
@@ -195,6 +195,7 @@
         node_upstreams_tick(n);
         node_rollout_tick(n);
         node_gate_tick(n);
+        node_quarantine_tick(n);
     }
     else {
         node_rate_tick(n);
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -353,6 +353,7 @@
     bbm_time listing_changed_at;    /**< Leader: latest change of listing. */
     node_store stores[NODE_STORES_MAX]; /**< Stores of KV cache. */
     size_t stores_len;                  /**< Stores in use. */
+    bbm_time quarantine_compared_at;    /**< See node_quarantine.c. */
     uint64_t gate_revision;       /**< Configuration revision of the gate. */
     bbm_loads *loads;             /**< Latest report of each VM; NULL before
                                        the first. */
@@ -533,6 +534,12 @@
 /** Discards the rollout when leadership ends. */
 void node_rollout_reset(bbm_node *n);
 
+/* ---- node_quarantine.c ---- */
+
+/** Adopts the quarantined prompt parts of the replicated state.  Leader:
+ *  proposes changes of them.  To be called on each tick. */
+void node_quarantine_tick(bbm_node *n);
+
 /* ---- node_propose.c ---- */
 
 /** Proposes a command to the log, with the present calendar time, and resends
--- a/state/bbm_command.c
+++ b/state/bbm_command.c
@@ -56,6 +56,26 @@
 
 /* ---- commands ---- */
 
+void
+bbm_quarantined_put(bbm_buf *buf, const bbm_quarantined *q)
+{
+    bbm_put_u64(buf, q->part);
+    bbm_put_i64(buf, q->last_crash_ms);
+    bbm_put_i64(buf, q->until_ms);
+    bbm_put_u64(buf, q->times);
+    bbm_put_u64(buf, q->proved_alone);
+}
+
+void
+bbm_quarantined_get(bbm_reader *rd, bbm_quarantined *q)
+{
+    q->part = bbm_get_u64(rd);
+    q->last_crash_ms = bbm_get_i64(rd);
+    q->until_ms = bbm_get_i64(rd);
+    q->times = bbm_get_u32(rd, UINT32_MAX);
+    q->proved_alone = bbm_get_u32(rd, 1) != 0;
+}
+
 void
 bbm_command_encode(const bbm_command *cmd, bbm_buf *buf)
 {
@@ -127,6 +147,9 @@
         bbm_put_bytes(buf, cmd->u.ledger.ledger.data,
                       cmd->u.ledger.ledger.len);
         return;
+    case BBM_CMD_QUARANTINE:
+        bbm_quarantined_put(buf, &cmd->u.quarantine);
+        return;
     case BBM_CMD_KIND_COUNT:
         return;
     }
@@ -219,6 +242,9 @@
         bbm_get_name(rd, cmd->u.ledger.customer);
         cmd->u.ledger.ledger = bbm_get_bytes(rd);
         return;
+    case BBM_CMD_QUARANTINE:
+        bbm_quarantined_get(rd, &cmd->u.quarantine);
+        return;
     case BBM_CMD_KIND_COUNT:
         return;
     }
@@ -245,7 +271,8 @@
     uint64_t version = bbm_get_u64(&rd);
     uint64_t kind = bbm_get_u64(&rd);
     return !rd.failed && version == COMMAND_FORMAT_VERSION
-           && kind <= BBM_CMD_PUBLIC_LAST;
+           && kind < BBM_CMD_KIND_COUNT
+           && bbm_command_kind_is_public((bbm_command_kind)kind);
 }
 
 /* ---- outcomes ---- */
--- a/state/bbm_command.h
+++ b/state/bbm_command.h
@@ -23,8 +23,8 @@
 /** Maximum size of an answer that is stored with a claim. */
 #define BBM_ANSWER_BYTES_MAX ((size_t)64 * 1024)
 
-/** Types of command.  Those up to BBM_CMD_PUBLIC_LAST are applied by every
- *  VM, the others by the control VMs only. */
+/** Types of command.  The public ones are applied by every VM, the others by
+ *  the control VMs only: see bbm_command_kind_is_public. */
 typedef enum bbm_command_kind {
     BBM_CMD_PUBLISH,      /**< Publish a configuration. */
     BBM_CMD_KEY_ADD,      /**< Add an API key. */
@@ -40,11 +40,26 @@
     BBM_CMD_ORDER_END,    /**< Record the state of an order. */
     BBM_CMD_ORDER_PAUSE,  /**< Pause or resume the sending of orders. */
     BBM_CMD_LEDGER,       /**< Store the rate owner's ledger of a customer. */
+    BBM_CMD_QUARANTINE,   /**< Quarantine or release a prompt part; public. */
     BBM_CMD_KIND_COUNT,   /**< Number of types. */
 } bbm_command_kind;
 
-/** Last type that every VM applies. */
-#define BBM_CMD_PUBLIC_LAST BBM_CMD_WEIGHTS
+/** True if every VM applies commands of this type. */
+static inline bool
+bbm_command_kind_is_public(bbm_command_kind kind)
+{
+    return kind <= BBM_CMD_WEIGHTS || kind == BBM_CMD_QUARANTINE;
+}
+
+/** A prompt part that crashes runners.  Times are calendar times in
+ *  milliseconds. */
+typedef struct bbm_quarantined {
+    uint64_t part;         /**< Id of the part. */
+    int64_t last_crash_ms; /**< Latest crash that it is accused of. */
+    int64_t until_ms;      /**< End of its quarantine; 0: released. */
+    uint32_t times;        /**< Number of times that it was quarantined. */
+    bool proved_alone;     /**< In a trial without other such parts. */
+} bbm_quarantined;
 
 /** Identity of a request. */
 typedef struct bbm_request_id {
@@ -135,6 +150,7 @@
             char customer[BBM_NAME_SIZE];
             bbm_bytes ledger; /**< Encoded by the rate owner; opaque here. */
         } ledger;
+        bbm_quarantined quarantine;
     } u;
 } bbm_command;
 
@@ -153,6 +169,10 @@
                                    text. */
 } bbm_outcome;
 
+/** Append a quarantined prompt part. */
+void bbm_quarantined_put(bbm_buf *buf, const bbm_quarantined *q);
+/** Read one; malformed input sets the reader's error. */
+void bbm_quarantined_get(bbm_reader *rd, bbm_quarantined *q);
 /** Append the encoded command. */
 void bbm_command_encode(const bbm_command *cmd, bbm_buf *buf);
 /** Decode a command.  BBM_ERR_DECODE if it is malformed. */
--- a/state/bbm_registry.c
+++ b/state/bbm_registry.c
@@ -47,6 +47,11 @@
     UT_hash_handle hh;
 } drain_row;
 
+typedef struct quarantine_row {
+    bbm_quarantined info;
+    UT_hash_handle hh; /* by part */
+} quarantine_row;
+
 struct bbm_registry {
     size_t revision_texts_max;
     revision *revisions; /* oldest first */
@@ -57,6 +62,7 @@
     digest_row *digests;
     drain_row *drains;
     weights_row *weights;
+    quarantine_row *quarantined;
 };
 
 bbm_registry *
@@ -97,6 +103,7 @@
     BBM_TABLE_FREE(key_row, reg->keys);
     BBM_TABLE_FREE(drain_row, reg->drains);
     BBM_TABLE_FREE(weights_row, reg->weights);
+    BBM_TABLE_FREE(quarantine_row, reg->quarantined);
 }
 
 void
@@ -381,6 +388,54 @@
     return true;
 }
 
+/* ---- quarantined prompt parts ---- */
+
+static void
+remove_quarantined(bbm_registry *reg, quarantine_row *row)
+{
+    HASH_DEL(reg->quarantined, row);
+    free(row);
+}
+
+/* Parts whose time was over at @p now_ms, the time of the command, are removed
+   at the same position of the log everywhere. */
+static void
+set_quarantined(bbm_registry *reg, const bbm_quarantined *q, int64_t now_ms)
+{
+    quarantine_row *row, *next;
+    HASH_ITER(hh, reg->quarantined, row, next)
+    {
+        if (row->info.until_ms <= now_ms || row->info.part == q->part)
+            remove_quarantined(reg, row);
+    }
+    if (q->until_ms <= now_ms
+        || HASH_COUNT(reg->quarantined) >= BBM_QUARANTINED_MAX)
+        return;
+    row = bbm_calloc(1, sizeof(*row));
+    row->info = *q;
+    HASH_ADD(hh, reg->quarantined, info.part, sizeof(q->part), row);
+}
+
+bool
+bbm_registry_quarantined_at(const bbm_registry *reg, size_t i,
+                            bbm_quarantined *q)
+{
+    const quarantine_row *row = reg->quarantined;
+    while (row && i--)
+        row = row->hh.next;
+    if (row)
+        *q = row->info;
+    return row != NULL;
+}
+
+bool
+bbm_registry_is_quarantined(const bbm_registry *reg, uint64_t part)
+{
+    quarantine_row *row = NULL;
+    HASH_FIND(hh, reg->quarantined, &part, sizeof(part), row);
+    return row != NULL;
+}
+
 /* ---- draining VMs ---- */
 
 static drain_row *
@@ -426,6 +481,9 @@
         record_weights(reg, cmd->u.weights.model, cmd->u.weights.version,
                        cmd->at_ms);
         return;
+    case BBM_CMD_QUARANTINE:
+        set_quarantined(reg, &cmd->u.quarantine, cmd->at_ms);
+        return;
     case BBM_CMD_CLAIM:
     case BBM_CMD_CLAIM_END:
     case BBM_CMD_RUN_ENDED:
@@ -560,6 +618,9 @@
         bbm_put_u64(buf, entry.version);
         bbm_put_i64(buf, entry.at_ms);
     }
+    bbm_put_u64(buf, HASH_COUNT(reg->quarantined));
+    for (const quarantine_row *q = reg->quarantined; q; q = q->hh.next)
+        bbm_quarantined_put(buf, &q->info);
 }
 
 /* Reads a text; sets the reader's error if it isn't of @p len bytes. */
@@ -634,8 +695,19 @@
         rd->failed = true;
 }
 
+static void
+decode_quarantined(bbm_registry *reg, bbm_reader *rd)
+{
+    size_t len = bbm_get_u32(rd, BBM_QUARANTINED_MAX);
+    for (size_t i = 0; i < len && !rd->failed; i++) {
+        bbm_quarantined q;
+        bbm_quarantined_get(rd, &q);
+        set_quarantined(reg, &q, INT64_MIN);
+    }
+}
+
 int
-bbm_registry_decode(bbm_registry *reg, bbm_reader *rd)
+bbm_registry_decode(bbm_registry *reg, bool has_quarantine, bbm_reader *rd)
 {
     bbm_registry decoded = {.revision_texts_max = reg->revision_texts_max};
     decode_revisions(&decoded, rd);
@@ -654,6 +726,8 @@
         uint64_t version = bbm_get_u64(rd);
         record_weights(&decoded, model, version, bbm_get_i64(rd));
     }
+    if (has_quarantine)
+        decode_quarantined(&decoded, rd);
     if (rd->failed) {
         clear(&decoded);
         return BBM_ERR_DECODE;
--- a/state/bbm_registry.h
+++ b/state/bbm_registry.h
@@ -98,6 +98,14 @@
 bool bbm_registry_weights_at(const bbm_registry *reg, size_t i,
                              bbm_weights_version *entry);
 
+/** Maximum number of quarantined prompt parts; further ones are ignored. */
+#define BBM_QUARANTINED_MAX 256
+/** The i-th quarantined prompt part; false past the end. */
+bool bbm_registry_quarantined_at(const bbm_registry *reg, size_t i,
+                                 bbm_quarantined *q);
+/** True if a prompt part is quarantined. */
+bool bbm_registry_is_quarantined(const bbm_registry *reg, uint64_t part);
+
 /** Find a valid key by the digest of the presented secret. */
 bool bbm_registry_find_key(const bbm_registry *reg, const bbm_digest *digest,
                            bbm_key_info *info);
@@ -115,7 +123,10 @@
 void bbm_registry_encode(const bbm_registry *reg, size_t revisions,
                          bbm_buf *buf);
 /** Replace the registry by a decoded one.  BBM_ERR_DECODE leaves it
- *  unchanged. */
-int bbm_registry_decode(bbm_registry *reg, bbm_reader *rd);
+ *  unchanged.
+ *  @param has_quarantine False for one that was encoded before registries had
+ *         quarantined parts. */
+int bbm_registry_decode(bbm_registry *reg, bool has_quarantine,
+                        bbm_reader *rd);
 
 #endif
--- a/state/bbm_state.c
+++ b/state/bbm_state.c
@@ -6,8 +6,10 @@
 #include <string.h>
 #include <sys/queue.h>
 
-/* Snapshots with another format version are refused. */
-#define STATE_FORMAT_VERSION 2
+/* Snapshots with another format version are refused, except the one before,
+   which has no quarantined prompt parts. */
+#define STATE_FORMAT_VERSION 3
+#define STATE_FORMAT_VERSION_OLDEST 2
 /* Maximum number of ledgers in a snapshot. */
 #define LEDGERS_MAX 1000000
 #define DEFAULT_REVISION_TEXTS 64
@@ -183,6 +185,7 @@
     case BBM_CMD_KEY_WITHDRAW:
     case BBM_CMD_DRAIN:
     case BBM_CMD_WEIGHTS:
+    case BBM_CMD_QUARANTINE:
         bbm_registry_apply(s->registry, cmd, out);
         return;
     case BBM_CMD_CLAIM:
@@ -217,7 +220,7 @@
     if (out->code < 0)
         return;
     apply_command(state, &cmd, index, out);
-    if (cmd.kind > BBM_CMD_PUBLIC_LAST)
+    if (!bbm_command_kind_is_public(cmd.kind))
         return;
     add_to_tail(state, index, data, len);
     state->public_index = index;
@@ -281,15 +284,30 @@
     encode_ledgers(state, buf);
 }
 
+static bool
+is_known_version(uint64_t version)
+{
+    return version >= STATE_FORMAT_VERSION_OLDEST
+           && version <= STATE_FORMAT_VERSION;
+}
+
+static int
+decode_registry(bbm_state *state, uint64_t version, bbm_reader *rd)
+{
+    return bbm_registry_decode(state->registry,
+                               version > STATE_FORMAT_VERSION_OLDEST, rd);
+}
+
 int
 bbm_state_decode(bbm_state *state, const uint8_t *data, size_t len)
 {
     bbm_state *decoded = bbm_state_create(&state->desc);
     bbm_reader rd = bbm_reader_of(data, len);
-    bool version_ok = bbm_get_u64(&rd) == STATE_FORMAT_VERSION;
+    uint64_t version = bbm_get_u64(&rd);
+    bool version_ok = is_known_version(version);
     decoded->index = bbm_get_u64(&rd);
     decoded->public_index = bbm_get_u64(&rd);
-    bool valid = version_ok && bbm_registry_decode(decoded->registry, &rd) == 0
+    bool valid = version_ok && decode_registry(decoded, version, &rd) == 0
                  && bbm_claims_decode(decoded->claims, &rd) == 0
                  && bbm_orders_decode(decoded->orders, &rd) == 0
                  && decode_ledgers(decoded, &rd) && bbm_reader_done(&rd);
@@ -324,12 +342,13 @@
 bbm_state_decode_public(bbm_state *state, const uint8_t *data, size_t len)
 {
     bbm_reader rd = bbm_reader_of(data, len);
-    if (bbm_get_u64(&rd) != STATE_FORMAT_VERSION)
+    uint64_t version = bbm_get_u64(&rd);
+    if (!is_known_version(version))
         return BBM_ERR_DECODE;
     uint64_t index = bbm_get_u64(&rd);
     if (!rd.failed && index <= state->public_index)
         return BBM_OK;
-    int rc = bbm_registry_decode(state->registry, &rd);
+    int rc = decode_registry(state, version, &rd);
     if (rc < 0)
         return rc;
     state->public_index = index;
--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -899,6 +899,102 @@
 }
 END_TEST
 
+/* ---- quarantined prompt parts ---- */
+
+static const char engine_pool[] =
+    "{\"pools\":[{\"name\":\"p\",\"engine\":true,\"slots\":4,"
+    "\"memory_tokens\":100000,\"token_bytes\":1000,\"link_mbps\":1000,"
+    "\"prefill_tokens_per_s\":50000}],\"routes\":["
+    "{\"name\":\"ask\",\"host\":\"h\",\"path\":\"/ask/\",\"pools\":[\"p\"],"
+    "\"open\":true,\"stream\":true,\"timeout_ms\":15000,\"aim_ms\":400}]}";
+
+#define DEADLY_PART 7
+#define SOUND_PART 8
+
+/* Sends a request with a prompt part to a VM; returns its number. */
+static uint64_t
+request_with_part(stop_world *w, int vm, uint64_t part)
+{
+    static uint64_t requests = 5000;
+    bbm_prompt_part parts[2] = {{part, 500}, {100000 + requests, 100}};
+    bbm_event ev = {.kind = BBM_EV_POOL_REQUEST};
+    ev.u.pool_request.host = "h";
+    ev.u.pool_request.path = "/ask/x";
+    ev.u.pool_request.request.request = ++requests;
+    ev.u.pool_request.request.id = "id";
+    ev.u.pool_request.request.model = "m";
+    ev.u.pool_request.request.parts = parts;
+    ev.u.pool_request.request.parts_len = 2;
+    ev.u.pool_request.request.prompt_tokens = 600;
+    w->code = BBM_OK;
+    ck_assert(fleet_deliver(w->list.world.fleet, vm, &ev));
+    return requests;
+}
+
+/* Ends a request: by a crash of its runner, or with a complete answer. */
+static void
+end_request(stop_world *w, int vm, uint64_t request, bool crashed)
+{
+    bbm_event ev = {.kind = BBM_EV_FORWARD_FINISHED};
+    ev.u.forwarded = (bbm_forward_result){
+        .request = request,
+        .attempt = 1,
+        .outcome = crashed ? BBM_FORWARD_NO_ANSWER : BBM_FORWARD_COMPLETE,
+        .status = crashed ? 0 : 200,
+        .disconnected = crashed,
+        .began_at = crashed ? 0 : fleet_now(w->list.world.fleet),
+    };
+    ck_assert(fleet_deliver(w->list.world.fleet, vm, &ev));
+}
+
+/* A VM may send one request with the part as a trial. */
+static bool
+is_part_refused(stop_world *w, int vm)
+{
+    int refused = 0;
+    for (int i = 0; i < 3; i++) {
+        request_with_part(w, vm, DEADLY_PART);
+        refused += w->code == BBM_ERR_QUARANTINED;
+    }
+    return refused >= 2;
+}
+
+/* All VMs lose power: what crashes runners must not be learnt anew. */
+START_TEST(quarantined_parts_survive_a_restart_of_all)
+{
+    stop_world w = {0};
+    w.list.world.fleet = create_fleet_of_three(
+        (fleet_desc){.seed = 35}, &(fleet_hooks){.context = &w,
+                                                 .read_listing = on_list,
+                                                 .answer = on_refusal});
+    fleet *f = w.list.world.fleet;
+    run_with_list(&w.list, 4 * BBM_SECOND);
+    ck_assert(fleet_publish(f, 0, 1, "first", 0, engine_pool));
+    run_with_list(&w.list, 3 * BBM_SECOND);
+    for (int i = 0; i < 3; i++) {
+        uint64_t deadly = request_with_part(&w, 1, DEADLY_PART);
+        ck_assert_int_eq(w.code, BBM_OK);
+        end_request(&w, 1, deadly, true);
+        run_with_list(&w.list, 350 * BBM_MS);
+    }
+    end_request(&w, 1, request_with_part(&w, 1, SOUND_PART), false);
+    run_with_list(&w.list, 3 * BBM_SECOND);
+    for (int vm = 0; vm < 3; vm++)
+        ck_assert(is_part_refused(&w, vm));
+    for (int vm = 0; vm < 3; vm++)
+        fleet_crash(f, vm);
+    for (int vm = 0; vm < 3; vm++)
+        fleet_start(f, vm);
+    run_with_list(&w.list, 4 * BBM_SECOND);
+    for (int vm = 0; vm < 3; vm++) {
+        request_with_part(&w, vm, SOUND_PART);
+        ck_assert_int_eq(w.code, BBM_OK);
+        ck_assert_msg(is_part_refused(&w, vm), "VM %d", vm);
+    }
+    destroy_world(&w.list.world);
+}
+END_TEST
+
 TEST_MAIN("joining", seeds_bootstrap_one_group,
           restart_of_all_bootstraps_no_second_group,
           restart_of_all_elects_without_lease_wait,
@@ -914,4 +1010,5 @@
           stopping_vm_accepts_requests_it_can_finish,
           members_that_go_for_good_are_replaced,
           leaving_upstream_is_known_after_a_restart,
-          isolated_vm_stops_keyed_pool_routes);
+          isolated_vm_stops_keyed_pool_routes,
+          quarantined_parts_survive_a_restart_of_all);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -200,6 +200,61 @@
 }
 END_TEST
 
+static void
+apply_quarantine(fixture *f, uint64_t part, int64_t at_ms, int64_t until_ms)
+{
+    bbm_command cmd = {.kind = BBM_CMD_QUARANTINE, .at_ms = at_ms};
+    cmd.u.quarantine =
+        (bbm_quarantined){.part = part, .until_ms = until_ms, .times = 1};
+    apply(f, &cmd);
+}
+
+START_TEST(quarantined_parts_end_by_command_time)
+{
+    fixture f = setup();
+    const bbm_registry *reg = bbm_state_registry(f.state);
+    apply_quarantine(&f, 7, 1000, 5000);
+    apply_quarantine(&f, 8, 2000, 9000);
+    ck_assert(bbm_registry_is_quarantined(reg, 7));
+    apply_quarantine(&f, 8, 3000, 0);
+    ck_assert(!bbm_registry_is_quarantined(reg, 8));
+    apply_quarantine(&f, 9, 5000, 9000);
+    ck_assert(!bbm_registry_is_quarantined(reg, 7));
+    ck_assert(bbm_registry_is_quarantined(reg, 9));
+    for (uint64_t part = 100; part < 1000; part++)
+        apply_quarantine(&f, part, 5000, 9000);
+    bbm_quarantined q;
+    ck_assert(!bbm_registry_quarantined_at(reg, BBM_QUARANTINED_MAX, &q));
+    ck_assert(bbm_registry_is_quarantined(reg, 9));
+    teardown(&f);
+}
+END_TEST
+
+/* The version before has no list of quarantined parts at the end of its public
+   state; its disks must stay readable. */
+START_TEST(state_of_the_version_before_is_read)
+{
+    fixture f = setup();
+    apply_key(&f, BBM_CMD_KEY_ADD, "k", "secret");
+    bbm_buf encoded = {0};
+    bbm_state_encode_public(f.state, &encoded);
+    bbm_state *copy = bbm_state_create(&(bbm_state_desc){0});
+    encoded.data[0]--;
+    encoded.len--;
+    ck_assert_int_eq(bbm_state_decode_public(copy, encoded.data, encoded.len),
+                     0);
+    ck_assert(bbm_registry_key_valid(bbm_state_registry(copy), "k"));
+    encoded.data[0]--;
+    bbm_state *other = bbm_state_create(&(bbm_state_desc){0});
+    ck_assert_int_lt(bbm_state_decode_public(other, encoded.data, encoded.len),
+                     0);
+    bbm_state_destroy(copy);
+    bbm_state_destroy(other);
+    bbm_buf_free(&encoded);
+    teardown(&f);
+}
+END_TEST
+
 START_TEST(snapshot_round_trip_is_complete)
 {
     fixture f = setup();
@@ -215,6 +270,7 @@
     ledger.u.ledger.ledger =
         (bbm_bytes){.data = (const uint8_t *)"b", .len = 1};
     apply(&f, &ledger);
+    apply_quarantine(&f, 7, 1000, 5000);
     bbm_buf encoded = {0};
     bbm_buf reencoded = {0};
     bbm_state_encode(f.state, &encoded);
@@ -255,7 +311,9 @@
 }
 END_TEST
 
-TEST_MAIN("state", concurrent_publish_conflicts_and_resend_is_idempotent,
+TEST_MAIN("state", quarantined_parts_end_by_command_time,
+          state_of_the_version_before_is_read,
+          concurrent_publish_conflicts_and_resend_is_idempotent,
           withdrawn_key_stays_withdrawn, claim_is_created_once,
           ended_run_leaves_outcome_unknown, claims_expire_by_command_time,
           snapshot_round_trip_is_complete, new_order_supersedes_open_order);
