--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -313,7 +313,7 @@
         bbm_quarantine_add_crash(q, &c, parts, BBM_COUNT(parts), now);
         bbm_buf buf = {0};
         bbm_quarantine_put_news(q, now, &buf);
-        ck_assert_uint_lt(buf.len, 128 * 1024);
+        ck_assert_uint_lt(buf.len, (size_t)128 * 1024);
         bbm_buf_free(&buf);
         now = pass(q, now, 100 * BBM_MS);
     }
