A trial that another part explains is no proof; only parts accused as long doubt one

When most runners are down, the first parts of two customers' prompts were quarantined too. Change: whether a trial's crash speaks against a part is judged by the crashes of the other quarantined parts, like all crashes. After a failed trial others follow, 10 s, 30 s, 90 s later.

--- a/gate/bbm_quarantine.c
+++ b/gate/bbm_quarantine.c
@@ -18,6 +18,10 @@
 /* Time in quarantine; doubled each further time, up to the maximum. */
 #define QUARANTINE_FIRST (600 * BBM_SECOND)
 #define QUARANTINE_MAX (7200 * BBM_SECOND)
+/* Time without a trial after the first one that crashed a runner; three times
+   as long after each further one. */
+#define TRIAL_RETRY_FIRST (10 * BBM_SECOND)
+#define TRIAL_RETRY_FACTOR 3
 /* A part is forgotten this long after the last evidence. */
 #define ACCUSED_MEMORY (600 * BBM_SECOND)
 #define ACQUITTED_MEMORY (30 * BBM_SECOND)
@@ -105,8 +109,8 @@
 lift(bbm_quarantine *q, quarantine_part *p)
 {
     p->in_force = false;
-    p->entry.trial_failed = false;
-    p->entry.proved_alone = false;
+    p->entry.failed_trials = 0;
+    p->entry.retry_at = 0;
     q->in_force_len--;
 }
 
@@ -235,6 +239,7 @@
 recount(quarantine_part *p)
 {
     const bbm_quarantine_entry *e = &p->entry;
+    p->accused_at = e->crashes_len ? e->crashes[0].at : 0;
     p->counted_at = e->crashes_len >= QUARANTINE_CRASHES_MIN
                         ? e->crashes[QUARANTINE_CRASHES_MIN - 1].at
                         : 0;
@@ -244,27 +249,43 @@
             p->crashed_again || is_sent_later(e, &e->crashes[i]);
 }
 
-static bool
-is_recorded(const bbm_quarantine_entry *e, const bbm_upstream_run *run)
+static bbm_part_crash *
+find_crash(bbm_quarantine_entry *e, const bbm_upstream_run *run)
 {
     for (size_t i = 0; i < e->crashes_len; i++) {
         if (is_same_run(&e->crashes[i].run, run))
-            return true;
+            return &e->crashes[i];
     }
-    return false;
+    return NULL;
 }
 
 /* Adds a crash unless its run is recorded; the oldest one gives way. */
 static void
 add_crash(bbm_quarantine_entry *e, const bbm_part_crash *crash)
 {
-    if (is_recorded(e, &crash->run))
+    bbm_part_crash *known = find_crash(e, &crash->run);
+    if (known) {
+        known->trial = known->trial || crash->trial;
         return;
+    }
     if (e->crashes_len == BBM_QUARANTINE_CRASHES_MAX)
         remove_crash(e, 0);
     e->crashes[e->crashes_len++] = *crash;
 }
 
+/* Trials that began before the first of them crashed a runner count once. */
+static void
+delay_trials(bbm_quarantine_entry *e, bbm_time now)
+{
+    bbm_time span = TRIAL_RETRY_FIRST;
+    if (now < e->retry_at)
+        return;
+    for (uint32_t i = 0; i < e->failed_trials && span < QUARANTINE_MAX; i++)
+        span *= TRIAL_RETRY_FACTOR;
+    e->failed_trials++;
+    e->retry_at = now + span;
+}
+
 static void
 accuse_part(bbm_quarantine *q, uint64_t part, const bbm_part_crash *crash,
             bbm_time now)
@@ -278,39 +299,21 @@
         e->last_crash_at = crash->at;
     p->crashed_again =
         p->crashed_again || (e->crashes_len && is_sent_later(e, crash));
+    const bbm_part_crash *known = find_crash(e, &crash->run);
+    if (p->in_force && crash->trial && !(known && known->trial)) {
+        delay_trials(e, now);
+        quarantine_announce(q, p, SENDS, now);
+    }
     add_crash(e, crash);
+    if (!p->accused_at)
+        p->accused_at = crash->at;
     if (!p->counted_at && e->crashes_len >= QUARANTINE_CRASHES_MIN)
         p->counted_at = crash->at;
     bool again = !p->in_force && p->times > 0 && crash->sent_at > e->until;
     if (!again)
         return;
     quarantine(q, p, now);
-    e->trial_failed = true;
-    e->proved_alone = true;
-}
-
-static quarantine_part *
-find_quarantined(const bbm_quarantine *q, uint64_t part, bbm_time now)
-{
-    quarantine_part *p = q->parts ? find_part(q, part) : NULL;
-    return p && p->in_force && now < p->entry.until ? p : NULL;
-}
-
-static void
-record_failed_trial(bbm_quarantine *q, const uint64_t *parts, size_t len,
-                    bbm_time now)
-{
-    size_t quarantined = 0;
-    for (size_t i = 0; i < len; i++)
-        quarantined += find_quarantined(q, parts[i], now) != NULL;
-    for (size_t i = 0; i < len; i++) {
-        quarantine_part *p = find_quarantined(q, parts[i], now);
-        if (!p)
-            continue;
-        p->entry.trial_failed = true;
-        p->entry.proved_alone = p->entry.proved_alone || quarantined == 1;
-        quarantine_announce(q, p, SENDS, now);
-    }
+    delay_trials(e, now);
 }
 
 void
@@ -324,8 +327,6 @@
         r->at = crash->at;
     for (size_t i = 0; i < len; i++)
         accuse_part(q, parts[i], crash, now);
-    if (crash->trial)
-        record_failed_trial(q, parts, len, now);
 }
 
 bool
@@ -399,8 +400,10 @@
         tell_acquittal(q, p, now);
         return;
     }
-    p->entry.trial_failed = p->entry.trial_failed || entry->trial_failed;
-    p->entry.proved_alone = p->entry.proved_alone || entry->proved_alone;
+    if (entry->retry_at > p->entry.retry_at) {
+        p->entry.failed_trials = entry->failed_trials;
+        p->entry.retry_at = entry->retry_at;
+    }
     if (p->in_force)
         return;
     p->changed_at = now;
@@ -537,37 +540,58 @@
 
 /* True if a run crashed with the part, as far as that is recorded. */
 static bool
-has_crash(const bbm_quarantine_entry *e, const bbm_part_crash *crash)
+has_crash(const quarantine_part *p, const bbm_part_crash *crash)
 {
+    const bbm_quarantine_entry *e = &p->entry;
     bool forgotten = e->crashes_len == BBM_QUARANTINE_CRASHES_MAX
                      && crash->at < e->crashes[0].at;
-    return forgotten || is_recorded(e, &crash->run);
+    if (forgotten)
+        return crash->at >= p->accused_at;
+    for (size_t i = 0; i < e->crashes_len; i++) {
+        if (is_same_run(&e->crashes[i].run, &crash->run))
+            return true;
+    }
+    return false;
 }
 
-/* True if a quarantined part that isn't among these has the crash too. */
+/* True if the other part, accused since as long ago, has all crashes of this
+   one but some, none of which ended a trial. */
 static bool
-is_explained(const bbm_quarantine *q, const bbm_part_crash *crash,
-             const uint64_t *parts, size_t len)
+explains(const quarantine_part *other, const quarantine_part *p)
 {
-    for (const quarantine_part *o = q->parts; o; o = o->hh.next) {
-        if (o->in_force && !contains(parts, len, o->entry.part)
-            && has_crash(&o->entry, crash))
-            return true;
+    const bbm_quarantine_entry *e = &p->entry;
+    size_t unexplained = 0;
+    if (!e->crashes_len || !other->accused_at
+        || other->accused_at > p->accused_at)
+        return false;
+    for (size_t i = 0; i < e->crashes_len; i++) {
+        if (has_crash(other, &e->crashes[i]))
+            continue;
+        if (e->crashes[i].trial)
+            return false;
+        unexplained++;
     }
-    return false;
+    return unexplained < QUARANTINE_CRASHES_MIN;
 }
 
-/* True if none of a part's crashes is explained, or enough of them remain. */
+/* True if no quarantined part that isn't among these explains the crashes. */
 static bool
 is_guilty(const bbm_quarantine *q, const quarantine_part *p,
           const uint64_t *parts, size_t len)
 {
-    const bbm_quarantine_entry *e = &p->entry;
-    size_t explained = 0;
-    for (size_t i = 0; i < e->crashes_len; i++)
-        explained += is_explained(q, &e->crashes[i], parts, len);
-    return e->proved_alone || !explained
-           || e->crashes_len - explained >= QUARANTINE_CRASHES_MIN;
+    for (const quarantine_part *o = q->parts; o; o = o->hh.next) {
+        if (o->in_force && !contains(parts, len, o->entry.part)
+            && explains(o, p))
+            return false;
+    }
+    return true;
+}
+
+static quarantine_part *
+find_quarantined(const bbm_quarantine *q, uint64_t part, bbm_time now)
+{
+    quarantine_part *p = q->parts ? find_part(q, part) : NULL;
+    return p && p->in_force && now < p->entry.until ? p : NULL;
 }
 
 bbm_parts_verdict
@@ -599,7 +623,7 @@
     for (size_t i = 0; i < len; i++) {
         const quarantine_part *p = find_quarantined(q, parts[i], now);
         bool in_trial = p && p->tried_at && now - p->tried_at < BBM_TRIAL_TIME;
-        if (in_trial || (p && guilty && p->entry.trial_failed))
+        if (in_trial || (p && guilty && now < p->entry.retry_at))
             return false;
     }
     if (guilty && bbm_rng_below(&q->rng, q->vms) > 0)
--- a/gate/bbm_quarantine.h
+++ b/gate/bbm_quarantine.h
@@ -26,10 +26,13 @@
  *  that crashes runners, or, if most runners are down, those that most
  *  requests have.  So some requests are sent in spite of it, as trials.  A
  *  sound answer releases its parts.
- *  - A request is sent if less than three crashes of its parts remain without
- *    those of quarantined parts that it lacks; one at a time at each VM.
- *  - Any other request is sent with a probability of one by the number of VMs,
- *    until such a trial has crashed a runner.
+ *  - A request is sent, one at a time at each VM, if the crashes of its parts
+ *    are explained by another quarantined part, which it lacks: one that has
+ *    been accused for as long and has all these crashes, but for less than
+ *    three of which none ended a trial.
+ *  - Any other request is sent with a probability of one by the number of VMs;
+ *    after a crash not again for 10 s, and three times as long after each
+ *    further one.
  *
  *      bbm_quarantine *q = bbm_quarantine_create(seed);
  *      bbm_quarantine_add_crash(q, &crash, ids, len, now);
@@ -86,8 +89,8 @@
 typedef struct bbm_quarantine_entry {
     uint64_t part;          /**< Id of the part. */
     bbm_time until;         /**< Quarantined until then; 0: never was. */
-    bool trial_failed;      /**< A trial has crashed a runner. */
-    bool proved_alone;      /**< In a trial without other such parts. */
+    uint32_t failed_trials; /**< Trials that crashed a runner. */
+    bbm_time retry_at;      /**< No trial that nothing speaks for before. */
     bbm_time last_crash_at; /**< Latest crash that it is accused of. */
     size_t crashes_len;     /**< Number of crashes that are recorded. */
     bbm_part_crash crashes[BBM_QUARANTINE_CRASHES_MAX]; /**< Since it was last
@@ -100,8 +103,8 @@
 /** Whether a request may be sent. */
 typedef enum bbm_parts_verdict {
     BBM_PARTS_CLEAR,   /**< None of its parts is quarantined. */
-    BBM_PARTS_DOUBTED, /**< Other quarantined parts, which it lacks, explain
-                            most crashes of its own. */
+    BBM_PARTS_DOUBTED, /**< Another quarantined part, which it lacks, explains
+                            the crashes of its own. */
     BBM_PARTS_GUILTY, /**< One of its parts is quarantined in its own right. */
 } bbm_parts_verdict;
 
--- a/gate/gate_quarantine.c
+++ b/gate/gate_quarantine.c
@@ -100,8 +100,7 @@
     }
 }
 
-/* Their runners would crash as soon as they begin to answer.  A trial goes on
-   unless another one has failed. */
+/* Their runners would crash as soon as they begin to answer. */
 static void
 abort_quarantined(bbm_gate *g)
 {
@@ -109,9 +108,8 @@
     HASH_ITER(hh, g->requests, r, next)
     {
         const bbm_quarantine_entry *e;
-        if (r->stage != GATE_SENT
-            || gate_judge_parts(g, r, &e) != BBM_PARTS_GUILTY
-            || (r->is_trial && !e->trial_failed))
+        if (r->stage != GATE_SENT || r->is_trial
+            || gate_judge_parts(g, r, &e) != BBM_PARTS_GUILTY)
             continue;
         g->counts.refused_quarantined++;
         gate_abort(g, r, BBM_ERR_UPSTREAM,
--- a/gate/quarantine_core.h
+++ b/gate/quarantine_core.h
@@ -20,6 +20,8 @@
     bbm_quarantine_entry entry; /**< What other modules see. */
     bbm_time acquitted_at; /**< Latest beginning of an answer that acquitted
                                 it; 0: none. */
+    bbm_time accused_at;   /**< First crash since it was last acquitted, also
+                                if that is no longer recorded; 0: none. */
     bbm_time changed_at;   /**< Last evidence. */
     bbm_time counted_at;   /**< Crash with which it had enough of them to be
                                 quarantined; 0: it hasn't. */
--- a/gate/quarantine_news.c
+++ b/gate/quarantine_news.c
@@ -92,8 +92,8 @@
         bbm_put_u64(buf, n->u.quarantined.entry.part);
         put_age(buf, now, n->u.quarantined.entry.until);
         put_age(buf, n->u.quarantined.entry.last_crash_at, now);
-        bbm_put_u64(buf, n->u.quarantined.entry.trial_failed);
-        bbm_put_u64(buf, n->u.quarantined.entry.proved_alone);
+        bbm_put_u64(buf, n->u.quarantined.entry.failed_trials);
+        put_age(buf, now, n->u.quarantined.entry.retry_at);
         bbm_put_u64(buf, n->u.quarantined.times);
         return;
     }
@@ -181,8 +181,8 @@
         bbm_quarantine_entry entry = {.part = bbm_get_u64(rd)};
         entry.until = now + get_age(rd);
         entry.last_crash_at = now - get_age(rd);
-        entry.trial_failed = bbm_get_u32(rd, 1) != 0;
-        entry.proved_alone = bbm_get_u32(rd, 1) != 0;
+        entry.failed_trials = bbm_get_u32(rd, UINT32_MAX);
+        entry.retry_at = now + get_age(rd);
         uint32_t times = bbm_get_u32(rd, UINT32_MAX);
         if (!rd->failed && !own)
             bbm_quarantine_adopt(q, &entry, times, now);
--- a/node/node_quarantine.c
+++ b/node/node_quarantine.c
@@ -16,8 +16,6 @@
         .part = q->part,
         .until = n->now + (q->until_ms - n->wall_ms) * BBM_MS,
         .last_crash_at = n->now - (n->wall_ms - q->last_crash_ms) * BBM_MS,
-        .trial_failed = q->proved_alone,
-        .proved_alone = q->proved_alone,
     };
     bbm_gate_add_quarantined(n->gate, &entry, q->times, n->now);
 }
@@ -57,7 +55,6 @@
                 n->wall_ms - (n->now - entry.last_crash_at) / BBM_MS,
             .until_ms = n->wall_ms + (entry.until - n->now) / BBM_MS,
             .times = times,
-            .proved_alone = entry.proved_alone,
         };
         if (!bbm_registry_is_quarantined(reg, q.part))
             propose(n, &q);
--- a/state/bbm_command.c
+++ b/state/bbm_command.c
@@ -63,7 +63,6 @@
     bbm_put_i64(buf, q->last_crash_ms);
     bbm_put_i64(buf, q->until_ms);
     bbm_put_u64(buf, q->times);
-    bbm_put_u64(buf, q->proved_alone);
 }
 
 void
@@ -73,7 +72,6 @@
     q->last_crash_ms = bbm_get_i64(rd);
     q->until_ms = bbm_get_i64(rd);
     q->times = bbm_get_u32(rd, UINT32_MAX);
-    q->proved_alone = bbm_get_u32(rd, 1) != 0;
 }
 
 void
--- a/state/bbm_command.h
+++ b/state/bbm_command.h
@@ -58,7 +58,6 @@
     int64_t last_crash_ms; /**< Latest crash that it is accused of. */
     int64_t until_ms;      /**< End of its quarantine; 0: released. */
     uint32_t times;        /**< Number of times that it was quarantined. */
-    bool proved_alone;     /**< In a trial without other such parts. */
 } bbm_quarantined;
 
 /** Identity of a request. */
--- a/tests/test_tainted.c
+++ b/tests/test_tainted.c
@@ -695,6 +695,7 @@
     l.seed = 11;
     l.deadly_parts = 3;
     l.deadly_share = 0.1;
+    l.end = 45 * BBM_SECOND;
     check_tainted(&l);
 }
 END_TEST
