The pools scenario goes on until a request has met the failed upstream

Which of two upstreams of equal cost is tried first is random, and the log is written by a thread of its own; requests 1 to 5 went to the live one with candidates 2, and the lines of 6 to 8 weren't written when the check looked. Change: at least 8 requests as before, and up to 64 until event 511 is there; each must be served, and the event is waited for. It catches the same: a request that isn't served beside a failed upstream, and a second attempt that isn't logged.

--- a/tests/process.sh
+++ b/tests/process.sh
@@ -728,10 +728,15 @@
     done
     # A failed upstream that is still in the list.
     kill -KILL "$upstream"
-    for i in 1 2 3 4 5 6 7 8; do
+    met_failed() { grep -q '"event":511.*"id":"gone-' "$dir/vm-3.log"; }
+    # Which of the two is tried first is random: more than 8 requests until the
+    # failed one was.
+    i=0
+    while [ $i -lt 8 ] || { [ $i -lt 64 ] && ! met_failed; }; do
+        i=$((i + 1))
         check "the other upstream serves request $i" pool_is_served 3 /safe/x "gone-$i"
     done
-    check "each routing decision is logged" grep -q '"event":511.*"id":"gone-' "$dir/vm-3.log"
+    check "each routing decision is logged" fleet_until 5 met_failed
     finish
 }
 pool_accepts() { [ "$(pool_control "$1" PUT "$(pool_config "$2")")" = 200 ]; }
