Reading of the change: crashes looked up once, counted without a search

Cause: the change had written twice what it had, and did work in the wrong place. - has_crash repeated the loop of find_crash, and accuse_part looked up a crash that add_crash looked up again: one find_crash, and add_crash says whether the crash is the first to end a trial. - bbm_quarantine_count went through up to 4,096 parts, on each tick by way of update_stop; the number is kept anyway. - A refused adoption from the replicated state told all other VMs of the acquittal each second; only a VM that announced the part needs it. bbm_quarantine_adopt returns whether it was refused, and the news tell. - An entry whose time is over no longer adds a part. - put_age was also used backwards, for times to come: put_span. retry_at says what it is. test_quarantine builds crashes of two parts in one place; its checks are as before, without the time that the count no longer takes. Ruled out: one table type for parts, chains and claims, which share only the shape.

--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -524,6 +524,6 @@
     bbm_gate_counts c = g->counts;
     c.open_requests = HASH_COUNT(g->requests);
     c.held_requests = g->waiting_len;
-    c.quarantined_parts = bbm_quarantine_count(g->quarantine, g->now);
+    c.quarantined_parts = bbm_quarantine_count(g->quarantine);
     return c;
 }
--- a/gate/bbm_quarantine.c
+++ b/gate/bbm_quarantine.c
@@ -249,28 +249,31 @@
             p->crashed_again || is_sent_later(e, &e->crashes[i]);
 }
 
-static bbm_part_crash *
-find_crash(bbm_quarantine_entry *e, const bbm_upstream_run *run)
+/* Index of the crash of a run; crashes_len if it isn't recorded. */
+static size_t
+find_crash(const bbm_quarantine_entry *e, const bbm_upstream_run *run)
 {
-    for (size_t i = 0; i < e->crashes_len; i++) {
-        if (is_same_run(&e->crashes[i].run, run))
-            return &e->crashes[i];
-    }
-    return NULL;
+    size_t i = 0;
+    while (i < e->crashes_len && !is_same_run(&e->crashes[i].run, run))
+        i++;
+    return i;
 }
 
-/* Adds a crash unless its run is recorded; the oldest one gives way. */
-static void
+/* Adds a crash unless its run is recorded; the oldest one gives way.  Returns
+   true if it is the first to say that a trial was ended. */
+static bool
 add_crash(bbm_quarantine_entry *e, const bbm_part_crash *crash)
 {
-    bbm_part_crash *known = find_crash(e, &crash->run);
-    if (known) {
-        known->trial = known->trial || crash->trial;
-        return;
+    size_t i = find_crash(e, &crash->run);
+    if (i < e->crashes_len) {
+        bool is_new = crash->trial && !e->crashes[i].trial;
+        e->crashes[i].trial = e->crashes[i].trial || crash->trial;
+        return is_new;
     }
     if (e->crashes_len == BBM_QUARANTINE_CRASHES_MAX)
         remove_crash(e, 0);
     e->crashes[e->crashes_len++] = *crash;
+    return crash->trial;
 }
 
 /* Trials that began before the first of them crashed a runner count once. */
@@ -299,12 +302,10 @@
         e->last_crash_at = crash->at;
     p->crashed_again =
         p->crashed_again || (e->crashes_len && is_sent_later(e, crash));
-    const bbm_part_crash *known = find_crash(e, &crash->run);
-    if (p->in_force && crash->trial && !(known && known->trial)) {
+    if (add_crash(e, crash) && p->in_force) {
         delay_trials(e, now);
         quarantine_announce(q, p, SENDS, now);
     }
-    add_crash(e, crash);
     if (!p->accused_at)
         p->accused_at = crash->at;
     if (!p->counted_at && e->crashes_len >= QUARANTINE_CRASHES_MIN)
@@ -380,38 +381,37 @@
     return true;
 }
 
-static void
-tell_acquittal(bbm_quarantine *q, const quarantine_part *p, bbm_time now)
+void
+quarantine_tell_acquittal(bbm_quarantine *q, uint64_t part, bbm_time now)
 {
     quarantine_news *row =
         quarantine_push_news(q, QUARANTINE_NEWS_ACQUITTAL, SENDS, now);
-    row->u.acquittal.part = p->entry.part;
-    row->u.acquittal.began_at = p->acquitted_at;
+    row->u.acquittal.part = part;
+    row->u.acquittal.began_at = find_part(q, part)->acquitted_at;
 }
 
-void
+bool
 bbm_quarantine_adopt(bbm_quarantine *q, const bbm_quarantine_entry *entry,
                      uint32_t times, bbm_time now)
 {
-    quarantine_part *p = find_or_add_part(q, entry->part);
     if (entry->until <= now)
-        return;
-    if (entry->last_crash_at <= p->acquitted_at) {
-        tell_acquittal(q, p, now);
-        return;
-    }
+        return true;
+    quarantine_part *p = find_or_add_part(q, entry->part);
+    if (entry->last_crash_at <= p->acquitted_at)
+        return false;
     if (entry->retry_at > p->entry.retry_at) {
         p->entry.failed_trials = entry->failed_trials;
         p->entry.retry_at = entry->retry_at;
     }
     if (p->in_force)
-        return;
+        return true;
     p->changed_at = now;
     p->times = times;
     if (entry->last_crash_at > p->entry.last_crash_at)
         p->entry.last_crash_at = entry->last_crash_at;
     put_in_force(q, p, entry->until, BBM_PART_REPORTED);
     quarantine_announce(q, p, 0, now);
+    return true;
 }
 
 /* ---- what this VM sees ---- */
@@ -448,7 +448,7 @@
                 bbm_time now)
 {
     if (quarantine_acquit(q, part, began_at, now))
-        tell_acquittal(q, find_part(q, part), now);
+        quarantine_tell_acquittal(q, part, now);
 }
 
 /* A run that has answered a request which was sent after its crash. */
@@ -547,11 +547,7 @@
                      && crash->at < e->crashes[0].at;
     if (forgotten)
         return crash->at >= p->accused_at;
-    for (size_t i = 0; i < e->crashes_len; i++) {
-        if (is_same_run(&e->crashes[i].run, &crash->run))
-            return true;
-    }
-    return false;
+    return find_crash(e, &crash->run) < e->crashes_len;
 }
 
 /* True if the other part, accused since as long ago, has all crashes of this
@@ -651,10 +647,7 @@
 }
 
 size_t
-bbm_quarantine_count(const bbm_quarantine *q, bbm_time now)
+bbm_quarantine_count(const bbm_quarantine *q)
 {
-    size_t count = 0;
-    for (const quarantine_part *p = q->parts; p; p = p->hh.next)
-        count += p->in_force && now < p->entry.until;
-    return count;
+    return q->in_force_len;
 }
--- a/gate/bbm_quarantine.h
+++ b/gate/bbm_quarantine.h
@@ -90,7 +90,7 @@
     uint64_t part;          /**< Id of the part. */
     bbm_time until;         /**< Quarantined until then; 0: never was. */
     uint32_t failed_trials; /**< Trials that crashed a runner. */
-    bbm_time retry_at;      /**< No trial that nothing speaks for before. */
+    bbm_time retry_at;      /**< Earliest next trial, if it is guilty. */
     bbm_time last_crash_at; /**< Latest crash that it is accused of. */
     size_t crashes_len;     /**< Number of crashes that are recorded. */
     bbm_part_crash crashes[BBM_QUARANTINE_CRASHES_MAX]; /**< Since it was last
@@ -158,17 +158,17 @@
 bool bbm_quarantine_begin_trial(bbm_quarantine *q, const uint64_t *parts,
                                 size_t len, bbm_time now);
 /** Quarantine a part that another VM has quarantined, or this one before a
- *  restart, unless an answer since its last crash has acquitted it.
+ *  restart.  False if an answer since its last crash has acquitted it.
  *  @param entry What is known of it, without the crashes.
  *  @param times Number of times that it was quarantined. */
-void bbm_quarantine_adopt(bbm_quarantine *q, const bbm_quarantine_entry *entry,
+bool bbm_quarantine_adopt(bbm_quarantine *q, const bbm_quarantine_entry *entry,
                           uint32_t times, bbm_time now);
 /** The i-th quarantined part, and the number of times that it was; false past
  *  the end. */
 bool bbm_quarantine_at(const bbm_quarantine *q, size_t i,
                        bbm_quarantine_entry *entry, uint32_t *times);
 /** Number of quarantined parts. */
-size_t bbm_quarantine_count(const bbm_quarantine *q, bbm_time now);
+size_t bbm_quarantine_count(const bbm_quarantine *q);
 /** The next change, or false if there is none. */
 bool bbm_quarantine_next_change(bbm_quarantine *q,
                                 bbm_quarantine_change *change);
--- a/gate/quarantine_core.h
+++ b/gate/quarantine_core.h
@@ -114,6 +114,8 @@
 quarantine_news *quarantine_push_news(bbm_quarantine *q,
                                       quarantine_news_kind kind, int sends,
                                       bbm_time now);
+/** Queue the news that a part was acquitted. */
+void quarantine_tell_acquittal(bbm_quarantine *q, uint64_t part, bbm_time now);
 /** Queue the announcement of a quarantined part. */
 void quarantine_announce(bbm_quarantine *q, quarantine_part *p, int sends,
                          bbm_time now);
--- a/gate/quarantine_news.c
+++ b/gate/quarantine_news.c
@@ -53,10 +53,11 @@
     n->u.quarantined.times = p->times;
 }
 
+/* Puts the milliseconds between two moments; 0 if the end isn't later. */
 static void
-put_age(bbm_buf *buf, bbm_time at, bbm_time now)
+put_span(bbm_buf *buf, bbm_time from, bbm_time to)
 {
-    bbm_put_u64(buf, now > at ? (uint64_t)((now - at) / BBM_MS) : 0);
+    bbm_put_u64(buf, to > from ? (uint64_t)((to - from) / BBM_MS) : 0);
 }
 
 static void
@@ -73,8 +74,8 @@
     switch (n->kind) {
     case QUARANTINE_NEWS_CRASH:
         put_run(buf, &n->u.crash.crash.run);
-        put_age(buf, n->u.crash.crash.sent_at, now);
-        put_age(buf, n->u.crash.crash.at, now);
+        put_span(buf, n->u.crash.crash.sent_at, now);
+        put_span(buf, n->u.crash.crash.at, now);
         bbm_put_u64(buf, n->u.crash.crash.trial);
         bbm_put_u64(buf, n->u.crash.len);
         for (size_t i = 0; i < n->u.crash.len; i++)
@@ -82,18 +83,18 @@
         return;
     case QUARANTINE_NEWS_ACQUITTAL:
         bbm_put_u64(buf, n->u.acquittal.part);
-        put_age(buf, n->u.acquittal.began_at, now);
+        put_span(buf, n->u.acquittal.began_at, now);
         return;
     case QUARANTINE_NEWS_ALIVE:
         put_run(buf, &n->u.alive.run);
-        put_age(buf, n->u.alive.at, now);
+        put_span(buf, n->u.alive.at, now);
         return;
     case QUARANTINE_NEWS_QUARANTINED:
         bbm_put_u64(buf, n->u.quarantined.entry.part);
-        put_age(buf, now, n->u.quarantined.entry.until);
-        put_age(buf, n->u.quarantined.entry.last_crash_at, now);
+        put_span(buf, now, n->u.quarantined.entry.until);
+        put_span(buf, n->u.quarantined.entry.last_crash_at, now);
         bbm_put_u64(buf, n->u.quarantined.entry.failed_trials);
-        put_age(buf, now, n->u.quarantined.entry.retry_at);
+        put_span(buf, now, n->u.quarantined.entry.retry_at);
         bbm_put_u64(buf, n->u.quarantined.times);
         return;
     }
@@ -127,7 +128,7 @@
 /* ---- receiving ---- */
 
 static bbm_time
-get_age(bbm_reader *rd)
+get_span(bbm_reader *rd)
 {
     return (bbm_time)bbm_get_u32(rd, UINT32_MAX) * BBM_MS;
 }
@@ -144,8 +145,8 @@
 get_crash(bbm_quarantine *q, bbm_reader *rd, bool own, bbm_time now)
 {
     bbm_part_crash crash = {.run = get_run(rd)};
-    crash.sent_at = now - get_age(rd);
-    crash.at = now - get_age(rd);
+    crash.sent_at = now - get_span(rd);
+    crash.at = now - get_span(rd);
     crash.trial = bbm_get_u32(rd, 1) != 0;
     size_t len = bbm_get_u32(rd, QUARANTINE_ROW_PARTS_MAX);
     uint64_t parts[QUARANTINE_ROW_PARTS_MAX];
@@ -166,26 +167,27 @@
         return;
     case QUARANTINE_NEWS_ACQUITTAL:
         part = bbm_get_u64(rd);
-        at = now - get_age(rd);
+        at = now - get_span(rd);
         if (!rd->failed && !own)
             quarantine_acquit(q, part, at, now);
         return;
     case QUARANTINE_NEWS_ALIVE: {
         bbm_upstream_run run = get_run(rd);
-        at = now - get_age(rd);
+        at = now - get_span(rd);
         if (!rd->failed && !own)
             quarantine_withdraw(q, &run, at, now);
         return;
     }
     case QUARANTINE_NEWS_QUARANTINED: {
         bbm_quarantine_entry entry = {.part = bbm_get_u64(rd)};
-        entry.until = now + get_age(rd);
-        entry.last_crash_at = now - get_age(rd);
+        entry.until = now + get_span(rd);
+        entry.last_crash_at = now - get_span(rd);
         entry.failed_trials = bbm_get_u32(rd, UINT32_MAX);
-        entry.retry_at = now + get_age(rd);
+        entry.retry_at = now + get_span(rd);
         uint32_t times = bbm_get_u32(rd, UINT32_MAX);
-        if (!rd->failed && !own)
-            bbm_quarantine_adopt(q, &entry, times, now);
+        if (!rd->failed && !own
+            && !bbm_quarantine_adopt(q, &entry, times, now))
+            quarantine_tell_acquittal(q, entry.part, now);
         return;
     }
     default:
--- a/node/node_news.c
+++ b/node/node_news.c
@@ -494,7 +494,7 @@
 }
 
 /* Sends the load of this VM and of those below it in the tree.  News that
- * can't be sent now are dropped. */
+   can't be sent now are dropped. */
 static void
 report_up(bbm_node *n)
 {
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -30,6 +30,15 @@
     bbm_quarantine_add_crash(q, &c, &part, 1, at);
 }
 
+static void
+crash_both(bbm_quarantine *q, uint64_t upstream, const uint64_t parts[2],
+           bbm_time at)
+{
+    bbm_part_crash c = {
+        .run = run_at(upstream), .sent_at = at - 100 * BBM_MS, .at = at};
+    bbm_quarantine_add_crash(q, &c, parts, 2, at);
+}
+
 static void
 answer(bbm_quarantine *q, uint64_t upstream, uint64_t part, bbm_time began_at,
        bbm_time at)
@@ -90,7 +99,7 @@
     now = pass(q, now, DECISION_TIME_MAX);
     ck_assert(is_refused(q, DEADLY, now));
     ck_assert(!is_refused(q, SOUND, now));
-    ck_assert_uint_eq(bbm_quarantine_count(q, now), 1);
+    ck_assert_uint_eq(bbm_quarantine_count(q), 1);
     bbm_quarantine_change change;
     ck_assert(bbm_quarantine_next_change(q, &change));
     ck_assert_int_eq(change.kind, BBM_PART_QUARANTINED);
@@ -220,13 +229,11 @@
     const bbm_quarantine_entry *e;
     bbm_time now = START;
     for (uint64_t i = 0; i < 3; i++) {
-        bbm_part_crash c = {
-            .run = run_at(i), .sent_at = now - 100 * BBM_MS, .at = now};
-        bbm_quarantine_add_crash(q, &c, both, 2, now);
+        crash_both(q, i, both, now);
         now = pass(q, now, BBM_SECOND);
     }
     now = pass(q, now, DECISION_TIME_MAX);
-    ck_assert_uint_eq(bbm_quarantine_count(q, now), 2);
+    ck_assert_uint_eq(bbm_quarantine_count(q), 2);
     ck_assert_int_eq(bbm_quarantine_judge(q, both, 2, now, &e),
                      BBM_PARTS_GUILTY);
     ck_assert_int_eq(bbm_quarantine_judge(q, &companion, 1, now, &e),
@@ -256,9 +263,7 @@
     for (uint64_t i = 0; i < 4; i++) {
         if (i == 2)
             crash(q, 50, popular, now - 100 * BBM_MS, now);
-        bbm_part_crash c = {
-            .run = run_at(i), .sent_at = now - 100 * BBM_MS, .at = now};
-        bbm_quarantine_add_crash(q, &c, both, 2, now);
+        crash_both(q, i, both, now);
         now = pass(q, now, BBM_SECOND);
     }
     now = pass(q, now, DECISION_TIME_MAX);
@@ -280,9 +285,7 @@
     const bbm_quarantine_entry *e;
     bbm_time now = START;
     for (uint64_t i = 0; i < 4; i++) {
-        bbm_part_crash c = {
-            .run = run_at(i), .sent_at = now - 100 * BBM_MS, .at = now};
-        bbm_quarantine_add_crash(q, &c, both, 2, now);
+        crash_both(q, i, both, now);
         now = pass(q, now, BBM_SECOND);
     }
     now = pass(q, now, DECISION_TIME_MAX);
