--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -145,6 +145,9 @@
     bool leaving;   /**< It will stop soon, and wants no new requests. */
     bbm_time pause; /**< With status 503: it wants no requests of this VM for
                          this time; 0: unspecified. */
+    bool limited;   /**< It states a limit. */
+    double limit;   /**< Requests per second that it takes from all VMs
+                         together; valid if limited. */
     bool invalid;   /**< One of these headers had a value that can't be
                          used. */
 } bbm_upstream_notice;
