Limits that upstreams state are kept over all VMs

Callers: none saw it; two runners in need got three times what they had stated (13 and 14 requests in 4 s, 12 allowed).

Cause: nothing read Server-Limit. The class: a statement of an upstream about itself for which there is no decision, so that it passes as an unknown header. The other statements (leaving, pause) hold for one VM or one run; this is the first number over all VMs.

Why it works: a limit of N gives N turns a second of calendar time, each of which belongs to one VM by rendezvous hashing (gate/bbm_turns). No bucket for each VM means that no bursts add up, and no owner that nothing is lost with it. Events 425, 426 and two metrics.

--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -84,11 +84,15 @@
     X(BBM_EVENT_UPSTREAM_PAUSED, 421, INFO,                                   \
       "upstream asked for no requests for a while")                           \
     X(BBM_EVENT_UPSTREAM_BAD_NOTICE, 422, WARN,                               \
-      "upstream's notice that it leaves or pauses is invalid, ignored")       \
+      "upstream's notice of itself is invalid, ignored")                      \
     X(BBM_EVENT_PART_QUARANTINED, 423, WARN,                                  \
       "prompt part quarantined: runners crash on it")                         \
     X(BBM_EVENT_PART_RELEASED, 424, INFO,                                     \
       "prompt part released from quarantine")                                 \
+    X(BBM_EVENT_UPSTREAM_LIMITED, 425, INFO,                                  \
+      "upstream stated how many requests it takes from all VMs")              \
+    X(BBM_EVENT_UPSTREAM_UNLIMITED, 426, INFO,                                \
+      "upstream states no limit any more")                                    \
     X(BBM_EVENT_REQUEST_SENT, 510, INFO, "request sent to an upstream")       \
     X(BBM_EVENT_REQUEST_RETRIED, 511, INFO,                                   \
       "request sent to another upstream")                                     \
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -514,13 +514,13 @@
         ev.u.rollout_report.id = item->name;
         ev.u.rollout_report.report =
             item->succeeded ? &item->runner_report : NULL;
-        ev.u.rollout_report.leaving = item->notice.leaving;
+        ev.u.rollout_report.notice = item->notice;
         break;
     case CONTROL_ROLLOUT_ANSWER:
         ev.kind = BBM_EV_ROLLOUT_ANSWER;
         ev.u.rollout_answer.id = item->name;
         ev.u.rollout_answer.answer = item->order_answer;
-        ev.u.rollout_answer.leaving = item->notice.leaving;
+        ev.u.rollout_answer.notice = item->notice;
         break;
     case CONTROL_STORE_STATUS:
         ev.kind = BBM_EV_STORE_STATUS;
--- a/daemon/provider.c
+++ b/daemon/provider.c
@@ -353,7 +353,7 @@
 {
     control_item *item = control_item_create(CONTROL_ROLLOUT_REPORT);
     bbm_name_set(item->name, c->id);
-    item->notice.leaving = c->head.leaving;
+    platform_response_notice(&c->head, 0, &item->notice);
     item->succeeded =
         succeeded
         && platform_report_read((char *)c->answer.data, c->answer.len,
@@ -367,7 +367,7 @@
 {
     control_item *item = control_item_create(CONTROL_ROLLOUT_ANSWER);
     bbm_name_set(item->name, c->id);
-    item->notice.leaving = c->head.leaving;
+    platform_response_notice(&c->head, 0, &item->notice);
     item->order_answer = answered ? platform_order_answer((unsigned)status)
                                   : BBM_ORDER_NO_ANSWER;
     mailbox_put_waiting(p->desc.control, item);
--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -64,6 +64,7 @@
     bbm_places_destroy(g->places);
     bbm_quarantine_destroy(g->quarantine);
     bbm_buf_free(&g->unsent_placements);
+    free(g->vm_hashes);
     gate_queued_output *output;
     while ((output = STAILQ_FIRST(&g->outputs)) != NULL) {
         STAILQ_REMOVE_HEAD(&g->outputs, link);
@@ -289,6 +290,7 @@
     }
     else if (u->info.started_at_ms != info->started_at_ms) {
         reset_health(u);
+        gate_forget_limit(u);
     }
     if (!u->was_listed || cache_was_emptied(&u->info, info))
         u->cache_empty_since = g->now;
@@ -370,6 +372,7 @@
         .answered_vms = gate_has_answered_lately(g, u),
         .paused_vms = gate_is_paused(g, u),
         .leaving_run = u->leaving_run,
+        .limit = gate_limit_to_report(g, u),
     };
     bbm_load_put(buf, &u->reported);
 }
@@ -379,7 +382,8 @@
 {
     return u->open_requests > 0 || g->now < u->suspect_until
            || gate_has_answered_lately(g, u) || gate_is_paused(g, u)
-           || u->leaving_run;
+           || u->leaving_run
+           || gate_limit_to_report(g, u).kind != BBM_LIMIT_UNSTATED;
 }
 
 void
@@ -422,8 +426,10 @@
         bbm_load l;
         bbm_load_get(rd, &l);
         gate_upstream *u = gate_find_upstream(g, l.upstream);
-        if (u)
-            u->totals = l;
+        if (!u)
+            continue;
+        u->totals = l;
+        gate_apply_limit_news(g, u);
     }
 }
 
@@ -524,6 +530,8 @@
     bbm_gate_counts c = g->counts;
     c.open_requests = HASH_COUNT(g->requests);
     c.held_requests = g->waiting_len;
+    for (const gate_upstream *u = g->upstreams; u; u = u->hh.next)
+        c.limited_upstreams += gate_is_limited(u);
     c.quarantined_parts = bbm_quarantine_count(g->quarantine);
     return c;
 }
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -175,9 +175,9 @@
     BBM_GATE_ABORT, /**< Abort the current attempt, if any; with an error code,
                          end the answer to the client with that error too. */
     BBM_GATE_ENDED, /**< A request has completed; to be logged. */
-    BBM_GATE_UPSTREAM_NOTICE, /**< An upstream has stated that it leaves, or
-                                   that it wants no requests for a while; to be
-                                   logged. */
+    BBM_GATE_UPSTREAM_NOTICE, /**< An upstream has stated that it leaves, that
+                                   it wants no requests for a while, or a
+                                   limit; to be logged. */
     BBM_GATE_DISCONNECTED, /**< An upstream has ended an attempt, which accuses
                                 the parts of its prompt; to be logged. */
     BBM_GATE_QUARANTINE,   /**< A prompt part was quarantined or released; to
@@ -241,6 +241,7 @@
             char upstream[BBM_NAME_SIZE]; /**< The upstream. */
             bbm_upstream_notice notice;   /**< What it stated; its fields that
                                                were known before are zero. */
+            bool limit_ended;             /**< It states no limit any more. */
         } upstream_notice;                /**< BBM_GATE_UPSTREAM_NOTICE. */
         struct {
             char upstream[BBM_NAME_SIZE]; /**< The upstream. */
@@ -274,6 +275,9 @@
     uint64_t refused_paused; /**< Refused: all upstreams want no requests for a
                                   while. */
     uint64_t pauses;         /**< Pauses that upstreams have asked for. */
+    uint64_t refused_limited;     /**< Refused: all upstreams state limits, and
+                                       this VM had no turn there. */
+    uint64_t limited_upstreams;   /**< Upstreams that state a limit (gauge). */
     uint64_t refused_quarantined; /**< Refused or aborted: a part of the prompt
                                        is quarantined. */
     uint64_t disconnects; /**< Attempts that upstreams ended by closing the
@@ -318,6 +322,13 @@
  *  other VMs arrive here, so the gate spreads requests at random over more
  *  upstreams. */
 void bbm_gate_set_vm_count(bbm_gate *g, size_t vms, bool placements_delayed);
+/** Set the VMs that take turns at upstreams with a limit, by the hashes of
+ *  their names; @p self is this VM.  Until then this VM counts as alone. */
+void bbm_gate_set_vms(bbm_gate *g, const uint64_t *vms, size_t len,
+                      uint64_t self);
+/** Set the calendar time at @p now, in nanoseconds.  It should be about the
+ *  same on all VMs; a difference moves turns at upstreams with a limit. */
+void bbm_gate_set_calendar(bbm_gate *g, bbm_time calendar, bbm_time now);
 
 /** Quarantine a prompt part as it is on record, unless it was acquitted
  *  since. */
@@ -342,9 +353,10 @@
  *  open request. */
 void bbm_gate_record_progress(bbm_gate *g, uint64_t request, uint32_t attempt,
                               bbm_time began_at, bbm_time now);
-/** Record that an upstream has stated that it leaves, in an answer other than
- *  to a client's request.  Ignored if it is unknown. */
-void bbm_gate_record_leaving(bbm_gate *g, const char *upstream, bbm_time now);
+/** Record that an upstream has stated that it leaves, or a limit, in an answer
+ *  other than to a client's request.  Ignored if it is unknown. */
+void bbm_gate_record_notice(bbm_gate *g, const char *upstream,
+                            const bbm_upstream_notice *notice, bbm_time now);
 /** Mark the entries of a listing as leaving whose upstreams have stated that,
  *  to this VM or to others, in the run that the entry has. */
 void bbm_gate_mark_listing(const bbm_gate *g, bbm_listing *listing);
--- a/gate/bbm_loads.c
+++ b/gate/bbm_loads.c
@@ -33,6 +33,29 @@
     vm_row *vms;
 };
 
+static void
+put_limit(bbm_buf *buf, const bbm_limit_statement *s)
+{
+    bbm_put_u64(buf, s->kind);
+    if (s->kind == BBM_LIMIT_UNSTATED)
+        return;
+    bbm_put_u64(buf, s->run);
+    bbm_put_u64(buf, s->per_1000_s);
+    bbm_put_u64(buf, s->age_ms);
+}
+
+static void
+get_limit(bbm_reader *rd, bbm_limit_statement *s)
+{
+    *s = (bbm_limit_statement){
+        .kind = (bbm_limit_kind)bbm_get_u32(rd, BBM_LIMIT_SET)};
+    if (s->kind == BBM_LIMIT_UNSTATED)
+        return;
+    s->run = bbm_get_u64(rd);
+    s->per_1000_s = bbm_get_u32(rd, UINT32_MAX);
+    s->age_ms = bbm_get_u32(rd, UINT32_MAX);
+}
+
 void
 bbm_load_put(bbm_buf *buf, const bbm_load *l)
 {
@@ -44,6 +67,7 @@
     bbm_put_u64(buf, l->answered_vms);
     bbm_put_u64(buf, l->paused_vms);
     bbm_put_u64(buf, l->leaving_run);
+    put_limit(buf, &l->limit);
 }
 
 void
@@ -57,6 +81,7 @@
     l->answered_vms = bbm_get_u32(rd, UINT32_MAX);
     l->paused_vms = bbm_get_u32(rd, UINT32_MAX);
     l->leaving_run = bbm_get_u64(rd);
+    get_limit(rd, &l->limit);
 }
 
 void
@@ -130,8 +155,24 @@
         drop_vm(all, row);
 }
 
+/* The latest statement of the latest run.  @p held: time since the report. */
+static void
+add_limit(bbm_limit_statement *sum, const bbm_limit_statement *s,
+          bbm_time held)
+{
+    if (s->kind == BBM_LIMIT_UNSTATED)
+        return;
+    bbm_time age_ms = s->age_ms + held / BBM_MS;
+    bool later = s->run != sum->run ? s->run > sum->run
+                                    : age_ms < (bbm_time)sum->age_ms;
+    if (sum->kind != BBM_LIMIT_UNSTATED && !later)
+        return;
+    *sum = *s;
+    sum->age_ms = age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX;
+}
+
 static void
-add_load(load_sum **sums, const bbm_load *l)
+add_load(load_sum **sums, const bbm_load *l, bbm_time held)
 {
     load_sum *sum = NULL;
     HASH_FIND(hh, *sums, &l->upstream, sizeof(l->upstream), sum);
@@ -148,6 +189,7 @@
     sum->load.paused_vms += l->paused_vms;
     if (l->leaving_run > sum->load.leaving_run)
         sum->load.leaving_run = l->leaving_run;
+    add_limit(&sum->load.limit, &l->limit, held);
 }
 
 static void
@@ -181,7 +223,7 @@
         vms += vm->vms;
         held += vm->held_requests;
         for (size_t i = 0; i < vm->loads_len; i++)
-            add_load(&loads, &vm->loads[i]);
+            add_load(&loads, &vm->loads[i], now - vm->last_report_at);
         for (size_t i = 0; i < vm->demands_len; i++)
             add_demand(&demands, &vm->demands[i]);
     }
--- a/gate/bbm_loads.h
+++ b/gate/bbm_loads.h
@@ -22,6 +22,22 @@
 /** Maximum number of rows of one kind in a message. */
 #define BBM_LOADS_ROWS_MAX 8192
 
+/** Kinds of statements of an upstream about its limit. */
+typedef enum bbm_limit_kind {
+    BBM_LIMIT_UNSTATED, /**< Nothing is known. */
+    BBM_LIMIT_NONE,     /**< It states no limit any more. */
+    BBM_LIMIT_SET,      /**< It states a limit. */
+} bbm_limit_kind;
+
+/** What an upstream has stated about the requests that it takes from all VMs
+ *  together. */
+typedef struct bbm_limit_statement {
+    bbm_limit_kind kind;
+    uint64_t run;        /**< Its run, in ms of calendar time plus 1. */
+    uint32_t per_1000_s; /**< BBM_LIMIT_SET: requests per 1,000 seconds. */
+    uint32_t age_ms;     /**< Time since the statement, in milliseconds. */
+} bbm_limit_statement;
+
 /** Load of an upstream: of one VM in a report, of all VMs in the totals. */
 typedef struct bbm_load {
     uint64_t upstream;       /**< Hash of the upstream's id. */
@@ -41,6 +57,7 @@
     uint64_t leaving_run; /**< Highest start time, in ms of calendar time plus
                                1, at which it has stated that it leaves; 0:
                                never. */
+    bbm_limit_statement limit; /**< The latest one that a VM has received. */
 } bbm_load;
 
 /** Demand of a customer, from bbm_shares_demand. */
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -48,7 +48,7 @@
         return;
     r->stage = GATE_ANSWERING;
     r->head_at = g->now;
-    gate_record_notice(g, r, notice);
+    gate_record_notice(g, r, notice, true);
     if (!r->last_event_id[0])
         bbm_histogram_add(&g->counts.time_to_head, g->now - r->arrived_at);
     gate_upstream *u = r->upstream;
@@ -207,7 +207,9 @@
     r->previous_outcome = outcome_names[result->outcome];
     r->previous_status = result->status;
     if (r->stage == GATE_SENT)
-        gate_record_notice(g, r, &result->notice);
+        gate_record_notice(g, r, &result->notice,
+                           result->status
+                               && result->outcome != BBM_FORWARD_NO_ANSWER);
     if (result->disconnected)
         gate_record_disconnect(g, r);
     switch (result->outcome) {
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -12,6 +12,7 @@
 #include "bbm_retry.h"
 #include "bbm_returns.h"
 #include "bbm_share.h"
+#include "bbm_turns.h"
 
 #include <sys/queue.h>
 #include <uthash.h>
@@ -37,10 +38,20 @@
                                     answer, smoothed; only for services. */
     bbm_retry_budget retry_budget; /**< This VM's part of the retry budget of
                                         the pool. */
-    bbm_returns returns;           /**< When refused clients return. */
-    UT_hash_handle hh;             /**< By name. */
+    bbm_returns returns; /**< When clients return that were refused because
+                              of pauses. */
+    bbm_returns limit_returns; /**< The same, because of limits. */
+    UT_hash_handle hh;         /**< By name. */
 } gate_pool;
 
+/** A statement of an upstream about its limit, and when it was received. */
+typedef struct gate_limit {
+    bbm_limit_kind kind;
+    uint64_t run;        /**< As gate_run_of. */
+    uint32_t per_1000_s; /**< BBM_LIMIT_SET: requests per 1,000 seconds. */
+    bbm_time at;         /**< When the VM that received it did so. */
+} gate_limit;
+
 /** An upstream.  It is removed by the first listing that lacks it while it has
  *  no open requests of this VM. */
 typedef struct gate_upstream {
@@ -72,6 +83,10 @@
                                that it leaves; 0: none has. */
     bbm_time unlisted_at; /**< When a listing first lacked it; valid unless
                                listed. */
+    gate_limit own_limit; /**< Its last statement to this VM. */
+    gate_limit limit;     /**< Its last statement to any VM. */
+    bbm_turns turns;      /**< This VM's turns there, while it is limited. */
+    gate_limit logged_limit; /**< The last statement that was logged. */
     bool half_open; /**< After a failure: gets one request at a time until one
                          succeeds. */
     double failure_share;    /**< Share of attempts that failed, smoothed. */
@@ -213,9 +228,13 @@
                              last dispatched. */
     size_t vms;         /**< Number of VMs that share rates and the retry
                              budget; at least 1. */
-    bool placements_delayed;          /**< See bbm_gate_set_vm_count. */
-    gate_pool *pools;                 /**< By name. */
-    gate_upstream *upstreams;         /**< By id. */
+    bool placements_delayed;  /**< See bbm_gate_set_vm_count. */
+    uint64_t *vm_hashes;      /**< Hashes of the names of all VMs; owned. */
+    size_t vm_hashes_len;     /**< Number of these; 0: this VM only. */
+    uint64_t self_hash;       /**< Hash of the name of this VM. */
+    bbm_time calendar_offset; /**< Calendar time less `now`. */
+    gate_pool *pools;         /**< By name. */
+    gate_upstream *upstreams; /**< By id. */
     gate_upstream *upstreams_by_hash; /**< The same upstreams, by hash. */
     gate_weights *weights;            /**< By model. */
     gate_store *stores;               /**< By address. */
@@ -301,6 +320,11 @@
     size_t paused;           /**< GATE_PICK_PAUSED: number of its upstreams
                                   that want no requests for a while. */
     bbm_time pause_end;      /**< GATE_PICK_PAUSED: earliest end of that. */
+    gate_pool *limited_pool; /**< GATE_PICK_LIMITED: the pool. */
+    double limit;            /**< GATE_PICK_LIMITED: sum of the limits of its
+                                  upstreams, in requests per second. */
+    size_t turns_ahead; /**< GATE_PICK_LIMITED: turns of this VM there that
+                             come soon enough for the request. */
     char source_address[BBM_NAME_SIZE]; /**< Where it can fetch cache entries,
                                              or "". */
     uint64_t source_store_hash; /**< Hash of the source if that is a store;
@@ -319,6 +343,8 @@
                              take; 0: unknown. */
     GATE_PICK_PAUSED,   /**< All upstreams that could take it want no requests
                              for a while. */
+    GATE_PICK_LIMITED,  /**< This VM has no turn at the upstreams that could
+                             take it. */
     GATE_PICK_NO_UPSTREAM, /**< No pool of the route has an upstream. */
 } gate_pick;
 
@@ -392,9 +418,10 @@
     return info->started_at_ms + 1;
 }
 /** Record what the answer to the current attempt says of its upstream.  If the
- *  upstream has restarted since, that is ignored. */
+ *  upstream has restarted since, that is ignored.  @p answered: there was an
+ *  answer, so that what it doesn't say counts too. */
 void gate_record_notice(bbm_gate *g, const gate_request *r,
-                        const bbm_upstream_notice *notice);
+                        const bbm_upstream_notice *notice, bool answered);
 /** True if the upstream leaves: by its listing, by its own word, or by what it
  *  told other VMs. */
 bool gate_is_leaving(const gate_upstream *u);
@@ -408,6 +435,35 @@
 bbm_time gate_pause_retry_after(bbm_gate *g, const gate_request *r,
                                 const gate_choice *c);
 
+/* ---- gate_limit.c ---- */
+
+/** Record what an answer of an upstream in its present run says of its limit.
+ *  @p sent_at is when its request was sent; BBM_NEVER: an answer without a
+ *  limit doesn't end one.  Returns true if that is to be logged. */
+bool gate_record_limit(bbm_gate *g, gate_upstream *u,
+                       const bbm_upstream_notice *notice, bbm_time sent_at);
+/** Apply the last statement that all VMs have received. */
+void gate_apply_limit_news(bbm_gate *g, gate_upstream *u);
+/** Forget the limit of an upstream that has restarted. */
+void gate_forget_limit(gate_upstream *u);
+/** The last statement to this VM, to be reported; BBM_LIMIT_UNSTATED if the
+ *  others know it by now. */
+bbm_limit_statement gate_limit_to_report(const bbm_gate *g,
+                                         const gate_upstream *u);
+/** True if the upstream states a limit. */
+bool gate_is_limited(const gate_upstream *u);
+/** True if this VM may send a request to the upstream now, by its limit. */
+bool gate_has_turn(bbm_gate *g, gate_upstream *u);
+/** True if this VM may send a request to the upstream at a moment that isn't
+ *  later than @p until. */
+bool gate_has_turn_before(const bbm_gate *g, const gate_upstream *u,
+                          bbm_time until);
+/** True if a request should ask the upstream whether its limit still holds. */
+bool gate_must_ask_limit(const bbm_gate *g, const gate_upstream *u);
+/** Time after which a client that is refused because of limits should
+ *  return. */
+bbm_time gate_limit_retry_after(bbm_gate *g, const gate_choice *c);
+
 /* ---- gate_health.c ---- */
 
 /** Record a successful attempt. */
@@ -443,6 +499,9 @@
 
 /* ---- gate_request.c ---- */
 
+/** Latest moment up to which a request is held for upstreams that all want
+ *  none for a while, or for a turn at those that state a limit. */
+bbm_time gate_hold_limit(const gate_request *r);
 /** Minimum Retry-After of a refusal. */
 #define GATE_RETRY_AFTER_MIN (50 * BBM_MS)
 
--- a/gate/gate_notice.c
+++ b/gate/gate_notice.c
@@ -15,24 +15,27 @@
 /* A pause is capped at this: an upstream that asks for more is listed as
    leaving or gone by then. */
 #define PAUSE_MAX (600 * BBM_SECOND)
-/* An upstream that has stated that it leaves is remembered for this time after
-   it was last listed.  A listing may lack it for a moment and then have it
-   again as ready. */
-#define LEAVING_MEMORY (60 * BBM_SECOND)
+/* An upstream that has stated that it leaves, or a limit, is remembered for
+   this time after it was last listed.  A listing may lack it for a moment and
+   then have it again as ready. */
+#define NOTICE_MEMORY (60 * BBM_SECOND)
 /* Share of the capacity after a pause that is meant for returning clients; the
    rest is for new ones. */
 #define RETURN_CAPACITY_SHARE 0.5
 
 void
 gate_record_notice(bbm_gate *g, const gate_request *r,
-                   const bbm_upstream_notice *notice)
+                   const bbm_upstream_notice *notice, bool answered)
 {
     gate_upstream *u = r->upstream;
     bbm_upstream_notice news = {.invalid = notice->invalid};
+    bool limit_news = false;
     if (r->upstream_run == gate_run_of(&u->info)) {
         news.leaving =
             notice->leaving && u->leaving_run != gate_run_of(&u->info);
         news.pause = notice->pause < PAUSE_MAX ? notice->pause : PAUSE_MAX;
+        limit_news =
+            gate_record_limit(g, u, notice, answered ? r->sent_at : BBM_NEVER);
     }
     if (news.leaving) {
         u->leaving_run = gate_run_of(&u->info);
@@ -43,23 +46,37 @@
         g->load_changed = true;
         g->counts.pauses++;
     }
-    if (!news.leaving && !news.pause && !news.invalid)
+    if (!news.leaving && !news.pause && !news.invalid && !limit_news)
         return;
+    news.limited = limit_news && notice->limited;
+    news.limit = notice->limit;
     bbm_gate_output *out = gate_push_output(g, BBM_GATE_UPSTREAM_NOTICE, r);
     bbm_name_set(out->u.upstream_notice.upstream, u->info.id);
     out->u.upstream_notice.notice = news;
+    out->u.upstream_notice.limit_ended = limit_news && !notice->limited;
 }
 
 void
-bbm_gate_record_leaving(bbm_gate *g, const char *upstream, bbm_time now)
+bbm_gate_record_notice(bbm_gate *g, const char *upstream,
+                       const bbm_upstream_notice *notice, bbm_time now)
 {
+    static const gate_request no_request = {0};
     gate_advance(g, now);
     gate_upstream *u = NULL;
     HASH_FIND_STR(g->upstreams, upstream, u);
     if (!u)
         return;
-    u->leaving_run = gate_run_of(&u->info);
-    g->load_changed = true;
+    if (notice->leaving) {
+        u->leaving_run = gate_run_of(&u->info);
+        g->load_changed = true;
+    }
+    if (!gate_record_limit(g, u, notice, BBM_NEVER))
+        return;
+    bbm_gate_output *out =
+        gate_push_output(g, BBM_GATE_UPSTREAM_NOTICE, &no_request);
+    bbm_name_set(out->u.upstream_notice.upstream, u->info.id);
+    out->u.upstream_notice.notice.limited = true;
+    out->u.upstream_notice.notice.limit = notice->limit;
 }
 
 /* True if a run of the upstream has told this VM or another that it leaves. */
@@ -85,7 +102,8 @@
 gate_keeps_notice(const bbm_gate *g, const gate_upstream *u)
 {
     return gate_is_paused(g, u)
-           || (u->leaving_run && g->now - u->unlisted_at < LEAVING_MEMORY);
+           || ((u->leaving_run || gate_is_limited(u))
+               && g->now - u->unlisted_at < NOTICE_MEMORY);
 }
 
 bbm_time
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -120,6 +120,9 @@
     size_t avoided; /* number of upstreams left out because they are avoided */
     size_t paused;  /* number left out because they want no requests now */
     bbm_time pause_end; /* earliest end of that; valid if paused */
+    size_t limited;     /* number left out because this VM has no turn there */
+    double limit;       /* sum of their limits, in requests per second */
+    size_t turns_ahead; /* number of them where it has one soon enough */
 } candidate_set;
 
 /* ---- load of an upstream ---- */
@@ -236,6 +239,15 @@
     set->paused++;
 }
 
+static void
+leave_out_limited(const bbm_gate *g, const gate_request *r, candidate_set *set,
+                  const gate_upstream *u)
+{
+    set->limited++;
+    set->limit += u->turns.limit;
+    set->turns_ahead += gate_has_turn_before(g, u, gate_hold_limit(r));
+}
+
 static void
 collect_candidates(bbm_gate *g, const gate_request *r, const char *pool,
                    bool avoided, candidate_set *set)
@@ -245,6 +257,9 @@
     set->loading = 0;
     set->avoided = 0;
     set->paused = 0;
+    set->limited = 0;
+    set->limit = 0;
+    set->turns_ahead = 0;
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
         if (!u->listed || !u->pool || strcmp(u->info.pool, pool) != 0
             || gate_is_leaving(u))
@@ -259,6 +274,10 @@
         }
         if (has_failed(r, u))
             continue;
+        if (!gate_has_turn(g, u)) {
+            leave_out_limited(g, r, set, u);
+            continue;
+        }
         if (!avoided && gate_is_avoided(g, u)) {
             set->avoided++;
             continue;
@@ -668,6 +687,21 @@
     }
 }
 
+/* The upstream that a request asks whether its limit still holds, if the
+   answer is expected to begin within the target latency; or NULL. */
+static const candidate *
+find_asked(const bbm_gate *g, const gate_request *r, const candidate_set *set)
+{
+    double target_ms = (double)r->target_latency / (double)BBM_MS;
+    for (size_t i = 0; i < set->len; i++) {
+        const candidate *c = &set->items[i];
+        if (!c->is_full && c->cost_ms < target_ms
+            && gate_must_ask_limit(g, c->upstream))
+            return c;
+    }
+    return NULL;
+}
+
 /* ---- choosing ---- */
 
 /* The best use of a set of candidates. */
@@ -716,6 +750,11 @@
              && (!not_full
                  || not_full->cost_ms > best->cost_ms + HOLD_ADVANTAGE_MS);
     o.best = !o.hold && not_full ? not_full : best;
+    const candidate *asked = find_asked(g, r, set);
+    if (asked) {
+        o.best = asked;
+        o.hold = false;
+    }
     o.expected_ms = o.best->cost_ms;
     if (o.hold)
         o.expected_ms += held_queue_ms(g, r, set);
@@ -814,6 +853,12 @@
         return GATE_PICK_TOO_LATE;
     if (!set->len && set->loading)
         return GATE_PICK_HOLD;
+    if (!set->len && set->limited) {
+        c->limited_pool = gate_find_pool(g, pool);
+        c->limit = set->limit;
+        c->turns_ahead = set->turns_ahead;
+        return GATE_PICK_LIMITED;
+    }
     if (!set->len && set->paused) {
         c->paused_pool = gate_find_pool(g, pool);
         c->paused = set->paused;
@@ -839,10 +884,12 @@
          i++) {
         pick = choose_in_pool(g, r, r->pools[i], &set, c);
         /* Another pool of the route may take it at once. */
-        if (pick == GATE_PICK_PAUSED)
+        if (pick == GATE_PICK_PAUSED || pick == GATE_PICK_LIMITED)
             pick = GATE_PICK_NO_UPSTREAM;
     }
     free(set.items);
+    if (pick == GATE_PICK_NO_UPSTREAM && c->limited_pool)
+        return GATE_PICK_LIMITED;
     if (pick == GATE_PICK_NO_UPSTREAM && c->paused_pool)
         return GATE_PICK_PAUSED;
     return pick;
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -24,9 +24,9 @@
    latency, up to the maximum: a new listing may be about to arrive. */
 #define NO_UPSTREAM_HOLD_RATIO 0.5
 #define NO_UPSTREAM_HOLD_MAX (400 * BBM_MS)
-/* If all upstreams want no requests for a while, a request is held for them up
-   to this share of its target latency. */
-#define PAUSE_HOLD_RATIO 0.5
+/* If all upstreams want no requests for a while, or this VM has no turn there,
+   a request is held for them up to this share of its target latency. */
+#define HOLD_RATIO 0.5
 /* Maximum Retry-After of a refusal. */
 #define RETRY_AFTER_MAX (5 * BBM_SECOND)
 /* Retry-After is increased at random by up to this share of it, so that
@@ -257,6 +257,8 @@
     u->memory_tokens += r->memory_tokens;
     g->load_changed = true;
     gate_record_placement(g, r, c);
+    if (gate_is_limited(u))
+        bbm_turns_take(&u->turns);
     if (r->prefixes_len)
         bbm_chains_add_request(g->chains, r->chain_key, g->now);
     bbm_gate_output *out = gate_push_output(g, BBM_GATE_SEND, r);
@@ -290,28 +292,65 @@
                 "no upstream can begin the answer in time");
 }
 
+bbm_time
+gate_hold_limit(const gate_request *r)
+{
+    bbm_time until =
+        r->arrived_at + (bbm_time)((double)r->target_latency * HOLD_RATIO);
+    return until < r->start_deadline ? until : r->start_deadline - 1;
+}
+
 /* Holds a request for upstreams that all want none for a while, if the first
    of them takes it again well before its target latency; otherwise its client
    is told at once when to return. */
 static bool
 may_hold_for_pause(const gate_request *r, const gate_choice *c)
 {
-    bbm_time max = (bbm_time)((double)r->target_latency * PAUSE_HOLD_RATIO);
-    return c->pause_end - r->arrived_at <= max
-           && c->pause_end < r->start_deadline;
+    return c->pause_end <= gate_hold_limit(r);
+}
+
+/* Holds a request if this VM has more turns soon enough than it holds requests
+   that come first. */
+static bool
+may_hold_for_turn(const bbm_gate *g, const gate_request *r,
+                  const gate_choice *c)
+{
+    size_t first = 0;
+    const gate_request *other;
+    TAILQ_FOREACH(other, &g->waiting, link)
+    {
+        if (other == r || other->priority > r->priority)
+            break;
+        first++;
+    }
+    return first < c->turns_ahead;
 }
 
+/* Ends a request that no upstream takes for a while. */
 static void
-end_paused(bbm_gate *g, gate_request *r, const gate_choice *c)
+end_unwanted(bbm_gate *g, gate_request *r, bbm_time retry_after,
+             const char *reason)
 {
-    g->counts.refused_paused++;
     if (r->last_event_id[0])
-        gate_abort(g, r, BBM_ERR_UPSTREAM_CUT,
-                   "no upstream resumes the stream for a while");
+        gate_abort(g, r, BBM_ERR_UPSTREAM_CUT, reason);
     else
-        refuse_as_scheduled(g, r, BBM_ERR_OVERLOAD,
-                            gate_pause_retry_after(g, r, c),
-                            "all upstreams want no requests for a while");
+        refuse_as_scheduled(g, r, BBM_ERR_OVERLOAD, retry_after, reason);
+}
+
+static void
+end_limited(bbm_gate *g, gate_request *r, const gate_choice *c)
+{
+    g->counts.refused_limited++;
+    end_unwanted(g, r, gate_limit_retry_after(g, c),
+                 "all upstreams state limits, and this VM has no turn");
+}
+
+static void
+end_paused(bbm_gate *g, gate_request *r, const gate_choice *c)
+{
+    g->counts.refused_paused++;
+    end_unwanted(g, r, gate_pause_retry_after(g, r, c),
+                 "all upstreams want no requests for a while");
 }
 
 static bool
@@ -377,6 +416,12 @@
         else
             end_paused(g, r, &c);
         return;
+    case GATE_PICK_LIMITED:
+        if (may_hold_for_turn(g, r, &c))
+            enqueue(g, r);
+        else
+            end_limited(g, r, &c);
+        return;
     case GATE_PICK_NO_UPSTREAM:
         if (may_hold_without_upstream(g, r)) {
             enqueue(g, r);
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -319,13 +319,13 @@
         struct {
             const char *id;                  /**< Runner. */
             const bbm_runner_report *report; /**< NULL: no answer. */
-            bool leaving;                    /**< It states that it leaves. */
+            bbm_upstream_notice notice;      /**< What the answer states. */
         } rollout_report;                    /**< BBM_EV_ROLLOUT_REPORT. */
         struct {
-            const char *id;          /**< Runner. */
-            bbm_order_answer answer; /**< Its answer. */
-            bool leaving;            /**< It states that it leaves. */
-        } rollout_answer;            /**< BBM_EV_ROLLOUT_ANSWER. */
+            const char *id;             /**< Runner. */
+            bbm_order_answer answer;    /**< Its answer. */
+            bbm_upstream_notice notice; /**< What the answer states. */
+        } rollout_answer;               /**< BBM_EV_ROLLOUT_ANSWER. */
         struct {
             const char *address; /**< IP:port of the store. */
             bool alive;          /**< The store answers. */
--- a/node/node.c
+++ b/node/node.c
@@ -185,6 +185,8 @@
 tick(bbm_node *n, int64_t wall_ms)
 {
     n->wall_ms = wall_ms;
+    if (n->gate)
+        bbm_gate_set_calendar(n->gate, wall_ms * BBM_MS, n->now);
     node_control_tick(n);
     node_join_tick(n);
     bbm_members_tick(n->members, n->now);
@@ -297,14 +299,16 @@
             node_upstreams_process_read(n, ev->u.listing.listing);
         return;
     case BBM_EV_ROLLOUT_REPORT:
-        if (n->gate && ev->u.rollout_report.leaving)
-            bbm_gate_record_leaving(n->gate, ev->u.rollout_report.id, n->now);
+        if (n->gate)
+            bbm_gate_record_notice(n->gate, ev->u.rollout_report.id,
+                                   &ev->u.rollout_report.notice, n->now);
         node_rollout_apply_report(n, ev->u.rollout_report.id,
                                   ev->u.rollout_report.report);
         return;
     case BBM_EV_ROLLOUT_ANSWER:
-        if (n->gate && ev->u.rollout_answer.leaving)
-            bbm_gate_record_leaving(n->gate, ev->u.rollout_answer.id, n->now);
+        if (n->gate)
+            bbm_gate_record_notice(n->gate, ev->u.rollout_answer.id,
+                                   &ev->u.rollout_answer.notice, n->now);
         node_rollout_apply_answer(n, ev->u.rollout_answer.id,
                                   ev->u.rollout_answer.answer);
         return;
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -423,6 +423,17 @@
         node_log_text(l, "upstream", upstream);
         node_log_number(l, "pause_ms", notice->pause / BBM_MS);
     }
+    if (notice->limited) {
+        bbm_action *l = node_log_event(n, BBM_EVENT_UPSTREAM_LIMITED);
+        node_log_text(l, "id", out->id);
+        node_log_text(l, "upstream", upstream);
+        node_log_number(l, "per_1000_s", (int64_t)(notice->limit * 1000));
+    }
+    if (out->u.upstream_notice.limit_ended) {
+        bbm_action *l = node_log_event(n, BBM_EVENT_UPSTREAM_UNLIMITED);
+        node_log_text(l, "id", out->id);
+        node_log_text(l, "upstream", upstream);
+    }
     if (notice->invalid)
         log_invalid_notice(n, upstream);
 }
--- a/node/node_news.c
+++ b/node/node_news.c
@@ -531,6 +531,25 @@
     bbm_buf_free(&news);
 }
 
+/* A VM that is lost keeps its turns for a while: the others don't learn of it
+   at the same moment. */
+#define TURN_MEMORY (10 * BBM_SECOND)
+
+static void
+update_turn_order(bbm_node *n)
+{
+    BBM_AUTO_FREE uint64_t *vms =
+        bbm_calloc(bbm_members_count(n->members), sizeof(*vms));
+    size_t len = 0;
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        if (node_member_alive(m)
+            || (m->run && n->now - m->status_since < TURN_MEMORY))
+            vms[len++] = bbm_hash_text(m->name, 0);
+    }
+    bbm_gate_set_vms(n->gate, vms, len, bbm_hash_text(n->desc.name, 0));
+}
+
 void
 node_news_tick(bbm_node *n)
 {
@@ -540,6 +559,7 @@
     if (!due && !(all_to_all && bbm_gate_load_changed(n->gate)))
         return;
     bbm_gate_set_vm_count(n->gate, vms, !all_to_all);
+    update_turn_order(n);
     report_load(n, all_to_all);
     if (!due)
         return;
--- a/tests/gate_world.c
+++ b/tests/gate_world.c
@@ -16,6 +16,8 @@
 #define FIRST_PART 1
 #define RUNNER_SLOTS 64
 #define SERVICE_TIME (15 * BBM_MS)
+/* Calendar time at which the steady clock started. */
+#define CALENDAR_START (1780000000 * BBM_SECOND)
 #define LINK_TIME (2 * BBM_MS)
 
 static const char config_text[] =
@@ -135,6 +137,12 @@
                          .retry_slack = 100});
     bbm_gate_configure(g, w->cfg, w->now);
     bbm_gate_set_vm_count(g, (size_t)w->load.vms, w->load.vms > 16);
+    uint64_t names[WORLD_VMS_MAX];
+    for (int i = 0; i < w->load.vms; i++)
+        names[i] = (uint64_t)i + 1;
+    bbm_gate_set_vms(g, names, (size_t)w->load.vms, names[vm]);
+    bbm_time skew = vm % 3 ? 0 : w->load.clock_skew;
+    bbm_gate_set_calendar(g, CALENDAR_START + w->now + skew, w->now);
     return g;
 }
 
--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -824,7 +824,7 @@
     run_with_list(&w.list, 3 * BBM_SECOND);
     bbm_event ev = {.kind = BBM_EV_ROLLOUT_ANSWER};
     ev.u.rollout_answer.id = "runner-0";
-    ev.u.rollout_answer.leaving = true;
+    ev.u.rollout_answer.notice.leaving = true;
     ck_assert(fleet_deliver(f, 0, &ev));
     run_with_list(&w.list, 2 * BBM_SECOND);
     for (int i = 0; i < 3; i++)
--- a/tests/test_limited.c
+++ b/tests/test_limited.c
@@ -1,8 +1,10 @@
 /* Upstreams that state how many requests a second they take from all VMs, in
    virtual time. */
+#include "bbm_turns.h"
 #include "gate_world.h"
 #include "test_main.h"
 
+#include <math.h>
 #include <stdio.h>
 
 /* In each window an upstream may get its limit times the share, and the
@@ -44,6 +46,22 @@
     return (double)count * (double)BBM_SECOND / (double)(until - from);
 }
 
+/* Longest time without a request, which is how long the end of a limit may go
+   unnoticed. */
+static bbm_time
+longest_gap(const gate_world *w, const world_upstream *u)
+{
+    bbm_time last = w->started_at + WORLD_BEGIN_TIME + WORLD_CONTACT_TIME;
+    bbm_time longest = 0;
+    for (size_t i = 0; i <= u->arrivals_len; i++) {
+        bbm_time at = i < u->arrivals_len ? u->arrivals[i].at : w->now;
+        if (at - last > longest)
+            longest = at - last;
+        last = at > last ? at : last;
+    }
+    return longest;
+}
+
 static void
 check_arrivals(const gate_world *w, double used_share)
 {
@@ -64,6 +82,11 @@
         ck_assert_msg((double)all <= allowed, "seed %d: %zu of all",
                       (int)w->load.seed, all);
         ck_assert_msg(per_s >= used_share * w->load.limit, "%.2f/s", per_s);
+        /* A lower limit is asked each 10 s, and not by each turn. */
+        bbm_time gap = longest_gap(w, u);
+        bbm_time gap_max = (w->load.limit < 1 ? 40 : 10) * BBM_SECOND;
+        ck_assert_msg(gap <= gap_max, "not asked for %.1f s",
+                      (double)gap / (double)BBM_SECOND);
     }
 }
 
@@ -130,7 +153,7 @@
         world_load l = few_vms;
         l.seed = seed;
         l.limit = seed % 2 ? 1 : 1.2;
-        check_limited(&l, 0.5);
+        check_limited(&l, 0);
     }
 }
 END_TEST
@@ -142,7 +165,7 @@
     l.runners = 120;
     l.per_s = 400;
     l.seed = 21;
-    check_limited(&l, 0.3);
+    check_limited(&l, 0);
 }
 END_TEST
 
@@ -154,7 +177,7 @@
     l.per_s = 430;
     l.seed = 22;
     l.end = 20 * BBM_SECOND;
-    check_limited(&l, 0.3);
+    check_limited(&l, 0);
 }
 END_TEST
 
@@ -166,7 +189,8 @@
         l.vms = 40;
         l.limit = seed % 2 ? 0.05 : 0.4;
         l.seed = seed;
-        check_limited(&l, 0.5);
+        l.end = 80 * BBM_SECOND;
+        check_limited(&l, 0);
     }
 }
 END_TEST
@@ -178,7 +202,7 @@
         l.seed = seed;
         l.limit = 2;
         l.limit_swing = 0.4;
-        check_limited(&l, 0.4);
+        check_limited(&l, 0);
     }
 }
 END_TEST
@@ -189,7 +213,7 @@
         world_load l = few_vms;
         l.seed = seed;
         l.clock_skew = 2300 * BBM_MS;
-        check_limited(&l, 0.4);
+        check_limited(&l, 0);
     }
 }
 END_TEST
@@ -200,7 +224,7 @@
         world_load l = few_vms;
         l.seed = seed;
         l.vm_restarts_at = 14 * BBM_SECOND;
-        check_limited(&l, 0.4);
+        check_limited(&l, 0);
     }
 }
 END_TEST
@@ -217,7 +241,7 @@
                         .limit = seed % 2 ? 3 : 1,
                         .seed = seed,
                         .end = 30 * BBM_SECOND};
-        check_limited(&l, 0.4);
+        check_limited(&l, 0);
     }
 }
 END_TEST
@@ -270,9 +294,117 @@
 }
 END_TEST
 
-TEST_MAIN("limited", runner_gets_no_more_requests_than_its_limit,
-          limit_holds_over_75_vms, limit_holds_over_200_vms,
-          limit_below_one_request_per_vm_and_window,
+/* All VMs at the end of one limit, at 200 VMs whose requests rarely prefer the
+   runner. */
+START_TEST(end_of_a_limit_is_noticed_by_200_vms)
+{
+    world_load l = few_vms;
+    l.vms = 200;
+    l.runners = 117;
+    l.per_s = 430;
+    l.limited = 1;
+    l.seed = 95;
+    l.limit_until = 10 * BBM_SECOND;
+    l.end = 24 * BBM_SECOND;
+    gate_world *w = world_create(&l);
+    world_run(w);
+    for (int vm = 0; vm < l.vms; vm++)
+        ck_assert_uint_eq(bbm_gate_count(w->gates[vm]).limited_upstreams, 0);
+    world_destroy(w);
+}
+END_TEST
+
+/* ---- turns ---- */
+
+#define CALENDAR (1780000000 * BBM_SECOND)
+
+/* Number of requests that VMs with these lists may send in a span of time, if
+   they always have one. */
+static size_t
+count_taken(bbm_turns *turns, const bbm_turn_order *orders, size_t vms,
+            bbm_time from, bbm_time span)
+{
+    size_t taken = 0;
+    for (bbm_time at = from; at < from + span; at += 10 * BBM_MS) {
+        for (size_t vm = 0; vm < vms; vm++) {
+            bbm_turns_update(&turns[vm], &orders[vm], at);
+            while (turns[vm].available) {
+                bbm_turns_take(&turns[vm]);
+                taken++;
+            }
+        }
+    }
+    return taken;
+}
+
+START_TEST(turns_of_all_vms_add_up_to_the_limit)
+{
+    static const double limits[] = {0.1, 0.5, 1, 1.2, 3, 20, 49, 51, 400};
+    static const size_t sizes[] = {1, 10, 75, 200, 350};
+    enum { VMS_MAX = 350 };
+    uint64_t names[VMS_MAX];
+    for (size_t i = 0; i < VMS_MAX; i++)
+        names[i] = 7 * i + 3;
+    for (size_t i = 0; i < BBM_COUNT(limits) * BBM_COUNT(sizes); i++) {
+        double limit = limits[i / BBM_COUNT(sizes)];
+        size_t vms = sizes[i % BBM_COUNT(sizes)];
+        bbm_turns turns[VMS_MAX] = {0};
+        bbm_turn_order orders[VMS_MAX];
+        for (size_t vm = 0; vm < vms; vm++) {
+            orders[vm] = (bbm_turn_order){99, names, vms, names[vm]};
+            bbm_turns_set_limit(&turns[vm], limit, CALENDAR);
+        }
+        size_t taken =
+            count_taken(turns, orders, vms, CALENDAR, 10 * BBM_SECOND);
+        double expected = 10 * limit;
+        double turn = ceil(limit / 50); /* requests per turn */
+        ck_assert_msg((double)taken <= expected + turn
+                          && (double)taken >= 0.95 * expected - 2 * turn,
+                      "%zu VMs, limit %.1f: %zu", vms, limit, taken);
+    }
+}
+END_TEST
+
+/* A turn isn't saved up: after a pause of all requests there is no burst. */
+START_TEST(unused_turns_end)
+{
+    uint64_t name = 1;
+    bbm_turn_order alone = {5, &name, 1, name};
+    bbm_turns turns = {0};
+    bbm_turns_set_limit(&turns, 2, CALENDAR);
+    bbm_turns_update(&turns, &alone, CALENDAR + 30 * BBM_SECOND);
+    ck_assert_uint_le(turns.available, 2);
+    bbm_turns_take(&turns);
+    bbm_turns_take(&turns);
+    bbm_turns_take(&turns);
+    ck_assert_uint_eq(turns.available, 0);
+}
+END_TEST
+
+START_TEST(turns_go_on_after_a_calendar_that_is_set_back)
+{
+    uint64_t name = 1;
+    bbm_turn_order alone = {5, &name, 1, name};
+    bbm_turns turns = {0};
+    bbm_turns_set_limit(&turns, 10, CALENDAR);
+    size_t taken = count_taken(&turns, &alone, 1, CALENDAR, 2 * BBM_SECOND);
+    /* Repeated turns are left out. */
+    ck_assert_uint_eq(
+        count_taken(&turns, &alone, 1, CALENDAR + 500 * BBM_MS, BBM_SECOND),
+        0);
+    ck_assert_uint_ge(taken, 19);
+    taken = count_taken(&turns, &alone, 1, CALENDAR - 3600 * BBM_SECOND,
+                        2 * BBM_SECOND);
+    ck_assert_uint_ge(taken, 17);
+    ck_assert_uint_le(taken, 21);
+}
+END_TEST
+
+TEST_MAIN("limited", turns_of_all_vms_add_up_to_the_limit, unused_turns_end,
+          turns_go_on_after_a_calendar_that_is_set_back,
+          end_of_a_limit_is_noticed_by_200_vms,
+          runner_gets_no_more_requests_than_its_limit, limit_holds_over_75_vms,
+          limit_holds_over_200_vms, limit_below_one_request_per_vm_and_window,
           limit_that_changes_with_each_answer,
           limit_holds_with_clocks_that_differ, limit_holds_while_vms_restart,
           service_gets_no_more_requests_than_its_limit,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -375,6 +375,21 @@
          503,
          {.pause = 86400 * BBM_SECOND}},
         {"Retry-Later", "2", 503, {0}},
+        {"Server-Limit", "1.2", 200, {.limited = true, .limit = 1.2}},
+        {"server-limit", "3", 503, {.limited = true, .limit = 3}},
+        {"Server-Limit", "0", 200, {.limited = true, .limit = 0}},
+        {"Server-Limit", "0.05", 200, {.limited = true, .limit = 0.05}},
+        {"Server-Limit",
+         "9999999999999999999999999999999999999999",
+         200,
+         {.limited = true, .limit = 1e6}},
+        {"Server-Limit", "-1", 200, {.invalid = true}},
+        {"Server-Limit", "nan", 200, {.invalid = true}},
+        {"Server-Limit", "inf", 200, {.invalid = true}},
+        {"Server-Limit", "1e400", 200, {.invalid = true}},
+        {"Server-Limit", "0x10", 200, {.invalid = true}},
+        {"Server-Limit", "1,2", 200, {.invalid = true}},
+        {"Server-Limit", "", 200, {.invalid = true}},
     };
     for (size_t i = 0; i < BBM_COUNT(rows); i++) {
         platform_response a = {.keep_alive_s = -1};
@@ -383,12 +398,27 @@
         platform_response_notice(&a, rows[i].status, &notice);
         ck_assert_msg(notice.leaving == rows[i].expected.leaving
                           && notice.pause == rows[i].expected.pause
+                          && notice.limited == rows[i].expected.limited
+                          && notice.limit == rows[i].expected.limit
                           && notice.invalid == rows[i].expected.invalid,
                       "row %zu", i);
     }
 }
 END_TEST
 
+START_TEST(lower_of_two_limits_holds)
+{
+    platform_response a = {.keep_alive_s = -1};
+    bbm_upstream_notice notice;
+    platform_response_add_header(&a, "a1", "Server-Limit", "4");
+    platform_response_add_header(&a, "a1", "Server-Limit", "2.5");
+    platform_response_add_header(&a, "a1", "Server-Limit", "3");
+    platform_response_notice(&a, 200, &notice);
+    ck_assert(notice.limited);
+    ck_assert(notice.limit == 2.5);
+}
+END_TEST
+
 /* A client's timeout is a number that it chose freely. */
 START_TEST(client_timeout_does_not_overflow)
 {
@@ -452,5 +482,5 @@
           reserved_headers_are_not_forwarded, prompt_headers_are_parsed,
           ambiguous_framing_is_detected, response_heads_are_classified,
           mismatched_attempt_id_is_detected, orders_and_reports,
-          notices_of_upstreams_are_parsed, client_timeout_does_not_overflow,
-          events_are_split_when_complete);
+          notices_of_upstreams_are_parsed, lower_of_two_limits_holds,
+          client_timeout_does_not_overflow, events_are_split_when_complete);
