--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -81,9 +81,12 @@
 
 /** A new request. */
 typedef struct bbm_gate_request_desc {
-    uint64_t request;  /**< Request number, unique within this process. */
-    const char *id;    /**< Request ID given by the client, for the log. */
-    const char *model; /**< Requested model, or "". */
+    uint64_t request;     /**< Request number, unique within this process. */
+    const char *id;       /**< Request ID given by the client, for the log. */
+    uint64_t fingerprint; /**< Hash of all that an upstream gets of the
+                               request and that a repeat doesn't change; 0:
+                               unknown. */
+    const char *model;    /**< Requested model, or "". */
     const bbm_prompt_part *parts; /**< All parts of the prompt. */
     size_t parts_len;             /**< Number of parts. */
     int64_t prompt_tokens;     /**< As given by the client; -1: unspecified. */
--- a/tests/gate_world.c
+++ b/tests/gate_world.c
@@ -3,6 +3,7 @@
 #include "bbm_mem.h"
 
 #include <check.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,11 @@
 #define SERVICE_TIME (15 * BBM_MS)
 /* Calendar time at which the steady clock started. */
 #define CALENDAR_START (1780000000 * BBM_SECOND)
+/* Time for which a service runs a request that crashes it. */
+#define CRASH_TIME (80 * BBM_MS)
+/* Mean time between two calls of the same deadly request. */
+#define DEADLY_CALL_PERIOD (600 * BBM_MS)
+#define HOT_FINGERPRINT 77
 #define LINK_TIME (2 * BBM_MS)
 
 static const char config_text[] =
@@ -202,12 +208,13 @@
 
 /* A caller returns once, to any VM. */
 static void
-call_again(gate_world *w, const world_call *c, bbm_time after)
+call_again(gate_world *w, world_call *c, bbm_time after)
 {
     if (!c->first)
         return;
     world_call again = *c;
     again.first = false;
+    again.origin = c;
     again.at = w->now + (after > 0 ? after : 100 * BBM_MS);
     again.begun = false;
     again.refused = false;
@@ -233,6 +240,20 @@
     };
 }
 
+static size_t
+crashes_allowed(const gate_world *w)
+{
+    return w->load.deadly_calls ? WORLD_CALL_CRASHES_ALLOWED
+                                : WORLD_CRASHES_ALLOWED;
+}
+
+static bool
+is_deadly_now(const gate_world *w, const world_call *c)
+{
+    bbm_time until = w->load.deadly_until;
+    return c->deadly && (!until || w->now - w->started_at < until);
+}
+
 static void
 plan_runner_answer(gate_world *w, world_attempt *a)
 {
@@ -251,6 +272,8 @@
             slot = &u->slot_free_at[i];
     }
     a->begin_at = (*slot > w->now ? *slot : w->now) + LINK_TIME;
+    if (is_deadly_now(w, a->c))
+        a->begin_at += CRASH_TIME;
     a->end_at = a->begin_at + SERVICE_TIME;
     *slot = a->end_at;
 }
@@ -277,10 +300,10 @@
     }
     if (states_limit(w, a->upstream))
         record_arrival(w, a);
-    if (!a->c->deadly)
+    if (!is_deadly_now(w, a->c))
         return;
     world_deadly *d = deadly_of(w, a->c);
-    d->late += d->crashes >= WORLD_CRASHES_ALLOWED
+    d->late += d->crashes >= crashes_allowed(w)
                && w->now > d->last_counted_at + WORLD_CONTACT_TIME;
 }
 
@@ -313,6 +336,9 @@
         }
         case BBM_GATE_ENDED:
             c->done = true;
+            (c->origin ? c->origin : c)->served = true;
+            if (c->deadly)
+                deadly_of(w, c)->served = true;
             break;
         default:
             break;
@@ -343,9 +369,9 @@
         end_attempt(w, a, BBM_FORWARD_UNSENT);
         return;
     }
-    if (!a->begun && w->now >= a->begin_at && a->c->deadly) {
+    if (!a->begun && w->now >= a->begin_at && is_deadly_now(w, a->c)) {
         world_deadly *d = deadly_of(w, a->c);
-        if (d->crashes++ < WORLD_CRASHES_ALLOWED)
+        if (d->crashes++ < crashes_allowed(w))
             d->last_counted_at = w->now;
         crash(w, a->upstream);
         return;
@@ -406,14 +432,17 @@
         parts[len] = (bbm_prompt_part){20 + len, 16};
         len++;
     }
-    if (c->deadly)
+    if (c->deadly && w->load.deadly_parts)
         parts[len++] = (bbm_prompt_part){c->deadly_part, 300};
     parts[len++] = (bbm_prompt_part){100 + c->session, 3480};
+    if (!c->fingerprint)
+        c->fingerprint = 1000000 + number * WORLD_VMS_MAX + (uint64_t)vm;
     parts[len++] = (bbm_prompt_part){
         1000000 + number * WORLD_VMS_MAX + (uint64_t)vm, 2890};
     bbm_gate_request_desc desc = {
         .request = number,
         .id = "id",
+        .fingerprint = c->fingerprint,
         .model = "m",
         .parts = parts,
         .parts_len = len,
@@ -424,6 +453,7 @@
     if (c->route >= WORLD_CONFIRM) {
         desc = (bbm_gate_request_desc){.request = number,
                                        .id = "id",
+                                       .fingerprint = c->fingerprint,
                                        .model = "",
                                        .prompt_tokens = -1,
                                        .output_tokens_max = -1,
@@ -462,6 +492,33 @@
             .first = true,
             .route = lookup ? WORLD_LOOKUP : WORLD_CONFIRM,
         };
+        if (lookup && bbm_rng_unit(rng) < w->load.hot_share)
+            c.fingerprint = HOT_FINGERPRINT;
+        add_call(w, &c);
+    }
+}
+
+/* The callers of deadly requests repeat them at any VM. */
+static void
+add_deadly_calls(gate_world *w)
+{
+    for (int i = 0; i < w->load.deadly_calls; i++) {
+        world_deadly *d = &w->deadly[i];
+        if (w->now - w->started_at < WORLD_BEGIN_TIME
+            || w->now < d->next_call_at)
+            continue;
+        double wait = -log(1 - bbm_rng_unit(&w->service_rng));
+        d->next_call_at =
+            w->now + (bbm_time)(wait * (double)DEADLY_CALL_PERIOD);
+        world_call c = {
+            .at = w->now,
+            .first = true,
+            .route = w->load.deadly_route,
+            .deadly = true,
+            .deadly_part = WORLD_DEADLY_PART + (uint64_t)i,
+            .fingerprint = WORLD_DEADLY_PART + (uint64_t)i,
+            .session = SESSIONS + 1,
+        };
         add_call(w, &c);
     }
 }
@@ -470,6 +527,7 @@
 step_calls(gate_world *w)
 {
     add_service_calls(w);
+    add_deadly_calls(w);
     while (draw_request(&w->rng, w->load.per_s)) {
         world_call c = {
             .at = w->now,
@@ -608,6 +666,12 @@
             name_upstream(r, i);
         }
     }
+    bool services_due = w->load.service_crashes && t >= WORLD_BEGIN_TIME
+                        && t % (6 * BBM_SECOND) == 0;
+    for (int i = 0; services_due && i < w->load.service_crashes; i++) {
+        if (!is_down(w, &w->upstreams[w->load.runners + i]))
+            crash(w, w->load.runners + i);
+    }
     bool due = w->load.ordinary_crashes && t >= WORLD_BEGIN_TIME
                && t % (2 * BBM_SECOND) == 0;
     for (int i = 0; due && i < w->load.ordinary_crashes; i++) {
--- a/tests/gate_world.h
+++ b/tests/gate_world.h
@@ -65,8 +65,18 @@
     bbm_time vm_restarts_at; /**< Half of the VMs; 0: never. */
     double cut_share;        /**< Of answers that an upstream breaks off. */
 
+    int deadly_calls;         /**< Number of different requests that crash each
+                                   upstream that runs them, and come again and
+                                   again. */
+    world_route deadly_route; /**< Their route. */
+    bbm_time deadly_until;    /**< From then on upstreams run them; 0:
+                                   never. */
+    double hot_share;         /**< Share of the WORLD_LOOKUP calls that are the
+                                   same sound request. */
+    int service_crashes;      /**< Services that crash at a time, each 6 s. */
+
     int limited; /**< Number of upstreams, from the first of the pool,
-                      that state a limit. */
+             that state a limit. */
     bool limited_services; /**< These are services. */
     double limit;          /**< Requests per second over all VMs. */
     double limit_swing;   /**< Each answer states a limit that differs by up to
@@ -86,8 +96,11 @@
     bool done;
     bool refused;
     int64_t refused_after_ms; /**< From its arrival at the VM. */
+    bool served;          /**< It or the client's second attempt was done. */
+    uint64_t fingerprint; /**< 0: drawn for this call. */
     uint64_t session;
     uint64_t deadly_part;
+    struct world_call *origin; /**< The client's first attempt; NULL: this. */
     TAILQ_ENTRY(world_call) link; /**< By time. */
 } world_call;
 
@@ -113,11 +126,13 @@
     size_t arrivals_len;
 } world_upstream;
 
-/** A prompt part that crashes runners. */
+/** A prompt part or a request that crashes upstreams. */
 typedef struct world_deadly {
     size_t crashes;
     bbm_time last_counted_at; /**< The last crash that is allowed. */
     size_t late;              /**< Requests that reached a runner too late. */
+    bbm_time next_call_at;    /**< When a deadly request comes again. */
+    bool served;              /**< It was run without a crash. */
 } world_deadly;
 
 /** The world; tests read it. */
@@ -144,9 +159,10 @@
     size_t crashed_runs; /**< Also ordinary crashes. */
 } gate_world;
 
-/** Number of crashes of a deadly part after which, once WORLD_CONTACT_TIME has
- *  passed, its requests count as late. */
+/** Number of crashes of a deadly part, and of a deadly request, after which,
+ *  once WORLD_CONTACT_TIME has passed, its requests count as late. */
 #define WORLD_CRASHES_ALLOWED 5
+#define WORLD_CALL_CRASHES_ALLOWED 3
 
 /** Create a world; its time starts at 100 s. */
 gate_world *world_create(const world_load *load);
