--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -631,6 +631,16 @@
     return p;
 }
 
+static bool
+has_limited_upstream(const bbm_gate *g, const gate_pool *pool)
+{
+    for (const gate_upstream *u = g->upstreams; u; u = u->hh.next) {
+        if (u->pool == pool && gate_is_limited(u))
+            return true;
+    }
+    return false;
+}
+
 void
 bbm_gate_begin_request(bbm_gate *g, const bbm_gate_request_desc *request,
                        const bbm_route *route, const bbm_customer *customer,
@@ -653,5 +663,9 @@
     gate_pool *p = gate_find_pool(g, r->pools[0]);
     if (p)
         bbm_retry_record_request(&p->retry_budget);
+    /* A turn at a limited upstream belongs to the request that waits for it.
+     */
+    if (g->waiting_len && has_limited_upstream(g, p))
+        gate_dispatch_waiting(g);
     gate_dispatch(g, r);
 }
