A request that crashes upstreams is known again at every VM

Callers: a repeated lookup crashed all three services of a pool, again and again; from 5 s to 25 s, 44 of 280 confirmations and 18 of 74 lookups beside it were answered. It reached services 7 and 9 times after the third crash, allowed are 3.

Cause: the quarantine knew parts of prompts only, and only at runners, so nothing connected a repeat with the crashes before; the VM's own second attempt took the next service half a millisecond after the first.

Why it works: the whole request, by a hash of what a repeat doesn't change, is one more accused id, with the evidence, news, trials and replicated state of parts. It is proved by three crashes and an answer of its pool since. Before that it is held after the first crash if few upstreams are left, and after the second sent by one VM at a time, never to the last one.

--- a/base/bbm_codes.h
+++ b/base/bbm_codes.h
@@ -57,7 +57,7 @@
     X(BBM_ERR_NO_UPSTREAM, -125, 503, NO, "no upstream can take the request") \
     X(BBM_ERR_BUSY, -126, 503, NO, "too many requests are open on this VM")   \
     X(BBM_ERR_QUARANTINED, -127, 503, NO,                                     \
-      "a part of the prompt crashes runners")                                 \
+      "the request, or a part of its prompt, crashes upstreams")              \
     X(BBM_ERR_UPSTREAM, -130, 502, UNKNOWN,                                   \
       "the upstream failed before it answered")                               \
     X(BBM_ERR_UPSTREAM_CUT, -131, 502, UNKNOWN,                               \
--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -86,9 +86,9 @@
     X(BBM_EVENT_UPSTREAM_BAD_NOTICE, 422, WARN,                               \
       "upstream's notice of itself is invalid, ignored")                      \
     X(BBM_EVENT_PART_QUARANTINED, 423, WARN,                                  \
-      "prompt part quarantined: runners crash on it")                         \
+      "prompt part or request quarantined: upstreams crash on it")            \
     X(BBM_EVENT_PART_RELEASED, 424, INFO,                                     \
-      "prompt part released from quarantine")                                 \
+      "prompt part or request released from quarantine")                      \
     X(BBM_EVENT_UPSTREAM_LIMITED, 425, INFO,                                  \
       "upstream stated how many requests it takes from all VMs")              \
     X(BBM_EVENT_UPSTREAM_UNLIMITED, 426, INFO,                                \
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -90,12 +90,14 @@
                                             EXCHANGE_POOL. */
     platform_request parsed_headers;   /**< Values parsed from the headers;
                                            EXCHANGE_POOL. */
-    platform_call provider_call;       /**< Call of the provider or of its
-                                            operator; PLATFORM_NONE: it is
-                                            neither. */
-    platform_config config;            /**< Configuration to be published;
-                                            provider's calls only. */
-    bool is_http_1_0;                  /**< The client doesn't know chunks. */
+    uint64_t fingerprint; /**< Hash of all that a repeat of the request doesn't
+                               change; EXCHANGE_POOL. */
+    platform_call provider_call; /**< Call of the provider or of its
+                                      operator; PLATFORM_NONE: it is
+                                      neither. */
+    platform_config config;      /**< Configuration to be published;
+                                      provider's calls only. */
+    bool is_http_1_0;            /**< The client doesn't know chunks. */
     size_t entries_max; /**< Most entries to return; 0: the default. */
     char *new_key;      /**< API key created by this call; returned once,
                              then wiped.  NULL: none. */
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -393,6 +393,7 @@
         exchange_fail(ex, BBM_ERR_TOO_LARGE, 0);
         return;
     }
+    front_provider_set_fingerprint(ex);
     submit(f, ex);
 }
 
--- a/daemon/front_provider.c
+++ b/daemon/front_provider.c
@@ -98,11 +98,37 @@
     }
 }
 
+/* A cryptographic hash, so that nobody can make a request that meets the
+   fingerprint of another one. */
+void
+front_provider_set_fingerprint(exchange *ex)
+{
+    const platform_request *parsed = &ex->parsed_headers;
+    bbm_digest body = bbm_digest_of(ex->body.data, ex->body.len, NULL);
+    bbm_buf encoded = {0};
+    bbm_put_str(&encoded, ex->method);
+    bbm_put_str(&encoded, ex->host);
+    bbm_put_str(&encoded, ex->request_target);
+    bbm_put_str(&encoded, parsed->model);
+    bbm_put_u64(&encoded, parsed->parts_len);
+    for (size_t i = 0; i < parsed->parts_len; i++) {
+        bbm_put_u64(&encoded, parsed->parts[i].id);
+        bbm_put_u64(&encoded, parsed->parts[i].tokens);
+    }
+    bbm_put_i64(&encoded, parsed->prompt_tokens);
+    bbm_put_i64(&encoded, parsed->output_tokens_max);
+    bbm_put_bytes(&encoded, body.bytes, sizeof(body.bytes));
+    bbm_digest whole = bbm_digest_of(encoded.data, encoded.len, NULL);
+    bbm_buf_free(&encoded);
+    memcpy(&ex->fingerprint, whole.bytes, sizeof(ex->fingerprint));
+}
+
 void
 front_provider_fill_event(const exchange *ex, bbm_pool_request_event *ev)
 {
     platform_request_describe(&ex->parsed_headers, &ev->request);
     ev->request.request = ex->id;
+    ev->request.fingerprint = ex->fingerprint;
     ev->host = ex->host;
     ev->path = ex->request_target;
     ev->has_key = ex->has_key;
--- a/daemon/front_provider.h
+++ b/daemon/front_provider.h
@@ -15,6 +15,10 @@
 void front_provider_read_headers(exchange *ex,
                                  struct MHD_Connection *connection,
                                  const uint8_t *key_secret);
+/** Set the fingerprint of a client's request whose body is complete.  It is of
+ *  method, host, target, model, prompt and body, not of what differs between
+ *  repeats: the id of the attempt, the timeout and the last event received. */
+void front_provider_set_fingerprint(exchange *ex);
 /** Fill @p ev from a client's request; it points into the exchange. */
 void front_provider_fill_event(const exchange *ex, bbm_pool_request_event *ev);
 /** Parse a call of the provider or its operator into ex->kind,
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -222,10 +222,10 @@
                                        retry; 0: unspecified. */
             const char *reason;   /**< For the log. */
             int64_t elapsed_ms;   /**< Time since the request arrived. */
-            uint64_t part;        /**< Quarantined part of its prompt; valid if
-                                       part_number. */
-            size_t part_number;   /**< Place of that part, from 1; 0: it has
-                                       none. */
+            uint64_t part;        /**< Quarantined part of its prompt, or the
+                                       request itself; 0: neither. */
+            size_t part_number;   /**< Place of that part, from 1; 0: it is
+                                       the whole request. */
         } refuse;                 /**< BBM_GATE_REFUSE. */
         struct {
             int code;            /**< Error code; BBM_OK: the client has
@@ -250,8 +250,9 @@
             char upstream[BBM_NAME_SIZE]; /**< The upstream. */
             uint64_t run; /**< Start time of its run, in ms of calendar time
                                plus 1. */
-            size_t parts_len; /**< Number of parts of the prompt, less the
-                                   last. */
+            uint64_t whole_id; /**< Id of the whole request; 0: none. */
+            size_t parts_len;  /**< Number of parts of the prompt, less the
+                                    last. */
             /** Ids of the first of these parts. */
             uint64_t parts[BBM_GATE_LOGGED_PARTS_MAX];
         } disconnected; /**< BBM_GATE_DISCONNECTED. */
@@ -283,8 +284,10 @@
     uint64_t limited_upstreams;   /**< Upstreams that state a limit (gauge). */
     uint64_t refused_quarantined; /**< Refused or aborted: a part of the prompt
                                        is quarantined. */
-    uint64_t disconnects; /**< Attempts that upstreams ended by closing the
-                               connection. */
+    uint64_t refused_suspect; /**< Refused or aborted: the request has crashed
+                                   upstreams, which isn't proved. */
+    uint64_t disconnects;     /**< Attempts that upstreams ended by closing the
+                                   connection. */
     uint64_t quarantined_parts;  /**< Quarantined prompt parts (gauge). */
     uint64_t outcome_unknown;    /**< Ended with an error before the head of an
                                       answer, but the request may have run. */
--- a/gate/bbm_quarantine.c
+++ b/gate/bbm_quarantine.c
@@ -22,13 +22,25 @@
    as long after each further one. */
 #define TRIAL_RETRY_FIRST (10 * BBM_SECOND)
 #define TRIAL_RETRY_FACTOR 3
+/* The same, and the time until the first trial, of whole requests. */
+#define REQUEST_TRIAL_FIRST (60 * BBM_SECOND)
+/* Number of crashes from which a request is suspect, and for how long after
+   the last of them. */
+#define SUSPECT_CRASHES_MIN 2
+#define SUSPECT_TIME (60 * BBM_SECOND)
+/* Time after a single loss in which a request is suspected a little. */
+#define CRASHED_ONCE_TIME BBM_SECOND
+/* Crashes within this time, as VMs hear of them, may be one loss of several
+   upstreams. */
+#define ONE_LOSS_TIME (60 * BBM_MS)
 /* A part is forgotten this long after the last evidence. */
 #define ACCUSED_MEMORY (600 * BBM_SECOND)
 #define ACQUITTED_MEMORY (30 * BBM_SECOND)
 #define RUN_MEMORY (60 * BBM_SECOND)
-/* Maximum number of parts and runs that are remembered. */
+/* Maximum number of parts, runs and pools that are remembered. */
 #define PARTS_MAX 4096
 #define RUNS_MAX 512
+#define POOLS_MAX 256
 /* How often crashes, acquittals and new entries are sent. */
 #define SENDS 3
 
@@ -52,6 +64,7 @@
         return;
     BBM_TABLE_FREE(quarantine_part, q->parts);
     BBM_TABLE_FREE(quarantine_run, q->runs);
+    BBM_TABLE_FREE(quarantine_pool, q->pools);
     quarantine_news *n;
     while ((n = STAILQ_FIRST(&q->news)) != NULL) {
         STAILQ_REMOVE_HEAD(&q->news, link);
@@ -97,6 +110,12 @@
 
 /* ---- parts ---- */
 
+static bool
+is_request(const quarantine_part *p)
+{
+    return (p->entry.part & BBM_QUARANTINE_REQUEST) != 0;
+}
+
 static quarantine_part *
 find_part(const bbm_quarantine *q, uint64_t part)
 {
@@ -184,13 +203,43 @@
     return a->upstream == b->upstream && a->run == b->run;
 }
 
+/* ---- pools ---- */
+
+static quarantine_pool *
+find_pool(const bbm_quarantine *q, uint64_t pool)
+{
+    quarantine_pool *p = NULL;
+    HASH_FIND(hh, q->pools, &pool, sizeof(pool), p);
+    return p;
+}
+
+static void
+record_answer(bbm_quarantine *q, const bbm_part_answer *answer)
+{
+    quarantine_pool *p = find_pool(q, answer->pool);
+    if (!p && HASH_COUNT(q->pools) >= POOLS_MAX) {
+        quarantine_pool *oldest = q->pools;
+        HASH_DEL(q->pools, oldest);
+        free(oldest);
+    }
+    if (!p) {
+        p = bbm_calloc(1, sizeof(*p));
+        p->pool = answer->pool;
+        HASH_ADD(hh, q->pools, pool, sizeof(p->pool), p);
+    }
+    if (answer->began_at > p->answer_began_at)
+        p->answer_began_at = answer->began_at;
+}
+
 /* ---- verdicts ---- */
 
 static void
 put_in_force(bbm_quarantine *q, quarantine_part *p, bbm_time until,
-             bbm_quarantine_change_kind kind)
+             bbm_quarantine_change_kind kind, bbm_time now)
 {
     p->in_force = true;
+    if (is_request(p) && !p->entry.retry_at)
+        p->entry.retry_at = now + REQUEST_TRIAL_FIRST;
     q->in_force_len++;
     p->entry.until = until;
     push_change(q, kind, p);
@@ -205,16 +254,21 @@
     if (span > QUARANTINE_MAX)
         span = QUARANTINE_MAX;
     p->times++;
-    put_in_force(q, p, now + span, BBM_PART_QUARANTINED);
+    put_in_force(q, p, now + span, BBM_PART_QUARANTINED, now);
     quarantine_announce(q, p, SENDS, now);
 }
 
 static bool
-is_proved(const bbm_quarantine *q, const quarantine_part *p, bbm_time now)
+is_proved(const bbm_quarantine *q, quarantine_part *p, bbm_time now)
 {
-    return p->counted_at && p->crashed_again
-           && now - p->counted_at >= ACQUITTAL_TIME
-           && q->answer_began_at > p->counted_at;
+    const quarantine_pool *pool = find_pool(q, p->pool);
+    if (!p->counted_at || !pool || pool->answer_began_at <= p->counted_at)
+        return false;
+    if (!p->answered_at)
+        p->answered_at = now;
+    if (is_request(p))
+        return now - p->answered_at >= ACQUITTAL_TIME;
+    return p->crashed_again && now - p->counted_at >= ACQUITTAL_TIME;
 }
 
 /* ---- evidence ---- */
@@ -243,6 +297,7 @@
     p->counted_at = e->crashes_len >= QUARANTINE_CRASHES_MIN
                         ? e->crashes[QUARANTINE_CRASHES_MIN - 1].at
                         : 0;
+    p->answered_at = 0;
     p->crashed_again = false;
     for (size_t i = 1; i < e->crashes_len; i++)
         p->crashed_again =
@@ -278,9 +333,11 @@
 
 /* Trials that began before the first of them crashed a runner count once. */
 static void
-delay_trials(bbm_quarantine_entry *e, bbm_time now)
+delay_trials(quarantine_part *p, bbm_time now)
 {
-    bbm_time span = TRIAL_RETRY_FIRST;
+    bbm_quarantine_entry *e = &p->entry;
+    bbm_time span = is_request(p) ? REQUEST_TRIAL_FIRST * TRIAL_RETRY_FACTOR
+                                  : TRIAL_RETRY_FIRST;
     if (now < e->retry_at)
         return;
     for (uint32_t i = 0; i < e->failed_trials && span < QUARANTINE_MAX; i++)
@@ -302,8 +359,9 @@
         e->last_crash_at = crash->at;
     p->crashed_again =
         p->crashed_again || (e->crashes_len && is_sent_later(e, crash));
+    p->pool = crash->pool;
     if (add_crash(e, crash) && p->in_force) {
-        delay_trials(e, now);
+        delay_trials(p, now);
         quarantine_announce(q, p, SENDS, now);
     }
     if (!p->accused_at)
@@ -314,7 +372,7 @@
     if (!again)
         return;
     quarantine(q, p, now);
-    delay_trials(e, now);
+    delay_trials(p, now);
 }
 
 void
@@ -409,7 +467,7 @@
     p->times = times;
     if (entry->last_crash_at > p->entry.last_crash_at)
         p->entry.last_crash_at = entry->last_crash_at;
-    put_in_force(q, p, entry->until, BBM_PART_REPORTED);
+    put_in_force(q, p, entry->until, BBM_PART_REPORTED, now);
     quarantine_announce(q, p, 0, now);
     return true;
 }
@@ -471,8 +529,7 @@
 bbm_quarantine_add_answer(bbm_quarantine *q, const bbm_part_answer *answer,
                           const uint64_t *parts, size_t len, bbm_time now)
 {
-    if (answer->began_at > q->answer_began_at)
-        q->answer_began_at = answer->began_at;
+    record_answer(q, answer);
     if (!q->parts)
         return;
     for (size_t i = 0; i < len; i++)
@@ -609,6 +666,44 @@
     return verdict;
 }
 
+bbm_request_suspicion
+bbm_quarantine_suspicion(const bbm_quarantine *q, uint64_t request,
+                         bbm_time now, bbm_time *crash_at)
+{
+    const quarantine_part *p = q->parts ? find_part(q, request) : NULL;
+    if (!p || !p->entry.crashes_len)
+        return BBM_REQUEST_UNSUSPECTED;
+    *crash_at = p->entry.last_crash_at;
+    bbm_time age = now - p->entry.last_crash_at;
+    bool again =
+        p->entry.crashes_len >= SUSPECT_CRASHES_MIN
+        && p->entry.last_crash_at - p->entry.crashes[0].at > ONE_LOSS_TIME;
+    if (again && age < SUSPECT_TIME)
+        return BBM_REQUEST_SUSPECT;
+    return age < CRASHED_ONCE_TIME ? BBM_REQUEST_CRASHED_ONCE
+                                   : BBM_REQUEST_UNSUSPECTED;
+}
+
+bool
+bbm_quarantine_may_send_suspect(bbm_quarantine *q, uint64_t request,
+                                bbm_time now)
+{
+    quarantine_part *p = find_part(q, request);
+    if ((p->tried_at && now - p->tried_at < BBM_TRIAL_TIME)
+        || bbm_rng_below(&q->rng, q->vms) > 0)
+        return false;
+    p->tried_at = now;
+    return true;
+}
+
+bool
+bbm_quarantine_has_crashed(const bbm_quarantine *q,
+                           const bbm_upstream_run *run)
+{
+    const quarantine_run *r = q->runs ? find_run(q, run) : NULL;
+    return r && r->at > r->alive_at;
+}
+
 bool
 bbm_quarantine_begin_trial(bbm_quarantine *q, const uint64_t *parts,
                            size_t len, bbm_time now)
--- a/gate/bbm_quarantine.h
+++ b/gate/bbm_quarantine.h
@@ -15,7 +15,15 @@
  *  - one of these crashes ended a request that was sent after the first crash
  *    was known, as a loss of many runners accuses what they had in common,
  *  - and since the third crash, time for acquittals of other VMs has passed
- *    and another answer began and was completed: otherwise no runner works.
+ *    and another answer of the pool began and was completed: otherwise no
+ *    runner works.
+ *
+ *  A whole request is judged in the same way, by the hash of all that an
+ *  upstream gets of it: it may crash what runs it, also a service without
+ *  prompts, and be repeated at any VM.  Two different requests have nothing in
+ *  common, so the second condition isn't needed; but in a small pool all
+ *  upstreams may be lost before one has answered anything else, so the time
+ *  for acquittals counts from the first answer after that.
  *  A run that completes a request sent after its supposed crash hasn't
  *  crashed.
  *
@@ -32,7 +40,8 @@
  *    three of which none ended a trial.
  *  - Any other request is sent with a probability of one by the number of VMs;
  *    after a crash not again for 10 s, and three times as long after each
- *    further one.
+ *    further one.  A whole request needs no trial to be told from others, only
+ *    to be served again once its upstreams are mended: first after a minute.
  *
  *      bbm_quarantine *q = bbm_quarantine_create(seed);
  *      bbm_quarantine_add_crash(q, &crash, ids, len, now);
@@ -57,6 +66,10 @@
 #include "bbm_pack.h"
 #include "bbm_time.h"
 
+/** This bit is set in the id of a whole request, and clear in that of a prompt
+ *  part. */
+#define BBM_QUARANTINE_REQUEST (UINT64_C(1) << 63)
+
 /** Maximum number of crashes that are recorded per part. */
 #define BBM_QUARANTINE_CRASHES_MAX 8
 
@@ -72,6 +85,7 @@
 /** A request ended because its upstream closed the connection. */
 typedef struct bbm_part_crash {
     bbm_upstream_run run; /**< Where. */
+    uint64_t pool;        /**< Hash of the name of its pool. */
     bbm_time sent_at;     /**< When the request was sent there. */
     bbm_time at;          /**< When the connection ended. */
     bool trial;           /**< The request was a trial. */
@@ -80,6 +94,7 @@
 /** An answer was completed, or has been sending events for long. */
 typedef struct bbm_part_answer {
     bbm_upstream_run run; /**< By whom. */
+    uint64_t pool;        /**< Hash of the name of its pool. */
     bbm_time sent_at;     /**< When the request was sent there. */
     bbm_time began_at;    /**< When the first bytes of the answer's body
                                arrived. */
@@ -135,7 +150,8 @@
 void bbm_quarantine_set_vm_count(bbm_quarantine *q, size_t vms);
 
 /** Record that a request with these parts was ended by its upstream.  The last
- *  part of a prompt is the request's own and isn't passed. */
+ *  part of a prompt is the request's own and isn't passed; the id of the whole
+ *  request may be one of them. */
 void bbm_quarantine_add_crash(bbm_quarantine *q, const bbm_part_crash *crash,
                               const uint64_t *parts, size_t len, bbm_time now);
 /** Record a sound answer to a request with these parts. */
@@ -152,6 +168,28 @@
                                        const uint64_t *parts, size_t len,
                                        bbm_time now,
                                        const bbm_quarantine_entry **entry);
+/** How much a request is suspected that isn't quarantined. */
+typedef enum bbm_request_suspicion {
+    BBM_REQUEST_UNSUSPECTED,  /**< Nothing has crashed on it lately. */
+    BBM_REQUEST_CRASHED_ONCE, /**< One loss of upstreams has ended it, within
+                                   the last second. */
+    BBM_REQUEST_SUSPECT,      /**< Several losses have, the last one within a
+                                   minute. */
+} bbm_request_suspicion;
+
+/** How much a request is suspected.  An answer acquits it.
+ *  @param crash_at Receives when the last upstream crashed on it, unless it is
+ *                  unsuspected. */
+bbm_request_suspicion bbm_quarantine_suspicion(const bbm_quarantine *q,
+                                               uint64_t request, bbm_time now,
+                                               bbm_time *crash_at);
+/** Decide whether a suspect request is sent: with a probability of one by the
+ *  number of VMs, and not within BBM_TRIAL_TIME of the last time here. */
+bool bbm_quarantine_may_send_suspect(bbm_quarantine *q, uint64_t request,
+                                     bbm_time now);
+/** True if a run of an upstream has crashed, by what all VMs have seen. */
+bool bbm_quarantine_has_crashed(const bbm_quarantine *q,
+                                const bbm_upstream_run *run);
 /** Decide whether a request with quarantined parts is sent as a trial; to be
  *  called once per request.  False also if another trial of these parts has
  *  begun here less than BBM_TRIAL_TIME ago. */
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -79,8 +79,13 @@
         gate_record_failure(g, u, BBM_FORWARD_FAILED);
     else
         gate_record_success(g, u);
-    if (result->status >= 200 && result->status < 300 && result->began_at)
+    bool success = result->status >= 200 && result->status < 300;
+    bool is_engine = u->pool && u->pool->is_engine;
+    /* A runner crashes as it begins to answer, which an error doesn't try. */
+    if (success && result->began_at)
         gate_record_sound_answer(g, r, result->began_at);
+    else if (!is_engine)
+        gate_record_sound_answer(g, r, g->now);
     double duration_ms = (double)(g->now - r->sent_at) / (double)BBM_MS;
     if (u->pool && !u->pool->is_engine && result->status < 500)
         u->pool->service_ms +=
@@ -310,7 +315,9 @@
     size_t saved_len = r->failed_len;
     gate_choice c;
     add_failed_upstream(r, r->upstream);
-    if (gate_choose(g, r, &c) != GATE_PICK_SEND || !acquire_retry(g, r)) {
+    if (gate_choose(g, r, &c) != GATE_PICK_SEND
+        || gate_judge_suspicion(g, r, c.upstream->pool) != GATE_CAUTION_NONE
+        || !acquire_retry(g, r)) {
         r->failed_len = saved_len;
         return;
     }
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -148,10 +148,14 @@
     char model[BBM_NAME_SIZE];                 /**< Requested model, or "". */
     bbm_prompt_part parts[BBM_PROMPT_PARTS_MAX]; /**< Parts of the prompt. */
     size_t parts_len;                            /**< Number of parts. */
-    bool is_trial;       /**< It may be sent although its prompt has a
-                              quarantined part. */
-    uint64_t *part_ids;  /**< Ids of all parts but the last; owned. */
-    size_t part_ids_len; /**< Number of these. */
+    bool is_trial;        /**< It may be sent although its prompt has a
+                               quarantined part. */
+    uint64_t *part_ids;   /**< Ids of all parts but the last, and of the whole
+                               request if it has a fingerprint; owned. */
+    size_t part_ids_len;  /**< Number of these. */
+    uint64_t whole_id;    /**< Id of the whole request; 0: none. */
+    bbm_time caution_for; /**< Crash for which it was held last. */
+    bbm_time caution_until;                           /**< Until when. */
     gate_prefix prefixes[BBM_PLACEMENT_PREFIXES_MAX]; /**< Shared prefixes,
                                                            shortest first. */
     size_t prefixes_len;      /**< Number of prefixes. */
@@ -489,6 +493,20 @@
 /** Record that the answer to the current attempt is sound. */
 void gate_record_sound_answer(bbm_gate *g, const gate_request *r,
                               bbm_time began_at);
+/** Whether a request may be sent to a pool, by the upstreams that have crashed
+ *  on it. */
+typedef enum gate_caution {
+    GATE_CAUTION_NONE,   /**< It may be sent. */
+    GATE_CAUTION_HOLD,   /**< Hold it until all VMs know of the first crash, if
+                              too few others work. */
+    GATE_CAUTION_REFUSE, /**< It is suspect, and may be sent by one VM at a
+                              time, not as a further attempt, and not to the
+                              last upstream that works. */
+} gate_caution;
+
+/** Decide that for a request that would be sent now. */
+gate_caution gate_judge_suspicion(bbm_gate *g, gate_request *r,
+                                  const gate_pool *pool);
 /** Judge whether a request may be sent, by the parts of its prompt.  @p entry
  *  receives the part for which it isn't clear. */
 bbm_parts_verdict gate_judge_parts(const bbm_gate *g, const gate_request *r,
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -33,6 +33,10 @@
    clients refused at the same time don't all retry at the same time. */
 #define RETRY_AFTER_JITTER_RATIO 0.5
 
+/* Retry-After of a request that has crashed upstreams: these are back after
+   some seconds. */
+#define SUSPECT_RETRY_AFTER (2 * BBM_SECOND)
+
 /* Time after which a held request that wasn't admitted at random is tried
    again.  By then the loads of the other VMs have been received. */
 #define ADMISSION_PERIOD (30 * BBM_MS)
@@ -133,7 +137,9 @@
 end_quarantined(bbm_gate *g, gate_request *r, const bbm_quarantine_entry *e,
                 bbm_time retry_after)
 {
-    static const char reason[] = "a part of the prompt crashes runners";
+    bool is_whole = e->part == r->whole_id;
+    const char *reason = is_whole ? "the request crashes upstreams"
+                                  : "a part of the prompt crashes runners";
     size_t place = 0;
     g->counts.refused_quarantined++;
     if (r->last_event_id[0]) {
@@ -145,7 +151,23 @@
     bbm_gate_output *out =
         push_refusal(g, r, BBM_ERR_QUARANTINED, retry_after, reason);
     out->u.refuse.part = e->part;
-    out->u.refuse.part_number = place + 1;
+    out->u.refuse.part_number = is_whole ? 0 : place + 1;
+    gate_request_free(g, r);
+}
+
+/* A request that has crashed upstreams; its client may return later. */
+static void
+end_suspect(bbm_gate *g, gate_request *r)
+{
+    static const char reason[] = "the request has crashed upstreams";
+    g->counts.refused_suspect++;
+    if (r->last_event_id[0]) {
+        gate_abort(g, r, BBM_ERR_UPSTREAM_CUT, reason);
+        return;
+    }
+    bbm_gate_output *out = push_refusal(
+        g, r, BBM_ERR_QUARANTINED, add_jitter(g, SUSPECT_RETRY_AFTER), reason);
+    out->u.refuse.part = r->whole_id;
     gate_request_free(g, r);
 }
 
@@ -383,6 +405,22 @@
            < gate_runner_capacity(g, r, c->upstream);
 }
 
+static void
+send_with_caution(bbm_gate *g, gate_request *r, const gate_choice *c)
+{
+    switch (gate_judge_suspicion(g, r, c->upstream->pool)) {
+    case GATE_CAUTION_NONE:
+        gate_send(g, r, c);
+        return;
+    case GATE_CAUTION_HOLD:
+        enqueue(g, r);
+        return;
+    case GATE_CAUTION_REFUSE:
+        end_suspect(g, r);
+        return;
+    }
+}
+
 void
 gate_dispatch(bbm_gate *g, gate_request *r)
 {
@@ -394,7 +432,7 @@
     switch (gate_choose(g, r, &c)) {
     case GATE_PICK_SEND:
         if (passes_random_admission(g, r, &c))
-            gate_send(g, r, &c);
+            send_with_caution(g, r, &c);
         return;
     case GATE_PICK_TOO_LATE:
         if (stream_begun)
@@ -513,6 +551,22 @@
     };
 }
 
+/* A customer's requests are told from those of others. */
+static void
+set_part_ids(gate_request *r, const bbm_gate_request_desc *request)
+{
+    size_t shared = request->parts_len > 1 ? request->parts_len - 1 : 0;
+    r->part_ids = bbm_calloc(shared + 1, sizeof(*r->part_ids));
+    for (size_t i = 0; i < shared; i++)
+        r->part_ids[r->part_ids_len++] =
+            request->parts[i].id & ~BBM_QUARANTINE_REQUEST;
+    if (!request->fingerprint)
+        return;
+    r->whole_id = bbm_hash_text(r->customer, request->fingerprint)
+                  | BBM_QUARANTINE_REQUEST;
+    r->part_ids[r->part_ids_len++] = r->whole_id;
+}
+
 /* Copies the prompt and computes its shared prefixes.  All parts but the last
    count as shared; the last one is specific to the request.  A single part
    counts as shared too, as it may belong to a session. */
@@ -525,12 +579,7 @@
     r->output_tokens_max = request->output_tokens_max > 0
                                ? (double)request->output_tokens_max
                                : 0;
-    if (request->parts_len > 1) {
-        r->part_ids_len = request->parts_len - 1;
-        r->part_ids = bbm_calloc(r->part_ids_len, sizeof(*r->part_ids));
-    }
-    for (size_t i = 0; i < r->part_ids_len; i++)
-        r->part_ids[i] = request->parts[i].id;
+    set_part_ids(r, request);
     r->parts_len = request->parts_len < BBM_PROMPT_PARTS_MAX
                        ? request->parts_len
                        : BBM_PROMPT_PARTS_MAX;
--- a/gate/quarantine_core.h
+++ b/gate/quarantine_core.h
@@ -23,6 +23,10 @@
     bbm_time accused_at;   /**< First crash since it was last acquitted, also
                                 if that is no longer recorded; 0: none. */
     bbm_time changed_at;   /**< Last evidence. */
+    uint64_t pool;         /**< Pool of the last crash. */
+    bbm_time answered_at;  /**< When an answer of that pool that began after
+                                counted_at was first known here; 0: not
+                                yet. */
     bbm_time counted_at;   /**< Crash with which it had enough of them to be
                                 quarantined; 0: it hasn't. */
     bool crashed_again;    /**< A crash ended a request that was sent after
@@ -44,6 +48,14 @@
     UT_hash_handle hh;    /**< By run. */
 } quarantine_run;
 
+/** A pool. */
+typedef struct quarantine_pool {
+    uint64_t pool;            /**< Hash of its name. */
+    bbm_time answer_began_at; /**< Latest beginning of an answer of the pool
+                                   that ended here. */
+    UT_hash_handle hh;        /**< By hash. */
+} quarantine_pool;
+
 /** Kinds of news; sent. */
 typedef enum quarantine_news_kind {
     QUARANTINE_NEWS_CRASH = 1,
@@ -87,13 +99,12 @@
 
 /** A quarantine. */
 struct bbm_quarantine {
-    bbm_rng rng;              /**< For the times of announcements. */
-    size_t vms;               /**< Number of VMs. */
-    quarantine_part *parts;   /**< By id. */
-    size_t in_force_len;      /**< Number of parts in force. */
-    quarantine_run *runs;     /**< By run. */
-    bbm_time answer_began_at; /**< Latest beginning of an answer that ended
-                                   here; 0: none has. */
+    bbm_rng rng;            /**< For the times of announcements. */
+    size_t vms;             /**< Number of VMs. */
+    quarantine_part *parts; /**< By id. */
+    size_t in_force_len;    /**< Number of parts in force. */
+    quarantine_run *runs;   /**< By run. */
+    quarantine_pool *pools; /**< By hash. */
     STAILQ_HEAD(, quarantine_news) news;      /**< To be sent. */
     size_t news_len;                          /**< Number of these. */
     STAILQ_HEAD(, quarantine_change) changes; /**< To be logged. */
--- a/gate/quarantine_news.c
+++ b/gate/quarantine_news.c
@@ -74,6 +74,7 @@
     switch (n->kind) {
     case QUARANTINE_NEWS_CRASH:
         put_run(buf, &n->u.crash.crash.run);
+        bbm_put_u64(buf, n->u.crash.crash.pool);
         put_span(buf, n->u.crash.crash.sent_at, now);
         put_span(buf, n->u.crash.crash.at, now);
         bbm_put_u64(buf, n->u.crash.crash.trial);
@@ -145,6 +146,7 @@
 get_crash(bbm_quarantine *q, bbm_reader *rd, bool own, bbm_time now)
 {
     bbm_part_crash crash = {.run = get_run(rd)};
+    crash.pool = bbm_get_u64(rd);
     crash.sent_at = now - get_span(rd);
     crash.at = now - get_span(rd);
     crash.trial = bbm_get_u32(rd, 1) != 0;
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -355,10 +355,10 @@
     node_log_text(l, "why", out->u.refuse.reason);
     node_log_number(l, "held_ms", out->u.refuse.elapsed_ms);
     node_log_number(l, "retry_after_ms", retry_after / BBM_MS);
-    if (out->u.refuse.part_number) {
+    if (out->u.refuse.part)
         log_part(l, "part", out->u.refuse.part);
+    if (out->u.refuse.part_number)
         node_log_number(l, "part_number", (int64_t)out->u.refuse.part_number);
-    }
     node_log_number(l, "upstreams", (int64_t)n->listing.len);
     node_log_number(l, "list_age_ms", (n->now - n->listing_read_at) / BBM_MS);
 }
@@ -453,6 +453,8 @@
     node_log_text(l, "id", out->id);
     node_log_text(l, "upstream", out->u.disconnected.upstream);
     node_log_number(l, "run", (int64_t)out->u.disconnected.run - 1);
+    if (out->u.disconnected.whole_id)
+        log_part(l, "request", out->u.disconnected.whole_id);
     node_log_number(l, "parts", (int64_t)out->u.disconnected.parts_len);
     node_log_text(l, "accused", text);
 }
