A statement of a limit is logged by every VM; process scenario limits

Lines 425 and 426 were written by VMs that had an answer themselves, so that the log of one that had heard of a limit didn't say why it avoided the upstream. Now both have the source (why).

Scenario limits: four VMs, two upstreams as processes, one of which states a limit of one a second: at most 11 requests in 4 s, all callers served by the other, the end noticed at all VMs. stand_pool states limits for it.

--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -245,7 +245,8 @@
             bbm_upstream_notice notice;   /**< What it stated; its fields that
                                                were known before are zero. */
             bool limit_ended;             /**< It states no limit any more. */
-        } upstream_notice;                /**< BBM_GATE_UPSTREAM_NOTICE. */
+            bool limit_reported; /**< It has stated that to another VM. */
+        } upstream_notice;       /**< BBM_GATE_UPSTREAM_NOTICE. */
         struct {
             char upstream[BBM_NAME_SIZE]; /**< The upstream. */
             uint64_t run; /**< Start time of its run, in ms of calendar time
@@ -328,12 +329,13 @@
  *  other VMs arrive here, so the gate spreads requests at random over more
  *  upstreams. */
 void bbm_gate_set_vm_count(bbm_gate *g, size_t vms, bool placements_delayed);
-/** Set the VMs that take turns at upstreams with a limit, by the hashes of
- *  their names; @p self is this VM.  Until then this VM counts as alone. */
+/** Set the VMs that take turns, by the hashes of their names: at upstreams with
+ *  a limit, and at trials.  @p self is this VM; until this call it counts as
+ *  alone. */
 void bbm_gate_set_vms(bbm_gate *g, const uint64_t *vms, size_t len,
                       uint64_t self);
 /** Set the calendar time at @p now, in nanoseconds.  It should be about the
- *  same on all VMs; a difference moves turns at upstreams with a limit. */
+ *  same on all VMs; a difference moves the turns of this VM. */
 void bbm_gate_set_calendar(bbm_gate *g, bbm_time calendar, bbm_time now);
 
 /** Quarantine a prompt part as it is on record, unless it was acquitted
--- a/gate/bbm_quarantine.h
+++ b/gate/bbm_quarantine.h
@@ -39,9 +39,10 @@
  *    been accused for as long and has all these crashes, but for less than
  *    three of which none ended a trial.
  *  - Any other request is sent by one VM at a time; after a crash not again
- * for 10 s, and three times as long after each further one.  A whole request
- * needs no trial to be told from others, only to be served again once its
- * upstreams are mended: first after a minute.
+ *    for 10 s, and three times as long after each further one.
+ *
+ *  A whole request needs no trial to be told from others, only to be served
+ *  again once its upstreams are mended: the first trial comes after a minute.
  *
  *      bbm_quarantine *q = bbm_quarantine_create(seed);
  *      bbm_quarantine_add_crash(q, &crash, ids, len, now);
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -155,7 +155,7 @@
     size_t part_ids_len;  /**< Number of these. */
     uint64_t whole_id;    /**< Id of the whole request; 0: none. */
     bbm_time caution_for; /**< Crash for which it was held last. */
-    bbm_time caution_until;                           /**< Until when. */
+    bbm_time caution_until;                           /**< End of that hold. */
     gate_prefix prefixes[BBM_PLACEMENT_PREFIXES_MAX]; /**< Shared prefixes,
                                                            shortest first. */
     size_t prefixes_len;      /**< Number of prefixes. */
@@ -448,6 +448,8 @@
                        const bbm_upstream_notice *notice, bbm_time sent_at);
 /** Apply the last statement that all VMs have received. */
 void gate_apply_limit_news(bbm_gate *g, gate_upstream *u);
+/** Push an output for the last statement; @p reported by another VM. */
+void gate_push_limit(bbm_gate *g, const gate_upstream *u, bool reported);
 /** Forget the limit of an upstream that has restarted. */
 void gate_forget_limit(gate_upstream *u);
 /** The last statement to this VM, to be reported; BBM_LIMIT_UNSTATED if the
--- a/gate/gate_limit.c
+++ b/gate/gate_limit.c
@@ -57,7 +57,7 @@
 static bool
 must_log(const bbm_gate *g, gate_upstream *u)
 {
-    const gate_limit *l = &u->own_limit;
+    const gate_limit *l = &u->limit;
     const gate_limit *last = &u->logged_limit;
     bool changed = l->kind != last->kind || l->run != last->run
                    || l->per_1000_s != last->per_1000_s;
@@ -92,6 +92,20 @@
     return must_log(g, u);
 }
 
+void
+gate_push_limit(bbm_gate *g, const gate_upstream *u, bool reported)
+{
+    static const gate_request no_request = {0};
+    bool limited = u->limit.kind == BBM_LIMIT_SET;
+    bbm_gate_output *out =
+        gate_push_output(g, BBM_GATE_UPSTREAM_NOTICE, &no_request);
+    bbm_name_set(out->u.upstream_notice.upstream, u->info.id);
+    out->u.upstream_notice.notice.limited = limited;
+    out->u.upstream_notice.notice.limit = (double)u->limit.per_1000_s / 1000;
+    out->u.upstream_notice.limit_ended = !limited;
+    out->u.upstream_notice.limit_reported = reported;
+}
+
 void
 gate_apply_limit_news(bbm_gate *g, gate_upstream *u)
 {
@@ -105,8 +119,11 @@
     if (!is_of_present_run(u, &l))
         return;
     if (!is_of_present_run(u, &u->limit)
-        || l.at > u->limit.at + NEWS_DELAY_MAX)
+        || l.at > u->limit.at + NEWS_DELAY_MAX) {
         apply(g, u, &l);
+        if (must_log(g, u))
+            gate_push_limit(g, u, true);
+    }
 }
 
 void
--- a/gate/gate_notice.c
+++ b/gate/gate_notice.c
@@ -60,7 +60,6 @@
 bbm_gate_record_notice(bbm_gate *g, const char *upstream,
                        const bbm_upstream_notice *notice, bbm_time now)
 {
-    static const gate_request no_request = {0};
     gate_advance(g, now);
     gate_upstream *u = NULL;
     HASH_FIND_STR(g->upstreams, upstream, u);
@@ -70,13 +69,8 @@
         u->leaving_run = gate_run_of(&u->info);
         g->load_changed = true;
     }
-    if (!gate_record_limit(g, u, notice, BBM_NEVER))
-        return;
-    bbm_gate_output *out =
-        gate_push_output(g, BBM_GATE_UPSTREAM_NOTICE, &no_request);
-    bbm_name_set(out->u.upstream_notice.upstream, u->info.id);
-    out->u.upstream_notice.notice.limited = true;
-    out->u.upstream_notice.notice.limit = notice->limit;
+    if (gate_record_limit(g, u, notice, BBM_NEVER))
+        gate_push_limit(g, u, false);
 }
 
 /* True if a run of the upstream has told this VM or another that it leaves. */
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -407,6 +407,22 @@
     n->invalid_notices = 0;
 }
 
+static void
+log_limit(bbm_node *n, const bbm_gate_output *out)
+{
+    const bbm_upstream_notice *notice = &out->u.upstream_notice.notice;
+    bbm_action *l =
+        node_log_event(n, notice->limited ? BBM_EVENT_UPSTREAM_LIMITED
+                                          : BBM_EVENT_UPSTREAM_UNLIMITED);
+    node_log_text(l, "id", out->id);
+    node_log_text(l, "upstream", out->u.upstream_notice.upstream);
+    node_log_text(l, "why",
+                  out->u.upstream_notice.limit_reported ? "another VM"
+                                                        : "its answer");
+    if (notice->limited)
+        node_log_number(l, "per_1000_s", (int64_t)(notice->limit * 1000));
+}
+
 static void
 process_upstream_notice(bbm_node *n, const bbm_gate_output *out)
 {
@@ -423,17 +439,8 @@
         node_log_text(l, "upstream", upstream);
         node_log_number(l, "pause_ms", notice->pause / BBM_MS);
     }
-    if (notice->limited) {
-        bbm_action *l = node_log_event(n, BBM_EVENT_UPSTREAM_LIMITED);
-        node_log_text(l, "id", out->id);
-        node_log_text(l, "upstream", upstream);
-        node_log_number(l, "per_1000_s", (int64_t)(notice->limit * 1000));
-    }
-    if (out->u.upstream_notice.limit_ended) {
-        bbm_action *l = node_log_event(n, BBM_EVENT_UPSTREAM_UNLIMITED);
-        node_log_text(l, "id", out->id);
-        node_log_text(l, "upstream", upstream);
-    }
+    if (notice->limited || out->u.upstream_notice.limit_ended)
+        log_limit(n, out);
     if (notice->invalid)
         log_invalid_notice(n, upstream);
 }
--- a/stand/pool.c
+++ b/stand/pool.c
@@ -8,7 +8,9 @@
  *  upstream answers every request and counts the runs of each attempt id;
  *  GET /runs returns the counts, GET /seen headers, path and query arguments
  *  of the last request.  After GET /fault it runs the next request but closes
- *  the connection without an answer; GET /fault?off=1 cancels that.
+ *  the connection without an answer; GET /fault?off=1 cancels that.  From GET
+ *  /limit?per_s=N on its answers state that limit, and from GET /limit on
+ * none.
  */
 #include "stand_http.h"
 
@@ -25,6 +27,7 @@
     json_t *run_counts;   /* by attempt id */
     json_t *last_request; /* headers, path and query arguments */
     bool drop_next;
+    char limit[16]; /* requests per second that it states; "": none */
 } pool;
 
 static enum MHD_Result
@@ -55,6 +58,7 @@
     json_object_set_new(p->run_counts, id, json_integer(before + 1));
     bool drop = p->drop_next;
     p->drop_next = false;
+    memcpy(q->limit, p->limit, sizeof(q->limit));
     pthread_mutex_unlock(&p->lock);
     if (drop)
         return stand_drop(q);
@@ -81,6 +85,13 @@
         pthread_mutex_unlock(&p->lock);
         return stand_reply(q, 200, json_object());
     }
+    if (strcmp(q->path, "/limit") == 0) {
+        const char *per_s = stand_query_argument(q, "per_s");
+        pthread_mutex_lock(&p->lock);
+        snprintf(p->limit, sizeof(p->limit), "%s", per_s ? per_s : "");
+        pthread_mutex_unlock(&p->lock);
+        return stand_reply(q, 200, json_object());
+    }
     return run_request(p, q);
 }
 
--- a/stand/stand_http.c
+++ b/stand/stand_http.c
@@ -165,6 +165,8 @@
                             stand_header(r, "X-Bluebellmoor-Attempt-Id"));
     MHD_add_response_header(response, "X-Bluebellmoor-Server-Stamp",
                             r->signature);
+    if (r->limit[0])
+        MHD_add_response_header(response, "Server-Limit", r->limit);
 }
 
 enum MHD_Result
--- a/stand/stand_http.h
+++ b/stand/stand_http.h
@@ -28,6 +28,8 @@
     const char *signature;   /**< Signature of an upstream of a pool: sent
                                 with the request's attempt id.  NULL: neither
                                 is sent. */
+    char limit[16];          /**< Requests a second that an upstream of a pool
+                                takes, stated with its signature; "": none. */
 } stand_request;
 
 /** Handles a request; called concurrently for several connections. */
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -685,6 +685,53 @@
     finish
 }
 
+t_limits() { # an upstream gets no more requests from all VMs than it states
+    begin limits
+    local i
+    fleet_run "$dir/list.log" "$FLEET_BUILD/stand_pool" list $((FLEET_PORT + 6)) \
+        $((FLEET_PORT + 520)) $((FLEET_PORT + 521))
+    for i in 520 521; do
+        fleet_run "$dir/upstream-$i.log" "$FLEET_BUILD/stand_pool" upstream $((FLEET_PORT + i))
+    done
+    for i in 1 2 3 4; do
+        mkdir -p "$dir/disk-$i"
+        pool_settings "$i" true
+        fleet_daemon "$dir" "$i"
+    done
+    check "the configuration is acknowledged" fleet_until 10 pool_accepts 4 1
+    for i in 1 2 3 4; do
+        check "vm-$i serves" fleet_until 10 pool_is_served "$i" /safe/x "first-$i"
+    done
+    curl -s "http://127.0.0.1:$((FLEET_PORT + 520))/limit?per_s=1" >/dev/null
+    # At least ten requests a second; the rule binds after 3 s.
+    local start=$SECONDS n=0 phase=before
+    while [ $((SECONDS - start)) -lt 10 ]; do
+        [ $((SECONDS - start)) -ge 4 ] && phase=within
+        [ $((SECONDS - start)) -ge 8 ] && phase=after
+        n=$((n + 1))
+        check "request $n is served" pool_is_served $((1 + n % 4)) /safe/x "$phase-$n"
+        sleep 0.03
+    done
+    # 1.5 times what the limit allows in 4 s, and 5.
+    local got
+    got=$(curl -s "http://127.0.0.1:$((FLEET_PORT + 520))/runs" | grep -o '"within-' | wc -l)
+    check "the limited upstream got $got requests in 4 s, 11 allowed" test "$got" -le 11
+    check "it got some" test "$got" -ge 1
+    check "there were $n requests" test "$n" -ge 60
+    check "the statement is logged" grep -q '"event":425.*"upstream":"i-'$((FLEET_PORT + 520))'"' "$dir/vm-1.log"
+    curl -s "http://127.0.0.1:$((FLEET_PORT + 520))/limit" >/dev/null
+    limit_ended() { # at all VMs
+        n=$((n + 1))
+        pool_is_served $((1 + n % 4)) /safe/x "end-$n" >/dev/null
+        for i in 1 2 3 4; do
+            curl -s "http://$(pool_vm_ip "$i"):$((FLEET_PORT + 2))/metrics" \
+                | grep -q '^bluebellmoor_pool_limited_upstreams 0' || return 1
+        done
+    }
+    check "its end is noticed" fleet_until 15 limit_ended
+    finish
+}
+
 t_pools() { # seeds, list and configuration of the provider; lost disk, failed upstream
     begin pools
     local i
@@ -744,7 +791,7 @@
 scenarios=(streams leader_killed bookings_once key_withdrawn isolated frozen
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
-    address_in_use operator_commands disk_full pools pool_keys drain_under_load)
+    address_in_use operator_commands disk_full pools limits pool_keys drain_under_load)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
