--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -10,6 +10,8 @@
 #define STEP_NS (20 * BBM_MS)
 /* A VM that has started takes requests once it has its configuration. */
 #define READY_TIME (500 * BBM_MS)
+/* Restarts per VM, each tenth of the VMs in a round of its own. */
+#define RESTART_ROUNDS ((size_t)3 * 10)
 /* Period after which the leader sends the totals again. */
 #define TOTAL_PERIOD_NS (350 * BBM_MS)
 
@@ -158,13 +160,13 @@
     bbm_share_limits limits = {.rate = 860000, .burst = 860000};
     limits.overrun_max = 0.1 * (8 * limits.rate + limits.burst) + 110000;
     double allowed = 8 * limits.rate + limits.burst + limits.overrun_max;
-    for (size_t i = 0; i < 3 * 2; i++) {
+    for (size_t i = 0; i < 2 * BBM_COUNT(sizes); i++) {
         size_t vms = sizes[i / 2];
         bool at_once = i % 2;
         simulation s;
         begin(&s, vms, &limits);
         run_load(&s, 300, 9200, 6 * BBM_SECOND);
-        for (size_t round = 0; round < 3 * 10; round++) {
+        for (size_t round = 0; round < RESTART_ROUNDS; round++) {
             for (size_t vm = 0; vm < vms; vm++) {
                 if (at_once ? round % 10 == 0 : vm % 10 == round % 10)
                     restart(&s, vm, &limits);
@@ -191,7 +193,7 @@
         begin(&s, sizes[i], &limits);
         run_load(&s, 47, 9200, 6 * BBM_SECOND);
         s.refused = s.requested = 0;
-        for (size_t round = 0; round < 3 * 10; round++) {
+        for (size_t round = 0; round < RESTART_ROUNDS; round++) {
             for (size_t vm = round % 10; vm < sizes[i]; vm += 10)
                 restart(&s, vm, &limits);
             run_load(&s, 47, 9200, 600 * BBM_MS);
