--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -177,7 +177,7 @@
         }
         bbm_fleet_configure(f.fleet, f.config, f.now);
         for (int i = 1; i <= RUNNERS; i++) {
-            char name[8];
+            char name[16];
             snprintf(name, sizeof(name), "e%d", i);
             report(&f, name, 1);
         }
