--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -235,6 +235,7 @@
     ck_assert_uint_eq(desc.parts[1].tokens, 410);
     ck_assert_int_eq(desc.client_timeout, 6 * BBM_SECOND);
     ck_assert_str_eq(c.key, "key");
+    platform_request_free(&c);
 }
 END_TEST
 
