Revert: VMs that start again don't have their part of the burst once more

Suspected: a VM that starts scales its first demand up, and takes its held requests for a rate, so that all VMs admit less; and it counts nothing as left for some seconds near the rate.

To be done again with a start that asks the others what is left.

--- a/rate/bbm_share.c
+++ b/rate/bbm_share.c
@@ -10,18 +10,10 @@
 #define DEMAND_TIME_CONSTANT_S 8.0
 /* Time constant of the short-term demand. */
 #define SHORT_TERM_TIME_CONSTANT_S 0.5
-/* In a shorter time after the start a single request would look like many. */
-#define DEMAND_AGE_MIN (150 * BBM_MS)
 /* From the totals each VM estimates the balance: the tokens that all VMs
    together have left.  Its maximum is the burst plus this share of the
    tolerated overrun. */
 #define BALANCE_OVERRUN_SHARE 0.3
-/* A VM that has just started doesn't know what its customers have run, here
-   before or at the other VMs.  It starts with this share of its part, and with
-   an estimate that all have nothing left.  Customers that are configured more
-   than STARTING_TIME later are new. */
-#define START_LEVEL_SHARE 0.25
-#define STARTING_TIME (2 * BBM_SECOND)
 /* Shares are enforced from when the balance falls below ENFORCE_BELOW_SHARE of
    its maximum until it exceeds RELAX_ABOVE_SHARE, and while no total has been
    received for TOTAL_AGE_MAX_NS. */
@@ -57,7 +49,6 @@
     double admit_probability; /* of a request, for random admission */
     double balance;           /* tokens that all VMs have left, estimated */
     bool relaxed;             /* not enforced: demand is well below the rate */
-    bool is_new;              /* configured while this VM ran */
     bbm_time total_at;        /* when the last total was received; 0: never */
     bbm_time updated_at;      /* moment for which level and demand hold */
     UT_hash_handle hh;
@@ -66,8 +57,7 @@
 struct bbm_shares {
     bbm_rng rng;
     share_row *rows;
-    size_t vms;          /* for equal shares */
-    bbm_time started_at; /* when the first customer was set; 0: none was */
+    size_t vms; /* for equal shares */
 };
 
 bbm_shares *
@@ -133,16 +123,13 @@
                         const bbm_share_limits *limits, bbm_time now)
 {
     share_row *row = find_row(s, customer);
-    if (!s->started_at)
-        s->started_at = now;
     if (!row) {
         row = bbm_calloc(1, sizeof(*row));
         bbm_name_set(row->customer, customer);
         row->limits = *limits;
         row->updated_at = now;
         row->share = 1.0 / (double)s->vms;
-        row->is_new = now - s->started_at > STARTING_TIME;
-        row->level = capacity_of(row) * (row->is_new ? 1 : START_LEVEL_SHARE);
+        row->level = capacity_of(row);
         HASH_ADD_STR(s->rows, customer, row);
         return;
     }
@@ -208,20 +195,6 @@
         row->level = capacity_of(row);
 }
 
-/* A smoothed demand is too low at first, as what was before it is missing. */
-static double
-short_term_share_seen(const bbm_shares *s, const share_row *row, bbm_time now)
-{
-    bbm_time age = now - s->started_at;
-    if (row->is_new)
-        return 1;
-    if (age < DEMAND_AGE_MIN)
-        age = DEMAND_AGE_MIN;
-    return 1
-           - exp(-(double)age / (double)BBM_SECOND
-                 / SHORT_TERM_TIME_CONSTANT_S);
-}
-
 bbm_share_demand
 bbm_shares_demand(bbm_shares *s, const char *customer, bbm_time now)
 {
@@ -231,7 +204,7 @@
         return d;
     refresh(row, now);
     d.long_term = row->demand;
-    d.short_term = row->short_term_demand / short_term_share_seen(s, row, now);
+    d.short_term = row->short_term_demand;
     return d;
 }
 
@@ -254,7 +227,7 @@
     double ran =
         demand > row->total_short_term ? demand : row->total_short_term;
     row->balance += (row->limits.rate - ran * row->admit_probability) * span;
-    if (row->balance > max || (!row->total_at && row->is_new))
+    if (row->balance > max || !row->total_at)
         row->balance = max;
     if (row->balance < -max)
         row->balance = -max;
--- a/rate/bbm_share.h
+++ b/rate/bbm_share.h
@@ -5,10 +5,9 @@
  *  its share of the customer's demand.  VMs report their demand to the leader
  *  and receive the total; one VM may run rate x own demand / total.  There is
  *  no ledger: nothing is lost when VMs or the leader are killed, and after a
- *  start a VM holds a part of an equal share until it receives a total.  In
- *  exchange the shares can add up to more than the rate until a change of
- *  demand has reached all VMs; the deployment sets how much of that it
- *  tolerates.
+ *  start a VM holds an equal share until it receives a total.  In exchange
+ *  the shares can add up to more than the rate until a change of demand has
+ *  reached all VMs; the deployment sets how much of that it tolerates.
  *
  *  Shares are not enforced while total demand is well below the rate.  With
  *  many VMs a share is smaller than a few requests, too coarse to enforce;
@@ -47,8 +46,7 @@
 bbm_shares *bbm_shares_create(uint64_t seed);
 /** Free a set; NULL is allowed. */
 void bbm_shares_destroy(bbm_shares *s);
-/** Set the limits of a customer.  One that is set some time after the first
- * has a full equal share. */
+/** Set the limits of a customer.  A new customer has a full equal share. */
 void bbm_shares_set_customer(bbm_shares *s, const char *customer,
                              const bbm_share_limits *limits, bbm_time now);
 /** Reserve tokens for a request.  On false @p wait receives the time until a
