Reading of the change: one end for refusals of accused requests, one match of blocks

end_quarantined and end_suspect had the same tail (abort a stream that has begun, refuse, name the accused id); it is end_accused now. bbm_cache_match_confirmed repeated the loop of bbm_cache_match, which does the same at BBM_NEVER. Three comments reflowed. Behaviour is unchanged, but a suspect request whose stream has begun now draws a random number that isn't used.

--- a/cache/bbm_cache.c
+++ b/cache/bbm_cache.c
@@ -241,13 +241,8 @@
 bbm_cache_match_confirmed(const bbm_cache *c, uint32_t slot,
                           const bbm_block_id *ids, size_t len)
 {
-    for (size_t i = 0; i < len; i++) {
-        const block *b = find_block(c, ids[i]);
-        const holder *h = b ? find_holder(b, slot) : NULL;
-        if (!h || !h->confirmed)
-            return i;
-    }
-    return len;
+    /* By then, no entry is valid that is only expected. */
+    return bbm_cache_match(c, slot, ids, len, BBM_NEVER);
 }
 
 void
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -329,9 +329,8 @@
  *  other VMs arrive here, so the gate spreads requests at random over more
  *  upstreams. */
 void bbm_gate_set_vm_count(bbm_gate *g, size_t vms, bool placements_delayed);
-/** Set the VMs that take turns, by the hashes of their names: at upstreams
- * with a limit, and at trials.  @p self is this VM; until this call it counts
- * as alone. */
+/** Set the VMs that take turns at limited upstreams and at trials, by the
+ *  hashes of their names; @p self is this VM, which is alone until then. */
 void bbm_gate_set_vms(bbm_gate *g, const uint64_t *vms, size_t len,
                       uint64_t self);
 /** Set the calendar time at @p now, in nanoseconds.  It should be about the
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -130,45 +130,50 @@
     gate_request_free(g, r);
 }
 
-/* The client is told how long the quarantine lasts, or the trial of another
-   request: to come back sooner is of no use.  A stream that has begun is
+/* Refuses a request for what upstreams crash on: the part of its prompt at
+   this place, from 1, or the whole request (0).  A stream that has begun is
    aborted instead. */
 static void
-end_quarantined(bbm_gate *g, gate_request *r, const bbm_quarantine_entry *e,
-                bbm_time retry_after)
+end_accused(bbm_gate *g, gate_request *r, uint64_t id, size_t place,
+            bbm_time retry_after, const char *reason)
 {
-    bool is_whole = e->part == r->whole_id;
-    const char *reason = is_whole ? "the request crashes upstreams"
-                                  : "a part of the prompt crashes runners";
-    size_t place = 0;
-    g->counts.refused_quarantined++;
     if (r->last_event_id[0]) {
         gate_abort(g, r, BBM_ERR_UPSTREAM_CUT, reason);
         return;
     }
-    while (r->part_ids[place] != e->part)
-        place++;
     bbm_gate_output *out =
         push_refusal(g, r, BBM_ERR_QUARANTINED, retry_after, reason);
-    out->u.refuse.part = e->part;
-    out->u.refuse.part_number = is_whole ? 0 : place + 1;
+    out->u.refuse.part = id;
+    out->u.refuse.part_number = place;
     gate_request_free(g, r);
 }
 
+/* The client is told how long the quarantine lasts, or the trial of another
+   request: to come back sooner is of no use. */
+static void
+end_quarantined(bbm_gate *g, gate_request *r, const bbm_quarantine_entry *e,
+                bbm_time retry_after)
+{
+    g->counts.refused_quarantined++;
+    if (e->part == r->whole_id) {
+        end_accused(g, r, e->part, 0, retry_after,
+                    "the request crashes upstreams");
+        return;
+    }
+    size_t place = 1;
+    while (r->part_ids[place - 1] != e->part)
+        place++;
+    end_accused(g, r, e->part, place, retry_after,
+                "a part of the prompt crashes runners");
+}
+
 /* A request that has crashed upstreams; its client may return later. */
 static void
 end_suspect(bbm_gate *g, gate_request *r)
 {
-    static const char reason[] = "the request has crashed upstreams";
     g->counts.refused_suspect++;
-    if (r->last_event_id[0]) {
-        gate_abort(g, r, BBM_ERR_UPSTREAM_CUT, reason);
-        return;
-    }
-    bbm_gate_output *out = push_refusal(
-        g, r, BBM_ERR_QUARANTINED, add_jitter(g, SUSPECT_RETRY_AFTER), reason);
-    out->u.refuse.part = r->whole_id;
-    gate_request_free(g, r);
+    end_accused(g, r, r->whole_id, 0, add_jitter(g, SUSPECT_RETRY_AFTER),
+                "the request has crashed upstreams");
 }
 
 /* Returns true if the request was ended. */
@@ -713,8 +718,7 @@
     gate_pool *p = gate_find_pool(g, r->pools[0]);
     if (p)
         bbm_retry_record_request(&p->retry_budget);
-    /* A turn at a limited upstream belongs to the request that waits for it.
-     */
+    /* A turn belongs to the request that waits for it. */
     if (g->waiting_len && has_limited_upstream(g, p))
         gate_dispatch_waiting(g);
     gate_dispatch(g, r);
--- a/stand/pool.c
+++ b/stand/pool.c
@@ -8,9 +8,8 @@
  *  upstream answers every request and counts the runs of each attempt id;
  *  GET /runs returns the counts, GET /seen headers, path and query arguments
  *  of the last request.  After GET /fault it runs the next request but closes
- *  the connection without an answer; GET /fault?off=1 cancels that.  From GET
- *  /limit?per_s=N on its answers state that limit, and from GET /limit on
- * none.
+ *  the connection without an answer; GET /fault?off=1 cancels that.  GET
+ *  /limit?per_s=N makes its answers state that limit, GET /limit none.
  */
 #include "stand_http.h"
 
