--- a/base/bbm_codes.h
+++ b/base/bbm_codes.h
@@ -58,6 +58,8 @@
     X(BBM_ERR_BUSY, -126, 503, NO, "too many requests are open on this VM")   \
     X(BBM_ERR_QUARANTINED, -127, 503, NO,                                     \
       "the request, or a part of its prompt, crashes upstreams")              \
+    X(BBM_ERR_STREAM_ORIGIN, -128, 503, NO,                                   \
+      "no upstream can go on with the stream; begin anew")                    \
     X(BBM_ERR_UPSTREAM, -130, 502, UNKNOWN,                                   \
       "the upstream failed before it answered")                               \
     X(BBM_ERR_UPSTREAM_CUT, -131, 502, UNKNOWN,                               \
--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -146,7 +146,7 @@
 
 /** Capacity of an array of fields that the callers of bbm_log_write collect
  *  for one event. */
-#define BBM_LOG_PAIRS_MAX 18
+#define BBM_LOG_PAIRS_MAX 20
 
 /** A field of an event. */
 typedef struct bbm_log_pair {
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -495,6 +495,7 @@
         ev.kind = BBM_EV_RESPONSE_HEAD;
         ev.u.response_head.request = item->id;
         ev.u.response_head.attempt = item->attempt;
+        ev.u.response_head.origin = item->origin;
         ev.u.response_head.notice = item->notice;
         break;
     case CONTROL_STREAM_PROGRESS:
--- a/daemon/control.h
+++ b/daemon/control.h
@@ -49,6 +49,8 @@
                                       CONTROL_LISTING: number of entries
                                       that could not be read. */
     uint32_t attempt;            /**< Number of the attempt at an upstream. */
+    uint64_t origin;             /**< CONTROL_RESPONSE_HEAD: of a stream that
+                                      it begins. */
     int64_t output_tokens;       /**< CONTROL_PROGRESS: generated so far. */
     bbm_finished_event finished; /**< Without its content type and body:
                                       content_type and bytes hold them. */
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -177,6 +177,7 @@
     control_item *item = control_item_create(CONTROL_RESPONSE_HEAD);
     item->id = x->request;
     item->attempt = x->send.attempt;
+    item->origin = x->send.origin;
     item->notice = x->notice;
     mailbox_put_waiting(x->thread->control, item);
 }
--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -39,6 +39,7 @@
     g->chains = bbm_chains_create();
     g->places = bbm_places_create();
     g->quarantine = bbm_quarantine_create(desc->seed);
+    g->origins = bbm_origins_create(GATE_OWN_ORIGINS_MAX);
     TAILQ_INIT(&g->waiting);
     STAILQ_INIT(&g->outputs);
     return g;
@@ -63,6 +64,8 @@
     bbm_chains_destroy(g->chains);
     bbm_places_destroy(g->places);
     bbm_quarantine_destroy(g->quarantine);
+    bbm_origins_destroy(g->origins);
+    free(g->reported_origins.items);
     bbm_buf_free(&g->unsent_placements);
     free(g->vm_hashes);
     gate_queued_output *output;
@@ -299,6 +302,7 @@
     u->listed = true;
     u->unlisted_at = 0;
     u->pool = gate_find_pool(g, info->pool);
+    u->origin = bbm_origin_of(info->pool, info->build);
 }
 
 void
@@ -322,6 +326,7 @@
         HASH_DEL(g->upstreams, u);
         free(u);
     }
+    gate_update_origins(g);
     gate_dispatch_waiting(g);
 }
 
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -38,6 +38,7 @@
 #include "bbm_config.h"
 #include "bbm_histogram.h"
 #include "bbm_listing.h"
+#include "bbm_origins.h"
 #include "bbm_quarantine.h"
 #include "bbm_time.h"
 
@@ -81,12 +82,16 @@
 
 /** A new request. */
 typedef struct bbm_gate_request_desc {
-    uint64_t request;     /**< Request number, unique within this process. */
-    const char *id;       /**< Request ID given by the client, for the log. */
-    uint64_t fingerprint; /**< Hash of all that an upstream gets of the
-                               request and that a repeat doesn't change; 0:
-                               unknown. */
-    const char *model;    /**< Requested model, or "". */
+    uint64_t request; /**< Request number, unique within this process. */
+    const char *id;   /**< Request ID given by the client, for the log. */
+    uint64_t id_hash; /**< Hash of that id. */
+    bool resumes;     /**< It takes up a stream after an event. */
+    uint64_t first_id_hash; /**< Hash of the id of the request that brought
+                                 the stream's first event; 0: unspecified. */
+    uint64_t fingerprint;   /**< Hash of all that an upstream gets of the
+                                 request and that a repeat doesn't change; 0:
+                                 unknown. */
+    const char *model;      /**< Requested model, or "". */
     const bbm_prompt_part *parts; /**< All parts of the prompt. */
     size_t parts_len;             /**< Number of parts. */
     int64_t prompt_tokens;     /**< As given by the client; -1: unspecified. */
@@ -106,6 +111,9 @@
                                        another upstream at the same address
                                        refuses the attempt. */
     char address[BBM_NAME_SIZE];  /**< IP:port of the upstream. */
+    char build[BBM_NAME_SIZE];    /**< Version of its software, for the log. */
+    uint64_t origin;              /**< Of streams that begin there; see
+                                       bbm_origins.h. */
     char pool[BBM_NAME_SIZE];     /**< Pool name, for the log. */
     char customer[BBM_NAME_SIZE]; /**< Customer name that is sent to the
                                        upstream, or "". */
@@ -183,6 +191,8 @@
                                    limit; to be logged. */
     BBM_GATE_DISCONNECTED, /**< An upstream has ended an attempt, which accuses
                                 the parts of its prompt; to be logged. */
+    BBM_GATE_FIND_ORIGIN,  /**< Find where a stream began, and call
+                                bbm_gate_set_origin. */
     BBM_GATE_QUARANTINE,   /**< A prompt part was quarantined or released; to
                                 be logged. */
 } bbm_gate_kind;
@@ -198,6 +208,9 @@
     union {
         struct {
             bbm_forward_request send; /**< What to forward, and where. */
+            /** How the build that the stream must go on at is known, for the
+             *  log; NULL: any may begin it. */
+            const char *origin_source;
             /** True if the stream resumes after last_event_id. */
             bool resumes;
             /** Id of the last event that was forwarded, or "". */
@@ -257,6 +270,9 @@
             /** Ids of the first of these parts. */
             uint64_t parts[BBM_GATE_LOGGED_PARTS_MAX];
         } disconnected; /**< BBM_GATE_DISCONNECTED. */
+        struct {
+            uint64_t stream; /**< As in bbm_origins.h. */
+        } find_origin;       /**< BBM_GATE_FIND_ORIGIN. */
         struct {
             bbm_quarantine_change change; /**< The change. */
             /** Ids of the upstreams that crashed, separated by commas; "?" for
@@ -287,6 +303,8 @@
                                        is quarantined. */
     uint64_t refused_suspect; /**< Refused or aborted: the request has crashed
                                    upstreams, which isn't proved. */
+    uint64_t refused_origin;  /**< Refused or aborted: the build that began the
+                                   stream is unknown, or serves no more. */
     uint64_t disconnects;     /**< Attempts that upstreams ended by closing the
                                    connection. */
     uint64_t quarantined_parts;  /**< Quarantined prompt parts (gauge). */
@@ -351,10 +369,11 @@
                             const bbm_route *route,
                             const bbm_customer *customer, bbm_time now);
 /** Record that the head of an attempt's answer was forwarded to the client,
- *  and what it says of the upstream.  Ignored unless it is the current attempt
- *  of an open request. */
+ *  what it says of the upstream, and the origin of a stream that it begins.
+ *  Ignored unless it is the current attempt of an open request. */
 void bbm_gate_record_head(bbm_gate *g, uint64_t request, uint32_t attempt,
-                          const bbm_upstream_notice *notice, bbm_time now);
+                          uint64_t origin, const bbm_upstream_notice *notice,
+                          bbm_time now);
 /** Record that the stream of an attempt, which began at @p began_at, has been
  *  sending events for long.  Ignored unless it is the current attempt of an
  *  open request. */
@@ -386,6 +405,18 @@
 /** The next output, or NULL.  Valid until the next call of this function. */
 const bbm_gate_output *bbm_gate_next_output(bbm_gate *g);
 
+/** Set the origin of the stream that a request takes up, as an answer to
+ *  BBM_GATE_FIND_ORIGIN; 0: nobody knows it.  Ignored unless the request waits
+ *  for it. */
+void bbm_gate_set_origin(bbm_gate *g, uint64_t request, uint64_t origin,
+                         bbm_time now);
+/** Append the origins of the streams that have begun at this VM since the last
+ *  call: their number and the rows.  Returns the number. */
+size_t bbm_gate_put_origins(bbm_gate *g, bbm_time now, bbm_buf *buf);
+/** Let bbm_gate_put_origins append the latest rows again: they may have been
+ *  lost. */
+void bbm_gate_resend_origins(bbm_gate *g);
+
 /** Append this VM's load and demand, to be reported to the leader. */
 void bbm_gate_put_load(bbm_gate *g, bbm_time now, bbm_buf *buf);
 /** Apply the leader's totals over all VMs.  Malformed input sets the reader's
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -40,7 +40,8 @@
 
 void
 bbm_gate_record_head(bbm_gate *g, uint64_t request, uint32_t attempt,
-                     const bbm_upstream_notice *notice, bbm_time now)
+                     uint64_t origin, const bbm_upstream_notice *notice,
+                     bbm_time now)
 {
     gate_advance(g, now);
     gate_request *r = find_request(g, request);
@@ -49,6 +50,7 @@
     r->stage = GATE_ANSWERING;
     r->head_at = g->now;
     gate_record_notice(g, r, notice, true);
+    gate_record_origin(g, r, origin);
     if (!r->last_event_id[0])
         bbm_histogram_add(&g->counts.time_to_head, g->now - r->arrived_at);
     gate_upstream *u = r->upstream;
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -19,6 +19,8 @@
 
 /** Maximum number of pools that are used per request. */
 #define GATE_POOLS_MAX 4
+/** Maximum number of streams of this VM whose origins are kept. */
+#define GATE_OWN_ORIGINS_MAX 8192
 /** Maximum number of upstreams that are recorded as failed per request. */
 #define GATE_FAILED_MAX 6
 
@@ -38,6 +40,9 @@
                                     answer, smoothed; only for services. */
     bbm_retry_budget retry_budget; /**< This VM's part of the retry budget of
                                         the pool. */
+    uint64_t sole_origin; /**< Of all its listed upstreams; 0: they differ, or
+                               none is listed. */
+    bbm_time sole_origin_since; /**< Since when, as far as is known. */
     bbm_returns returns; /**< When clients return that were refused because
                               of pauses. */
     bbm_returns limit_returns; /**< The same, because of limits. */
@@ -58,6 +63,7 @@
     bbm_listing_entry info;     /**< Its entry in the last listing. */
     gate_pool *pool;            /**< Its pool; NULL: not configured. */
     uint64_t hash;              /**< Hash of its id. */
+    uint64_t origin;            /**< Of streams that begin there. */
     UT_hash_handle by_hash;     /**< By hash. */
     bbm_time cache_empty_since; /**< Last time that its cache was emptied, by a
                                      restart or new weights. */
@@ -135,6 +141,27 @@
     GATE_ANSWERING, /**< The head of the answer was forwarded. */
 } gate_stage;
 
+/** How it is known at which build a stream may go on. */
+typedef enum gate_origin_state {
+    GATE_ORIGIN_ANY,     /**< At any: it begins, or its pool has had only one
+                              build for as long as it can have lived. */
+    GATE_ORIGIN_ASKED,   /**< Not yet: it waits for the answer. */
+    GATE_ORIGIN_KNOWN,   /**< At gate_request::origin. */
+    GATE_ORIGIN_UNKNOWN, /**< At none. */
+} gate_origin_state;
+
+/** Origins of the streams that began at this VM and were reported lately. */
+typedef struct gate_reported_origins {
+    struct gate_reported_origin {
+        bbm_origin_row row;
+        bbm_time at;   /**< When the stream began. */
+    } * items;         /**< Oldest first; owned. */
+    size_t len;        /**< Number of rows. */
+    size_t cap;        /**< Allocated number. */
+    size_t unreported; /**< Number of the last ones that are still to be
+                            reported. */
+} gate_reported_origins;
+
 /** An open request. */
 typedef struct gate_request {
     uint64_t number;                           /**< Request number. */
@@ -189,8 +216,15 @@
     bbm_time next_admission_at; /**< While held: time from which it may be
                                      admitted again (see
                                      passes_random_admission). */
-    uint32_t attempts; /**< Number of attempts sent; also the number of the
-                            current attempt. */
+    uint32_t attempts;   /**< Number of attempts sent; also the number of the
+                              current attempt. */
+    uint64_t stream_key; /**< Resumable streams: as in bbm_origins.h. */
+    bool takes_up;       /**< It takes up a stream of an earlier request. */
+    gate_origin_state origin_state; /**< Where the stream may go on. */
+    const char *origin_source; /**< How that is known, for the log; or NULL. */
+    uint64_t origin;           /**< GATE_ORIGIN_KNOWN. */
+    bbm_time origin_asked_at;  /**< GATE_ORIGIN_ASKED: last time. */
+    bbm_time origin_deadline;  /**< GATE_ORIGIN_ASKED: end of the wait. */
     const char *previous_outcome; /**< How the previous attempt ended; NULL:
                                        there was none. */
     uint32_t previous_status;     /**< Its HTTP status; 0: no answer. */
@@ -261,6 +295,8 @@
                                    shared prefixes. */
     bbm_time places_since; /**< When the first listing was applied, and with it
                                 the recording of placements began. */
+    bbm_origins *origins;  /**< Of the streams that began at this VM. */
+    gate_reported_origins reported_origins; /**< The latest of them. */
     bbm_quarantine *quarantine;   /**< Prompt parts that crash runners. */
     bbm_buf unsent_placements;    /**< Encoded placements that are still to be
                                        sent to the other VMs. */
@@ -537,6 +573,27 @@
  *  answers haven't begun and whose prompts have a quarantined part. */
 void gate_apply_quarantine(bbm_gate *g);
 
+/* ---- gate_origin.c ---- */
+
+/** Set how a new request may be placed, by the stream that it takes up. */
+void gate_begin_stream(bbm_gate *g, gate_request *r,
+                       const bbm_gate_request_desc *request);
+/** Record where the stream of a request goes on, or began. */
+void gate_record_origin(bbm_gate *g, gate_request *r, uint64_t origin);
+/** What is to be done with a request that is to be placed. */
+typedef enum gate_origin_verdict {
+    GATE_ORIGIN_PLACE,  /**< Place it where gate_may_go_on allows. */
+    GATE_ORIGIN_WAIT,   /**< Hold it until the origin is known. */
+    GATE_ORIGIN_REFUSE, /**< It can't go on. */
+} gate_origin_verdict;
+/** Decide that; asks for the origin again when the answer is late. */
+gate_origin_verdict gate_judge_origin(bbm_gate *g, gate_request *r,
+                                      const char **reason);
+/** True if the stream of a request may begin or go on at an upstream. */
+bool gate_may_go_on(const gate_request *r, const gate_upstream *u);
+/** Update the origins of upstreams and pools after a new listing. */
+void gate_update_origins(bbm_gate *g);
+
 /* ---- gate_request.c ---- */
 
 /** Latest moment up to which a request is held for upstreams that all want
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -262,7 +262,7 @@
     set->turns_ahead = 0;
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next) {
         if (!u->listed || !u->pool || strcmp(u->info.pool, pool) != 0
-            || gate_is_leaving(u))
+            || gate_is_leaving(u) || !gate_may_go_on(r, u))
             continue;
         if (u->info.loading) {
             set->loading++;
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -37,6 +37,10 @@
    some seconds. */
 #define SUSPECT_RETRY_AFTER (2 * BBM_SECOND)
 
+/* Retry-After of a request that takes up a stream that can't go on: its client
+   may begin anew. */
+#define ORIGIN_RETRY_AFTER (300 * BBM_MS)
+
 /* Time after which a held request that wasn't admitted at random is tried
    again.  By then the loads of the other VMs have been received. */
 #define ADMISSION_PERIOD (30 * BBM_MS)
@@ -257,6 +261,8 @@
     };
     bbm_name_set(s->upstream, u->info.id);
     bbm_name_set(s->address, u->info.address);
+    bbm_name_set(s->build, u->info.build);
+    s->origin = u->origin;
     bbm_name_set(s->pool, u->info.pool);
     bbm_name_set(s->customer, r->customer);
     bbm_name_set(s->source_address, c->source_address);
@@ -291,6 +297,7 @@
         bbm_chains_add_request(g->chains, r->chain_key, g->now);
     bbm_gate_output *out = gate_push_output(g, BBM_GATE_SEND, r);
     fill_forward_request(r, c, &out->u.send.send);
+    out->u.send.origin_source = r->origin_source;
     out->u.send.resumes = r->last_event_id[0] != '\0';
     memcpy(out->u.send.last_event_id, r->last_event_id,
            sizeof(r->last_event_id));
@@ -427,11 +434,33 @@
     }
 }
 
+/* Returns true if the request was held or ended. */
+static bool
+waits_for_origin(bbm_gate *g, gate_request *r)
+{
+    const char *reason;
+    switch (gate_judge_origin(g, r, &reason)) {
+    case GATE_ORIGIN_PLACE:
+        return false;
+    case GATE_ORIGIN_WAIT:
+        enqueue(g, r);
+        return true;
+    case GATE_ORIGIN_REFUSE:
+        break;
+    }
+    g->counts.refused_origin++;
+    if (r->last_event_id[0] || r->head_at)
+        gate_abort(g, r, BBM_ERR_UPSTREAM_CUT, reason);
+    else
+        gate_refuse(g, r, BBM_ERR_STREAM_ORIGIN, ORIGIN_RETRY_AFTER, reason);
+    return true;
+}
+
 void
 gate_dispatch(bbm_gate *g, gate_request *r)
 {
     gate_choice c;
-    if (refuse_quarantined(g, r))
+    if (refuse_quarantined(g, r) || waits_for_origin(g, r))
         return;
     /* A stream that has begun and can't be resumed is aborted, not refused. */
     bool stream_begun = r->last_event_id[0] != '\0';
@@ -661,6 +690,7 @@
     }
     choose_pools(g, r, route);
     copy_prompt(r, request);
+    gate_begin_stream(g, r, request);
     HASH_ADD(hh, g->requests, number, sizeof(r->number), r);
     return r;
 }
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -305,6 +305,7 @@
         struct {
             uint64_t request;           /**< Request number. */
             uint32_t attempt;           /**< As in bbm_forward_request. */
+            uint64_t origin;            /**< As in bbm_forward_request. */
             bbm_upstream_notice notice; /**< What it says of the upstream. */
         } response_head;                /**< BBM_EV_RESPONSE_HEAD. */
         struct {
--- a/node/node.c
+++ b/node/node.c
@@ -155,6 +155,12 @@
         return node_news_receive_loads(n, from, rd);
     case NODE_TOTALS:
         return node_news_receive_totals(n, from, rd);
+    case NODE_ORIGINS:
+        return node_origins_receive(n, rd);
+    case NODE_ORIGIN_QUERY:
+        return node_origins_answer(n, from, rd);
+    case NODE_ORIGIN:
+        return node_origins_receive_answer(n, rd);
     case NODE_MESSAGE_COUNT:
         break;
     }
@@ -198,6 +204,7 @@
         node_rollout_tick(n);
         node_gate_tick(n);
         node_quarantine_tick(n);
+        node_origins_tick(n);
     }
     else {
         node_rate_tick(n);
@@ -282,6 +289,7 @@
         if (n->gate)
             bbm_gate_record_head(n->gate, ev->u.response_head.request,
                                  ev->u.response_head.attempt,
+                                 ev->u.response_head.origin,
                                  &ev->u.response_head.notice, n->now);
         return;
     case BBM_EV_STREAM_PROGRESS:
@@ -448,6 +456,7 @@
     node_read_destroy(n);
     node_rollout_reset(n);
     node_upstreams_destroy(n);
+    node_origins_destroy(n);
     bbm_gate_destroy(n->gate);
     bbm_state_destroy(n->lagging_state);
     node_orders_reset(n);
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -40,6 +40,9 @@
     NODE_LISTING,       /**< Changes of the listing, or the complete one. */
     NODE_LOADS,         /**< A VM's load, demand and news. */
     NODE_TOTALS,        /**< The leader's totals over all VMs. */
+    NODE_ORIGINS,       /**< Origins of streams; to the leader. */
+    NODE_ORIGIN_QUERY,  /**< Asks the leader where a stream began. */
+    NODE_ORIGIN,        /**< The answer; 0: nobody knows. */
     NODE_MESSAGE_COUNT, /**< Number of kinds. */
 } node_message_kind;
 
@@ -354,24 +357,33 @@
     node_store stores[NODE_STORES_MAX]; /**< Stores of KV cache. */
     size_t stores_len;                  /**< Stores in use. */
     bbm_time quarantine_compared_at;    /**< See node_quarantine.c. */
-    uint64_t gate_revision;       /**< Configuration revision of the gate. */
-    bbm_loads *loads;             /**< Latest report of each VM; NULL before
-                                       the first. */
-    bbm_time next_load_report_at; /**< Next report even without a change. */
-    bbm_buf relayed_news;         /**< News to be sent with the next
-                                             report or totals, in groups by VM. */
-    size_t relayed_news_len;      /**< Groups in relayed_news. */
-    bbm_buf sent_totals;          /**< Leader: the totals sent last. */
-    size_t totals_requests;       /**< Leader: VMs that have asked for totals
-                                       since. */
-    bbm_time totals_asked_at;     /**< When this VM last asked for totals. */
-    uint64_t totals_term;         /**< Term of the leader of the last
-                                       totals. */
-    uint64_t totals_number;       /**< Number of these totals in that term. */
-    bbm_time totals_at;           /**< When they were received; leader: when
-                                       they were sent; 0: never. */
-    bbm_rollout *rollout;         /**< NULL unless this node is the leader. */
-    uint64_t rollout_term;        /**< Term of rollout. */
+    bbm_origins *origins_received; /**< Leader: origins that it has received,
+                                        known before they are in the state;
+                                        NULL on the other VMs. */
+    bbm_buf pending_origins;       /**< Leader: rows of the next batch. */
+    size_t pending_origins_len;    /**< Number of these rows. */
+    uint64_t origins_proposal;     /**< Proposal of the last batch. */
+    uint64_t origins_term;         /**< Term of the leader that was last sent
+                                        origins. */
+    bbm_time next_origins_at;      /**< Next report of origins. */
+    uint64_t gate_revision;        /**< Configuration revision of the gate. */
+    bbm_loads *loads;              /**< Latest report of each VM; NULL before
+                                        the first. */
+    bbm_time next_load_report_at;  /**< Next report even without a change. */
+    bbm_buf relayed_news;          /**< News to be sent with the next
+                                              report or totals, in groups by VM. */
+    size_t relayed_news_len;       /**< Groups in relayed_news. */
+    bbm_buf sent_totals;           /**< Leader: the totals sent last. */
+    size_t totals_requests;        /**< Leader: VMs that have asked for totals
+                                        since. */
+    bbm_time totals_asked_at;      /**< When this VM last asked for totals. */
+    uint64_t totals_term;          /**< Term of the leader of the last
+                                        totals. */
+    uint64_t totals_number;        /**< Number of these totals in that term. */
+    bbm_time totals_at;            /**< When they were received; leader: when
+                                        they were sent; 0: never. */
+    bbm_rollout *rollout;          /**< NULL unless this node is the leader. */
+    uint64_t rollout_term;         /**< Term of rollout. */
 
     bool ready_reported;     /**< Value of the latest BBM_ACT_READY. */
     bool stopping;           /**< BBM_EV_STOP was received. */
@@ -540,6 +552,22 @@
  *  proposes changes of them.  To be called on each tick. */
 void node_quarantine_tick(bbm_node *n);
 
+/* ---- node_origins.c ---- */
+
+/** Finds where a stream began that a request takes up, and tells the gate now
+ *  or once the leader has answered. */
+void node_origins_find(bbm_node *n, uint64_t request, uint64_t stream);
+/** Reports the origins of new streams.  Leader: proposes those received. */
+void node_origins_tick(bbm_node *n);
+/** Leader: processes a report of origins. */
+int node_origins_receive(bbm_node *n, bbm_reader *rd);
+/** Leader: answers where a stream began, if it can. */
+int node_origins_answer(bbm_node *n, const char *from, bbm_reader *rd);
+/** Processes the leader's answer. */
+int node_origins_receive_answer(bbm_node *n, bbm_reader *rd);
+/** Releases the origins. */
+void node_origins_destroy(bbm_node *n);
+
 /* ---- node_propose.c ---- */
 
 /** Proposes a command to the log, with the present calendar time, and resends
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -309,6 +309,10 @@
     node_log_number(a, "candidates", out->u.send.candidates);
     node_log_number(a, "list_age_ms", (n->now - n->listing_read_at) / BBM_MS);
     node_log_number(a, "revision", (int64_t)n->config_revision);
+    if (s->build[0])
+        node_log_text(a, "build", s->build);
+    if (out->u.send.origin_source)
+        node_log_text(a, "goes_on_by", out->u.send.origin_source);
     if (s->version)
         node_log_number(a, "weights", (int64_t)s->version);
     if (s->source_address[0])
@@ -514,6 +518,9 @@
         case BBM_GATE_UPSTREAM_NOTICE:
             process_upstream_notice(n, out);
             break;
+        case BBM_GATE_FIND_ORIGIN:
+            node_origins_find(n, out->request, out->u.find_origin.stream);
+            break;
         case BBM_GATE_DISCONNECTED:
             process_disconnected(n, out);
             break;
--- a/node/node_upstreams.c
+++ b/node/node_upstreams.c
@@ -33,6 +33,8 @@
     node_log_text(a, "pool", u->pool);
     node_log_text(a, "address", u->address);
     node_log_text(a, "zone", u->zone);
+    if (u->build[0])
+        node_log_text(a, "build", u->build);
     node_log_number(a, "list_version", (int64_t)n->listing_version);
 }
 
--- a/pool/bbm_listing.c
+++ b/pool/bbm_listing.c
@@ -111,12 +111,12 @@
 static bool
 is_same(const bbm_listing_entry *a, const bbm_listing_entry *b)
 {
-    bool same = strcmp(a->pool, b->pool) == 0
-                && strcmp(a->address, b->address) == 0
-                && strcmp(a->zone, b->zone) == 0
-                && a->started_at_ms == b->started_at_ms && a->slots == b->slots
-                && a->leaving == b->leaving && a->loading == b->loading
-                && a->models_len == b->models_len;
+    bool same =
+        strcmp(a->pool, b->pool) == 0 && strcmp(a->address, b->address) == 0
+        && strcmp(a->zone, b->zone) == 0 && strcmp(a->build, b->build) == 0
+        && a->started_at_ms == b->started_at_ms && a->slots == b->slots
+        && a->leaving == b->leaving && a->loading == b->loading
+        && a->models_len == b->models_len;
     for (size_t i = 0; same && i < a->models_len; i++)
         same = strcmp(a->models[i].name, b->models[i].name) == 0
                && a->models[i].version == b->models[i].version;
@@ -160,6 +160,19 @@
     }
 }
 
+/* Builds follow the rest of the message: a VM that was started before they
+   were sent writes none. */
+static void
+put_builds(bbm_buf *buf, const bbm_listing *before, const bbm_listing *now)
+{
+    for (size_t i = 0; i < now->len; i++) {
+        const bbm_listing_entry *u = &now->items[i];
+        const bbm_listing_entry *old = bbm_listing_find(before, u->id);
+        if (!old || !is_same(old, u))
+            bbm_put_str(buf, u->build);
+    }
+}
+
 size_t
 bbm_listing_diff(const bbm_listing *before, const bbm_listing *now,
                  bbm_buf *buf)
@@ -189,18 +202,38 @@
     bbm_buf_add(buf, items.data, items.len);
     bbm_put_u64(buf, removed);
     bbm_buf_add(buf, ids.data, ids.len);
+    put_builds(buf, before, now);
     bbm_buf_free(&items);
     bbm_buf_free(&ids);
     return changed + removed;
 }
 
+/* Reads the builds of the changed entries, if the message has them. */
+static void
+get_builds(bbm_listing *l, bbm_reader *rd, char (*ids)[BBM_NAME_SIZE],
+           size_t len)
+{
+    if (rd->failed || rd->pos == rd->len)
+        return;
+    for (size_t i = 0; i < len && !rd->failed; i++) {
+        char build[BBM_NAME_SIZE];
+        bbm_get_name(rd, build);
+        bbm_listing_entry *u = bbm_listing_find(l, ids[i]);
+        if (u && !rd->failed)
+            bbm_name_set(u->build, build);
+    }
+}
+
 void
 bbm_listing_patch(bbm_listing *l, bbm_reader *rd)
 {
     size_t changed = bbm_get_u32(rd, BBM_LISTING_MAX);
+    BBM_AUTO_FREE char(*ids)[BBM_NAME_SIZE] =
+        bbm_calloc(changed + 1, sizeof(*ids));
     for (size_t i = 0; i < changed && !rd->failed; i++) {
         bbm_listing_entry u;
         get_item(rd, &u);
+        bbm_name_set(ids[i], u.id);
         if (!rd->failed)
             bbm_listing_add(l, &u);
     }
@@ -210,4 +243,5 @@
         bbm_get_name(rd, id);
         bbm_listing_remove(l, id);
     }
+    get_builds(l, rd, ids, changed);
 }
--- a/pool/bbm_listing.h
+++ b/pool/bbm_listing.h
@@ -37,6 +37,8 @@
     char pool[BBM_NAME_SIZE];    /**< Pool that it belongs to. */
     char address[BBM_NAME_SIZE]; /**< IP:port. */
     char zone[BBM_NAME_SIZE];    /**< Availability zone. */
+    char build[BBM_NAME_SIZE];   /**< Version of its software, "" if
+                                      unspecified; builds have no order. */
     uint64_t started_at_ms;      /**< Start time in Unix milliseconds; 0:
                                       unspecified. */
     uint32_t slots;              /**< Maximum number of concurrent requests; 0:
--- a/state/bbm_command.c
+++ b/state/bbm_command.c
@@ -148,6 +148,9 @@
     case BBM_CMD_QUARANTINE:
         bbm_quarantined_put(buf, &cmd->u.quarantine);
         return;
+    case BBM_CMD_ORIGINS:
+        bbm_put_bytes(buf, cmd->u.origins.rows.data, cmd->u.origins.rows.len);
+        return;
     case BBM_CMD_KIND_COUNT:
         return;
     }
@@ -243,6 +246,9 @@
     case BBM_CMD_QUARANTINE:
         bbm_quarantined_get(rd, &cmd->u.quarantine);
         return;
+    case BBM_CMD_ORIGINS:
+        cmd->u.origins.rows = bbm_get_bytes(rd);
+        return;
     case BBM_CMD_KIND_COUNT:
         return;
     }
--- a/state/bbm_command.h
+++ b/state/bbm_command.h
@@ -41,6 +41,7 @@
     BBM_CMD_ORDER_PAUSE,  /**< Pause or resume the sending of orders. */
     BBM_CMD_LEDGER,       /**< Store the rate owner's ledger of a customer. */
     BBM_CMD_QUARANTINE,   /**< Quarantine or release a prompt part; public. */
+    BBM_CMD_ORIGINS,      /**< Add origins of streams. */
     BBM_CMD_KIND_COUNT,   /**< Number of types. */
 } bbm_command_kind;
 
@@ -150,6 +151,10 @@
             bbm_bytes ledger; /**< Encoded by the rate owner; opaque here. */
         } ledger;
         bbm_quarantined quarantine;
+        struct {
+            bbm_bytes rows; /**< Their number, and a bbm_origin_row for
+                                 each. */
+        } origins;
     } u;
 } bbm_command;
 
--- a/state/bbm_registry.c
+++ b/state/bbm_registry.c
@@ -491,6 +491,7 @@
     case BBM_CMD_ORDER_END:
     case BBM_CMD_ORDER_PAUSE:
     case BBM_CMD_LEDGER:
+    case BBM_CMD_ORIGINS:
     case BBM_CMD_KIND_COUNT:
         out->code = BBM_ERR_ARGUMENT;
         return;
--- a/state/bbm_state.c
+++ b/state/bbm_state.c
@@ -6,10 +6,15 @@
 #include <string.h>
 #include <sys/queue.h>
 
-/* Snapshots with another format version are refused, except the one before,
-   which has no quarantined prompt parts. */
-#define STATE_FORMAT_VERSION 3
+/* Formats of snapshots: the oldest has no quarantined prompt parts, and only
+   the latest has origins of streams.  Others are refused. */
+#define STATE_FORMAT_VERSION 4
+#define STATE_FORMAT_VERSION_QUARANTINE 3
 #define STATE_FORMAT_VERSION_OLDEST 2
+/* Format of the public state, which has no origins. */
+#define PUBLIC_FORMAT_VERSION STATE_FORMAT_VERSION_QUARANTINE
+/* Maximum number of streams whose origins are kept. */
+#define ORIGINS_MAX 65536
 /* Maximum number of ledgers in a snapshot. */
 #define LEDGERS_MAX 1000000
 #define DEFAULT_REVISION_TEXTS 64
@@ -34,6 +39,8 @@
     bbm_claims *claims;
     bbm_orders *orders;
     ledger_row *ledgers;
+    bbm_origins *origins;
+    int64_t origins_expired_ms; /* last removal of old ones */
     uint64_t index;
     uint64_t public_index;
     TAILQ_HEAD(, tail_row) tail;
@@ -55,6 +62,7 @@
     s->registry = bbm_registry_create(s->desc.revision_texts_max);
     s->claims = bbm_claims_create(&s->desc.claims);
     s->orders = bbm_orders_create();
+    s->origins = bbm_origins_create(ORIGINS_MAX);
     TAILQ_INIT(&s->tail);
     return s;
 }
@@ -148,9 +156,43 @@
     bbm_registry_destroy(state->registry);
     bbm_claims_destroy(state->claims);
     bbm_orders_destroy(state->orders);
+    bbm_origins_destroy(state->origins);
     free(state);
 }
 
+/* ---- origins of streams ---- */
+
+/* A row outlives the stream by this, as the proposers' clocks may differ. */
+#define ORIGIN_CLOCK_MARGIN_MS 15000
+#define ORIGINS_EXPIRE_PERIOD_MS 1000
+
+static void
+add_origins(bbm_state *s, const bbm_command *cmd, bbm_outcome *out)
+{
+    bbm_reader rd =
+        bbm_reader_of(cmd->u.origins.rows.data, cmd->u.origins.rows.len);
+    size_t len = bbm_get_u32(&rd, BBM_ORIGIN_ROWS_MAX);
+    for (size_t i = 0; i < len && !rd.failed; i++) {
+        bbm_origin_row row;
+        bbm_origin_row_get(&rd, &row);
+        row.life_ms += ORIGIN_CLOCK_MARGIN_MS;
+        if (!rd.failed)
+            bbm_origins_add(s->origins, &row, cmd->at_ms);
+    }
+    if (!bbm_reader_done(&rd))
+        out->code = BBM_ERR_DECODE;
+    if (cmd->at_ms - s->origins_expired_ms < ORIGINS_EXPIRE_PERIOD_MS)
+        return;
+    s->origins_expired_ms = cmd->at_ms;
+    bbm_origins_expire(s->origins, cmd->at_ms);
+}
+
+const bbm_origins *
+bbm_state_origins(const bbm_state *state)
+{
+    return state->origins;
+}
+
 /* ---- applying ---- */
 
 static void
@@ -201,6 +243,9 @@
     case BBM_CMD_LEDGER:
         set_ledger(s, cmd->u.ledger.customer, cmd->u.ledger.ledger);
         return;
+    case BBM_CMD_ORIGINS:
+        add_origins(s, cmd, out);
+        return;
     case BBM_CMD_KIND_COUNT:
         out->code = BBM_ERR_ARGUMENT;
         return;
@@ -282,6 +327,7 @@
     bbm_claims_encode(state->claims, buf);
     bbm_orders_encode(state->orders, buf);
     encode_ledgers(state, buf);
+    bbm_origins_encode(state->origins, buf);
 }
 
 static bool
@@ -310,7 +356,10 @@
     bool valid = version_ok && decode_registry(decoded, version, &rd) == 0
                  && bbm_claims_decode(decoded->claims, &rd) == 0
                  && bbm_orders_decode(decoded->orders, &rd) == 0
-                 && decode_ledgers(decoded, &rd) && bbm_reader_done(&rd);
+                 && decode_ledgers(decoded, &rd)
+                 && (version < STATE_FORMAT_VERSION
+                     || bbm_origins_decode(decoded->origins, &rd))
+                 && bbm_reader_done(&rd);
     if (!valid) {
         bbm_state_destroy(decoded);
         return BBM_ERR_DECODE;
@@ -319,9 +368,11 @@
     bbm_registry_destroy(state->registry);
     bbm_claims_destroy(state->claims);
     bbm_orders_destroy(state->orders);
+    bbm_origins_destroy(state->origins);
     state->registry = decoded->registry;
     state->claims = decoded->claims;
     state->orders = decoded->orders;
+    state->origins = decoded->origins;
     clear_ledgers(state);
     state->ledgers = decoded->ledgers;
     state->index = decoded->index;
@@ -333,7 +384,7 @@
 void
 bbm_state_encode_public(const bbm_state *state, bbm_buf *buf)
 {
-    bbm_put_u64(buf, STATE_FORMAT_VERSION);
+    bbm_put_u64(buf, PUBLIC_FORMAT_VERSION);
     bbm_put_u64(buf, state->public_index);
     bbm_registry_encode(state->registry, 1, buf);
 }
--- a/state/bbm_state.h
+++ b/state/bbm_state.h
@@ -1,5 +1,6 @@
 /** @file
- *  The complete replicated state: registry, claims, orders and rate ledgers.
+ *  The complete replicated state: registry, claims, orders, rate ledgers and
+ *  origins of streams.
  *
  *  Control VMs apply every command of the log.  The other VMs hold the
  *  registry only and apply the public commands.  Each public command is sent
@@ -16,6 +17,7 @@
 
 #include "bbm_claims.h"
 #include "bbm_orders.h"
+#include "bbm_origins.h"
 #include "bbm_registry.h"
 
 /** Limits of a state. */
@@ -60,6 +62,10 @@
 /** The orders; maintained on control VMs only. */
 const bbm_orders *bbm_state_orders(const bbm_state *state);
 
+/** Where streams began; maintained on control VMs only.  Times are calendar
+ *  time. */
+const bbm_origins *bbm_state_origins(const bbm_state *state);
+
 /** Stored rate ledger of a customer, valid until the next change of the
  *  state; false if there is none. */
 bool bbm_state_ledger(const bbm_state *state, const char *customer,
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -125,13 +125,16 @@
         if (h->read_listing)
             h->read_listing(h->context, i);
         return;
+    case BBM_ACT_FORWARD:
+        if (h->forward)
+            h->forward(h->context, i, &a->u.forward.send);
+        return;
     case BBM_ACT_LOG:
         if (h->log)
             h->log(h->context, i, a->u.log.event);
         return;
     case BBM_ACT_WATCH_RUNNER:
     case BBM_ACT_READY:
-    case BBM_ACT_FORWARD:
     case BBM_ACT_ROLLOUT:
     case BBM_ACT_WATCH_STORE:
     case BBM_ACT_LIMITS:
--- a/tests/gate_world.c
+++ b/tests/gate_world.c
@@ -109,6 +109,13 @@
     snprintf(r->id, sizeof(r->id), "r-%03d-%d", i, r->run);
 }
 
+/* From 1; a runner that starts again has the next one. */
+static int
+build_of(const gate_world *w, int i)
+{
+    return w->load.builds ? 1 + (i + w->upstreams[i].run) % w->load.builds : 1;
+}
+
 /* A listing that is LISTING_PERIOD old. */
 static void
 send_listing(gate_world *w)
@@ -127,6 +134,8 @@
         snprintf(u.address, sizeof(u.address), "10.0.0.%d:80", i + 1);
         if (!service)
             bbm_listing_entry_set_version(&u, "m", 1);
+        if (!service)
+            snprintf(u.build, sizeof(u.build), "v1.%d", build_of(w, i));
         bbm_listing_add(&listing, &u);
     }
     for (int vm = 0; vm < w->load.vms; vm++)
@@ -167,6 +176,8 @@
         .began_at = a->begun ? a->begin_at : 0,
         .notice = a->notice,
     };
+    if (w->load.builds && a->begun)
+        bbm_text_set(result.last_event_id, sizeof(result.last_event_id), "1");
     TAILQ_REMOVE(&w->attempts, a, link);
     bbm_gate_end_attempt(w->gates[a->vm], &result, w->now);
     free(a);
@@ -218,6 +229,7 @@
     again.at = w->now + (after > 0 ? after : 100 * BBM_MS);
     again.begun = false;
     again.refused = false;
+    again.takes_up = w->load.builds && c->route == WORLD_ASK && c->build;
     add_call(w, &again);
 }
 
@@ -261,6 +273,8 @@
                   + (bbm_time)(bbm_rng_unit(&w->rng) * 200 * (double)BBM_MS);
     a->end_at = a->begin_at + 50 * BBM_MS
                 + (bbm_time)(bbm_rng_unit(&w->rng) * 500 * (double)BBM_MS);
+    if (w->load.builds && a->c->route == WORLD_ASK)
+        a->end_at += (bbm_time)(bbm_rng_unit(&w->rng) * 1500 * (double)BBM_MS);
 }
 
 static void
@@ -334,6 +348,12 @@
             call_again(w, c, 0);
             break;
         }
+        case BBM_GATE_FIND_ORIGIN:
+            w->queries = bbm_realloc(w->queries, (w->queries_len + 1)
+                                                     * sizeof(*w->queries));
+            w->queries[w->queries_len++] = (struct world_query){
+                vm, out->request, out->u.find_origin.stream};
+            break;
         case BBM_GATE_ENDED:
             c->done = true;
             (c->origin ? c->origin : c)->served = true;
@@ -351,6 +371,10 @@
 {
     a->begun = true;
     a->c->begun = true;
+    world_call *c = a->c;
+    int build = build_of(w, a->upstream);
+    c->joined = c->joined || (c->build && c->build != build);
+    c->build = c->build ? c->build : build;
     if (states_limit(w, a->upstream)) {
         bbm_time *told_at = &w->upstreams[a->upstream].told_at[a->vm];
         double swing = w->load.limit_swing * (2 * bbm_rng_unit(&w->rng) - 1);
@@ -359,7 +383,7 @@
         *told_at = *told_at ? *told_at : w->now;
     }
     bbm_gate_record_head(w->gates[a->vm], a->send.request, a->send.attempt,
-                         &a->notice, w->now);
+                         a->send.origin, &a->notice, w->now);
 }
 
 static void
@@ -412,6 +436,15 @@
     return w->load.ask ? WORLD_ASK : WORLD_PLAN;
 }
 
+static int
+count_working(const gate_world *w, int build)
+{
+    int working = 0;
+    for (int i = 0; i < w->load.runners; i++)
+        working += !is_down(w, &w->upstreams[i]) && build_of(w, i) == build;
+    return working;
+}
+
 static void
 begin_call(gate_world *w, world_call *c)
 {
@@ -439,9 +472,14 @@
         c->fingerprint = 1000000 + number * WORLD_VMS_MAX + (uint64_t)vm;
     parts[len++] = (bbm_prompt_part){
         1000000 + number * WORLD_VMS_MAX + (uint64_t)vm, 2890};
+    c->id = number * WORLD_VMS_MAX + (uint64_t)vm + 1;
+    c->build_serves = count_working(w, c->build) >= 2;
     bbm_gate_request_desc desc = {
         .request = number,
         .id = "id",
+        .id_hash = c->id,
+        .resumes = c->takes_up,
+        .first_id_hash = c->takes_up ? c->origin->id : 0,
         .fingerprint = c->fingerprint,
         .model = "m",
         .parts = parts,
@@ -578,11 +616,42 @@
     w->totals.len = 0;
 }
 
+static void
+answer_queries(gate_world *w)
+{
+    int64_t now_ms = w->now / BBM_MS;
+    for (size_t i = 0; i < w->queries_len; i++) {
+        const struct world_query *q = &w->queries[i];
+        bbm_gate_set_origin(w->gates[q->vm], q->request,
+                            bbm_origins_find(w->origins, q->stream, now_ms),
+                            w->now);
+        drain_outputs(w, q->vm);
+    }
+    w->queries_len = 0;
+}
+
+static void
+replicate_origins(gate_world *w, int vm)
+{
+    bbm_buf rows = {0};
+    bbm_gate_put_origins(w->gates[vm], w->now, &rows);
+    bbm_reader rd = bbm_reader_of(rows.data, rows.len);
+    size_t len = bbm_get_u32(&rd, BBM_ORIGIN_ROWS_MAX);
+    for (size_t i = 0; i < len; i++) {
+        bbm_origin_row row;
+        bbm_origin_row_get(&rd, &row);
+        bbm_origins_add(w->origins, &row, w->now / BBM_MS);
+    }
+    ck_assert(bbm_reader_done(&rd));
+    bbm_buf_free(&rows);
+}
+
 /* What is sent now arrives a period later. */
 static void
 exchange_news(gate_world *w)
 {
     deliver_news(w);
+    answer_queries(w);
     for (int vm = 0; vm < w->load.vms; vm++) {
         char name[BBM_NAME_SIZE];
         bbm_buf one = {0};
@@ -592,6 +661,7 @@
         bbm_loads_add_report(w->loads, name, &rd, w->now);
         bbm_buf_free(&one);
         bbm_gate_put_news(w->gates[vm], w->now, &w->news[vm]);
+        replicate_origins(w, vm);
     }
     bbm_loads_put_totals(w->loads, w->now, &w->totals);
 }
@@ -608,6 +678,7 @@
     w->rng = bbm_rng_of(l->seed);
     w->service_rng = bbm_rng_of(l->seed + 1000);
     w->loads = bbm_loads_create();
+    w->origins = bbm_origins_create(100000);
     w->cfg = bbm_config_create(config_text, strlen(config_text), &errors);
     ck_assert_ptr_nonnull(w->cfg);
     TAILQ_INIT(&w->pending);
@@ -650,6 +721,8 @@
     free_calls(&w->past);
     bbm_buf_free(&w->totals);
     bbm_loads_destroy(w->loads);
+    bbm_origins_destroy(w->origins);
+    free(w->queries);
     bbm_config_destroy(w->cfg);
     free(w);
 }
@@ -681,17 +754,20 @@
     }
 }
 
-/* Half of the VMs are killed and start again at once. */
+/* Half of the VMs, or all, are killed and start again at once. */
 static void
 restart_vms(gate_world *w)
 {
-    for (int vm = 0; vm < w->load.vms; vm += 2) {
+    w->queries_len = 0;
+    for (int vm = 0; vm < w->load.vms; vm += w->load.all_vms_restart ? 1 : 2) {
         world_attempt *a, *next;
         for (a = TAILQ_FIRST(&w->attempts); a; a = next) {
             next = TAILQ_NEXT(a, link);
             if (a->vm != vm)
                 continue;
             TAILQ_REMOVE(&w->attempts, a, link);
+            if (w->load.builds)
+                call_again(w, a->c, 0);
             free(a);
         }
         bbm_gate_destroy(w->gates[vm]);
--- a/tests/gate_world.h
+++ b/tests/gate_world.h
@@ -4,7 +4,9 @@
  *  Two pools: `llm` of runners with shared prompts, and `app` of plain
  *  services with few slots.  Upstreams may crash on a prompt part or on a
  *  request, be lost for other reasons, break off answers, and state a request
- *  limit.  What VMs tell each other arrives one news period later.
+ *  limit.  Runners may be of several builds, and clients take broken streams
+ * of WORLD_ASK up again.  What VMs tell each other arrives one news period
+ * later.
  *
  *      gate_world *w = world_create(&(world_load){.vms = 10, .runners = 18,
  *                                                 .per_s = 80});
@@ -53,16 +55,19 @@
     uint64_t seed;
     bbm_time end;
 
-    double deadly_share;     /**< Of the prompts of one route. */
-    int deadly_parts;        /**< Number of different ones; 0: none. */
-    size_t deadly_place;     /**< Place of the part in the prompt. */
-    bool ask;                /**< Deadly parts come on WORLD_ASK. */
-    bbm_time pause_from;     /**< No deadly requests in this time. */
-    bbm_time pause_until;    /**< End of that time. */
-    bool companion;          /**< Deadly requests share a session that few
-                                  sound ones have. */
-    int ordinary_crashes;    /**< Runners that crash at a time, each 2 s. */
+    double deadly_share;  /**< Of the prompts of one route. */
+    int deadly_parts;     /**< Number of different ones; 0: none. */
+    size_t deadly_place;  /**< Place of the part in the prompt. */
+    bool ask;             /**< Deadly parts come on WORLD_ASK. */
+    bbm_time pause_from;  /**< No deadly requests in this time. */
+    bbm_time pause_until; /**< End of that time. */
+    bool companion;       /**< Deadly requests share a session that few
+                               sound ones have. */
+    int ordinary_crashes; /**< Runners that crash at a time, each 2 s. */
+    int builds; /**< Builds of the runners; one that starts again has the next
+                     one.  0: one build, and no stream is taken up. */
     bbm_time vm_restarts_at; /**< Half of the VMs; 0: never. */
+    bool all_vms_restart;    /**< Then all of them do. */
     double cut_share;        /**< Of answers that an upstream breaks off. */
 
     int deadly_calls;         /**< Number of different requests that crash each
@@ -100,6 +105,11 @@
     uint64_t fingerprint; /**< 0: drawn for this call. */
     uint64_t session;
     uint64_t deadly_part;
+    uint64_t id;       /**< Of this attempt. */
+    int build;         /**< That began the stream, from 1; 0: not begun. */
+    bool takes_up;     /**< It takes up the stream of the first attempt. */
+    bool build_serves; /**< Two runners of that stream's build worked then. */
+    bool joined;       /**< It went on at another build. */
     struct world_call *origin; /**< The client's first attempt; NULL: this. */
     TAILQ_ENTRY(world_call) link; /**< By time. */
 } world_call;
@@ -146,6 +156,13 @@
     world_upstream upstreams[WORLD_UPSTREAMS_MAX]; /**< Runners, then
                                                         services. */
     bbm_loads *loads;
+    bbm_origins *origins; /**< As replicated. */
+    struct world_query {
+        int vm;
+        uint64_t request;
+        uint64_t stream;
+    } * queries;                 /**< For origins, not answered yet. */
+    size_t queries_len;          /**< Their number. */
     bbm_buf news[WORLD_VMS_MAX]; /**< Sent, not yet delivered. */
     bbm_buf totals;
     struct world_call_list pending;
--- a/tests/scale_world.c
+++ b/tests/scale_world.c
@@ -346,7 +346,8 @@
     w->result.in_time += latency <= TARGET_LATENCY;
     if (w->latencies_len < LATENCIES_MAX)
         w->latencies_ms[w->latencies_len++] = latency / BBM_MS;
-    bbm_gate_record_head(v->gate, j->request, j->attempt, &no_notice, w->now);
+    bbm_gate_record_head(v->gate, j->request, j->attempt, 1, &no_notice,
+                         w->now);
 }
 
 static void
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -245,7 +245,8 @@
     fixture w = setup(4, 0);
     begin_request(&w, "/ask/a", 3);
     bbm_forward_request s = expect_send(&w);
-    bbm_gate_record_head(w.gate, s.request, s.attempt, &no_notice, w.now);
+    bbm_gate_record_head(w.gate, s.request, s.attempt, s.origin, &no_notice,
+                         w.now);
     end_attempt(&w, &s, BBM_FORWARD_TRUNCATED, 200, "17");
     const bbm_gate_output *out = expect_output(&w, BBM_GATE_SEND);
     ck_assert(out->u.send.resumes);
@@ -257,7 +258,8 @@
                      BBM_ERR_UPSTREAM_CUT);
     begin_request(&w, "/check/a", 3);
     s = expect_send(&w);
-    bbm_gate_record_head(w.gate, s.request, s.attempt, &no_notice, w.now);
+    bbm_gate_record_head(w.gate, s.request, s.attempt, s.origin, &no_notice,
+                         w.now);
     end_attempt(&w, &s, BBM_FORWARD_TRUNCATED, 200, "4");
     expect_output(&w, BBM_GATE_ABORT);
     expect_no_output(&w);
@@ -326,7 +328,8 @@
         bbm_gate_tick(w.gate, w.now);
         expect_no_output(&w);
     }
-    bbm_gate_record_head(w.gate, s.request, s.attempt, &no_notice, w.now);
+    bbm_gate_record_head(w.gate, s.request, s.attempt, s.origin, &no_notice,
+                         w.now);
     for (int i = 0; i < 10; i++) {
         w.now += 50 * BBM_MS;
         bbm_gate_tick(w.gate, w.now);
@@ -418,7 +421,8 @@
     begin_request(w, "/once/a", 0);
     bbm_forward_request s = expect_send(w);
     bbm_upstream_notice leaving = {.leaving = true};
-    bbm_gate_record_head(w->gate, s.request, s.attempt, &leaving, w->now);
+    bbm_gate_record_head(w->gate, s.request, s.attempt, s.origin, &leaving,
+                         w->now);
     const bbm_gate_output *out = expect_output(w, BBM_GATE_UPSTREAM_NOTICE);
     ck_assert(out->u.upstream_notice.notice.leaving);
     end_attempt(w, &s, BBM_FORWARD_COMPLETE, 200, "");
@@ -466,7 +470,8 @@
     w.listing.items[0].started_at_ms = 7000;
     apply_listing(&w);
     bbm_upstream_notice leaving = {.leaving = true};
-    bbm_gate_record_head(w.gate, s.request, s.attempt, &leaving, w.now);
+    bbm_gate_record_head(w.gate, s.request, s.attempt, s.origin, &leaving,
+                         w.now);
     end_attempt(&w, &s, BBM_FORWARD_COMPLETE, 200, "");
     expect_output(&w, BBM_GATE_ENDED);
     ck_assert_uint_eq(count_served_by(&w, s.upstream, 5), 5);
@@ -772,7 +777,8 @@
         w.gate, &a, bbm_config_host_route(w.cfg, "h", "/long/a"), NULL, w.now);
     bbm_forward_request s = expect_send(&w);
     ck_assert_int_gt(s.stall_timeout, 0);
-    bbm_gate_record_head(w.gate, s.request, s.attempt, &no_notice, w.now);
+    bbm_gate_record_head(w.gate, s.request, s.attempt, s.origin, &no_notice,
+                         w.now);
     for (int i = 0; i < 7500; i++) {
         w.now += BBM_SECOND;
         bbm_gate_tick(w.gate, w.now);
@@ -1081,7 +1087,7 @@
                 f->now - f->arrived_at[j->send.request * VMS + j->vm];
             f->in_time += latency <= 600 * BBM_MS;
             bbm_gate_record_head(w->gate, j->send.request, j->send.attempt,
-                                 &no_notice, f->now);
+                                 j->send.origin, &no_notice, f->now);
         }
         if (f->now >= j->end_at) {
             j->used = false;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -151,6 +151,95 @@
 }
 END_TEST
 
+/* Builds have no order, may be long or absent, and a wrong type makes the
+   entry useless. */
+START_TEST(builds_of_upstreams_are_told_apart)
+{
+    static const char entry[] =
+        "{\"instances\":[{\"service\":\"p\",\"address\":\"10.0.0.1:1\","
+        "\"zone\":\"z\",\"state\":\"ready\",\"id\":\"i\"%s%s}],"
+        "\"next-token\":null}";
+    char long_a[260];
+    char long_b[260];
+    snprintf(long_a, sizeof(long_a), "\"%0200da\"", 7);
+    snprintf(long_b, sizeof(long_b), "\"%0200db\"", 7);
+    const char *const versions[] = {"\"v1\"", "\"v1.1\"", "\"v1.10\"",
+                                    "",       long_a,     long_b};
+    uint64_t origins[BBM_COUNT(versions)];
+    for (size_t i = 0; i < BBM_COUNT(versions); i++) {
+        char text[1024];
+        char next[BBM_NAME_SIZE];
+        size_t bad = 0;
+        bbm_listing l = {0};
+        snprintf(text, sizeof(text), entry,
+                 versions[i][0] ? ",\"version\":" : "", versions[i]);
+        ck_assert_int_eq(
+            platform_listing_read(text, strlen(text), &l, &bad, next), 0);
+        ck_assert_uint_eq(l.len, 1);
+        origins[i] = bbm_origin_of("p", l.items[0].build);
+        ck_assert_uint_ne(origins[i], bbm_origin_of("q", l.items[0].build));
+        for (size_t k = 0; k < i; k++)
+            ck_assert_uint_ne(origins[i], origins[k]);
+        bbm_listing_free(&l);
+    }
+    char text[1024];
+    char next[BBM_NAME_SIZE];
+    size_t bad = 0;
+    bbm_listing l = {0};
+    snprintf(text, sizeof(text), entry, ",\"version\":", "7");
+    ck_assert_int_eq(platform_listing_read(text, strlen(text), &l, &bad, next),
+                     0);
+    ck_assert_uint_eq(bad, 1);
+    bbm_listing_free(&l);
+}
+END_TEST
+
+START_TEST(stream_that_is_taken_up_names_its_first_attempt)
+{
+    platform_request r = {0};
+    bbm_gate_request_desc first = {0};
+    bbm_gate_request_desc again = {0};
+    ck_assert(
+        platform_request_add_header(&r, "X-Bluebellmoor-Attempt-Id", "a1"));
+    platform_request_describe(&r, &first);
+    ck_assert(!first.resumes);
+    platform_request_free(&r);
+    ck_assert(
+        platform_request_add_header(&r, "X-Bluebellmoor-Attempt-Id", "a2"));
+    ck_assert(platform_request_add_header(&r, "resumes", "a1"));
+    ck_assert(platform_request_add_header(&r, "Last-Event-Id", "12"));
+    platform_request_describe(&r, &again);
+    ck_assert(again.resumes);
+    ck_assert_uint_eq(again.first_id_hash, first.id_hash);
+    ck_assert_uint_ne(again.id_hash, first.id_hash);
+    platform_request_free(&r);
+}
+END_TEST
+
+/* A VM of an older version sends no builds. */
+START_TEST(listing_diff_without_builds_is_read)
+{
+    bbm_listing a = {0};
+    bbm_listing b = {0};
+    bbm_listing_add(&a, &(bbm_listing_entry){.id = "x", .build = "v2"});
+    bbm_buf buf = {0};
+    ck_assert_uint_eq(bbm_listing_diff(NULL, &a, &buf), 1);
+    bbm_reader rd = bbm_reader_of(buf.data, buf.len);
+    bbm_listing_patch(&b, &rd);
+    ck_assert(bbm_reader_done(&rd));
+    ck_assert_str_eq(b.items[0].build, "v2");
+    bbm_listing_free(&b);
+    /* The build is the last value: its header of two bytes, and its text. */
+    rd = bbm_reader_of(buf.data, buf.len - 4);
+    bbm_listing_patch(&b, &rd);
+    ck_assert(bbm_reader_done(&rd));
+    ck_assert_str_eq(b.items[0].build, "");
+    bbm_listing_free(&a);
+    bbm_listing_free(&b);
+    bbm_buf_free(&buf);
+}
+END_TEST
+
 START_TEST(listing_diff_can_be_applied)
 {
     bbm_listing a = {0};
@@ -522,6 +611,9 @@
 
 TEST_MAIN("platform", config_is_translated, invalid_configs_are_rejected,
           listing_page_is_parsed, listing_diff_can_be_applied,
+          builds_of_upstreams_are_told_apart,
+          stream_that_is_taken_up_names_its_first_attempt,
+          listing_diff_without_builds_is_read,
           reserved_headers_are_not_forwarded, prompt_headers_are_parsed,
           ambiguous_framing_is_detected, response_heads_are_classified,
           mismatched_attempt_id_is_detected, orders_and_reports,
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -230,6 +230,46 @@
 }
 END_TEST
 
+static void
+apply_origin(fixture *f, uint64_t stream, uint64_t origin, int64_t at_ms)
+{
+    bbm_buf rows = {0};
+    bbm_origin_row row = {
+        .stream = stream, .origin = origin, .life_ms = 20000};
+    bbm_put_u64(&rows, 1);
+    bbm_origin_row_put(&rows, &row);
+    bbm_command cmd = {.kind = BBM_CMD_ORIGINS,
+                       .at_ms = at_ms,
+                       .u.origins.rows = bbm_buf_view(&rows)};
+    apply(f, &cmd);
+    bbm_buf_free(&rows);
+}
+
+/* A stream keeps its first origin, also in a snapshot, until its life and the
+   margin for clocks that differ have passed. */
+START_TEST(origins_of_streams_are_kept_and_expire)
+{
+    fixture f = setup();
+    apply_origin(&f, 1, 7, 1000);
+    apply_origin(&f, 1, 8, 2000);
+    apply_origin(&f, 2, 8, 3000);
+    bbm_buf encoded = {0};
+    bbm_state_encode(f.state, &encoded);
+    bbm_state *copy = bbm_state_create(&(bbm_state_desc){0});
+    ck_assert_int_eq(bbm_state_decode(copy, encoded.data, encoded.len), 0);
+    const bbm_origins *o = bbm_state_origins(copy);
+    ck_assert_uint_eq(bbm_origins_find(o, 1, 21000), 7);
+    ck_assert_uint_eq(bbm_origins_find(o, 2, 21000), 8);
+    ck_assert_uint_eq(bbm_origins_find(o, 3, 21000), 0);
+    ck_assert_uint_eq(bbm_origins_find(o, 1, 37000), 0);
+    apply_origin(&f, 4, 7, 37000);
+    ck_assert_uint_eq(bbm_origins_len(bbm_state_origins(f.state)), 2);
+    bbm_state_destroy(copy);
+    bbm_buf_free(&encoded);
+    teardown(&f);
+}
+END_TEST
+
 /* The version before has no list of quarantined parts at the end of its public
    state; its disks must stay readable. */
 START_TEST(state_of_the_version_before_is_read)
@@ -312,6 +352,7 @@
 END_TEST
 
 TEST_MAIN("state", quarantined_parts_end_by_command_time,
+          origins_of_streams_are_kept_and_expire,
           state_of_the_version_before_is_read,
           concurrent_publish_conflicts_and_resend_is_idempotent,
           withdrawn_key_stays_withdrawn, claim_is_created_once,
