--- a/gate/gate_origin.c
+++ b/gate/gate_origin.c
@@ -147,9 +147,8 @@
     if (!r->resumable)
         return;
     r->takes_up = request->resumes;
-    r->stream_key =
-        bbm_hash_text(r->customer, r->takes_up ? request->first_id_hash
-                                               : request->id_hash);
+    r->stream_key = bbm_hash_text(
+        r->customer, r->takes_up ? request->first_id_hash : request->id_hash);
     r->stream_key = r->stream_key ? r->stream_key : 1;
     if (!r->takes_up || has_sole_origin(g, r))
         return;
--- a/node/node_origins.c
+++ b/node/node_origins.c
@@ -91,8 +91,8 @@
 {
     *origin = bbm_origins_find(n->origins_received, stream, now_ms(n));
     if (!*origin)
-        *origin = bbm_origins_find(bbm_state_origins(n->state), stream,
-                                   n->wall_ms);
+        *origin =
+            bbm_origins_find(bbm_state_origins(n->state), stream, n->wall_ms);
     return *origin || n->applied_index >= n->term_first_index;
 }
 
--- a/tests/gate_world.c
+++ b/tests/gate_world.c
@@ -25,6 +25,10 @@
 #define DEADLY_CALL_PERIOD (600 * BBM_MS)
 #define HOT_FINGERPRINT 77
 #define LINK_TIME (2 * BBM_MS)
+/* Time until a VM gives up a connection that isn't made, and one that hangs.
+ */
+#define CONNECT_TIMEOUT (300 * BBM_MS)
+#define HANG_TIMEOUT (1200 * BBM_MS)
 
 static const char config_text[] =
     "{\"pools\":[{\"name\":\"llm\",\"engine\":true,\"slots\":64,"
@@ -58,6 +62,7 @@
     bbm_time begin_at;
     bbm_time end_at;
     bool begun;
+    bool hangs;                 /* its connection has been cut */
     bbm_upstream_notice notice; /* in its answer */
     TAILQ_ENTRY(world_attempt) link;
 } world_attempt;
@@ -161,6 +166,15 @@
     return g;
 }
 
+static bool
+is_cut(const gate_world *w, int vm, int upstream)
+{
+    bbm_time t = w->now - w->started_at;
+    return vm < w->load.cut_vms && t >= WORLD_BEGIN_TIME
+           && t < w->load.cut_until
+           && (!w->load.cut_services_only || is_service(w, upstream));
+}
+
 /* ---- attempts ---- */
 
 static void
@@ -171,8 +185,9 @@
         .attempt = a->send.attempt,
         .outcome = outcome,
         .status = outcome == BBM_FORWARD_COMPLETE || a->begun ? 200 : 0,
-        .disconnected = outcome == BBM_FORWARD_TRUNCATED
-                        || outcome == BBM_FORWARD_NO_ANSWER,
+        .disconnected = !a->hangs
+                        && (outcome == BBM_FORWARD_TRUNCATED
+                            || outcome == BBM_FORWARD_NO_ANSWER),
         .began_at = a->begun ? a->begin_at : 0,
         .notice = a->notice,
     };
@@ -306,6 +321,13 @@
         plan_service_answer(w, u, a);
     else
         plan_runner_answer(w, a);
+    if (is_cut(w, vm, a->upstream)) {
+        a->upstream = -1;
+        a->begin_at =
+            w->now
+            + (w->load.cut_form == WORLD_CUT_HANGS ? CONNECT_TIMEOUT : 0);
+        return;
+    }
     /* A refused connection is reported in the next step. */
     if (is_down(w, u) || strcmp(u->id, a->send.upstream) != 0) {
         a->upstream = -1;
@@ -393,6 +415,11 @@
         end_attempt(w, a, BBM_FORWARD_UNSENT);
         return;
     }
+    if (a->hangs) {
+        end_attempt(w, a,
+                    a->begun ? BBM_FORWARD_TRUNCATED : BBM_FORWARD_NO_ANSWER);
+        return;
+    }
     if (!a->begun && w->now >= a->begin_at && is_deadly_now(w, a->c)) {
         world_deadly *d = deadly_of(w, a->c);
         if (d->crashes++ < crashes_allowed(w))
@@ -415,8 +442,9 @@
 {
     world_attempt *a = TAILQ_FIRST(&w->attempts);
     while (a) {
-        bool due = a->upstream < 0 || (!a->begun && w->now >= a->begin_at)
-                   || w->now >= a->end_at;
+        bool due =
+            w->now >= a->end_at
+            || (w->now >= a->begin_at && (a->upstream < 0 || !a->begun));
         if (!due) {
             a = TAILQ_NEXT(a, link);
             continue;
@@ -727,6 +755,32 @@
     free(w);
 }
 
+/* The connections of the VMs that are cut off. */
+static void
+cut_connections(gate_world *w)
+{
+    world_attempt *a, *next;
+    for (a = TAILQ_FIRST(&w->attempts); a; a = next) {
+        next = TAILQ_NEXT(a, link);
+        if (a->upstream < 0 || !is_cut(w, a->vm, a->upstream))
+            continue;
+        switch (w->load.cut_form) {
+        case WORLD_CUT_HANGS:
+            a->hangs = true;
+            a->end_at = w->now + HANG_TIMEOUT;
+            a->begin_at = a->end_at;
+            break;
+        case WORLD_CUT_RESETS:
+            end_attempt(w, a,
+                        a->begun ? BBM_FORWARD_TRUNCATED
+                                 : BBM_FORWARD_NO_ANSWER);
+            break;
+        case WORLD_CUT_REFUSES:
+            break;
+        }
+    }
+}
+
 static void
 step_upstreams(gate_world *w)
 {
@@ -784,6 +838,8 @@
     for (; w->now < end; w->now += STEP) {
         bbm_time t = w->now - w->started_at;
         step_upstreams(w);
+        if (w->load.cut_vms && t == WORLD_BEGIN_TIME)
+            cut_connections(w);
         if (t && t == w->load.vm_restarts_at)
             restart_vms(w);
         if (t % LISTING_PERIOD == 0)
--- a/tests/gate_world.h
+++ b/tests/gate_world.h
@@ -45,6 +45,13 @@
     WORLD_LOOKUP,  /**< Repeatable service calls, two attempts. */
 } world_route;
 
+/** What happens to the connections of a VM that is cut off from upstreams. */
+typedef enum world_cut {
+    WORLD_CUT_HANGS,   /**< They hang, and new ones time out. */
+    WORLD_CUT_RESETS,  /**< They are reset, and new ones are refused. */
+    WORLD_CUT_REFUSES, /**< They live on; new ones are refused. */
+} world_cut;
+
 /** Parameters. */
 typedef struct world_load {
     int vms;
@@ -64,8 +71,14 @@
     bool companion;       /**< Deadly requests share a session that few
                                sound ones have. */
     int ordinary_crashes; /**< Runners that crash at a time, each 2 s. */
-    int builds; /**< Builds of the runners; one that starts again has the next
-                     one.  0: one build, and no stream is taken up. */
+    int builds;  /**< Builds of the runners; one that starts again has the next
+                      one.  0: one build, and no stream is taken up. */
+    int cut_vms; /**< VMs, from the first, without a path to upstreams
+                      from WORLD_BEGIN_TIME on. */
+    int zones;   /**< Of the VMs, one after the other; 0: one. */
+    world_cut cut_form;      /**< What happens to their connections. */
+    bool cut_services_only;  /**< They reach the runners. */
+    bbm_time cut_until;      /**< End of the cut. */
     bbm_time vm_restarts_at; /**< Half of the VMs; 0: never. */
     bool all_vms_restart;    /**< Then all of them do. */
     double cut_share;        /**< Of answers that an upstream breaks off. */
--- a/tests/test_origins.c
+++ b/tests/test_origins.c
@@ -8,11 +8,11 @@
 /* ---- many streams ---- */
 
 typedef struct stream_result {
-    size_t joined;    /* events of two builds */
-    size_t begun;     /* new streams that began */
-    size_t fresh;     /* new streams */
-    size_t taken_up;  /* take-ups while the build served */
-    size_t went_on;   /* of these */
+    size_t joined;   /* events of two builds */
+    size_t begun;    /* new streams that began */
+    size_t fresh;    /* new streams */
+    size_t taken_up; /* take-ups while the build served */
+    size_t went_on;  /* of these */
 } stream_result;
 
 static void
