VMs without a path to the upstreams let others forward their requests

Cause: what a VM found out about its own links was taken for a state of the upstreams, and its requests had no other way.

A pool whose upstreams this VM doesn't reach, but others do, is cut off: another VM forwards its requests, until one of them that tries the direct way is answered. VMs say in their news which pools they don't reach. The suspicion of a VM without a path isn't reported.

--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -93,6 +93,12 @@
       "upstream stated how many requests it takes from all VMs")              \
     X(BBM_EVENT_UPSTREAM_UNLIMITED, 426, INFO,                                \
       "upstream states no limit any more")                                    \
+    X(BBM_EVENT_POOL_CUT_OFF, 427, WARN,                                      \
+      "no upstream of a pool can be reached from this VM")                    \
+    X(BBM_EVENT_POOL_REACHED, 428, INFO,                                      \
+      "an upstream of the pool answered this VM again")                       \
+    X(BBM_EVENT_REQUEST_RELAYED, 518, INFO,                                   \
+      "request passed to another VM to be forwarded")                         \
     X(BBM_EVENT_REQUEST_SENT, 510, INFO, "request sent to an upstream")       \
     X(BBM_EVENT_REQUEST_RETRIED, 511, INFO,                                   \
       "request sent to another upstream")                                     \
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -90,6 +90,9 @@
                                             EXCHANGE_POOL. */
     platform_request parsed_headers;   /**< Values parsed from the headers;
                                            EXCHANGE_POOL. */
+    bool is_relayed;        /**< It comes from another VM, not from its
+                                 client; EXCHANGE_POOL. */
+    uint32_t attempts_used; /**< Attempts of that VM that may have run it. */
     uint64_t fingerprint; /**< Hash of all that a repeat of the request doesn't
                                change; EXCHANGE_POOL. */
     platform_call provider_call; /**< Call of the provider or of its
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -3,6 +3,7 @@
 #include "calls.h"
 #include "control.h"
 #include "events.h"
+#include "relay.h"
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
@@ -124,6 +125,7 @@
     connection *connections;
     connection *connections_by_fd;
     mailbox *control;
+    const uint8_t *secret; /* of the headers between VMs */
     calls *calls;
     attempt *attempts;
     bbm_time last_check_at; /* of the limits on faulty answers */
@@ -302,6 +304,18 @@
         x->thread->reuse_s = reuse_s > 0 ? reuse_s : REUSE_DEFAULT_S;
 }
 
+/* Another VM has judged its upstream's answer; its own refusals are passed on
+   too. */
+static bool
+accepts_head(attempt *x)
+{
+    if (!x->send.relay)
+        return bbm_gate_accept_head(&x->send, &x->parsed_head.head,
+                                    &x->outcome);
+    x->outcome = BBM_FORWARD_NO_ANSWER;
+    return !x->parsed_head.head.wrong_request_id;
+}
+
 /* Returns false if the transfer must be aborted. */
 static bool
 finish_head(attempt *x)
@@ -316,8 +330,7 @@
     forbid_reuse_after_partial_upload(x);
     update_reuse_limit(x);
     x->parsed_head.head.status = (uint32_t)x->status;
-    bool accepted =
-        bbm_gate_accept_head(&x->send, &x->parsed_head.head, &x->outcome);
+    bool accepted = accepts_head(x);
     bool resumes = x->resume_after[0] != '\0';
     if (accepted && resumes && x->status != 200) {
         accepted = false;
@@ -555,8 +568,16 @@
         left_ms = (x->send.deadline - control_now()) / BBM_MS;
     if (ex->parsed_headers.client_timeout_ms > 0 && left_ms < 1)
         left_ms = 1;
-    platform_forward_headers(&x->send, left_ms, x->resume_after,
-                             add_request_header, x);
+    if (x->send.relay) {
+        char relayed[RELAY_HEADER_SIZE];
+        relay_header_write(ex, x->send.attempts_used, x->thread->secret,
+                           relayed);
+        platform_relay_headers(relayed, left_ms, add_request_header, x);
+    }
+    else {
+        platform_forward_headers(&x->send, left_ms, x->resume_after,
+                                 add_request_header, x);
+    }
     curl_easy_setopt(x->easy, CURLOPT_HTTPHEADER, x->request_headers);
 }
 
@@ -643,6 +664,7 @@
     x->socket = -1;
     x->parsed_head.keep_alive_s = -1;
     x->content_length = -1;
+    x->fresh_connection = j->send.fresh_connection;
     memcpy(x->resume_after, j->last_event, sizeof(x->resume_after));
     memcpy(x->events.last_id, j->last_event, sizeof(x->resume_after));
     HASH_ADD(hh, f->attempts, request, sizeof(x->request), x);
@@ -843,10 +865,11 @@
 }
 
 forward *
-forward_create(mailbox *control)
+forward_create(mailbox *control, const uint8_t *secret)
 {
     forward *f = bbm_calloc(1, sizeof(*f));
     f->control = control;
+    f->secret = secret;
     f->calls = calls_create(&(calls_desc){
         .context = f,
         .run_job = run_job,
--- a/daemon/forward.h
+++ b/daemon/forward.h
@@ -6,9 +6,10 @@
  *  twice, libcurl's own resend after a dead connection is prevented.  Answer
  *  bytes go into the exchange's buffer; while that is full the transfer is
  *  paused.  If another upstream can resume a stream, only complete events
- *  are passed on.
+ *  are passed on.  A request may also go to another VM, which forwards it as a
+ *  client's: its answer is passed on whatever it is.
  *
- *      forward *f = forward_create(box);
+ *      forward *f = forward_create(box, secret);
  *      forward_start(f, ex, &send, "");
  *      forward_cancel(f, request);
  */
@@ -21,8 +22,10 @@
 /** The forwarding thread; opaque. */
 typedef struct forward forward;
 
-/** Start the thread; it reports to the mailbox @p control. */
-forward *forward_create(mailbox *control);
+/** Start the thread; it reports to the mailbox @p control.  @p secret has
+ *  BBM_DIGEST_SIZE bytes, outlives the thread, and authenticates the requests
+ *  that other VMs are to forward. */
+forward *forward_create(mailbox *control, const uint8_t *secret);
 /** Start an attempt; takes its own reference to @p ex.  An attempt of the same
  *  request that is still open is aborted, unless its answer has begun: then
  *  that answer continues as the new attempt's.  @p last_event is the id of the
--- a/daemon/front_provider.c
+++ b/daemon/front_provider.c
@@ -1,5 +1,7 @@
 #include "front_provider.h"
 
+#include "relay.h"
+
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -90,6 +92,9 @@
     if (ex->has_key)
         drop_headers(ex, is_header_with_key, parsed->key);
     explicit_bzero(parsed->key, sizeof(parsed->key));
+    /* A header that isn't another VM's is ignored, as the client's own. */
+    if (parsed->relayed[0])
+        relay_header_read(ex, parsed->relayed, key_secret);
     if (key_in_target)
         exchange_fail(ex, BBM_ERR_KEY_IN_TARGET, 0);
     if (parsed->ambiguous_framing || parsed->invalid_header_name) {
@@ -129,6 +134,8 @@
     platform_request_describe(&ex->parsed_headers, &ev->request);
     ev->request.request = ex->id;
     ev->request.fingerprint = ex->fingerprint;
+    ev->request.relayed = ex->is_relayed;
+    ev->request.attempts_used = ex->attempts_used;
     ev->host = ex->host;
     ev->path = ex->request_target;
     ev->has_key = ex->has_key;
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -206,7 +206,7 @@
 {
     const bbm_settings *s = p->settings;
     if (s->list_address[0]) {
-        p->forward = forward_create(p->box);
+        p->forward = forward_create(p->box, p->key_secret);
         p->provider = provider_create(&(provider_desc){
             .list_address = s->list_address,
             .owner = s->name,
--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -61,6 +61,7 @@
     BBM_TABLE_FREE(gate_weights, g->weights);
     BBM_TABLE_FREE(gate_store, g->stores);
     BBM_TABLE_FREE(gate_customer, g->customers);
+    BBM_TABLE_FREE(gate_peer, g->peers);
     bbm_chains_destroy(g->chains);
     bbm_places_destroy(g->places);
     bbm_quarantine_destroy(g->quarantine);
@@ -252,8 +253,8 @@
 
 /* ---- upstreams ---- */
 
-static void
-reset_health(gate_upstream *u)
+void
+gate_reset_health(gate_upstream *u)
 {
     u->avoid_until = 0;
     u->suspect_until = 0;
@@ -292,7 +293,7 @@
         HASH_ADD(by_hash, g->upstreams_by_hash, hash, sizeof(u->hash), u);
     }
     else if (u->info.started_at_ms != info->started_at_ms) {
-        reset_health(u);
+        gate_reset_health(u);
         gate_forget_limit(u);
     }
     if (!u->was_listed || cache_was_emptied(&u->info, info))
@@ -365,6 +366,13 @@
     return u;
 }
 
+/* A VM without a path to a pool can't tell whether its upstreams work. */
+static bool
+suspects(const bbm_gate *g, const gate_upstream *u)
+{
+    return g->now < u->suspect_until && !gate_is_cut_off(u);
+}
+
 static void
 put_upstream_load(const bbm_gate *g, gate_upstream *u, bbm_buf *buf)
 {
@@ -373,7 +381,7 @@
         .open_requests = u->open_requests,
         .backlog_tokens = u->backlog_tokens,
         .memory_tokens = u->memory_tokens,
-        .suspecting_vms = g->now < u->suspect_until,
+        .suspecting_vms = suspects(g, u),
         .answered_vms = gate_has_answered_lately(g, u),
         .paused_vms = gate_is_paused(g, u),
         .leaving_run = u->leaving_run,
@@ -385,7 +393,7 @@
 static bool
 has_load_to_report(const bbm_gate *g, const gate_upstream *u)
 {
-    return u->open_requests > 0 || g->now < u->suspect_until
+    return u->open_requests > 0 || suspects(g, u)
            || gate_has_answered_lately(g, u) || gate_is_paused(g, u)
            || u->leaving_run
            || gate_limit_to_report(g, u).kind != BBM_LIMIT_UNSTATED;
@@ -494,10 +502,12 @@
     g->unsent_placements.len = 0;
     g->unsent_placements_len = 0;
     bbm_quarantine_put_news(g->quarantine, g->now, buf);
+    gate_put_cut_pools(g, buf);
 }
 
 void
-bbm_gate_get_news(bbm_gate *g, bbm_reader *rd, bool own, bbm_time now)
+bbm_gate_get_news(bbm_gate *g, bbm_reader *rd, uint64_t vm, bool own,
+                  bbm_time now)
 {
     gate_advance(g, now);
     size_t len = bbm_get_u32(rd, BBM_PLACEMENTS_MAX);
@@ -508,6 +518,7 @@
             bbm_places_add(g->places, &row, g->now);
     }
     bbm_quarantine_get_news(g->quarantine, rd, own, g->now);
+    gate_get_cut_pools(g, rd, vm);
     gate_apply_quarantine(g);
 }
 
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -99,6 +99,8 @@
     bbm_time client_timeout;   /**< Time from the arrival for which the client
                                     waits for the complete answer; 0:
                                     unspecified. */
+    bool relayed; /**< It comes from another VM, not from its client. */
+    uint32_t attempts_used; /**< Attempts of that VM that may have run it. */
     bbm_time waited; /**< Time since the arrival: the request may have waited
                           in this process before. */
 } bbm_gate_request_desc;
@@ -134,6 +136,10 @@
                                  another upstream. */
     bool stream;            /**< The answer is an event stream. */
     bool resumable;         /**< The stream can resume on another upstream. */
+    bool fresh_connection;  /**< Use no connection that is open already. */
+    bool relay; /**< `upstream` and `address` are another VM, which forwards
+                   the request as this VM would. */
+    uint32_t attempts_used; /**< With relay: attempts that may have run it. */
 } bbm_forward_request;
 
 /** Outcome of an attempt. */
@@ -191,6 +197,8 @@
                                    limit; to be logged. */
     BBM_GATE_DISCONNECTED, /**< An upstream has ended an attempt, which accuses
                                 the parts of its prompt; to be logged. */
+    BBM_GATE_POOL_REACH,   /**< This VM reaches no upstream of a pool, or does
+                                again; to be logged. */
     BBM_GATE_FIND_ORIGIN,  /**< Find where a stream began, and call
                                 bbm_gate_set_origin. */
     BBM_GATE_QUARANTINE,   /**< A prompt part was quarantined or released; to
@@ -270,6 +278,10 @@
             /** Ids of the first of these parts. */
             uint64_t parts[BBM_GATE_LOGGED_PARTS_MAX];
         } disconnected; /**< BBM_GATE_DISCONNECTED. */
+        struct {
+            char pool[BBM_NAME_SIZE]; /**< Name of the pool. */
+            bool cut;                 /**< It can't be reached. */
+        } pool_reach;                 /**< BBM_GATE_POOL_REACH. */
         struct {
             uint64_t stream; /**< As in bbm_origins.h. */
         } find_origin;       /**< BBM_GATE_FIND_ORIGIN. */
@@ -303,6 +315,8 @@
                                        is quarantined. */
     uint64_t refused_suspect; /**< Refused or aborted: the request has crashed
                                    upstreams, which isn't proved. */
+    uint64_t relayed;         /**< Attempts to let another VM forward the
+                                   request. */
     uint64_t refused_origin;  /**< Refused or aborted: the build that began the
                                    stream is unknown, or serves no more. */
     uint64_t disconnects;     /**< Attempts that upstreams ended by closing the
@@ -351,6 +365,19 @@
  *  hashes of their names; @p self is this VM, which is alone until then. */
 void bbm_gate_set_vms(bbm_gate *g, const uint64_t *vms, size_t len,
                       uint64_t self);
+/** Another VM that takes requests of clients. */
+typedef struct bbm_gate_peer {
+    uint64_t vm;                 /**< Hash of its name. */
+    char name[BBM_NAME_SIZE];    /**< Its name. */
+    char address[BBM_NAME_SIZE]; /**< IP:port for clients. */
+    bool same_zone;              /**< In the zone of this VM. */
+} bbm_gate_peer;
+
+/** Set the other VMs that may forward requests which this VM can't send to
+ *  their upstreams. */
+void bbm_gate_set_peers(bbm_gate *g, const bbm_gate_peer *peers, size_t len);
+/** True if a VM has said that it reaches no upstream of some pool. */
+bool bbm_gate_is_cut_off(const bbm_gate *g, uint64_t vm);
 /** Set the calendar time at @p now, in nanoseconds.  It should be about the
  *  same on all VMs; a difference moves the turns of this VM. */
 void bbm_gate_set_calendar(bbm_gate *g, bbm_time calendar, bbm_time now);
@@ -427,12 +454,14 @@
  *  changed since the last bbm_gate_put_load. */
 bool bbm_gate_load_changed(const bbm_gate *g);
 /** Append what this VM has to tell the other VMs: its placements since the
- *  last call, and crashes and quarantined prompt parts. */
+ *  last call, crashes and quarantined prompt parts, and the pools that it
+ *  doesn't reach. */
 void bbm_gate_put_news(bbm_gate *g, bbm_time now, bbm_buf *buf);
-/** Apply the news of a VM.  If @p own, they are this VM's own, which the gate
- *  has recorded already: they are skipped.  Malformed input sets the reader's
- *  error. */
-void bbm_gate_get_news(bbm_gate *g, bbm_reader *rd, bool own, bbm_time now);
+/** Apply the news of a VM, by the hash of its name.  If @p own, they are this
+ *  VM's own, which the gate has recorded already: they are skipped.  Malformed
+ *  input sets the reader's error. */
+void bbm_gate_get_news(bbm_gate *g, bbm_reader *rd, uint64_t vm, bool own,
+                       bbm_time now);
 
 /** Open requests of all VMs at an upstream, as last reported; 0 if it is
  *  unknown. */
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -49,6 +49,9 @@
         return;
     r->stage = GATE_ANSWERING;
     r->head_at = g->now;
+    if (r->is_relaying)
+        return;
+    gate_record_reached(g, r->upstream);
     gate_record_notice(g, r, notice, true);
     gate_record_origin(g, r, origin);
     if (!r->last_event_id[0])
@@ -69,7 +72,8 @@
 {
     gate_advance(g, now);
     const gate_request *r = find_request(g, request);
-    if (r && r->stage == GATE_ANSWERING && r->attempts == attempt)
+    if (r && r->stage == GATE_ANSWERING && r->attempts == attempt
+        && !r->is_relaying)
         gate_record_sound_answer(g, r, began_at);
 }
 
@@ -77,6 +81,7 @@
 end_complete(bbm_gate *g, gate_request *r, const bbm_forward_result *result)
 {
     gate_upstream *u = r->upstream;
+    gate_record_reached(g, u);
     if (result->status >= 500)
         gate_record_failure(g, u, BBM_FORWARD_FAILED);
     else
@@ -136,6 +141,7 @@
 end_not_run(bbm_gate *g, gate_request *r, uint32_t status)
 {
     gate_record_refusal(g, r->upstream, status);
+    gate_record_reached(g, r->upstream);
     r->attempts_run--;
     add_failed_upstream(r, r->upstream);
     /* An upstream that asks for a pause is asked only once, so going on from
@@ -163,6 +169,7 @@
 end_unsent(bbm_gate *g, gate_request *r)
 {
     gate_record_failure(g, r->upstream, BBM_FORWARD_UNSENT);
+    r->unsent += gate_record_unreached(g, r->upstream);
     r->attempts_run--;
     add_failed_upstream(r, r->upstream);
     if (g->now < r->deadline && r->failed_len < GATE_FAILED_MAX) {
@@ -177,6 +184,10 @@
 end_failed(bbm_gate *g, gate_request *r, const bbm_forward_result *result)
 {
     gate_record_failure(g, r->upstream, result->outcome);
+    if (result->outcome == BBM_FORWARD_FAILED)
+        gate_record_reached(g, r->upstream);
+    else if (result->outcome == BBM_FORWARD_NO_ANSWER && !result->disconnected)
+        gate_record_unreached(g, r->upstream);
     add_failed_upstream(r, r->upstream);
     bool begun = result->outcome == BBM_FORWARD_TRUNCATED;
     bool allowed = begun ? r->resumable : r->repeatable;
@@ -211,6 +222,11 @@
     gate_request *r = find_request(g, result->request);
     if (!r || r->stage == GATE_WAITING || r->attempts != result->attempt)
         return;
+    if (r->is_relaying) {
+        gate_end_relayed(g, r, result);
+        gate_dispatch_waiting(g);
+        return;
+    }
     r->previous_outcome = outcome_names[result->outcome];
     r->previous_status = result->status;
     if (r->stage == GATE_SENT)
@@ -356,7 +372,7 @@
     {
         if (g->now >= r->deadline)
             end_at_deadline(g, r);
-        else if (r->stage == GATE_SENT)
+        else if (r->stage == GATE_SENT && !r->is_relaying)
             check_silence(g, r);
     }
     gate_dispatch_waiting(g);
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -19,6 +19,10 @@
 
 /** Maximum number of pools that are used per request. */
 #define GATE_POOLS_MAX 4
+/** Maximum number of VMs that a request is relayed to, one after the other. */
+#define GATE_RELAYS_MAX 3
+/** Maximum number of pools that a VM says that it doesn't reach. */
+#define GATE_CUT_POOLS_MAX 8
 /** Maximum number of streams of this VM whose origins are kept. */
 #define GATE_OWN_ORIGINS_MAX 8192
 /** Maximum number of upstreams that are recorded as failed per request. */
@@ -40,6 +44,10 @@
                                     answer, smoothed; only for services. */
     bbm_retry_budget retry_budget; /**< This VM's part of the retry budget of
                                         the pool. */
+    bool cut; /**< This VM reaches none of its upstreams; others may. */
+    bbm_time unreached_since; /**< First failed connection since one of its
+                                   upstreams answered; 0: none. */
+    bbm_time next_trial_at;   /**< While cut: next request to an upstream. */
     uint64_t sole_origin; /**< Of all its listed upstreams; 0: they differ, or
                                none is listed. */
     bbm_time sole_origin_since; /**< Since when, as far as is known. */
@@ -82,6 +90,8 @@
                                upstreams of the pool are avoided. */
     bbm_time suspect_until; /**< Reported to the other VMs as suspected to have
                                  failed until then. */
+    bbm_time unreached_at;  /**< Last failed connection; 0: none since it
+                                 answered. */
     uint32_t consecutive_failures; /**< Failures since the last success. */
     bbm_time pause_until; /**< It has asked for no requests until then. */
     uint64_t leaving_run; /**< Start time, in ms of calendar time plus 1, of
@@ -225,6 +235,14 @@
     uint64_t origin;           /**< GATE_ORIGIN_KNOWN. */
     bbm_time origin_asked_at;  /**< GATE_ORIGIN_ASKED: last time. */
     bbm_time origin_deadline;  /**< GATE_ORIGIN_ASKED: end of the wait. */
+    uint32_t unsent; /**< Attempts whose connection failed though other VMs
+                        reach the upstream. */
+    bool is_trial_connection; /**< The next attempt tries whether a pool that
+                                   is cut off can be reached again. */
+    bool is_relayed;          /**< It comes from another VM. */
+    bool is_relaying;         /**< Another VM forwards it now. */
+    uint32_t relays;          /**< Number of VMs that were to forward it. */
+    uint64_t relay_vms[GATE_RELAYS_MAX]; /**< These VMs, by hash. */
     const char *previous_outcome; /**< How the previous attempt ended; NULL:
                                        there was none. */
     uint32_t previous_status;     /**< Its HTTP status; 0: no answer. */
@@ -270,6 +288,7 @@
     uint64_t *vm_hashes;      /**< Hashes of the names of all VMs; owned. */
     size_t vm_hashes_len;     /**< Number of these; 0: this VM only. */
     uint64_t self_hash;       /**< Hash of the name of this VM. */
+    struct gate_peer *peers;  /**< The other VMs, by hash of the name. */
     bbm_time calendar_offset; /**< Calendar time less `now`. */
     gate_pool *pools;         /**< By name. */
     gate_upstream *upstreams; /**< By id. */
@@ -312,6 +331,17 @@
     bbm_gate_counts counts;                    /**< Metrics. */
 };
 
+/** Another VM that takes requests of clients. */
+typedef struct gate_peer {
+    bbm_gate_peer info;
+    uint64_t cut_pools[GATE_CUT_POOLS_MAX]; /**< Pools that it doesn't reach,
+                                                 by hash. */
+    size_t cut_pools_len;                   /**< Their number. */
+    bbm_time cut_pools_at;                  /**< When it said so. */
+    bbm_time avoid_until; /**< It couldn't be reached before that. */
+    UT_hash_handle hh;    /**< By hash of the name. */
+} gate_peer;
+
 /** Maps the hash of a customer's name to the name. */
 typedef struct gate_customer {
     uint64_t hash;            /**< Hash of the name. */
@@ -573,6 +603,31 @@
  *  answers haven't begun and whose prompts have a quarantined part. */
 void gate_apply_quarantine(bbm_gate *g);
 
+/** Forget all failures of an upstream. */
+void gate_reset_health(gate_upstream *u);
+
+/* ---- gate_reach.c ---- */
+
+/** Record that a connection to an upstream failed, or that it hung.  Returns
+ *  false if other VMs don't reach it either, as far as is known. */
+bool gate_record_unreached(bbm_gate *g, gate_upstream *u);
+/** Record that an upstream answered. */
+void gate_record_reached(bbm_gate *g, gate_upstream *u);
+/** True if this VM reaches no upstream of the pool. */
+bool gate_is_cut_off(const gate_upstream *u);
+/** Append the pools that this VM doesn't reach; nothing if there are none. */
+void gate_put_cut_pools(const bbm_gate *g, bbm_buf *buf);
+/** Read those of another VM. */
+void gate_get_cut_pools(bbm_gate *g, bbm_reader *rd, uint64_t vm);
+/** Let another VM forward a request, if one can and the request may be sent
+ *  again; else returns false. */
+bool gate_relay(bbm_gate *g, gate_request *r);
+/** Do that if this VM doesn't reach the request's pool. */
+bool gate_relay_if_cut(bbm_gate *g, gate_request *r);
+/** Handle the result of a request that another VM forwarded. */
+void gate_end_relayed(bbm_gate *g, gate_request *r,
+                      const bbm_forward_result *result);
+
 /* ---- gate_origin.c ---- */
 
 /** Set how a new request may be placed, by the stream that it takes up. */
@@ -607,6 +662,8 @@
 void gate_dispatch(bbm_gate *g, gate_request *r);
 /** Dispatch all held requests, by priority, then by arrival. */
 void gate_dispatch_waiting(bbm_gate *g);
+/** Remove a request from the queue of held ones, if it is there. */
+void gate_dequeue(bbm_gate *g, gate_request *r);
 /** Remove and free a request. */
 void gate_request_free(bbm_gate *g, gate_request *r);
 /** Send a request to the chosen upstream. */
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -62,8 +62,8 @@
     r->upstream = NULL;
 }
 
-static void
-dequeue(bbm_gate *g, gate_request *r)
+void
+gate_dequeue(bbm_gate *g, gate_request *r)
 {
     if (r->stage != GATE_WAITING || !r->link.tqe_prev)
         return;
@@ -76,7 +76,7 @@
 void
 gate_request_free(bbm_gate *g, gate_request *r)
 {
-    dequeue(g, r);
+    gate_dequeue(g, r);
     gate_release_upstream(g, r);
     HASH_DEL(g->requests, r);
     free(r->part_ids);
@@ -257,6 +257,7 @@
         .repeatable = r->repeatable && r->attempts_run < r->attempts_max,
         .stream = r->stream,
         .resumable = r->resumable,
+        .fresh_connection = r->is_trial_connection,
         .stall_timeout = r->silence_limit * STALL_RATIO,
     };
     bbm_name_set(s->upstream, u->info.id);
@@ -275,7 +276,7 @@
 gate_send(bbm_gate *g, gate_request *r, const gate_choice *c)
 {
     gate_upstream *u = c->upstream;
-    dequeue(g, r);
+    gate_dequeue(g, r);
     r->stage = GATE_SENT;
     r->attempts++;
     r->attempts_run++;
@@ -460,7 +461,8 @@
 gate_dispatch(bbm_gate *g, gate_request *r)
 {
     gate_choice c;
-    if (refuse_quarantined(g, r) || waits_for_origin(g, r))
+    if (refuse_quarantined(g, r) || waits_for_origin(g, r)
+        || gate_relay_if_cut(g, r))
         return;
     /* A stream that has begun and can't be resumed is aborted, not refused. */
     bool stream_begun = r->last_event_id[0] != '\0';
@@ -496,6 +498,8 @@
             end_limited(g, r, &c);
         return;
     case GATE_PICK_NO_UPSTREAM:
+        if (r->unsent && gate_relay(g, r))
+            return;
         if (may_hold_without_upstream(g, r)) {
             enqueue(g, r);
             return;
@@ -659,6 +663,8 @@
     r->number = request->request;
     bbm_name_set(r->id, request->id);
     r->arrived_at = g->now - request->waited;
+    r->is_relayed = request->relayed;
+    r->attempts_run = request->attempts_used;
     r->stream = route->stream;
     r->resumable = route->stream && route->resumable;
     r->repeatable = route->repeatable || r->resumable;
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -287,10 +287,31 @@
            || bbm_hash_text(id, 0) % n->sample_one_in == 0;
 }
 
+static void
+log_relay(bbm_node *n, const bbm_gate_output *out)
+{
+    const bbm_forward_request *s = &out->u.send.send;
+    n->sample_window_requests += s->attempt == 1;
+    if (s->attempt == 1 && !is_sampled(n, out->id))
+        return;
+    bbm_action *a = node_log_event(n, BBM_EVENT_REQUEST_RELAYED);
+    node_log_text(a, "id", out->id);
+    node_log_text(a, "vm", s->upstream);
+    node_log_text(a, "pool", s->pool);
+    node_log_number(a, "attempt", s->attempt);
+    if (out->u.send.previous_outcome)
+        node_log_text(a, "after", out->u.send.previous_outcome);
+    node_log_number(a, "held_ms", out->u.send.elapsed_ms);
+}
+
 static void
 log_send(bbm_node *n, const bbm_gate_output *out)
 {
     const bbm_forward_request *s = &out->u.send.send;
+    if (s->relay) {
+        log_relay(n, out);
+        return;
+    }
     bool is_retry = s->attempt > 1;
     n->sample_window_requests += !is_retry;
     if (!is_retry && !is_sampled(n, out->id))
@@ -518,6 +539,12 @@
         case BBM_GATE_UPSTREAM_NOTICE:
             process_upstream_notice(n, out);
             break;
+        case BBM_GATE_POOL_REACH:
+            node_log(n,
+                     out->u.pool_reach.cut ? BBM_EVENT_POOL_CUT_OFF
+                                           : BBM_EVENT_POOL_REACHED,
+                     out->u.pool_reach.pool, "");
+            break;
         case BBM_GATE_FIND_ORIGIN:
             node_origins_find(n, out->request, out->u.find_origin.stream);
             break;
--- a/node/node_news.c
+++ b/node/node_news.c
@@ -234,7 +234,7 @@
 {
     bbm_reader rd = bbm_reader_of(news.data, news.len);
     bool own = strcmp(from, n->desc.name) == 0;
-    bbm_gate_get_news(n->gate, &rd, own, n->now);
+    bbm_gate_get_news(n->gate, &rd, bbm_hash_text(from, 0), own, n->now);
     return bbm_reader_done(&rd);
 }
 
@@ -550,6 +550,30 @@
     bbm_gate_set_vms(n->gate, vms, len, bbm_hash_text(n->desc.name, 0));
 }
 
+/* The VMs that may forward requests of this one. */
+static void
+update_peers(bbm_node *n)
+{
+    static const char scheme[] = "http://";
+    size_t skip = sizeof(scheme) - 1;
+    BBM_AUTO_FREE bbm_gate_peer *peers =
+        bbm_calloc(bbm_members_count(n->members), sizeof(*peers));
+    size_t len = 0;
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        if (!node_member_alive(m) || !m->ready || m->leaving
+            || strcmp(m->name, n->desc.name) == 0
+            || strncmp(m->entry_url, scheme, skip) != 0)
+            continue;
+        bbm_gate_peer *p = &peers[len++];
+        p->vm = bbm_hash_text(m->name, 0);
+        p->same_zone = strcmp(m->zone, n->desc.zone) == 0;
+        bbm_name_set(p->name, m->name);
+        bbm_name_set(p->address, m->entry_url + skip);
+    }
+    bbm_gate_set_peers(n->gate, peers, len);
+}
+
 void
 node_news_tick(bbm_node *n)
 {
@@ -560,6 +584,7 @@
         return;
     bbm_gate_set_vm_count(n->gate, vms, !all_to_all);
     update_turn_order(n);
+    update_peers(n);
     report_load(n, all_to_all);
     if (!due)
         return;
--- a/route/bbm_retry.c
+++ b/route/bbm_retry.c
@@ -16,6 +16,14 @@
         b->available = b->retries_max;
 }
 
+void
+bbm_retry_retract_request(bbm_retry_budget *b)
+{
+    b->available -= b->retries_per_request;
+    if (b->available < 0)
+        b->available = 0;
+}
+
 bool
 bbm_retry_acquire(bbm_retry_budget *b)
 {
--- a/route/bbm_retry.h
+++ b/route/bbm_retry.h
@@ -22,6 +22,8 @@
                                      double retries_max);
 /** Credit the budget for an original request. */
 void bbm_retry_record_request(bbm_retry_budget *b);
+/** Take the credit of an original request back. */
+void bbm_retry_retract_request(bbm_retry_budget *b);
 /** Charge one retry; false if none is available. */
 bool bbm_retry_acquire(bbm_retry_budget *b);
 
--- a/tests/gate_world.c
+++ b/tests/gate_world.c
@@ -63,6 +63,8 @@
     bbm_time end_at;
     bool begun;
     bool hangs;                 /* its connection has been cut */
+    uint32_t relay_status;      /* of the answer of the VM that forwards it */
+    world_call *relayed;        /* the call at the VM that forwards it */
     bbm_upstream_notice notice; /* in its answer */
     TAILQ_ENTRY(world_attempt) link;
 } world_attempt;
@@ -161,6 +163,18 @@
     for (int i = 0; i < w->load.vms; i++)
         names[i] = (uint64_t)i + 1;
     bbm_gate_set_vms(g, names, (size_t)w->load.vms, names[vm]);
+    bbm_gate_peer peers[WORLD_VMS_MAX] = {0};
+    size_t peers_len = 0;
+    int zones = w->load.zones ? w->load.zones : 1;
+    for (int i = 0; i < w->load.vms; i++) {
+        if (i == vm)
+            continue;
+        bbm_gate_peer *p = &peers[peers_len++];
+        p->vm = names[i];
+        p->same_zone = i % zones == vm % zones;
+        snprintf(p->name, sizeof(p->name), "vm-%d", i);
+    }
+    bbm_gate_set_peers(g, peers, peers_len);
     bbm_time skew = vm % 3 ? 0 : w->load.clock_skew;
     bbm_gate_set_calendar(g, CALENDAR_START + w->now + skew, w->now);
     return g;
@@ -184,7 +198,9 @@
         .request = a->send.request,
         .attempt = a->send.attempt,
         .outcome = outcome,
-        .status = outcome == BBM_FORWARD_COMPLETE || a->begun ? 200 : 0,
+        .status = a->relay_status ? a->relay_status
+                  : outcome == BBM_FORWARD_COMPLETE || a->begun ? 200
+                                                                : 0,
         .disconnected = !a->hangs
                         && (outcome == BBM_FORWARD_TRUNCATED
                             || outcome == BBM_FORWARD_NO_ANSWER),
@@ -307,6 +323,37 @@
     *slot = a->end_at;
 }
 
+static void begin_call_at(gate_world *w, world_call *c, int vm);
+
+/* Another VM gets the request as if from a client. */
+static void
+start_relay(gate_world *w, world_attempt *a)
+{
+    world_call *c = bbm_calloc(1, sizeof(*c));
+    *c = *a->c;
+    c->first = false;
+    c->begun = false;
+    c->relay_of = a;
+    a->relayed = c;
+    a->upstream = -1;
+    a->begin_at = a->end_at = BBM_NEVER;
+    TAILQ_INSERT_TAIL(&w->past, c, link);
+    begin_call_at(w, c, atoi(a->send.upstream + 3));
+}
+
+static void
+free_attempt(gate_world *w, world_attempt *a)
+{
+    TAILQ_REMOVE(&w->attempts, a, link);
+    if (a->relayed) {
+        world_call *c = a->relayed;
+        c->relay_of = NULL;
+        if (!c->done && !c->refused)
+            bbm_gate_client_disconnected(w->gates[c->vm], c->number, w->now);
+    }
+    free(a);
+}
+
 static void
 start_attempt(gate_world *w, int vm, const bbm_gate_output *out)
 {
@@ -314,6 +361,11 @@
     a->vm = vm;
     a->send = out->u.send.send;
     a->c = w->calls[vm][out->request];
+    if (a->send.relay) {
+        TAILQ_INSERT_TAIL(&w->attempts, a, link);
+        start_relay(w, a);
+        return;
+    }
     a->upstream = atoi(a->send.upstream + 2);
     world_upstream *u = &w->upstreams[a->upstream];
     TAILQ_INSERT_TAIL(&w->attempts, a, link);
@@ -343,6 +395,61 @@
                && w->now > d->last_counted_at + WORLD_CONTACT_TIME;
 }
 
+/* The VM that forwards a request for another one has ended it. */
+static void
+end_relay(gate_world *w, world_call *c, bbm_forward_outcome outcome,
+          uint32_t status)
+{
+    world_attempt *a = c->relay_of;
+    c->relay_of = NULL;
+    a->relayed = NULL;
+    a->relay_status = status;
+    end_attempt(w, a, outcome);
+}
+
+static void
+handle_refusal(gate_world *w, world_call *c, int64_t after_ms,
+               bbm_time retry_after)
+{
+    c->refused = true;
+    c->refused_after_ms = after_ms;
+    if (c->relay_of)
+        end_relay(w, c, BBM_FORWARD_COMPLETE, 503);
+    else
+        call_again(w, c, retry_after);
+}
+
+static void
+handle_abort(gate_world *w, int vm, uint64_t request, world_call *c)
+{
+    world_attempt *a, *next;
+    for (a = TAILQ_FIRST(&w->attempts); a; a = next) {
+        next = TAILQ_NEXT(a, link);
+        if (a->vm == vm && a->send.request == request)
+            free_attempt(w, a);
+    }
+    if (c->relay_of)
+        end_relay(w, c,
+                  c->begun ? BBM_FORWARD_TRUNCATED : BBM_FORWARD_NO_ANSWER, 0);
+    else
+        call_again(w, c, 0);
+}
+
+static void
+handle_end(gate_world *w, world_call *c, uint32_t status)
+{
+    if (status == 503) {
+        handle_refusal(w, c, 0, 0);
+        return;
+    }
+    c->done = true;
+    (c->origin ? c->origin : c)->served = true;
+    if (c->deadly)
+        deadly_of(w, c)->served = true;
+    if (c->relay_of)
+        end_relay(w, c, BBM_FORWARD_COMPLETE, status);
+}
+
 static void
 drain_outputs(gate_world *w, int vm)
 {
@@ -354,22 +461,12 @@
             start_attempt(w, vm, out);
             break;
         case BBM_GATE_REFUSE:
-            c->refused = true;
-            c->refused_after_ms = out->u.refuse.elapsed_ms;
-            call_again(w, c, out->u.refuse.retry_after);
+            handle_refusal(w, c, out->u.refuse.elapsed_ms,
+                           out->u.refuse.retry_after);
             break;
-        case BBM_GATE_ABORT: {
-            world_attempt *a, *next;
-            for (a = TAILQ_FIRST(&w->attempts); a; a = next) {
-                next = TAILQ_NEXT(a, link);
-                if (a->vm != vm || a->send.request != out->request)
-                    continue;
-                TAILQ_REMOVE(&w->attempts, a, link);
-                free(a);
-            }
-            call_again(w, c, 0);
+        case BBM_GATE_ABORT:
+            handle_abort(w, vm, out->request, c);
             break;
-        }
         case BBM_GATE_FIND_ORIGIN:
             w->queries = bbm_realloc(w->queries, (w->queries_len + 1)
                                                      * sizeof(*w->queries));
@@ -377,10 +474,7 @@
                 vm, out->request, out->u.find_origin.stream};
             break;
         case BBM_GATE_ENDED:
-            c->done = true;
-            (c->origin ? c->origin : c)->served = true;
-            if (c->deadly)
-                deadly_of(w, c)->served = true;
+            handle_end(w, c, out->u.ended.status);
             break;
         default:
             break;
@@ -394,6 +488,12 @@
     a->begun = true;
     a->c->begun = true;
     world_call *c = a->c;
+    if (c->relay_of) {
+        world_attempt *outer = c->relay_of;
+        outer->begun = outer->c->begun = true;
+        bbm_gate_record_head(w->gates[outer->vm], outer->send.request,
+                             outer->send.attempt, 0, &a->notice, w->now);
+    }
     int build = build_of(w, a->upstream);
     c->joined = c->joined || (c->build && c->build != build);
     c->build = c->build ? c->build : build;
@@ -474,13 +574,13 @@
 }
 
 static void
-begin_call(gate_world *w, world_call *c)
+begin_call_at(gate_world *w, world_call *c, int vm)
 {
     bbm_prompt_part parts[PARTS_MAX];
     size_t len = 0;
-    int vm = (int)bbm_rng_below(&w->rng, (uint64_t)w->load.vms);
     uint64_t number = ++w->requests[vm];
     c->vm = vm;
+    c->number = number;
     if (number >= w->calls_cap[vm]) {
         w->calls_cap[vm] = number * 2 + 64;
         w->calls[vm] =
@@ -525,6 +625,8 @@
                                        .output_tokens_max = -1,
                                        .client_timeout = BBM_SECOND};
     }
+    desc.relayed = c->relay_of != NULL;
+    desc.attempts_used = c->relay_of ? c->relay_of->send.attempts_used : 0;
     const bbm_route *r =
         bbm_config_host_route(w->cfg, "h", route_paths[c->route]);
     bbm_gate_begin_request(w->gates[vm], &desc, r, NULL, w->now);
@@ -618,7 +720,8 @@
     while ((c = TAILQ_FIRST(&w->pending)) != NULL && c->at <= w->now) {
         TAILQ_REMOVE(&w->pending, c, link);
         TAILQ_INSERT_TAIL(&w->past, c, link);
-        begin_call(w, c);
+        begin_call_at(w, c,
+                      (int)bbm_rng_below(&w->rng, (uint64_t)w->load.vms));
     }
 }
 
@@ -631,7 +734,8 @@
         for (int to = 0; w->news[from].len && to < w->load.vms; to++) {
             bbm_reader rd =
                 bbm_reader_of(w->news[from].data, w->news[from].len);
-            bbm_gate_get_news(w->gates[to], &rd, to == from, w->now);
+            bbm_gate_get_news(w->gates[to], &rd, (uint64_t)from + 1,
+                              to == from, w->now);
             ck_assert(bbm_reader_done(&rd));
         }
         w->news[from].len = 0;
@@ -819,10 +923,9 @@
             next = TAILQ_NEXT(a, link);
             if (a->vm != vm)
                 continue;
-            TAILQ_REMOVE(&w->attempts, a, link);
             if (w->load.builds)
                 call_again(w, a->c, 0);
-            free(a);
+            free_attempt(w, a);
         }
         bbm_gate_destroy(w->gates[vm]);
         w->gates[vm] = create_gate(w, vm);
--- a/tests/gate_world.h
+++ b/tests/gate_world.h
@@ -119,10 +119,13 @@
     uint64_t session;
     uint64_t deadly_part;
     uint64_t id;       /**< Of this attempt. */
+    uint64_t number;   /**< At its VM. */
     int build;         /**< That began the stream, from 1; 0: not begun. */
     bool takes_up;     /**< It takes up the stream of the first attempt. */
     bool build_serves; /**< Two runners of that stream's build worked then. */
     bool joined;       /**< It went on at another build. */
+    struct world_attempt *relay_of; /**< Another VM's attempt that this VM
+                                         forwards; NULL: a client's call. */
     struct world_call *origin; /**< The client's first attempt; NULL: this. */
     TAILQ_ENTRY(world_call) link; /**< By time. */
 } world_call;
--- a/tests/scale_world.c
+++ b/tests/scale_world.c
@@ -398,7 +398,8 @@
         for (size_t from = 0; from < w->desc.vms; from++) {
             bbm_reader rd =
                 bbm_reader_of(placements[from].data, placements[from].len);
-            bbm_gate_get_news(w->vms[vm].gate, &rd, from == vm, w->now);
+            bbm_gate_get_news(w->vms[vm].gate, &rd, (uint64_t)from + 1,
+                              from == vm, w->now);
         }
         bbm_reader rd = bbm_reader_of(totals.data, totals.len);
         bbm_gate_get_totals(w->vms[vm].gate, &rd, w->now);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -3,6 +3,7 @@
 #include "bbm_codes.h"
 #include "control.h"
 #include "forward.h"
+#include "relay.h"
 #include "test_main.h"
 
 #include <arpa/inet.h>
@@ -130,6 +131,8 @@
 
 /* ---- the fixture ---- */
 
+static const uint8_t test_secret[BBM_DIGEST_SIZE] = {7, 7, 7};
+
 typedef struct fixture {
     upstream upstream;
     mailbox *control;
@@ -159,7 +162,7 @@
     u->port = ntohs(address.sin_port);
     pthread_create(&u->thread, NULL, run_upstream, u);
     w->control = mailbox_create(256);
-    w->forward = forward_create(w->control);
+    w->forward = forward_create(w->control, test_secret);
 }
 
 static void
@@ -982,8 +985,71 @@
 }
 END_TEST
 
-TEST_MAIN("forward", late_copy_is_not_the_next_answer,
-          copy_behind_an_answer_is_dropped, answer_without_id_is_not_passed_on,
+/* ---- requests that another VM forwards ---- */
+
+static void
+refuse_as_vm(upstream *u, int fd, int n)
+{
+    static const char refusal[] = "HTTP/1.1 503 Service Unavailable\r\n"
+                                  "Retry-After: 0.300\r\n"
+                                  "Content-Length: 2\r\n\r\nno";
+    (void)u;
+    (void)n;
+    (void)!write(fd, refusal, sizeof(refusal) - 1);
+}
+
+/* The other VM's refusal is the client's answer: it has no runner's signature,
+   and from an upstream it would not be passed on. */
+START_TEST(refusal_of_the_vm_that_forwards_is_passed_on)
+{
+    fixture w;
+    set_up(&w, refuse_as_vm);
+    bbm_forward_request kind = {.relay = true};
+    ended e = run_attempt(&w, &kind, "");
+    ck_assert_int_eq(e.result.outcome, BBM_FORWARD_COMPLETE);
+    ck_assert_uint_eq(e.result.status, 503);
+    ck_assert_uint_eq(e.ex->status, 503);
+    ck_assert_uint_eq(e.ex->out.len, 2);
+    exchange_unref(e.ex);
+    ended direct = run_request(&w, false, false);
+    check_nothing_passed(&direct);
+    tear_down(&w);
+}
+END_TEST
+
+/* A client could otherwise choose whose key its request has. */
+START_TEST(only_a_vm_can_say_that_a_request_was_relayed)
+{
+    char value[RELAY_HEADER_SIZE];
+    exchange *sent = create_exchange(1);
+    sent->has_key = true;
+    sent->key_digest = bbm_digest_of("key", 3, test_secret);
+    relay_header_write(sent, 1, test_secret, value);
+    exchange *got = create_exchange(1);
+    ck_assert(relay_header_read(got, value, test_secret));
+    ck_assert(got->is_relayed && got->has_key);
+    ck_assert_uint_eq(got->attempts_used, 1);
+    ck_assert(bbm_digest_same(&got->key_digest, &sent->key_digest));
+    static const uint8_t other_secret[BBM_DIGEST_SIZE] = {8};
+    exchange *forged = create_exchange(1);
+    ck_assert(!relay_header_read(forged, value, other_secret));
+    ck_assert(!forged->is_relayed && !forged->has_key);
+    exchange *other = create_exchange(2);
+    ck_assert(!relay_header_read(other, value, test_secret));
+    value[0] = '0';
+    ck_assert(!relay_header_read(forged, value, test_secret));
+    ck_assert(!relay_header_read(forged, "1 - 0", test_secret));
+    exchange_unref(sent);
+    exchange_unref(got);
+    exchange_unref(forged);
+    exchange_unref(other);
+}
+END_TEST
+
+TEST_MAIN("forward", refusal_of_the_vm_that_forwards_is_passed_on,
+          only_a_vm_can_say_that_a_request_was_relayed,
+          late_copy_is_not_the_next_answer, copy_behind_an_answer_is_dropped,
+          answer_without_id_is_not_passed_on,
           success_without_signature_is_not_passed_on,
           late_head_does_not_change_an_error, answers_without_end_are_cut,
           bytes_beyond_the_length_are_dropped, stalled_streams_are_cut,
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -1141,7 +1141,8 @@
         bbm_gate_put_news(f->vms[vm].gate, f->now, &one);
         for (size_t to = 0; to < VMS; to++) {
             bbm_reader rd = bbm_reader_of(one.data, one.len);
-            bbm_gate_get_news(f->vms[to].gate, &rd, to == vm, f->now);
+            bbm_gate_get_news(f->vms[to].gate, &rd, (uint64_t)vm + 1, to == vm,
+                              f->now);
             ck_assert(bbm_reader_done(&rd));
         }
         bbm_buf_free(&one);
