A silence of a second or two ends no connection to a sound upstream

Callers of a runner whose machine is silent for a second or so lost what was sent into the silence: 502 for calls that may run once, and evidence against all requests that were open there.

Cause: TCP_USER_TIMEOUT of 1.2 s; and where it is set, Linux lets it decide when keepalive gives up, so the count of probes beside it had no effect. Evidence: test_forward silences a connection by a socket filter; before, a request that is sent into a silence of 1 s ends without an answer, as TCP repeats it only 1.4 s after it was sent. Answers survived up to 1.8 s then and now.

While a request has no answer the limit is 3.2 s, longer than the repetition after a silence of up to 3 s; during the answer it is 1.9 s, so that a machine that is dead is noticed before the client of a stream can have left. The sockets of nng and libmicrohttpd have no such option; the calls to runners and provider end by their own time limits of a second or less.

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -20,13 +20,15 @@
 #define POLL_WAIT_MS 1000
 /* Connect timeout; an attempt that ends by it has sent nothing. */
 #define CONNECT_TIMEOUT_MS 300L
-/* A connection ends when sent bytes stay unacknowledged by the upstream's
-   machine for this time. */
-#define UNACKED_TIMEOUT_MS 1200
-/* TCP keepalive: a silent connection is probed each second, and ends after two
-   unanswered probes. */
+/* A connection ends when the upstream's machine acknowledges nothing for this
+   time: sent bytes while a request has no answer, and keepalive probes, one
+   each second, during the answer.  A sound machine may be silent for a second
+   or more.  The first is longer than the time until TCP sends the bytes again
+   after that, the second ends an answer before its client gives it up, after
+   two seconds at least.  Linux counts no probes where it is set. */
+#define UNACKED_REQUEST_TIMEOUT_MS 3200U
+#define UNACKED_ANSWER_TIMEOUT_MS 1900U
 #define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBE_COUNT 2
 #define IDLE_CONNECTIONS_MAX 128L
 /* Longest idle time after which a connection is reused.  REUSE_DEFAULT_S holds
    until an upstream has announced its keep-alive timeout: without one it may
@@ -316,6 +318,15 @@
     return !x->parsed_head.head.wrong_request_id;
 }
 
+/* Without a known socket the timeout stays as it is. */
+static void
+set_unacked_timeout(int fd, unsigned timeout_ms)
+{
+    if (fd >= 0)
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+                   sizeof(timeout_ms));
+}
+
 /* Returns false if the transfer must be aborted. */
 static bool
 finish_head(attempt *x)
@@ -342,6 +353,7 @@
     }
     x->accepted = true;
     x->progress_at = control_now();
+    set_unacked_timeout(x->socket, UNACKED_ANSWER_TIMEOUT_MS);
     int64_t length = x->send.stream ? -1 : x->content_length;
     if (!resumes)
         exchange_set_verbatim_head(x->ex, (unsigned)x->status, length,
@@ -494,6 +506,7 @@
     x->unusable_connection = !x->fresh_connection && has_unread_bytes(x);
     if (x->unusable_connection)
         return CURL_PREREQFUNC_ABORT;
+    set_unacked_timeout(x->socket, UNACKED_REQUEST_TIMEOUT_MS);
     x->sent = true;
     return CURL_PREREQFUNC_OK;
 }
@@ -504,12 +517,7 @@
     (void)purpose;
     attempt *x = context;
     x->opened_socket = fd;
-    unsigned unacked_timeout_ms = UNACKED_TIMEOUT_MS;
-    int probe_count = KEEPALIVE_PROBE_COUNT;
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_timeout_ms,
-               sizeof(unacked_timeout_ms));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probe_count,
-               sizeof(probe_count));
+    set_unacked_timeout(fd, UNACKED_REQUEST_TIMEOUT_MS);
     return CURL_SOCKOPT_OK;
 }
 
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -4,8 +4,8 @@
  *
  *  It says that the request was relayed, so that it isn't relayed again, and
  *  carries what the first VM knows and a client can't be trusted with: the
- *  digest of the client's key, which itself is wiped by then, and the number of
- *  attempts that may have run the request.  A MAC under the system's secret
+ *  digest of the client's key, which itself is wiped by then, and the number
+ * of attempts that may have run the request.  A MAC under the system's secret
  *  binds it to the request.
  *
  *  Source: keyed BLAKE2b by libsodium.
--- a/gate/gate_reach.c
+++ b/gate/gate_reach.c
@@ -34,7 +34,8 @@
 push_reach(bbm_gate *g, const gate_pool *p)
 {
     static const gate_request no_request = {0};
-    bbm_gate_output *out = gate_push_output(g, BBM_GATE_POOL_REACH, &no_request);
+    bbm_gate_output *out =
+        gate_push_output(g, BBM_GATE_POOL_REACH, &no_request);
     bbm_name_set(out->u.pool_reach.pool, p->name);
     out->u.pool_reach.cut = p->cut;
 }
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -7,6 +7,7 @@
 #include "test_main.h"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -985,6 +986,109 @@
 }
 END_TEST
 
+/* ---- upstreams that are silent for a while ---- */
+
+static int silence_ms;
+
+/* The machine of the upstream neither sends nor acknowledges anything. */
+static void
+fall_silent(int fd)
+{
+    struct sock_filter drop[] = {BPF_STMT(BPF_RET | BPF_K, 0)};
+    struct sock_fprog program = {.len = 1, .filter = drop};
+    int unused = 0;
+    ck_assert_int_eq(setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                                sizeof(program)),
+                     0);
+    usleep((useconds_t)silence_ms * 1000);
+    setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof(unused));
+}
+
+static void
+fall_silent_in_answer(upstream *u, int fd, int n)
+{
+    static const char part[] = "HTTP/1.1 200 OK\r\n"
+                               "X-Bluebellmoor-Server-Stamp: s\r\n"
+                               "Content-Length: 24\r\n\r\n"
+                               "id: 1\ndata: a\n\n";
+    static const char rest[] = "data: b\n\n";
+    (void)u;
+    (void)n;
+    (void)!write(fd, part, sizeof(part) - 1);
+    usleep(50000);
+    fall_silent(fd);
+    (void)!write(fd, rest, sizeof(rest) - 1);
+}
+
+/* A sound runner may be silent for a second or so and go on: its answer must
+   not be broken off, as clients wait for two seconds at least. */
+START_TEST(answer_goes_on_after_a_silence)
+{
+    static const int silences[] = {500, 1000, 1500, 1800};
+    for (size_t i = 0; i < BBM_COUNT(silences); i++) {
+        fixture w;
+        silence_ms = silences[i];
+        set_up(&w, fall_silent_in_answer);
+        ended e = run_request(&w, false, false);
+        ck_assert_msg(e.result.outcome == BBM_FORWARD_COMPLETE,
+                      "%d ms: outcome %d", silence_ms, (int)e.result.outcome);
+        exchange_unref(e.ex);
+        tear_down(&w);
+    }
+}
+END_TEST
+
+/* One that is silent for good is noticed before a client can have left. */
+START_TEST(answer_of_a_dead_machine_ends_after_two_seconds)
+{
+    fixture w;
+    silence_ms = 3500;
+    set_up(&w, fall_silent_in_answer);
+    ended e = run_request(&w, false, false);
+    ck_assert_int_eq(e.result.outcome, BBM_FORWARD_TRUNCATED);
+    ck_assert(!e.result.disconnected);
+    ck_assert_int_le(e.ms, 2400);
+    exchange_unref(e.ex);
+    tear_down(&w);
+}
+END_TEST
+
+static void
+fall_silent_after_answer(upstream *u, int fd, int n)
+{
+    struct timeval timeout = {.tv_sec = 5};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+    send_answer(u, fd, u->id, "");
+    if (n == 1)
+        fall_silent(fd);
+}
+
+/* The second request is sent into the silence, on the same connection. */
+START_TEST(request_sent_into_a_silence_is_answered)
+{
+    static const int silences[] = {500, 1000, 1500, 2000};
+    for (size_t i = 0; i < BBM_COUNT(silences); i++) {
+        fixture w;
+        silence_ms = silences[i];
+        set_up(&w, fall_silent_after_answer);
+        ended first = run_request(&w, false, false);
+        check_whole(&first);
+        ended second = {.ex = start_request(&w, false, false)};
+        /* TCP repeats the request after 3 s at the latest. */
+        control_item *item =
+            expect_item(&w, CONTROL_FORWARD_FINISHED, END_MS_MAX + 2000);
+        second.result = item->forwarded;
+        control_item_destroy(item);
+        ck_assert_msg(second.result.outcome == BBM_FORWARD_COMPLETE,
+                      "%d ms: outcome %d", silence_ms,
+                      (int)second.result.outcome);
+        check_whole(&second);
+        ck_assert_int_eq(atomic_load(&w.upstream.connections), 1);
+        tear_down(&w);
+    }
+}
+END_TEST
+
 /* ---- requests that another VM forwards ---- */
 
 static void
@@ -1046,7 +1150,10 @@
 }
 END_TEST
 
-TEST_MAIN("forward", refusal_of_the_vm_that_forwards_is_passed_on,
+TEST_MAIN("forward", answer_goes_on_after_a_silence,
+          answer_of_a_dead_machine_ends_after_two_seconds,
+          request_sent_into_a_silence_is_answered,
+          refusal_of_the_vm_that_forwards_is_passed_on,
           only_a_vm_can_say_that_a_request_was_relayed,
           late_copy_is_not_the_next_answer, copy_behind_an_answer_is_dropped,
           answer_without_id_is_not_passed_on,
