Requests go only to slots that are surely free where upstreams are brittle

Cause, as played by test_brittle: calls to services end within milliseconds, so the load that VMs report is old when it is known, and the sum of what looks free is more than there is.

--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -165,8 +165,12 @@
     bool limited;   /**< It states a limit. */
     double limit;   /**< Requests per second that it takes from all VMs
                          together; valid if limited. */
-    bool invalid;   /**< One of these headers had a value that can't be
-                         used. */
+    bool brittle;   /**< It fails if it must refuse too many requests for want
+                         of room. */
+    double refusals_max; /**< Requests per second that it can refuse, of all
+                              VMs together; valid if brittle. */
+    bool invalid;        /**< One of these headers had a value that can't be
+                              used. */
 } bbm_upstream_notice;
 
 /** Result of an attempt. */
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -49,8 +49,10 @@
         return;
     r->stage = GATE_ANSWERING;
     r->head_at = g->now;
-    if (r->is_relaying)
+    if (r->is_relaying) {
+        gate_record_brittle(g, gate_find_pool(g, r->pools[0]), notice);
         return;
+    }
     gate_record_reached(g, r->upstream);
     gate_record_notice(g, r, notice, true);
     gate_record_origin(g, r, origin);
@@ -141,6 +143,8 @@
 end_not_run(bbm_gate *g, gate_request *r, uint32_t status)
 {
     gate_record_refusal(g, r->upstream, status);
+    if (status == 503)
+        gate_record_brittle_refusal(g, r->upstream);
     gate_record_reached(g, r->upstream);
     r->attempts_run--;
     add_failed_upstream(r, r->upstream);
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -44,6 +44,8 @@
                                     answer, smoothed; only for services. */
     bbm_retry_budget retry_budget; /**< This VM's part of the retry budget of
                                         the pool. */
+    bbm_time brittle_until;        /**< Its upstreams have stated that they are
+                                        brittle; holds until then. */
     bool cut; /**< This VM reaches none of its upstreams; others may. */
     bbm_time unreached_since; /**< First failed connection since one of its
                                    upstreams answered; 0: none. */
@@ -425,6 +427,8 @@
 /** Choose an upstream for a request; the choice is complete only if the result
  *  is GATE_PICK_SEND. */
 gate_pick gate_choose(bbm_gate *g, const gate_request *r, gate_choice *c);
+/** Number of requests that an upstream can run at a time. */
+uint32_t gate_slots_of(const gate_upstream *u);
 /** Open requests of all VMs at an upstream: own ones, and others as last
  *  reported. */
 double gate_open_requests(const bbm_gate *g, const gate_upstream *u);
@@ -505,6 +509,25 @@
 bbm_time gate_pause_retry_after(bbm_gate *g, const gate_request *r,
                                 const gate_choice *c);
 
+/* ---- gate_brittle.c ---- */
+
+/** Record whether an upstream of a pool (NULL: of none) states that it is
+ *  brittle.  Returns true if that is to be logged. */
+bool gate_record_brittle(bbm_gate *g, gate_pool *p,
+                         const bbm_upstream_notice *notice);
+/** True if the upstreams of a pool are brittle. */
+bool gate_is_brittle(const bbm_gate *g, const gate_pool *p);
+/** True if a further request may find no free slot at a brittle upstream. */
+bool gate_is_brittle_full(const bbm_gate *g, const gate_upstream *u);
+/** Let the owner of a slot forward a request to a brittle pool of services, if
+ *  this VM owns none; else returns false. */
+bool gate_relay_to_slot_owner(bbm_gate *g, gate_request *r);
+/** True if a brittle upstream has just refused a request for want of room,
+ *  here or at another VM. */
+bool gate_has_refused_lately(const bbm_gate *g, const gate_upstream *u);
+/** Record that a brittle upstream has refused a request for want of room. */
+void gate_record_brittle_refusal(bbm_gate *g, gate_upstream *u);
+
 /* ---- gate_limit.c ---- */
 
 /** Record what an answer of an upstream in its present run says of its limit.
@@ -622,6 +645,8 @@
 /** Let another VM forward a request, if one can and the request may be sent
  *  again; else returns false. */
 bool gate_relay(bbm_gate *g, gate_request *r);
+/** Do that with a given VM, unless it has been tried or isn't known. */
+bool gate_relay_to(bbm_gate *g, gate_request *r, uint64_t vm);
 /** Do that if this VM doesn't reach the request's pool. */
 bool gate_relay_if_cut(bbm_gate *g, gate_request *r);
 /** Handle the result of a request that another VM forwarded. */
--- a/gate/gate_notice.c
+++ b/gate/gate_notice.c
@@ -28,6 +28,7 @@
                    const bbm_upstream_notice *notice, bool answered)
 {
     gate_upstream *u = r->upstream;
+    bool brittle_news = gate_record_brittle(g, u->pool, notice);
     bbm_upstream_notice news = {.invalid = notice->invalid};
     bool limit_news = false;
     if (r->upstream_run == gate_run_of(&u->info)) {
@@ -46,8 +47,11 @@
         g->load_changed = true;
         g->counts.pauses++;
     }
-    if (!news.leaving && !news.pause && !news.invalid && !limit_news)
+    if (!news.leaving && !news.pause && !news.invalid && !limit_news
+        && !brittle_news)
         return;
+    news.brittle = brittle_news;
+    news.refusals_max = notice->refusals_max;
     news.limited = limit_news && notice->limited;
     news.limit = notice->limit;
     bbm_gate_output *out = gate_push_output(g, BBM_GATE_UPSTREAM_NOTICE, r);
@@ -69,6 +73,7 @@
         u->leaving_run = gate_run_of(&u->info);
         g->load_changed = true;
     }
+    gate_record_brittle(g, u->pool, notice);
     if (gate_record_limit(g, u, notice, BBM_NEVER))
         gate_push_limit(g, u, false);
 }
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -115,8 +115,9 @@
     bool holders_unknown; /* this VM has just started, and has no placement of
                              the prompt on record */
     bool by_home;         /* costs are by the homes of the chain */
-    size_t loading; /* number of runners that load weights, or whose weights
-                       are too old */
+    size_t loading; /* number of upstreams that take requests again soon: they
+                       load weights, have too old ones, or are brittle and
+                       had no room */
     size_t avoided; /* number of upstreams left out because they are avoided */
     size_t paused;  /* number left out because they want no requests now */
     bbm_time pause_end; /* earliest end of that; valid if paused */
@@ -162,8 +163,8 @@
            + u->memory_tokens;
 }
 
-static uint32_t
-slots_of(const gate_upstream *u)
+uint32_t
+gate_slots_of(const gate_upstream *u)
 {
     return u->info.slots ? u->info.slots : u->pool->slots;
 }
@@ -272,6 +273,10 @@
             leave_out_paused(set, u);
             continue;
         }
+        if (gate_has_refused_lately(g, u)) {
+            set->loading++;
+            continue;
+        }
         if (has_failed(r, u))
             continue;
         if (!gate_has_turn(g, u)) {
@@ -321,6 +326,8 @@
     /* An idle runner accepts a request of any size. */
     if (running <= 0)
         return false;
+    if (gate_is_brittle_full(g, u))
+        return true;
     return running + r->prompt_tokens + r->output_tokens_max > room
            || gate_backlog_tokens(g, u) / u->pool->prefill_tokens_per_ms
                   > BACKLOG_MAX_MS;
@@ -346,8 +353,9 @@
     double open = gate_open_requests(g, u);
     double wait = gate_backlog_tokens(g, u) / p->prefill_tokens_per_ms
                   + open * DECODE_STEP_MS_PER_REQUEST;
-    if (open >= slots_of(u))
-        wait += SLOT_WAIT_MS * (1 + open - slots_of(u)) / slots_of(u);
+    if (open >= gate_slots_of(u))
+        wait +=
+            SLOT_WAIT_MS * (1 + open - gate_slots_of(u)) / gate_slots_of(u);
     return wait;
 }
 
@@ -527,7 +535,8 @@
         candidate *c = &set->items[i];
         const gate_upstream *u = c->upstream;
         double open = gate_open_requests(g, u);
-        double slots = slots_of(u);
+        double slots = gate_slots_of(u);
+        c->is_full = gate_is_brittle_full(g, u);
         double cost = u->pool->service_ms;
         if (open >= slots)
             cost += (open - slots + 1) / slots * u->pool->service_ms;
@@ -725,9 +734,12 @@
 held_queue_ms(const bbm_gate *g, const gate_request *r,
               const candidate_set *set)
 {
-    double speed =
-        set->items[0].upstream->pool->prefill_tokens_per_ms * (double)set->len;
+    const gate_pool *p = set->items[0].upstream->pool;
     double ahead = (double)g->waiting_len * (double)g->vms;
+    if (!p->is_engine)
+        return ahead * p->service_ms
+               / (double)(gate_slots_of(set->items[0].upstream) * set->len);
+    double speed = p->prefill_tokens_per_ms * (double)set->len;
     return ahead * (r->prompt_tokens - r->shared_tokens / 2) / speed;
 }
 
--- a/gate/gate_reach.c
+++ b/gate/gate_reach.c
@@ -246,12 +246,9 @@
     return !r->is_relayed && !begun && may_run && r->relays < GATE_RELAYS_MAX;
 }
 
-bool
-gate_relay(bbm_gate *g, gate_request *r)
+static void
+relay_to(bbm_gate *g, gate_request *r, const gate_peer *peer)
 {
-    gate_peer *peer = may_relay(r) ? choose_peer(g, r) : NULL;
-    if (!peer)
-        return false;
     gate_dequeue(g, r);
     r->stage = GATE_SENT;
     r->attempts++;
@@ -281,6 +278,26 @@
     out->u.send.elapsed_ms = (g->now - r->arrived_at) / BBM_MS;
     out->u.send.previous_outcome = r->previous_outcome;
     out->u.send.previous_status = r->previous_status;
+}
+
+bool
+gate_relay(bbm_gate *g, gate_request *r)
+{
+    const gate_peer *peer = may_relay(r) ? choose_peer(g, r) : NULL;
+    if (peer)
+        relay_to(g, r, peer);
+    return peer != NULL;
+}
+
+bool
+gate_relay_to(bbm_gate *g, gate_request *r, uint64_t vm)
+{
+    gate_peer *peer = NULL;
+    HASH_FIND(hh, g->peers, &vm, sizeof(vm), peer);
+    if (!peer || !may_relay(r) || has_tried(r, peer)
+        || !reaches(g, peer, r->pools[0]))
+        return false;
+    relay_to(g, r, peer);
     return true;
 }
 
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -462,7 +462,7 @@
 {
     gate_choice c;
     if (refuse_quarantined(g, r) || waits_for_origin(g, r)
-        || gate_relay_if_cut(g, r))
+        || gate_relay_if_cut(g, r) || gate_relay_to_slot_owner(g, r))
         return;
     /* A stream that has begun and can't be resumed is aborted, not refused. */
     bool stream_begun = r->last_event_id[0] != '\0';
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -466,6 +466,13 @@
     }
     if (notice->limited || out->u.upstream_notice.limit_ended)
         log_limit(n, out);
+    if (notice->brittle) {
+        bbm_action *l = node_log_event(n, BBM_EVENT_UPSTREAM_BRITTLE);
+        node_log_text(l, "id", out->id);
+        node_log_text(l, "upstream", upstream);
+        node_log_number(l, "refusals_per_1000_s",
+                        (int64_t)(notice->refusals_max * 1000));
+    }
     if (notice->invalid)
         log_invalid_notice(n, upstream);
 }
--- a/tests/gate_world.c
+++ b/tests/gate_world.c
@@ -62,6 +62,7 @@
     bbm_time begin_at;
     bbm_time end_at;
     bool begun;
+    bool turned_away;           /* for want of room */
     bool hangs;                 /* its connection has been cut */
     uint32_t relay_status;      /* of the answer of the VM that forwards it */
     world_call *relayed;        /* the call at the VM that forwards it */
@@ -198,7 +199,8 @@
         .request = a->send.request,
         .attempt = a->send.attempt,
         .outcome = outcome,
-        .status = a->relay_status ? a->relay_status
+        .status = a->turned_away    ? 503
+                  : a->relay_status ? a->relay_status
                   : outcome == BBM_FORWARD_COMPLETE || a->begun ? 200
                                                                 : 0,
         .disconnected = !a->hangs
@@ -354,6 +356,43 @@
     free(a);
 }
 
+static bool
+is_brittle(const gate_world *w, int i)
+{
+    return w->load.brittle && is_service(w, i)
+           && w->now - w->started_at >= WORLD_BEGIN_TIME;
+}
+
+/* True if a brittle service lets the request not wait for a slot. */
+static bool
+turns_away(gate_world *w, const world_attempt *a)
+{
+    if (!is_brittle(w, a->upstream)
+        || w->now - w->started_at < WORLD_BEGIN_TIME + WORLD_CONTACT_TIME)
+        return false;
+    int open = 0;
+    const world_attempt *other;
+    TAILQ_FOREACH(other, &w->attempts, link)
+    {
+        open += other->upstream == a->upstream && other != a
+                && !other->turned_away;
+    }
+    if (open < WORLD_SERVICE_SLOTS)
+        return false;
+    world_upstream *u = &w->upstreams[a->upstream];
+    u->refused_at[u->refused_len++ % BBM_COUNT(u->refused_at)] = w->now;
+    return true;
+}
+
+static bool
+must_fall(const gate_world *w, const world_upstream *u)
+{
+    int lately = 0;
+    for (size_t i = 0; i < BBM_COUNT(u->refused_at); i++)
+        lately += u->refused_at[i] && w->now - u->refused_at[i] < BBM_SECOND;
+    return lately > w->load.refusals_max && !is_down(w, u);
+}
+
 static void
 start_attempt(gate_world *w, int vm, const bbm_gate_output *out)
 {
@@ -386,6 +425,11 @@
         a->begin_at = w->now;
         return;
     }
+    if (turns_away(w, a)) {
+        a->turned_away = true;
+        a->begin_at = w->now;
+        return;
+    }
     if (states_limit(w, a->upstream))
         record_arrival(w, a);
     if (!is_deadly_now(w, a->c))
@@ -488,6 +532,10 @@
     a->begun = true;
     a->c->begun = true;
     world_call *c = a->c;
+    if (is_brittle(w, a->upstream)) {
+        a->notice.brittle = true;
+        a->notice.refusals_max = w->load.refusals_max;
+    }
     if (c->relay_of) {
         world_attempt *outer = c->relay_of;
         outer->begun = outer->c->begun = true;
@@ -515,6 +563,15 @@
         end_attempt(w, a, BBM_FORWARD_UNSENT);
         return;
     }
+    if (a->turned_away) {
+        int i = a->upstream;
+        end_attempt(w, a, BBM_FORWARD_NOT_RUN);
+        if (must_fall(w, &w->upstreams[i])) {
+            w->upstreams[i].falls++;
+            crash(w, i);
+        }
+        return;
+    }
     if (a->hangs) {
         end_attempt(w, a,
                     a->begun ? BBM_FORWARD_TRUNCATED : BBM_FORWARD_NO_ANSWER);
--- a/tests/gate_world.h
+++ b/tests/gate_world.h
@@ -71,12 +71,17 @@
     bool companion;       /**< Deadly requests share a session that few
                                sound ones have. */
     int ordinary_crashes; /**< Runners that crash at a time, each 2 s. */
-    int builds;  /**< Builds of the runners; one that starts again has the next
-                      one.  0: one build, and no stream is taken up. */
-    int cut_vms; /**< VMs, from the first, without a path to upstreams
-                      from WORLD_BEGIN_TIME on. */
-    int zones;   /**< Of the VMs, one after the other; 0: one. */
-    world_cut cut_form;      /**< What happens to their connections. */
+    int builds; /**< Builds of the runners; one that starts again has the next
+                     one.  0: one build, and no stream is taken up. */
+    bool brittle;       /**< The services say that they are, from
+                             WORLD_BEGIN_TIME on; WORLD_CONTACT_TIME later they
+                             let none wait. */
+    int refusals_max;   /**< A brittle one that refuses more in a second falls
+                             over. */
+    int cut_vms;        /**< VMs, from the first, without a path to upstreams
+                             from WORLD_BEGIN_TIME on. */
+    int zones;          /**< Of the VMs, one after the other; 0: one. */
+    world_cut cut_form; /**< What happens to their connections. */
     bool cut_services_only;  /**< They reach the runners. */
     bbm_time cut_until;      /**< End of the cut. */
     bbm_time vm_restarts_at; /**< Half of the VMs; 0: never. */
@@ -148,6 +153,9 @@
     bbm_time slot_free_at[WORLD_SERVICE_SLOTS];
     bbm_time told_at[WORLD_VMS_MAX]; /**< When each VM first received an answer
                                           with a limit; 0: never. */
+    bbm_time refused_at[64];         /**< Last refusals for want of room. */
+    size_t refused_len;              /**< Their number, also of older ones. */
+    size_t falls;                    /**< Times that it fell over for that. */
     world_arrival *arrivals;
     size_t arrivals_len;
 } world_upstream;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -151,6 +151,29 @@
 }
 END_TEST
 
+START_TEST(statements_of_brittle_upstreams_are_read)
+{
+    static const struct {
+        const char *value;
+        bool brittle;
+        double refusals_max;
+    } cases[] = {
+        {"0", true, 0},    {"5", true, 5},     {"1.5", true, 1.5},
+        {"", false, 0},    {"-1", false, 0},   {"many", false, 0},
+        {"1e3", false, 0}, {"5 ,6", false, 0}, {"99999999999", true, 1e6}};
+    for (size_t i = 0; i < BBM_COUNT(cases); i++) {
+        platform_response a = {.keep_alive_s = -1};
+        bbm_upstream_notice notice;
+        platform_response_add_header(&a, "id", "server-brittle",
+                                     cases[i].value);
+        platform_response_notice(&a, 200, &notice);
+        ck_assert_int_eq(notice.brittle, cases[i].brittle);
+        ck_assert_double_eq(notice.refusals_max, cases[i].refusals_max);
+        ck_assert_int_eq(notice.invalid, !cases[i].brittle);
+    }
+}
+END_TEST
+
 /* Builds have no order, may be long or absent, and a wrong type makes the
    entry useless. */
 START_TEST(builds_of_upstreams_are_told_apart)
@@ -611,6 +634,7 @@
 
 TEST_MAIN("platform", config_is_translated, invalid_configs_are_rejected,
           listing_page_is_parsed, listing_diff_can_be_applied,
+          statements_of_brittle_upstreams_are_read,
           builds_of_upstreams_are_told_apart,
           stream_that_is_taken_up_names_its_first_attempt,
           listing_diff_without_builds_is_read,
