Take-ups that don't name the first attempt go on where one build is possible

Cause: without the name nothing could be looked up, and that counted as unknown.

The leader answers such a question, and that about a stream on no record, with the one build that the asking VM has listed, if no known stream of the pool began at another: rows outlive streams, so a build that has just left still counts. test_takeup has both cases; it also found that a VM which got the listing before the configuration didn't know that its pool has one build.

--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -287,7 +287,11 @@
             bool cut;                 /**< It can't be reached. */
         } pool_reach;                 /**< BBM_GATE_POOL_REACH. */
         struct {
-            uint64_t stream; /**< As in bbm_origins.h. */
+            uint64_t stream; /**< As in bbm_origins.h; 0: the client doesn't
+                                  name it. */
+            uint64_t listed; /**< Origin of all listed upstreams of the pool;
+                                  0: they differ.  It holds if no known stream
+                                  began elsewhere. */
         } find_origin;       /**< BBM_GATE_FIND_ORIGIN. */
         struct {
             bbm_quarantine_change change; /**< The change. */
--- a/gate/gate_brittle.c
+++ b/gate/gate_brittle.c
@@ -12,8 +12,8 @@
 
 /* A statement holds for this time after the last answer that made it. */
 #define STATEMENT_MEMORY (10 * BBM_SECOND)
-/* Share of a runner's slots that is used: what other VMs have sent since their last
-   reports isn't known. */
+/* Share of a runner's slots that is used: what other VMs have sent since their
+   last reports isn't known. */
 #define SURE_SLOT_SHARE 0.75
 /* An upstream counts its refusals over this time. */
 #define REFUSAL_WINDOW BBM_SECOND
--- a/gate/gate_origin.c
+++ b/gate/gate_origin.c
@@ -105,12 +105,12 @@
 void
 gate_record_origin(bbm_gate *g, gate_request *r, uint64_t origin)
 {
-    if (!r->resumable || r->origin_state == GATE_ORIGIN_KNOWN)
+    if (!r->resumable || !origin || r->origin_state == GATE_ORIGIN_KNOWN)
         return;
     r->origin_state = GATE_ORIGIN_KNOWN;
     r->origin = origin;
     r->origin_source = "this answer";
-    if (r->takes_up)
+    if (r->takes_up || !r->stream_key)
         return;
     bbm_origin_row row = {
         .stream = r->stream_key,
@@ -127,9 +127,11 @@
 static void
 ask_origin(bbm_gate *g, gate_request *r)
 {
+    const gate_pool *p = gate_find_pool(g, r->pools[0]);
     r->origin_asked_at = g->now;
-    gate_push_output(g, BBM_GATE_FIND_ORIGIN, r)->u.find_origin.stream =
-        r->stream_key;
+    bbm_gate_output *out = gate_push_output(g, BBM_GATE_FIND_ORIGIN, r);
+    out->u.find_origin.stream = r->stream_key;
+    out->u.find_origin.listed = p && r->pools_len == 1 ? p->sole_origin : 0;
 }
 
 static void
@@ -147,15 +149,10 @@
     if (!r->resumable)
         return;
     r->takes_up = request->resumes;
-    r->stream_key = bbm_hash_text(
-        r->customer, r->takes_up ? request->first_id_hash : request->id_hash);
-    r->stream_key = r->stream_key ? r->stream_key : 1;
+    uint64_t first = r->takes_up ? request->first_id_hash : request->id_hash;
+    r->stream_key = first ? bbm_hash_text(r->customer, first) : 0;
     if (!r->takes_up || has_sole_origin(g, r))
         return;
-    if (!request->first_id_hash) {
-        use_origin(r, 0, "");
-        return;
-    }
     uint64_t origin =
         bbm_origins_find(g->origins, r->stream_key, g->now / BBM_MS);
     if (origin) {
@@ -228,7 +225,9 @@
         return g->now < r->origin_deadline ? GATE_ORIGIN_WAIT
                                            : GATE_ORIGIN_REFUSE;
     case GATE_ORIGIN_UNKNOWN:
-        *reason = "nobody knows where the stream began";
+        *reason = r->stream_key
+                      ? "nobody knows where the stream began"
+                      : "the client doesn't say which stream it takes up";
         return GATE_ORIGIN_REFUSE;
     }
     return GATE_ORIGIN_REFUSE;
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -555,8 +555,10 @@
 /* ---- node_origins.c ---- */
 
 /** Finds where a stream began that a request takes up, and tells the gate now
- *  or once the leader has answered. */
-void node_origins_find(bbm_node *n, uint64_t request, uint64_t stream);
+ *  or once the leader has answered.  @p stream and @p listed are as in
+ *  BBM_GATE_FIND_ORIGIN. */
+void node_origins_find(bbm_node *n, uint64_t request, uint64_t stream,
+                       uint64_t listed);
 /** Reports the origins of new streams.  Leader: proposes those received. */
 void node_origins_tick(bbm_node *n);
 /** Leader: processes a report of origins. */
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -553,7 +553,8 @@
                      out->u.pool_reach.pool, "");
             break;
         case BBM_GATE_FIND_ORIGIN:
-            node_origins_find(n, out->request, out->u.find_origin.stream);
+            node_origins_find(n, out->request, out->u.find_origin.stream,
+                              out->u.find_origin.listed);
             break;
         case BBM_GATE_DISCONNECTED:
             process_disconnected(n, out);
--- a/node/node_origins.c
+++ b/node/node_origins.c
@@ -85,15 +85,24 @@
     n->pending_origins_len = 0;
 }
 
-/* Leader: true if it knows of a stream, or that nobody does. */
+/* Leader: true if it knows where a stream began, or that nobody does.  What
+   isn't on record began at @p listed if no known stream of its pool began
+   elsewhere. */
 static bool
-look_up(const bbm_node *n, uint64_t stream, uint64_t *origin)
+look_up(const bbm_node *n, uint64_t stream, uint64_t listed, uint64_t *origin)
 {
+    const bbm_origins *replicated = bbm_state_origins(n->state);
     *origin = bbm_origins_find(n->origins_received, stream, now_ms(n));
     if (!*origin)
-        *origin =
-            bbm_origins_find(bbm_state_origins(n->state), stream, n->wall_ms);
-    return *origin || n->applied_index >= n->term_first_index;
+        *origin = bbm_origins_find(replicated, stream, n->wall_ms);
+    if (*origin)
+        return true;
+    if (n->applied_index < n->term_first_index)
+        return false;
+    if (bbm_origins_is_sole(n->origins_received, listed)
+        && bbm_origins_is_sole(replicated, listed))
+        *origin = listed;
+    return true;
 }
 
 /* ---- messages ---- */
@@ -109,10 +118,12 @@
 {
     uint64_t request = bbm_get_u64(rd);
     uint64_t stream = bbm_get_u64(rd);
+    uint64_t listed = bbm_get_u64(rd);
     uint64_t origin;
     if (!bbm_reader_done(rd))
         return BBM_ERR_DECODE;
-    if (!n->origins_received || !node_leads(n) || !look_up(n, stream, &origin))
+    if (!n->origins_received || !node_leads(n)
+        || !look_up(n, stream, listed, &origin))
         return BBM_OK;
     bbm_buf *buf = node_send(n, from, NODE_ORIGIN);
     bbm_put_u64(buf, request);
@@ -135,11 +146,12 @@
 /* ---- this VM ---- */
 
 void
-node_origins_find(bbm_node *n, uint64_t request, uint64_t stream)
+node_origins_find(bbm_node *n, uint64_t request, uint64_t stream,
+                  uint64_t listed)
 {
     uint64_t origin;
     if (node_leads(n)) {
-        if (n->origins_received && look_up(n, stream, &origin))
+        if (n->origins_received && look_up(n, stream, listed, &origin))
             bbm_gate_set_origin(n->gate, request, origin, n->now);
         return;
     }
@@ -148,6 +160,7 @@
     bbm_buf *buf = node_send(n, n->leader, NODE_ORIGIN_QUERY);
     bbm_put_u64(buf, request);
     bbm_put_u64(buf, stream);
+    bbm_put_u64(buf, listed);
 }
 
 static void
--- a/pool/bbm_origins.c
+++ b/pool/bbm_origins.c
@@ -6,6 +6,9 @@
 #include <sys/queue.h>
 #include <uthash.h>
 
+/* The hash of the pool is in the upper half of an origin. */
+#define POOL_SHIFT 32
+
 typedef struct origin_entry {
     uint64_t stream;
     uint64_t origin;
@@ -14,8 +17,16 @@
     UT_hash_handle hh;
 } origin_entry;
 
+/* Number of streams that began at an origin. */
+typedef struct origin_count {
+    uint64_t origin;
+    size_t streams;
+    UT_hash_handle hh;
+} origin_count;
+
 struct bbm_origins {
     size_t rows_max;
+    origin_count *counts;
     origin_entry *entries;
     TAILQ_HEAD(, origin_entry) by_age;
 };
@@ -23,7 +34,8 @@
 uint64_t
 bbm_origin_of(const char *pool, const char *build)
 {
-    uint64_t origin = bbm_hash_text(build, bbm_hash_text(pool, 0));
+    uint64_t origin = (bbm_hash_text(pool, 0) << POOL_SHIFT)
+                      | (uint32_t)bbm_hash_text(build, 0);
     return origin ? origin : 1;
 }
 
@@ -36,9 +48,34 @@
     return o;
 }
 
+static void
+count_origin(bbm_origins *o, uint64_t origin)
+{
+    origin_count *c = NULL;
+    HASH_FIND(hh, o->counts, &origin, sizeof(origin), c);
+    if (!c) {
+        c = bbm_calloc(1, sizeof(*c));
+        c->origin = origin;
+        HASH_ADD(hh, o->counts, origin, sizeof(c->origin), c);
+    }
+    c->streams++;
+}
+
+static void
+discount_origin(bbm_origins *o, uint64_t origin)
+{
+    origin_count *c = NULL;
+    HASH_FIND(hh, o->counts, &origin, sizeof(origin), c);
+    if (--c->streams)
+        return;
+    HASH_DEL(o->counts, c);
+    free(c);
+}
+
 static void
 remove_entry(bbm_origins *o, origin_entry *e)
 {
+    discount_origin(o, e->origin);
     HASH_DEL(o->entries, e);
     TAILQ_REMOVE(&o->by_age, e, link);
     free(e);
@@ -72,6 +109,7 @@
     e->stream = stream;
     e->origin = origin;
     e->until_ms = until_ms;
+    count_origin(o, origin);
     HASH_ADD(hh, o->entries, stream, sizeof(e->stream), e);
     TAILQ_INSERT_TAIL(&o->by_age, e, link);
 }
@@ -97,6 +135,17 @@
     return e && now_ms < e->until_ms ? e->origin : 0;
 }
 
+bool
+bbm_origins_is_sole(const bbm_origins *o, uint64_t origin)
+{
+    for (const origin_count *c = o->counts; c; c = c->hh.next) {
+        if (c->origin != origin
+            && c->origin >> POOL_SHIFT == origin >> POOL_SHIFT)
+            return false;
+    }
+    return true;
+}
+
 void
 bbm_origins_expire(bbm_origins *o, int64_t now_ms)
 {
--- a/pool/bbm_origins.h
+++ b/pool/bbm_origins.h
@@ -7,8 +7,9 @@
  *  that brought its first event, and may do so at a VM that has never seen
  *  that attempt.
  *
- *  An origin is a hash of a pool and a build; a stream is named by a hash of
- *  its customer and of that attempt's id.  Both are never 0.
+ *  An origin is a hash of a pool, in its upper half, and of a build; a stream
+ *  is named by a hash of its customer and of that attempt's id.  Both are
+ * never 0.
  *
  *      bbm_origins *o = bbm_origins_create(1024);
  *      bbm_origins_add(o, &row, now);
@@ -50,6 +51,9 @@
 /** The origin of a stream; 0: unknown. */
 uint64_t bbm_origins_find(const bbm_origins *o, uint64_t stream,
                           int64_t now_ms);
+/** True if no known stream of the same pool began elsewhere, at another build.
+ */
+bool bbm_origins_is_sole(const bbm_origins *o, uint64_t origin);
 /** Remove the rows whose life has ended. */
 void bbm_origins_expire(bbm_origins *o, int64_t now_ms);
 /** Number of rows. */
--- a/tests/gate_world.c
+++ b/tests/gate_world.c
@@ -515,7 +515,8 @@
             w->queries = bbm_realloc(w->queries, (w->queries_len + 1)
                                                      * sizeof(*w->queries));
             w->queries[w->queries_len++] = (struct world_query){
-                vm, out->request, out->u.find_origin.stream};
+                vm, out->request, out->u.find_origin.stream,
+                out->u.find_origin.listed};
             break;
         case BBM_GATE_ENDED:
             handle_end(w, c, out->u.ended.status);
@@ -811,9 +812,10 @@
     int64_t now_ms = w->now / BBM_MS;
     for (size_t i = 0; i < w->queries_len; i++) {
         const struct world_query *q = &w->queries[i];
-        bbm_gate_set_origin(w->gates[q->vm], q->request,
-                            bbm_origins_find(w->origins, q->stream, now_ms),
-                            w->now);
+        uint64_t origin = bbm_origins_find(w->origins, q->stream, now_ms);
+        if (!origin && bbm_origins_is_sole(w->origins, q->listed))
+            origin = q->listed;
+        bbm_gate_set_origin(w->gates[q->vm], q->request, origin, w->now);
         drain_outputs(w, q->vm);
     }
     w->queries_len = 0;
--- a/tests/gate_world.h
+++ b/tests/gate_world.h
@@ -185,6 +185,7 @@
         int vm;
         uint64_t request;
         uint64_t stream;
+        uint64_t listed;
     } * queries;                 /**< For origins, not answered yet. */
     size_t queries_len;          /**< Their number. */
     bbm_buf news[WORLD_VMS_MAX]; /**< Sent, not yet delivered. */
--- a/tests/test_takeup.c
+++ b/tests/test_takeup.c
@@ -98,7 +98,7 @@
 }
 
 static void
-send_request(world *w, int node, int number, bool takes_up)
+send_request(world *w, int node, int number, bool takes_up, bool names_first)
 {
     bbm_event ev = {.kind = BBM_EV_POOL_REQUEST};
     bbm_gate_request_desc *r = &ev.u.pool_request.request;
@@ -108,7 +108,7 @@
     r->id = "id";
     r->id_hash = r->request + 1000;
     r->resumes = takes_up;
-    r->first_id_hash = (uint64_t)(number + STREAMS + 1000);
+    r->first_id_hash = names_first ? (uint64_t)(number + STREAMS + 1000) : 0;
     r->model = "";
     r->prompt_tokens = r->output_tokens_max = -1;
     ck_assert(fleet_deliver(w->fleet, node, &ev));
@@ -142,7 +142,7 @@
 begin_streams(world *w, bbm_time span)
 {
     for (int i = 0; i < STREAMS; i++) {
-        send_request(w, i % NODES, i, false);
+        send_request(w, i % NODES, i, false, false);
         run(w, STEP_MS * BBM_MS);
     }
     run(w, span);
@@ -150,12 +150,12 @@
 
 /* Each stream is taken up at another VM than the one where it began. */
 static void
-take_up_streams(world *w)
+take_up_streams(world *w, bool names_first)
 {
     for (int i = 0; i < STREAMS; i++) {
         w->streams[i].next[0] = '\0';
         w->streams[i].code = BBM_OK;
-        send_request(w, (i + 1) % NODES, i, true);
+        send_request(w, (i + 1) % NODES, i, true, names_first);
     }
     run(w, 2 * BBM_SECOND);
 }
@@ -179,7 +179,7 @@
     world w;
     create(&w);
     begin_streams(&w, 300 * BBM_MS);
-    take_up_streams(&w);
+    take_up_streams(&w, true);
     check_all_went_on(&w);
     fleet_destroy(w.fleet);
 }
@@ -195,7 +195,7 @@
     for (int i = 0; i < NODES; i++)
         fleet_start(w.fleet, i);
     run(&w, 5 * BBM_SECOND);
-    take_up_streams(&w);
+    take_up_streams(&w, true);
     check_all_went_on(&w);
     fleet_destroy(w.fleet);
 }
@@ -211,7 +211,7 @@
     run(&w, 5 * BBM_SECOND);
     fleet_start(w.fleet, leader);
     run(&w, 3 * BBM_SECOND);
-    take_up_streams(&w);
+    take_up_streams(&w, true);
     /* What began at the lost VM just before it was lost may be unknown, but
        isn't sent to another build. */
     size_t went_on = 0;
@@ -234,7 +234,7 @@
     begin_streams(&w, 300 * BBM_MS);
     w.one_build = true;
     run(&w, 3 * BBM_SECOND);
-    take_up_streams(&w);
+    take_up_streams(&w, true);
     size_t refused = 0;
     for (int i = 0; i < STREAMS; i++) {
         const stream *s = &w.streams[i];
@@ -264,7 +264,40 @@
 }
 END_TEST
 
+/* A client that doesn't name the first attempt, as clients didn't before there
+   were builds. */
+START_TEST(unnamed_stream_goes_on_only_where_one_build_is_possible)
+{
+    world w;
+    create(&w);
+    w.one_build = true;
+    run(&w, 3 * BBM_SECOND);
+    begin_streams(&w, 500 * BBM_MS);
+    for (int i = 0; i < NODES; i++)
+        fleet_crash(w.fleet, i);
+    for (int i = 0; i < NODES; i++)
+        fleet_start(w.fleet, i);
+    run(&w, 5 * BBM_SECOND);
+    take_up_streams(&w, false);
+    for (int i = 0; i < STREAMS; i++)
+        ck_assert_str_eq(w.streams[i].next, "v2");
+    fleet_destroy(w.fleet);
+    /* The other build has just left. */
+    create(&w);
+    begin_streams(&w, 300 * BBM_MS);
+    w.one_build = true;
+    run(&w, 3 * BBM_SECOND);
+    take_up_streams(&w, false);
+    for (int i = 0; i < STREAMS; i++) {
+        ck_assert_str_eq(w.streams[i].next, "");
+        ck_assert_int_eq(w.streams[i].code, BBM_ERR_STREAM_ORIGIN);
+    }
+    fleet_destroy(w.fleet);
+}
+END_TEST
+
 TEST_MAIN("takeup", stream_is_taken_up_at_its_build_at_another_vm,
           stream_is_taken_up_at_its_build_after_all_vms_lost_power,
           stream_is_taken_up_at_its_build_after_the_leader_is_lost,
-          stream_that_cannot_go_on_is_refused_at_once);
+          stream_that_cannot_go_on_is_refused_at_once,
+          unnamed_stream_goes_on_only_where_one_build_is_possible);
