--- a/tests/gate_world.c
+++ b/tests/gate_world.c
@@ -160,7 +160,7 @@
                          .retry_slack = 100});
     bbm_gate_configure(g, w->cfg, w->now);
     bbm_gate_set_vm_count(g, (size_t)w->load.vms, w->load.vms > 16);
-    uint64_t names[WORLD_VMS_MAX];
+    uint64_t names[WORLD_VMS_MAX] = {0};
     for (int i = 0; i < w->load.vms; i++)
         names[i] = (uint64_t)i + 1;
     bbm_gate_set_vms(g, names, (size_t)w->load.vms, names[vm]);
--- a/tests/test_takeup.c
+++ b/tests/test_takeup.c
@@ -104,7 +104,8 @@
     bbm_gate_request_desc *r = &ev.u.pool_request.request;
     ev.u.pool_request.host = "h";
     ev.u.pool_request.path = "/ask/x";
-    r->request = (uint64_t)(number + STREAMS * (1 + takes_up));
+    uint64_t first = (uint64_t)number + STREAMS;
+    r->request = takes_up ? first + STREAMS : first;
     r->id = "id";
     r->id_hash = r->request + 1000;
     r->resumes = takes_up;
@@ -249,7 +250,7 @@
     bbm_gate_request_desc *r = &ev.u.pool_request.request;
     ev.u.pool_request.host = "h";
     ev.u.pool_request.path = "/ask/x";
-    *r = (bbm_gate_request_desc){.request = 10 * STREAMS,
+    *r = (bbm_gate_request_desc){.request = (uint64_t)10 * STREAMS,
                                  .id = "id",
                                  .model = "",
                                  .resumes = true,
