A stream that is taken up before the first listing waits for it

A VM that has just started, and knows where a stream began, refused its take-up at once, as no upstream of that build was listed: none was. Found by reading; the test fails before. It waits now as any request without an upstream.

--- a/gate/gate_origin.c
+++ b/gate/gate_origin.c
@@ -10,8 +10,8 @@
    it.  Within one answer this VM knows that build; for a client that takes a
    stream up again it is looked up: here, then in the replicated state. */
 
-/* A stream begins at the latest by its deadline, and its client may take it up
-   a little later. */
+/* A client may take a stream up until the deadline of the request that began
+   it; clocks and messages need some more. */
 #define LIFE_MARGIN (5 * BBM_SECOND)
 /* If the answer to a look-up is late, it is repeated after this time.  A
    request waits this long for a leader that can answer. */
@@ -197,10 +197,13 @@
     return false;
 }
 
-/* True if an upstream of the stream's build is listed and doesn't leave. */
+/* True if an upstream of the stream's build is listed and doesn't leave, or if
+   there was no listing yet. */
 static bool
 is_served(const bbm_gate *g, const gate_request *r)
 {
+    if (!g->places_since)
+        return true;
     for (const gate_upstream *u = g->upstreams; u; u = u->hh.next) {
         if (u->listed && u->pool && !gate_is_leaving(u)
             && u->origin == r->origin)
--- a/tests/test_takeup.c
+++ b/tests/test_takeup.c
@@ -297,8 +297,38 @@
 }
 END_TEST
 
+/* A VM that has just started gets the listing soon. */
+START_TEST(stream_is_not_refused_before_the_first_listing)
+{
+    bbm_doc_errors errors = {0};
+    bbm_time now = BBM_SECOND;
+    bbm_config *cfg =
+        bbm_config_create(config_text, strlen(config_text), &errors);
+    bbm_gate *g = bbm_gate_create(&(bbm_gate_desc){.zone = "z"});
+    bbm_gate_configure(g, cfg, now);
+    bbm_gate_request_desc r = {.request = 1,
+                               .id = "id",
+                               .model = "",
+                               .resumes = true,
+                               .first_id_hash = 77,
+                               .prompt_tokens = -1,
+                               .output_tokens_max = -1};
+    bbm_gate_begin_request(g, &r, bbm_config_host_route(cfg, "h", "/ask/x"),
+                           NULL, now);
+    const bbm_gate_output *out = bbm_gate_next_output(g);
+    ck_assert_ptr_nonnull(out);
+    ck_assert_int_eq(out->kind, BBM_GATE_FIND_ORIGIN);
+    bbm_gate_set_origin(g, 1, bbm_origin_of("p", "v1"), now);
+    ck_assert_ptr_null(bbm_gate_next_output(g));
+    ck_assert(bbm_gate_has_request(g, 1));
+    bbm_gate_destroy(g);
+    bbm_config_destroy(cfg);
+}
+END_TEST
+
 TEST_MAIN("takeup", stream_is_taken_up_at_its_build_at_another_vm,
           stream_is_taken_up_at_its_build_after_all_vms_lost_power,
           stream_is_taken_up_at_its_build_after_the_leader_is_lost,
           stream_that_cannot_go_on_is_refused_at_once,
-          unnamed_stream_goes_on_only_where_one_build_is_possible);
+          unnamed_stream_goes_on_only_where_one_build_is_possible,
+          stream_is_not_refused_before_the_first_listing);
