--- a/node/node_core.h
+++ b/node/node_core.h
@@ -363,6 +363,8 @@
     bbm_buf pending_origins;       /**< Leader: rows of the next batch. */
     size_t pending_origins_len;    /**< Number of these rows. */
     uint64_t origins_proposal;     /**< Proposal of the last batch. */
+    uint64_t origins_dropped_term; /**< Last term in which rows were dropped,
+                                        and that was logged. */
     uint64_t origins_term;         /**< Term of the leader that was last sent
                                         origins. */
     bbm_time next_origins_at;      /**< Next report of origins. */
--- a/node/node_origins.c
+++ b/node/node_origins.c
@@ -27,6 +27,17 @@
 
 /* ---- the leader ---- */
 
+/* One line per term: a stream whose row is dropped can't be taken up at
+   another VM. */
+static void
+log_dropped_rows(bbm_node *n)
+{
+    if (n->origins_dropped_term == n->leader_term)
+        return;
+    n->origins_dropped_term = n->leader_term;
+    node_log(n, BBM_EVENT_DROPPED, "origins of streams", "");
+}
+
 /* Adds rows to the next batch. */
 static int
 receive_rows(bbm_node *n, bbm_reader *rd)
@@ -35,10 +46,14 @@
     for (size_t i = 0; i < len && !rd->failed; i++) {
         bbm_origin_row row;
         bbm_origin_row_get(rd, &row);
-        if (rd->failed || !n->origins_received
-            || n->pending_origins.len > PENDING_BYTES_MAX
-            || n->pending_origins_len == BBM_ORIGIN_ROWS_MAX)
+        /* The sender repeats its rows to the next leader. */
+        if (rd->failed || !n->origins_received)
+            continue;
+        if (n->pending_origins.len > PENDING_BYTES_MAX
+            || n->pending_origins_len == BBM_ORIGIN_ROWS_MAX) {
+            log_dropped_rows(n);
             continue;
+        }
         bbm_origins_add(n->origins_received, &row, now_ms(n));
         bbm_origin_row_put(&n->pending_origins, &row);
         n->pending_origins_len++;
