--- a/gate/gate_origin.c
+++ b/gate/gate_origin.c
@@ -75,7 +75,9 @@
     list->len -= old;
     if (list->unreported > list->len)
         list->unreported = list->len;
-    memmove(list->items, list->items + old, list->len * sizeof(*list->items));
+    if (old)
+        memmove(list->items, list->items + old,
+                list->len * sizeof(*list->items));
     bbm_grow(&list->items, &list->cap, list->len, sizeof(*list->items));
     list->items[list->len].row = *row;
     list->items[list->len].at = g->now;
