--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -577,7 +577,7 @@
     if (ex->parsed_headers.client_timeout_ms > 0 && left_ms < 1)
         left_ms = 1;
     if (x->send.relay) {
-        char relayed[RELAY_HEADER_SIZE];
+        char relayed[PLATFORM_RELAYED_SIZE];
         relay_header_write(ex, x->send.attempts_used, x->thread->secret,
                            relayed);
         platform_relay_headers(relayed, left_ms, add_request_header, x);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -25,7 +25,7 @@
 
 void
 relay_header_write(const exchange *ex, uint32_t attempts_used,
-                   const uint8_t *secret, char value[RELAY_HEADER_SIZE])
+                   const uint8_t *secret, char value[PLATFORM_RELAYED_SIZE])
 {
     char key[2 * BBM_DIGEST_SIZE + 1] = NO_KEY;
     char mac_text[2 * BBM_DIGEST_SIZE + 1];
@@ -33,7 +33,7 @@
         bbm_digest_hex(&ex->key_digest, key);
     bbm_digest mac = mac_of(ex, attempts_used, key, secret);
     bbm_digest_hex(&mac, mac_text);
-    snprintf(value, RELAY_HEADER_SIZE, "%u %s %s", attempts_used, key,
+    snprintf(value, PLATFORM_RELAYED_SIZE, "%u %s %s", attempts_used, key,
              mac_text);
 }
 
--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -86,8 +86,10 @@
 {
     gate_queued_output *q = bbm_calloc(1, sizeof(*q));
     q->out.kind = kind;
-    q->out.request = r->number;
-    bbm_name_set(q->out.id, r->id);
+    if (r) {
+        q->out.request = r->number;
+        bbm_name_set(q->out.id, r->id);
+    }
     STAILQ_INSERT_TAIL(&g->outputs, q, link);
     return &q->out;
 }
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -137,8 +137,8 @@
     bool stream;            /**< The answer is an event stream. */
     bool resumable;         /**< The stream can resume on another upstream. */
     bool fresh_connection;  /**< Use no connection that is open already. */
-    bool relay; /**< `upstream` and `address` are another VM, which forwards
-                   the request as this VM would. */
+    bool relay;             /**< `upstream` and `address` are another VM, which
+                                 forwards the request as this VM would. */
     uint32_t attempts_used; /**< With relay: attempts that may have run it. */
 } bbm_forward_request;
 
@@ -384,8 +384,6 @@
 /** Set the other VMs that may forward requests which this VM can't send to
  *  their upstreams. */
 void bbm_gate_set_peers(bbm_gate *g, const bbm_gate_peer *peers, size_t len);
-/** True if a VM has said that it reaches no upstream of some pool. */
-bool bbm_gate_is_cut_off(const bbm_gate *g, uint64_t vm);
 /** Set the calendar time at @p now, in nanoseconds.  It should be about the
  *  same on all VMs; a difference moves the turns of this VM. */
 void bbm_gate_set_calendar(bbm_gate *g, bbm_time calendar, bbm_time now);
--- a/gate/bbm_turns.c
+++ b/gate/bbm_turns.c
@@ -44,19 +44,40 @@
                       * (double)requests_per_turn(t));
 }
 
+static uint64_t
+weight_of(const bbm_turn_order *order, int64_t turn, uint64_t vm)
+{
+    uint64_t seed = bbm_hash64(&turn, sizeof(turn), order->id);
+    return bbm_hash64(&vm, sizeof(vm), seed);
+}
+
 bool
 bbm_turn_is_own(const bbm_turn_order *order, int64_t turn)
 {
-    uint64_t seed = bbm_hash64(&turn, sizeof(turn), order->id);
-    uint64_t own = bbm_hash64(&order->self, sizeof(order->self), seed);
+    uint64_t own = weight_of(order, turn, order->self);
     for (size_t i = 0; i < order->vms_len; i++) {
         if (order->vms[i] != order->self
-            && bbm_hash64(&order->vms[i], sizeof(order->vms[i]), seed) > own)
+            && weight_of(order, turn, order->vms[i]) > own)
             return false;
     }
     return true;
 }
 
+uint64_t
+bbm_turn_owner(const bbm_turn_order *order, int64_t turn)
+{
+    uint64_t owner = order->self;
+    uint64_t highest = weight_of(order, turn, owner);
+    for (size_t i = 0; i < order->vms_len; i++) {
+        uint64_t weight = weight_of(order, turn, order->vms[i]);
+        if (weight <= highest)
+            continue;
+        highest = weight;
+        owner = order->vms[i];
+    }
+    return owner;
+}
+
 /* Largest number of requests for which a VM has turns at the same time: its
    share of the limit over the time that a turn lasts. */
 static uint32_t
--- a/gate/bbm_turns.h
+++ b/gate/bbm_turns.h
@@ -63,6 +63,8 @@
 
 /** True if a turn belongs to this VM. */
 bool bbm_turn_is_own(const bbm_turn_order *order, int64_t turn);
+/** The hash of the VM that a turn belongs to. */
+uint64_t bbm_turn_owner(const bbm_turn_order *order, int64_t turn);
 /** Set the limit, in requests per second; turns before @p now are gone.  No
  *  effect if it is the present one. */
 void bbm_turns_set_limit(bbm_turns *t, double limit, bbm_time now);
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -24,8 +24,8 @@
 
 /* ---- answers ---- */
 
-static gate_request *
-find_request(const bbm_gate *g, uint64_t number)
+gate_request *
+gate_find_request(const bbm_gate *g, uint64_t number)
 {
     gate_request *r = NULL;
     HASH_FIND(hh, g->requests, &number, sizeof(number), r);
@@ -35,7 +35,7 @@
 bool
 bbm_gate_has_request(const bbm_gate *g, uint64_t request)
 {
-    return find_request(g, request) != NULL;
+    return gate_find_request(g, request) != NULL;
 }
 
 void
@@ -44,7 +44,7 @@
                      bbm_time now)
 {
     gate_advance(g, now);
-    gate_request *r = find_request(g, request);
+    gate_request *r = gate_find_request(g, request);
     if (!r || r->stage != GATE_SENT || r->attempts != attempt)
         return;
     r->stage = GATE_ANSWERING;
@@ -73,7 +73,7 @@
                          bbm_time began_at, bbm_time now)
 {
     gate_advance(g, now);
-    const gate_request *r = find_request(g, request);
+    const gate_request *r = gate_find_request(g, request);
     if (r && r->stage == GATE_ANSWERING && r->attempts == attempt
         && !r->is_relaying)
         gate_record_sound_answer(g, r, began_at);
@@ -223,7 +223,7 @@
                      bbm_time now)
 {
     gate_advance(g, now);
-    gate_request *r = find_request(g, result->request);
+    gate_request *r = gate_find_request(g, result->request);
     if (!r || r->stage == GATE_WAITING || r->attempts != result->attempt)
         return;
     if (r->is_relaying) {
@@ -262,7 +262,7 @@
 bbm_gate_client_disconnected(bbm_gate *g, uint64_t request, bbm_time now)
 {
     gate_advance(g, now);
-    gate_request *r = find_request(g, request);
+    gate_request *r = gate_find_request(g, request);
     if (!r)
         return;
     g->counts.client_disconnects++;
--- a/gate/gate_brittle.c
+++ b/gate/gate_brittle.c
@@ -35,31 +35,15 @@
     return g->now < p->brittle_until;
 }
 
-/* A slot of a service belongs to one VM, by rendezvous hashing.  Its calls end
-   within milliseconds, so that reports of other VMs' load come too late. */
-static uint64_t
-slot_owner(const bbm_gate *g, const gate_upstream *u, uint32_t slot)
-{
-    uint64_t owner = g->self_hash;
-    uint64_t highest = 0;
-    uint64_t seed = bbm_hash64(&slot, sizeof(slot), u->hash);
-    for (size_t i = 0; i < g->vm_hashes_len; i++) {
-        uint64_t weight =
-            bbm_hash64(&g->vm_hashes[i], sizeof(g->vm_hashes[i]), seed);
-        if (weight < highest)
-            continue;
-        highest = weight;
-        owner = g->vm_hashes[i];
-    }
-    return owner;
-}
-
+/* A slot of a service belongs to one VM, as turns do.  Its calls end within
+   milliseconds, so that reports of other VMs' load come too late. */
 static uint32_t
 owned_slots(const bbm_gate *g, const gate_upstream *u)
 {
+    bbm_turn_order order = gate_turn_order(g, u->hash);
     uint32_t owned = 0;
     for (uint32_t slot = 0; slot < gate_slots_of(u); slot++)
-        owned += slot_owner(g, u, slot) == g->self_hash;
+        owned += bbm_turn_is_own(&order, slot);
     return owned;
 }
 
@@ -79,20 +63,25 @@
     const gate_pool *p = gate_find_pool(g, r->pools[0]);
     if (!p || p->is_engine || !gate_is_brittle(g, p) || r->is_relayed)
         return false;
-    uint64_t owner = 0;
+    const gate_upstream *drawn = NULL;
     uint64_t slots = 0;
+    uint64_t at = 0;
     for (const gate_upstream *u = g->upstreams; u; u = u->hh.next) {
         if (u->pool != p || !u->listed || gate_is_leaving(u))
             continue;
-        for (uint32_t slot = 0; slot < gate_slots_of(u); slot++) {
-            uint64_t vm = slot_owner(g, u, slot);
-            if (vm == g->self_hash)
-                return false;
-            if (bbm_rng_below(&g->rng, ++slots) == 0)
-                owner = vm;
-        }
+        if (owned_slots(g, u))
+            return false;
+        slots += gate_slots_of(u);
+        uint64_t slot = slots ? bbm_rng_below(&g->rng, slots) : 0;
+        if (slot >= gate_slots_of(u))
+            continue;
+        drawn = u;
+        at = slot;
     }
-    return owner && gate_relay_to(g, r, owner);
+    if (!drawn)
+        return false;
+    bbm_turn_order order = gate_turn_order(g, drawn->hash);
+    return gate_relay_to(g, r, bbm_turn_owner(&order, (int64_t)at));
 }
 
 /* The other VMs hear of a refusal as of a pause. */
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -237,13 +237,13 @@
     uint64_t origin;           /**< GATE_ORIGIN_KNOWN. */
     bbm_time origin_asked_at;  /**< GATE_ORIGIN_ASKED: last time. */
     bbm_time origin_deadline;  /**< GATE_ORIGIN_ASKED: end of the wait. */
-    uint32_t unsent; /**< Attempts whose connection failed though other VMs
-                        reach the upstream. */
-    bool is_trial_connection; /**< The next attempt tries whether a pool that
-                                   is cut off can be reached again. */
-    bool is_relayed;          /**< It comes from another VM. */
-    bool is_relaying;         /**< Another VM forwards it now. */
-    uint32_t relays;          /**< Number of VMs that were to forward it. */
+    uint32_t unsent;           /**< Attempts whose connection failed though
+                                    other VMs reach the upstream. */
+    bool is_trial_connection;  /**< The next attempt tries whether a pool that
+                                    is cut off can be reached again. */
+    bool is_relayed;           /**< It comes from another VM. */
+    bool is_relaying;          /**< Another VM forwards it now. */
+    uint32_t relays;           /**< Number of VMs that were to forward it. */
     uint64_t relay_vms[GATE_RELAYS_MAX]; /**< These VMs, by hash. */
     const char *previous_outcome; /**< How the previous attempt ended; NULL:
                                        there was none. */
@@ -365,10 +365,15 @@
     g->now = now;
 }
 
-/** Queue an output that concerns a request; the caller fills it in. */
+/** Queue an output that concerns a request, or none (NULL); the caller fills
+ * it in. */
 bbm_gate_output *gate_push_output(bbm_gate *g, bbm_gate_kind kind,
                                   const gate_request *r);
 
+/** Forget all failures of an upstream. */
+void gate_reset_health(gate_upstream *u);
+/** Find an open request by its number, or NULL. */
+gate_request *gate_find_request(const bbm_gate *g, uint64_t number);
 /** Find an upstream by the hash of its id, or NULL. */
 gate_upstream *gate_find_upstream(const bbm_gate *g, uint64_t hash);
 /** Record a placement of this VM, and queue it for the other VMs. */
@@ -626,9 +631,6 @@
  *  answers haven't begun and whose prompts have a quarantined part. */
 void gate_apply_quarantine(bbm_gate *g);
 
-/** Forget all failures of an upstream. */
-void gate_reset_health(gate_upstream *u);
-
 /* ---- gate_reach.c ---- */
 
 /** Record that a connection to an upstream failed, or that it hung.  Returns
@@ -691,6 +693,8 @@
 void gate_dequeue(bbm_gate *g, gate_request *r);
 /** Remove and free a request. */
 void gate_request_free(bbm_gate *g, gate_request *r);
+/** Queue the output that sends a request; the caller fills in the rest. */
+bbm_gate_output *gate_push_send(bbm_gate *g, const gate_request *r);
 /** Send a request to the chosen upstream. */
 void gate_send(bbm_gate *g, gate_request *r, const gate_choice *c);
 /** Remove a request from the counters of its upstream, if it has one. */
--- a/gate/gate_limit.c
+++ b/gate/gate_limit.c
@@ -95,10 +95,8 @@
 void
 gate_push_limit(bbm_gate *g, const gate_upstream *u, bool reported)
 {
-    static const gate_request no_request = {0};
     bool limited = u->limit.kind == BBM_LIMIT_SET;
-    bbm_gate_output *out =
-        gate_push_output(g, BBM_GATE_UPSTREAM_NOTICE, &no_request);
+    bbm_gate_output *out = gate_push_output(g, BBM_GATE_UPSTREAM_NOTICE, NULL);
     bbm_name_set(out->u.upstream_notice.upstream, u->info.id);
     out->u.upstream_notice.notice.limited = limited;
     out->u.upstream_notice.notice.limit = (double)u->limit.per_1000_s / 1000;
--- a/gate/gate_origin.c
+++ b/gate/gate_origin.c
@@ -119,7 +119,6 @@
         .origin = origin,
         .life_ms = (r->deadline - g->now + LIFE_MARGIN) / BBM_MS,
     };
-    bbm_origins_expire(g->origins, g->now / BBM_MS);
     bbm_origins_add(g->origins, &row, g->now / BBM_MS);
     report_origin(g, &row);
 }
@@ -173,8 +172,7 @@
                     bbm_time now)
 {
     gate_advance(g, now);
-    gate_request *r = NULL;
-    HASH_FIND(hh, g->requests, &request, sizeof(request), r);
+    gate_request *r = gate_find_request(g, request);
     if (!r || r->origin_state != GATE_ORIGIN_ASKED)
         return;
     use_origin(r, origin, "the control group");
--- a/gate/gate_quarantine.c
+++ b/gate/gate_quarantine.c
@@ -185,10 +185,8 @@
 static void
 push_change(bbm_gate *g, const bbm_quarantine_change *change)
 {
-    static const gate_request no_request = {0};
     const bbm_quarantine_entry *e = &change->entry;
-    bbm_gate_output *out =
-        gate_push_output(g, BBM_GATE_QUARANTINE, &no_request);
+    bbm_gate_output *out = gate_push_output(g, BBM_GATE_QUARANTINE, NULL);
     out->u.quarantine.change = *change;
     char *text = out->u.quarantine.upstreams;
     size_t size = sizeof(out->u.quarantine.upstreams);
--- a/gate/gate_reach.c
+++ b/gate/gate_reach.c
@@ -33,9 +33,7 @@
 static void
 push_reach(bbm_gate *g, const gate_pool *p)
 {
-    static const gate_request no_request = {0};
-    bbm_gate_output *out =
-        gate_push_output(g, BBM_GATE_POOL_REACH, &no_request);
+    bbm_gate_output *out = gate_push_output(g, BBM_GATE_POOL_REACH, NULL);
     bbm_name_set(out->u.pool_reach.pool, p->name);
     out->u.pool_reach.cut = p->cut;
 }
@@ -138,6 +136,14 @@
     }
 }
 
+static gate_peer *
+find_peer(const bbm_gate *g, uint64_t vm)
+{
+    gate_peer *p = NULL;
+    HASH_FIND(hh, g->peers, &vm, sizeof(vm), p);
+    return p;
+}
+
 void
 gate_put_cut_pools(const bbm_gate *g, bbm_buf *buf)
 {
@@ -159,8 +165,7 @@
 void
 gate_get_cut_pools(bbm_gate *g, bbm_reader *rd, uint64_t vm)
 {
-    gate_peer *peer = NULL;
-    HASH_FIND(hh, g->peers, &vm, sizeof(vm), peer);
+    gate_peer *peer = find_peer(g, vm);
     size_t len = 0;
     if (!rd->failed && rd->pos < rd->len)
         len = bbm_get_u32(rd, GATE_CUT_POOLS_MAX);
@@ -190,22 +195,6 @@
     return true;
 }
 
-bool
-bbm_gate_is_cut_off(const bbm_gate *g, uint64_t vm)
-{
-    gate_peer *p = NULL;
-    if (vm == g->self_hash) {
-        for (const gate_pool *pool = g->pools; pool; pool = pool->hh.next) {
-            if (pool->cut)
-                return true;
-        }
-        return false;
-    }
-    HASH_FIND(hh, g->peers, &vm, sizeof(vm), p);
-    return p && p->cut_pools_len
-           && g->now - p->cut_pools_at <= PEER_CUT_MEMORY;
-}
-
 static bool
 has_tried(const gate_request *r, const gate_peer *p)
 {
@@ -261,7 +250,7 @@
     if (p && r->relays == 1)
         bbm_retry_retract_request(&p->retry_budget);
     g->counts.relayed++;
-    bbm_gate_output *out = gate_push_output(g, BBM_GATE_SEND, r);
+    bbm_gate_output *out = gate_push_send(g, r);
     out->u.send.send = (bbm_forward_request){
         .request = r->number,
         .attempt = r->attempts,
@@ -275,9 +264,6 @@
     bbm_name_set(out->u.send.send.upstream, peer->info.name);
     bbm_name_set(out->u.send.send.address, peer->info.address);
     bbm_name_set(out->u.send.send.pool, r->pools[0]);
-    out->u.send.elapsed_ms = (g->now - r->arrived_at) / BBM_MS;
-    out->u.send.previous_outcome = r->previous_outcome;
-    out->u.send.previous_status = r->previous_status;
 }
 
 bool
@@ -292,8 +278,7 @@
 bool
 gate_relay_to(bbm_gate *g, gate_request *r, uint64_t vm)
 {
-    gate_peer *peer = NULL;
-    HASH_FIND(hh, g->peers, &vm, sizeof(vm), peer);
+    const gate_peer *peer = find_peer(g, vm);
     if (!peer || !may_relay(r) || has_tried(r, peer)
         || !reaches(g, peer, r->pools[0]))
         return false;
@@ -321,9 +306,7 @@
 static void
 end_relay_unsent(bbm_gate *g, gate_request *r)
 {
-    gate_peer *peer = NULL;
-    HASH_FIND(hh, g->peers, &r->relay_vms[r->relays - 1], sizeof(uint64_t),
-              peer);
+    gate_peer *peer = find_peer(g, r->relay_vms[r->relays - 1]);
     if (peer)
         peer->avoid_until = g->now + PEER_AVOID_TIME;
     r->is_relaying = false;
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -272,6 +272,16 @@
     memcpy(s->cache_salt, c->cache_salt, sizeof(s->cache_salt));
 }
 
+bbm_gate_output *
+gate_push_send(bbm_gate *g, const gate_request *r)
+{
+    bbm_gate_output *out = gate_push_output(g, BBM_GATE_SEND, r);
+    out->u.send.elapsed_ms = held_ms(g, r);
+    out->u.send.previous_outcome = r->previous_outcome;
+    out->u.send.previous_status = r->previous_status;
+    return out;
+}
+
 void
 gate_send(bbm_gate *g, gate_request *r, const gate_choice *c)
 {
@@ -296,7 +306,7 @@
         bbm_turns_take(&u->turns);
     if (r->prefixes_len)
         bbm_chains_add_request(g->chains, r->chain_key, g->now);
-    bbm_gate_output *out = gate_push_output(g, BBM_GATE_SEND, r);
+    bbm_gate_output *out = gate_push_send(g, r);
     fill_forward_request(r, c, &out->u.send.send);
     out->u.send.origin_source = r->origin_source;
     out->u.send.resumes = r->last_event_id[0] != '\0';
@@ -304,9 +314,6 @@
            sizeof(r->last_event_id));
     out->u.send.candidates = c->candidates;
     out->u.send.expected_ms = (int64_t)c->expected_ms;
-    out->u.send.elapsed_ms = held_ms(g, r);
-    out->u.send.previous_outcome = r->previous_outcome;
-    out->u.send.previous_status = r->previous_status;
     out->u.send.prompt_tokens = (int64_t)r->prompt_tokens;
     out->u.send.held_tokens = (int64_t)c->held_tokens;
     out->u.send.offered_tokens = (int64_t)c->offered_tokens;
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -563,7 +563,7 @@
                        uint64_t listed);
 /** Reports the origins of new streams.  Leader: proposes those received. */
 void node_origins_tick(bbm_node *n);
-/** Leader: processes a report of origins. */
+/** Leader: adds reported origins to its next batch. */
 int node_origins_receive(bbm_node *n, bbm_reader *rd);
 /** Leader: answers where a stream began, if it can. */
 int node_origins_answer(bbm_node *n, const char *from, bbm_reader *rd);
--- a/node/node_origins.c
+++ b/node/node_origins.c
@@ -13,8 +13,6 @@
 
 /* Time between two batches of a VM, and of the leader. */
 #define REPORT_PERIOD (50 * BBM_MS)
-/* Origins that wait for the next batch are dropped beyond this. */
-#define PENDING_BYTES_MAX ((size_t)256 * 1024)
 #define PROPOSAL_TIMEOUT (5 * BBM_SECOND)
 /* Received origins that the leader remembers until they are in the state. */
 #define RECEIVED_MAX 16384
@@ -38,9 +36,8 @@
     node_log(n, BBM_EVENT_DROPPED, "origins of streams", "");
 }
 
-/* Adds rows to the next batch. */
-static int
-receive_rows(bbm_node *n, bbm_reader *rd)
+int
+node_origins_receive(bbm_node *n, bbm_reader *rd)
 {
     size_t len = bbm_get_u32(rd, BBM_ORIGIN_ROWS_MAX);
     for (size_t i = 0; i < len && !rd->failed; i++) {
@@ -49,8 +46,7 @@
         /* The sender repeats its rows to the next leader. */
         if (rd->failed || !n->origins_received)
             continue;
-        if (n->pending_origins.len > PENDING_BYTES_MAX
-            || n->pending_origins_len == BBM_ORIGIN_ROWS_MAX) {
+        if (n->pending_origins_len == BBM_ORIGIN_ROWS_MAX) {
             log_dropped_rows(n);
             continue;
         }
@@ -122,12 +118,6 @@
 
 /* ---- messages ---- */
 
-int
-node_origins_receive(bbm_node *n, bbm_reader *rd)
-{
-    return receive_rows(n, rd);
-}
-
 int
 node_origins_answer(bbm_node *n, const char *from, bbm_reader *rd)
 {
@@ -191,7 +181,7 @@
     bbm_buf rows = {0};
     if (bbm_gate_put_origins(n->gate, n->now, &rows) && leads) {
         bbm_reader rd = bbm_reader_of(rows.data, rows.len);
-        receive_rows(n, &rd);
+        node_origins_receive(n, &rd);
     }
     else if (rows.len > 1) {
         bbm_buf_add(node_send(n, n->leader, NODE_ORIGINS), rows.data,
--- a/pool/bbm_origins.c
+++ b/pool/bbm_origins.c
@@ -24,8 +24,12 @@
     UT_hash_handle hh;
 } origin_count;
 
+/* Rows whose life has ended are removed with this period. */
+#define EXPIRE_PERIOD_MS 1000
+
 struct bbm_origins {
     size_t rows_max;
+    int64_t expired_ms; /* last removal of these */
     origin_count *counts;
     origin_entry *entries;
     TAILQ_HEAD(, origin_entry) by_age;
@@ -114,12 +118,27 @@
     TAILQ_INSERT_TAIL(&o->by_age, e, link);
 }
 
+void
+bbm_origins_expire(bbm_origins *o, int64_t now_ms)
+{
+    origin_entry *e, *next;
+    if (now_ms - o->expired_ms < EXPIRE_PERIOD_MS)
+        return;
+    o->expired_ms = now_ms;
+    for (e = TAILQ_FIRST(&o->by_age); e; e = next) {
+        next = TAILQ_NEXT(e, link);
+        if (now_ms >= e->until_ms)
+            remove_entry(o, e);
+    }
+}
+
 void
 bbm_origins_add(bbm_origins *o, const bbm_origin_row *row, int64_t now_ms)
 {
     int64_t life = row->life_ms < BBM_ORIGIN_LIFE_MAX_MS
                        ? row->life_ms
                        : BBM_ORIGIN_LIFE_MAX_MS;
+    bbm_origins_expire(o, now_ms);
     origin_entry *known = find_entry(o, row->stream);
     if (known && now_ms < known->until_ms)
         return;
@@ -146,17 +165,6 @@
     return true;
 }
 
-void
-bbm_origins_expire(bbm_origins *o, int64_t now_ms)
-{
-    origin_entry *e, *next;
-    for (e = TAILQ_FIRST(&o->by_age); e; e = next) {
-        next = TAILQ_NEXT(e, link);
-        if (now_ms >= e->until_ms)
-            remove_entry(o, e);
-    }
-}
-
 size_t
 bbm_origins_len(const bbm_origins *o)
 {
--- a/pool/bbm_origins.h
+++ b/pool/bbm_origins.h
@@ -54,7 +54,8 @@
 /** True if no known stream of the same pool began elsewhere, at another build.
  */
 bool bbm_origins_is_sole(const bbm_origins *o, uint64_t origin);
-/** Remove the rows whose life has ended. */
+/** Remove the rows whose life has ended, once a second at most; adding rows
+ * does that too. */
 void bbm_origins_expire(bbm_origins *o, int64_t now_ms);
 /** Number of rows. */
 size_t bbm_origins_len(const bbm_origins *o);
--- a/state/bbm_state.c
+++ b/state/bbm_state.c
@@ -40,7 +40,6 @@
     bbm_orders *orders;
     ledger_row *ledgers;
     bbm_origins *origins;
-    int64_t origins_expired_ms; /* last removal of old ones */
     uint64_t index;
     uint64_t public_index;
     TAILQ_HEAD(, tail_row) tail;
@@ -164,7 +163,6 @@
 
 /* A row outlives the stream by this, as the proposers' clocks may differ. */
 #define ORIGIN_CLOCK_MARGIN_MS 15000
-#define ORIGINS_EXPIRE_PERIOD_MS 1000
 
 static void
 add_origins(bbm_state *s, const bbm_command *cmd, bbm_outcome *out)
@@ -181,10 +179,6 @@
     }
     if (!bbm_reader_done(&rd))
         out->code = BBM_ERR_DECODE;
-    if (cmd->at_ms - s->origins_expired_ms < ORIGINS_EXPIRE_PERIOD_MS)
-        return;
-    s->origins_expired_ms = cmd->at_ms;
-    bbm_origins_expire(s->origins, cmd->at_ms);
 }
 
 const bbm_origins *
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1124,7 +1124,7 @@
 /* A client could otherwise choose whose key its request has. */
 START_TEST(only_a_vm_can_say_that_a_request_was_relayed)
 {
-    char value[RELAY_HEADER_SIZE];
+    char value[PLATFORM_RELAYED_SIZE];
     exchange *sent = create_exchange(1);
     sent->has_key = true;
     sent->key_digest = bbm_digest_of("key", 3, test_secret);
--- a/tests/test_takeup.c
+++ b/tests/test_takeup.c
@@ -149,6 +149,17 @@
     run(w, span);
 }
 
+/* All VMs lose power at once. */
+static void
+restart_all(world *w)
+{
+    for (int i = 0; i < NODES; i++)
+        fleet_crash(w->fleet, i);
+    for (int i = 0; i < NODES; i++)
+        fleet_start(w->fleet, i);
+    run(w, 5 * BBM_SECOND);
+}
+
 /* Each stream is taken up at another VM than the one where it began. */
 static void
 take_up_streams(world *w, bool names_first)
@@ -191,11 +202,7 @@
     world w;
     create(&w);
     begin_streams(&w, 500 * BBM_MS);
-    for (int i = 0; i < NODES; i++)
-        fleet_crash(w.fleet, i);
-    for (int i = 0; i < NODES; i++)
-        fleet_start(w.fleet, i);
-    run(&w, 5 * BBM_SECOND);
+    restart_all(&w);
     take_up_streams(&w, true);
     check_all_went_on(&w);
     fleet_destroy(w.fleet);
@@ -274,11 +281,7 @@
     w.one_build = true;
     run(&w, 3 * BBM_SECOND);
     begin_streams(&w, 500 * BBM_MS);
-    for (int i = 0; i < NODES; i++)
-        fleet_crash(w.fleet, i);
-    for (int i = 0; i < NODES; i++)
-        fleet_start(w.fleet, i);
-    run(&w, 5 * BBM_SECOND);
+    restart_all(&w);
     take_up_streams(&w, false);
     for (int i = 0; i < STREAMS; i++)
         ck_assert_str_eq(w.streams[i].next, "v2");
