--- a/rate/bbm_share.c
+++ b/rate/bbm_share.c
@@ -241,18 +241,6 @@
     return d;
 }
 
-void
-bbm_share_demand_add(bbm_share_demand *total, const bbm_share_demand *d)
-{
-    total->long_term += d->long_term;
-    total->short_term += d->short_term;
-    if (!d->spent_known)
-        return;
-    if (!total->spent_known || d->spent > total->spent)
-        total->spent = d->spent;
-    total->spent_known = true;
-}
-
 /* A VM that doesn't know the balance takes over what others know. */
 static void
 learn_balance(share_row *row, const bbm_share_demand *total, bbm_time now)
--- a/rate/bbm_share.h
+++ b/rate/bbm_share.h
@@ -65,11 +65,10 @@
                             second; decides whether shares are enforced. */
     bool spent_known;  /**< False for a VM that has just started. */
     double spent;      /**< Tokens of burst and overrun that all VMs have used
-                            and the rate has not refilled, estimated. */
+                            and the rate has not refilled, estimated; in a
+                            total the highest estimate. */
 } bbm_share_demand;
 
-/** Add the demand on a VM to a total. */
-void bbm_share_demand_add(bbm_share_demand *total, const bbm_share_demand *d);
 /** Demand on this VM; 0 for an unknown customer. */
 bbm_share_demand bbm_shares_demand(bbm_shares *s, const char *customer,
                                    bbm_time now);
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -61,13 +61,24 @@
     s->ready_at[vm] = s->now + READY_TIME;
 }
 
+/* As bbm_loads adds reports up. */
+static void
+add_demand(bbm_share_demand *total, const bbm_share_demand *d)
+{
+    total->long_term += d->long_term;
+    total->short_term += d->short_term;
+    total->spent_known = total->spent_known || d->spent_known;
+    if (d->spent > total->spent)
+        total->spent = d->spent;
+}
+
 static void
 exchange_totals(simulation *s)
 {
     bbm_share_demand sum = {0};
     for (size_t i = 0; i < s->len; i++) {
         bbm_share_demand d = bbm_shares_demand(s->vms[i], "c", s->now);
-        bbm_share_demand_add(&sum, &d);
+        add_demand(&sum, &d);
     }
     for (size_t i = 0; i < s->len; i++)
         bbm_shares_set_total(s->vms[i], "c", &sum, s->len, s->now);
