--- a/review/standin.c
+++ b/review/standin.c
@@ -7,11 +7,14 @@
  *      standin serve DIR ADDRESS LIST-PORT SERVER-PORT...
  *          serves DIR/list on the first port; on the others it is the servers
  *          a, b, c, ...
- *      standin send ADDRESS PORT COUNT SPACING-MS TIMEOUT-MS TEMPLATE OUT
+ *      standin send ADDRESS PORT COUNT SPACING-MS TIMEOUT-MS TEMPLATE OUT \
+ *              [KEPT-MS]
  *          sends COUNT requests made from the file TEMPLATE, one each
  *          SPACING-MS, with @ID@ and @N@ replaced; writes the bodies to
  *          OUT-N.body and prints a line for each: number, id, status, how the
- *          answer ended, and the times of its start and its end
+ *          answer ended, and the times of its start and its end.  With KEPT-MS
+ *          each client has sent another request on its connection so long
+ *          before, of which nothing is printed
  *
  *  DIR/names has four lines, the names of the headers for: id of a request,
  *  signature of an answer, event after which a stream goes on, and a header
@@ -19,11 +22,12 @@
  *  DIR/work-ms has the time that a request takes.  A server answers targets
  *  with "/stream/" by eight events, any other one by 60 times its letter.
  *  While DIR/hold exists, the first run of an id waits for DIR/release, and
- *  its answer then breaks off.  Once DIR/gone-a exists, server a has ended: it
- *  resets its connections and refuses new ones.  Each run is a line of
- *  DIR/runs: time, server, target, id, number of the run, event after which it
- *  goes on, and length of the recorded header, whose value is in
- *  DIR/value-ID.
+ *  its answer then breaks off.  If DIR/endless exists, it has a number of
+ * bytes per second: streams get bytes at that rate that never end.  Once
+ * DIR/gone-a exists, server a has ended: it resets its connections and refuses
+ * new ones.  Each run is a line of DIR/runs: time, server, target, id, number
+ * of the run, event after which it goes on, and length of the recorded header,
+ * whose value is in DIR/value-ID.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -51,6 +55,7 @@
 #define BODY_BYTES_BEFORE_BREAK 20
 #define SLICE_MS 2
 #define CONNECT_QUEUE 512
+#define ENDLESS_BLOCK_BYTES 16384
 
 typedef struct names {
     char id[TEXT_BYTES];
@@ -312,6 +317,27 @@
            && send_text(fd, "\r\n");
 }
 
+/* Sends bytes until the other side closes. */
+static void
+answer_without_end(const listener *at, int fd, const char *head)
+{
+    static char block[ENDLESS_BLOCK_BYTES];
+    char text[TEXT_BYTES];
+    read_file(at->dir, "endless", text, sizeof(text));
+    int64_t rate = strtol(text, NULL, 10);
+    int64_t start = now_ms();
+    int64_t sent = 0;
+    if (!send_text(fd, head)
+        || !send_text(fd, "Content-Type: text/event-stream\r\n\r\n"))
+        return;
+    while (send_all(fd, block, sizeof(block))) {
+        sent += (int64_t)sizeof(block);
+        int64_t ahead = sent * 1000 / (rate > 0 ? rate : 1);
+        if (start + ahead > now_ms())
+            sleep_ms(start + ahead - now_ms());
+    }
+}
+
 /* Returns true if the connection can be used again. */
 static bool
 answer_stream(int fd, const char *head, long last_event, bool breaks)
@@ -389,6 +415,10 @@
     }
     snprintf(head, sizeof(head), "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %c.%u\r\n",
              header_names.id, id, header_names.signature, at->name, run);
+    if (strstr(target, "/stream/") && has_file(at->dir, "endless")) {
+        answer_without_end(at, fd, head);
+        return false;
+    }
     return strstr(target, "/stream/")
                ? answer_stream(fd, head, last_event, held)
                : answer_body(fd, head, at->name, held);
@@ -496,6 +526,7 @@
     struct sockaddr_in address;
     long number;
     long timeout_ms;
+    long kept_ms; /* 0: a new connection */
     int64_t start_at;
     const char *request_template;
     const char *out;
@@ -581,6 +612,22 @@
     return length < 0 || len == (size_t)length ? "complete" : "cut";
 }
 
+static void
+wait_until(int64_t at)
+{
+    int64_t wait = at - now_ms();
+    if (wait > 0)
+        sleep_ms(wait);
+}
+
+static void
+create_request(const client *c, const char *prefix, char *id, char *request)
+{
+    snprintf(id, TEXT_BYTES, "%s%012llx%04lx", prefix,
+             (unsigned long long)now_ms(), (unsigned long)c->number);
+    fill_template(c, id, request, BUFFER_BYTES);
+}
+
 static void *
 run_client(void *context)
 {
@@ -595,19 +642,28 @@
     FILE *body = fopen(path, "wb");
     if (!m || !request || !body)
         fail(path);
-    int64_t wait = c->start_at - now_ms();
-    if (wait > 0)
-        sleep_ms(wait);
-    int64_t started_at = now_ms();
-    snprintf(id, sizeof(id), "%012llx%04lx", (unsigned long long)started_at,
-             (unsigned long)c->number);
-    fill_template(c, id, request, BUFFER_BYTES);
+    wait_until(c->start_at - c->kept_ms);
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     struct timeval timeout = {.tv_sec = c->timeout_ms / 1000,
                               .tv_usec = c->timeout_ms % 1000 * 1000};
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
-    if (connect(fd, (struct sockaddr *)&c->address, sizeof(c->address)) == 0
-        && send_text(fd, request))
+    bool connected =
+        connect(fd, (struct sockaddr *)&c->address, sizeof(c->address)) == 0;
+    if (connected && c->kept_ms) {
+        FILE *unused = tmpfile();
+        create_request(c, "k", id, request);
+        connected =
+            unused && send_text(fd, request)
+            && strcmp(receive_answer(fd, m, &status, unused), "complete") == 0;
+        if (unused)
+            fclose(unused);
+        memset(m, 0, sizeof(*m));
+        status = 0;
+    }
+    wait_until(c->start_at);
+    int64_t started_at = now_ms();
+    create_request(c, "", id, request);
+    if (connected && send_text(fd, request))
         end = receive_answer(fd, m, &status, body);
     close(fd);
     fclose(body);
@@ -621,14 +677,15 @@
 }
 
 static int
-send_requests(char **argv)
+send_requests(int argc, char **argv)
 {
     static char request_template[BUFFER_BYTES];
     long count = strtol(argv[2], NULL, 10);
     long spacing = strtol(argv[3], NULL, 10);
     read_file("", argv[5], request_template, sizeof(request_template));
     client *all = calloc((size_t)count + 1, sizeof(*all));
-    int64_t start = now_ms();
+    long kept_ms = argc > 7 ? strtol(argv[7], NULL, 10) : 0;
+    int64_t start = now_ms() + kept_ms;
     if (!all)
         fail("calloc");
     for (long i = 0; i < count; i++) {
@@ -636,6 +693,7 @@
         c->address = address_of(argv[0], strtol(argv[1], NULL, 10));
         c->number = i;
         c->timeout_ms = strtol(argv[4], NULL, 10);
+        c->kept_ms = kept_ms;
         c->start_at = start + i * spacing;
         c->request_template = request_template;
         c->out = argv[6];
@@ -676,8 +734,8 @@
         return print_ports(strtol(argv[2], NULL, 10));
     if (argc > 4 && strcmp(argv[1], "serve") == 0)
         return serve(argc - 2, argv + 2);
-    if (argc == 9 && strcmp(argv[1], "send") == 0)
-        return send_requests(argv + 2);
+    if ((argc == 9 || argc == 10) && strcmp(argv[1], "send") == 0)
+        return send_requests(argc - 2, argv + 2);
     fputs("usage: see the head of standin.c\n", stderr);
     return EXIT_FAILURE;
 }
