--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,6 +2,7 @@
 # A server of streams sends a body without end to one request.  Meanwhile other
 # clients of that machine send orders to sound servers on kept connections.
 # The platform kills a process that uses more than memory-mb.
+record_name=record.txt # what was sent, answered and run
 # shellcheck source=review/lib.sh
 . "$(dirname "$0")/../lib.sh"
 memory_mb=110
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Machine vm-1 freezes for 1.9 s while servers break off streams that it hasn't
 # read yet.  No client may get a piece twice.
+record_name=record.txt # what was sent, answered and run
 # shellcheck source=review/lib.sh
 . "$(dirname "$0")/../lib.sh"
 requests=12
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # A request whose prompt has many parts: its header is 12 KB long, within the
 # config's max-header-bytes of 16 KB.  The server must get the client's header.
+record_name=record.txt # what was sent, answered and run
 # shellcheck source=review/lib.sh
 . "$(dirname "$0")/../lib.sh"
 parts=1000
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,12 +1,13 @@
-# Functions of the scripts; to be sourced by review/N/run.sh.  They start three
-# machines with a disk each, as the deploy file does, a list and servers.
-# Only processes that were started here are ended, by id.
+# Functions of the scripts; to be sourced by review/N/run.sh, which sets
+# record_name, the file in its folder to write to.  They start three machines
+# with a disk each, as the deploy file does, a list and servers.  Only processes
+# that were started here are ended, by id.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 TROUBLE=${TROUBLE:-1}
 case_dir=$(dirname "$(realpath "$0")")
-record=$case_dir/${record_name:-record.txt}
-standin=review/bin/standin
+record=$case_dir/$record_name
+standin=build-review/standin
 dir=$(mktemp -d)
 pids=()
 declare -A vm_pid
