--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -117,6 +117,8 @@
     X(BBM_EVENT_REQUEST_DENIED, 516, INFO, "request denied")                  \
     X(BBM_EVENT_ATTEMPT_DISCONNECTED, 517, INFO,                              \
       "upstream closed the connection of an attempt")                         \
+    X(BBM_EVENT_ANSWER_LIMIT, 519, WARN,                                      \
+      "answer of an upstream exceeded a limit and was broken off")            \
     X(BBM_EVENT_REQUEST_FAILED, 500, WARN, "request ended with an error")     \
     X(BBM_EVENT_RETRY, 501, INFO, "request retried")                          \
     X(BBM_EVENT_CLAIM_UNKNOWN, 502, WARN, "claim closed, outcome unknown")    \
--- a/daemon/events.c
+++ b/daemon/events.c
@@ -62,6 +62,8 @@
 {
     size_t old_len = sp->bytes.len;
     bbm_buf_add(&sp->bytes, data, len);
+    if (sp->hold)
+        sp->hold->bytes += len;
     size_t end = event_scanner_append(&sp->scanner, data, len);
     if (!end)
         return sp->complete_len;
@@ -78,16 +80,32 @@
     return sp->complete_len;
 }
 
+bool
+event_splitter_over_limit(const event_splitter *sp)
+{
+    size_t held_back = sp->bytes.len - sp->complete_len;
+    bool crowded = sp->hold && sp->hold->bytes > EVENT_HOLD_BYTES_MAX;
+    return held_back > (crowded ? EVENT_BYTES_ASSURED : EVENT_BYTES_MAX);
+}
+
 void
 event_splitter_consume(event_splitter *sp, size_t len)
 {
     sp->bytes.len -= len;
     sp->complete_len -= len;
-    memmove(sp->bytes.data, sp->bytes.data + len, sp->bytes.len);
+    if (sp->hold)
+        sp->hold->bytes -= len;
+    /* A long event is rare: its memory isn't kept for the next one. */
+    if (!sp->bytes.len && sp->bytes.cap > EVENT_BYTES_ASSURED)
+        bbm_buf_free(&sp->bytes);
+    else
+        memmove(sp->bytes.data, sp->bytes.data + len, sp->bytes.len);
 }
 
 void
 event_splitter_free(event_splitter *sp)
 {
+    if (sp->hold)
+        sp->hold->bytes -= sp->bytes.len;
     bbm_buf_free(&sp->bytes);
 }
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -1,5 +1,6 @@
 #include "forward.h"
 
+#include "bbm_log.h"
 #include "calls.h"
 #include "control.h"
 #include "events.h"
@@ -124,6 +125,7 @@
 } connection;
 
 struct forward {
+    event_hold event_hold; /* of all attempts */
     connection *connections;
     connection *connections_by_fd;
     mailbox *control;
@@ -244,6 +246,14 @@
     mailbox_put_waiting(x->thread->control, item);
 }
 
+/* @p limit names what was exceeded, for the log. */
+static void
+log_limit(const attempt *x, const char *limit)
+{
+    bbm_log(BBM_EVENT_ANSWER_LIMIT, "id", x->ex->parsed_headers.id, "upstream",
+            x->send.upstream, "limit", limit, NULL);
+}
+
 /* ---- the head of an answer ---- */
 
 static void
@@ -369,8 +379,10 @@
     size_t len = size * n;
     x->thread->silent_loops = 0;
     x->head_bytes += len;
-    if (x->head_bytes > HEAD_BYTES_MAX)
+    if (x->head_bytes > HEAD_BYTES_MAX) {
+        log_limit(x, "bytes of the heads");
         return 0;
+    }
     if (len >= 5 && memcmp(data, "HTTP/", 5) == 0)
         parse_status_line(x, data, len);
     else if (len == 2 && data[0] == '\r')
@@ -389,7 +401,8 @@
     event_splitter_consume(&x->events, complete_len);
 }
 
-static void
+/* Returns false if the stream must be broken off. */
+static bool
 write_stream_bytes(attempt *x, const char *data, size_t len)
 {
     size_t complete_len;
@@ -397,19 +410,24 @@
         complete_len = event_splitter_append(&x->events, data, len);
         if (complete_len)
             write_complete_events(x, complete_len);
+        if (event_splitter_over_limit(&x->events)) {
+            log_limit(x, "bytes of an event");
+            return false;
+        }
     }
     else {
         complete_len = event_scanner_append(&x->events.scanner, data, len);
         exchange_write(x->ex, data, len);
     }
     if (!complete_len)
-        return;
+        return true;
     x->progress_at = control_now();
     if (!x->progress_reported
         && x->progress_at - x->began_at >= PROGRESS_TIME) {
         x->progress_reported = true;
         report_progress(x);
     }
+    return true;
 }
 
 static size_t
@@ -420,7 +438,10 @@
     x->thread->silent_loops = 0;
     if (!x->accepted) {
         x->refused_bytes += len;
-        return x->refused_bytes <= REFUSED_BODY_BYTES_MAX ? len : 0;
+        if (x->refused_bytes <= REFUSED_BODY_BYTES_MAX)
+            return len;
+        log_limit(x, "bytes of a refused body");
+        return 0;
     }
     if (!exchange_write(x->ex, NULL, 0)) {
         x->paused = true;
@@ -430,9 +451,8 @@
         x->began_at = control_now();
     x->body_bytes += len;
     if (x->send.stream)
-        write_stream_bytes(x, data, len);
-    else
-        exchange_write(x->ex, data, len);
+        return write_stream_bytes(x, data, len) ? len : 0;
+    exchange_write(x->ex, data, len);
     return len;
 }
 
@@ -668,6 +688,7 @@
     x->ex = exchange_ref(j->ex);
     x->thread = f;
     x->send = j->send;
+    x->events.hold = &f->event_hold;
     x->opened_socket = -1;
     x->socket = -1;
     x->parsed_head.keep_alive_s = -1;
@@ -789,14 +810,19 @@
            && now - x->progress_at > x->send.stall_timeout;
 }
 
-static bool
-is_over_limit(attempt *x, bbm_time now)
+/* The limit that an answer exceeds, for the log; NULL: none. */
+static const char *
+exceeded_limit(attempt *x, bbm_time now)
 {
     if (!x->head_checked)
-        return false;
+        return NULL;
     if (!x->accepted)
-        return now - x->refused_at > REFUSED_BODY_TIME_MAX;
-    return is_stalled(x, now) || sends_only_framing(x);
+        return now - x->refused_at > REFUSED_BODY_TIME_MAX
+                   ? "time of a refused body"
+                   : NULL;
+    if (is_stalled(x, now))
+        return "time without an event";
+    return sends_only_framing(x) ? "bytes of the framing" : NULL;
 }
 
 static void
@@ -812,8 +838,11 @@
     attempt *x, *next;
     HASH_ITER(hh, f->attempts, x, next)
     {
-        if (is_over_limit(x, now))
-            finish(f, x, CURLE_ABORTED_BY_CALLBACK);
+        const char *limit = exceeded_limit(x, now);
+        if (!limit)
+            continue;
+        log_limit(x, limit);
+        finish(f, x, CURLE_ABORTED_BY_CALLBACK);
     }
 }
 
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -220,6 +220,10 @@
     return ex;
 }
 
+static const bbm_forward_request plain_stream = {.stream = true};
+static const bbm_forward_request resumable_stream = {
+    .stream = true, .repeatable = true, .resumable = true};
+
 static exchange *
 start_request(fixture *w, bool repeatable, bool stream)
 {
@@ -581,6 +585,34 @@
 }
 END_TEST
 
+static void
+endless_event(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_stream_head(u, fd, "");
+    send_text(u, fd, "id: 1\ndata: x\n\ndata: ");
+    send_forever(u, fd, "abcdefgh");
+}
+
+/* LOST: an event without end on a resumable stream was held back in memory
+   until the process was killed.  The stream is broken off after its last
+   complete event. */
+START_TEST(event_without_end_is_cut)
+{
+    fixture w;
+    set_up(&w, endless_event);
+    uint64_t before_kib = resident_peak_kib();
+    ended e = run_attempt(&w, &resumable_stream, "");
+    ck_assert_int_eq(e.result.outcome, BBM_FORWARD_TRUNCATED);
+    ck_assert_str_eq(e.result.last_event_id, "1");
+    ck_assert_uint_eq(e.ex->out.len, strlen("id: 1\ndata: x\n\n"));
+    ck_assert_uint_lt(atomic_load(&w.upstream.sent_bytes), READ_BYTES_MAX);
+    ck_assert_uint_lt(resident_peak_kib() - before_kib, 8192);
+    exchange_unref(e.ex);
+    tear_down(&w);
+}
+END_TEST
+
 static void
 body_beyond_its_length(upstream *u, int fd, int n)
 {
@@ -716,10 +748,6 @@
     return lf || crlf;
 }
 
-static const bbm_forward_request plain_stream = {.stream = true};
-static const bbm_forward_request resumable_stream = {
-    .stream = true, .repeatable = true, .resumable = true};
-
 /* Plays one stream for a first attempt of both kinds and for a resumed one.
    Each must end as broken off, or each as complete. */
 static void
@@ -1159,8 +1187,8 @@
           answer_without_id_is_not_passed_on,
           success_without_signature_is_not_passed_on,
           late_head_does_not_change_an_error, answers_without_end_are_cut,
-          bytes_beyond_the_length_are_dropped, stalled_streams_are_cut,
-          slow_streams_are_not_cut,
+          bytes_beyond_the_length_are_dropped, event_without_end_is_cut,
+          stalled_streams_are_cut, slow_streams_are_not_cut,
           unframed_stream_cut_within_an_event_is_not_complete,
           framed_stream_without_its_end_is_not_complete,
           stream_that_is_reset_is_not_complete,
