The answer of an attempt whose end control hasn't read is adopted, not joined to a second run

Cause: control finds a request silent by the clock and decides on attempt 2 before it reads that attempt 1's answer began and broke off; it ignores that result, as its number is old, and start() sent attempt 2 as if nothing had been passed on. Ruled out: resuming at the wrong event, and bytes sent twice to the client; test_forward plays the order of events without gate, client or freeze.

The exchange now records whose answer it holds and how that attempt ended, and each attempt says which results the gate had. An answer that the gate didn't know of is reported as the new attempt's, whether it goes on or has ended, and nothing is sent. It counts neither as a run nor as a failure of the upstream that got nothing.

--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -52,6 +52,14 @@
     EXCHANGE_OPERATOR, /**< An operator's or the provider's call. */
 } exchange_kind;
 
+/** The attempt at an upstream whose answer is passed on. */
+typedef struct exchange_source {
+    uint32_t attempt;          /**< Its number; 0: no answer has begun. */
+    uint64_t origin;           /**< As in bbm_forward_request. */
+    bool ended;                /**< The attempt has ended. */
+    bbm_forward_result result; /**< How it ended; valid if ended. */
+} exchange_source;
+
 /** A request and its answer. */
 typedef struct exchange {
     atomic_int refs; /**< Number of references. */
@@ -101,6 +109,8 @@
     platform_config config;      /**< Configuration to be published;
                                       provider's calls only. */
     bool is_http_1_0;            /**< The client doesn't know chunks. */
+    exchange_source source;      /**< Used by the forwarding thread only;
+                                      EXCHANGE_POOL. */
     size_t entries_max; /**< Most entries to return; 0: the default. */
     char *new_key;      /**< API key created by this call; returned once,
                              then wiped.  NULL: none. */
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -103,6 +103,8 @@
                                  request was sent */
     bool sent;                /* the upstream may have received bytes */
     bool accepted;            /* the answer is passed to the client */
+    bool adopted;             /* its answer goes on under the number of a later
+                                 attempt */
     bool head_checked;        /* the final head has been received */
     bool paused;
     bbm_forward_outcome outcome; /* valid if head_checked and not accepted */
@@ -178,14 +180,15 @@
 /* ---- reports to control ---- */
 
 static void
-report_head(const attempt *x)
+report_head(const forward *f, const exchange *ex,
+            const bbm_upstream_notice *notice)
 {
     control_item *item = control_item_create(CONTROL_RESPONSE_HEAD);
-    item->id = x->request;
-    item->attempt = x->send.attempt;
-    item->origin = x->send.origin;
-    item->notice = x->notice;
-    mailbox_put_waiting(x->thread->control, item);
+    item->id = ex->id;
+    item->attempt = ex->source.attempt;
+    item->origin = ex->source.origin;
+    item->notice = *notice;
+    mailbox_put_waiting(f->control, item);
 }
 
 static void
@@ -238,11 +241,16 @@
         .outcome = end,
         .status = (uint32_t)x->status,
         .disconnected = is_disconnected(x, rc, end),
+        .adopted = x->adopted,
         .began_at = x->began_at,
         .notice = x->notice,
     };
     memcpy(item->forwarded.last_event_id, x->events.last_id,
            sizeof(x->events.last_id));
+    if (x->accepted) {
+        x->ex->source.ended = true;
+        x->ex->source.result = item->forwarded;
+    }
     mailbox_put_waiting(x->thread->control, item);
 }
 
@@ -368,7 +376,9 @@
     if (!resumes)
         exchange_set_verbatim_head(x->ex, (unsigned)x->status, length,
                                    &x->answer_headers);
-    report_head(x);
+    x->ex->source = (exchange_source){.attempt = x->send.attempt,
+                                      .origin = x->send.origin};
+    report_head(x->thread, x->ex, &x->notice);
     return true;
 }
 
@@ -669,16 +679,36 @@
     free(x);
 }
 
+/* The answer has begun, and control didn't know when it decided on the attempt
+   that is to be started.  A second run must not be joined to that answer: it is
+   reported as the new attempt's, and so is its end, which control has ignored
+   or will ignore under the old number. */
+static void
+adopt(forward *f, attempt *old, const job *j)
+{
+    exchange_source *source = &j->ex->source;
+    source->attempt = j->send.attempt;
+    if (old) {
+        old->send.attempt = j->send.attempt;
+        old->adopted = true;
+        report_head(f, j->ex, &old->notice);
+        return;
+    }
+    source->result.attempt = j->send.attempt;
+    source->result.adopted = true;
+    report_head(f, j->ex, &source->result.notice);
+    control_item *item = control_item_create(CONTROL_FORWARD_FINISHED);
+    item->id = j->request;
+    item->forwarded = source->result;
+    mailbox_put_waiting(f->control, item);
+}
+
 static void
 start(forward *f, const job *j)
 {
     attempt *old = find_attempt(f, j->request);
-    if (old && old->accepted) {
-        /* The old attempt's answer began while control was deciding on the
-           next attempt: no new transfer is started, and the answer is
-           reported under the new attempt's number. */
-        old->send.attempt = j->send.attempt;
-        report_head(old);
+    if (j->ex->source.attempt > j->send.ended_attempt) {
+        adopt(f, old, j);
         return;
     }
     if (old)
--- a/daemon/forward.h
+++ b/daemon/forward.h
@@ -27,8 +27,10 @@
  *  that other VMs are to forward. */
 forward *forward_create(mailbox *control, const uint8_t *secret);
 /** Start an attempt; takes its own reference to @p ex.  An attempt of the same
- *  request that is still open is aborted, unless its answer has begun: then
- *  that answer continues as the new attempt's.  @p last_event is the id of the
+ *  request that is still open is aborted.  If the answer of an attempt after
+ *  send->ended_attempt has begun, whether it goes on or has ended, nothing is
+ *  sent: its head and its result are reported as the new attempt's.
+ *  @p last_event is the id of the
  *  event after which a stream resumes; "": from the beginning. */
 void forward_start(forward *f, exchange *ex, const bbm_forward_request *send,
                    const char *last_event);
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -142,6 +142,8 @@
     bool relay;             /**< `upstream` and `address` are another VM, which
                                  forwards the request as this VM would. */
     uint32_t attempts_used; /**< With relay: attempts that may have run it. */
+    uint32_t ended_attempt; /**< Last attempt whose result the gate had when it
+                                 decided on this one; 0: none. */
 } bbm_forward_request;
 
 /** Outcome of an attempt. */
@@ -183,6 +185,9 @@
     uint32_t status;             /**< HTTP status; 0: no answer. */
     bool disconnected; /**< The upstream closed the connection before the end
                             of its answer. */
+    bool adopted; /**< It is the result of an earlier attempt, whose answer
+                       had begun before the gate decided on this one: this
+                       one was never sent. */
     bbm_time began_at; /**< When the first bytes of the answer's body arrived;
                             0: none did. */
     bbm_upstream_notice notice;            /**< All zero without an answer. */
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -175,7 +175,8 @@
 }
 
 static void
-end_failed(bbm_gate *g, gate_request *r, const bbm_forward_result *result)
+record_failed_attempt(bbm_gate *g, gate_request *r,
+                      const bbm_forward_result *result)
 {
     gate_record_failure(g, r->upstream, result->outcome);
     if (result->outcome == BBM_FORWARD_FAILED)
@@ -183,6 +184,15 @@
     else if (result->outcome == BBM_FORWARD_NO_ANSWER && !result->disconnected)
         gate_record_unreached(g, r->upstream);
     add_failed_upstream(r, r->upstream);
+}
+
+static void
+end_failed(bbm_gate *g, gate_request *r, const bbm_forward_result *result)
+{
+    if (result->adopted)
+        r->attempts_run--;
+    else
+        record_failed_attempt(g, r, result);
     bool begun = result->outcome == BBM_FORWARD_TRUNCATED;
     bool allowed = begun ? r->resumable : r->repeatable;
     if (begun && result->last_event_id[0])
@@ -221,13 +231,14 @@
         gate_dispatch_waiting(g);
         return;
     }
+    r->ended_attempt = result->attempt;
     r->previous_outcome = outcome_names[result->outcome];
     r->previous_status = result->status;
     if (r->stage == GATE_SENT)
         gate_record_notice(g, r, &result->notice,
                            result->status
                                && result->outcome != BBM_FORWARD_NO_ANSWER);
-    if (result->disconnected)
+    if (result->disconnected && !result->adopted)
         gate_record_disconnect(g, r);
     switch (result->outcome) {
     case BBM_FORWARD_COMPLETE:
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -229,10 +229,11 @@
     bbm_time next_admission_at; /**< While held: time from which it may be
                                      admitted again (see
                                      passes_random_admission). */
-    uint32_t attempts;   /**< Number of attempts sent; also the number of the
-                              current attempt. */
-    uint64_t stream_key; /**< Resumable streams: as in bbm_origins.h. */
-    bool takes_up;       /**< It takes up a stream of an earlier request. */
+    uint32_t attempts; /**< Number of attempts sent; also the number of the
+                            current attempt. */
+    uint32_t ended_attempt; /**< Last attempt whose result is known. */
+    uint64_t stream_key;    /**< Resumable streams: as in bbm_origins.h. */
+    bool takes_up;          /**< It takes up a stream of an earlier request. */
     gate_origin_state origin_state; /**< Where the stream may go on. */
     const char *origin_source; /**< How that is known, for the log; or NULL. */
     uint64_t origin;           /**< GATE_ORIGIN_KNOWN. */
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -259,6 +259,7 @@
         .resumable = r->resumable,
         .fresh_connection = r->is_trial_connection,
         .stall_timeout = r->silence_limit * STALL_RATIO,
+        .ended_attempt = r->ended_attempt,
     };
     bbm_name_set(s->upstream, u->info.id);
     bbm_name_set(s->address, u->info.address);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1178,7 +1178,121 @@
 }
 END_TEST
 
-TEST_MAIN("forward", answer_goes_on_after_a_silence,
+/* ---- attempts that control started without knowing of an answer ---- */
+
+/* The first request's answer breaks off after its first piece; another one
+   would serve the whole. */
+static void
+break_off_first(upstream *u, int fd, int n)
+{
+    struct linger reset = {.l_onoff = 1};
+    if (n == 1) {
+        send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+        send_text(u, fd, "11\r\nid: 1\ndata: one\n\n\r\n");
+        usleep(50000);
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        shutdown(fd, SHUT_RD);
+        return;
+    }
+    send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+    send_text(u, fd, "11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n");
+}
+
+/* Starts another attempt of a request, as control does that knows of the
+   results of attempts up to @p ended_attempt. */
+static void
+start_further(fixture *w, exchange *ex, const bbm_forward_request *kind,
+              uint32_t number, uint32_t ended_attempt, const char *last_event)
+{
+    bbm_forward_request send = *kind;
+    send.request = ex->id;
+    send.attempt = number;
+    send.ended_attempt = ended_attempt;
+    send.deadline = control_now() + DEADLINE;
+    send.priority = -1;
+    bbm_name_set(send.upstream, "v");
+    snprintf(send.address, sizeof(send.address), "127.0.0.1:%u",
+             w->upstream.port);
+    forward_start(w->forward, ex, &send, last_event);
+}
+
+static bbm_forward_result
+expect_result(fixture *w, uint32_t attempt)
+{
+    control_item *item = expect_item(w, CONTROL_FORWARD_FINISHED, END_MS_MAX);
+    bbm_forward_result f = item->forwarded;
+    control_item_destroy(item);
+    ck_assert_uint_eq(f.attempt, attempt);
+    return f;
+}
+
+static void
+expect_head(fixture *w, uint32_t attempt, uint64_t origin)
+{
+    control_item *item = expect_item(w, CONTROL_RESPONSE_HEAD, END_MS_MAX);
+    ck_assert_uint_eq(item->attempt, attempt);
+    ck_assert_uint_eq(item->origin, origin);
+    control_item_destroy(item);
+}
+
+/* ORDER and MIXED: after a freeze, control found a request silent and started
+   another attempt, while the first one's answer had begun and had already been
+   broken off.  The second run was joined to the bytes of the first. */
+START_TEST(second_run_is_not_joined_to_an_answer_that_broke_off)
+{
+    static const bbm_forward_request kinds[] = {
+        {.stream = true, .repeatable = true, .resumable = true, .origin = 7},
+        {.repeatable = true, .origin = 7},
+    };
+    for (size_t i = 0; i < BBM_COUNT(kinds); i++) {
+        fixture w;
+        set_up(&w, break_off_first);
+        exchange *ex = start_attempt(&w, &kinds[i], "");
+        expect_head(&w, 1, 7);
+        ck_assert(!expect_result(&w, 1).adopted);
+        start_further(&w, ex, &kinds[i], 2, 0, "");
+        expect_head(&w, 2, 7);
+        bbm_forward_result f = expect_result(&w, 2);
+        ck_assert(f.adopted);
+        ck_assert_int_eq(f.outcome, BBM_FORWARD_TRUNCATED);
+        ck_assert_int_eq(atomic_load(&w.upstream.requests), 1);
+        ck_assert_uint_eq(ex->out.len, 17);
+        if (kinds[i].resumable) {
+            ck_assert_str_eq(f.last_event_id, "1");
+            start_further(&w, ex, &kinds[i], 3, 2, "1");
+            expect_head(&w, 3, 7);
+            ck_assert_int_eq(expect_result(&w, 3).outcome,
+                             BBM_FORWARD_COMPLETE);
+            ck_assert_uint_eq(ex->out.len, 34);
+            ck_assert_mem_eq(ex->out.data,
+                             "id: 1\ndata: one\n\nid: 2\ndata: two\n\n", 34);
+        }
+        exchange_unref(ex);
+        tear_down(&w);
+    }
+}
+END_TEST
+
+/* As above, for an answer that is complete: the request doesn't run twice. */
+START_TEST(complete_answer_is_not_asked_for_again)
+{
+    fixture w;
+    set_up(&w, answer_then_copy);
+    bbm_forward_request kind = {.repeatable = true};
+    exchange *ex = start_attempt(&w, &kind, "");
+    ck_assert_int_eq(expect_result(&w, 1).outcome, BBM_FORWARD_COMPLETE);
+    start_further(&w, ex, &kind, 2, 0, "");
+    ck_assert_int_eq(expect_result(&w, 2).outcome, BBM_FORWARD_COMPLETE);
+    ck_assert_int_eq(atomic_load(&w.upstream.requests), 1);
+    ck_assert(ex->finished);
+    exchange_unref(ex);
+    tear_down(&w);
+}
+END_TEST
+
+TEST_MAIN("forward", second_run_is_not_joined_to_an_answer_that_broke_off,
+          complete_answer_is_not_asked_for_again,
+          answer_goes_on_after_a_silence,
           answer_of_a_dead_machine_ends_after_two_seconds,
           request_sent_into_a_silence_is_answered,
           refusal_of_the_vm_that_forwards_is_passed_on,
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -344,6 +344,46 @@
 }
 END_TEST
 
+/* ORDER: the attempt that follows a silence says which results the gate had,
+   and the result of the one before, which the forwarding thread reports in its
+   place, is no failure of an upstream that got nothing. */
+START_TEST(adopted_answer_resumes_without_a_failure_of_the_last_upstream)
+{
+    fixture w = setup(2, 0);
+    begin_request(&w, "/ask/a", 1);
+    bbm_forward_request first = expect_send(&w);
+    ck_assert_uint_eq(first.ended_attempt, 0);
+    const bbm_gate_output *out = NULL;
+    for (int i = 0; i < 80 && !out; i++) {
+        w.now += 50 * BBM_MS;
+        bbm_gate_tick(w.gate, w.now);
+        out = bbm_gate_next_output(w.gate);
+    }
+    ck_assert_ptr_nonnull(out);
+    bbm_forward_request second = out->u.send.send;
+    ck_assert_uint_eq(second.attempt, 2);
+    ck_assert_uint_eq(second.ended_attempt, 0);
+    ck_assert_str_ne(first.upstream, second.upstream);
+    end_attempt(&w, &first, BBM_FORWARD_TRUNCATED, 200, "4");
+    expect_no_output(&w);
+    bbm_gate_record_head(w.gate, second.request, 2, first.origin, &no_notice,
+                         w.now);
+    bbm_forward_result f = {.request = second.request,
+                            .attempt = 2,
+                            .outcome = BBM_FORWARD_TRUNCATED,
+                            .status = 200,
+                            .adopted = true,
+                            .last_event_id = "4"};
+    bbm_gate_end_attempt(w.gate, &f, w.now);
+    out = expect_output(&w, BBM_GATE_SEND);
+    ck_assert(out->u.send.resumes);
+    ck_assert_str_eq(out->u.send.last_event_id, "4");
+    ck_assert_uint_eq(out->u.send.send.ended_attempt, 2);
+    ck_assert_str_eq(out->u.send.send.upstream, second.upstream);
+    teardown(&w);
+}
+END_TEST
+
 START_TEST(client_disconnect_aborts_request)
 {
     fixture w = setup(1, 0);
@@ -1445,6 +1485,7 @@
     no_not_run_after_possible_run, interrupted_streams_resume,
     retries_stay_within_budget, route_timeout_is_enforced,
     silent_attempt_continues_without_alternative,
+    adopted_answer_resumes_without_a_failure_of_the_last_upstream,
     client_disconnect_aborts_request, leaving_upstreams_get_no_requests,
     upstream_that_says_it_leaves_gets_no_requests,
     notice_of_an_earlier_run_is_ignored, notices_reach_other_vms,
