A request's header line is built in as many bytes as it needs

Cause: add_request_header() formatted the line into 8 KiB by snprintf() without looking at the length. Ruled out: libmicrohttpd (long_header_is_passed_on_whole goes without it) and libcurl (which sends the longer line whole).

Header lines of answers above 8 KiB are dropped as before, as they must fit into the client's connection, but event 520 now says so.

--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -119,6 +119,8 @@
       "upstream closed the connection of an attempt")                         \
     X(BBM_EVENT_ANSWER_LIMIT, 519, WARN,                                      \
       "answer of an upstream exceeded a limit and was broken off")            \
+    X(BBM_EVENT_ANSWER_HEADER_DROPPED, 520, WARN,                             \
+      "header of an upstream's answer is too long, dropped")                  \
     X(BBM_EVENT_REQUEST_FAILED, 500, WARN, "request ended with an error")     \
     X(BBM_EVENT_RETRY, 501, INFO, "request retried")                          \
     X(BBM_EVENT_CLAIM_UNKNOWN, 502, WARN, "claim closed, outcome unknown")    \
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -38,7 +38,8 @@
 #define REUSE_DEFAULT_S 1L
 #define REUSE_NONREPEATABLE_S 1L
 #define READ_BUFFER_BYTES 16384L
-/* Buffer for a header line; longer lines of an answer are dropped. */
+/* Longer header lines of an answer are dropped: they must fit into the memory
+   of the client's connection, beside the head of its request. */
 #define HEADER_LINE_BYTES 8192
 /* Limits on what a faulty upstream may send: the heads of an answer, interim
    ones included; the body of an answer that isn't passed on, and the time for
@@ -278,12 +279,25 @@
     exchange_headers_free(&x->answer_headers);
 }
 
+static void
+log_dropped_header(const attempt *x, const char *line, size_t len)
+{
+    char name[BBM_NAME_SIZE] = "";
+    const char *colon = memchr(line, ':', len);
+    size_t n = colon ? (size_t)(colon - line) : len;
+    memcpy(name, line, n < sizeof(name) ? n : sizeof(name) - 1);
+    bbm_log(BBM_EVENT_ANSWER_HEADER_DROPPED, "id", x->ex->parsed_headers.id,
+            "upstream", x->send.upstream, "header", name, NULL);
+}
+
 static void
 parse_header_line(attempt *x, const char *line, size_t len)
 {
     char text[HEADER_LINE_BYTES];
-    if (len >= sizeof(text))
+    if (len >= sizeof(text)) {
+        log_dropped_header(x, line, len);
         return;
+    }
     memcpy(text, line, len);
     text[len] = '\0';
     char *colon = strchr(text, ':');
@@ -555,14 +569,15 @@
 add_request_header(void *context, const char *name, const char *value)
 {
     attempt *x = context;
-    char line[HEADER_LINE_BYTES];
     /* libcurl sends a header without a value only if the line ends with a
        semicolon. */
-    if (value[0])
-        snprintf(line, sizeof(line), "%s: %s", name, value);
-    else
-        snprintf(line, sizeof(line), "%s;", name);
-    calls_append_header(&x->request_headers, line);
+    const char *separator = value[0] ? ": " : ";";
+    bbm_buf line = {0};
+    bbm_buf_add(&line, name, strlen(name));
+    bbm_buf_add(&line, separator, strlen(separator));
+    bbm_buf_add(&line, value, strlen(value) + 1);
+    calls_append_header(&x->request_headers, (char *)line.data);
+    bbm_buf_free(&line);
 }
 
 static bool
@@ -680,9 +695,9 @@
 }
 
 /* The answer has begun, and control didn't know when it decided on the attempt
-   that is to be started.  A second run must not be joined to that answer: it is
-   reported as the new attempt's, and so is its end, which control has ignored
-   or will ignore under the old number. */
+   that is to be started.  A second run must not be joined to that answer: it
+   is reported as the new attempt's, and so is its end, which control has
+   ignored or will ignore under the old number. */
 static void
 adopt(forward *f, attempt *old, const job *j)
 {
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -42,6 +42,7 @@
     atomic_bool stopping;
     atomic_ullong sent_bytes;
     char id[BBM_NAME_SIZE]; /* attempt id of the request being answered */
+    char head[32768];       /* of that request */
     struct broken_stream {
         unsigned status;
         const char *body; /* the whole stream */
@@ -91,10 +92,10 @@
 read_request(upstream *u, int fd)
 {
     static const char name[] = "X-Bluebellmoor-Attempt-Id: ";
-    char head[4096] = "";
+    char *head = u->head;
     size_t len = 0;
-    while (!strstr(head, "\r\n\r\n")) {
-        ssize_t n = recv(fd, head + len, sizeof(head) - 1 - len, 0);
+    while (!len || !strstr(head, "\r\n\r\n")) {
+        ssize_t n = recv(fd, head + len, sizeof(u->head) - 1 - len, 0);
         if (n <= 0)
             return false;
         len += (size_t)n;
@@ -1290,7 +1291,33 @@
 }
 END_TEST
 
-TEST_MAIN("forward", second_run_is_not_joined_to_an_answer_that_broke_off,
+/* ---- headers ---- */
+
+/* UNASKED: a header of more than 8 KiB, within the limit that the
+   configuration states, reached the upstream without its end. */
+START_TEST(long_header_is_passed_on_whole)
+{
+    static char value[12000];
+    static char line[12100];
+    fixture w;
+    set_up(&w, answer_then_copy);
+    for (size_t i = 0; i < sizeof(value) - 1; i++)
+        value[i] = (char)('a' + i % 26);
+    exchange *ex = create_exchange(++w.requests);
+    exchange_headers_add(&ex->headers, "X-Bluebellmoor-Prefix-Hash", value);
+    bbm_forward_request kind = {0};
+    start_further(&w, ex, &kind, 1, 0, "");
+    ck_assert_int_eq(expect_result(&w, 1).outcome, BBM_FORWARD_COMPLETE);
+    snprintf(line, sizeof(line), "\r\nX-Bluebellmoor-Prefix-Hash: %s\r\n",
+             value);
+    ck_assert_ptr_nonnull(strstr(w.upstream.head, line));
+    exchange_unref(ex);
+    tear_down(&w);
+}
+END_TEST
+
+TEST_MAIN("forward", long_header_is_passed_on_whole,
+          second_run_is_not_joined_to_an_answer_that_broke_off,
           complete_answer_is_not_asked_for_again,
           answer_goes_on_after_a_silence,
           answer_of_a_dead_machine_ends_after_two_seconds,
