The id of a request is compared in full with the id of its answer

Callers with ids of 64 bytes or more would get no answer at all: the id was cut to 63 bytes when it was read, so each upstream's answer, which names it in full, was taken for another request's.

The id is now kept in full.

--- a/daemon/provider.c
+++ b/daemon/provider.c
@@ -185,7 +185,7 @@
     *colon = '\0';
     char *value = colon + 1 + strspn(colon + 1, " \t");
     value[strcspn(value, "\r\n")] = '\0';
-    platform_response_add_header(&c->head, "", line, value);
+    platform_response_add_header(&c->head, NULL, line, value);
     return len;
 }
 
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -193,8 +193,9 @@
     ex->method = bbm_strdup("GET");
     ex->host = bbm_strdup("h");
     ex->request_target = bbm_strdup("/a/b");
-    snprintf(ex->parsed_headers.id, sizeof(ex->parsed_headers.id), "id-%d",
-             (int)id);
+    char text[BBM_NAME_SIZE];
+    snprintf(text, sizeof(text), "id-%d", (int)id);
+    ex->parsed_headers.id = bbm_strdup(text);
     exchange_headers_add(&ex->headers, "X-Bluebellmoor-Attempt-Id",
                          ex->parsed_headers.id);
     ex->parsed_headers.client_timeout_ms = DEADLINE / BBM_MS;
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -632,8 +632,29 @@
 }
 END_TEST
 
-TEST_MAIN("platform", config_is_translated, invalid_configs_are_rejected,
-          listing_page_is_parsed, listing_diff_can_be_applied,
+/* MIXED's check of the id compared it with the first 63 bytes of the client's:
+   no answer to a longer id was ever passed on. */
+START_TEST(answers_to_a_long_id_are_its_own)
+{
+    char id[201];
+    memset(id, 'i', sizeof(id) - 1);
+    id[sizeof(id) - 1] = '\0';
+    platform_request c = {0};
+    platform_request_add_header(&c, "X-Bluebellmoor-Attempt-Id", id);
+    platform_response a = {0};
+    platform_response_add_header(&a, c.id, "X-Bluebellmoor-Attempt-Id", id);
+    ck_assert(a.head.has_request_id && !a.head.wrong_request_id);
+    id[199] = 'j';
+    a = (platform_response){0};
+    platform_response_add_header(&a, c.id, "X-Bluebellmoor-Attempt-Id", id);
+    ck_assert(a.head.wrong_request_id);
+    platform_request_free(&c);
+}
+END_TEST
+
+TEST_MAIN("platform", answers_to_a_long_id_are_its_own, config_is_translated,
+          invalid_configs_are_rejected, listing_page_is_parsed,
+          listing_diff_can_be_applied,
           statements_of_brittle_upstreams_are_read,
           builds_of_upstreams_are_told_apart,
           stream_that_is_taken_up_names_its_first_attempt,
