A repeated SIGTERM changes nothing; the soak, real daemons under series of faults

Cause: wait_for_signals() called _exit() on the second signal. Ruled out: the end of a stop itself (one SIGTERM loses nothing) and requests that cross the close (they had run). SIGTERM after the first is now logged and ignored; a second SIGINT still ends the process.

tests/soak plays daemons on loopback under signals, restarts, freezes and changes that come in series and overlap, from a seed, with clients that keep their connections until the process is gone and upstreams that record each run. The scenario stopped_again is its first use.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -3,7 +3,7 @@
  *
  *  Exit status: 0 after a graceful shutdown, 1 if a part of the daemon could
  *  not be started, 2 if the settings or arguments have errors, 3 after a
- *  second SIGTERM or SIGINT.
+ *  second SIGINT.
  */
 #include "control.h"
 #include "disk.h"
@@ -26,7 +26,7 @@
 
 #define EXIT_START_FAILED 1
 #define EXIT_BAD_SETTINGS 2
-#define EXIT_SECOND_SIGNAL 3
+#define EXIT_INTERRUPTED 3
 #define MAILBOX_SIZE 65536
 /* Listening addresses for the provider: readiness, control, directory. */
 #define PROVIDER_FRONTS_MAX 3
@@ -86,7 +86,7 @@
           "Without --settings, " SETTINGS_ENV " names the file.\n"
           "\n"
           "Exit status: 0 stopped gracefully or settings valid, 1 could not\n"
-          "start, 2 errors in settings or arguments, 3 second signal.\n",
+          "start, 2 errors in settings or arguments, 3 second SIGINT.\n",
           to);
 }
 
@@ -331,11 +331,16 @@
     return (int64_t)st.st_mtim.tv_sec * BBM_SECOND + st.st_mtim.tv_nsec;
 }
 
+static const char *
+signal_name(int number)
+{
+    return number == SIGTERM ? "TERM" : "INT";
+}
+
 static void
 request_stop(daemon_parts *p, int number)
 {
-    bbm_log(BBM_EVENT_STOPPING, "signal", number == SIGTERM ? "TERM" : "INT",
-            NULL);
+    bbm_log(BBM_EVENT_STOPPING, "signal", signal_name(number), NULL);
     mailbox_put_waiting(p->box, control_item_create(CONTROL_STOP));
 }
 
@@ -344,7 +349,8 @@
 {
     daemon_parts *p = context;
     sigset_t set;
-    int stop_signals = 0;
+    int stops = 0;
+    int interrupts = 0;
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
@@ -362,9 +368,16 @@
         }
         if (number < 0 || number == SIGHUP)
             continue;
-        if (++stop_signals > 1)
-            _exit(EXIT_SECOND_SIGNAL);
-        request_stop(p, number);
+        /* Supervisors repeat SIGTERM, which must cost no answer; only a person
+           at a terminal sends SIGINT twice. */
+        interrupts += number == SIGINT;
+        if (interrupts > 1)
+            _exit(EXIT_INTERRUPTED);
+        if (stops++ == 0)
+            request_stop(p, number);
+        else
+            bbm_log(BBM_EVENT_STOP_REPEATED, "signal", signal_name(number),
+                    NULL);
     }
 }
 
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -906,10 +906,26 @@
     finish
 }
 
+soak() { # NAME SECONDS ACTIONS: real daemons and clients that keep their connections
+    local rc
+    begin "$1"
+    # shellcheck disable=SC2086
+    "$FLEET_BUILD/soak" --daemon "$FLEET_BUILD/bluebellmoord" --seed 1 --seconds "$2" \
+        --folder "$dir" --port $((FLEET_PORT + 540)) ${3:+--actions $3} >"$dir/soak.log"
+    rc=$?
+    check "no rule is broken: $(grep -m 3 BROKEN "$dir/soak.log")" test $rc -eq 0
+    finish
+}
+
+t_stopped_again() { # SIGTERM comes again while a daemon stops: accepted requests are answered
+    soak stopped_again 8 stops
+}
+
 scenarios=(streams leader_killed bookings_once key_withdrawn isolated frozen
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
-    address_in_use operator_commands disk_full pools limits pool_keys drain_under_load)
+    address_in_use operator_commands disk_full pools limits pool_keys drain_under_load
+    stopped_again)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,576 @@
+/* Real daemons under signals, restarts and changes that come in series and
+   overlap; see soak_world.h.
+
+       soak --daemon PATH [--seed N] [--seconds N] [--vms N] [--clients N]
+            [--folder PATH] [--port N] [--actions NAME,...]
+
+   Exit status: 0 no rule was broken, 1 one was, 2 it could not run. */
+#include "soak_world.h"
+
+#include "bbm_mem.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <getopt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define GRACE_S 4
+/* A stop may last grace_s, and the end of the process a moment longer. */
+#define STOP_MS_MAX (GRACE_S * 1000 + 2500)
+#define READY_MS_MAX 20000
+/* VMs with a disk. */
+#define DISKS 3
+
+typedef struct vm {
+    int number;
+    pid_t pid; /* 0: none */
+    int64_t started_at;
+    soak_random random;
+    pthread_t thread;
+    bool stop_sent; /* SIGTERM was sent to this process */
+    bool kill_sent;
+} vm;
+
+static struct options {
+    const char *daemon;
+    const char *folder;
+    const char *actions; /* NULL: all */
+    uint64_t seed;
+    int64_t seconds;
+    int vms;
+    int clients;
+    uint16_t port;
+} opt = {.seed = 1,
+         .seconds = 60,
+         .vms = 3,
+         .clients = 24,
+         .port = 21000,
+         .folder = "."};
+
+static vm vms[SOAK_VMS_MAX];
+static int64_t end_at;
+static atomic_int config_version = 1;
+
+static void
+say(const vm *v, const char *what, int64_t value)
+{
+    printf("%lld vm-%d %s %lld\n", (long long)soak_now_ms(), v->number + 1,
+           what, (long long)value);
+    fflush(stdout);
+}
+
+/* ---- files ---- */
+
+static void
+settings_path(const vm *v, char path[512])
+{
+    snprintf(path, 512, "%s/vm-%d.json", opt.folder, v->number + 1);
+}
+
+static int
+format_settings(const vm *v, char *text, size_t size)
+{
+    char ip[32];
+    char folder[512] = "";
+    soak_vm_ip(v->number, ip);
+    if (v->number < DISKS)
+        snprintf(folder, sizeof(folder), "%s/disk-%d", opt.folder,
+                 v->number + 1);
+    int p = opt.port;
+    return snprintf(
+        text, size,
+        "{\"name\": \"vm-%d\", \"zone\": \"zone-%d\",\n"
+        " \"peer_address\": \"%s:%d\", \"caller_address\": \"%s:%d\",\n"
+        " \"admin_address\": \"%s:%d\", \"ready_address\": \"%s:%d\",\n"
+        " \"control_address\": \"%s:%d\", \"directory_address\": \"%s:%d\",\n"
+        " \"list_address\": \"127.0.0.1:%d\", \"data_folder\": \"%s\",\n"
+        " \"private_network\": true, \"seeds\": [\"127.0.2.1:1\", "
+        "\"127.0.2.2:1\", \"127.0.2.3:1\"],\n"
+        " \"first_start\": true, \"self_repair\": true, \"grace_s\": %d,\n"
+        " \"election_ms\": 450, \"gossip_ms\": 300, \"list_ms\": 500,\n"
+        " \"fresh_bound_ms\": 600000, \"cut_bound_ms\": 600000,\n"
+        " \"serve_stale_keys\": true, \"caller_threads\": 1}\n",
+        v->number + 1, 1 + v->number % 2, ip, p + SOAK_PEER, ip,
+        p + SOAK_CALLERS, ip, p + SOAK_ADMIN, ip, p + SOAK_READY, ip,
+        p + SOAK_CONTROL, ip, p + SOAK_DIRECTORY, p + SOAK_PORTS, folder,
+        GRACE_S);
+}
+
+static void
+write_bytes(const char *path, const char *text, size_t len)
+{
+    int fd = open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+    if (fd < 0 || write(fd, text, len) != (ssize_t)len) {
+        perror(path);
+        exit(2);
+    }
+    close(fd);
+}
+
+/* Writes the settings as a template does that isn't moved into place: for
+   @p gap_ms the file has its first part only. */
+static void
+write_settings(const vm *v, int64_t gap_ms)
+{
+    char text[2048];
+    char path[512];
+    size_t len = (size_t)format_settings(v, text, sizeof(text));
+    settings_path(v, path);
+    if (gap_ms) {
+        write_bytes(path, text, len / 2);
+        soak_sleep_ms(gap_ms);
+    }
+    write_bytes(path, text, len);
+}
+
+/* ---- processes ---- */
+
+static void
+start_process(vm *v)
+{
+    char path[512];
+    char log[512];
+    settings_path(v, path);
+    snprintf(log, sizeof(log), "%s/vm-%d.log", opt.folder, v->number + 1);
+    int fd = open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    v->stop_sent = false;
+    v->kill_sent = false;
+    v->started_at = soak_now_ms();
+    v->pid = fork();
+    if (v->pid == 0) {
+        dup2(fd, STDOUT_FILENO);
+        dup2(fd, STDERR_FILENO);
+        execl(opt.daemon, opt.daemon, "--settings", path, (char *)NULL);
+        _exit(127);
+    }
+    close(fd);
+    say(v, "started", v->pid);
+}
+
+static void
+judge_exit(vm *v, int status)
+{
+    int code =
+        WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    say(v, "ended", code);
+    if (!v->kill_sent && (!v->stop_sent || code != 0))
+        soak_break("FAULT vm-%d ended by itself with status %d, %lld ms after "
+                   "its start",
+                   v->number + 1, code,
+                   (long long)(soak_now_ms() - v->started_at));
+    v->pid = 0;
+}
+
+/* Waits for the end of the process; true if it has ended. */
+static bool
+wait_for_end(vm *v, int64_t ms)
+{
+    int64_t until = soak_now_ms() + ms;
+    while (v->pid) {
+        int status;
+        if (waitpid(v->pid, &status, WNOHANG) == v->pid)
+            judge_exit(v, status);
+        else if (soak_now_ms() >= until)
+            return false;
+        else
+            soak_sleep_ms(2);
+    }
+    return true;
+}
+
+static void
+send_signal(vm *v, int number)
+{
+    if (wait_for_end(v, 0))
+        return;
+    if (number == SIGTERM)
+        v->stop_sent = true;
+    if (number == SIGKILL) {
+        v->kill_sent = true;
+        soak_excuse(v->number, soak_now_ms(), soak_now_ms() + 200);
+    }
+    say(v, "signal", number);
+    kill(v->pid, number);
+}
+
+static void
+stop_and_start(vm *v, int64_t pause_ms)
+{
+    if (!wait_for_end(v, STOP_MS_MAX)) {
+        soak_break("FAULT vm-%d still runs %d ms after SIGTERM", v->number + 1,
+                   STOP_MS_MAX);
+        send_signal(v, SIGKILL);
+        wait_for_end(v, STOP_MS_MAX);
+    }
+    soak_sleep_ms(pause_ms);
+    start_process(v);
+}
+
+/* ---- what happens to a VM ---- */
+
+static int64_t
+draw(vm *v, int64_t below)
+{
+    return (int64_t)soak_draw(&v->random, (uint64_t)below);
+}
+
+static void
+stop_in_series(vm *v)
+{
+    int64_t n = 1 + draw(v, 4);
+    for (int64_t i = 0; i < n; i++) {
+        send_signal(v, SIGTERM);
+        soak_sleep_ms(draw(v, draw(v, 2) ? 50 : 1500));
+        if (draw(v, 4) == 0)
+            send_signal(v, SIGHUP);
+    }
+    stop_and_start(v, draw(v, 500));
+}
+
+static void
+freeze(vm *v)
+{
+    if (wait_for_end(v, 0))
+        return;
+    int64_t at = soak_now_ms();
+    int64_t ms = 30 + draw(v, draw(v, 3) ? 300 : 2000);
+    say(v, "frozen", ms);
+    kill(v->pid, SIGSTOP);
+    soak_sleep_ms(ms);
+    kill(v->pid, SIGCONT);
+    /* What it missed in that time may still be late. */
+    soak_excuse(v->number, at, soak_now_ms() + 3000);
+    if (draw(v, 3) == 0)
+        stop_in_series(v);
+}
+
+static void
+kill_and_start(vm *v)
+{
+    send_signal(v, SIGKILL);
+    stop_and_start(v, draw(v, 700));
+}
+
+/* Signals while the process starts. */
+static void
+start_and_signal(vm *v)
+{
+    send_signal(v, SIGTERM);
+    stop_and_start(v, 0);
+    soak_sleep_ms(10 + draw(v, 60));
+    if (draw(v, 2)) {
+        send_signal(v, SIGHUP);
+        return;
+    }
+    send_signal(v, SIGTERM);
+    stop_and_start(v, draw(v, 100));
+}
+
+static void
+rewrite_settings(vm *v)
+{
+    int64_t gap = draw(v, 400);
+    say(v, "settings are being written", gap);
+    write_settings(v, gap);
+    if (draw(v, 2))
+        send_signal(v, SIGHUP);
+}
+
+/* The settings are half written while the process starts. */
+static void
+start_beside_settings(vm *v)
+{
+    char text[2048];
+    char path[512];
+    size_t len = (size_t)format_settings(v, text, sizeof(text));
+    settings_path(v, path);
+    send_signal(v, SIGTERM);
+    wait_for_end(v, STOP_MS_MAX);
+    write_bytes(path, text, (size_t)draw(v, (int64_t)len));
+    stop_and_start(v, 0);
+    soak_sleep_ms(draw(v, 600));
+    write_bytes(path, text, len);
+}
+
+static int
+control_status(const vm *v, uint16_t port, const char *request)
+{
+    char ip[32];
+    char text[4096];
+    size_t received;
+    const char *body;
+    int status = 0;
+    int fd = soak_connect(soak_vm_ip(v->number, ip), port);
+    if (fd < 0)
+        return 0;
+    if (soak_send(fd, request, strlen(request))
+        && soak_read_message(fd, text, sizeof(text), soak_now_ms() + 2000,
+                             &received, &body))
+        sscanf(text, "HTTP/1.1 %d", &status);
+    close(fd);
+    return status;
+}
+
+static int
+publish(const vm *v)
+{
+    char body[2048];
+    char text[2560];
+    int version = atomic_fetch_add(&config_version, 1);
+    snprintf(
+        body, sizeof(body),
+        "{\"version\":%d,\"routes\":["
+        "{\"name\":\"once\",\"host\":\"a.example\",\"path-prefix\":\"/once/\","
+        "\"type\":\"unsafe\",\"timeout-ms\":5000,\"target-latency-ms\":800,"
+        "\"max-attempts\":1,\"public\":true,\"service\":\"api\"},"
+        "{\"name\":\"safe\",\"host\":\"a.example\",\"path-prefix\":\"/safe/\","
+        "\"type\":\"safe\",\"timeout-ms\":5000,\"target-latency-ms\":800,"
+        "\"max-attempts\":2,\"public\":true,\"service\":\"api\"},"
+        "{\"name\":\"stream\",\"host\":\"a.example\",\"path-prefix\":"
+        "\"/stream/\",\"type\":\"stream\",\"timeout-ms\":5000,"
+        "\"target-latency-ms\":800,\"target-gap-ms\":500,\"max-attempts\":2,"
+        "\"public\":true,\"resumable\":true,\"service\":\"api\"}],"
+        "\"services\":[{\"name\":\"api\",\"max-connections\":200}],"
+        "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":65536,"
+        "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},"
+        "\"tenants\":[]}",
+        version);
+    snprintf(text, sizeof(text),
+             "PUT /-/config HTTP/1.1\r\nHost: c\r\nConnection: close\r\n"
+             "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
+             strlen(body), body);
+    return control_status(v, (uint16_t)(opt.port + SOAK_CONTROL), text);
+}
+
+static bool
+is_ready(const vm *v)
+{
+    return control_status(v, (uint16_t)(opt.port + SOAK_READY),
+                          "GET /-/readyz HTTP/1.1\r\nHost: c\r\n\r\n")
+           == 200;
+}
+
+static bool
+until_ready(const vm *v, int64_t ms)
+{
+    int64_t until = soak_now_ms() + ms;
+    while (soak_now_ms() < until) {
+        if (is_ready(v))
+            return true;
+        soak_sleep_ms(100);
+    }
+    return false;
+}
+
+static void
+reload_in_series(vm *v)
+{
+    for (int64_t i = draw(v, 15); i >= 0; i--) {
+        send_signal(v, SIGHUP);
+        soak_sleep_ms(draw(v, 60));
+    }
+}
+
+static void
+publish_in_series(vm *v)
+{
+    for (int64_t i = draw(v, 5); i >= 0; i--) {
+        publish(v);
+        soak_sleep_ms(draw(v, 300));
+    }
+}
+
+/* What may happen to a VM; --actions names some of them. */
+static const struct action {
+    const char *name;
+    void (*run)(vm *v);
+} actions[] = {
+    {"stops", stop_in_series},
+    {"reloads", reload_in_series},
+    {"freezes", freeze},
+    {"kills", kill_and_start},
+    {"starts", start_and_signal},
+    {"settings", rewrite_settings},
+    {"half-settings", start_beside_settings},
+    {"configs", publish_in_series},
+};
+static const struct action *allowed[BBM_COUNT(actions)];
+static size_t allowed_len;
+
+/* @p names is a list split by commas; NULL: all. */
+static void
+allow_actions(const char *names)
+{
+    for (size_t i = 0; i < BBM_COUNT(actions); i++) {
+        const char *name = actions[i].name;
+        size_t len = strlen(name);
+        const char *at = names;
+        while (
+            at
+            && (strncmp(at, name, len) != 0 || (at[len] && at[len] != ','))) {
+            at = strchr(at, ',');
+            at = at ? at + 1 : NULL;
+        }
+        if (!names || at)
+            allowed[allowed_len++] = &actions[i];
+    }
+}
+
+static void *
+run_vm(void *context)
+{
+    vm *v = context;
+    while (soak_now_ms() < end_at) {
+        soak_sleep_ms(draw(v, 2500 * (int64_t)opt.vms / 3));
+        if (wait_for_end(v, 0))
+            start_process(v);
+        allowed[draw(v, (int64_t)allowed_len)]->run(v);
+    }
+    if (wait_for_end(v, 0))
+        start_process(v);
+    return NULL;
+}
+
+/* ---- the soak ---- */
+
+static bool
+begin(void)
+{
+    mkdir(opt.folder, 0755);
+    soak_upstreams_start((uint16_t)(opt.port + SOAK_PORTS));
+    for (int i = 0; i < opt.vms; i++) {
+        vm *v = &vms[i];
+        char disk[512];
+        *v = (vm){.number = i, .random = {opt.seed * 7919 + (uint64_t)i}};
+        snprintf(disk, sizeof(disk), "%s/disk-%d", opt.folder, i + 1);
+        if (i < DISKS)
+            mkdir(disk, 0755);
+        write_settings(v, 0);
+        start_process(v);
+    }
+    int64_t until = soak_now_ms() + READY_MS_MAX;
+    while (soak_now_ms() < until && publish(&vms[0]) != 200)
+        soak_sleep_ms(100);
+    for (int i = 0; i < opt.vms; i++) {
+        if (!until_ready(&vms[i], READY_MS_MAX))
+            return false;
+    }
+    return true;
+}
+
+static void
+finish(void)
+{
+    for (int i = 0; i < opt.vms; i++)
+        pthread_join(vms[i].thread, NULL);
+    for (int i = 0; i < opt.vms; i++) {
+        if (!until_ready(&vms[i], READY_MS_MAX))
+            soak_break("RECOVER vm-%d isn't ready %d ms after the last fault",
+                       i + 1, READY_MS_MAX);
+    }
+    for (int i = 0; i < opt.vms; i++)
+        send_signal(&vms[i], SIGTERM);
+    for (int i = 0; i < opt.vms; i++) {
+        if (!wait_for_end(&vms[i], STOP_MS_MAX))
+            soak_break("FAULT vm-%d doesn't stop", i + 1);
+    }
+    soak_clients_stop();
+}
+
+static void
+read_options(int argc, char **argv)
+{
+    static const struct option options[] = {
+        {"daemon", required_argument, NULL, 'd'},
+        {"seed", required_argument, NULL, 's'},
+        {"seconds", required_argument, NULL, 't'},
+        {"vms", required_argument, NULL, 'v'},
+        {"clients", required_argument, NULL, 'c'},
+        {"folder", required_argument, NULL, 'f'},
+        {"port", required_argument, NULL, 'p'},
+        {"actions", required_argument, NULL, 'a'},
+        {NULL, 0, NULL, 0},
+    };
+    int o;
+    while ((o = getopt_long(argc, argv, "", options, NULL)) >= 0) {
+        long number = optarg ? strtol(optarg, NULL, 10) : 0;
+        switch (o) {
+        case 'd':
+            opt.daemon = optarg;
+            break;
+        case 's':
+            opt.seed = (uint64_t)number;
+            break;
+        case 't':
+            opt.seconds = number;
+            break;
+        case 'v':
+            opt.vms = number < SOAK_VMS_MAX ? (int)number : SOAK_VMS_MAX;
+            break;
+        case 'c':
+            opt.clients = (int)number;
+            break;
+        case 'f':
+            opt.folder = optarg;
+            break;
+        case 'a':
+            opt.actions = optarg;
+            break;
+        case 'p':
+            opt.port = (uint16_t)number;
+            break;
+        default:
+            exit(2);
+        }
+    }
+    allow_actions(opt.actions);
+    if (opt.daemon && allowed_len)
+        return;
+    fputs("soak: --daemon is missing, or no action has that name\n", stderr);
+    exit(2);
+}
+
+static void
+kill_processes(void)
+{
+    for (int i = 0; i < opt.vms; i++) {
+        if (!vms[i].pid)
+            continue;
+        kill(vms[i].pid, SIGKILL);
+        waitpid(vms[i].pid, NULL, 0);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    read_options(argc, argv);
+    signal(SIGPIPE, SIG_IGN);
+    if (!begin()) {
+        fputs("soak: the VMs don't become ready\n", stderr);
+        kill_processes();
+        return 2;
+    }
+    end_at = soak_now_ms() + opt.seconds * 1000;
+    soak_clients_start(opt.clients, opt.vms,
+                       (uint16_t)(opt.port + SOAK_CALLERS), opt.seed);
+    for (int i = 0; i < opt.vms; i++) {
+        if (pthread_create(&vms[i].thread, NULL, run_vm, &vms[i]) != 0)
+            abort();
+    }
+    finish();
+    kill_processes();
+    printf("seed %llu: %d served, %d refused, %d failed, %d unread, %d "
+           "broken\n",
+           (unsigned long long)opt.seed, atomic_load(&soak_count.served),
+           atomic_load(&soak_count.refused), atomic_load(&soak_count.failed),
+           atomic_load(&soak_count.unread), atomic_load(&soak_count.broken));
+    return atomic_load(&soak_count.broken) ? 1 : 0;
+}
--- /dev/null
+++ b/tests/soak/soak_client.c
@@ -0,0 +1,199 @@
+#include "soak_world.h"
+
+#include "bbm_mem.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* A client waits this long for an answer, the daemon knows of 5 s. */
+#define CLIENT_TIMEOUT_MS 6500
+#define DAEMON_TIMEOUT_MS 5000
+/* A connection that is closed later than this after its request was sent whole
+   has been read from. */
+#define LOSS_SLACK_MS 200
+#define PAUSE_MS 5
+#define RECONNECT_MS 50
+#define ANSWER_BYTES_MAX 16384
+
+typedef enum request_kind { KIND_ONCE, KIND_SAFE, KIND_STREAM } request_kind;
+
+static const char *const kind_names[] = {"once", "safe", "stream"};
+
+typedef struct client {
+    int number;
+    int vm;
+    uint16_t port;
+    soak_random random;
+    pthread_t thread;
+    int requests;
+} client;
+
+static atomic_bool stopping;
+static client *clients;
+static int clients_len;
+
+typedef struct sent_request {
+    char id[64];
+    int vm;
+    request_kind kind;
+    int64_t sent_at;
+    int64_t ended_at;
+} sent_request;
+
+static void
+check_runs(const sent_request *q, int status)
+{
+    int count = soak_run_count(q->id);
+    if (q->kind == KIND_ONCE && count > 1)
+        soak_break("TWICE %s ran %d times", q->id, count);
+    if (q->kind == KIND_ONCE && count
+        && (status == 503 || status == 429 || status == 408))
+        soak_break("REFUSED %s was answered %d and ran", q->id, status);
+}
+
+static bool
+is_own_body(const sent_request *q, const char *body)
+{
+    char expected[256] = "";
+    if (q->kind != KIND_STREAM)
+        return strcmp(body, q->id) == 0;
+    for (int i = 1; i <= 5; i++) {
+        char event[32];
+        snprintf(event, sizeof(event), "id: %d\ndata: abc\n\n", i);
+        strcat(expected, event);
+    }
+    return strcmp(body, expected) == 0;
+}
+
+static void
+judge_answer(const sent_request *q, const char *text, const char *body)
+{
+    int status = 0;
+    sscanf(text, "HTTP/1.1 %d", &status);
+    check_runs(q, status);
+    if (status == 200) {
+        atomic_fetch_add(&soak_count.served, 1);
+        if (!is_own_body(q, body))
+            soak_break("MIXED %s %s got: %.100s", kind_names[q->kind], q->id,
+                       body);
+        return;
+    }
+    bool refused = status == 503 || status == 429;
+    atomic_fetch_add(refused ? &soak_count.refused : &soak_count.failed, 1);
+    if (status < 500 && status != 429 && status != 408)
+        soak_break("DENIED %s got %d from vm-%d", q->id, status, q->vm + 1);
+}
+
+/* The connection ended, or the time did, before a complete answer. */
+static void
+judge_loss(const sent_request *q, size_t received)
+{
+    /* An upstream records the run before it works. */
+    soak_sleep_ms(20);
+    int count = soak_run_count(q->id);
+    check_runs(q, 0);
+    bool late = q->ended_at - q->sent_at > LOSS_SLACK_MS;
+    bool hung = q->ended_at - q->sent_at >= CLIENT_TIMEOUT_MS;
+    if (!count && !late && !received) {
+        atomic_fetch_add(&soak_count.unread, 1);
+        return;
+    }
+    if (soak_is_excused(q->vm, q->sent_at - LOSS_SLACK_MS, q->ended_at))
+        return;
+    soak_break("LOST %s at vm-%d %s %lld ms after it was sent at %lld, %zu "
+               "bytes of an answer, ran %d times",
+               q->id, q->vm + 1, hung ? "unanswered" : "cut",
+               (long long)(q->ended_at - q->sent_at), (long long)q->sent_at,
+               received, count);
+}
+
+static bool
+send_request(client *c, int fd, sent_request *q)
+{
+    char text[512];
+    q->kind = (request_kind)soak_draw(&c->random, 3);
+    q->vm = c->vm;
+    snprintf(q->id, sizeof(q->id), "c%d-%d", c->number, ++c->requests);
+    snprintf(text, sizeof(text),
+             "POST /%s/x HTTP/1.1\r\nHost: a.example\r\n"
+             "X-Bluebellmoor-Attempt-Id: %s\r\n"
+             "X-Bluebellmoor-Deadline-Ms: %d\r\nX-Work-Ms: %d\r\n"
+             "Content-Length: 2\r\n\r\n{}",
+             kind_names[q->kind], q->id, DAEMON_TIMEOUT_MS,
+             (int)(20 + soak_draw(&c->random, 600)));
+    q->sent_at = soak_now_ms();
+    return soak_send(fd, text, strlen(text));
+}
+
+/* Returns false if the connection can't be used again. */
+static bool
+run_request(client *c, int fd, char *text)
+{
+    sent_request q;
+    const char *body;
+    char value[64];
+    size_t received;
+    if (!send_request(c, fd, &q)) {
+        atomic_fetch_add(&soak_count.unread, 1);
+        return false;
+    }
+    bool complete =
+        soak_read_message(fd, text, ANSWER_BYTES_MAX,
+                          q.sent_at + CLIENT_TIMEOUT_MS, &received, &body);
+    q.ended_at = soak_now_ms();
+    if (!complete) {
+        judge_loss(&q, received);
+        return false;
+    }
+    judge_answer(&q, text, body);
+    return strcasecmp(soak_header(text, "Connection", value), "close") != 0;
+}
+
+static void *
+run_client(void *context)
+{
+    client *c = context;
+    char ip[32];
+    char *text = bbm_calloc(1, ANSWER_BYTES_MAX);
+    while (!atomic_load(&stopping)) {
+        int fd = soak_connect(soak_vm_ip(c->vm, ip), c->port);
+        if (fd < 0) {
+            atomic_fetch_add(&soak_count.unread, 1);
+            soak_sleep_ms(RECONNECT_MS);
+            continue;
+        }
+        while (!atomic_load(&stopping) && run_request(c, fd, text))
+            soak_sleep_ms(PAUSE_MS);
+        close(fd);
+        soak_sleep_ms(PAUSE_MS);
+    }
+    free(text);
+    return NULL;
+}
+
+void
+soak_clients_start(int count, int vms, uint16_t port, uint64_t seed)
+{
+    clients = bbm_calloc((size_t)count, sizeof(*clients));
+    clients_len = count;
+    for (int i = 0; i < count; i++) {
+        client *c = &clients[i];
+        *c = (client){.number = i,
+                      .vm = i % vms,
+                      .port = port,
+                      .random = {seed * 1000 + (uint64_t)i}};
+        if (pthread_create(&c->thread, NULL, run_client, c) != 0)
+            abort();
+    }
+}
+
+void
+soak_clients_stop(void)
+{
+    atomic_store(&stopping, true);
+    for (int i = 0; i < clients_len; i++)
+        pthread_join(clients[i].thread, NULL);
+    free(clients);
+}
--- /dev/null
+++ b/tests/soak/soak_world.h
@@ -0,0 +1,85 @@
+/** @file
+ *  What surrounds the daemons in a soak: the provider's list, upstreams that
+ *  record each run, and clients that keep using their connections.
+ *
+ *  A soak plays real daemons on loopback under signals, restarts and changes
+ *  of configuration that come in series and overlap.  Its schedule follows
+ *  from a seed; what it finds depends on the machine's timing too.
+ */
+#ifndef SOAK_WORLD_H
+#define SOAK_WORLD_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define SOAK_VMS_MAX 64
+#define SOAK_UPSTREAMS 3
+/* Kinds of ports of a VM, all at its own loopback address. */
+enum soak_port {
+    SOAK_PEER,
+    SOAK_CALLERS,
+    SOAK_ADMIN,
+    SOAK_READY,
+    SOAK_CONTROL,
+    SOAK_DIRECTORY,
+    SOAK_PORTS
+};
+
+/** Pseudo-random numbers of one thread. */
+typedef struct soak_random {
+    uint64_t state;
+} soak_random;
+
+/** A number from 0 to @p below - 1. */
+uint64_t soak_draw(soak_random *r, uint64_t below);
+/** Milliseconds of the steady clock. */
+int64_t soak_now_ms(void);
+void soak_sleep_ms(int64_t ms);
+/** Dotted address of a VM, from 0. */
+const char *soak_vm_ip(int vm, char text[32]);
+/** A socket connected to an address, or -1. */
+int soak_connect(const char *ip, uint16_t port);
+/** Send all bytes; false on failure. */
+bool soak_send(int fd, const char *data, size_t len);
+
+/** Read an HTTP message into @p text, its body without chunks at the end;
+ *  false if the connection ended or @p until_ms passed before it was
+ *  complete.
+ *  @param received receives the number of bytes read
+ *  @param body     receives where the body begins */
+bool soak_read_message(int fd, char *text, size_t size, int64_t until_ms,
+                       size_t *received, const char **body);
+/** Value of a header of such a message, copied; "" if it has none. */
+const char *soak_header(const char *text, const char *name, char value[64]);
+
+/** Start the list and the upstreams on 127.0.0.1, ports from @p port. */
+void soak_upstreams_start(uint16_t port);
+/** How often an attempt id ran. */
+int soak_run_count(const char *id);
+
+/** A time during which a VM is killed or frozen. */
+void soak_excuse(int vm, int64_t from_ms, int64_t to_ms);
+/** True if the VM was killed or frozen at some moment of a span. */
+bool soak_is_excused(int vm, int64_t from_ms, int64_t to_ms);
+
+/** Counts of a soak; each thread adds to them. */
+typedef struct soak_counts {
+    atomic_int served;
+    atomic_int refused; /* 503 or 429 */
+    atomic_int failed;  /* 502 or 504 */
+    atomic_int unread;  /* not connected, or closed without being read */
+    atomic_int broken;  /* rules, see soak_break() */
+} soak_counts;
+extern soak_counts soak_count;
+
+/** Report a broken rule on standard output. */
+void soak_break(const char *format, ...) __attribute__((format(printf, 1, 2)));
+
+/** Start @p count clients, spread over @p vms VMs. */
+void soak_clients_start(int count, int vms, uint16_t port, uint64_t seed);
+/** End the clients once their last request has ended. */
+void soak_clients_stop(void);
+
+#endif
