A start waits for settings that are being written, and signals are blocked first

Causes: the first read took a half-written file for a mistake (exit 2, again at each restart), and signals were blocked only after the settings were read, so SIGHUP, which announces the change, ended the process (129).

A file that is missing or no whole document is read again for 5 s, event 112; a mistake in a whole one ends the start at once, as before. SIGTERM during that time ends it in good order. A change between the first read and the first check is noticed.

Before: settings_late failed (exit 2; SIGHUP met no process).

--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -36,6 +36,9 @@
       "clients can still connect while the daemon stops")                     \
     X(BBM_EVENT_STOP_REPEATED, 111, INFO,                                     \
       "another signal to stop; the shutdown goes on")                         \
+    X(BBM_EVENT_SETTINGS_LATE, 112, WARN,                                     \
+      "settings file is missing or incomplete; trying again for some "        \
+      "seconds")                                                              \
     X(BBM_EVENT_ROLE, 200, INFO, "control role changed")                      \
     X(BBM_EVENT_GROUP_BOOTSTRAPPED, 201, INFO, "control group bootstrapped")  \
     X(BBM_EVENT_SNAPSHOT, 202, INFO, "snapshot written")                      \
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -36,22 +36,30 @@
 /* Time for accepting the last connections and for sending the last answers
    before all are closed. */
 #define FLUSH_DELAY_US 100000
-/* A process that was killed holds its addresses until all of it has ended. */
-#define LISTEN_TIMEOUT (5 * BBM_SECOND)
-#define LISTEN_RETRY_US 100000
+/* Time for which a start waits for what it needs.  A process that was killed
+   holds its addresses until all of it has ended, for instance. */
+#define START_TIMEOUT (5 * BBM_SECOND)
+#define START_RETRY (100 * BBM_MS)
 #define SETTINGS_ENV "BLUEBELLMOOR_CONFIG"
 /* glibc's malloc arenas; more of them would only spread the allocations over
    more memory. */
 #define MALLOC_ARENAS_MAX 4
 
+/* What a start needs may come late: a settings file that is being written, a
+   disk, an address that is in use. */
+typedef struct patience {
+    bbm_time began_at;
+    int logged_event; /* last one that was logged */
+    bool stopped;     /* a signal to stop came */
+} patience;
+
 typedef struct daemon_parts {
     bbm_settings *settings;
     uint64_t run;
     uint8_t message_secret[BBM_DIGEST_SIZE];
     uint8_t key_secret[BBM_DIGEST_SIZE];
     mailbox *box;
-    bbm_time started_at;
-    bool listen_retried; /* an address was in use, which was logged */
+    patience *patience;
     atomic_bool ready;
     atomic_bool stop_now;
     atomic_llong last_tick;
@@ -70,6 +78,7 @@
     atomic_bool closing;
     front_limits limits;
     const char *settings_path;
+    int64_t settings_mtime; /* of the file that was read last */
     pthread_t signal_thread;
     atomic_bool signals_done; /* ends the signal thread */
 } daemon_parts;
@@ -111,8 +120,66 @@
     return rc;
 }
 
+/* ---- signals ---- */
+
+static sigset_t
+stop_signals(void)
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    return set;
+}
+
+static sigset_t
+waited_signals(void)
+{
+    sigset_t set = stop_signals();
+    sigaddset(&set, SIGHUP);
+    return set;
+}
+
+/* A signal that comes before the daemon waits for it stays pending; it would
+   end the process otherwise. */
+static void
+block_signals(void)
+{
+    sigset_t set = waited_signals();
+    pthread_sigmask(SIG_BLOCK, &set, NULL);
+    signal(SIGPIPE, SIG_IGN);
+}
+
+static const char *
+signal_name(int number)
+{
+    return number == SIGTERM ? "TERM" : "INT";
+}
+
 /* ---- start ---- */
 
+/* Waits before another try.  Returns false if the time is up or a signal to
+   stop came.  The cause is logged when it changes.
+   @param name Name of the log field with @p value. */
+static bool
+wait_to_start(patience *w, bbm_log_event event, const char *name,
+              const char *value)
+{
+    static const struct timespec pause = {.tv_nsec = START_RETRY};
+    sigset_t set = stop_signals();
+    if (w->stopped || control_now() - w->began_at >= START_TIMEOUT)
+        return false;
+    if (w->logged_event != (int)event)
+        bbm_log(event, name, value, NULL);
+    w->logged_event = (int)event;
+    int number = sigtimedwait(&set, NULL, &pause);
+    if (number < 0)
+        return true;
+    w->stopped = true;
+    bbm_log(BBM_EVENT_STOPPING, "signal", signal_name(number), NULL);
+    return false;
+}
+
 /* A number that rises with each run: calendar time in milliseconds, followed
    by 20 random bits. */
 static uint64_t
@@ -150,20 +217,11 @@
     return BBM_OK;
 }
 
-/* Waits before another try to listen on an address.  Returns false once it has
-   been tried for LISTEN_TIMEOUT since the start. */
 static bool
 wait_to_listen(daemon_parts *p, const char *address)
 {
-    if (control_now() - p->started_at >= LISTEN_TIMEOUT) {
-        bbm_log(BBM_EVENT_LISTEN_FAILED, "address", address, NULL);
-        return false;
-    }
-    if (!p->listen_retried)
-        bbm_log(BBM_EVENT_LISTEN_RETRIED, "address", address, NULL);
-    p->listen_retried = true;
-    usleep(LISTEN_RETRY_US);
-    return true;
+    return wait_to_start(p->patience, BBM_EVENT_LISTEN_RETRIED, "address",
+                         address);
 }
 
 static front *
@@ -185,6 +243,8 @@
     front *f;
     while ((f = front_create(&desc)) == NULL && wait_to_listen(p, address))
         ;
+    if (!f && !p->patience->stopped)
+        bbm_log(BBM_EVENT_LISTEN_FAILED, "address", address, NULL);
     return f;
 }
 
@@ -226,7 +286,6 @@
 {
     const bbm_settings *s = p->settings;
     p->box = mailbox_create(MAILBOX_SIZE);
-    p->started_at = control_now();
     atomic_store(&p->last_tick, control_now());
     int rc = open_disk(p);
     if (rc < 0)
@@ -234,8 +293,11 @@
     do
         p->transport = transport_create(s, p->run, p->message_secret, p->box);
     while (!p->transport && wait_to_listen(p, s->peer_address));
-    if (!p->transport)
+    if (!p->transport) {
+        if (!p->patience->stopped)
+            bbm_log(BBM_EVENT_LISTEN_FAILED, "address", s->peer_address, NULL);
         return BBM_ERR_IO;
+    }
     start_upstream_threads(p);
     front_kind kind = s->list_address[0] ? FRONT_POOL_CALLERS : FRONT_CALLERS;
     p->callers = open_front(p, kind, s->caller_address);
@@ -294,7 +356,17 @@
     mailbox_destroy(p->box);
 }
 
-/* ---- signals ---- */
+/* ---- running ---- */
+
+/* Nanoseconds; 0: there is no file. */
+static int64_t
+settings_mtime(const char *path)
+{
+    struct stat st;
+    if (stat(path, &st) != 0)
+        return 0;
+    return (int64_t)st.st_mtim.tv_sec * BBM_SECOND + st.st_mtim.tv_nsec;
+}
 
 /* Rereads the settings.  Only changes of the seeds take effect while the
    daemon runs. */
@@ -322,21 +394,6 @@
     mailbox_put_waiting(p->box, item);
 }
 
-static int64_t
-settings_mtime(const daemon_parts *p)
-{
-    struct stat st;
-    if (stat(p->settings_path, &st) != 0)
-        return 0;
-    return (int64_t)st.st_mtim.tv_sec * BBM_SECOND + st.st_mtim.tv_nsec;
-}
-
-static const char *
-signal_name(int number)
-{
-    return number == SIGTERM ? "TERM" : "INT";
-}
-
 static void
 request_stop(daemon_parts *p, int number)
 {
@@ -348,22 +405,17 @@
 wait_for_signals(void *context)
 {
     daemon_parts *p = context;
-    sigset_t set;
+    sigset_t set = waited_signals();
     int stops = 0;
     int interrupts = 0;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    sigaddset(&set, SIGHUP);
-    int64_t last_mtime = settings_mtime(p);
     for (;;) {
         struct timespec wait = {.tv_sec = RELOAD_PERIOD_S};
         int number = sigtimedwait(&set, NULL, &wait);
         if (atomic_load(&p->signals_done))
             return NULL;
-        int64_t mtime = settings_mtime(p);
-        if (number == SIGHUP || mtime != last_mtime) {
-            last_mtime = mtime;
+        int64_t mtime = settings_mtime(p->settings_path);
+        if (number == SIGHUP || mtime != p->settings_mtime) {
+            p->settings_mtime = mtime;
             reload_seeds(p);
         }
         if (number < 0 || number == SIGHUP)
@@ -381,18 +433,6 @@
     }
 }
 
-static void
-block_signals(void)
-{
-    sigset_t set;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    sigaddset(&set, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &set, NULL);
-    signal(SIGPIPE, SIG_IGN);
-}
-
 static void
 raise_file_limit(void)
 {
@@ -443,27 +483,59 @@
         pthread_join(p->signal_thread, NULL);
     }
     close_parts(p);
-    return rc == BBM_OK ? EXIT_SUCCESS : EXIT_START_FAILED;
+    return rc == BBM_OK || p->patience->stopped ? EXIT_SUCCESS
+                                                : EXIT_START_FAILED;
+}
+
+/* True if the file can be read as a whole document, with or without errors in
+   its fields. */
+static bool
+is_document(const char *path)
+{
+    size_t len = 0;
+    BBM_AUTO_FREE char *text = bbm_read_file(path, &len);
+    bbm_doc_errors errors = {0};
+    json_t *doc = text ? bbm_doc_parse(text, len, &errors) : NULL;
+    json_decref(doc);
+    bbm_doc_errors_free(&errors);
+    return doc != NULL;
+}
+
+/* Reads the settings; a file that is missing or incomplete may be just being
+   written.  False with the errors of the last try. */
+static bool
+load_settings(daemon_parts *p, bbm_doc_errors *errors)
+{
+    const char *path = p->settings_path;
+    for (;;) {
+        p->settings_mtime = settings_mtime(path);
+        p->settings = bbm_settings_load(path, errors);
+        if (p->settings || is_document(path)
+            || !wait_to_start(p->patience, BBM_EVENT_SETTINGS_LATE, "mistake",
+                              errors->len ? errors->lines[0] : ""))
+            return p->settings != NULL;
+        bbm_doc_errors_free(errors);
+        *errors = (bbm_doc_errors){0};
+    }
 }
 
 static int
 start(const char *path)
 {
     bbm_doc_errors errors = {0};
-    daemon_parts parts = {0};
-    parts.settings = bbm_settings_load(path, &errors);
-    parts.settings_path = path;
-    if (!parts.settings) {
-        int rc = print_errors(&errors);
+    patience wait = {.began_at = control_now()};
+    daemon_parts parts = {.patience = &wait, .settings_path = path};
+    if (!load_settings(&parts, &errors)) {
+        int rc = wait.stopped ? EXIT_SUCCESS : print_errors(&errors);
         bbm_doc_errors_free(&errors);
         return rc;
     }
+    wait.began_at = control_now();
     bbm_log_setup(&(bbm_log_desc){
         .node = parts.settings->name,
         .file = stdout,
         .min_level = (bbm_level)bbm_level_parse(parts.settings->log_level),
     });
-    block_signals();
     bbm_log_start();
     raise_file_limit();
     mallopt(M_ARENA_MAX, MALLOC_ARENAS_MAX);
@@ -485,6 +557,7 @@
         {"version", no_argument, NULL, 'v'},
         {NULL, 0, NULL, 0},
     };
+    block_signals();
     if (bbm_hash_setup() < 0)
         return EXIT_START_FAILED;
     int opt = getopt_long(argc, argv, "", options, NULL);
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -921,11 +921,68 @@
     soak stopped_again 8 stops
 }
 
+t_signal_at_start() { # SIGHUP while the libraries are still being loaded doesn't end the process
+    begin signal_at_start
+    late_vm
+    # The linker's own messages fill a pipe that nobody reads, so it waits.
+    mkfifo "$dir/messages"
+    exec 9<>"$dir/messages"
+    LD_DEBUG=bindings "$FLEET_BUILD/bluebellmoord" --settings "$dir/vm-1.json" \
+        >>"$dir/vm-1.log" 2>"$dir/messages" 9>&- &
+    local daemon=$!
+    fleet_pids+=("$daemon")
+    waits_in_pipe() { grep -q pipe "/proc/$daemon/wchan" || grep -q '^State:.*S' "/proc/$daemon/status"; }
+    check "the linker waits" fleet_until 5 waits_in_pipe
+    kill -HUP "$daemon"
+    sleep 0.1
+    check "the process lives" kill -0 "$daemon"
+    cat "$dir/messages" >/dev/null 9>&- &
+    fleet_pids+=($!)
+    exec 9>&-
+    check "the configuration is acknowledged" fleet_until 10 pool_accepts 1 1
+    check "the settings were read again" fleet_until 2 grep -q '"event":107' "$dir/vm-1.log"
+    finish
+}
+
+late_vm() { # prepares vm-1 alone with a disk and one upstream, and doesn't start it
+    fleet_run "$dir/list.log" "$FLEET_BUILD/stand_pool" list $((FLEET_PORT + 6)) $((FLEET_PORT + 520))
+    mkdir -p "$dir/disk-1"
+    pool_settings 1 true
+    sed -i 's/"127.0.1.1:1", "127.0.1.2:1", "127.0.1.3:1"/"127.0.1.1:1"/' "$dir/vm-1.json"
+}
+
+t_settings_late() { # settings that are half written at the start are waited for; signals then end nothing
+    begin settings_late
+    late_vm
+    cp "$dir/vm-1.json" "$dir/whole"
+    head -c 200 "$dir/whole" >"$dir/vm-1.json"
+    fleet_daemon "$dir" 1
+    sleep 0.5
+    check "SIGHUP doesn't end it" kill -HUP "${fleet_daemon_pid[1]}"
+    sleep 0.3
+    cp "$dir/whole" "$dir/vm-1.json"
+    check "it starts once they are whole" fleet_until 10 pool_accepts 1 1
+    check "it says that it waited" grep -q '"event":112' "$dir/vm-1.log"
+    fleet_terminate "${fleet_daemon_pid[1]}"
+    head -c 200 "$dir/whole" >"$dir/vm-1.json"
+    fleet_daemon "$dir" 1
+    sleep 0.5
+    kill -TERM "${fleet_daemon_pid[1]}"
+    wait "${fleet_daemon_pid[1]}"
+    check "SIGTERM stops it in good order" test $? -eq 0
+    cp "$dir/whole" "$dir/vm-1.json"
+    sed -i 's/"name"/"nane"/' "$dir/vm-1.json"
+    local began=$SECONDS
+    "$FLEET_BUILD/bluebellmoord" --settings "$dir/vm-1.json" >>"$dir/vm-1.log" 2>&1
+    check "a mistake in whole settings isn't waited for" test $? -eq 2 -a $((SECONDS - began)) -le 2
+    finish
+}
+
 scenarios=(streams leader_killed bookings_once key_withdrawn isolated frozen
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
     address_in_use operator_commands disk_full pools limits pool_keys drain_under_load
-    stopped_again)
+    stopped_again signal_at_start settings_late)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
