A start waits for a data folder that comes late

Cause: an I/O error of the data folder ended the start at once with status 1, while an address in use is waited for.

--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -39,6 +39,8 @@
     X(BBM_EVENT_SETTINGS_LATE, 112, WARN,                                     \
       "settings file is missing or incomplete; trying again for some "        \
       "seconds")                                                              \
+    X(BBM_EVENT_STORE_LATE, 113, WARN,                                        \
+      "data folder can't be used; trying again for some seconds")             \
     X(BBM_EVENT_ROLE, 200, INFO, "control role changed")                      \
     X(BBM_EVENT_GROUP_BOOTSTRAPPED, 201, INFO, "control group bootstrapped")  \
     X(BBM_EVENT_SNAPSHOT, 202, INFO, "snapshot written")                      \
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -205,7 +205,12 @@
         return BBM_OK;
     bbm_store *store;
     bbm_store_report report;
-    int rc = bbm_store_open(p->settings->data_folder, &store, &report);
+    int rc;
+    while ((rc = bbm_store_open(p->settings->data_folder, &store, &report))
+               == BBM_ERR_IO
+           && wait_to_start(p->patience, BBM_EVENT_STORE_LATE, "file",
+                            report.failed_file))
+        ;
     if (rc < 0) {
         bbm_log(BBM_EVENT_STORE_FAILED, "file", report.failed_file, "code",
                 bbm_code_name(rc), NULL);
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -978,11 +978,24 @@
     finish
 }
 
+t_disk_late() { # a data folder that can't be used at the start is waited for
+    begin disk_late
+    late_vm
+    sed -i "s#$dir/disk-1#$dir/mount/disk-1#" "$dir/vm-1.json"
+    fleet_daemon "$dir" 1
+    sleep 0.7
+    mkdir -p "$dir/mount/disk-1"
+    check "it starts" fleet_until 10 pool_accepts 1 1
+    check "it says that it waited" grep -q '"event":113' "$dir/vm-1.log"
+    check "nothing failed" test -z "$(grep '"event":204' "$dir/vm-1.log")"
+    finish
+}
+
 scenarios=(streams leader_killed bookings_once key_withdrawn isolated frozen
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
     address_in_use operator_commands disk_full pools limits pool_keys drain_under_load
-    stopped_again signal_at_start settings_late)
+    stopped_again signal_at_start settings_late disk_late)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
