A connection to a VM on which nothing is acknowledged for 0.7 s is replaced

Cause: a link was opened again only if it wasn't connected, so messages went into dead connections for as long as the kernel sends again. Ruled out by event 430, which is new: a group without a majority (it had a leader within 0.7 s of the silence), dead parents of polls.

Links now have TCP_USER_TIMEOUT. The peer's kernel acknowledges for a frozen or slow process, so only dead connections go. nng doesn't tell its sockets; they are found by both ends' addresses, as two links may go to one address.

Open: a proxy between VMs that acknowledges by itself.

--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -111,6 +111,7 @@
       "an upstream of the pool answered this VM again")                       \
     X(BBM_EVENT_UPSTREAM_BRITTLE, 429, INFO,                                  \
       "upstream stated that it fails if it must refuse many requests")        \
+    X(BBM_EVENT_LINK_LOST, 430, INFO, "connection to a VM was lost")          \
     X(BBM_EVENT_REQUEST_RELAYED, 518, INFO,                                   \
       "request passed to another VM to be forwarded")                         \
     X(BBM_EVENT_REQUEST_SENT, 510, INFO, "request sent to an upstream")       \
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -290,8 +290,8 @@
 {
     bbm_node_counts counts = bbm_node_count(c->node, control_now());
     bbm_buf text = {0};
-    metrics_write(&counts, transport_rejected_count(c->desc->transport),
-                  &text);
+    transport_counts links = transport_count(c->desc->transport);
+    metrics_write(&counts, &links, &text);
     exchange_answer(ex, 200, "text/plain; version=0.0.4", text.data, text.len);
     bbm_buf_free(&text);
 }
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -176,7 +176,8 @@
 }
 
 void
-metrics_write(const bbm_node_counts *counts, uint64_t rejected, bbm_buf *out)
+metrics_write(const bbm_node_counts *counts, const transport_counts *links,
+              bbm_buf *out)
 {
     for (size_t i = 0; i < BBM_COUNT(metrics); i++) {
         uint64_t value;
@@ -195,7 +196,14 @@
                  "Log lines dropped for a slow reader", bbm_log_dropped(),
                  out);
     write_metric("unsealed_messages_total", "counter",
-                 "Messages that did not open", rejected, out);
+                 "Messages that did not open", links->rejected, out);
+    write_metric("links", "gauge", "Connections to daemons", links->links,
+                 out);
+    write_metric("links_lost_total", "counter",
+                 "Connections to daemons that ended", links->links_lost, out);
+    write_metric("link_lost_age_ms", "gauge",
+                 "Since the last one of these ended; 0: none has",
+                 links->link_lost_age_ms, out);
     struct mallinfo2 heap = mallinfo2();
     write_metric("heap_bytes", "gauge", "Bytes allocated", heap.uordblks, out);
 }
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -5,10 +5,10 @@
 #define METRICS_H
 
 #include "bbm_node.h"
+#include "transport.h"
 
-/** Append all metrics to @p out.  @p rejected counts the messages that could
- *  not be decrypted. */
-void metrics_write(const bbm_node_counts *counts, uint64_t rejected,
-                   bbm_buf *out);
+/** Append all metrics to @p out. */
+void metrics_write(const bbm_node_counts *counts,
+                   const transport_counts *links, bbm_buf *out);
 
 #endif
--- a/daemon/transport.c
+++ b/daemon/transport.c
@@ -1,13 +1,21 @@
 #include "transport.h"
 
+#include "bbm_log.h"
 #include "control.h"
+#include "link.h"
 #include "seal.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
+#include <nng/transport/tcp/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <time.h>
 #include <uthash.h>
@@ -19,10 +27,14 @@
 /* Delay between attempts to connect to a peer. */
 #define RECONNECT_MIN_MS 50
 #define RECONNECT_MAX_MS 250
-/* A connection attempt is restarted after this time.  While a machine is down
-   its SYN packets are lost, and the kernel would resend the first only after
-   one second. */
-#define CONNECT_TIMEOUT (200 * BBM_MS)
+/* Probes of an idle connection.  A connection that is used shows its end
+   sooner; these only release what would be held for nobody. */
+#define PROBE_IDLE_S 20
+#define PROBE_INTERVAL_S 1
+/* Shortest time between two searches for the sockets of new connections. */
+#define SOCKET_SEARCH_PERIOD (20 * BBM_MS)
+/* The search ends after this number of descriptors that aren't open. */
+#define SOCKET_SEARCH_GAP 256
 /* Time given to the sockets to close when the transport is destroyed. */
 #define CLOSE_TIMEOUT_S 1
 #define URL_SIZE (BBM_ADDRESS_SIZE + 8)
@@ -31,9 +43,14 @@
 typedef struct peer_link {
     char name[BBM_NAME_SIZE];
     char address[BBM_ADDRESS_SIZE];
+    struct sockaddr_in to;
+    transport *transport;
     nng_socket socket;
-    bbm_time opened_at;
-    atomic_bool connected; /* set by nng's threads */
+    link_life life;
+    atomic_bool connected; /* set by nng's threads, as are the next two */
+    atomic_uint new_port;  /* local port of a connection without timeouts,
+                              in network order; 0: there is none */
+    atomic_ullong losses;  /* connections that have ended */
     UT_hash_handle hh;
 } peer_link;
 
@@ -44,7 +61,11 @@
     nng_socket listener;
     pthread_t thread;
     bool started;
-    peer_link *links; /* used by the control thread only */
+    peer_link *links;    /* used by the control thread only */
+    atomic_bool any_new; /* a link has a new_port */
+    bbm_time searched_at;
+    uint64_t links_lost;
+    bbm_time link_lost_at; /* 0: none was */
     atomic_ullong rejected;
     pthread_mutex_t close_lock;
     pthread_cond_t closed;
@@ -220,14 +241,158 @@
     begin_close(t, l->socket, l);
 }
 
+/* ---- silent connections ---- */
+
+/* A connection whose packets are lost without a reset looks open for as long
+   as the kernel sends its bytes again, a quarter of an hour.  The peer's
+   kernel acknowledges what it gets, also while the peer is frozen, slow or has
+   nothing to say, so a limit on the time without one is the proof that is
+   needed.  nng has no option for it and doesn't tell its sockets, so they are
+   found by their peers' addresses. */
+
+static void
+set_timeouts(int fd)
+{
+    const unsigned unacked_ms = LINK_UNACKED_TIMEOUT / BBM_MS;
+    const int on = 1;
+    const int idle_s = PROBE_IDLE_S;
+    const int interval_s = PROBE_INTERVAL_S;
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
+               sizeof(unacked_ms));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+               sizeof(interval_s));
+}
+
+static bool
+parse_address(const char *address, struct sockaddr_in *to)
+{
+    char host[64];
+    uint16_t port = 0;
+    *to = (struct sockaddr_in){.sin_family = AF_INET};
+    bool valid = bbm_address_split(address, host, &port)
+                 && inet_pton(AF_INET, host, &to->sin_addr) == 1;
+    to->sin_port = htons(port);
+    return valid;
+}
+
+static bool
+is_same_address(const struct sockaddr_in *a, const struct sockaddr_in *b)
+{
+    return a->sin_addr.s_addr == b->sin_addr.s_addr
+           && a->sin_port == b->sin_port;
+}
+
+/* The link whose new connection has these addresses, or NULL.  Two links may
+   go to one address, as a daemon is known by its address before its name. */
+static peer_link *
+find_new_link(const transport *t, const struct sockaddr_in *own,
+              const struct sockaddr_in *to)
+{
+    for (peer_link *l = t->links; l; l = l->hh.next) {
+        if (atomic_load(&l->new_port) == own->sin_port
+            && is_same_address(&l->to, to))
+            return l;
+    }
+    return NULL;
+}
+
+/* True if a descriptor is an IPv4 connection.  *closed counts the descriptors
+   in a row that aren't open. */
+static bool
+read_addresses(int fd, struct sockaddr_in *own, struct sockaddr_in *to,
+               int *closed)
+{
+    socklen_t own_len = sizeof(*own);
+    socklen_t to_len = sizeof(*to);
+    bool is_connected = getpeername(fd, (void *)to, &to_len) == 0;
+    *closed = !is_connected && errno == EBADF ? *closed + 1 : 0;
+    return is_connected && to->sin_family == AF_INET
+           && getsockname(fd, (void *)own, &own_len) == 0;
+}
+
+static void
+log_loss(transport *t, peer_link *l, bbm_time now)
+{
+    link_loss loss = link_take_loss(&l->life, atomic_load(&l->losses), now);
+    if (!loss.lost)
+        return;
+    char age[24];
+    char idle[24];
+    char unproved[24];
+    t->links_lost++;
+    t->link_lost_at = now;
+    snprintf(age, sizeof(age), "%lld", (long long)(loss.age / BBM_MS));
+    snprintf(idle, sizeof(idle), "%lld", (long long)(loss.idle / BBM_MS));
+    snprintf(unproved, sizeof(unproved), "%u", loss.unproved);
+    bbm_log(BBM_EVENT_LINK_LOST, "vm", l->name, "address", l->address,
+            "age_ms", age, "idle_ms", idle, "unproved", unproved, NULL);
+}
+
+/* Sets the timeouts of connections that were made since the last search. */
+static void
+find_new_sockets(transport *t, bbm_time now)
+{
+    if (!atomic_load(&t->any_new)
+        || now - t->searched_at < SOCKET_SEARCH_PERIOD)
+        return;
+    t->searched_at = now;
+    atomic_store(&t->any_new, false);
+    for (int fd = 0, closed = 0; closed < SOCKET_SEARCH_GAP; fd++) {
+        struct sockaddr_in own = {0};
+        struct sockaddr_in to = {0};
+        peer_link *l = read_addresses(fd, &own, &to, &closed)
+                           ? find_new_link(t, &own, &to)
+                           : NULL;
+        if (!l)
+            continue;
+        set_timeouts(fd);
+        atomic_store(&l->new_port, 0);
+        log_loss(t, l, now);
+        link_connected(&l->life, now);
+    }
+}
+
+/* Connections that are accepted inherit the timeouts of the listening
+   socket. */
+static void
+set_listener_timeouts(const struct sockaddr_in *address)
+{
+    for (int fd = 0, closed = 0; closed < SOCKET_SEARCH_GAP; fd++) {
+        struct sockaddr_in own = {0};
+        socklen_t len = sizeof(own);
+        int listens = 0;
+        socklen_t listens_len = sizeof(listens);
+        bool has_address = getsockname(fd, (void *)&own, &len) == 0;
+        closed = !has_address && errno == EBADF ? closed + 1 : 0;
+        if (has_address && own.sin_family == AF_INET
+            && is_same_address(&own, address)
+            && getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens,
+                          &listens_len)
+                   == 0
+            && listens)
+            set_timeouts(fd);
+    }
+}
+
 /* ---- sending ---- */
 
 static void
 on_connection(nng_pipe pipe, nng_pipe_ev event, void *context)
 {
-    (void)pipe;
     peer_link *l = context;
-    atomic_store(&l->connected, event == NNG_PIPE_EV_ADD_POST);
+    nng_sockaddr own;
+    bool made = event == NNG_PIPE_EV_ADD_POST;
+    atomic_store(&l->connected, made);
+    if (!made) {
+        atomic_fetch_add(&l->losses, 1);
+    }
+    else if (nng_pipe_get_addr(pipe, NNG_OPT_LOCADDR, &own) == 0
+             && own.s_family == NNG_AF_INET) {
+        atomic_store(&l->new_port, own.s_in.sa_port);
+        atomic_store(&l->transport->any_new, true);
+    }
 }
 
 static peer_link *
@@ -238,11 +403,12 @@
     snprintf(url, sizeof(url), "tcp://%s", address);
     bbm_name_set(l->name, name);
     bbm_text_set(l->address, sizeof(l->address), address);
-    if (nng_push0_open(&l->socket) != 0) {
+    l->transport = t;
+    if (!parse_address(address, &l->to) || nng_push0_open(&l->socket) != 0) {
         free(l);
         return NULL;
     }
-    l->opened_at = control_now();
+    link_open(&l->life, control_now());
     nng_pipe_notify(l->socket, NNG_PIPE_EV_ADD_POST, on_connection, l);
     nng_pipe_notify(l->socket, NNG_PIPE_EV_REM_POST, on_connection, l);
     nng_socket_set_int(l->socket, NNG_OPT_SENDBUF, SEND_QUEUE_MESSAGES);
@@ -258,19 +424,22 @@
 }
 
 /* Returns the link to a peer.  It is reopened if the peer's address has
-   changed or a connection attempt takes longer than CONNECT_TIMEOUT. */
+   changed or a connection attempt takes too long. */
 static peer_link *
-link_for(transport *t, const char *name, const char *address)
+link_for(transport *t, const char *name, const char *address, bbm_time now)
 {
     peer_link *l = NULL;
     HASH_FIND_STR(t->links, name, l);
-    bool timed_out = l && !atomic_load(&l->connected)
-                     && control_now() - l->opened_at > CONNECT_TIMEOUT;
-    if (l && (timed_out || strcmp(l->address, address) != 0)) {
-        close_link(t, l);
-        l = NULL;
-    }
-    return l ? l : open_link(t, name, address);
+    if (!l)
+        return open_link(t, name, address);
+    log_loss(t, l, now);
+    bool keeps =
+        link_before_send(&l->life, atomic_load(&l->connected), now) == LINK_USE
+        && strcmp(l->address, address) == 0;
+    if (keeps)
+        return l;
+    close_link(t, l);
+    return open_link(t, name, address);
 }
 
 void
@@ -281,22 +450,51 @@
         return;
     /* The link to a peer whose name is not known yet is stored under its
        address. */
-    peer_link *l = link_for(t, name[0] ? name : address, address);
+    bbm_time now = control_now();
+    find_new_sockets(t, now);
+    peer_link *l = link_for(t, name[0] ? name : address, address, now);
     nng_msg *msg = l ? encrypt_message(t, name, bytes) : NULL;
     if (!msg)
         return;
-    if (nng_sendmsg(l->socket, msg, NNG_FLAG_NONBLOCK) != 0)
+    if (nng_sendmsg(l->socket, msg, NNG_FLAG_NONBLOCK) == 0)
+        link_sent(&l->life, now);
+    else
         nng_msg_free(msg);
 }
 
-uint64_t
-transport_rejected_count(const transport *t)
+transport_counts
+transport_count(const transport *t)
 {
-    return atomic_load(&t->rejected);
+    transport_counts c = {
+        .rejected = atomic_load(&t->rejected),
+        .links_lost = t->links_lost,
+        .link_lost_age_ms =
+            t->link_lost_at
+                ? (uint64_t)((control_now() - t->link_lost_at) / BBM_MS)
+                : 0,
+    };
+    for (const peer_link *l = t->links; l; l = l->hh.next)
+        c.links += atomic_load(&l->connected);
+    return c;
 }
 
 /* ---- creation ---- */
 
+static bool
+listen_for_peers(transport *t, const char *url)
+{
+    nng_listener listener;
+    struct sockaddr_in address;
+    if (nng_listener_create(&listener, t->listener, url) != 0)
+        return false;
+    nng_listener_set_bool(listener, NNG_OPT_TCP_KEEPALIVE, true);
+    if (nng_listener_start(listener, 0) != 0)
+        return false;
+    if (parse_address(t->settings->peer_address, &address))
+        set_listener_timeouts(&address);
+    return true;
+}
+
 transport *
 transport_create(const bbm_settings *settings, uint64_t run,
                  const uint8_t *message_secret, mailbox *control)
@@ -320,7 +518,7 @@
     }
     nng_socket_set_int(t->listener, NNG_OPT_RECVBUF, RECEIVE_QUEUE_MESSAGES);
     nng_socket_set_size(t->listener, NNG_OPT_RECVMAXSZ, MESSAGE_BYTES_MAX);
-    t->started = nng_listen(t->listener, url, NULL, 0) == 0
+    t->started = listen_for_peers(t, url)
                  && pthread_create(&t->thread, NULL, receive_messages, t) == 0;
     if (t->started)
         return t;
--- a/daemon/transport.h
+++ b/daemon/transport.h
@@ -2,8 +2,10 @@
  *  Messages between daemons, encrypted with the shared secret.
  *
  *  A daemon listens on one socket, and connects to another daemon when it
- *  first sends to it.  Received messages that can't be decrypted, or are for
- *  another daemon, are counted and dropped.  Delivery is not guaranteed.
+ *  first sends to it.  A connection on which nothing is acknowledged for
+ *  LINK_UNACKED_TIMEOUT is replaced; what was sent on it may be lost. Received
+ * messages that can't be decrypted, or are for another daemon, are counted and
+ * dropped.  Delivery is not guaranteed.
  */
 #ifndef TRANSPORT_H
 #define TRANSPORT_H
@@ -23,8 +25,16 @@
  *  @p name is "" if only the address is known.  From one thread only. */
 void transport_send(transport *t, const char *name, const char *address,
                     const bbm_buf *bytes);
-/** Received messages that were rejected by seal_decrypt(). */
-uint64_t transport_rejected_count(const transport *t);
+/** Counts since the start. */
+typedef struct transport_counts {
+    uint64_t rejected;         /**< Received messages that seal_decrypt()
+                                    rejected. */
+    uint64_t links;            /**< Daemons connected to now. */
+    uint64_t links_lost;       /**< Connections that have ended. */
+    uint64_t link_lost_age_ms; /**< Since the last one did; 0: none has. */
+} transport_counts;
+/** From the thread that sends. */
+transport_counts transport_count(const transport *t);
 /** Close all connections and release; NULL is allowed.  Returns within about a
  *  second, even if a connection doesn't close; then it is left open, and the
  *  transport is released when it closes. */
