An entry of the list that can't be read hides no others

Cause: platform_listing_read() had the whole page parsed at once, so one entry that the parser refuses took the others with it. Ruled out by a test that reads a page from memory: the transfer, and entries lost behind the bad one only.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -151,6 +151,91 @@
 }
 END_TEST
 
+/* DRAIN: one entry with bytes that aren't UTF-8 hid the whole list, and a
+   leaving upstream went on getting requests.  Entries that the parser refuses
+   as a whole name no upstream; the others hold. */
+START_TEST(unreadable_entries_hide_no_others)
+{
+    static const char *const bad_entries[] = {
+        "{\"id\":\"\xff\xfe\",\"service\":\"api\"}",
+        "{\"id\":\"a\\u0000b\",\"service\":\"api\"}",
+        "{\"id\":\"i-3\",\"slots\":99999999999999999999}",
+        "{\"id\":\"i-3\",\"slots\":1e999}",
+        "{\"id\":\"i-3\",\"slots\":tru}",
+        "{\"id\" \"i-3\"}",
+        "{\"id\":\"i-3,]}\",\"zone\":\"\x80\"}",
+        "{\"id\":\"\\\"]\\ud800\",\"list\":[[1,\"}\"],{\"a\":.}]}",
+        "nul",
+        "\"\x01\"",
+    };
+    static const char good[] =
+        "{\"id\":\"%s\",\"service\":\"api\",\"address\":\"10.0.0.1:80\","
+        "\"zone\":\"z\",\"slots\":6,\"state\":\"%s\"}";
+    for (size_t i = 0; i < BBM_COUNT(bad_entries); i++) {
+        char first[256];
+        char last[256];
+        char text[1024];
+        char next[BBM_NAME_SIZE];
+        bbm_listing l = {0};
+        size_t bad = 0;
+        snprintf(first, sizeof(first), good, "i-1", "draining");
+        snprintf(last, sizeof(last), good, "i-2", "ready");
+        snprintf(text, sizeof(text),
+                 " {\"instances\": [%s , %s, %s], \"next-token\":\"p-2\"} ",
+                 first, bad_entries[i], last);
+        ck_assert_int_eq(
+            platform_listing_read(text, strlen(text), &l, &bad, next), BBM_OK);
+        ck_assert_msg(l.len == 2 && bad == 1, "row %zu: %zu, %zu", i, l.len,
+                      bad);
+        ck_assert(bbm_listing_find(&l, "i-1")->leaving);
+        ck_assert_str_eq(next, "p-2");
+        bbm_listing_free(&l);
+    }
+}
+END_TEST
+
+/* A page that is cut anywhere is refused: entries that are missing would count
+   as gone. */
+START_TEST(page_without_its_end_is_refused)
+{
+    static const char text[] =
+        "{\"instances\":[{\"id\":\"\xff\",\"service\":\"api\"},{\"id\":\"b\","
+        "\"service\":\"api\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"slots\":6,\"state\":\"ready\"}],\"next-token\":null}";
+    char next[BBM_NAME_SIZE];
+    for (size_t len = 0; len <= strlen(text); len++) {
+        bbm_listing l = {0};
+        size_t bad = 0;
+        int rc = platform_listing_read(text, len, &l, &bad, next);
+        ck_assert_msg((rc == BBM_OK) == (len == strlen(text)), "%zu bytes",
+                      len);
+        bbm_listing_free(&l);
+    }
+    /* A comma is missing: where an entry ends is in doubt. */
+    static const char undivided[] =
+        "{\"instances\":[{\"id\":\"a\"} {\"id\":\"b\"}]}";
+    bbm_listing l = {0};
+    size_t bad = 0;
+    ck_assert_int_lt(
+        platform_listing_read(undivided, strlen(undivided), &l, &bad, next),
+        0);
+}
+END_TEST
+
+/* A runner's report names the ids of its requests, which its clients chose. */
+START_TEST(report_is_read_beside_unreadable_ids)
+{
+    static const char text[] =
+        "{\"busy\":false,\"sequence\":3,\"models\":[{\"name\":\"m\","
+        "\"version\":2}],\"runs\":[[\"\xff\",1,2,3]],\"born\":5}";
+    bbm_runner_report r;
+    ck_assert_int_eq(platform_report_read(text, strlen(text), &r), BBM_OK);
+    ck_assert_uint_eq(r.sequence, 3);
+    ck_assert_uint_eq(r.started_at_ms, 5);
+    ck_assert_uint_eq(r.models[0].version, 2);
+}
+END_TEST
+
 START_TEST(statements_of_brittle_upstreams_are_read)
 {
     static const struct {
@@ -652,7 +737,10 @@
 }
 END_TEST
 
-TEST_MAIN("platform", answers_to_a_long_id_are_its_own, config_is_translated,
+TEST_MAIN("platform", unreadable_entries_hide_no_others,
+          page_without_its_end_is_refused,
+          report_is_read_beside_unreadable_ids,
+          answers_to_a_long_id_are_its_own, config_is_translated,
           invalid_configs_are_rejected, listing_page_is_parsed,
           listing_diff_can_be_applied,
           statements_of_brittle_upstreams_are_read,
