--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -226,12 +226,12 @@
     gate_request *r = gate_find_request(g, result->request);
     if (!r || r->stage == GATE_WAITING || r->attempts != result->attempt)
         return;
+    r->ended_attempt = result->attempt;
     if (r->is_relaying) {
         gate_end_relayed(g, r, result);
         gate_dispatch_waiting(g);
         return;
     }
-    r->ended_attempt = result->attempt;
     r->previous_outcome = outcome_names[result->outcome];
     r->previous_status = result->status;
     if (r->stage == GATE_SENT)
--- a/gate/gate_reach.c
+++ b/gate/gate_reach.c
@@ -276,6 +276,7 @@
         .repeatable = r->repeatable,
         .stream = r->stream,
         .priority = -1,
+        .ended_attempt = r->ended_attempt,
     };
     bbm_name_set(out->u.send.send.upstream, peer->info.name);
     bbm_name_set(out->u.send.send.address, peer->info.address);
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -921,6 +921,10 @@
     soak stopped_again 8 stops
 }
 
+t_soak() { # signals, restarts and changes of all kinds, in series that overlap
+    soak soak 25 ""
+}
+
 t_signal_at_start() { # SIGHUP while the libraries are still being loaded doesn't end the process
     begin signal_at_start
     late_vm
@@ -995,7 +999,7 @@
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
     address_in_use operator_commands disk_full pools limits pool_keys drain_under_load
-    stopped_again signal_at_start settings_late disk_late)
+    stopped_again signal_at_start settings_late disk_late soak)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
--- a/tests/soak/soak_world.c
+++ b/tests/soak/soak_world.c
@@ -247,7 +247,7 @@
     bool sent = soak_send(fd, text, strlen(text));
     for (int i = after + 1; i <= 5 && sent; i++) {
         soak_sleep_ms(work_ms / 5);
-        snprintf(text, sizeof(text), "10\r\nid: %d\ndata: abc\n\n\r\n", i);
+        snprintf(text, sizeof(text), "11\r\nid: %d\ndata: abc\n\n\r\n", i);
         sent = soak_send(fd, text, strlen(text));
     }
     return sent && soak_send(fd, "0\r\n\r\n", 5);
