A new leader tells all daemons that it leads

Cause: a VM hears of a new leader only from whom it polls. The old leader goes on answering, without a lease, and two such answers, 1.6 s, pass before a VM looks for another parent. Ruled out by test_relay as the main part: the search itself, which follows those 1.6 s.

The announcement is an update without commands, which builds before read, too. VMs that hear of a newer term poll within 100 ms.

--- a/node/node_control.c
+++ b/node/node_control.c
@@ -354,6 +354,7 @@
     char number[BBM_NAME_SIZE];
     snprintf(number, sizeof(number), "%llu", (unsigned long long)term);
     node_log(n, BBM_EVENT_ROLE, names[role], number);
+    bool had_leader = n->leader[0] != '\0';
     bbm_member_id leader = bbm_raft_leader(n->raft);
     const char *name = leader ? member_name(n, leader) : NULL;
     if (leader == n->desc.disk_id)
@@ -365,6 +366,10 @@
     if (role == BBM_LEADER) {
         n->term_first_index = bbm_raft_last_index(n->raft);
         n->leader_since = n->now;
+        /* As all VMs start, they find the first leader one after the other,
+           which spreads the snapshots that they get. */
+        if (had_leader)
+            node_relay_announce(n);
     }
     else {
         reset_leadership(n);
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -642,6 +642,8 @@
 /** Applies changes of the public state; @p is_reply: they answer a poll. */
 int node_relay_receive(bbm_node *n, const char *from, bbm_reader *rd,
                        bool is_reply);
+/** Tell all daemons that this one leads. */
+void node_relay_announce(bbm_node *n);
 /** Sends the changes of the public state to the children that lack them. */
 void node_relay_push(bbm_node *n);
 /** Age of the public state here: time since fresh_at. */
--- a/node/node_relay.c
+++ b/node/node_relay.c
@@ -18,6 +18,8 @@
 
 #define POLL_PERIOD (800 * BBM_MS)
 #define POLL_RETRY_PERIOD (120 * BBM_MS)
+/* VMs poll within this time after they have heard of a new leader. */
+#define NEW_LEADER_POLL_SPREAD (100 * BBM_MS)
 /* Children of each daemon in the tree. */
 #define TREE_FANOUT 8
 /* Members drawn at random until one can be polled. */
@@ -335,6 +337,22 @@
     }
 }
 
+/* A VM whose parent still answers, but no longer hears of the leader, would
+   look for another one only after some polls. */
+void
+node_relay_announce(bbm_node *n)
+{
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        if (!node_member_alive(m) || strcmp(m->name, n->desc.name) == 0)
+            continue;
+        bbm_buf *buf = node_send(n, m->name, NODE_PUSH);
+        bbm_put_i64(buf, 0);
+        bbm_put_i64(buf, 0);
+        put_index_only(n, buf);
+    }
+}
+
 /* ---- receiving updates ---- */
 
 static void
@@ -361,6 +379,16 @@
 {
     if (!leader[0] || term < n->leader_term)
         return;
+    /* One that has nothing yet gets a snapshot from whom it asks; asking the
+       next one at once would send it twice. */
+    bool has_state = bbm_state_public_index(n->state) > 0;
+    if (term > n->leader_term && !n->in_group && has_state) {
+        bbm_time soon =
+            n->now + (bbm_time)bbm_rng_below(&n->rng, NEW_LEADER_POLL_SPREAD);
+        if (soon < n->next_poll_at)
+            n->next_poll_at = soon;
+        n->polls_unanswered = 0;
+    }
     n->leader_term = term;
     bbm_name_set(n->leader, leader);
 }
