--- a/daemon/main.c
+++ b/daemon/main.c
@@ -47,11 +47,11 @@
 
 /* What a start needs may come late: a settings file that is being written, a
    disk, an address that is in use. */
-typedef struct patience {
+typedef struct start_wait {
     bbm_time began_at;
     int logged_event; /* last one that was logged */
     bool stopped;     /* a signal to stop came */
-} patience;
+} start_wait;
 
 typedef struct daemon_parts {
     bbm_settings *settings;
@@ -59,7 +59,7 @@
     uint8_t message_secret[BBM_DIGEST_SIZE];
     uint8_t key_secret[BBM_DIGEST_SIZE];
     mailbox *box;
-    patience *patience;
+    start_wait *wait;
     atomic_bool ready;
     atomic_bool stop_now;
     atomic_llong last_tick;
@@ -162,7 +162,7 @@
    stop came.  The cause is logged when it changes.
    @param name Name of the log field with @p value. */
 static bool
-wait_to_start(patience *w, bbm_log_event event, const char *name,
+wait_to_start(start_wait *w, bbm_log_event event, const char *name,
               const char *value)
 {
     static const struct timespec pause = {.tv_nsec = START_RETRY};
@@ -208,7 +208,7 @@
     int rc;
     while ((rc = bbm_store_open(p->settings->data_folder, &store, &report))
                == BBM_ERR_IO
-           && wait_to_start(p->patience, BBM_EVENT_STORE_LATE, "file",
+           && wait_to_start(p->wait, BBM_EVENT_STORE_LATE, "file",
                             report.failed_file))
         ;
     if (rc < 0) {
@@ -225,7 +225,7 @@
 static bool
 wait_to_listen(daemon_parts *p, const char *address)
 {
-    return wait_to_start(p->patience, BBM_EVENT_LISTEN_RETRIED, "address",
+    return wait_to_start(p->wait, BBM_EVENT_LISTEN_RETRIED, "address",
                          address);
 }
 
@@ -248,7 +248,7 @@
     front *f;
     while ((f = front_create(&desc)) == NULL && wait_to_listen(p, address))
         ;
-    if (!f && !p->patience->stopped)
+    if (!f && !p->wait->stopped)
         bbm_log(BBM_EVENT_LISTEN_FAILED, "address", address, NULL);
     return f;
 }
@@ -299,7 +299,7 @@
         p->transport = transport_create(s, p->run, p->message_secret, p->box);
     while (!p->transport && wait_to_listen(p, s->peer_address));
     if (!p->transport) {
-        if (!p->patience->stopped)
+        if (!p->wait->stopped)
             bbm_log(BBM_EVENT_LISTEN_FAILED, "address", s->peer_address, NULL);
         return BBM_ERR_IO;
     }
@@ -488,7 +488,7 @@
         pthread_join(p->signal_thread, NULL);
     }
     close_parts(p);
-    return rc == BBM_OK || p->patience->stopped ? EXIT_SUCCESS
+    return rc == BBM_OK || p->wait->stopped ? EXIT_SUCCESS
                                                 : EXIT_START_FAILED;
 }
 
@@ -516,7 +516,7 @@
         p->settings_mtime = settings_mtime(path);
         p->settings = bbm_settings_load(path, errors);
         if (p->settings || is_document(path)
-            || !wait_to_start(p->patience, BBM_EVENT_SETTINGS_LATE, "mistake",
+            || !wait_to_start(p->wait, BBM_EVENT_SETTINGS_LATE, "mistake",
                               errors->len ? errors->lines[0] : ""))
             return p->settings != NULL;
         bbm_doc_errors_free(errors);
@@ -530,8 +530,8 @@
     if (!path)
         return EXIT_BAD_SETTINGS;
     bbm_doc_errors errors = {0};
-    patience wait = {.began_at = control_now()};
-    daemon_parts parts = {.patience = &wait, .settings_path = path};
+    start_wait wait = {.began_at = control_now()};
+    daemon_parts parts = {.wait = &wait, .settings_path = path};
     if (!load_settings(&parts, &errors)) {
         int rc = wait.stopped ? EXIT_SUCCESS : print_errors(&errors);
         bbm_doc_errors_free(&errors);
