--- a/daemon/main.c
+++ b/daemon/main.c
@@ -488,8 +488,7 @@
         pthread_join(p->signal_thread, NULL);
     }
     close_parts(p);
-    return rc == BBM_OK || p->wait->stopped ? EXIT_SUCCESS
-                                                : EXIT_START_FAILED;
+    return rc == BBM_OK || p->wait->stopped ? EXIT_SUCCESS : EXIT_START_FAILED;
 }
 
 /* True if the file can be read as a whole document, with or without errors in
