Reading of the change: a field that nobody reads goes, a comment says both ends

exchange_source.ended was set and never read: whether the attempt is still open is known by the table of attempts. No change of behaviour; test_forward (27) and test_transport (6) pass.

--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -56,8 +56,7 @@
 typedef struct exchange_source {
     uint32_t attempt;          /**< Its number; 0: no answer has begun. */
     uint64_t origin;           /**< As in bbm_forward_request. */
-    bool ended;                /**< The attempt has ended. */
-    bbm_forward_result result; /**< How it ended; valid if ended. */
+    bbm_forward_result result; /**< How it ended; valid once it has. */
 } exchange_source;
 
 /** A request and its answer. */
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -248,10 +248,8 @@
     };
     memcpy(item->forwarded.last_event_id, x->events.last_id,
            sizeof(x->events.last_id));
-    if (x->accepted) {
-        x->ex->source.ended = true;
+    if (x->accepted)
         x->ex->source.result = item->forwarded;
-    }
     mailbox_put_waiting(x->thread->control, item);
 }
 
--- a/daemon/transport.c
+++ b/daemon/transport.c
@@ -248,7 +248,7 @@
    kernel acknowledges what it gets, also while the peer is frozen, slow or has
    nothing to say, so a limit on the time without one is the proof that is
    needed.  nng has no option for it and doesn't tell its sockets, so they are
-   found by their peers' addresses. */
+   found by the addresses of both ends. */
 
 static void
 set_timeouts(int fd)
