Log what a caller is told after its request has been sent: event 521, two counters

The log had 513 BBM_OK for a request of which the caller was told 503; nothing told the hypotheses of the incident apart. Each exchange now counts its sends that may have run (recorded by the thread that sends, less those that the receiver says have not run), and each failure of the VM's own after a send is one line: status told, sends, state of the client's connection. promised_after_send_total counts promises among them. No decision is changed.

The list of statuses that promise moves from the gate to base/bbm_codes.

--- a/base/bbm_codes.c
+++ b/base/bbm_codes.c
@@ -48,6 +48,12 @@
     return row ? row->status : 500;
 }
 
+bool
+bbm_status_promises_not_run(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 bbm_ran
 bbm_code_ran(int code)
 {
--- a/base/bbm_codes.h
+++ b/base/bbm_codes.h
@@ -14,6 +14,8 @@
 #ifndef BBM_CODES_H
 #define BBM_CODES_H
 
+#include <stdbool.h>
+
 /** Whether the upstream may have run the request. */
 typedef enum bbm_ran {
     BBM_RAN_NO,      /**< No byte of it can have reached an upstream. */
@@ -113,6 +115,10 @@
 /** The HTTP status that a client gets for a code; 500 if not in the table. */
 unsigned bbm_code_status(int code);
 
+/** True for a status from which a client concludes that its request has not
+ *  run and never will: 408, 421, 429 and 503. */
+bool bbm_status_promises_not_run(unsigned status);
+
 /** Whether the request ran, as far as the code alone determines it;
  *  BBM_RAN_UNKNOWN if not in the table. */
 bbm_ran bbm_code_ran(int code);
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -1,10 +1,15 @@
 #include "exchange.h"
 
+#include "bbm_codes.h"
+#include "bbm_log.h"
+
 #include <jansson.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 
+exchange_counts exchange_count;
+
 exchange *
 exchange_create(exchange_kind kind, uint64_t id)
 {
@@ -209,6 +214,55 @@
     return text;
 }
 
+/* Called with the lock held. */
+static exchange_client
+client_state(const exchange *ex)
+{
+    struct pollfd fd = {.fd = ex->socket, .events = POLLRDHUP};
+    if (!ex->connection)
+        return EXCHANGE_CLIENT_GONE;
+    if (ex->socket < 0 || poll(&fd, 1, 0) <= 0)
+        return EXCHANGE_CLIENT_CONNECTED;
+    if (fd.revents & (POLLHUP | POLLERR))
+        return EXCHANGE_CLIENT_GONE;
+    return fd.revents & POLLRDHUP ? EXCHANGE_CLIENT_HALF_CLOSED
+                                  : EXCHANGE_CLIENT_CONNECTED;
+}
+
+/* What the client is told of a request that may have run. */
+static void
+log_failed_after_send(const exchange *ex, int code, bool cut,
+                      exchange_client client)
+{
+    static const char *const clients[] = {
+        [EXCHANGE_CLIENT_CONNECTED] = "connected",
+        [EXCHANGE_CLIENT_HALF_CLOSED] = "sends no more",
+        [EXCHANGE_CLIENT_GONE] = "gone",
+    };
+    char number[24];
+    char status[16];
+    char sends[16];
+    snprintf(number, sizeof(number), "%llu", (unsigned long long)ex->id);
+    snprintf(status, sizeof(status), "%u", bbm_code_status(code));
+    snprintf(sends, sizeof(sends), "%u", ex->sends);
+    const char *id = ex->parsed_headers.id;
+    bbm_log(BBM_EVENT_FAILED_AFTER_SEND, "id", id ? id : number, "code",
+            bbm_code_name(code), "told", cut ? "cut" : status, "sends", sends,
+            "client", clients[client], NULL);
+}
+
+/* Called with the lock held; @p cut if the client doesn't get the status. */
+static void
+record_failure(const exchange *ex, int code, bool cut)
+{
+    if (!ex->sends)
+        return;
+    atomic_fetch_add(&exchange_count.failed_after_send, 1);
+    if (!cut && bbm_status_promises_not_run(bbm_code_status(code)))
+        atomic_fetch_add(&exchange_count.promised_after_send, 1);
+    log_failed_after_send(ex, code, cut, client_state(ex));
+}
+
 /* The status can't change once the head is set, or, for a verbatim answer,
    once it is queued.  The answer then ends as truncated; an event stream that
    isn't verbatim gets an error event first. */
@@ -230,6 +284,7 @@
         ex->out_pos = 0;
     }
     bool started = ex->has_head;
+    record_failure(ex, code, started);
     if (started && ex->verbatim) {
         ex->truncated = true;
     }
@@ -257,18 +312,33 @@
     pthread_mutex_unlock(&ex->lock);
 }
 
-/* A client that has closed its sending side counts as disconnected, even if
-   bytes that it sent before are still unread. */
-bool
-exchange_client_connected(exchange *ex)
+void
+exchange_record_send(exchange *ex)
 {
     pthread_mutex_lock(&ex->lock);
-    bool connected = ex->connection != NULL;
-    if (connected && ex->socket >= 0) {
-        struct pollfd fd = {.fd = ex->socket, .events = POLLRDHUP};
-        int n = poll(&fd, 1, 0);
-        connected = n <= 0 || !(fd.revents & (POLLRDHUP | POLLHUP | POLLERR));
-    }
+    ex->sends++;
     pthread_mutex_unlock(&ex->lock);
-    return connected;
+}
+
+void
+exchange_record_not_run(exchange *ex)
+{
+    pthread_mutex_lock(&ex->lock);
+    ex->sends -= ex->sends > 0;
+    pthread_mutex_unlock(&ex->lock);
+}
+
+exchange_client
+exchange_client_state(exchange *ex)
+{
+    pthread_mutex_lock(&ex->lock);
+    exchange_client state = client_state(ex);
+    pthread_mutex_unlock(&ex->lock);
+    return state;
+}
+
+bool
+exchange_client_connected(exchange *ex)
+{
+    return exchange_client_state(ex) == EXCHANGE_CLIENT_CONNECTED;
 }
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -59,6 +59,25 @@
     bbm_forward_result result; /**< How it ended; valid once it has. */
 } exchange_source;
 
+/** What is known of the client's end of the connection. */
+typedef enum exchange_client {
+    EXCHANGE_CLIENT_CONNECTED,
+    EXCHANGE_CLIENT_HALF_CLOSED, /**< It sends no more; it may have closed its
+                                      socket, or wait for the answer. */
+    EXCHANGE_CLIENT_GONE,        /**< Nobody can read the answer. */
+} exchange_client;
+
+/** Counts over all exchanges of the process. */
+typedef struct exchange_counts {
+    atomic_ullong failed_after_send;   /**< Failed by the daemon, after a send
+                                            that may have run. */
+    atomic_ullong promised_after_send; /**< Of these, those with a status that
+                                            promises that nothing ran. */
+} exchange_counts;
+
+/** The process's counts; written by several threads. */
+extern exchange_counts exchange_count;
+
 /** A request and its answer. */
 typedef struct exchange {
     atomic_int refs; /**< Number of references. */
@@ -124,6 +143,8 @@
                                  unknown. */
     bool suspended;         /**< The connection is suspended in
                                  libmicrohttpd. */
+    unsigned sends;         /**< Sends to upstreams or other VMs, less those
+                                 that were answered with "not run". */
     bool has_head;          /**< Status and headers are set. */
     unsigned status;        /**< HTTP status. */
     bool verbatim;          /**< Headers and body are the upstream's;
@@ -198,7 +219,15 @@
  *  truncated instead.  @p retry_after_ms is 0 for no Retry-After header.  No
  *  effect if the answer has ended already. */
 void exchange_fail(exchange *ex, int code, int64_t retry_after_ms);
-/** True if the client is still connected. */
+/** Record that the first bytes of the request are about to be sent to an
+ *  upstream, or to another VM; once for each attempt to send them. */
+void exchange_record_send(exchange *ex);
+/** Record that the receiver of the last send stated that the request did not
+ *  run there. */
+void exchange_record_not_run(exchange *ex);
+/** State of the client's connection. */
+exchange_client exchange_client_state(exchange *ex);
+/** True if the client is connected and may still send. */
 bool exchange_client_connected(exchange *ex);
 
 #endif
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -1,5 +1,6 @@
 #include "forward.h"
 
+#include "bbm_codes.h"
 #include "bbm_log.h"
 #include "calls.h"
 #include "control.h"
@@ -389,6 +390,8 @@
         return x->outcome != BBM_FORWARD_NO_ANSWER;
     }
     x->accepted = true;
+    if (x->send.relay && bbm_status_promises_not_run((unsigned)x->status))
+        exchange_record_not_run(x->ex);
     x->progress_at = control_now();
     set_unacked_timeout(x->socket, UNACKED_ANSWER_TIMEOUT_MS);
     int64_t length = x->send.stream ? -1 : x->content_length;
@@ -557,6 +560,7 @@
         return CURL_PREREQFUNC_ABORT;
     set_unacked_timeout(x->socket, UNACKED_REQUEST_TIMEOUT_MS);
     x->sent = true;
+    exchange_record_send(x->ex);
     return CURL_PREREQFUNC_OK;
 }
 
@@ -808,6 +812,8 @@
             exchange_write(x->ex, x->events.bytes.data, x->events.bytes.len);
         exchange_finish(x->ex, false);
     }
+    if (end == BBM_FORWARD_NOT_RUN && x->sent)
+        exchange_record_not_run(x->ex);
     report_result(x, end, rc);
     free_attempt(f, x);
 }
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -1,5 +1,7 @@
 #include "metrics.h"
 
+#include "exchange.h"
+
 #include <malloc.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -204,6 +206,14 @@
     write_metric("link_lost_age_ms", "gauge",
                  "Since the last one of these ended; 0: none has",
                  links->link_lost_age_ms, out);
+    write_metric(
+        "failed_after_send_total", "counter",
+        "Requests failed by the daemon after a send that may have run",
+        atomic_load(&exchange_count.failed_after_send), out);
+    write_metric(
+        "promised_after_send_total", "counter",
+        "Of these, answered with a status that promises that nothing ran",
+        atomic_load(&exchange_count.promised_after_send), out);
     struct mallinfo2 heap = mallinfo2();
     write_metric("heap_bytes", "gauge", "Bytes allocated", heap.uordblks, out);
 }
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -238,6 +238,7 @@
         return CURL_PREREQFUNC_ABORT;
     }
     x->sent = true;
+    exchange_record_send(x->ex);
     return CURL_PREREQFUNC_OK;
 }
 
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -385,15 +385,6 @@
 
 /* ---- response heads ---- */
 
-/* True for a status from which a client concludes that the request did not
-   run.  Such an answer must not be forwarded unless the upstream has stated
-   that explicitly. */
-static bool
-implies_not_run(uint32_t status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 bool
 bbm_gate_accept_head(const bbm_forward_request *send,
                      const bbm_response_head *head,
@@ -415,8 +406,9 @@
         return false;
     }
     bool retryable = head->status >= 500 && send->repeatable;
+    /* Only an upstream that states it explicitly has not run the request. */
     if (head->unexpected_encoding || retryable
-        || implies_not_run(head->status)) {
+        || bbm_status_promises_not_run(head->status)) {
         *outcome = BBM_FORWARD_FAILED;
         return false;
     }
