Soak: callers that half-close, leave and ask the directory, upstreams that fail; a failing scenario

The soak was blind here: its callers always stayed, its upstreams never failed, and most of what it sent was refused by a VM that was leaving, as callers asked there again.

--- a/tests/process.sh
+++ b/tests/process.sh
@@ -906,12 +906,12 @@
     finish
 }
 
-soak() { # NAME SECONDS ACTIONS: real daemons and clients that keep their connections
-    local rc
-    begin "$1"
-    # shellcheck disable=SC2086
-    tests/soak/run.sh "$FLEET_BUILD" "$dir/soak" --seed 1 --seconds "$2" \
-        --port $((FLEET_PORT + 540)) ${3:+--actions $3} >"$dir/soak.log" 2>"$dir/starts.log"
+soak() { # NAME SECONDS ACTIONS [OPTIONS...]: real daemons and clients that keep their connections
+    local rc name=$1 seconds=$2 actions=$3
+    shift 3
+    begin "$name"
+    tests/soak/run.sh "$FLEET_BUILD" "$dir/soak" --seed 1 --seconds "$seconds" \
+        --port $((FLEET_PORT + 540)) ${actions:+--actions "$actions"} "$@" >"$dir/soak.log" 2>"$dir/starts.log"
     rc=$?
     cp "$dir"/soak/vm-*.log "$dir"
     check "no rule is broken: $(grep -m 3 BROKEN "$dir/soak.log")" test $rc -eq 0
@@ -926,6 +926,10 @@
     soak soak 25 ""
 }
 
+t_refused_half_closed() { # an order whose caller closed its sending side isn't refused with a promise and run
+    soak refused_half_closed 6 configs --callers half-close
+}
+
 t_signal_at_start() { # SIGHUP while the libraries are still being loaded doesn't end the process
     begin signal_at_start
     late_vm
@@ -1000,7 +1004,7 @@
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
     address_in_use operator_commands disk_full pools limits pool_keys drain_under_load
-    stopped_again signal_at_start settings_late disk_late soak)
+    stopped_again refused_half_closed signal_at_start settings_late disk_late soak)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -2,7 +2,11 @@
    overlap; see soak_world.h.
 
        run.sh BUILD FOLDER [--seed N] [--seconds N] [--vms N] [--clients N]
-              [--port N] [--actions NAME,...]
+              [--port N] [--actions NAME,...] [--callers NAME,...]
+              [--upstreams faulty]
+
+   Callers stay until they have an answer; --callers lets some half-close,
+   leave, or wander (see soak_world.h).
 
    Exit status: 0 no rule was broken, 1 one was, 2 it could not run. */
 #include "soak_world.h"
@@ -44,12 +48,13 @@
     uint64_t seed;
     int64_t seconds;
     int vms;
-    int clients;
+    soak_callers callers;
+    bool faulty; /* upstreams */
     uint16_t port;
 } opt = {.seed = 1,
          .seconds = 60,
          .vms = 3,
-         .clients = 24,
+         .callers.count = 24,
          .port = 21000,
          .folder = "."};
 
@@ -446,21 +451,27 @@
 static const struct action *allowed[BBM_COUNT(actions)];
 static size_t allowed_len;
 
+/* True if a list split by commas has the name. */
+static bool
+names_one(const char *names, const char *name)
+{
+    size_t len = strlen(name);
+    while (strncmp(names, name, len) != 0
+           || (names[len] && names[len] != ',')) {
+        names = strchr(names, ',');
+        if (!names)
+            return false;
+        names++;
+    }
+    return true;
+}
+
 /* @p names is a list split by commas; NULL: all. */
 static void
 allow_actions(const char *names)
 {
     for (size_t i = 0; i < BBM_COUNT(actions); i++) {
-        const char *name = actions[i].name;
-        size_t len = strlen(name);
-        const char *at = names;
-        while (
-            at
-            && (strncmp(at, name, len) != 0 || (at[len] && at[len] != ','))) {
-            at = strchr(at, ',');
-            at = at ? at + 1 : NULL;
-        }
-        if (!names || at)
+        if (!names || names_one(names, actions[i].name))
             allowed[allowed_len++] = &actions[i];
     }
 }
@@ -490,7 +501,7 @@
     starter = open(path, O_WRONLY | O_CLOEXEC);
     if (starter < 0)
         return false;
-    soak_upstreams_start((uint16_t)(opt.port + SOAK_PORTS));
+    soak_upstreams_start((uint16_t)(opt.port + SOAK_PORTS), opt.faulty);
     for (int i = 0; i < opt.vms; i++) {
         vm *v = &vms[i];
         char disk[512];
@@ -541,6 +552,8 @@
         {"folder", required_argument, NULL, 'f'},
         {"port", required_argument, NULL, 'p'},
         {"actions", required_argument, NULL, 'a'},
+        {"callers", required_argument, NULL, 'k'},
+        {"upstreams", required_argument, NULL, 'u'},
         {NULL, 0, NULL, 0},
     };
     int o;
@@ -557,7 +570,7 @@
             opt.vms = number < SOAK_VMS_MAX ? (int)number : SOAK_VMS_MAX;
             break;
         case 'c':
-            opt.clients = (int)number;
+            opt.callers.count = (int)number;
             break;
         case 'f':
             opt.folder = optarg;
@@ -565,6 +578,14 @@
         case 'a':
             opt.actions = optarg;
             break;
+        case 'k':
+            opt.callers.half_close = names_one(optarg, "half-close");
+            opt.callers.leave = names_one(optarg, "leave");
+            opt.callers.wander = names_one(optarg, "wander");
+            break;
+        case 'u':
+            opt.faulty = names_one(optarg, "faulty");
+            break;
         case 'p':
             opt.port = (uint16_t)number;
             break;
@@ -602,18 +623,21 @@
         return 2;
     }
     end_at = soak_now_ms() + opt.seconds * 1000;
-    soak_clients_start(opt.clients, opt.vms,
-                       (uint16_t)(opt.port + SOAK_CALLERS), opt.seed);
+    soak_clients_start(&opt.callers, opt.vms, opt.port, opt.seed);
     for (int i = 0; i < opt.vms; i++) {
         if (pthread_create(&vms[i].thread, NULL, run_vm, &vms[i]) != 0)
             abort();
     }
     finish();
     kill_processes();
-    printf("seed %llu: %d served, %d refused, %d failed, %d unread, %d "
-           "broken\n",
+    soak_check_orders();
+    printf("seed %llu: %d served, %d refused, %d failed, %d unread, %d left, "
+           "%d of %d half-closed orders served, %d broken\n",
            (unsigned long long)opt.seed, atomic_load(&soak_count.served),
            atomic_load(&soak_count.refused), atomic_load(&soak_count.failed),
-           atomic_load(&soak_count.unread), atomic_load(&soak_count.broken));
+           atomic_load(&soak_count.unread), atomic_load(&soak_count.left),
+           atomic_load(&soak_count.half_closed_served),
+           atomic_load(&soak_count.half_closed_orders),
+           atomic_load(&soak_count.broken));
     return atomic_load(&soak_count.broken) ? 1 : 0;
 }
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 /* A client waits this long for an answer, the daemon knows of 5 s. */
@@ -16,11 +17,20 @@
 #define PAUSE_MS 5
 #define RECONNECT_MS 50
 #define ANSWER_BYTES_MAX 16384
+/* Of 10 requests, those after which a client of that kind closes its sending
+   side, or leaves; and the longest wait before. */
+#define HALF_CLOSES_OF_10 3
+#define LEAVES_OF_10 2
+#define HALF_CLOSE_MS_MAX 300
+#define LEAVE_MS_MAX 300
 
 typedef enum request_kind { KIND_ONCE, KIND_SAFE, KIND_STREAM } request_kind;
 
 static const char *const kind_names[] = {"once", "safe", "stream"};
 
+/* What a client does after it has sent a request. */
+typedef enum ending { STAYS, HALF_CLOSES, LEAVES } ending;
+
 typedef struct client {
     int number;
     int vm;
@@ -32,12 +42,14 @@
 
 static atomic_bool stopping;
 static client *clients;
-static int clients_len;
+static soak_callers callers;
+static int vms_len;
 
 typedef struct sent_request {
     char id[64];
     int vm;
     request_kind kind;
+    ending ending;
     int64_t sent_at;
     int64_t ended_at;
 } sent_request;
@@ -48,9 +60,12 @@
     int count = soak_run_count(q->id);
     if (q->kind == KIND_ONCE && count > 1)
         soak_break("TWICE %s ran %d times", q->id, count);
-    if (q->kind == KIND_ONCE && count
-        && (status == 503 || status == 429 || status == 408))
+    bool promised =
+        status == 503 || status == 429 || status == 408 || status == 421;
+    if (q->kind == KIND_ONCE && count && promised)
         soak_break("REFUSED %s was answered %d and ran", q->id, status);
+    if (q->kind == KIND_ONCE)
+        soak_record_order(q->id, promised);
 }
 
 static bool
@@ -74,6 +89,8 @@
     check_runs(q, status);
     if (status == 200) {
         atomic_fetch_add(&soak_count.served, 1);
+        if (q->ending == HALF_CLOSES && q->kind == KIND_ONCE)
+            atomic_fetch_add(&soak_count.half_closed_served, 1);
         if (!is_own_body(q, body))
             soak_break("MIXED %s %s got: %.100s", kind_names[q->kind], q->id,
                        body);
@@ -99,6 +116,11 @@
         atomic_fetch_add(&soak_count.unread, 1);
         return;
     }
+    /* A stream ends with its upstream's, and with a client that seems to have
+       left. */
+    if (q->kind == KIND_STREAM
+        && (soak_upstreams_fail() || q->ending == HALF_CLOSES))
+        return;
     if (soak_is_excused(q->vm, q->sent_at - LOSS_SLACK_MS, q->ended_at))
         return;
     soak_break("LOST %s at vm-%d %s %lld ms after it was sent at %lld, %zu "
@@ -108,6 +130,17 @@
                received, count);
 }
 
+static ending
+draw_ending(client *c)
+{
+    if (!callers.half_close && !callers.leave)
+        return STAYS;
+    uint64_t n = soak_draw(&c->random, 10);
+    if (callers.half_close && n < HALF_CLOSES_OF_10)
+        return HALF_CLOSES;
+    return callers.leave && n >= 10 - LEAVES_OF_10 ? LEAVES : STAYS;
+}
+
 static bool
 send_request(client *c, int fd, sent_request *q)
 {
@@ -122,10 +155,34 @@
              "Content-Length: 2\r\n\r\n{}",
              kind_names[q->kind], q->id, DAEMON_TIMEOUT_MS,
              (int)(20 + soak_draw(&c->random, 600)));
+    q->ending = draw_ending(c);
     q->sent_at = soak_now_ms();
     return soak_send(fd, text, strlen(text));
 }
 
+/* Returns false if the client has left. */
+static bool
+end_sending(client *c, int fd, const sent_request *q)
+{
+    switch (q->ending) {
+    case STAYS:
+        break;
+    case HALF_CLOSES:
+        soak_sleep_ms((int64_t)soak_draw(&c->random, HALF_CLOSE_MS_MAX));
+        shutdown(fd, SHUT_WR);
+        if (q->kind == KIND_ONCE)
+            atomic_fetch_add(&soak_count.half_closed_orders, 1);
+        break;
+    case LEAVES:
+        soak_sleep_ms((int64_t)soak_draw(&c->random, LEAVE_MS_MAX));
+        atomic_fetch_add(&soak_count.left, 1);
+        if (q->kind == KIND_ONCE)
+            soak_record_order(q->id, false);
+        return false;
+    }
+    return true;
+}
+
 /* Returns false if the connection can't be used again. */
 static bool
 run_request(client *c, int fd, char *text)
@@ -134,10 +191,13 @@
     const char *body;
     char value[64];
     size_t received;
+    int status = 0;
     if (!send_request(c, fd, &q)) {
         atomic_fetch_add(&soak_count.unread, 1);
         return false;
     }
+    if (!end_sending(c, fd, &q))
+        return false;
     bool complete =
         soak_read_message(fd, text, ANSWER_BYTES_MAX,
                           q.sent_at + CLIENT_TIMEOUT_MS, &received, &body);
@@ -147,7 +207,40 @@
         return false;
     }
     judge_answer(&q, text, body);
-    return strcasecmp(soak_header(text, "Connection", value), "close") != 0;
+    sscanf(text, "HTTP/1.1 %d", &status);
+    return q.ending == STAYS && (status == 200 || !callers.wander)
+           && strcasecmp(soak_header(text, "Connection", value), "close") != 0;
+}
+
+/* Asks the directory of a random VM where to go. */
+static void
+wander(client *c, char *text)
+{
+    static const char request[] =
+        "GET /-/resolve?name=a.example&region=r&zone=zone-1 HTTP/1.1\r\n"
+        "Host: d\r\nConnection: close\r\n\r\n";
+    static const char address[] = "127.0.2.";
+    char ip[32];
+    size_t received;
+    const char *body;
+    int asked = (int)soak_draw(&c->random, (uint64_t)vms_len);
+    int fd = soak_connect(soak_vm_ip(asked, ip),
+                          (uint16_t)(c->port + SOAK_DIRECTORY));
+    if (fd < 0)
+        return;
+    bool answered =
+        soak_send(fd, request, strlen(request))
+        && soak_read_message(fd, text, ANSWER_BYTES_MAX, soak_now_ms() + 1000,
+                             &received, &body);
+    close(fd);
+    uint64_t seen = 0;
+    const char *at = answered ? body : "";
+    while ((at = strstr(at, address)) != NULL) {
+        at += strlen(address);
+        int vm = (int)strtol(at, NULL, 10) - 1;
+        if (soak_draw(&c->random, ++seen) == 0 && vm >= 0 && vm < vms_len)
+            c->vm = vm;
+    }
 }
 
 static void *
@@ -157,27 +250,33 @@
     char ip[32];
     char *text = bbm_calloc(1, ANSWER_BYTES_MAX);
     while (!atomic_load(&stopping)) {
-        int fd = soak_connect(soak_vm_ip(c->vm, ip), c->port);
+        int fd = soak_connect(soak_vm_ip(c->vm, ip),
+                              (uint16_t)(c->port + SOAK_CALLERS));
         if (fd < 0) {
             atomic_fetch_add(&soak_count.unread, 1);
             soak_sleep_ms(RECONNECT_MS);
-            continue;
         }
-        while (!atomic_load(&stopping) && run_request(c, fd, text))
+        else {
+            while (!atomic_load(&stopping) && run_request(c, fd, text))
+                soak_sleep_ms(PAUSE_MS);
+            close(fd);
             soak_sleep_ms(PAUSE_MS);
-        close(fd);
-        soak_sleep_ms(PAUSE_MS);
+        }
+        if (callers.wander)
+            wander(c, text);
     }
     free(text);
     return NULL;
 }
 
 void
-soak_clients_start(int count, int vms, uint16_t port, uint64_t seed)
+soak_clients_start(const soak_callers *desc, int vms, uint16_t port,
+                   uint64_t seed)
 {
-    clients = bbm_calloc((size_t)count, sizeof(*clients));
-    clients_len = count;
-    for (int i = 0; i < count; i++) {
+    callers = *desc;
+    vms_len = vms;
+    clients = bbm_calloc((size_t)callers.count, sizeof(*clients));
+    for (int i = 0; i < callers.count; i++) {
         client *c = &clients[i];
         *c = (client){.number = i,
                       .vm = i % vms,
@@ -192,7 +291,7 @@
 soak_clients_stop(void)
 {
     atomic_store(&stopping, true);
-    for (int i = 0; i < clients_len; i++)
+    for (int i = 0; i < callers.count; i++)
         pthread_join(clients[i].thread, NULL);
     free(clients);
 }
--- a/tests/soak/soak_world.c
+++ b/tests/soak/soak_world.c
@@ -174,9 +174,18 @@
     UT_hash_handle hh;
 } run_count;
 
+typedef struct order {
+    char id[64];
+    bool promised; /* its client was told that it has not run */
+    UT_hash_handle hh;
+} order;
+
 static pthread_mutex_t runs_lock = PTHREAD_MUTEX_INITIALIZER;
 static run_count *runs;
+static order *orders;
 static uint16_t first_port;
+static bool upstreams_fail;
+static atomic_ullong upstream_requests;
 
 static void
 record_run(const char *id)
@@ -204,6 +213,36 @@
     return count;
 }
 
+void
+soak_record_order(const char *id, bool promised)
+{
+    order *o = bbm_calloc(1, sizeof(*o));
+    bbm_text_set(o->id, sizeof(o->id), id);
+    o->promised = promised;
+    pthread_mutex_lock(&runs_lock);
+    HASH_ADD_STR(orders, id, o);
+    pthread_mutex_unlock(&runs_lock);
+}
+
+void
+soak_check_orders(void)
+{
+    int promised = 0;
+    int ran = 0;
+    for (const order *o = orders; o; o = o->hh.next) {
+        int count = soak_run_count(o->id);
+        promised += o->promised;
+        ran += count > 0;
+        if (count > 1)
+            soak_break("TWICE %s ran %d times by the end", o->id, count);
+        if (o->promised && count)
+            soak_break("REFUSED %s ran by the end", o->id);
+    }
+    printf("orders: %u, of which %d ran (could break TWICE) and %d were "
+           "promised not to run (could break REFUSED)\n",
+           HASH_COUNT(orders), ran, promised);
+}
+
 static void
 send_list(int fd)
 {
@@ -253,6 +292,83 @@
     return sent && soak_send(fd, "0\r\n\r\n", 5);
 }
 
+/* What a faulty upstream does with a request instead of answering it. */
+typedef enum fault {
+    FAULT_NONE,
+    FAULT_NOT_RUN,      /* refuses it, and says so */
+    FAULT_WRONG_TARGET, /* 421 */
+    FAULT_RESET,        /* runs it, and resets the connection */
+    FAULT_CLOSE,        /* runs it, and closes */
+    FAULT_CUT_HEAD,     /* runs it, and closes within the head */
+    FAULT_ERROR,        /* runs it, and answers 500 */
+    FAULT_BARE_503,     /* runs it, and answers 503 all the same */
+    FAULT_SLOW,         /* runs it for longer */
+    FAULTS
+} fault;
+
+/* One request in three is played a fault, each kind as often. */
+static fault
+draw_fault(void)
+{
+    soak_random r = {atomic_fetch_add(&upstream_requests, 1)};
+    uint64_t n = soak_draw(&r, 3 * (uint64_t)(FAULTS - 1));
+    return upstreams_fail && n < FAULTS - 1 ? (fault)(n + 1) : FAULT_NONE;
+}
+
+static void
+send_status(int fd, const char *id, const char *status, const char *more)
+{
+    char text[512];
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 %s\r\nX-Bluebellmoor-Attempt-Id: %s\r\n%s"
+             "Content-Length: 0\r\n\r\n",
+             status, id, more);
+    soak_send(fd, text, strlen(text));
+}
+
+/* Returns false if the connection is to be closed; *work_ms is prolonged by
+   FAULT_SLOW, which goes on as if there were no fault. */
+static bool
+play_fault(int fd, fault f, const char *id, int64_t *work_ms)
+{
+    static const struct linger reset = {.l_onoff = 1};
+    bool executes = f != FAULT_NOT_RUN && f != FAULT_WRONG_TARGET;
+    if (executes)
+        record_run(id);
+    if (executes && f != FAULT_SLOW)
+        soak_sleep_ms(*work_ms);
+    switch (f) {
+    case FAULT_NOT_RUN:
+        send_status(fd, id, "503 Service Unavailable",
+                    "X-Bluebellmoor-Not-Executed: 1\r\n");
+        return true;
+    case FAULT_WRONG_TARGET:
+        send_status(fd, id, "421 Misdirected Request", "");
+        return true;
+    case FAULT_RESET:
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        return false;
+    case FAULT_CUT_HEAD:
+        soak_send(fd, "HTTP/1.1 200 OK\r\nX-Blue", 23);
+        return false;
+    case FAULT_ERROR:
+        send_status(fd, id, "500 Internal Server Error",
+                    "X-Bluebellmoor-Server-Stamp: s\r\n");
+        return true;
+    case FAULT_BARE_503:
+        send_status(fd, id, "503 Service Unavailable", "");
+        return true;
+    case FAULT_SLOW:
+        *work_ms += 1500;
+        return true;
+    case FAULT_NONE:
+    case FAULT_CLOSE:
+    case FAULTS:
+        break;
+    }
+    return false;
+}
+
 static void *
 serve_connection(void *context)
 {
@@ -274,11 +390,18 @@
             send_list(fd);
             continue;
         }
-        if (id[0])
+        int64_t work_ms = strtol(work, NULL, 10);
+        fault f = id[0] ? draw_fault() : FAULT_NONE;
+        if (f != FAULT_NONE) {
+            open = play_fault(fd, f, id, &work_ms);
+            if (f != FAULT_SLOW)
+                continue;
+        }
+        else if (id[0]) {
             record_run(id);
-        open =
-            send_answer(fd, id, strstr(text, " /stream/") != NULL,
-                        strtol(work, NULL, 10), (int)strtol(after, NULL, 10));
+        }
+        open = send_answer(fd, id, strstr(text, " /stream/") != NULL, work_ms,
+                           (int)strtol(after, NULL, 10));
     }
     free(text);
     close(fd);
@@ -311,10 +434,17 @@
     return NULL;
 }
 
+bool
+soak_upstreams_fail(void)
+{
+    return upstreams_fail;
+}
+
 void
-soak_upstreams_start(uint16_t port)
+soak_upstreams_start(uint16_t port, bool faulty)
 {
     first_port = port;
+    upstreams_fail = faulty;
     for (uint16_t i = 0; i <= SOAK_UPSTREAMS; i++) {
         struct sockaddr_in address = {.sin_family = AF_INET,
                                       .sin_port = htons((uint16_t)(port + i)),
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -54,10 +54,19 @@
 /** Value of a header of such a message, copied; "" if it has none. */
 const char *soak_header(const char *text, const char *name, char value[64]);
 
-/** Start the list and the upstreams on 127.0.0.1, ports from @p port. */
-void soak_upstreams_start(uint16_t port);
+/** Start the list and the upstreams on 127.0.0.1, ports from @p port.
+ *  @param faulty some requests are refused as not run, fail, or lose their
+ *                answer */
+void soak_upstreams_start(uint16_t port, bool faulty);
+/** True if they were started as faulty. */
+bool soak_upstreams_fail(void);
 /** How often an attempt id ran. */
 int soak_run_count(const char *id);
+/** Keep an order's id for soak_check_orders(); @p promised if its client was
+ *  told that it has not run and never will. */
+void soak_record_order(const char *id, bool promised);
+/** Report the orders that ran twice, and those that ran after a promise. */
+void soak_check_orders(void);
 
 /** A time during which a VM is killed or frozen. */
 void soak_excuse(int vm, int64_t from_ms, int64_t to_ms);
@@ -70,15 +79,29 @@
     atomic_int refused; /* 503 or 429 */
     atomic_int failed;  /* 502 or 504 */
     atomic_int unread;  /* not connected, or closed without being read */
-    atomic_int broken;  /* rules, see soak_break() */
+    atomic_int left;    /* the client didn't wait for the answer */
+    atomic_int half_closed_orders; /* sent by clients that then read on */
+    atomic_int half_closed_served; /* of these */
+    atomic_int broken;             /* rules, see soak_break() */
 } soak_counts;
 extern soak_counts soak_count;
 
 /** Report a broken rule on standard output. */
 void soak_break(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
-/** Start @p count clients, spread over @p vms VMs. */
-void soak_clients_start(int count, int vms, uint16_t port, uint64_t seed);
+/** What clients do, drawn for each request. */
+typedef struct soak_callers {
+    int count;
+    bool half_close; /* some send, close their sending side, and read on */
+    bool leave;      /* some close their connection before the answer */
+    bool wander; /* after a refusal or a failure they ask the directory, and
+                    go to another VM */
+} soak_callers;
+
+/** Start clients, spread over @p vms VMs.
+ *  @param port of the first kind of port, SOAK_PEER */
+void soak_clients_start(const soak_callers *callers, int vms, uint16_t port,
+                        uint64_t seed);
 /** End the clients once their last request has ended. */
 void soak_clients_stop(void);
 
