A status that promises 'not run' is told only if nothing was sent

Cause: a caller that closes only its sending side was taken for one that has left. Its attempt was cancelled with BBM_OK, which do_abort() made into BBM_ERR_STOPPED: 'ran' unknown, but status 503. The class: the status and the column 'ran' of a code were two statements, and whoever answered chose one without knowing what the sending thread had done. -114, -134 and -152 had the same contradiction, and so had all calls of operators that were open at a stop.

Ruled out: a process that stops (none did), an upstream's word (none refused).

--- a/base/bbm_codes.c
+++ b/base/bbm_codes.c
@@ -1,5 +1,6 @@
 #include "bbm_codes.h"
 
+#include <assert.h>
 #include <stddef.h>
 
 typedef struct code_row {
@@ -10,6 +11,15 @@
     const char *text;
 } code_row;
 
+#define PROMISES_NOT_RUN(status)                                              \
+    ((status) == 408 || (status) == 421 || (status) == 429 || (status) == 503)
+
+#define X(name, number, status, ran, text)                                    \
+    static_assert(!PROMISES_NOT_RUN(status) || BBM_RAN_##ran == BBM_RAN_NO,   \
+                  #name " may have run, but its status says that it hasn't");
+BBM_CODE_TABLE(X)
+#undef X
+
 static const code_row code_rows[] = {
 #define X(name, number, status, ran, text)                                    \
     {number, status, BBM_RAN_##ran, #name, text},
@@ -51,7 +61,7 @@
 bool
 bbm_status_promises_not_run(unsigned status)
 {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+    return PROMISES_NOT_RUN(status);
 }
 
 bbm_ran
--- a/base/bbm_codes.h
+++ b/base/bbm_codes.h
@@ -9,6 +9,9 @@
  *      if (rc < 0)
  *          fprintf(stderr, "%s\n", bbm_code_text(rc));
  *
+ *  A status that promises that the request has not run is allowed only with
+ *  "ran" NO, which is checked at compile time.
+ *
  *  Rows: X(name, number, HTTP status, ran, text)
  */
 #ifndef BBM_CODES_H
@@ -47,7 +50,7 @@
       "the key was withdrawn while the request ran")                          \
     X(BBM_ERR_KEY_IN_TARGET, -115, 400, NO,                                   \
       "the key must not be in the path or query")                             \
-    X(BBM_ERR_KEYS_STALE_CUT, -114, 503, UNKNOWN,                             \
+    X(BBM_ERR_KEYS_STALE_CUT, -114, 502, UNKNOWN,                             \
       "this VM could not prove that its keys are fresh any longer")           \
     X(BBM_ERR_RATE, -120, 429, NO, "the customer's rate is used up")          \
     X(BBM_ERR_OVER_BURST, -121, 400, NO,                                      \
@@ -70,8 +73,12 @@
       "the upstream did not answer in time")                                  \
     X(BBM_ERR_UPSTREAM_CONNECT, -133, 502, NO,                                \
       "no upstream could be reached")                                         \
-    X(BBM_ERR_STOPPED, -134, 503, UNKNOWN,                                    \
+    X(BBM_ERR_STOPPED, -134, 502, UNKNOWN,                                    \
       "this VM was stopped while the request ran")                            \
+    X(BBM_ERR_CLIENT_LEFT, -135, 502, UNKNOWN,                                \
+      "the client closed its connection while the request ran")               \
+    X(BBM_ERR_CLIENT_LEFT_EARLY, -136, 503, NO,                               \
+      "the client closed its connection before the request was sent")         \
     X(BBM_ERR_IDEM_MISSING, -140, 400, NO,                                    \
       "this route needs an Idempotency-Key header")                           \
     X(BBM_ERR_IDEM_REUSED, -141, 422, NO,                                     \
@@ -88,7 +95,7 @@
       "another revision was published first")                                 \
     X(BBM_ERR_INVALID_CONFIG, -151, 422, NO,                                  \
       "the configuration has mistakes")                                       \
-    X(BBM_ERR_NO_QUORUM, -152, 503, UNKNOWN,                                  \
+    X(BBM_ERR_NO_QUORUM, -152, 504, UNKNOWN,                                  \
       "no leader answered; the change may have been accepted")                \
     X(BBM_ERR_NOT_FOUND, -153, 404, NO, "no such object")                     \
     X(BBM_ERR_EXISTS, -154, 409, NO, "an object of this name exists")         \
@@ -97,7 +104,9 @@
     X(BBM_ERR_NOT_LEADER, -156, 503, NO, "this VM is not the leader")         \
     X(BBM_ERR_OPERATOR_KEY, -157, 401, NO, "the operator key is not valid")   \
     X(BBM_ERR_ORDER_FENCED, -158, 409, NO,                                    \
-      "an order with a higher fencing number was taken")
+      "an order with a higher fencing number was taken")                      \
+    X(BBM_ERR_NOT_CURRENT, -159, 503, NO,                                     \
+      "this VM cannot prove which revision is the newest")
 
 /** All result codes. */
 typedef enum bbm_code {
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -171,7 +171,7 @@
         traffic_cancel(traffic_for(c, id), id);
     if (!row)
         return;
-    exchange_fail(row->ex, code < 0 ? code : BBM_ERR_STOPPED, 0);
+    exchange_fail(row->ex, code, 0);
     remove_exchange(c, row);
 }
 
@@ -634,12 +634,11 @@
     open_exchange *row, *next;
     HASH_ITER(hh, c->exchanges, row, next)
     {
-        /* A request that was sent to a pool may have run there; one without
-           an attempt has not, so its client may retry it. */
-        int code = BBM_ERR_STOPPED;
-        if (row->ex->kind == EXCHANGE_POOL)
-            code = row->attempt ? BBM_ERR_UPSTREAM_CUT : BBM_ERR_DRAINING;
-        exchange_fail(row->ex, code, 0);
+        /* A request without an attempt has not run, so its client may retry
+           it.  An operator's call may have been accepted elsewhere. */
+        bool has_run = row->attempt || row->ex->kind == EXCHANGE_OPERATOR;
+        exchange_fail(row->ex, has_run ? BBM_ERR_STOPPED : BBM_ERR_DRAINING,
+                      0);
         remove_exchange(c, row);
     }
 }
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -8,6 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Of an answer that must not promise that its request has not run. */
+#define UNKNOWN_STATUS 502u
+
 exchange_counts exchange_count;
 
 exchange *
@@ -86,6 +89,17 @@
     MHD_resume_connection(ex->connection);
 }
 
+/* Called with the lock held.  Whoever decides on an answer may know less than
+   the thread that sends: the last check is where the status is set. */
+static bool
+withholds_promise(const exchange *ex, unsigned status)
+{
+    bool withheld = ex->sends && bbm_status_promises_not_run(status);
+    if (withheld)
+        atomic_fetch_add(&exchange_count.promises_withheld, 1);
+    return withheld;
+}
+
 bool
 exchange_set_head(exchange *ex, unsigned status, const char *type,
                   const char *upstream, int64_t cached_tokens)
@@ -113,7 +127,7 @@
     if (!ex->finished) {
         ex->has_head = true;
         ex->verbatim = true;
-        ex->status = status;
+        ex->status = withholds_promise(ex, status) ? UNKNOWN_STATUS : status;
         ex->content_length = length;
         exchange_headers_free(&ex->answer_headers);
         ex->answer_headers = *headers;
@@ -190,7 +204,7 @@
     pthread_mutex_lock(&ex->lock);
     if (!ex->finished) {
         ex->has_head = true;
-        ex->status = status;
+        ex->status = withholds_promise(ex, status) ? UNKNOWN_STATUS : status;
         bbm_text_set(ex->answer_type, sizeof(ex->answer_type), type);
         append_bytes(ex, data, len);
         ex->finished = true;
@@ -229,10 +243,10 @@
                                   : EXCHANGE_CLIENT_CONNECTED;
 }
 
-/* What the client is told of a request that may have run. */
+/* Called with the lock held.  @p told is the status that the client gets; 0: a
+   truncated answer. */
 static void
-log_failed_after_send(const exchange *ex, int code, bool cut,
-                      exchange_client client)
+log_failed_after_send(const exchange *ex, int code, unsigned told)
 {
     static const char *const clients[] = {
         [EXCHANGE_CLIENT_CONNECTED] = "connected",
@@ -240,36 +254,52 @@
         [EXCHANGE_CLIENT_GONE] = "gone",
     };
     char number[24];
-    char status[16];
+    char status[16] = "cut";
     char sends[16];
     snprintf(number, sizeof(number), "%llu", (unsigned long long)ex->id);
-    snprintf(status, sizeof(status), "%u", bbm_code_status(code));
     snprintf(sends, sizeof(sends), "%u", ex->sends);
+    if (told)
+        snprintf(status, sizeof(status), "%u", told);
     const char *id = ex->parsed_headers.id;
     bbm_log(BBM_EVENT_FAILED_AFTER_SEND, "id", id ? id : number, "code",
-            bbm_code_name(code), "told", cut ? "cut" : status, "sends", sends,
-            "client", clients[client], NULL);
+            bbm_code_name(code), "told", status, "sends", sends, "client",
+            clients[client_state(ex)], NULL);
 }
 
-/* Called with the lock held; @p cut if the client doesn't get the status. */
 static void
-record_failure(const exchange *ex, int code, bool cut)
+set_error(exchange *ex, int code, int64_t retry_after_ms)
 {
-    if (!ex->sends)
-        return;
-    atomic_fetch_add(&exchange_count.failed_after_send, 1);
-    if (!cut && bbm_status_promises_not_run(bbm_code_status(code)))
-        atomic_fetch_add(&exchange_count.promised_after_send, 1);
-    log_failed_after_send(ex, code, cut, client_state(ex));
+    BBM_AUTO_FREE char *text = error_text(ex, code, retry_after_ms);
+    ex->has_head = true;
+    ex->status = bbm_code_status(code);
+    ex->error_code = code;
+    ex->retry_after_ms = retry_after_ms;
+    bbm_text_set(ex->answer_type, sizeof(ex->answer_type), "application/json");
+    append_bytes(ex, text, strlen(text));
+}
+
+/* Ends an answer that has begun; an event stream of the daemon's own interface
+   gets an error event first. */
+static void
+cut_answer(exchange *ex, int code)
+{
+    bool is_event_stream =
+        !ex->verbatim
+        && strncmp(ex->answer_type, "text/event-stream", 17) == 0;
+    if (is_event_stream) {
+        BBM_AUTO_FREE char *text = error_text(ex, code, 0);
+        append_bytes(ex, "data: ", 6);
+        append_bytes(ex, text, strlen(text));
+        append_bytes(ex, "\n\n", 2);
+    }
+    ex->truncated = true;
 }
 
 /* The status can't change once the head is set, or, for a verbatim answer,
-   once it is queued.  The answer then ends as truncated; an event stream that
-   isn't verbatim gets an error event first. */
+   once it is queued. */
 void
 exchange_fail(exchange *ex, int code, int64_t retry_after_ms)
 {
-    BBM_AUTO_FREE char *text = error_text(ex, code, retry_after_ms);
     pthread_mutex_lock(&ex->lock);
     if (ex->finished) {
         pthread_mutex_unlock(&ex->lock);
@@ -283,41 +313,30 @@
         ex->out.len = 0;
         ex->out_pos = 0;
     }
-    bool started = ex->has_head;
-    record_failure(ex, code, started);
-    if (started && ex->verbatim) {
-        ex->truncated = true;
-    }
-    else if (started) {
-        bool is_event_stream =
-            strncmp(ex->answer_type, "text/event-stream", 17) == 0;
-        if (is_event_stream) {
-            append_bytes(ex, "data: ", 6);
-            append_bytes(ex, text, strlen(text));
-            append_bytes(ex, "\n\n", 2);
-        }
-        ex->truncated = true;
-    }
-    else {
-        ex->has_head = true;
-        ex->status = bbm_code_status(code);
-        ex->error_code = code;
-        ex->retry_after_ms = retry_after_ms;
-        bbm_text_set(ex->answer_type, sizeof(ex->answer_type),
-                     "application/json");
-        append_bytes(ex, text, strlen(text));
+    bool cut = ex->has_head;
+    bool withheld = !cut && withholds_promise(ex, bbm_code_status(code));
+    int told = withheld ? BBM_ERR_UPSTREAM : code;
+    if (ex->sends) {
+        atomic_fetch_add(&exchange_count.failed_after_send, 1);
+        log_failed_after_send(ex, code, cut ? 0 : bbm_code_status(told));
     }
+    if (cut)
+        cut_answer(ex, code);
+    else
+        set_error(ex, told, withheld ? 0 : retry_after_ms);
     ex->finished = true;
     resume_connection(ex);
     pthread_mutex_unlock(&ex->lock);
 }
 
-void
-exchange_record_send(exchange *ex)
+bool
+exchange_begin_send(exchange *ex)
 {
     pthread_mutex_lock(&ex->lock);
-    ex->sends++;
+    bool open = !ex->finished;
+    ex->sends += open;
     pthread_mutex_unlock(&ex->lock);
+    return open;
 }
 
 void
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -69,10 +69,11 @@
 
 /** Counts over all exchanges of the process. */
 typedef struct exchange_counts {
-    atomic_ullong failed_after_send;   /**< Failed by the daemon, after a send
-                                            that may have run. */
-    atomic_ullong promised_after_send; /**< Of these, those with a status that
-                                            promises that nothing ran. */
+    atomic_ullong failed_after_send; /**< Failed by the daemon, after a send
+                                        that may have run. */
+    atomic_ullong promises_withheld; /**< Answers whose status would have said
+                                        that nothing ran, after such a
+                                        send. */
 } exchange_counts;
 
 /** The process's counts; written by several threads. */
@@ -216,12 +217,14 @@
 void exchange_answer(exchange *ex, unsigned status, const char *type,
                      const void *data, size_t len);
 /** Answer with an error.  An answer whose status can't change any more ends as
- *  truncated instead.  @p retry_after_ms is 0 for no Retry-After header.  No
- *  effect if the answer has ended already. */
+ *  truncated instead.  Whatever the code, the status doesn't promise that the
+ *  request has not run while one of its sends may have.  @p retry_after_ms is
+ * 0 for no Retry-After header.  No effect if the answer has ended already. */
 void exchange_fail(exchange *ex, int code, int64_t retry_after_ms);
-/** Record that the first bytes of the request are about to be sent to an
- *  upstream, or to another VM; once for each attempt to send them. */
-void exchange_record_send(exchange *ex);
+/** Call before the first bytes of the request are sent to an upstream or to
+ *  another VM, each time.  Returns false if the answer has ended: then nothing
+ *  may be sent, as the client may have been told that nothing runs. */
+bool exchange_begin_send(exchange *ex);
 /** Record that the receiver of the last send stated that the request did not
  *  run there. */
 void exchange_record_not_run(exchange *ex);
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -558,9 +558,10 @@
     x->unusable_connection = !x->fresh_connection && has_unread_bytes(x);
     if (x->unusable_connection)
         return CURL_PREREQFUNC_ABORT;
+    if (!exchange_begin_send(x->ex))
+        return CURL_PREREQFUNC_ABORT;
     set_unacked_timeout(x->socket, UNACKED_REQUEST_TIMEOUT_MS);
     x->sent = true;
-    exchange_record_send(x->ex);
     return CURL_PREREQFUNC_OK;
 }
 
@@ -985,7 +986,7 @@
     attempt *x, *next;
     HASH_ITER(hh, f->attempts, x, next)
     {
-        exchange_fail(x->ex, BBM_ERR_UPSTREAM_CUT, 0);
+        exchange_fail(x->ex, BBM_ERR_STOPPED, 0);
         free_attempt(f, x);
     }
 }
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -321,7 +321,7 @@
     control_item *item;
     while ((item = mailbox_take(p->box)) != NULL) {
         if (item->ex)
-            exchange_fail(item->ex, BBM_ERR_STOPPED, 0);
+            exchange_fail(item->ex, BBM_ERR_DRAINING, 0);
         control_item_destroy(item);
     }
 }
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -210,10 +210,10 @@
         "failed_after_send_total", "counter",
         "Requests failed by the daemon after a send that may have run",
         atomic_load(&exchange_count.failed_after_send), out);
-    write_metric(
-        "promised_after_send_total", "counter",
-        "Of these, answered with a status that promises that nothing ran",
-        atomic_load(&exchange_count.promised_after_send), out);
+    write_metric("promises_withheld_total", "counter",
+                 "Answers that would have promised, after such a send, that "
+                 "nothing ran",
+                 atomic_load(&exchange_count.promises_withheld), out);
     struct mallinfo2 heap = mallinfo2();
     write_metric("heap_bytes", "gauge", "Bytes allocated", heap.uordblks, out);
 }
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -237,8 +237,9 @@
         x->timed_out = true;
         return CURL_PREREQFUNC_ABORT;
     }
+    if (!exchange_begin_send(x->ex))
+        return CURL_PREREQFUNC_ABORT;
     x->sent = true;
-    exchange_record_send(x->ex);
     return CURL_PREREQFUNC_OK;
 }
 
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -264,12 +264,8 @@
 {
     gate_advance(g, now);
     gate_request *r = gate_find_request(g, request);
-    if (!r)
-        return;
-    g->counts.client_disconnects++;
-    if (r->stage == GATE_WAITING && !r->attempts_run)
-        bbm_shares_refund(g->shares, r->customer, r->reserved_tokens);
-    gate_abort(g, r, BBM_OK, "the client disconnected");
+    if (r)
+        gate_abandon(g, r);
 }
 
 void
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -729,6 +729,8 @@
 /** Abort a request; with the code BBM_OK the client gets no answer.  Frees the
  *  request. */
 void gate_abort(bbm_gate *g, gate_request *r, int code, const char *reason);
+/** End a request whose client has left.  It may still read what it is told. */
+void gate_abandon(bbm_gate *g, gate_request *r);
 /** Find a pool by name, or NULL. */
 gate_pool *gate_find_pool(const bbm_gate *g, const char *name);
 
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -207,18 +207,36 @@
     refuse_as_scheduled(g, r, code, add_jitter(g, retry_after), reason);
 }
 
-void
-gate_abort(bbm_gate *g, gate_request *r, int code, const char *reason)
+static void
+push_abort(bbm_gate *g, gate_request *r, int code, const char *reason)
 {
     bbm_gate_output *out = gate_push_output(g, BBM_GATE_ABORT, r);
     out->u.abort.code = code;
     out->u.abort.reason = reason;
     out->u.abort.head_forwarded = r->stage == GATE_ANSWERING;
-    if (code < 0 && r->stage == GATE_ANSWERING)
+    gate_request_free(g, r);
+}
+
+void
+gate_abort(bbm_gate *g, gate_request *r, int code, const char *reason)
+{
+    if (r->stage == GATE_ANSWERING)
         g->counts.aborted++;
-    else if (code < 0)
+    else
         g->counts.outcome_unknown++;
-    gate_request_free(g, r);
+    push_abort(g, r, code, reason);
+}
+
+void
+gate_abandon(bbm_gate *g, gate_request *r)
+{
+    bool may_have_run = r->stage != GATE_WAITING || r->attempts_run;
+    g->counts.client_disconnects++;
+    if (!may_have_run)
+        bbm_shares_refund(g->shares, r->customer, r->reserved_tokens);
+    push_abort(g, r,
+               may_have_run ? BBM_ERR_CLIENT_LEFT : BBM_ERR_CLIENT_LEFT_EARLY,
+               "the client disconnected");
 }
 
 /* ---- sending ---- */
--- a/node/node_read.c
+++ b/node/node_read.c
@@ -53,7 +53,7 @@
         if (n->fresh_at >= r->requested_at)
             answer_read(n, r, BBM_OK);
         else if (n->now >= r->expires_at)
-            answer_read(n, r, BBM_ERR_NO_QUORUM);
+            answer_read(n, r, BBM_ERR_NOT_CURRENT);
         else if (n->next_poll_at > n->now + READ_POLL_PERIOD)
             n->next_poll_at = n->now + READ_POLL_PERIOD;
     }
--- a/node/node_run.c
+++ b/node/node_run.c
@@ -288,7 +288,7 @@
     if (r->stage == STAGE_RUNNING) {
         bbm_action *a = node_push_action(n, BBM_ACT_ABORT);
         a->u.abort.request = id;
-        a->u.abort.code = BBM_OK;
+        a->u.abort.code = BBM_ERR_CLIENT_LEFT;
         node_rate_consume(n, r, r->prompt_tokens);
     }
     node_request_free(n, r);
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -145,6 +145,12 @@
     ck_assert_int_eq(bbm_code_ran(BBM_ERR_UPSTREAM_CUT), BBM_RAN_UNKNOWN);
     ck_assert_int_eq(bbm_code_ran(BBM_ERR_IDEM_UNKNOWN), BBM_RAN_UNKNOWN);
     ck_assert_int_eq(bbm_code_ran(12345), BBM_RAN_UNKNOWN);
+#define X(name, number, status, ran, text)                                    \
+    ck_assert_msg(!bbm_status_promises_not_run(status)                        \
+                      || bbm_code_ran(name) == BBM_RAN_NO,                    \
+                  #name);
+    BBM_CODE_TABLE(X)
+#undef X
 }
 END_TEST
 
--- /dev/null
+++ b/tests/test_exchange.c
@@ -0,0 +1,112 @@
+/* What a client is told of a request that may have run. */
+#include "bbm_codes.h"
+#include "exchange.h"
+#include "test_main.h"
+
+static const int promise_codes[] = {
+#define X(name, number, status, ran, text) name,
+    BBM_CODE_TABLE(X)
+#undef X
+};
+
+/* An exchange of a client that is connected: the exchange only compares the
+   connection with NULL while it isn't suspended. */
+static exchange *
+create_exchange(exchange_kind kind)
+{
+    static char connection;
+    exchange *ex = exchange_create(kind, 7);
+    ex->connection = (void *)&connection;
+    return ex;
+}
+
+static bool
+is_promise(const exchange *ex)
+{
+    return bbm_status_promises_not_run(ex->status);
+}
+
+START_TEST(no_code_promises_after_a_send)
+{
+    for (size_t i = 0; i < BBM_COUNT(promise_codes); i++) {
+        for (exchange_kind k = EXCHANGE_ROUTE; k <= EXCHANGE_POOL; k++) {
+            exchange *ex = create_exchange(k);
+            ck_assert(exchange_begin_send(ex));
+            exchange_fail(ex, promise_codes[i], 500);
+            ck_assert_msg(!is_promise(ex), "%s",
+                          bbm_code_name(promise_codes[i]));
+            exchange_unref(ex);
+        }
+    }
+}
+END_TEST
+
+START_TEST(refusal_without_a_send_keeps_its_promise)
+{
+    exchange *ex = create_exchange(EXCHANGE_POOL);
+    exchange_fail(ex, BBM_ERR_OVERLOAD, 500);
+    ck_assert_uint_eq(ex->status, 503);
+    ck_assert_int_eq(ex->retry_after_ms, 500);
+    exchange_unref(ex);
+}
+END_TEST
+
+START_TEST(refusal_after_all_sends_were_not_run_keeps_its_promise)
+{
+    exchange *ex = create_exchange(EXCHANGE_POOL);
+    exchange_begin_send(ex);
+    exchange_record_not_run(ex);
+    exchange_begin_send(ex);
+    exchange_record_not_run(ex);
+    exchange_fail(ex, BBM_ERR_OVERLOAD, 500);
+    ck_assert_uint_eq(ex->status, 503);
+    exchange_unref(ex);
+}
+END_TEST
+
+START_TEST(refusal_after_one_of_two_sends_was_not_run_promises_nothing)
+{
+    exchange *ex = create_exchange(EXCHANGE_POOL);
+    exchange_begin_send(ex);
+    exchange_begin_send(ex);
+    exchange_record_not_run(ex);
+    exchange_fail(ex, BBM_ERR_OVERLOAD, 500);
+    ck_assert_uint_eq(ex->status, 502);
+    ck_assert_int_eq(ex->retry_after_ms, 0);
+    exchange_unref(ex);
+}
+END_TEST
+
+START_TEST(refusal_of_another_vm_hides_no_earlier_send)
+{
+    for (unsigned earlier = 0; earlier < 2; earlier++) {
+        exchange_headers headers = {0};
+        exchange *ex = create_exchange(EXCHANGE_POOL);
+        if (earlier)
+            exchange_begin_send(ex);
+        exchange_begin_send(ex);
+        exchange_record_not_run(ex);
+        exchange_set_verbatim_head(ex, 503, 0, &headers);
+        exchange_finish(ex, false);
+        ck_assert_uint_eq(ex->status, earlier ? 502 : 503);
+        exchange_unref(ex);
+    }
+}
+END_TEST
+
+START_TEST(nothing_is_sent_after_the_answer)
+{
+    exchange *ex = create_exchange(EXCHANGE_POOL);
+    exchange_fail(ex, BBM_ERR_OVERLOAD, 500);
+    ck_assert(!exchange_begin_send(ex));
+    ck_assert_uint_eq(ex->status, 503);
+    exchange_unref(ex);
+}
+END_TEST
+
+TEST_MAIN("exchange", no_code_promises_after_a_send,
+          refusal_without_a_send_keeps_its_promise,
+          refusal_after_all_sends_were_not_run_keeps_its_promise,
+          refusal_after_one_of_two_sends_was_not_run_promises_nothing,
+          refusal_of_another_vm_hides_no_earlier_send,
+          nothing_is_sent_after_the_answer);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1151,6 +1151,31 @@
 }
 END_TEST
 
+/* The refusal was decided before the attempt's turn came. */
+START_TEST(request_that_was_refused_is_not_sent_later)
+{
+    fixture w;
+    set_up(&w, refuse_as_vm);
+    exchange *ex = create_exchange(++w.requests);
+    bbm_forward_request send = {.request = ex->id,
+                                .attempt = 1,
+                                .priority = -1,
+                                .deadline = control_now() + DEADLINE};
+    bbm_name_set(send.upstream, "u");
+    snprintf(send.address, sizeof(send.address), "127.0.0.1:%u",
+             w.upstream.port);
+    exchange_fail(ex, BBM_ERR_OVERLOAD, 0);
+    forward_start(w.forward, ex, &send, "");
+    control_item *item = expect_item(&w, CONTROL_FORWARD_FINISHED, END_MS_MAX);
+    ck_assert_int_eq(item->forwarded.outcome, BBM_FORWARD_UNSENT);
+    ck_assert_uint_eq(ex->status, 503);
+    ck_assert_int_eq(atomic_load(&w.upstream.requests), 0);
+    control_item_destroy(item);
+    exchange_unref(ex);
+    tear_down(&w);
+}
+END_TEST
+
 /* A client could otherwise choose whose key its request has. */
 START_TEST(only_a_vm_can_say_that_a_request_was_relayed)
 {
@@ -1324,6 +1349,7 @@
           answer_of_a_dead_machine_ends_after_two_seconds,
           request_sent_into_a_silence_is_answered,
           refusal_of_the_vm_that_forwards_is_passed_on,
+          request_that_was_refused_is_not_sent_later,
           only_a_vm_can_say_that_a_request_was_relayed,
           late_copy_is_not_the_next_answer, copy_behind_an_answer_is_dropped,
           answer_without_id_is_not_passed_on,
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -390,7 +390,21 @@
     uint64_t id = begin_request(&w, "/check/a", 1);
     expect_send(&w);
     bbm_gate_client_disconnected(w.gate, id, w.now);
-    ck_assert_int_eq(expect_output(&w, BBM_GATE_ABORT)->u.abort.code, BBM_OK);
+    int code = expect_output(&w, BBM_GATE_ABORT)->u.abort.code;
+    ck_assert_int_eq(code, BBM_ERR_CLIENT_LEFT);
+    ck_assert_int_ne(bbm_code_ran(code), BBM_RAN_NO);
+    ck_assert(!bbm_gate_has_request(w.gate, id));
+    teardown(&w);
+}
+END_TEST
+
+START_TEST(disconnect_of_a_held_request_says_that_it_has_not_run)
+{
+    fixture w = setup(0, 0);
+    uint64_t id = begin_request(&w, "/check/a", 1);
+    bbm_gate_client_disconnected(w.gate, id, w.now);
+    int code = expect_output(&w, BBM_GATE_ABORT)->u.abort.code;
+    ck_assert_int_eq(bbm_code_ran(code), BBM_RAN_NO);
     ck_assert(!bbm_gate_has_request(w.gate, id));
     teardown(&w);
 }
@@ -1486,7 +1500,9 @@
     retries_stay_within_budget, route_timeout_is_enforced,
     silent_attempt_continues_without_alternative,
     adopted_answer_resumes_without_a_failure_of_the_last_upstream,
-    client_disconnect_aborts_request, leaving_upstreams_get_no_requests,
+    client_disconnect_aborts_request,
+    disconnect_of_a_held_request_says_that_it_has_not_run,
+    leaving_upstreams_get_no_requests,
     upstream_that_says_it_leaves_gets_no_requests,
     notice_of_an_earlier_run_is_ignored, notices_reach_other_vms,
     suspicion_is_shared_between_many_vms,
--- a/tests/test_joining.c
+++ b/tests/test_joining.c
@@ -382,7 +382,8 @@
     must_publish(&w, fleet_leader(w.fleet), 2, "new");
     uint64_t op = read_source(&w, isolated);
     fleet_run(w.fleet, 2 * BBM_SECOND);
-    ck_assert_int_eq(w.code[op], BBM_ERR_NO_QUORUM);
+    ck_assert_int_eq(w.code[op], BBM_ERR_NOT_CURRENT);
+    ck_assert_uint_eq(bbm_code_status(w.code[op]), 503);
     net_isolate(fleet_net(w.fleet), isolated, false);
     fleet_run(w.fleet, 4 * BBM_SECOND);
     must_read(&w, isolated, "new");
