A caller that leaves while its request is held gets an answer; a stop leaves nothing open

What was seen: a VM that starts holds requests for a moment.

Cause: handle_disconnect() forgot a request without an attempt, but its connection stayed suspended for ever: a caller that still reads gets no answer, the connection counts against the limit, and libmicrohttpd ends the process. The same class: a request that passes the check for 'rejecting' and is queued after the last look into the queue; a request of the own interface that waits for a retry when its client leaves (its row was never removed).

Now such a request is failed when it is forgotten, nothing can be queued once requests are rejected, and each front knows its open requests: what nobody owns at the end of a stop is failed and logged (event 522) instead of ending the process.

Scenario left_while_held: 134 with the build before, 0 now. Also passed: stopped_again, drain_under_load, refused_half_closed, drain, idle_connections, bookings_once.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -437,9 +437,15 @@
     bbm_event ev = {.kind = BBM_EV_CLIENT_DISCONNECTED};
     ev.u.disconnected.request = id;
     step(c, &ev);
+    /* The node has forgotten a request that no attempt runs for.  Its client
+       may still read, and its connection is suspended until it is answered. */
     open_exchange *row = find_exchange(c, id);
-    if (row && row->attempt == 0)
-        remove_exchange(c, row);
+    if (!row || (row->attempt && !row->attempt_ended))
+        return;
+    exchange_fail(
+        row->ex,
+        row->attempt ? BBM_ERR_CLIENT_LEFT : BBM_ERR_CLIENT_LEFT_EARLY, 0);
+    remove_exchange(c, row);
 }
 
 static void
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -297,13 +297,13 @@
 
 /* The status can't change once the head is set, or, for a verbatim answer,
    once it is queued. */
-void
+bool
 exchange_fail(exchange *ex, int code, int64_t retry_after_ms)
 {
     pthread_mutex_lock(&ex->lock);
     if (ex->finished) {
         pthread_mutex_unlock(&ex->lock);
-        return;
+        return false;
     }
     if (ex->verbatim && !ex->head_queued) {
         /* The head was not sent yet: answer with the error instead of a
@@ -327,6 +327,7 @@
     ex->finished = true;
     resume_connection(ex);
     pthread_mutex_unlock(&ex->lock);
+    return true;
 }
 
 bool
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -20,6 +20,7 @@
 #include <microhttpd.h>
 #include <pthread.h>
 #include <stdatomic.h>
+#include <sys/queue.h>
 
 /** Buffered answer bytes from which on the upstream transfer is paused. */
 #define EXCHANGE_HIGH_WATER_BYTES ((size_t)256 * 1024)
@@ -134,6 +135,7 @@
     char *new_key;      /**< API key created by this call; returned once,
                              then wiped.  NULL: none. */
     bool submitted;     /**< Handed to control. */
+    TAILQ_ENTRY(exchange) link; /**< In the list of its front. */
 
     /* The answer. */
     pthread_mutex_t lock;              /**< Guards all fields below. */
@@ -219,8 +221,9 @@
 /** Answer with an error.  An answer whose status can't change any more ends as
  *  truncated instead.  Whatever the code, the status doesn't promise that the
  *  request has not run while one of its sends may have.  @p retry_after_ms is
- * 0 for no Retry-After header.  No effect if the answer has ended already. */
-void exchange_fail(exchange *ex, int code, int64_t retry_after_ms);
+ *  0 for no Retry-After header.  Returns false, without effect, if the answer
+ *  has ended already. */
+bool exchange_fail(exchange *ex, int code, int64_t retry_after_ms);
 /** Call before the first bytes of the request are sent to an upstream or to
  *  another VM, each time.  Returns false if the answer has ended: then nothing
  *  may be sent, as the client may have been told that nothing runs. */
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -25,9 +25,11 @@
 struct front {
     front_desc desc;
     struct MHD_Daemon *daemon;
-    char *cert; /* PEM; NULL: no TLS */
-    char *key;  /* PEM; wiped on release */
-    atomic_bool rejecting;
+    char *cert;           /* PEM; NULL: no TLS */
+    char *key;            /* PEM; wiped on release */
+    pthread_mutex_t lock; /* guards the fields below */
+    bool rejecting;
+    TAILQ_HEAD(, exchange) exchanges; /* until libmicrohttpd has ended them */
 };
 
 /* ---- answers ---- */
@@ -316,12 +318,15 @@
 {
     control_item *item = control_item_create(CONTROL_EXCHANGE);
     item->ex = exchange_ref(ex);
-    ex->submitted = true;
-    if (mailbox_put(f->desc.control_mailbox, item))
+    /* Nothing is put once requests are rejected: nobody would take it. */
+    pthread_mutex_lock(&f->lock);
+    bool rejecting = f->rejecting;
+    ex->submitted = !rejecting && mailbox_put(f->desc.control_mailbox, item);
+    pthread_mutex_unlock(&f->lock);
+    if (ex->submitted)
         return;
-    ex->submitted = false;
     control_item_destroy(item);
-    exchange_fail(ex, BBM_ERR_BUSY, 1000);
+    exchange_fail(ex, rejecting ? BBM_ERR_DRAINING : BBM_ERR_BUSY, 1000);
 }
 
 static void
@@ -438,6 +443,15 @@
     }
 }
 
+static bool
+is_rejecting(front *f)
+{
+    pthread_mutex_lock(&f->lock);
+    bool rejecting = f->rejecting;
+    pthread_mutex_unlock(&f->lock);
+    return rejecting;
+}
+
 static enum MHD_Result
 on_request(void *context, struct MHD_Connection *connection, const char *url,
            const char *method, const char *version, const char *data,
@@ -460,7 +474,7 @@
         return MHD_YES;
     }
     if (!ex->submitted && !ex->has_head) {
-        if (atomic_load(&f->rejecting))
+        if (is_rejecting(f))
             exchange_fail(ex, BBM_ERR_DRAINING, 1000);
         else
             dispatch(f, connection, ex);
@@ -484,6 +498,9 @@
     ex->query = bbm_strdup(query ? query : "");
     ex->request_target = bbm_strdup(uri);
     ex->provider_call = PLATFORM_NONE;
+    pthread_mutex_lock(&f->lock);
+    TAILQ_INSERT_TAIL(&f->exchanges, ex, link);
+    pthread_mutex_unlock(&f->lock);
     return ex;
 }
 
@@ -498,6 +515,9 @@
     if (!ex)
         return;
     *state = NULL;
+    pthread_mutex_lock(&f->lock);
+    TAILQ_REMOVE(&f->exchanges, ex, link);
+    pthread_mutex_unlock(&f->lock);
     pthread_mutex_lock(&ex->lock);
     bool unfinished = !ex->finished;
     bool was_paused = ex->upstream_paused;
@@ -571,6 +591,8 @@
 {
     front *f = bbm_calloc(1, sizeof(*f));
     f->desc = *desc;
+    pthread_mutex_init(&f->lock, NULL);
+    TAILQ_INIT(&f->exchanges);
     const bbm_settings *s = desc->settings;
     bool tls = desc->kind == FRONT_CALLERS && s->tls_cert_file[0];
     bool valid = true;
@@ -622,7 +644,26 @@
 void
 front_reject_requests(front *f)
 {
-    atomic_store(&f->rejecting, true);
+    pthread_mutex_lock(&f->lock);
+    f->rejecting = true;
+    pthread_mutex_unlock(&f->lock);
+}
+
+/* libmicrohttpd ends the process if a connection is still suspended when it is
+   stopped. */
+void
+front_fail_open_requests(front *f)
+{
+    exchange *ex;
+    pthread_mutex_lock(&f->lock);
+    TAILQ_FOREACH(ex, &f->exchanges, link)
+    {
+        if (ex->submitted && exchange_fail(ex, BBM_ERR_STOPPED, 0))
+            bbm_log(BBM_EVENT_REQUEST_UNOWNED, "id",
+                    ex->parsed_headers.id ? ex->parsed_headers.id : "", "path",
+                    ex->path, NULL);
+    }
+    pthread_mutex_unlock(&f->lock);
 }
 
 void
@@ -636,6 +677,7 @@
         explicit_bzero(f->key, strlen(f->key));
     free(f->cert);
     free(f->key);
+    pthread_mutex_destroy(&f->lock);
     free(f);
 }
 
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -66,6 +66,9 @@
 void front_refuse_connections(front *f);
 /** From now on answer every new request with BBM_ERR_DRAINING. */
 void front_reject_requests(front *f);
+/** Fail the requests that are still open, and log them: after
+ *  front_reject_requests(), once all that answer requests have ended. */
+void front_fail_open_requests(front *f);
 /** Close all connections and release; none may be suspended.  NULL is
  *  allowed. */
 void front_destroy(front *f);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -326,29 +326,33 @@
     }
 }
 
+static void
+apply_to_fronts(const daemon_parts *p, void (*apply)(front *f))
+{
+    if (p->callers)
+        apply(p->callers);
+    if (p->admin)
+        apply(p->admin);
+    for (size_t i = 0; i < p->provider_fronts_len; i++)
+        apply(p->provider_fronts[i]);
+}
+
 /* No connection may be suspended when its front is destroyed.  Hence the
    threads that resume connections are stopped, and all open exchanges failed,
    before the fronts are destroyed. */
 static void
 close_parts(daemon_parts *p)
 {
-    if (p->callers)
-        front_reject_requests(p->callers);
-    if (p->admin)
-        front_reject_requests(p->admin);
-    for (size_t i = 0; i < p->provider_fronts_len; i++)
-        front_reject_requests(p->provider_fronts[i]);
+    apply_to_fronts(p, front_reject_requests);
     for (size_t i = 0; i < p->traffic_len; i++)
         traffic_stop(p->traffic[i]);
     forward_stop(p->forward);
     fail_queued_items(p);
+    apply_to_fronts(p, front_fail_open_requests);
     if (p->callers)
         front_refuse_connections(p->callers);
     usleep(FLUSH_DELAY_US);
-    front_destroy(p->callers);
-    front_destroy(p->admin);
-    for (size_t i = 0; i < p->provider_fronts_len; i++)
-        front_destroy(p->provider_fronts[i]);
+    apply_to_fronts(p, front_destroy);
     for (size_t i = 0; i < p->traffic_len; i++)
         traffic_destroy(p->traffic[i]);
     free(p->traffic);
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -930,6 +930,30 @@
     soak refused_half_closed 6 configs --callers half-close
 }
 
+t_left_while_held() { # callers that leave while a VM that has just started holds their requests don't end it
+    local i fds=()
+    begin left_while_held
+    late_vm
+    fleet_daemon "$dir" 1
+    check "the configuration is acknowledged" fleet_until 10 pool_accepts 1 1
+    fleet_terminate "${fleet_daemon_pid[1]}"
+    fleet_daemon "$dir" 1
+    listens() { (exec 8<>"/dev/tcp/127.0.1.1/$((FLEET_PORT + 1))") 2>/dev/null; }
+    until listens; do sleep 0.01; done
+    for i in 1 2 3 4 5 6 7 8 9 10; do
+        exec {fds[i]}<>"/dev/tcp/127.0.1.1/$((FLEET_PORT + 1))"
+        printf 'POST /once/x HTTP/1.1\r\nHost: a.example\r\nX-Bluebellmoor-Attempt-Id: l%s\r\nContent-Length: 2\r\n\r\n{}' "$i" >&"${fds[i]}"
+    done
+    sleep 0.06
+    for i in 1 2 3 4 5 6 7 8 9 10; do exec {fds[i]}>&-; done
+    sleep 1
+    kill -TERM "${fleet_daemon_pid[1]}"
+    wait "${fleet_daemon_pid[1]}"
+    check "it stops in good order" test $? -eq 0
+    check "no request was left open" bash -c "! grep -q '\"event\":522' '$dir/vm-1.log'"
+    finish
+}
+
 t_signal_at_start() { # SIGHUP while the libraries are still being loaded doesn't end the process
     begin signal_at_start
     late_vm
@@ -1004,7 +1028,8 @@
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
     address_in_use operator_commands disk_full pools limits pool_keys drain_under_load
-    stopped_again refused_half_closed signal_at_start settings_late disk_late soak)
+    stopped_again refused_half_closed
+    left_while_held signal_at_start settings_late disk_late soak)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
