An order whose caller closes only its sending side goes on, and is answered

Cause: FIN was taken for 'nobody reads'. What can't be taken back gained nothing by being cancelled: most upstreams drop it half done.

Now an order that an upstream or another VM has goes on, once its caller has half-closed, and is sent nowhere else (event 523); requests that may be repeated and streams are cancelled as before, as their caller has mostly left; a reset cancels all.

test_gate: order_of_a_half_closed_client_goes_on, _is_sent_nowhere_else, only_orders_go_on_without_their_client; the first two fail before (aborted).

--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -131,6 +131,8 @@
       "header of an upstream's answer is too long, dropped")                  \
     X(BBM_EVENT_FAILED_AFTER_SEND, 521, INFO,                                 \
       "request failed after it had been sent to an upstream")                 \
+    X(BBM_EVENT_CLIENT_HALF_CLOSED, 523, INFO,                                \
+      "client closed its sending side; its order goes on")                    \
     X(BBM_EVENT_REQUEST_UNOWNED, 522, ERROR,                                  \
       "request was still open at the end of a stop; failed")                  \
     X(BBM_EVENT_REQUEST_FAILED, 500, WARN, "request ended with an error")     \
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -35,6 +35,7 @@
     exchange *ex;       /* counted reference */
     uint32_t attempt;   /* last attempt that was started; 0: none */
     bool attempt_ended; /* that attempt has ended */
+    bool half_closed;   /* the client's sending side; the node was told */
     bbm_time received_at;
     bool resubmit_pending; /* to be resubmitted to the node */
     UT_hash_handle hh;
@@ -432,10 +433,11 @@
 }
 
 static void
-handle_disconnect(control *c, uint64_t id)
+handle_disconnect(control *c, uint64_t id, bool may_read)
 {
     bbm_event ev = {.kind = BBM_EV_CLIENT_DISCONNECTED};
     ev.u.disconnected.request = id;
+    ev.u.disconnected.may_read = may_read;
     step(c, &ev);
     /* The node has forgotten a request that no attempt runs for.  Its client
        may still read, and its connection is suspended until it is answered. */
@@ -457,7 +459,7 @@
         handle_exchange(c, item->ex);
         return;
     case CONTROL_CLIENT_DISCONNECTED:
-        handle_disconnect(c, item->id);
+        handle_disconnect(c, item->id, false);
         return;
     case CONTROL_FINISHED:
         handle_finished(c, item);
@@ -612,15 +614,26 @@
     if (now < c->next_client_check_at)
         return;
     c->next_client_check_at = now + CLIENT_CHECK_PERIOD;
-    uint64_t ids[DISCONNECTS_PER_CHECK_MAX];
+    struct {
+        uint64_t id;
+        bool may_read;
+    } left[DISCONNECTS_PER_CHECK_MAX];
     size_t len = 0;
-    for (const open_exchange *row = c->exchanges; row; row = row->hh.next) {
-        if (row->ex->kind == EXCHANGE_POOL && len < DISCONNECTS_PER_CHECK_MAX
-            && !exchange_client_connected(row->ex))
-            ids[len++] = row->id;
+    for (open_exchange *row = c->exchanges;
+         row && len < DISCONNECTS_PER_CHECK_MAX; row = row->hh.next) {
+        if (row->ex->kind != EXCHANGE_POOL)
+            continue;
+        exchange_client state = exchange_client_state(row->ex);
+        bool may_read = state == EXCHANGE_CLIENT_HALF_CLOSED;
+        if (state == EXCHANGE_CLIENT_CONNECTED
+            || (may_read && row->half_closed))
+            continue;
+        row->half_closed = may_read;
+        left[len].id = row->id;
+        left[len++].may_read = may_read;
     }
     for (size_t i = 0; i < len; i++)
-        handle_disconnect(c, ids[i]);
+        handle_disconnect(c, left[i].id, left[i].may_read);
 }
 
 static void
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -19,8 +19,8 @@
  *
  *  Each request ends in exactly one way: the complete answer of an upstream
  *  is forwarded (BBM_GATE_ENDED), the gate refuses the request
- *  (BBM_GATE_REFUSE), or the gate aborts it (BBM_GATE_ABORT).  An abort with
- *  the code BBM_OK means that the client has disconnected.
+ *  (BBM_GATE_REFUSE), or the gate aborts it (BBM_GATE_ABORT), also if the
+ *  client has disconnected.
  *
  *  All times are moments or spans of bbm_time; names that end in _ms are
  *  milliseconds.
@@ -203,6 +203,8 @@
     BBM_GATE_ABORT, /**< Abort the current attempt, if any; with an error code,
                          end the answer to the client with that error too. */
     BBM_GATE_ENDED, /**< A request has completed; to be logged. */
+    BBM_GATE_HALF_CLOSED, /**< A request goes on although its client sends no
+                               more; to be logged. */
     BBM_GATE_UPSTREAM_NOTICE, /**< An upstream has stated that it leaves, that
                                    it wants no requests for a while, or a
                                    limit; to be logged. */
@@ -260,8 +262,7 @@
                                        the whole request. */
         } refuse;                 /**< BBM_GATE_REFUSE. */
         struct {
-            int code;            /**< Error code; BBM_OK: the client has
-                                      disconnected. */
+            int code;            /**< Error code. */
             const char *reason;  /**< For the log. */
             bool head_forwarded; /**< The head of the answer was forwarded. */
         } abort;                 /**< BBM_GATE_ABORT. */
@@ -433,9 +434,13 @@
  *  unless it is the current attempt of an open request. */
 void bbm_gate_end_attempt(bbm_gate *g, const bbm_forward_result *result,
                           bbm_time now);
-/** Abort a request whose client has disconnected.  Ignored unless the request
- *  is open. */
-void bbm_gate_client_disconnected(bbm_gate *g, uint64_t request, bbm_time now);
+/** End a request whose client has disconnected.  Ignored unless the request is
+ *  open.
+ *  @param may_read the client has closed its sending side, and may have closed
+ *                  its socket: a request that an upstream has and that can't
+ *                  be repeated goes on there, but is sent nowhere else */
+void bbm_gate_client_disconnected(bbm_gate *g, uint64_t request, bool may_read,
+                                  bbm_time now);
 /** True if the request is open. */
 bool bbm_gate_has_request(const bbm_gate *g, uint64_t request);
 /** Abort all requests of a customer with an error code, for instance because
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -126,7 +126,11 @@
     gate_release_upstream(g, r);
     r->stage = GATE_WAITING;
     r->link.tqe_prev = NULL;
-    gate_dispatch(g, r);
+    /* Its client has left long enough ago that no upstream may get it. */
+    if (r->client_half_closed)
+        gate_abandon(g, r);
+    else
+        gate_dispatch(g, r);
 }
 
 static void
@@ -259,13 +263,28 @@
     gate_dispatch_waiting(g);
 }
 
+/* An order that an upstream has can't be taken back, and its client may wait
+   for the answer.  All else is ended: the client can ask again. */
+static bool
+goes_on_without_client(const gate_request *r)
+{
+    return r->stage != GATE_WAITING && !r->repeatable && !r->stream;
+}
+
 void
-bbm_gate_client_disconnected(bbm_gate *g, uint64_t request, bbm_time now)
+bbm_gate_client_disconnected(bbm_gate *g, uint64_t request, bool may_read,
+                             bbm_time now)
 {
     gate_advance(g, now);
     gate_request *r = gate_find_request(g, request);
-    if (r)
+    if (!r)
+        return;
+    if (!may_read || !goes_on_without_client(r)) {
         gate_abandon(g, r);
+        return;
+    }
+    r->client_half_closed = true;
+    gate_push_output(g, BBM_GATE_HALF_CLOSED, r);
 }
 
 void
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -245,6 +245,7 @@
                                     is cut off can be reached again. */
     bool is_relayed;           /**< It comes from another VM. */
     bool is_relaying;          /**< Another VM forwards it now. */
+    bool client_half_closed;   /**< Its client sends no more. */
     uint32_t relays;           /**< Number of VMs that were to forward it. */
     uint64_t relay_vms[GATE_RELAYS_MAX]; /**< These VMs, by hash. */
     const char *previous_outcome; /**< How the previous attempt ended; NULL:
--- a/gate/gate_reach.c
+++ b/gate/gate_reach.c
@@ -329,6 +329,10 @@
     r->is_relaying = false;
     r->stage = GATE_WAITING;
     r->link.tqe_prev = NULL;
+    if (r->client_half_closed) {
+        gate_abandon(g, r);
+        return;
+    }
     if (g->now < r->deadline && gate_relay(g, r))
         return;
     gate_refuse(g, r, BBM_ERR_NO_UPSTREAM, r->target_latency,
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -153,7 +153,8 @@
     BBM_EV_FIRST_BYTE,          /**< First byte from the upstream. */
     BBM_EV_PROGRESS,            /**< Tokens were generated. */
     BBM_EV_FINISHED,            /**< An attempt ended. */
-    BBM_EV_CLIENT_DISCONNECTED, /**< The client closed its connection. */
+    BBM_EV_CLIENT_DISCONNECTED, /**< The client closed its connection, or its
+                                     sending side. */
     BBM_EV_REPORT,              /**< Report of an engine. */
     BBM_EV_REPORT_FAILED,       /**< An engine's report could not be read. */
     BBM_EV_ORDER_RESULT,        /**< Engine's answer to an order. */
@@ -288,6 +289,8 @@
         bbm_finished_event finished; /**< BBM_EV_FINISHED. */
         struct {
             uint64_t request; /**< Request number. */
+            bool may_read;    /**< It has closed its sending side; whether it
+                                   still reads isn't known. */
         } disconnected;       /**< BBM_EV_CLIENT_DISCONNECTED. */
         struct {
             const char *engine; /**< Name of the engine. */
--- a/node/node.c
+++ b/node/node.c
@@ -301,7 +301,7 @@
         node_run_client_disconnected(n, ev->u.disconnected.request);
         if (n->gate)
             bbm_gate_client_disconnected(n->gate, ev->u.disconnected.request,
-                                         n->now);
+                                         ev->u.disconnected.may_read, n->now);
         return;
     case BBM_EV_REPORT:
         apply_report(n, ev->u.report.engine, &ev->u.report.report);
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -543,6 +543,10 @@
         case BBM_GATE_ENDED:
             process_ended(n, out);
             break;
+        case BBM_GATE_HALF_CLOSED:
+            node_log_text(node_log_event(n, BBM_EVENT_CLIENT_HALF_CLOSED),
+                          "id", out->id);
+            break;
         case BBM_GATE_UPSTREAM_NOTICE:
             process_upstream_notice(n, out);
             break;
--- a/tests/gate_world.c
+++ b/tests/gate_world.c
@@ -354,7 +354,8 @@
         world_call *c = a->relayed;
         c->relay_of = NULL;
         if (!c->done && !c->refused)
-            bbm_gate_client_disconnected(w->gates[c->vm], c->number, w->now);
+            bbm_gate_client_disconnected(w->gates[c->vm], c->number, false,
+                                         w->now);
     }
     free(a);
 }
@@ -521,6 +522,7 @@
                 vm, out->request, out->u.find_origin.stream,
                 out->u.find_origin.listed};
             break;
+        case BBM_GATE_HALF_CLOSED:
         case BBM_GATE_ENDED:
             handle_end(w, c, out->u.ended.status);
             break;
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -389,7 +389,7 @@
     fixture w = setup(1, 0);
     uint64_t id = begin_request(&w, "/check/a", 1);
     expect_send(&w);
-    bbm_gate_client_disconnected(w.gate, id, w.now);
+    bbm_gate_client_disconnected(w.gate, id, false, w.now);
     int code = expect_output(&w, BBM_GATE_ABORT)->u.abort.code;
     ck_assert_int_eq(code, BBM_ERR_CLIENT_LEFT);
     ck_assert_int_ne(bbm_code_ran(code), BBM_RAN_NO);
@@ -402,7 +402,7 @@
 {
     fixture w = setup(0, 0);
     uint64_t id = begin_request(&w, "/check/a", 1);
-    bbm_gate_client_disconnected(w.gate, id, w.now);
+    bbm_gate_client_disconnected(w.gate, id, false, w.now);
     int code = expect_output(&w, BBM_GATE_ABORT)->u.abort.code;
     ck_assert_int_eq(bbm_code_ran(code), BBM_RAN_NO);
     ck_assert(!bbm_gate_has_request(w.gate, id));
@@ -410,6 +410,56 @@
 }
 END_TEST
 
+START_TEST(order_of_a_half_closed_client_goes_on)
+{
+    fixture w = setup(0, 2);
+    uint64_t id = begin_request(&w, "/once/a", 0);
+    bbm_forward_request s = expect_send(&w);
+    bbm_gate_client_disconnected(w.gate, id, true, w.now);
+    expect_output(&w, BBM_GATE_HALF_CLOSED);
+    ck_assert(bbm_gate_has_request(w.gate, id));
+    end_attempt(&w, &s, BBM_FORWARD_COMPLETE, 200, "");
+    expect_output(&w, BBM_GATE_ENDED);
+    teardown(&w);
+}
+END_TEST
+
+START_TEST(order_of_a_half_closed_client_is_sent_nowhere_else)
+{
+    fixture w = setup(0, 2);
+    uint64_t id = begin_request(&w, "/once/a", 0);
+    bbm_forward_request s = expect_send(&w);
+    bbm_gate_client_disconnected(w.gate, id, true, w.now);
+    expect_output(&w, BBM_GATE_HALF_CLOSED);
+    end_attempt(&w, &s, BBM_FORWARD_NOT_RUN, 503, "");
+    int code = expect_output(&w, BBM_GATE_ABORT)->u.abort.code;
+    ck_assert_int_eq(bbm_code_ran(code), BBM_RAN_NO);
+    expect_no_output(&w);
+    teardown(&w);
+}
+END_TEST
+
+START_TEST(only_orders_go_on_without_their_client)
+{
+    static const char *const paths[] = {"/safe/a", "/check/a", "/ask/a"};
+    for (size_t i = 0; i < BBM_COUNT(paths); i++) {
+        fixture w = setup(2, 2);
+        uint64_t id = begin_request(&w, paths[i], i);
+        expect_send(&w);
+        bbm_gate_client_disconnected(w.gate, id, true, w.now);
+        int code = expect_output(&w, BBM_GATE_ABORT)->u.abort.code;
+        ck_assert_int_eq(bbm_code_ran(code), BBM_RAN_UNKNOWN);
+        teardown(&w);
+    }
+    fixture w = setup(0, 2);
+    uint64_t id = begin_request(&w, "/once/a", 0);
+    expect_send(&w);
+    bbm_gate_client_disconnected(w.gate, id, false, w.now);
+    expect_output(&w, BBM_GATE_ABORT);
+    teardown(&w);
+}
+END_TEST
+
 START_TEST(leaving_upstreams_get_no_requests)
 {
     fixture w = setup(2, 0);
@@ -1502,7 +1552,9 @@
     adopted_answer_resumes_without_a_failure_of_the_last_upstream,
     client_disconnect_aborts_request,
     disconnect_of_a_held_request_says_that_it_has_not_run,
-    leaving_upstreams_get_no_requests,
+    order_of_a_half_closed_client_goes_on,
+    order_of_a_half_closed_client_is_sent_nowhere_else,
+    only_orders_go_on_without_their_client, leaving_upstreams_get_no_requests,
     upstream_that_says_it_leaves_gets_no_requests,
     notice_of_an_earlier_run_is_ignored, notices_reach_other_vms,
     suspicion_is_shared_between_many_vms,
