--- a/daemon/front.c
+++ b/daemon/front.c
@@ -541,13 +541,18 @@
    The timeout always differs from that of the daemon: libmicrohttpd asks for
    the answer of a resumed connection before it reads from it again only if the
    connection has a timeout of its own.  Otherwise it would take the end of a
-   client's sending side for an error, and close without the answer. */
+   client's sending side for an error, and close without the answer.  As it
+   then looks at each connection in each round, the daemon's own interface,
+   which may have many more and takes such a client for one that has left, has
+   none. */
 static void
 set_idle_timeout(const front *f, struct MHD_Connection *connection)
 {
     long long idle_ms = atomic_load(&f->desc.limits->idle_timeout_ms);
     long long default_s = f->desc.settings->idle_s;
     long long idle_s = idle_ms ? (idle_ms + 999) / 1000 + 1 : default_s;
+    if (f->desc.kind == FRONT_CALLERS && !idle_ms)
+        return;
     if (idle_s == default_s)
         idle_s++;
     MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT,
