--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -456,19 +456,19 @@
 static const struct action *allowed[BBM_COUNT(actions)];
 static size_t allowed_len;
 
-/* True if a list split by commas has the name. */
+/* True if a list split by commas has the name; NULL: no list. */
 static bool
 names_one(const char *names, const char *name)
 {
     size_t len = strlen(name);
-    while (strncmp(names, name, len) != 0
-           || (names[len] && names[len] != ',')) {
+    while (names) {
+        if (strncmp(names, name, len) == 0
+            && (!names[len] || names[len] == ','))
+            return true;
         names = strchr(names, ',');
-        if (!names)
-            return false;
-        names++;
+        names = names ? names + 1 : NULL;
     }
-    return true;
+    return false;
 }
 
 /* @p names is a list split by commas; NULL: all. */
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -100,7 +100,7 @@
 
 /** Start clients, spread over @p vms VMs.
  *  @param port of the first kind of port, SOAK_PEER */
-void soak_clients_start(const soak_callers *callers, int vms, uint16_t port,
+void soak_clients_start(const soak_callers *desc, int vms, uint16_t port,
                         uint64_t seed);
 /** End the clients once their last request has ended. */
 void soak_clients_stop(void);
