--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #define LINES_COUNT 20000
+#define TEXT_BYTES_MAX ((size_t)8 << 20)
 
 static size_t
 read_all(int fd, char *text, size_t size)
@@ -33,15 +34,16 @@
     for (int i = 0; i < LINES_COUNT; i++)
         bbm_log(BBM_EVENT_REQUEST_COMPLETED, "id", "a1", NULL);
     ck_assert_uint_gt(bbm_log_dropped(), 0);
-    char *text = bbm_calloc(1, 1 << 20);
+    char *text = bbm_calloc(1, TEXT_BYTES_MAX);
+    size_t len = 0;
     fcntl(ends[0], F_SETFL, O_NONBLOCK);
     for (int i = 0; i < 20; i++) {
         usleep(20000);
-        read_all(ends[0], text, 1 << 20);
+        len += read_all(ends[0], text + len, TEXT_BYTES_MAX - len);
     }
     bbm_log(BBM_EVENT_READY, "last", "line", NULL);
     bbm_log_stop();
-    read_all(ends[0], text, 1 << 20);
+    read_all(ends[0], text + len, TEXT_BYTES_MAX - len);
     ck_assert_ptr_nonnull(strstr(text, "\"event\":601"));
     ck_assert_ptr_nonnull(strstr(text, "\"last\":\"line\""));
     free(text);
