Reading of the change: one id for the log, one place for an allowed status

The id of a request for the log was computed in forward.c, front.c and exchange.c: exchange_client_id(). The soak's client parsed a status twice; an array of all codes in test_exchange was called promise_codes.

--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -89,6 +89,12 @@
     MHD_resume_connection(ex->connection);
 }
 
+const char *
+exchange_client_id(const exchange *ex)
+{
+    return ex->parsed_headers.id ? ex->parsed_headers.id : "";
+}
+
 /* Called with the lock held.  Whoever decides on an answer may know less than
    the thread that sends: the last check is where the status is set. */
 static bool
@@ -100,6 +106,13 @@
     return withheld;
 }
 
+/* Called with the lock held. */
+static unsigned
+allowed_status(const exchange *ex, unsigned status)
+{
+    return withholds_promise(ex, status) ? UNKNOWN_STATUS : status;
+}
+
 bool
 exchange_set_head(exchange *ex, unsigned status, const char *type,
                   const char *upstream, int64_t cached_tokens)
@@ -127,7 +140,7 @@
     if (!ex->finished) {
         ex->has_head = true;
         ex->verbatim = true;
-        ex->status = withholds_promise(ex, status) ? UNKNOWN_STATUS : status;
+        ex->status = allowed_status(ex, status);
         ex->content_length = length;
         exchange_headers_free(&ex->answer_headers);
         ex->answer_headers = *headers;
@@ -204,7 +217,7 @@
     pthread_mutex_lock(&ex->lock);
     if (!ex->finished) {
         ex->has_head = true;
-        ex->status = withholds_promise(ex, status) ? UNKNOWN_STATUS : status;
+        ex->status = allowed_status(ex, status);
         bbm_text_set(ex->answer_type, sizeof(ex->answer_type), type);
         append_bytes(ex, data, len);
         ex->finished = true;
@@ -260,8 +273,8 @@
     snprintf(sends, sizeof(sends), "%u", ex->sends);
     if (told)
         snprintf(status, sizeof(status), "%u", told);
-    const char *id = ex->parsed_headers.id;
-    bbm_log(BBM_EVENT_FAILED_AFTER_SEND, "id", id ? id : number, "code",
+    const char *id = exchange_client_id(ex);
+    bbm_log(BBM_EVENT_FAILED_AFTER_SEND, "id", id[0] ? id : number, "code",
             bbm_code_name(code), "told", status, "sends", sends, "client",
             clients[client_state(ex)], NULL);
 }
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -231,6 +231,8 @@
 /** Record that the receiver of the last send stated that the request did not
  *  run there. */
 void exchange_record_not_run(exchange *ex);
+/** The id that the client gave its request, for the log; "" if none. */
+const char *exchange_client_id(const exchange *ex);
 /** State of the client's connection. */
 exchange_client exchange_client_state(exchange *ex);
 /** True if the client is connected and may still send. */
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -254,19 +254,12 @@
     mailbox_put_waiting(x->thread->control, item);
 }
 
-/* The request's id in the log. */
-static const char *
-client_id(const attempt *x)
-{
-    return x->ex->parsed_headers.id ? x->ex->parsed_headers.id : "";
-}
-
 /* @p limit names what was exceeded, for the log. */
 static void
 log_limit(const attempt *x, const char *limit)
 {
-    bbm_log(BBM_EVENT_ANSWER_LIMIT, "id", client_id(x), "upstream",
-            x->send.upstream, "limit", limit, NULL);
+    bbm_log(BBM_EVENT_ANSWER_LIMIT, "id", exchange_client_id(x->ex),
+            "upstream", x->send.upstream, "limit", limit, NULL);
 }
 
 /* ---- the head of an answer ---- */
@@ -292,8 +285,8 @@
     const char *colon = memchr(line, ':', len);
     size_t n = colon ? (size_t)(colon - line) : len;
     memcpy(name, line, n < sizeof(name) ? n : sizeof(name) - 1);
-    bbm_log(BBM_EVENT_ANSWER_HEADER_DROPPED, "id", client_id(x), "upstream",
-            x->send.upstream, "header", name, NULL);
+    bbm_log(BBM_EVENT_ANSWER_HEADER_DROPPED, "id", exchange_client_id(x->ex),
+            "upstream", x->send.upstream, "header", name, NULL);
 }
 
 static void
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -677,9 +677,8 @@
     TAILQ_FOREACH(ex, &f->exchanges, link)
     {
         if (ex->submitted && exchange_fail(ex, BBM_ERR_STOPPED, 0))
-            bbm_log(BBM_EVENT_REQUEST_UNOWNED, "id",
-                    ex->parsed_headers.id ? ex->parsed_headers.id : "", "path",
-                    ex->path, NULL);
+            bbm_log(BBM_EVENT_REQUEST_UNOWNED, "id", exchange_client_id(ex),
+                    "path", ex->path, NULL);
     }
     pthread_mutex_unlock(&f->lock);
 }
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -81,7 +81,8 @@
     return strcmp(body, expected) == 0;
 }
 
-static void
+/* Returns the status. */
+static int
 judge_answer(const sent_request *q, const char *text, const char *body)
 {
     int status = 0;
@@ -94,12 +95,13 @@
         if (!is_own_body(q, body))
             soak_break("MIXED %s %s got: %.100s", kind_names[q->kind], q->id,
                        body);
-        return;
+        return status;
     }
     bool refused = status == 503 || status == 429;
     atomic_fetch_add(refused ? &soak_count.refused : &soak_count.failed, 1);
     if (status < 500 && status != 429 && status != 408)
         soak_break("DENIED %s got %d from vm-%d", q->id, status, q->vm + 1);
+    return status;
 }
 
 /* The connection ended, or the time did, before a complete answer. */
@@ -191,7 +193,6 @@
     const char *body;
     char value[64];
     size_t received;
-    int status = 0;
     if (!send_request(c, fd, &q)) {
         atomic_fetch_add(&soak_count.unread, 1);
         return false;
@@ -206,8 +207,7 @@
         judge_loss(&q, received);
         return false;
     }
-    judge_answer(&q, text, body);
-    sscanf(text, "HTTP/1.1 %d", &status);
+    int status = judge_answer(&q, text, body);
     return q.ending == STAYS && (status == 200 || !callers.wander)
            && strcasecmp(soak_header(text, "Connection", value), "close") != 0;
 }
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -3,7 +3,7 @@
 #include "exchange.h"
 #include "test_main.h"
 
-static const int promise_codes[] = {
+static const int codes[] = {
 #define X(name, number, status, ran, text) name,
     BBM_CODE_TABLE(X)
 #undef X
@@ -28,13 +28,12 @@
 
 START_TEST(no_code_promises_after_a_send)
 {
-    for (size_t i = 0; i < BBM_COUNT(promise_codes); i++) {
+    for (size_t i = 0; i < BBM_COUNT(codes); i++) {
         for (exchange_kind k = EXCHANGE_ROUTE; k <= EXCHANGE_POOL; k++) {
             exchange *ex = create_exchange(k);
             ck_assert(exchange_begin_send(ex));
-            exchange_fail(ex, promise_codes[i], 500);
-            ck_assert_msg(!is_promise(ex), "%s",
-                          bbm_code_name(promise_codes[i]));
+            exchange_fail(ex, codes[i], 500);
+            ck_assert_msg(!is_promise(ex), "%s", bbm_code_name(codes[i]));
             exchange_unref(ex);
         }
     }
