Log connections that end after a send, and the last line of a process that a signal ends

The log couldn't tell a process that ended with orders at work from a VM that lives and closes a connection without an answer: neither had a line. Event 524 has one for each connection that ends after a send before the whole answer, with who ended it; 114 is the last line of a process that a fatal signal ends, with the number of requests at work.

Tests: test_exchange (2 new), scenario fatal_signal.

--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -41,6 +41,7 @@
       "seconds")                                                              \
     X(BBM_EVENT_STORE_LATE, 113, WARN,                                        \
       "data folder can't be used; trying again for some seconds")             \
+    X(BBM_EVENT_FATAL_SIGNAL, 114, ERROR, "daemon ended by a fatal signal")   \
     X(BBM_EVENT_ROLE, 200, INFO, "control role changed")                      \
     X(BBM_EVENT_GROUP_BOOTSTRAPPED, 201, INFO, "control group bootstrapped")  \
     X(BBM_EVENT_SNAPSHOT, 202, INFO, "snapshot written")                      \
@@ -135,6 +136,8 @@
       "client closed its sending side; its order goes on")                    \
     X(BBM_EVENT_REQUEST_UNOWNED, 522, ERROR,                                  \
       "request was still open at the end of a stop; failed")                  \
+    X(BBM_EVENT_CLOSED_AFTER_SEND, 524, WARN,                                 \
+      "connection ended before the answer of a request that was sent")        \
     X(BBM_EVENT_REQUEST_FAILED, 500, WARN, "request ended with an error")     \
     X(BBM_EVENT_RETRY, 501, INFO, "request retried")                          \
     X(BBM_EVENT_CLAIM_UNKNOWN, 502, WARN, "claim closed, outcome unknown")    \
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -34,11 +34,22 @@
     return ex;
 }
 
+/* Called with the lock held, or by the last holder. */
+static void
+set_sends(exchange *ex, unsigned sends)
+{
+    bool was_at_work = ex->sends && !ex->finished;
+    ex->sends = sends;
+    bool is_at_work = ex->sends && !ex->finished;
+    atomic_fetch_add(&exchange_count.at_work, is_at_work - was_at_work);
+}
+
 void
 exchange_unref(exchange *ex)
 {
     if (!ex || atomic_fetch_sub(&ex->refs, 1) != 1)
         return;
+    set_sends(ex, 0);
     free(ex->method);
     free(ex->path);
     free(ex->query);
@@ -95,6 +106,15 @@
     return ex->parsed_headers.id ? ex->parsed_headers.id : "";
 }
 
+/* Called with the lock held. */
+static void
+set_finished(exchange *ex)
+{
+    if (ex->sends && !ex->finished)
+        atomic_fetch_sub(&exchange_count.at_work, 1);
+    ex->finished = true;
+}
+
 /* Called with the lock held.  Whoever decides on an answer may know less than
    the thread that sends: the last check is where the status is set. */
 static bool
@@ -203,7 +223,7 @@
 {
     pthread_mutex_lock(&ex->lock);
     if (!ex->finished) {
-        ex->finished = true;
+        set_finished(ex);
         ex->truncated = truncated;
     }
     resume_connection(ex);
@@ -220,7 +240,7 @@
         ex->status = allowed_status(ex, status);
         bbm_text_set(ex->answer_type, sizeof(ex->answer_type), type);
         append_bytes(ex, data, len);
-        ex->finished = true;
+        set_finished(ex);
     }
     resume_connection(ex);
     pthread_mutex_unlock(&ex->lock);
@@ -256,6 +276,15 @@
                                   : EXCHANGE_CLIENT_CONNECTED;
 }
 
+/* The client's id, or else the daemon's number for the request. */
+static const char *
+id_or_number(const exchange *ex, char number[24])
+{
+    const char *id = exchange_client_id(ex);
+    snprintf(number, 24, "%llu", (unsigned long long)ex->id);
+    return id[0] ? id : number;
+}
+
 /* Called with the lock held.  @p told is the status that the client gets; 0: a
    truncated answer. */
 static void
@@ -269,14 +298,12 @@
     char number[24];
     char status[16] = "cut";
     char sends[16];
-    snprintf(number, sizeof(number), "%llu", (unsigned long long)ex->id);
     snprintf(sends, sizeof(sends), "%u", ex->sends);
     if (told)
         snprintf(status, sizeof(status), "%u", told);
-    const char *id = exchange_client_id(ex);
-    bbm_log(BBM_EVENT_FAILED_AFTER_SEND, "id", id[0] ? id : number, "code",
-            bbm_code_name(code), "told", status, "sends", sends, "client",
-            clients[client_state(ex)], NULL);
+    bbm_log(BBM_EVENT_FAILED_AFTER_SEND, "id", id_or_number(ex, number),
+            "code", bbm_code_name(code), "told", status, "sends", sends,
+            "client", clients[client_state(ex)], NULL);
 }
 
 static void
@@ -337,7 +364,7 @@
         cut_answer(ex, code);
     else
         set_error(ex, told, withheld ? 0 : retry_after_ms);
-    ex->finished = true;
+    set_finished(ex);
     resume_connection(ex);
     pthread_mutex_unlock(&ex->lock);
     return true;
@@ -348,7 +375,8 @@
 {
     pthread_mutex_lock(&ex->lock);
     bool open = !ex->finished;
-    ex->sends += open;
+    if (open)
+        set_sends(ex, ex->sends + 1);
     pthread_mutex_unlock(&ex->lock);
     return open;
 }
@@ -357,7 +385,8 @@
 exchange_record_not_run(exchange *ex)
 {
     pthread_mutex_lock(&ex->lock);
-    ex->sends -= ex->sends > 0;
+    if (ex->sends)
+        set_sends(ex, ex->sends - 1);
     pthread_mutex_unlock(&ex->lock);
 }
 
@@ -375,3 +404,52 @@
 {
     return exchange_client_state(ex) == EXCHANGE_CLIENT_CONNECTED;
 }
+
+static const char *
+answer_state(const exchange *ex)
+{
+    if (!ex->head_queued)
+        return "none";
+    return ex->finished && !ex->truncated ? "not sent whole" : "begun";
+}
+
+/* Called with the lock held. */
+static void
+log_closed_after_send(const exchange *ex,
+                      enum MHD_RequestTerminationCode reason)
+{
+    static const char *const ends[] = {
+        [MHD_REQUEST_TERMINATED_WITH_ERROR] = "an error",
+        [MHD_REQUEST_TERMINATED_TIMEOUT_REACHED] = "its time limit",
+        [MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN] = "the stop",
+        [MHD_REQUEST_TERMINATED_READ_ERROR] = "a read error",
+        [MHD_REQUEST_TERMINATED_CLIENT_ABORT] = "the client",
+    };
+    char number[24];
+    char sends[16];
+    snprintf(sends, sizeof(sends), "%u", ex->sends);
+    bbm_log(BBM_EVENT_CLOSED_AFTER_SEND, "id", id_or_number(ex, number), "by",
+            (size_t)reason < BBM_COUNT(ends) ? ends[reason] : "unknown",
+            "answer", answer_state(ex), "sends", sends, NULL);
+}
+
+bool
+exchange_detach(exchange *ex, enum MHD_RequestTerminationCode reason,
+                bool *paused)
+{
+    pthread_mutex_lock(&ex->lock);
+    bool unfinished = !ex->finished;
+    bool sent_whole = reason == MHD_REQUEST_TERMINATED_COMPLETED_OK;
+    bool by_client = reason == MHD_REQUEST_TERMINATED_READ_ERROR
+                     || reason == MHD_REQUEST_TERMINATED_CLIENT_ABORT;
+    if (ex->sends && !sent_whole && !ex->truncated) {
+        log_closed_after_send(ex, reason);
+        atomic_fetch_add(&exchange_count.closed_after_send, !by_client);
+    }
+    *paused = ex->upstream_paused;
+    ex->connection = NULL;
+    ex->socket = -1;
+    ex->upstream_paused = false;
+    pthread_mutex_unlock(&ex->lock);
+    return unfinished;
+}
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -75,6 +75,11 @@
     atomic_ullong promises_withheld; /**< Answers whose status would have said
                                         that nothing ran, after such a
                                         send. */
+    atomic_ullong closed_after_send; /**< Connections that the daemon ended
+                                        after such a send, without having
+                                        decided to, before the whole answer
+                                        had been sent. */
+    atomic_int at_work; /**< Unanswered requests that may run now. */
 } exchange_counts;
 
 /** The process's counts; written by several threads. */
@@ -231,6 +236,12 @@
 /** Record that the receiver of the last send stated that the request did not
  *  run there. */
 void exchange_record_not_run(exchange *ex);
+/** The client's request or connection has ended, as libmicrohttpd tells it.
+ *  Logged if the answer of a request that may have run wasn't sent whole.
+ *  Returns whether the answer was unfinished; *paused receives whether the
+ *  producer waits for `on_drained`. */
+bool exchange_detach(exchange *ex, enum MHD_RequestTerminationCode reason,
+                     bool *paused);
 /** The id that the client gave its request, for the log; "" if none. */
 const char *exchange_client_id(const exchange *ex);
 /** State of the client's connection. */
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -509,7 +509,6 @@
              enum MHD_RequestTerminationCode reason)
 {
     (void)connection;
-    (void)reason;
     front *f = context;
     exchange *ex = *state;
     if (!ex)
@@ -518,13 +517,8 @@
     pthread_mutex_lock(&f->lock);
     TAILQ_REMOVE(&f->exchanges, ex, link);
     pthread_mutex_unlock(&f->lock);
-    pthread_mutex_lock(&ex->lock);
-    bool unfinished = !ex->finished;
-    bool was_paused = ex->upstream_paused;
-    ex->connection = NULL;
-    ex->socket = -1;
-    ex->upstream_paused = false;
-    pthread_mutex_unlock(&ex->lock);
+    bool was_paused;
+    bool unfinished = exchange_detach(ex, reason, &was_paused);
     if (was_paused && ex->on_drained)
         ex->on_drained(ex);
     if (ex->submitted && unfinished) {
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -7,6 +7,7 @@
  */
 #include "control.h"
 #include "disk.h"
+#include "fatal.h"
 #include "forward.h"
 #include "front.h"
 #include "provider.h"
@@ -547,6 +548,7 @@
         .min_level = (bbm_level)bbm_level_parse(parts.settings->log_level),
     });
     bbm_log_start();
+    fatal_log_setup(parts.settings->name, &exchange_count.at_work);
     raise_file_limit();
     mallopt(M_ARENA_MAX, MALLOC_ARENAS_MAX);
     curl_global_init(CURL_GLOBAL_ALL);
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -214,6 +214,14 @@
                  "Answers that would have promised, after such a send, that "
                  "nothing ran",
                  atomic_load(&exchange_count.promises_withheld), out);
+    write_metric(
+        "closed_after_send_total", "counter",
+        "Connections that ended at the daemon before the whole answer of "
+        "such a request",
+        atomic_load(&exchange_count.closed_after_send), out);
+    write_metric("requests_at_work", "gauge",
+                 "Unanswered requests that may run now",
+                 (uint64_t)atomic_load(&exchange_count.at_work), out);
     struct mallinfo2 heap = mallinfo2();
     write_metric("heap_bytes", "gauge", "Bytes allocated", heap.uordblks, out);
 }
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -935,6 +935,20 @@
     finish
 }
 
+t_fatal_signal() { # a process that ends by a fatal signal says so, and what it had at work
+    local rc
+    begin fatal_signal
+    pool_single_vm ""
+    check "the configuration is acknowledged" fleet_until 10 pool_accepts 1 1
+    check "the VM is ready" fleet_until 10 pool_ready 1
+    kill -SEGV "${fleet_daemon_pid[1]}"
+    wait "${fleet_daemon_pid[1]}" 2>/dev/null
+    rc=$?
+    check "the signal ends the process" test $rc -eq 139
+    check "event 114 names the signal" grep -q '"event":114.*"signal":"11","at_work":"0"}$' "$dir/vm-1.log"
+    finish
+}
+
 t_soak_callers() { # the same, with callers that half-close, leave and go elsewhere, and upstreams that fail
     soak soak_callers 20 "" --callers half-close,leave,wander --upstreams faulty
 }
@@ -1046,7 +1060,7 @@
     bad_input rollout no_key_upstream tls idle_connections
     address_in_use operator_commands disk_full pools limits pool_keys drain_under_load
     stopped_again refused_half_closed
-    half_closed_at_start left_while_held signal_at_start settings_late disk_late soak soak_callers peer_resets)
+    half_closed_at_start left_while_held signal_at_start settings_late disk_late soak soak_callers peer_resets fatal_signal)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -76,6 +76,54 @@
 }
 END_TEST
 
+START_TEST(requests_at_work_are_those_sent_and_unanswered)
+{
+    exchange *answered = create_exchange(EXCHANGE_POOL);
+    exchange *not_run = create_exchange(EXCHANGE_POOL);
+    exchange *dropped = create_exchange(EXCHANGE_POOL);
+    exchange_begin_send(answered);
+    exchange_begin_send(answered);
+    exchange_begin_send(not_run);
+    exchange_begin_send(dropped);
+    ck_assert_int_eq(atomic_load(&exchange_count.at_work), 3);
+    exchange_answer(answered, 200, "text/plain", "ok", 2);
+    exchange_record_not_run(not_run);
+    ck_assert_int_eq(atomic_load(&exchange_count.at_work), 1);
+    exchange_record_not_run(answered);
+    exchange_fail(not_run, BBM_ERR_OVERLOAD, 500);
+    exchange_unref(dropped);
+    ck_assert_int_eq(atomic_load(&exchange_count.at_work), 0);
+    exchange_unref(answered);
+    exchange_unref(not_run);
+}
+END_TEST
+
+START_TEST(answer_that_is_not_sent_is_counted_unless_its_client_left)
+{
+    static const struct {
+        enum MHD_RequestTerminationCode reason;
+        unsigned counted;
+    } ends[] = {
+        {MHD_REQUEST_TERMINATED_COMPLETED_OK, 0},
+        {MHD_REQUEST_TERMINATED_CLIENT_ABORT, 0},
+        {MHD_REQUEST_TERMINATED_WITH_ERROR, 1},
+        {MHD_REQUEST_TERMINATED_DAEMON_SHUTDOWN, 1},
+    };
+    for (size_t i = 0; i < BBM_COUNT(ends); i++) {
+        unsigned long long before =
+            atomic_load(&exchange_count.closed_after_send);
+        bool paused;
+        exchange *ex = create_exchange(EXCHANGE_POOL);
+        exchange_begin_send(ex);
+        exchange_answer(ex, 200, "text/plain", "ok", 2);
+        ck_assert(!exchange_detach(ex, ends[i].reason, &paused));
+        ck_assert_uint_eq(atomic_load(&exchange_count.closed_after_send),
+                          before + ends[i].counted);
+        exchange_unref(ex);
+    }
+}
+END_TEST
+
 START_TEST(refusal_of_another_vm_hides_no_earlier_send)
 {
     for (unsigned earlier = 0; earlier < 2; earlier++) {
@@ -107,5 +155,7 @@
           refusal_without_a_send_keeps_its_promise,
           refusal_after_all_sends_were_not_run_keeps_its_promise,
           refusal_after_one_of_two_sends_was_not_run_promises_nothing,
+          requests_at_work_are_those_sent_and_unanswered,
+          answer_that_is_not_sent_is_counted_unless_its_client_left,
           refusal_of_another_vm_hides_no_earlier_send,
           nothing_is_sent_after_the_answer);
