Soak: callers that resend, VMs left alone while their peers are killed; a failing scenario

What callers see: an order runs twice, or is refused with a promise and has run, though no VM sent it twice and none told its first copy anything.

A resend after the soak itself has killed the VM is left out: that one is the caller's.

--- a/tests/process.sh
+++ b/tests/process.sh
@@ -935,6 +935,12 @@
     finish
 }
 
+t_killed_peers() { # peers that are killed in series end no VM, and no order runs twice by it
+    # Freed memory is filled, so that its use shows.
+    MALLOC_PERTURB_=165 soak killed_peers 20 kills --vms 16 --steady 2 --pause 1500 \
+        --callers resend,wander
+}
+
 t_fatal_signal() { # a process that ends by a fatal signal says so, and what it had at work
     local rc
     begin fatal_signal
@@ -1060,7 +1066,7 @@
     bad_input rollout no_key_upstream tls idle_connections
     address_in_use operator_commands disk_full pools limits pool_keys drain_under_load
     stopped_again refused_half_closed
-    half_closed_at_start left_while_held signal_at_start settings_late disk_late soak soak_callers peer_resets fatal_signal)
+    half_closed_at_start left_while_held signal_at_start settings_late disk_late soak soak_callers peer_resets killed_peers fatal_signal)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -3,10 +3,12 @@
 
        run.sh BUILD FOLDER [--seed N] [--seconds N] [--vms N] [--clients N]
               [--port N] [--actions NAME,...] [--callers NAME,...]
-              [--upstreams faulty]
+              [--upstreams faulty] [--steady N] [--pause MS]
 
    Callers stay until they have an answer; --callers lets some half-close,
-   leave, or wander (see soak_world.h).
+   leave, wander, or resend (see soak_world.h).  With --steady, the first N VMs
+   are left alone, and callers use these first.  --pause is the longest time
+   between two actions at a VM; by default it rises with their number.
 
    Exit status: 0 no rule was broken, 1 one was, 2 it could not run. */
 #include "soak_world.h"
@@ -51,6 +53,8 @@
     uint64_t seed;
     int64_t seconds;
     int vms;
+    int steady;
+    int64_t pause_ms;
     soak_callers callers;
     bool faulty; /* upstreams */
     uint16_t port;
@@ -486,7 +490,12 @@
 {
     vm *v = context;
     while (soak_now_ms() < end_at) {
-        soak_sleep_ms(draw(v, 2500 * (int64_t)opt.vms / 3));
+        if (v->number < opt.steady) {
+            if (wait_for_end(v, 100))
+                start_process(v);
+            continue;
+        }
+        soak_sleep_ms(draw(v, opt.pause_ms));
         if (wait_for_end(v, 0))
             start_process(v);
         allowed[draw(v, (int64_t)allowed_len)]->run(v);
@@ -559,6 +568,8 @@
         {"actions", required_argument, NULL, 'a'},
         {"callers", required_argument, NULL, 'k'},
         {"upstreams", required_argument, NULL, 'u'},
+        {"steady", required_argument, NULL, 'y'},
+        {"pause", required_argument, NULL, 'w'},
         {NULL, 0, NULL, 0},
     };
     int o;
@@ -587,10 +598,17 @@
             opt.callers.half_close = names_one(optarg, "half-close");
             opt.callers.leave = names_one(optarg, "leave");
             opt.callers.wander = names_one(optarg, "wander");
+            opt.callers.resend = names_one(optarg, "resend");
             break;
         case 'u':
             opt.faulty = names_one(optarg, "faulty");
             break;
+        case 'y':
+            opt.steady = (int)number;
+            break;
+        case 'w':
+            opt.pause_ms = number;
+            break;
         case 'p':
             opt.port = (uint16_t)number;
             break;
@@ -598,6 +616,8 @@
             exit(2);
         }
     }
+    if (!opt.pause_ms)
+        opt.pause_ms = 2500 * (int64_t)opt.vms / 3;
     allow_actions(opt.actions);
     if (allowed_len)
         return;
@@ -628,7 +648,8 @@
         return 2;
     }
     end_at = soak_now_ms() + opt.seconds * 1000;
-    soak_clients_start(&opt.callers, opt.vms, opt.port, opt.seed);
+    soak_clients_start(&opt.callers, opt.steady ? opt.steady : opt.vms,
+                       opt.port, opt.seed);
     for (int i = 0; i < opt.vms; i++) {
         if (pthread_create(&vms[i].thread, NULL, run_vm, &vms[i]) != 0)
             abort();
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -52,6 +52,7 @@
     ending ending;
     int64_t sent_at;
     int64_t ended_at;
+    char text[512];
 } sent_request;
 
 static void
@@ -146,11 +147,10 @@
 static bool
 send_request(client *c, int fd, sent_request *q)
 {
-    char text[512];
     q->kind = (request_kind)soak_draw(&c->random, 3);
     q->vm = c->vm;
     snprintf(q->id, sizeof(q->id), "c%d-%d", c->number, ++c->requests);
-    snprintf(text, sizeof(text),
+    snprintf(q->text, sizeof(q->text),
              "POST /%s/x HTTP/1.1\r\nHost: a.example\r\n"
              "X-Bluebellmoor-Attempt-Id: %s\r\n"
              "X-Bluebellmoor-Deadline-Ms: %d\r\nX-Work-Ms: %d\r\n"
@@ -159,7 +159,35 @@
              (int)(20 + soak_draw(&c->random, 600)));
     q->ending = draw_ending(c);
     q->sent_at = soak_now_ms();
-    return soak_send(fd, text, strlen(text));
+    return soak_send(fd, q->text, strlen(q->text));
+}
+
+/* Sends an order whose connection has ended without a byte a second time, to
+   the next VM if its own refuses connections. */
+static void
+resend(client *c, sent_request *q, char *text)
+{
+    char ip[32];
+    size_t received;
+    const char *body;
+    if (soak_is_excused(q->vm, q->sent_at - LOSS_SLACK_MS, q->ended_at))
+        return;
+    int fd;
+    while ((fd = soak_connect(soak_vm_ip(c->vm, ip),
+                              (uint16_t)(c->port + SOAK_CALLERS)))
+               < 0
+           && !atomic_load(&stopping)) {
+        c->vm = (c->vm + 1) % vms_len;
+        soak_sleep_ms(RECONNECT_MS);
+    }
+    if (fd < 0)
+        return;
+    if (soak_send(fd, q->text, strlen(q->text))
+        && soak_read_message(fd, text, ANSWER_BYTES_MAX,
+                             soak_now_ms() + CLIENT_TIMEOUT_MS, &received,
+                             &body))
+        judge_answer(q, text, body);
+    close(fd);
 }
 
 /* Returns false if the client has left. */
@@ -205,6 +233,8 @@
     q.ended_at = soak_now_ms();
     if (!complete) {
         judge_loss(&q, received);
+        if (callers.resend && q.kind == KIND_ONCE && !received)
+            resend(c, &q, text);
         return false;
     }
     int status = judge_answer(&q, text, body);
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -96,6 +96,9 @@
     bool leave;      /* some close their connection before the answer */
     bool wander; /* after a refusal or a failure they ask the directory, and
                     go to another VM */
+    bool resend; /* they send an order again if its connection ends before any
+                    byte of an answer, as many client libraries do; not if the
+                    soak has killed its VM */
 } soak_callers;
 
 /** Start clients, spread over @p vms VMs.
