Messages between VMs go over sockets of our own, in the same wire format

What callers saw: a VM ended by itself after peers had been killed, and all its connections closed with orders at work, without a byte.

Cause: libnng 1.5.2 keeps a connection that has been freed in the push socket's list of those that can send, if the peer resets while a send completes. The library can't be mended here; one connection for each socket was tried before and crashed in its threads. The transport now has its sockets: one lock, one I/O thread, which alone releases what its events point to; the control thread sends directly. What nng_close could do (wait for ever) and the search for nng's descriptors are gone; options that can't be set and failed accepts have events (431, 432); 110 is gone with its cause.

test_transport: nng_close was wrapped in one test; what it guards against, a peer that holds up messages to others or the end, is now played by a peer that reads nothing, with a bound of 1 s instead of 3.

--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -30,8 +30,6 @@
     X(BBM_EVENT_LISTEN_FAILED, 106, ERROR, "cannot listen on an address")     \
     X(BBM_EVENT_LISTEN_RETRIED, 109, WARN,                                    \
       "an address is in use; trying again for some seconds")                  \
-    X(BBM_EVENT_CLOSE_TIMEOUT, 110, WARN,                                     \
-      "connections to other VMs did not close; left open")                    \
     X(BBM_EVENT_LISTENER_OPEN, 108, WARN,                                     \
       "clients can still connect while the daemon stops")                     \
     X(BBM_EVENT_STOP_REPEATED, 111, INFO,                                     \
@@ -113,6 +111,10 @@
     X(BBM_EVENT_UPSTREAM_BRITTLE, 429, INFO,                                  \
       "upstream stated that it fails if it must refuse many requests")        \
     X(BBM_EVENT_LINK_LOST, 430, INFO, "connection to a VM was lost")          \
+    X(BBM_EVENT_LINK_OPTIONS, 431, WARN,                                      \
+      "options of a connection to a VM couldn't be set")                      \
+    X(BBM_EVENT_ACCEPT_FAILED, 432, WARN,                                     \
+      "connection of a VM couldn't be accepted; trying again")                \
     X(BBM_EVENT_REQUEST_RELAYED, 518, INFO,                                   \
       "request passed to another VM to be forwarded")                         \
     X(BBM_EVENT_REQUEST_SENT, 510, INFO, "request sent to an upstream")       \
--- a/daemon/bbm_settings.c
+++ b/daemon/bbm_settings.c
@@ -289,6 +289,18 @@
     return true;
 }
 
+bool
+bbm_address_parse(const char *address, struct sockaddr_in *to)
+{
+    char host[64];
+    uint16_t port = 0;
+    *to = (struct sockaddr_in){.sin_family = AF_INET};
+    bool valid = bbm_address_split(address, host, &port)
+                 && inet_pton(AF_INET, host, &to->sin_addr) == 1;
+    to->sin_port = htons(port);
+    return valid;
+}
+
 /* ---- reading ---- */
 
 static void
--- a/daemon/bbm_settings.h
+++ b/daemon/bbm_settings.h
@@ -17,6 +17,8 @@
 #include "bbm_hash.h"
 #include "bbm_node.h"
 
+#include <netinet/in.h>
+
 /** An operator that may use the admin address. */
 typedef struct bbm_operator {
     char name[BBM_NAME_SIZE]; /**< Recorded in the configuration history. */
@@ -159,6 +161,8 @@
 /** Split an address of the form IP:port (IPv4); false if it has another
  *  form. */
 bool bbm_address_split(const char *address, char host[64], uint16_t *port);
+/** Parse an address for sockets.  False if it is invalid. */
+bool bbm_address_parse(const char *address, struct sockaddr_in *to);
 
 /** Field tables, for the test of the docs.  @p which is 0 for the top level,
  *  1 for a peer and 2 for an operator; NULL for other values. */
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -614,13 +614,8 @@
         f->key = bbm_read_file(s->tls_key_file, &len);
         valid = f->cert && f->key;
     }
-    char host[64];
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    uint16_t port = 0;
-    valid = valid && bbm_address_split(desc->address, host, &port)
-            && inet_pton(AF_INET, host, &address.sin_addr) == 1;
-    address.sin_port = htons(port);
-    if (valid)
+    struct sockaddr_in address;
+    if (valid && bbm_address_parse(desc->address, &address))
         f->daemon = start_daemon(f, &address);
     if (f->daemon)
         return f;
--- a/daemon/transport.c
+++ b/daemon/transport.c
@@ -2,77 +2,117 @@
 
 #include "bbm_log.h"
 #include "control.h"
+#include "frames.h"
 #include "link.h"
 #include "seal.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <nng/nng.h>
-#include <nng/protocol/pipeline0/pull.h>
-#include <nng/protocol/pipeline0/push.h>
-#include <nng/transport/tcp/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/queue.h>
 #include <sys/socket.h>
-#include <sys/stat.h>
-#include <time.h>
+#include <unistd.h>
 #include <uthash.h>
 
 /* Messages queued for a slow peer; further ones are dropped. */
 #define SEND_QUEUE_MESSAGES 256
-#define RECEIVE_QUEUE_MESSAGES 512
-#define MESSAGE_BYTES_MAX ((size_t)64 * 1024 * 1024)
 /* Delay between attempts to connect to a peer. */
-#define RECONNECT_MIN_MS 50
-#define RECONNECT_MAX_MS 250
+#define RECONNECT_MIN (50 * BBM_MS)
+#define RECONNECT_MAX (250 * BBM_MS)
 /* Probes of an idle connection.  A connection that is used shows its end
    sooner; these only release what would be held for nobody. */
 #define PROBE_IDLE_S 20
 #define PROBE_INTERVAL_S 1
-/* Shortest time between two searches for the sockets of new connections. */
-#define SOCKET_SEARCH_PERIOD (20 * BBM_MS)
-/* The search ends after this number of descriptors that aren't open. */
-#define SOCKET_SEARCH_GAP 256
-/* Time given to the sockets to close when the transport is destroyed. */
-#define CLOSE_TIMEOUT_S 1
-#define URL_SIZE (BBM_ADDRESS_SIZE + 8)
+/* Time without accepting after that has failed, for want of descriptors for
+   instance. */
+#define ACCEPT_PAUSE (100 * BBM_MS)
+#define READ_BYTES ((size_t)64 * 1024)
+/* Reads from one connection before others have their turn. */
+#define READS_MAX 8
+#define EVENTS_MAX 64
 #define BLOCK_FILE_PERIOD (100 * BBM_MS)
 
+/* What an event of the I/O thread belongs to; the first member of each. */
+typedef enum source_kind {
+    SOURCE_WAKE,
+    SOURCE_LISTENER,
+    SOURCE_RECEIVER,
+    SOURCE_LINK,
+} source_kind;
+
+typedef struct source {
+    source_kind kind;
+    int fd; /* -1: none */
+} source;
+
+/* A connection that a peer has made to this daemon; I/O thread only. */
+typedef struct receiver {
+    source source;
+    frame_reader reader;
+    TAILQ_ENTRY(receiver) link;
+} receiver;
+
+/* A message to be sent, with its head. */
+typedef struct outgoing {
+    STAILQ_ENTRY(outgoing) link;
+    size_t len;
+    size_t pos; /* bytes that have been sent */
+    uint8_t bytes[];
+} outgoing;
+
+typedef enum link_state {
+    LINK_WAITING,    /* for the next attempt to connect; no socket */
+    LINK_CONNECTING, /* until the connection is made */
+    LINK_GREETING,   /* until the peer's greeting has come */
+    LINK_UP,
+    LINK_CLOSED, /* to be released by the I/O thread */
+} link_state;
+
+/* The connection of this daemon to a peer. */
 typedef struct peer_link {
+    source source;
     char name[BBM_NAME_SIZE];
     char address[BBM_ADDRESS_SIZE];
     struct sockaddr_in to;
-    transport *transport;
-    nng_socket socket;
+    link_state state;
     link_life life;
-    atomic_bool connected; /* set by nng's threads, as are the next two */
-    atomic_uint new_port;  /* local port of a connection without timeouts,
-                              in network order; 0: there is none */
-    atomic_ullong losses;  /* connections that have ended */
+    uint64_t losses; /* connections that have ended */
+    bbm_time retry_at;
+    bbm_time retry_delay;
+    uint8_t greeting[FRAMES_GREETING_BYTES]; /* of the peer */
+    size_t greeting_len;
+    STAILQ_HEAD(, outgoing) queue;
+    size_t queue_len;
+    bool awaits_room; /* the socket took no more */
+    TAILQ_ENTRY(peer_link) listed; /* in `waiting` or `closed` */
     UT_hash_handle hh;
 } peer_link;
 
+TAILQ_HEAD(link_list, peer_link);
+
 struct transport {
     const bbm_settings *settings;
     seal *seal;
     mailbox *control;
-    nng_socket listener;
+    int epoll;
+    source wake;
+    source listener;
+    bbm_time accept_at; /* accepting is paused until then; 0: it isn't */
+    TAILQ_HEAD(, receiver) receivers;
+    uint8_t *read_buffer; /* of the I/O thread */
     pthread_t thread;
     bool started;
-    peer_link *links;    /* used by the control thread only */
-    atomic_bool any_new; /* a link has a new_port */
-    bbm_time searched_at;
+    atomic_bool stopping;
+    atomic_ullong rejected;
+    pthread_mutex_t lock; /* guards all links and the fields below */
+    peer_link *links;     /* by name */
+    struct link_list waiting;
+    struct link_list closed;
     uint64_t links_lost;
     bbm_time link_lost_at; /* 0: none was */
-    atomic_ullong rejected;
-    pthread_mutex_t close_lock;
-    pthread_cond_t closed;
-    size_t closing; /* sockets that are being closed; under close_lock */
-    bool abandoned; /* the last socket that closes releases the transport;
-                       under close_lock */
-    atomic_bool stopping; /* what still arrives is dropped */
     pthread_mutex_t blocked_lock;
     char *blocked_names; /* text of test_cut_file; under blocked_lock */
     bbm_time blocked_read_at;
@@ -102,29 +142,59 @@
     return blocked;
 }
 
-/* ---- encryption ---- */
+/* ---- sockets ---- */
 
-static nng_msg *
-encrypt_message(transport *t, const char *to, const bbm_buf *bytes)
+static void
+wake_thread(const transport *t)
 {
-    bbm_buf sealed = {0};
-    nng_msg *msg = NULL;
-    seal_encrypt(t->seal, to, bytes, &sealed);
-    if (nng_msg_alloc(&msg, sealed.len) == 0)
-        memcpy(nng_msg_body(msg), sealed.data, sealed.len);
-    bbm_buf_free(&sealed);
-    return msg;
+    uint64_t one = 1;
+    /* It fails only with a full counter, which wakes the thread too. */
+    (void)!write(t->wake.fd, &one, sizeof(one));
+}
+
+static bool
+watch(const transport *t, int operation, source *s, uint32_t events)
+{
+    struct epoll_event event = {.events = events, .data.ptr = s};
+    return epoll_ctl(t->epoll, operation, s->fd, &event) == 0;
+}
+
+static bool
+set_option(int fd, int level, int option, int value)
+{
+    return setsockopt(fd, level, option, &value, sizeof(value)) == 0;
+}
+
+/* A connection whose packets are lost without a reset looks open for as long
+   as the kernel sends its bytes again, a quarter of an hour.  The peer's
+   kernel acknowledges what it gets, also while the peer is frozen, slow or has
+   nothing to say, so a limit on the time without one is the proof that is
+   needed.  Connections that are accepted inherit the options of the listening
+   socket. */
+static void
+set_options(int fd, const char *address)
+{
+    bool set =
+        set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                   LINK_UNACKED_TIMEOUT / BBM_MS)
+        && set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1)
+        && set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S)
+        && set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S)
+        && set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    if (!set)
+        bbm_log(BBM_EVENT_LINK_OPTIONS, "address", address, "error",
+                strerrorname_np(errno), NULL);
 }
 
 /* ---- receiving ---- */
 
 static void
-handle_message(transport *t, nng_msg *msg)
+on_message(void *context, const uint8_t *data, size_t len)
 {
+    transport *t = context;
     control_item *item = control_item_create(CONTROL_MESSAGE);
-    bool valid = seal_decrypt(t->seal, nng_msg_body(msg), nng_msg_len(msg),
-                              item->name, &item->bytes)
-                 == BBM_OK;
+    bool valid =
+        seal_decrypt(t->seal, data, len, item->name, &item->bytes) == BBM_OK;
     if (!valid)
         atomic_fetch_add(&t->rejected, 1);
     bool wanted =
@@ -135,294 +205,282 @@
         control_item_destroy(item);
 }
 
-static void *
-receive_messages(void *context)
+static void
+destroy_receiver(transport *t, receiver *r)
 {
-    transport *t = context;
-    for (;;) {
-        nng_msg *msg = NULL;
-        int rc = nng_recvmsg(t->listener, &msg, 0);
-        if (rc == NNG_ECLOSED)
-            return NULL;
-        if (rc != 0)
-            continue;
-        handle_message(t, msg);
-        nng_msg_free(msg);
-    }
+    TAILQ_REMOVE(&t->receivers, r, link);
+    close(r->source.fd);
+    frame_reader_free(&r->reader);
+    free(r);
 }
 
-/* ---- closing ---- */
-
-/* nng_close waits for nng's own threads, and with messages in transit at that
-   moment it may never return.  Neither the control thread nor the end of the
-   process may depend on it, so each socket is closed on a thread of its
-   own. */
-
-typedef struct close_task {
-    transport *transport;
-    nng_socket socket;
-    peer_link *link; /* owned; nng's threads use it until the socket is closed;
-                        NULL: the listener */
-} close_task;
-
 static void
-release(transport *t)
+read_messages(transport *t, receiver *r)
 {
-    if (t->started)
-        pthread_join(t->thread, NULL);
-    seal_destroy(t->seal);
-    pthread_cond_destroy(&t->closed);
-    pthread_mutex_destroy(&t->close_lock);
-    pthread_mutex_destroy(&t->blocked_lock);
-    free(t->blocked_names);
-    free(t);
+    ssize_t n = 0;
+    for (int i = 0; i < READS_MAX; i++) {
+        n = recv(r->source.fd, t->read_buffer, READ_BYTES, 0);
+        if (n <= 0)
+            break;
+        if (frame_reader_read(&r->reader, t->read_buffer, (size_t)n,
+                              on_message, t)
+            < 0) {
+            atomic_fetch_add(&t->rejected, 1);
+            destroy_receiver(t, r);
+            return;
+        }
+        if ((size_t)n < READ_BYTES)
+            return;
+    }
+    if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR))
+        destroy_receiver(t, r);
 }
 
-static void *
-run_close(void *context)
-{
-    close_task *task = context;
-    transport *t = task->transport;
-    nng_close(task->socket);
-    free(task->link);
-    free(task);
-    pthread_mutex_lock(&t->close_lock);
-    t->closing--;
-    bool is_last = !t->closing && t->abandoned;
-    pthread_cond_broadcast(&t->closed);
-    pthread_mutex_unlock(&t->close_lock);
-    if (is_last)
-        release(t);
-    return NULL;
+static void
+add_receiver(transport *t, int fd)
+{
+    receiver *r = bbm_calloc(1, sizeof(*r));
+    r->source = (source){.kind = SOURCE_RECEIVER, .fd = fd};
+    TAILQ_INSERT_TAIL(&t->receivers, r, link);
+    bool greeted = send(fd, frames_receiver_greeting,
+                        sizeof(frames_receiver_greeting), MSG_NOSIGNAL)
+                   == (ssize_t)sizeof(frames_receiver_greeting);
+    if (!greeted || !watch(t, EPOLL_CTL_ADD, &r->source, EPOLLIN))
+        destroy_receiver(t, r);
 }
 
 static void
-begin_close(transport *t, nng_socket socket, peer_link *link)
+accept_connections(transport *t)
 {
-    close_task *task = bbm_calloc(1, sizeof(*task));
-    *task = (close_task){.transport = t, .socket = socket, .link = link};
-    pthread_mutex_lock(&t->close_lock);
-    t->closing++;
-    pthread_mutex_unlock(&t->close_lock);
-    pthread_t thread;
-    if (pthread_create(&thread, NULL, run_close, task) != 0) {
-        run_close(task);
+    int fd;
+    while ((fd = accept4(t->listener.fd, NULL, NULL,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC))
+           >= 0)
+        add_receiver(t, fd);
+    if (errno == EAGAIN || errno == EINTR || errno == ECONNABORTED)
         return;
-    }
-    pthread_detach(thread);
+    bbm_log(BBM_EVENT_ACCEPT_FAILED, "error", strerrorname_np(errno), NULL);
+    watch(t, EPOLL_CTL_MOD, &t->listener, 0);
+    t->accept_at = control_now() + ACCEPT_PAUSE;
 }
 
-/* False if sockets haven't closed in time; the transport is theirs then. */
-static bool
-wait_for_closes(transport *t)
-{
-    struct timespec until;
-    clock_gettime(CLOCK_MONOTONIC, &until);
-    until.tv_sec += CLOSE_TIMEOUT_S;
-    int rc = 0;
-    pthread_mutex_lock(&t->close_lock);
-    while (t->closing && rc == 0)
-        rc = pthread_cond_timedwait(&t->closed, &t->close_lock, &until);
-    size_t left = t->closing;
-    t->abandoned = left > 0;
-    pthread_mutex_unlock(&t->close_lock);
-    if (!left)
-        return true;
-    char number[24];
-    snprintf(number, sizeof(number), "%zu", left);
-    bbm_log(BBM_EVENT_CLOSE_TIMEOUT, "sockets", number, NULL);
-    return false;
-}
+/* ---- links: all called with the lock held ---- */
 
 static void
-close_link(transport *t, peer_link *l)
+log_loss(transport *t, peer_link *l, bbm_time now)
 {
-    HASH_DEL(t->links, l);
-    begin_close(t, l->socket, l);
+    link_loss loss = link_take_loss(&l->life, l->losses, now);
+    char age[24];
+    char idle[24];
+    char unproved[24];
+    t->links_lost++;
+    t->link_lost_at = now;
+    snprintf(age, sizeof(age), "%lld", (long long)(loss.age / BBM_MS));
+    snprintf(idle, sizeof(idle), "%lld", (long long)(loss.idle / BBM_MS));
+    snprintf(unproved, sizeof(unproved), "%u", loss.unproved);
+    bbm_log(BBM_EVENT_LINK_LOST, "vm", l->name, "address", l->address,
+            "age_ms", age, "idle_ms", idle, "unproved", unproved, NULL);
 }
 
-/* ---- silent connections ---- */
-
-/* A connection whose packets are lost without a reset looks open for as long
-   as the kernel sends its bytes again, a quarter of an hour.  The peer's
-   kernel acknowledges what it gets, also while the peer is frozen, slow or has
-   nothing to say, so a limit on the time without one is the proof that is
-   needed.  nng has no option for it and doesn't tell its sockets, so they are
-   found by the addresses of both ends. */
+static void
+close_socket(peer_link *l)
+{
+    if (l->source.fd >= 0)
+        close(l->source.fd);
+    l->source.fd = -1;
+    l->greeting_len = 0;
+    l->awaits_room = false;
+    /* The peer drops a message that has come in part. */
+    if (!STAILQ_EMPTY(&l->queue))
+        STAILQ_FIRST(&l->queue)->pos = 0;
+}
 
+/* Ends the connection, or the attempt to make one; the next attempt follows
+   after a while. */
 static void
-set_timeouts(int fd)
+lose_connection(transport *t, peer_link *l, bbm_time now)
 {
-    const unsigned unacked_ms = LINK_UNACKED_TIMEOUT / BBM_MS;
-    const int on = 1;
-    const int idle_s = PROBE_IDLE_S;
-    const int interval_s = PROBE_INTERVAL_S;
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
-               sizeof(unacked_ms));
-    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
-    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
-               sizeof(interval_s));
+    bool was_up = l->state == LINK_UP;
+    close_socket(l);
+    l->state = LINK_WAITING;
+    l->retry_at = now + l->retry_delay;
+    l->retry_delay *= 2;
+    if (l->retry_delay > RECONNECT_MAX)
+        l->retry_delay = RECONNECT_MAX;
+    TAILQ_INSERT_TAIL(&t->waiting, l, listed);
+    if (!was_up)
+        return;
+    l->losses++;
+    log_loss(t, l, now);
 }
 
-static bool
-parse_address(const char *address, struct sockaddr_in *to)
+static void
+begin_connect(transport *t, peer_link *l, bbm_time now)
 {
-    char host[64];
-    uint16_t port = 0;
-    *to = (struct sockaddr_in){.sin_family = AF_INET};
-    bool valid = bbm_address_split(address, host, &port)
-                 && inet_pton(AF_INET, host, &to->sin_addr) == 1;
-    to->sin_port = htons(port);
-    return valid;
+    l->state = LINK_CONNECTING;
+    l->source.fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    bool begun = l->source.fd >= 0;
+    if (begun)
+        set_options(l->source.fd, l->address);
+    begun = begun
+            && (connect(l->source.fd, (void *)&l->to, sizeof(l->to)) == 0
+                || errno == EINPROGRESS)
+            && watch(t, EPOLL_CTL_ADD, &l->source, EPOLLIN | EPOLLOUT);
+    if (!begun)
+        lose_connection(t, l, now);
 }
 
-static bool
-is_same_address(const struct sockaddr_in *a, const struct sockaddr_in *b)
+static void
+drop_message(peer_link *l)
 {
-    return a->sin_addr.s_addr == b->sin_addr.s_addr
-           && a->sin_port == b->sin_port;
+    outgoing *m = STAILQ_FIRST(&l->queue);
+    STAILQ_REMOVE_HEAD(&l->queue, link);
+    l->queue_len--;
+    free(m);
 }
 
-/* The link whose new connection has these addresses, or NULL.  Two links may
-   go to one address, as a daemon is known by its address before its name. */
-static peer_link *
-find_new_link(const transport *t, const struct sockaddr_in *own,
-              const struct sockaddr_in *to)
+/* Sends what the socket takes.  Returns false if the connection has ended. */
+static bool
+send_queue(const transport *t, peer_link *l)
 {
-    for (peer_link *l = t->links; l; l = l->hh.next) {
-        if (atomic_load(&l->new_port) == own->sin_port
-            && is_same_address(&l->to, to))
-            return l;
+    outgoing *m;
+    while ((m = STAILQ_FIRST(&l->queue)) != NULL) {
+        ssize_t n = send(l->source.fd, m->bytes + m->pos, m->len - m->pos,
+                         MSG_NOSIGNAL);
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n < 0 && errno != EAGAIN)
+            return false;
+        m->pos += n > 0 ? (size_t)n : 0;
+        if (m->pos < m->len)
+            break;
+        drop_message(l);
     }
-    return NULL;
+    bool awaits_room = m != NULL;
+    if (awaits_room == l->awaits_room)
+        return true;
+    l->awaits_room = awaits_room;
+    return watch(t, EPOLL_CTL_MOD, &l->source,
+                 awaits_room ? EPOLLIN | EPOLLOUT : EPOLLIN);
 }
 
-/* True if a descriptor is an IPv4 connection.  *closed counts the descriptors
-   in a row that aren't open. */
+/* Returns false if the connection couldn't be made. */
 static bool
-read_addresses(int fd, struct sockaddr_in *own, struct sockaddr_in *to,
-               int *closed)
+finish_connect(const transport *t, peer_link *l)
 {
-    socklen_t own_len = sizeof(*own);
-    socklen_t to_len = sizeof(*to);
-    bool is_connected = getpeername(fd, (void *)to, &to_len) == 0;
-    *closed = !is_connected && errno == EBADF ? *closed + 1 : 0;
-    return is_connected && to->sin_family == AF_INET
-           && getsockname(fd, (void *)own, &own_len) == 0;
+    int error = 0;
+    socklen_t len = sizeof(error);
+    if (getsockopt(l->source.fd, SOL_SOCKET, SO_ERROR, &error, &len) < 0
+        || error)
+        return false;
+    l->state = LINK_GREETING;
+    return send(l->source.fd, frames_sender_greeting,
+                sizeof(frames_sender_greeting), MSG_NOSIGNAL)
+               == (ssize_t)sizeof(frames_sender_greeting)
+           && watch(t, EPOLL_CTL_MOD, &l->source, EPOLLIN);
 }
 
-static void
-log_loss(transport *t, peer_link *l, bbm_time now)
+/* Takes bytes of the peer's greeting; nothing else is expected from it.
+   Returns false if it isn't one. */
+static bool
+take_greeting(peer_link *l, const uint8_t *bytes, size_t len, bbm_time now)
 {
-    link_loss loss = link_take_loss(&l->life, atomic_load(&l->losses), now);
-    if (!loss.lost)
-        return;
-    char age[24];
-    char idle[24];
-    char unproved[24];
-    t->links_lost++;
-    t->link_lost_at = now;
-    snprintf(age, sizeof(age), "%lld", (long long)(loss.age / BBM_MS));
-    snprintf(idle, sizeof(idle), "%lld", (long long)(loss.idle / BBM_MS));
-    snprintf(unproved, sizeof(unproved), "%u", loss.unproved);
-    bbm_log(BBM_EVENT_LINK_LOST, "vm", l->name, "address", l->address,
-            "age_ms", age, "idle_ms", idle, "unproved", unproved, NULL);
+    size_t room = sizeof(l->greeting) - l->greeting_len;
+    size_t n = len < room ? len : room;
+    memcpy(l->greeting + l->greeting_len, bytes, n);
+    l->greeting_len += n;
+    if (l->state != LINK_GREETING || l->greeting_len < sizeof(l->greeting))
+        return true;
+    if (memcmp(l->greeting, frames_receiver_greeting, sizeof(l->greeting))
+        != 0)
+        return false;
+    l->state = LINK_UP;
+    l->retry_delay = RECONNECT_MIN;
+    link_connected(&l->life, now);
+    return true;
 }
 
-/* Sets the timeouts of connections that were made since the last search. */
-static void
-find_new_sockets(transport *t, bbm_time now)
+/* Returns false if the connection has ended. */
+static bool
+read_link(peer_link *l, bbm_time now)
 {
-    if (!atomic_load(&t->any_new)
-        || now - t->searched_at < SOCKET_SEARCH_PERIOD)
-        return;
-    t->searched_at = now;
-    atomic_store(&t->any_new, false);
-    for (int fd = 0, closed = 0; closed < SOCKET_SEARCH_GAP; fd++) {
-        struct sockaddr_in own = {0};
-        struct sockaddr_in to = {0};
-        peer_link *l = read_addresses(fd, &own, &to, &closed)
-                           ? find_new_link(t, &own, &to)
-                           : NULL;
-        if (!l)
-            continue;
-        set_timeouts(fd);
-        atomic_store(&l->new_port, 0);
-        log_loss(t, l, now);
-        link_connected(&l->life, now);
+    uint8_t bytes[64];
+    ssize_t n;
+    while ((n = recv(l->source.fd, bytes, sizeof(bytes), 0)) > 0) {
+        if (!take_greeting(l, bytes, (size_t)n, now))
+            return false;
+        if ((size_t)n < sizeof(bytes))
+            return true;
     }
+    return n < 0 && (errno == EAGAIN || errno == EINTR);
 }
 
-/* Connections that are accepted inherit the timeouts of the listening
-   socket. */
-static void
-set_listener_timeouts(const struct sockaddr_in *address)
-{
-    for (int fd = 0, closed = 0; closed < SOCKET_SEARCH_GAP; fd++) {
-        struct sockaddr_in own = {0};
-        socklen_t len = sizeof(own);
-        int listens = 0;
-        socklen_t listens_len = sizeof(listens);
-        bool has_address = getsockname(fd, (void *)&own, &len) == 0;
-        closed = !has_address && errno == EBADF ? closed + 1 : 0;
-        if (has_address && own.sin_family == AF_INET
-            && is_same_address(&own, address)
-            && getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens,
-                          &listens_len)
-                   == 0
-            && listens)
-            set_timeouts(fd);
-    }
+static bool
+handle_link_events(const transport *t, peer_link *l, uint32_t events,
+                   bbm_time now)
+{
+    if (l->state == LINK_CONNECTING && !finish_connect(t, l))
+        return false;
+    if (events & ~(uint32_t)EPOLLOUT && !read_link(l, now))
+        return false;
+    return l->state != LINK_UP || send_queue(t, l);
 }
 
-/* ---- sending ---- */
-
 static void
-on_connection(nng_pipe pipe, nng_pipe_ev event, void *context)
-{
-    peer_link *l = context;
-    nng_sockaddr own;
-    bool made = event == NNG_PIPE_EV_ADD_POST;
-    atomic_store(&l->connected, made);
-    if (!made) {
-        atomic_fetch_add(&l->losses, 1);
-    }
-    else if (nng_pipe_get_addr(pipe, NNG_OPT_LOCADDR, &own) == 0
-             && own.s_family == NNG_AF_INET) {
-        atomic_store(&l->new_port, own.s_in.sa_port);
-        atomic_store(&l->transport->any_new, true);
-    }
+on_link_events(transport *t, peer_link *l, uint32_t events)
+{
+    pthread_mutex_lock(&t->lock);
+    bbm_time now = control_now();
+    /* The control thread may have closed it meanwhile. */
+    if (l->source.fd >= 0 && !handle_link_events(t, l, events, now))
+        lose_connection(t, l, now);
+    pthread_mutex_unlock(&t->lock);
 }
 
 static peer_link *
-open_link(transport *t, const char *name, const char *address)
+open_link(transport *t, const char *name, const char *address, bbm_time now)
 {
+    struct sockaddr_in to;
+    if (!bbm_address_parse(address, &to))
+        return NULL;
     peer_link *l = bbm_calloc(1, sizeof(*l));
-    char url[URL_SIZE];
-    snprintf(url, sizeof(url), "tcp://%s", address);
+    l->source = (source){.kind = SOURCE_LINK, .fd = -1};
     bbm_name_set(l->name, name);
     bbm_text_set(l->address, sizeof(l->address), address);
-    l->transport = t;
-    if (!parse_address(address, &l->to) || nng_push0_open(&l->socket) != 0) {
-        free(l);
-        return NULL;
-    }
-    link_open(&l->life, control_now());
-    nng_pipe_notify(l->socket, NNG_PIPE_EV_ADD_POST, on_connection, l);
-    nng_pipe_notify(l->socket, NNG_PIPE_EV_REM_POST, on_connection, l);
-    nng_socket_set_int(l->socket, NNG_OPT_SENDBUF, SEND_QUEUE_MESSAGES);
-    nng_socket_set_ms(l->socket, NNG_OPT_RECONNMINT, RECONNECT_MIN_MS);
-    nng_socket_set_ms(l->socket, NNG_OPT_RECONNMAXT, RECONNECT_MAX_MS);
-    if (nng_dial(l->socket, url, NULL, NNG_FLAG_NONBLOCK) != 0) {
-        nng_close(l->socket);
-        free(l);
-        return NULL;
-    }
+    l->to = to;
+    l->retry_delay = RECONNECT_MIN;
+    STAILQ_INIT(&l->queue);
+    link_open(&l->life, now);
     HASH_ADD_STR(t->links, name, l);
+    begin_connect(t, l, now);
+    if (l->state == LINK_WAITING)
+        wake_thread(t);
     return l;
 }
 
+static void
+release_link(peer_link *l)
+{
+    while (!STAILQ_EMPTY(&l->queue))
+        drop_message(l);
+    free(l);
+}
+
+/* The I/O thread releases the link, as it may be about to handle an event of
+   it. */
+static void
+close_link(transport *t, peer_link *l)
+{
+    HASH_DEL(t->links, l);
+    if (l->state == LINK_WAITING)
+        TAILQ_REMOVE(&t->waiting, l, listed);
+    close_socket(l);
+    l->state = LINK_CLOSED;
+    TAILQ_INSERT_TAIL(&t->closed, l, listed);
+    wake_thread(t);
+}
+
 /* Returns the link to a peer.  It is reopened if the peer's address has
    changed or a connection attempt takes too long. */
 static peer_link *
@@ -431,15 +489,137 @@
     peer_link *l = NULL;
     HASH_FIND_STR(t->links, name, l);
     if (!l)
-        return open_link(t, name, address);
-    log_loss(t, l, now);
+        return open_link(t, name, address, now);
     bool keeps =
-        link_before_send(&l->life, atomic_load(&l->connected), now) == LINK_USE
+        link_before_send(&l->life, l->state == LINK_UP, now) == LINK_USE
         && strcmp(l->address, address) == 0;
     if (keeps)
         return l;
     close_link(t, l);
-    return open_link(t, name, address);
+    return open_link(t, name, address, now);
+}
+
+static void
+send_message(transport *t, peer_link *l, outgoing *m, bbm_time now)
+{
+    if (l->queue_len == SEND_QUEUE_MESSAGES) {
+        free(m);
+        return;
+    }
+    STAILQ_INSERT_TAIL(&l->queue, m, link);
+    l->queue_len++;
+    link_sent(&l->life, now);
+    if (l->state != LINK_UP || l->awaits_room || send_queue(t, l))
+        return;
+    lose_connection(t, l, now);
+    wake_thread(t);
+}
+
+/* Makes the connections whose time has come. */
+static void
+connect_waiting(transport *t, bbm_time now)
+{
+    peer_link *l = TAILQ_FIRST(&t->waiting);
+    while (l) {
+        peer_link *next = TAILQ_NEXT(l, listed);
+        if (l->retry_at <= now) {
+            TAILQ_REMOVE(&t->waiting, l, listed);
+            begin_connect(t, l, now);
+        }
+        l = next;
+    }
+}
+
+static void
+release_closed(transport *t)
+{
+    peer_link *l;
+    while ((l = TAILQ_FIRST(&t->closed)) != NULL) {
+        TAILQ_REMOVE(&t->closed, l, listed);
+        release_link(l);
+    }
+}
+
+/* ---- the I/O thread ---- */
+
+static int
+wait_ms_until(bbm_time at, bbm_time now)
+{
+    return at <= now ? 0 : (int)((at - now + BBM_MS - 1) / BBM_MS);
+}
+
+/* Does what is due.  Returns the time until more is, in ms; -1: nothing. */
+static int
+run_timers(transport *t)
+{
+    bbm_time now = control_now();
+    bbm_time next = BBM_NEVER;
+    if (t->accept_at && t->accept_at <= now) {
+        t->accept_at = 0;
+        watch(t, EPOLL_CTL_MOD, &t->listener, EPOLLIN);
+    }
+    if (t->accept_at)
+        next = t->accept_at;
+    pthread_mutex_lock(&t->lock);
+    release_closed(t);
+    connect_waiting(t, now);
+    const peer_link *l;
+    TAILQ_FOREACH(l, &t->waiting, listed)
+    {
+        if (l->retry_at < next)
+            next = l->retry_at;
+    }
+    pthread_mutex_unlock(&t->lock);
+    return next == BBM_NEVER ? -1 : wait_ms_until(next, now);
+}
+
+static void
+handle_event(transport *t, source *s, uint32_t events)
+{
+    uint64_t count;
+    switch (s->kind) {
+    case SOURCE_WAKE:
+        (void)!read(s->fd, &count, sizeof(count));
+        return;
+    case SOURCE_LISTENER:
+        accept_connections(t);
+        return;
+    case SOURCE_RECEIVER:
+        read_messages(t, (receiver *)s);
+        return;
+    case SOURCE_LINK:
+        on_link_events(t, (peer_link *)s, events);
+        return;
+    }
+}
+
+static void *
+run_io(void *context)
+{
+    transport *t = context;
+    struct epoll_event events[EVENTS_MAX];
+    while (!atomic_load(&t->stopping)) {
+        int n = epoll_wait(t->epoll, events, EVENTS_MAX, run_timers(t));
+        for (int i = 0; i < n; i++)
+            handle_event(t, events[i].data.ptr, events[i].events);
+    }
+    return NULL;
+}
+
+/* ---- called by the control thread ---- */
+
+static outgoing *
+encrypt_message(transport *t, const char *to, const bbm_buf *bytes)
+{
+    bbm_buf sealed = {0};
+    seal_encrypt(t->seal, to, bytes, &sealed);
+    outgoing *m =
+        bbm_calloc(1, sizeof(*m) + FRAMES_HEAD_BYTES + sealed.len);
+    m->len = FRAMES_HEAD_BYTES + sealed.len;
+    frames_put_head(m->bytes, sealed.len);
+    memcpy(m->bytes + FRAMES_HEAD_BYTES, sealed.data, sealed.len);
+    bbm_buf_free(&sealed);
+    return m;
 }
 
 void
@@ -448,51 +628,59 @@
 {
     if (!address[0] || is_blocked(t, name))
         return;
+    outgoing *m = encrypt_message(t, name, bytes);
+    bbm_time now = control_now();
+    pthread_mutex_lock(&t->lock);
     /* The link to a peer whose name is not known yet is stored under its
        address. */
-    bbm_time now = control_now();
-    find_new_sockets(t, now);
     peer_link *l = link_for(t, name[0] ? name : address, address, now);
-    nng_msg *msg = l ? encrypt_message(t, name, bytes) : NULL;
-    if (!msg)
-        return;
-    if (nng_sendmsg(l->socket, msg, NNG_FLAG_NONBLOCK) == 0)
-        link_sent(&l->life, now);
+    if (l)
+        send_message(t, l, m, now);
     else
-        nng_msg_free(msg);
+        free(m);
+    pthread_mutex_unlock(&t->lock);
 }
 
 transport_counts
-transport_count(const transport *t)
-{
-    transport_counts c = {
-        .rejected = atomic_load(&t->rejected),
-        .links_lost = t->links_lost,
-        .link_lost_age_ms =
-            t->link_lost_at
-                ? (uint64_t)((control_now() - t->link_lost_at) / BBM_MS)
-                : 0,
-    };
+transport_count(transport *t)
+{
+    transport_counts c = {.rejected = atomic_load(&t->rejected)};
+    pthread_mutex_lock(&t->lock);
+    c.links_lost = t->links_lost;
+    if (t->link_lost_at)
+        c.link_lost_age_ms =
+            (uint64_t)((control_now() - t->link_lost_at) / BBM_MS);
     for (const peer_link *l = t->links; l; l = l->hh.next)
-        c.links += atomic_load(&l->connected);
+        c.links += l->state == LINK_UP;
+    pthread_mutex_unlock(&t->lock);
     return c;
 }
 
 /* ---- creation ---- */
 
 static bool
-listen_for_peers(transport *t, const char *url)
+listen_for_peers(transport *t)
 {
-    nng_listener listener;
     struct sockaddr_in address;
-    if (nng_listener_create(&listener, t->listener, url) != 0)
+    const char *text = t->settings->peer_address;
+    t->listener.fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (t->listener.fd < 0 || !bbm_address_parse(text, &address))
         return false;
-    nng_listener_set_bool(listener, NNG_OPT_TCP_KEEPALIVE, true);
-    if (nng_listener_start(listener, 0) != 0)
-        return false;
-    if (parse_address(t->settings->peer_address, &address))
-        set_listener_timeouts(&address);
-    return true;
+    set_options(t->listener.fd, text);
+    return set_option(t->listener.fd, SOL_SOCKET, SO_REUSEADDR, 1)
+           && bind(t->listener.fd, (void *)&address, sizeof(address)) == 0
+           && listen(t->listener.fd, SOMAXCONN) == 0
+           && watch(t, EPOLL_CTL_ADD, &t->listener, EPOLLIN);
+}
+
+static bool
+open_epoll(transport *t)
+{
+    t->epoll = epoll_create1(EPOLL_CLOEXEC);
+    t->wake.fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    return t->epoll >= 0 && t->wake.fd >= 0
+           && watch(t, EPOLL_CTL_ADD, &t->wake, EPOLLIN);
 }
 
 transport *
@@ -500,44 +688,57 @@
                  const uint8_t *message_secret, mailbox *control)
 {
     transport *t = bbm_calloc(1, sizeof(*t));
-    char url[URL_SIZE];
     t->settings = settings;
     t->control = control;
     t->seal = seal_create(settings->name, run, message_secret);
+    t->wake = (source){.kind = SOURCE_WAKE, .fd = -1};
+    t->listener = (source){.kind = SOURCE_LISTENER, .fd = -1};
+    t->read_buffer = bbm_calloc(READ_BYTES, 1);
+    TAILQ_INIT(&t->receivers);
+    TAILQ_INIT(&t->waiting);
+    TAILQ_INIT(&t->closed);
+    pthread_mutex_init(&t->lock, NULL);
     pthread_mutex_init(&t->blocked_lock, NULL);
-    pthread_mutex_init(&t->close_lock, NULL);
-    pthread_condattr_t attr;
-    pthread_condattr_init(&attr);
-    pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-    pthread_cond_init(&t->closed, &attr);
-    pthread_condattr_destroy(&attr);
-    snprintf(url, sizeof(url), "tcp://%s", settings->peer_address);
-    if (nng_pull0_open(&t->listener) != 0) {
-        release(t);
-        return NULL;
-    }
-    nng_socket_set_int(t->listener, NNG_OPT_RECVBUF, RECEIVE_QUEUE_MESSAGES);
-    nng_socket_set_size(t->listener, NNG_OPT_RECVMAXSZ, MESSAGE_BYTES_MAX);
-    t->started = listen_for_peers(t, url)
-                 && pthread_create(&t->thread, NULL, receive_messages, t) == 0;
+    t->started = open_epoll(t) && listen_for_peers(t)
+                 && pthread_create(&t->thread, NULL, run_io, t) == 0;
     if (t->started)
         return t;
     transport_destroy(t);
     return NULL;
 }
 
+static void
+close_fd(int fd)
+{
+    if (fd >= 0)
+        close(fd);
+}
+
 void
 transport_destroy(transport *t)
 {
     if (!t)
         return;
     atomic_store(&t->stopping, true);
-    begin_close(t, t->listener, NULL);
+    if (t->started) {
+        wake_thread(t);
+        pthread_join(t->thread, NULL);
+    }
     peer_link *l, *next;
     HASH_ITER(hh, t->links, l, next)
     {
         close_link(t, l);
     }
-    if (wait_for_closes(t))
-        release(t);
+    release_closed(t);
+    while (!TAILQ_EMPTY(&t->receivers))
+        destroy_receiver(t, TAILQ_FIRST(&t->receivers));
+    close_fd(t->listener.fd);
+    close_fd(t->wake.fd);
+    close_fd(t->epoll);
+    seal_destroy(t->seal);
+    pthread_mutex_destroy(&t->lock);
+    pthread_mutex_destroy(&t->blocked_lock);
+    free(t->blocked_names);
+    free(t->read_buffer);
+    free(t);
 }
--- a/daemon/transport.h
+++ b/daemon/transport.h
@@ -3,9 +3,9 @@
  *
  *  A daemon listens on one socket, and connects to another daemon when it
  *  first sends to it.  A connection on which nothing is acknowledged for
- *  LINK_UNACKED_TIMEOUT is replaced; what was sent on it may be lost. Received
- * messages that can't be decrypted, or are for another daemon, are counted and
- * dropped.  Delivery is not guaranteed.
+ *  LINK_UNACKED_TIMEOUT is replaced; what was sent on it may be lost.  Received
+ *  messages that can't be decrypted, or are for another daemon, are counted
+ *  and dropped.  Delivery is not guaranteed.  frames.h has the format.
  */
 #ifndef TRANSPORT_H
 #define TRANSPORT_H
@@ -33,11 +33,10 @@
     uint64_t links_lost;       /**< Connections that have ended. */
     uint64_t link_lost_age_ms; /**< Since the last one did; 0: none has. */
 } transport_counts;
-/** From the thread that sends. */
-transport_counts transport_count(const transport *t);
-/** Close all connections and release; NULL is allowed.  Returns within about a
- *  second, even if a connection doesn't close; then it is left open, and the
- *  transport is released when it closes. */
+/** From any thread. */
+transport_counts transport_count(transport *t);
+/** Close all connections and release; NULL is allowed.  What is queued for a
+ *  slow peer is dropped. */
 void transport_destroy(transport *t);
 
 #endif
--- a/tests/test_resets.c
+++ b/tests/test_resets.c
@@ -1,6 +1,7 @@
 /* Connections between daemons that end while they are used. */
 #include "bbm_settings.h"
 #include "control.h"
+#include "frames.h"
 #include "test_main.h"
 #include "transport.h"
 
@@ -15,9 +16,6 @@
 
 static const uint8_t secret[BBM_DIGEST_SIZE] = {1, 2, 3};
 
-/* What a receiving socket of nng sends first. */
-static const char pull_header[] = {0, 'S', 'P', 0, 0, 0x51, 0, 0};
-
 /* Takes connections and resets each, every other one as soon as messages may
    be sent on it. */
 static void *
@@ -29,8 +27,9 @@
     int fd;
     while ((fd = accept(listener, NULL, NULL)) >= 0) {
         char bytes[64];
-        (void)!send(fd, pull_header, sizeof(pull_header), MSG_NOSIGNAL);
-        (void)!recv(fd, bytes, sizeof(pull_header), MSG_WAITALL);
+        (void)!send(fd, frames_receiver_greeting, FRAMES_GREETING_BYTES,
+                    MSG_NOSIGNAL);
+        (void)!recv(fd, bytes, FRAMES_GREETING_BYTES, MSG_WAITALL);
         if (++count % 2)
             (void)!recv(fd, bytes, sizeof(bytes), 0);
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -1,15 +1,14 @@
 /* Messages between daemons over real sockets: a peer that was unreachable
-   receives messages soon after it starts, and a socket that doesn't close
-   holds nothing up. */
+   receives messages soon after it starts, and one that reads nothing holds
+   nothing up. */
 #include "bbm_settings.h"
 #include "control.h"
+#include "frames.h"
 #include "test_main.h"
 #include "transport.h"
 
 #include <arpa/inet.h>
 #include <linux/filter.h>
-#include <nng/nng.h>
-#include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -109,21 +108,35 @@
 }
 END_TEST
 
-/* nng_close hangs while this is set. */
-static atomic_bool close_hangs;
-
-int real_nng_close(nng_socket socket) __asm__("__real_nng_close");
-int wrap_nng_close(nng_socket socket) __asm__("__wrap_nng_close");
+/* A peer that takes connections and greets, but reads nothing. */
+static int
+open_stuck_peer(uint16_t port)
+{
+    struct sockaddr_in address;
+    int listener = open_socket(&address);
+    int yes = 1;
+    int small = 4096;
+    address.sin_port = htons(port);
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+    ck_assert_int_eq(bind(listener, (void *)&address, sizeof(address)), 0);
+    ck_assert_int_eq(listen(listener, 8), 0);
+    return listener;
+}
 
-int
-wrap_nng_close(nng_socket socket)
+static int
+greet_as_receiver(int listener)
 {
-    while (atomic_load(&close_hangs))
-        sleep_ms(10);
-    return real_nng_close(socket);
+    int fd;
+    while ((fd = accept(listener, NULL, NULL)) < 0)
+        sleep_ms(1);
+    ck_assert_int_eq(send(fd, frames_receiver_greeting,
+                          sizeof(frames_receiver_greeting), 0),
+                     (ssize_t)sizeof(frames_receiver_greeting));
+    return fd;
 }
 
-START_TEST(socket_that_does_not_close_holds_up_neither_messages_nor_the_end)
+START_TEST(peer_that_reads_nothing_holds_up_neither_messages_nor_the_end)
 {
     char sender_address[] = "127.0.0.1:17673";
     char receiver_address[] = "127.0.0.1:17674";
@@ -137,14 +150,21 @@
     mailbox *inbox = mailbox_create(64);
     mailbox *unused = mailbox_create(64);
     bbm_buf bytes = {0};
+    bbm_buf large = {0};
+    uint8_t block[65536] = {1};
     bbm_buf_add(&bytes, "hello", 5);
+    bbm_buf_add(&large, block, sizeof(block));
     transport *sender = transport_create(&sender_settings, 1, secret, unused);
     transport *receiver =
         transport_create(&receiver_settings, 2, secret, inbox);
     ck_assert(sender && receiver);
-    /* The peer moves to another address: the socket to the old one closes. */
+    int listener = open_stuck_peer(17678);
+    transport_send(sender, "vm-3", "127.0.0.1:17678", &large);
+    int stuck = greet_as_receiver(listener);
+    for (int i = 0; i < 1000; i++)
+        transport_send(sender, "vm-3", "127.0.0.1:17678", &large);
+    /* The peer moves to another address: the link to the old one closes. */
     transport_send(sender, "vm-2", "127.0.0.1:17679", &bytes);
-    atomic_store(&close_hangs, true);
     bool received = false;
     for (int i = 0; i < 100 && !received; i++) {
         transport_send(sender, "vm-2", "127.0.0.1:17674", &bytes);
@@ -155,19 +175,63 @@
             control_item_destroy(item);
     }
     ck_assert(received);
-    time_t begin = time(NULL);
+    bbm_time began_at = control_now();
     transport_destroy(sender);
-    ck_assert_int_le(time(NULL) - begin, 3);
-    /* What was left open closes now. */
-    atomic_store(&close_hangs, false);
     transport_destroy(receiver);
-    sleep_ms(300);
+    ck_assert_int_le(control_now() - began_at, BBM_SECOND);
     control_item *item;
     while ((item = mailbox_take(inbox)) != NULL)
         control_item_destroy(item);
     mailbox_destroy(inbox);
     mailbox_destroy(unused);
     bbm_buf_free(&bytes);
+    bbm_buf_free(&large);
+    close(stuck);
+    close(listener);
+}
+END_TEST
+
+/* A peer that takes a message in parts, and resets within it, gets it whole on
+   the next connection. */
+START_TEST(message_that_was_sent_in_part_is_sent_again_whole)
+{
+    char sender_address[] = "127.0.0.1:17673";
+    char no_file[] = "";
+    bbm_settings settings = {.name = "vm-1",
+                             .peer_address = sender_address,
+                             .test_cut_file = no_file};
+    static const struct linger reset = {.l_onoff = 1};
+    mailbox *unused = mailbox_create(64);
+    bbm_buf large = {0};
+    BBM_AUTO_FREE uint8_t *block = bbm_calloc(1, (size_t)4 << 20);
+    bbm_buf_add(&large, block, (size_t)4 << 20);
+    transport *sender = transport_create(&settings, 1, secret, unused);
+    int listener = open_stuck_peer(17678);
+    transport_send(sender, "vm-3", "127.0.0.1:17678", &large);
+    int fd = greet_as_receiver(listener);
+    sleep_ms(50);
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    close(fd);
+    fd = greet_as_receiver(listener);
+    size_t left = sizeof(frames_sender_greeting) + FRAMES_HEAD_BYTES;
+    uint8_t begin[sizeof(frames_sender_greeting) + FRAMES_HEAD_BYTES];
+    while (left) {
+        ssize_t n = recv(fd, begin + sizeof(begin) - left, left, MSG_DONTWAIT);
+        left -= n > 0 ? (size_t)n : 0;
+        if (n < 0)
+            sleep_ms(1);
+    }
+    ck_assert_mem_eq(begin, frames_sender_greeting,
+                     sizeof(frames_sender_greeting));
+    uint8_t head[FRAMES_HEAD_BYTES];
+    frames_put_head(head, large.len);
+    /* The message is as long as its sealed form, a little longer. */
+    ck_assert_mem_eq(begin + sizeof(begin) - sizeof(head), head, 6);
+    transport_destroy(sender);
+    close(fd);
+    close(listener);
+    bbm_buf_free(&large);
+    mailbox_destroy(unused);
 }
 END_TEST
 
@@ -349,10 +413,9 @@
     bbm_buf_add(&bytes, "hello", 5);
     transport_send(t, "vm-2", PEER_ADDRESS, &bytes);
     int fd = accept(listener, NULL, NULL);
-    /* The handshake of nng's pull sockets. */
-    static const char handshake[] = {0, 'S', 'P', 0, 0, 0x51, 0, 0};
-    ck_assert_int_eq(send(fd, handshake, sizeof(handshake), 0),
-                     (ssize_t)sizeof(handshake));
+    ck_assert_int_eq(send(fd, frames_receiver_greeting,
+                          sizeof(frames_receiver_greeting), 0),
+                     (ssize_t)sizeof(frames_receiver_greeting));
     for (int i = 0; i < 110; i++) {
         transport_send(t, "vm-2", PEER_ADDRESS, &bytes);
         sleep_ms(20);
@@ -373,4 +436,5 @@
           idle_silent_connection_is_replaced,
           connection_to_a_frozen_peer_stays,
           peers_are_reached_soon_after_they_start,
-          socket_that_does_not_close_holds_up_neither_messages_nor_the_end);
+          peer_that_reads_nothing_holds_up_neither_messages_nor_the_end,
+          message_that_was_sent_in_part_is_sent_again_whole);
