A VM whose files may not grow goes on

What callers saw: a VM whose disk is full by the limit on file sizes ended by itself at the next write (SIGXFSZ), with all connections and the orders at work; started again, it ended again. Cause: the signal's default effect. The scenario disk_full had ignored the signal on the daemon's behalf; it doesn't any more, and checks that the daemon runs on: without the fix 'File size limit exceeded', event 204 missing; with it ok. The write fails with EFBIG, which the store takes for a full disk already.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -149,6 +149,8 @@
     sigset_t set = waited_signals();
     pthread_sigmask(SIG_BLOCK, &set, NULL);
     signal(SIGPIPE, SIG_IGN);
+    /* A write beyond the limit on file sizes fails, as on a full disk. */
+    signal(SIGXFSZ, SIG_IGN);
 }
 
 static const char *
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -556,10 +556,11 @@
     [ "$(leader)" = 2 ] && full=3
     # A file size limit simulates a full disk.
     fleet_terminate "${fleet_daemon_pid[$full]}"
-    (ulimit -f 40; trap '' XFSZ; exec "$FLEET_BUILD/bluebellmoord" --settings "$dir/vm-$full.json") >>"$dir/vm-$full.log" 2>&1 &
-    fleet_pids+=($!)
-    local i
+    (ulimit -f 40; exec "$FLEET_BUILD/bluebellmoord" --settings "$dir/vm-$full.json") >>"$dir/vm-$full.log" 2>&1 &
+    local i pid=$!
+    fleet_pids+=("$pid")
     for i in $(seq 1 60); do publish_next >/dev/null; done
+    check "it runs on" kill -0 "$pid"
     check "it logs event 204 for its data folder" grep -q '"event":204' "$dir/vm-$full.log"
     check "the other two accepted the publishes" has_revision "$(leader)" 50
     finish
