An order whose answer has a long head is answered

What callers saw: an order ran, and its connection was closed without a byte of an answer (524 'an error'); callers that resend then ran it twice. Cause: the heads of a request and of its answer share the memory of the connection, 24 KiB; where they don't fit, libmicrohttpd closes.

A trial with more memory a connection was not made: it is cleared after each request.

--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -7,10 +7,19 @@
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 /* Of an answer that must not promise that its request has not run. */
 #define UNKNOWN_STATUS 502u
 
+/* libmicrohttpd's record of each header of a request, and its copies and
+   records of what it parses in it (cookies, arguments). */
+#define HEADER_RECORD_BYTES ((size_t)64)
+/* Status line of an answer, and the headers that are added to it. */
+#define ADDED_HEAD_BYTES ((size_t)1024)
+/* ": " and the end of the line. */
+#define LINE_EXTRA_BYTES ((size_t)4)
+
 exchange_counts exchange_count;
 
 exchange *
@@ -90,6 +99,38 @@
     *h = (exchange_headers){0};
 }
 
+static size_t
+count_char(const char *text, char c)
+{
+    size_t n = 0;
+    for (; *text; text++)
+        n += *text == c;
+    return n;
+}
+
+size_t
+exchange_header_bytes(const char *name, const char *value)
+{
+    size_t line = strlen(name) + strlen(value) + LINE_EXTRA_BYTES;
+    if (strcasecmp(name, "Cookie") != 0)
+        return line + HEADER_RECORD_BYTES;
+    return line + strlen(value)
+           + HEADER_RECORD_BYTES * (2 + count_char(value, ';'));
+}
+
+bool
+exchange_head_fits(const exchange *ex, const exchange_headers *headers)
+{
+    size_t bytes = ex->head_bytes + strlen(ex->request_target)
+                   + HEADER_RECORD_BYTES
+                         * (1 + count_char(ex->request_target, '&'))
+                   + ADDED_HEAD_BYTES;
+    for (size_t i = 0; i < headers->len; i++)
+        bytes += strlen(headers->items[i].name)
+                 + strlen(headers->items[i].value) + LINE_EXTRA_BYTES;
+    return bytes <= EXCHANGE_HEADS_BYTES;
+}
+
 /* Called with the lock held. */
 static void
 resume_connection(exchange *ex)
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -30,6 +30,10 @@
  *  longer values are truncated. */
 #define EXCHANGE_HEADER_SIZE 256
 
+/** Memory of a client's connection for the heads of a request and of its
+ *  answer. */
+#define EXCHANGE_HEADS_BYTES ((size_t)24 * 1024)
+
 /** A header that is passed on unchanged. */
 typedef struct exchange_header {
     char *name;  /**< Owned. */
@@ -123,6 +127,8 @@
                                             EXCHANGE_POOL. */
     platform_request parsed_headers;   /**< Values parsed from the headers;
                                            EXCHANGE_POOL. */
+    size_t head_bytes;      /**< What the request's head takes of
+                                 EXCHANGE_HEADS_BYTES; EXCHANGE_POOL. */
     bool is_relayed;        /**< It comes from another VM, not from its
                                  client; EXCHANGE_POOL. */
     uint32_t attempts_used; /**< Attempts of that VM that may have run it. */
@@ -198,6 +204,12 @@
 /** Release all headers. */
 void exchange_headers_free(exchange_headers *h);
 
+/** What a header of a request takes of EXCHANGE_HEADS_BYTES. */
+size_t exchange_header_bytes(const char *name, const char *value);
+/** True if an answer with these headers can be sent: its head fits beside that
+ *  of the request.  libmicrohttpd would close the connection otherwise. */
+bool exchange_head_fits(const exchange *ex, const exchange_headers *headers);
+
 /** Set the head of an answer that is passed on unchanged.  Takes over the
  *  content of @p headers; @p length is -1 if unknown.  No effect if the answer
  *  has ended already.  Returns false if the client has disconnected. */
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -378,6 +378,12 @@
         accepted = false;
         x->outcome = BBM_FORWARD_FAILED;
     }
+    if (accepted && !resumes
+        && !exchange_head_fits(x->ex, &x->answer_headers)) {
+        log_limit(x, "bytes of its head beside the request's");
+        accepted = false;
+        x->outcome = BBM_FORWARD_FAILED;
+    }
     if (!accepted) {
         x->refused_at = control_now();
         return x->outcome != BBM_FORWARD_NO_ANSWER;
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -11,8 +11,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Memory for the request head and the answer head of one connection. */
-#define CONNECTION_MEMORY_BYTES ((size_t)24 * 1024)
 /* Size of the blocks in which libmicrohttpd reads an answer. */
 #define ANSWER_BLOCK_BYTES ((size_t)16 * 1024)
 /* A longer Idempotency-Key is ignored. */
@@ -592,7 +590,7 @@
         MHD_OPTION_CONNECTION_LIMIT, (unsigned)s->connections_most,
         MHD_OPTION_PER_IP_CONNECTION_LIMIT, (unsigned)s->per_address_most,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)s->idle_s,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, EXCHANGE_HEADS_BYTES,
         MHD_OPTION_LISTEN_BACKLOG_SIZE, 4096u,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_ARRAY, options,
         MHD_OPTION_END);
--- a/daemon/front_provider.c
+++ b/daemon/front_provider.c
@@ -18,6 +18,7 @@
     (void)kind;
     exchange *ex = context;
     const char *text = value ? value : "";
+    ex->head_bytes += exchange_header_bytes(name, text);
     if (platform_request_add_header(&ex->parsed_headers, name, text))
         exchange_headers_add(&ex->headers, name, text);
     return MHD_YES;
