A client whose answer was delivered whole counts as served, not as one that left

Cause: all bytes of an answer of known length are sent as soon as the last has come; the connection's end was taken for the client's leaving if it was noticed before the forwarding thread said that the answer was complete. The gate then dropped the request, with the result of its attempt, and cancelled a transfer that was over.

Now an answer that libmicrohttpd has sent whole is finished, and a client whose answer is complete counts as connected.

Test: test_exchange, failed before.

--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -435,7 +435,9 @@
 exchange_client_state(exchange *ex)
 {
     pthread_mutex_lock(&ex->lock);
-    exchange_client state = client_state(ex);
+    bool answered = ex->finished && !ex->truncated;
+    exchange_client state =
+        answered ? EXCHANGE_CLIENT_CONNECTED : client_state(ex);
     pthread_mutex_unlock(&ex->lock);
     return state;
 }
@@ -478,9 +480,13 @@
 exchange_detach(exchange *ex, enum MHD_RequestTerminationCode reason,
                 bool *paused)
 {
+    bool sent_whole = reason == MHD_REQUEST_TERMINATED_COMPLETED_OK;
     pthread_mutex_lock(&ex->lock);
+    /* All bytes of an answer of known length may be sent before its producer
+       has said that it is complete. */
+    if (sent_whole)
+        set_finished(ex);
     bool unfinished = !ex->finished;
-    bool sent_whole = reason == MHD_REQUEST_TERMINATED_COMPLETED_OK;
     bool by_client = reason == MHD_REQUEST_TERMINATED_READ_ERROR
                      || reason == MHD_REQUEST_TERMINATED_CLIENT_ABORT;
     if (ex->sends && !sent_whole && !ex->truncated) {
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -256,7 +256,8 @@
                      bool *paused);
 /** The id that the client gave its request, for the log; "" if none. */
 const char *exchange_client_id(const exchange *ex);
-/** State of the client's connection. */
+/** State of the client's connection.  A client whose answer is complete counts
+ *  as connected, whatever it does: it leaves nothing behind. */
 exchange_client exchange_client_state(exchange *ex);
 /** True if the client is connected and may still send. */
 bool exchange_client_connected(exchange *ex);
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -124,6 +124,36 @@
 }
 END_TEST
 
+/* Its request was logged as aborted (513), its upstream's success forgotten. */
+START_TEST(client_whose_answer_was_delivered_has_not_left)
+{
+    bool paused;
+    exchange *ex = create_exchange(EXCHANGE_POOL);
+    exchange_begin_send(ex);
+    exchange_answer(ex, 200, "text/plain", "ok", 2);
+    ck_assert(
+        !exchange_detach(ex, MHD_REQUEST_TERMINATED_COMPLETED_OK, &paused));
+    ck_assert_int_eq(exchange_client_state(ex), EXCHANGE_CLIENT_CONNECTED);
+    exchange_unref(ex);
+    /* All bytes have been sent, and the producer has yet to say so. */
+    exchange_headers none = {0};
+    ex = create_exchange(EXCHANGE_POOL);
+    exchange_begin_send(ex);
+    exchange_set_verbatim_head(ex, 200, 2, &none);
+    exchange_write(ex, "ok", 2);
+    ck_assert(
+        !exchange_detach(ex, MHD_REQUEST_TERMINATED_COMPLETED_OK, &paused));
+    ck_assert_int_eq(exchange_client_state(ex), EXCHANGE_CLIENT_CONNECTED);
+    ck_assert_int_eq(atomic_load(&exchange_count.at_work), 0);
+    exchange_unref(ex);
+    ex = create_exchange(EXCHANGE_POOL);
+    exchange_begin_send(ex);
+    exchange_detach(ex, MHD_REQUEST_TERMINATED_CLIENT_ABORT, &paused);
+    ck_assert_int_eq(exchange_client_state(ex), EXCHANGE_CLIENT_GONE);
+    exchange_unref(ex);
+}
+END_TEST
+
 START_TEST(refusal_of_another_vm_hides_no_earlier_send)
 {
     for (unsigned earlier = 0; earlier < 2; earlier++) {
@@ -157,5 +187,6 @@
           refusal_after_one_of_two_sends_was_not_run_promises_nothing,
           requests_at_work_are_those_sent_and_unanswered,
           answer_that_is_not_sent_is_counted_unless_its_client_left,
+          client_whose_answer_was_delivered_has_not_left,
           refusal_of_another_vm_hides_no_earlier_send,
           nothing_is_sent_after_the_answer);
