Soak: all VMs killed at once, disks lost, and what was acknowledged is read back

Actions 'herds' and 'wipes' (one disk at a time, 15 s apart, not a first start afterwards); at the end each VM with a disk must give the newest configuration that was acknowledged, or a newer one. Code formatted.

--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -121,10 +121,10 @@
 bool
 exchange_head_fits(const exchange *ex, const exchange_headers *headers)
 {
-    size_t bytes = ex->head_bytes + strlen(ex->request_target)
-                   + HEADER_RECORD_BYTES
-                         * (1 + count_char(ex->request_target, '&'))
-                   + ADDED_HEAD_BYTES;
+    size_t bytes =
+        ex->head_bytes + strlen(ex->request_target)
+        + HEADER_RECORD_BYTES * (1 + count_char(ex->request_target, '&'))
+        + ADDED_HEAD_BYTES;
     for (size_t i = 0; i < headers->len; i++)
         bytes += strlen(headers->items[i].name)
                  + strlen(headers->items[i].value) + LINE_EXTRA_BYTES;
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -127,8 +127,8 @@
                                             EXCHANGE_POOL. */
     platform_request parsed_headers;   /**< Values parsed from the headers;
                                            EXCHANGE_POOL. */
-    size_t head_bytes;      /**< What the request's head takes of
-                                 EXCHANGE_HEADS_BYTES; EXCHANGE_POOL. */
+    size_t head_bytes;                 /**< What the request's head takes of
+                                            EXCHANGE_HEADS_BYTES; EXCHANGE_POOL. */
     bool is_relayed;        /**< It comes from another VM, not from its
                                  client; EXCHANGE_POOL. */
     uint32_t attempts_used; /**< Attempts of that VM that may have run it. */
--- a/daemon/transport.c
+++ b/daemon/transport.c
@@ -86,7 +86,7 @@
     size_t greeting_len;
     STAILQ_HEAD(, outgoing) queue;
     size_t queue_len;
-    bool awaits_room; /* the socket took no more */
+    bool awaits_room;              /* the socket took no more */
     TAILQ_ENTRY(peer_link) listed; /* in `waiting` or `closed` */
     UT_hash_handle hh;
 } peer_link;
@@ -174,13 +174,12 @@
 static void
 set_options(int fd, const char *address)
 {
-    bool set =
-        set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
-                   LINK_UNACKED_TIMEOUT / BBM_MS)
-        && set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1)
-        && set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S)
-        && set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S)
-        && set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    bool set = set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                          LINK_UNACKED_TIMEOUT / BBM_MS)
+               && set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1)
+               && set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S)
+               && set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S)
+               && set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
     if (!set)
         bbm_log(BBM_EVENT_LINK_OPTIONS, "address", address, "error",
                 strerrorname_np(errno), NULL);
@@ -613,8 +612,7 @@
 {
     bbm_buf sealed = {0};
     seal_encrypt(t->seal, to, bytes, &sealed);
-    outgoing *m =
-        bbm_calloc(1, sizeof(*m) + FRAMES_HEAD_BYTES + sealed.len);
+    outgoing *m = bbm_calloc(1, sizeof(*m) + FRAMES_HEAD_BYTES + sealed.len);
     m->len = FRAMES_HEAD_BYTES + sealed.len;
     frames_put_head(m->bytes, sealed.len);
     memcpy(m->bytes + FRAMES_HEAD_BYTES, sealed.data, sealed.len);
--- a/daemon/transport.h
+++ b/daemon/transport.h
@@ -3,7 +3,7 @@
  *
  *  A daemon listens on one socket, and connects to another daemon when it
  *  first sends to it.  A connection on which nothing is acknowledged for
- *  LINK_UNACKED_TIMEOUT is replaced; what was sent on it may be lost.  Received
+ *  LINK_UNACKED_TIMEOUT is replaced; what was sent on it may be lost. Received
  *  messages that can't be decrypted, or are for another daemon, are counted
  *  and dropped.  Delivery is not guaranteed.  frames.h has the format.
  */
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -15,6 +15,7 @@
 
 #include "bbm_mem.h"
 
+#include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <getopt.h>
@@ -33,6 +34,8 @@
    waits for its disk stays until that answers. */
 #define KILL_MS_MAX 60000
 #define READY_MS_MAX 20000
+/* A VM whose disk was lost has this time before the next one may lose its. */
+#define WIPE_GAP_MS 15000
 /* VMs with a disk. */
 #define DISKS 3
 
@@ -45,6 +48,8 @@
     bool stop_sent; /* SIGTERM was sent to this process */
     bool cut_short; /* before it had begun: nothing can be lost */
     bool kill_sent;
+    bool wiped; /* its disk has been lost: it isn't a first start */
+    int herds;  /* that it has taken part in */
 } vm;
 
 static struct options {
@@ -69,6 +74,9 @@
 static int starter; /* pipe to run.sh */
 static int64_t end_at;
 static atomic_int config_version = 1;
+static atomic_int acked_version; /* newest configuration that was acked */
+static atomic_int herds;         /* times at which all VMs were killed */
+static atomic_llong wiped_at;    /* last loss of a disk; 0: none */
 
 static void
 say(const vm *v, const char *what, int64_t value)
@@ -106,14 +114,14 @@
         " \"list_address\": \"127.0.0.1:%d\", \"data_folder\": \"%s\",\n"
         " \"private_network\": true, \"seeds\": [\"127.0.2.1:1\", "
         "\"127.0.2.2:1\", \"127.0.2.3:1\"],\n"
-        " \"first_start\": true, \"self_repair\": true, \"grace_s\": %d,\n"
+        " \"first_start\": %s, \"self_repair\": true, \"grace_s\": %d,\n"
         " \"election_ms\": 450, \"gossip_ms\": 300, \"list_ms\": 500,\n"
         " \"fresh_bound_ms\": 600000, \"cut_bound_ms\": 600000,\n"
         " \"serve_stale_keys\": true, \"caller_threads\": 1}\n",
         v->number + 1, 1 + v->number % 2, ip, p + SOAK_PEER, ip,
         p + SOAK_CALLERS, ip, p + SOAK_ADMIN, ip, p + SOAK_READY, ip,
         p + SOAK_CONTROL, ip, p + SOAK_DIRECTORY, p + SOAK_PORTS, folder,
-        GRACE_S);
+        v->wiped ? "false" : "true", GRACE_S);
 }
 
 static void
@@ -314,6 +322,52 @@
     stop_and_start(v, draw(v, 700));
 }
 
+/* All VMs are killed at once, this one by its own thread as the others. */
+static void
+kill_all(vm *v)
+{
+    (void)v;
+    atomic_fetch_add(&herds, 1);
+}
+
+static void
+empty_disk(const vm *v)
+{
+    char path[1024];
+    snprintf(path, sizeof(path), "%s/disk-%d", opt.folder, v->number + 1);
+    DIR *folder = opendir(path);
+    const struct dirent *entry;
+    while (folder && (entry = readdir(folder)) != NULL) {
+        snprintf(path, sizeof(path), "%s/disk-%d/%s", opt.folder,
+                 v->number + 1, entry->d_name);
+        unlink(path);
+    }
+    if (folder)
+        closedir(folder);
+}
+
+/* A VM is killed and loses its disk; one at a time, each with time to recover,
+   and not beside a kill of all. */
+static void
+lose_disk(vm *v)
+{
+    long long last = atomic_load(&wiped_at);
+    bool due =
+        v->number < DISKS && (!last || soak_now_ms() - last > WIPE_GAP_MS)
+        && atomic_compare_exchange_strong(&wiped_at, &last, soak_now_ms());
+    if (!due)
+        return;
+    send_signal(v, SIGKILL);
+    if (!wait_for_end(v, KILL_MS_MAX))
+        return;
+    say(v, "loses its disk", 0);
+    empty_disk(v);
+    v->wiped = true;
+    write_settings(v, 0);
+    soak_sleep_ms(draw(v, 500));
+    start_process(v);
+}
+
 /* Signals while the process starts. */
 static void
 start_and_signal(vm *v)
@@ -355,11 +409,11 @@
     write_bytes(path, text, len);
 }
 
+/* Returns the status, 0 without an answer, and the answer in @p text. */
 static int
-control_status(const vm *v, uint16_t port, const char *request)
+call(const vm *v, uint16_t port, const char *request, char text[4096])
 {
     char ip[32];
-    char text[4096];
     size_t received;
     const char *body;
     int status = 0;
@@ -367,13 +421,56 @@
     if (fd < 0)
         return 0;
     if (soak_send(fd, request, strlen(request))
-        && soak_read_message(fd, text, sizeof(text), soak_now_ms() + 2000,
-                             &received, &body))
+        && soak_read_message(fd, text, 4096, soak_now_ms() + 2000, &received,
+                             &body))
         sscanf(text, "HTTP/1.1 %d", &status);
     close(fd);
     return status;
 }
 
+static int
+control_status(const vm *v, uint16_t port, const char *request)
+{
+    char text[4096];
+    return call(v, port, request, text);
+}
+
+/* Version of the configuration that a VM gives as the newest; 0: it gives
+   none. */
+static int
+read_version(const vm *v)
+{
+    char text[4096];
+    int version = 0;
+    int status =
+        call(v, (uint16_t)(opt.port + SOAK_CONTROL),
+             "GET /-/config HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n",
+             text);
+    const char *at = status == 200 ? strstr(text, "\"version\"") : NULL;
+    if (at)
+        sscanf(at, "\"version\"%*[ :]%d", &version);
+    return version;
+}
+
+/* What was acknowledged must be what each VM gives, once it gives any. */
+static void
+check_config(const vm *v)
+{
+    int64_t until = soak_now_ms() + READY_MS_MAX;
+    int acked = atomic_load(&acked_version);
+    int version = 0;
+    while (version < acked && soak_now_ms() < until) {
+        version = read_version(v);
+        if (version && version < acked)
+            break;
+        if (!version)
+            soak_sleep_ms(100);
+    }
+    if (version < acked)
+        soak_break("CONFIG vm-%d gives version %d, %d was acknowledged",
+                   v->number + 1, version, acked);
+}
+
 static int
 publish(const vm *v)
 {
@@ -402,7 +499,12 @@
              "PUT /-/config HTTP/1.1\r\nHost: c\r\nConnection: close\r\n"
              "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
              strlen(body), body);
-    return control_status(v, (uint16_t)(opt.port + SOAK_CONTROL), text);
+    int status = control_status(v, (uint16_t)(opt.port + SOAK_CONTROL), text);
+    int acked = atomic_load(&acked_version);
+    while (status == 200 && acked < version
+           && !atomic_compare_exchange_weak(&acked_version, &acked, version))
+        ;
+    return status;
 }
 
 static bool
@@ -452,6 +554,8 @@
     {"reloads", reload_in_series},
     {"freezes", freeze},
     {"kills", kill_and_start},
+    {"herds", kill_all},
+    {"wipes", lose_disk},
     {"starts", start_and_signal},
     {"settings", rewrite_settings},
     {"half-settings", start_beside_settings},
@@ -485,6 +589,15 @@
     }
 }
 
+/* Returns sooner if all VMs are killed meanwhile. */
+static void
+wait_for_turn(vm *v, int64_t ms)
+{
+    int64_t until = soak_now_ms() + ms;
+    while (soak_now_ms() < until && v->herds == atomic_load(&herds))
+        soak_sleep_ms(5);
+}
+
 static void *
 run_vm(void *context)
 {
@@ -495,9 +608,14 @@
                 start_process(v);
             continue;
         }
-        soak_sleep_ms(draw(v, opt.pause_ms));
+        wait_for_turn(v, draw(v, opt.pause_ms));
         if (wait_for_end(v, 0))
             start_process(v);
+        if (v->herds != atomic_load(&herds)) {
+            v->herds = atomic_load(&herds);
+            kill_and_start(v);
+            continue;
+        }
         allowed[draw(v, (int64_t)allowed_len)]->run(v);
     }
     if (wait_for_end(v, 0))
@@ -546,6 +664,8 @@
             soak_break("RECOVER vm-%d isn't ready %d ms after the last fault",
                        i + 1, READY_MS_MAX);
     }
+    for (int i = 0; i < DISKS && i < opt.vms; i++)
+        check_config(&vms[i]);
     for (int i = 0; i < opt.vms; i++)
         send_signal(&vms[i], SIGTERM);
     for (int i = 0; i < opt.vms; i++) {
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -124,7 +124,8 @@
 }
 END_TEST
 
-/* Its request was logged as aborted (513), its upstream's success forgotten. */
+/* Its request was logged as aborted (513), its upstream's success forgotten.
+ */
 START_TEST(client_whose_answer_was_delivered_has_not_left)
 {
     bool paused;
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -30,10 +30,9 @@
 }
 
 /* The bytes that nng 1.5 sends for these messages. */
-static const uint8_t known[] = {0, 'S', 'P', 0, 0, 0x50, 0, 0,
-                                0, 0, 0, 0, 0, 0, 0, 5, 'h', 'e', 'l', 'l', 'o',
-                                0, 0, 0, 0, 0, 0, 0, 0,
-                                0, 0, 0, 0, 0, 0, 0, 1, 'x'};
+static const uint8_t known[] = {
+    0,   'S', 'P', 0, 0, 0x50, 0, 0, 0, 0, 0, 0, 0, 0, 0, 5, 'h', 'e', 'l',
+    'l', 'o', 0,   0, 0, 0,    0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,   1,   'x'};
 
 START_TEST(format_is_that_of_the_builds_before)
 {
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -226,9 +226,9 @@
     static const struct {
         size_t headers;
         size_t value_len;
-    } heads[] = {{0, 0},     {1, 4000}, {2, 4000}, {3, 4000},
-                 {5, 4000},  {12, 4000}, {50, 60}, {100, 60},
-                 {160, 60},  {200, 4},  {900, 20}};
+    } heads[] = {{0, 0},    {1, 4000},  {2, 4000}, {3, 4000},
+                 {5, 4000}, {12, 4000}, {50, 60},  {100, 60},
+                 {160, 60}, {200, 4},   {900, 20}};
     fixture w;
     set_up(&w);
     for (size_t i = 0; i < BBM_COUNT(heads); i++) {
@@ -236,8 +236,7 @@
             int before = atomic_load(&w.runs);
             w.answer_headers = heads[j].headers;
             w.answer_value_len = heads[j].value_len;
-            int status =
-                send_order(&w, heads[i].headers, heads[i].value_len);
+            int status = send_order(&w, heads[i].headers, heads[i].value_len);
             bool ran = atomic_load(&w.runs) > before;
             ck_assert_msg(status != 0, "request %zu x %zu, answer %zu x %zu",
                           heads[i].headers, heads[i].value_len,
