--- a/tests/soak/soak_world.c
+++ b/tests/soak/soak_world.c
@@ -153,8 +153,10 @@
     for (;;) {
         int64_t left = until_ms - soak_now_ms();
         struct pollfd p = {.fd = fd, .events = POLLIN};
+        errno = ETIMEDOUT;
         if (left <= 0 || len + 1 == size || poll(&p, 1, (int)left) <= 0)
             return false;
+        errno = 0;
         ssize_t n = recv(fd, text + len, size - 1 - len, 0);
         if (n <= 0)
             return false;
@@ -484,6 +486,18 @@
     pthread_mutex_unlock(&excuses_lock);
 }
 
+void
+soak_excuse_until(int vm, int64_t to_ms)
+{
+    pthread_mutex_lock(&excuses_lock);
+    size_t i = excuses_len;
+    while (i && excuses[i - 1].vm != vm)
+        i--;
+    if (i)
+        excuses[i - 1].to_ms = to_ms;
+    pthread_mutex_unlock(&excuses_lock);
+}
+
 bool
 soak_is_excused(int vm, int64_t from_ms, int64_t to_ms)
 {
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -46,7 +46,8 @@
 
 /** Read an HTTP message into @p text, its body without chunks at the end;
  *  false if the connection ended or @p until_ms passed before it was
- *  complete.
+ *  complete: errno is 0 then if it was closed in good order, ETIMEDOUT if the
+ *  time has passed, and ECONNRESET if it was reset.
  *  @param received receives the number of bytes read
  *  @param body     receives where the body begins */
 bool soak_read_message(int fd, char *text, size_t size, int64_t until_ms,
@@ -70,6 +71,8 @@
 
 /** A time during which a VM is killed or frozen. */
 void soak_excuse(int vm, int64_t from_ms, int64_t to_ms);
+/** Change the end of the VM's last such time. */
+void soak_excuse_until(int vm, int64_t to_ms);
 /** True if the VM was killed or frozen at some moment of a span. */
 bool soak_is_excused(int vm, int64_t from_ms, int64_t to_ms);
 
