Messages queued for slow VMs are bounded by their bytes, over all of them

Test: test_transport, a peer that reads nothing beside 100 more links: at most 20 and 25 MiB are queued; without the bound it would be 16 MiB for each link.

--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -206,6 +206,11 @@
     write_metric("link_lost_age_ms", "gauge",
                  "Since the last one of these ended; 0: none has",
                  links->link_lost_age_ms, out);
+    write_metric("link_messages_dropped_total", "counter",
+                 "Messages to daemons for which the queues had no room",
+                 links->dropped, out);
+    write_metric("link_queued_bytes", "gauge", "Bytes queued for slow daemons",
+                 links->queued_bytes, out);
     write_metric(
         "failed_after_send_total", "counter",
         "Requests failed by the daemon after a send that may have run",
--- a/daemon/transport.c
+++ b/daemon/transport.c
@@ -17,8 +17,11 @@
 #include <unistd.h>
 #include <uthash.h>
 
-/* Messages queued for a slow peer; further ones are dropped. */
+/* Messages queued for a slow peer, and bytes queued for all peers together;
+   further ones are dropped.  The first message to a peer is queued whatever
+   its length. */
 #define SEND_QUEUE_MESSAGES 256
+#define SEND_QUEUES_BYTES ((size_t)16 * 1024 * 1024)
 /* Delay between attempts to connect to a peer. */
 #define RECONNECT_MIN (50 * BBM_MS)
 #define RECONNECT_MAX (250 * BBM_MS)
@@ -111,6 +114,8 @@
     peer_link *links;     /* by name */
     struct link_list waiting;
     struct link_list closed;
+    size_t queued_bytes; /* of all links */
+    uint64_t dropped;    /* messages for which the queues had no room */
     uint64_t links_lost;
     bbm_time link_lost_at; /* 0: none was */
     pthread_mutex_t blocked_lock;
@@ -331,17 +336,26 @@
 }
 
 static void
-drop_message(peer_link *l)
+remove_message(transport *t, peer_link *l)
 {
     outgoing *m = STAILQ_FIRST(&l->queue);
     STAILQ_REMOVE_HEAD(&l->queue, link);
     l->queue_len--;
+    t->queued_bytes -= m->len;
     free(m);
 }
 
+static bool
+has_room(const transport *t, const peer_link *l, size_t len)
+{
+    return !l->queue_len
+           || (l->queue_len < SEND_QUEUE_MESSAGES
+               && t->queued_bytes + len <= SEND_QUEUES_BYTES);
+}
+
 /* Sends what the socket takes.  Returns false if the connection has ended. */
 static bool
-send_queue(const transport *t, peer_link *l)
+send_queue(transport *t, peer_link *l)
 {
     outgoing *m;
     while ((m = STAILQ_FIRST(&l->queue)) != NULL) {
@@ -354,7 +368,7 @@
         m->pos += n > 0 ? (size_t)n : 0;
         if (m->pos < m->len)
             break;
-        drop_message(l);
+        remove_message(t, l);
     }
     bool awaits_room = m != NULL;
     if (awaits_room == l->awaits_room)
@@ -416,8 +430,7 @@
 }
 
 static bool
-handle_link_events(const transport *t, peer_link *l, uint32_t events,
-                   bbm_time now)
+handle_link_events(transport *t, peer_link *l, uint32_t events, bbm_time now)
 {
     if (l->state == LINK_CONNECTING && !finish_connect(t, l))
         return false;
@@ -458,19 +471,13 @@
     return l;
 }
 
-static void
-release_link(peer_link *l)
-{
-    while (!STAILQ_EMPTY(&l->queue))
-        drop_message(l);
-    free(l);
-}
-
 /* The I/O thread releases the link, as it may be about to handle an event of
    it. */
 static void
 close_link(transport *t, peer_link *l)
 {
+    while (!STAILQ_EMPTY(&l->queue))
+        remove_message(t, l);
     HASH_DEL(t->links, l);
     if (l->state == LINK_WAITING)
         TAILQ_REMOVE(&t->waiting, l, listed);
@@ -501,12 +508,14 @@
 static void
 send_message(transport *t, peer_link *l, outgoing *m, bbm_time now)
 {
-    if (l->queue_len == SEND_QUEUE_MESSAGES) {
+    if (!has_room(t, l, m->len)) {
+        t->dropped++;
         free(m);
         return;
     }
     STAILQ_INSERT_TAIL(&l->queue, m, link);
     l->queue_len++;
+    t->queued_bytes += m->len;
     link_sent(&l->life, now);
     if (l->state != LINK_UP || l->awaits_room || send_queue(t, l))
         return;
@@ -535,7 +544,7 @@
     peer_link *l;
     while ((l = TAILQ_FIRST(&t->closed)) != NULL) {
         TAILQ_REMOVE(&t->closed, l, listed);
-        release_link(l);
+        free(l);
     }
 }
 
@@ -645,6 +654,8 @@
     transport_counts c = {.rejected = atomic_load(&t->rejected)};
     pthread_mutex_lock(&t->lock);
     c.links_lost = t->links_lost;
+    c.dropped = t->dropped;
+    c.queued_bytes = t->queued_bytes;
     if (t->link_lost_at)
         c.link_lost_age_ms =
             (uint64_t)((control_now() - t->link_lost_at) / BBM_MS);
--- a/daemon/transport.h
+++ b/daemon/transport.h
@@ -31,6 +31,9 @@
                                     rejected. */
     uint64_t links;            /**< Daemons connected to now. */
     uint64_t links_lost;       /**< Connections that have ended. */
+    uint64_t dropped;          /**< Messages for which the queues to slow
+                                    peers had no room. */
+    uint64_t queued_bytes;     /**< In these queues now. */
     uint64_t link_lost_age_ms; /**< Since the last one did; 0: none has. */
 } transport_counts;
 /** From any thread. */
--- a/tests/test_transport.c
+++ b/tests/test_transport.c
@@ -163,6 +163,18 @@
     int stuck = greet_as_receiver(listener);
     for (int i = 0; i < 1000; i++)
         transport_send(sender, "vm-3", "127.0.0.1:17678", &large);
+    /* The queues to all peers together are bounded. */
+    transport_counts counts = transport_count(sender);
+    ck_assert_uint_gt(counts.dropped, 500);
+    ck_assert_uint_le(counts.queued_bytes, (uint64_t)20 << 20);
+    for (int i = 0; i < 100; i++) {
+        char name[BBM_NAME_SIZE];
+        snprintf(name, sizeof(name), "vm-%d", 10 + i);
+        transport_send(sender, name, "127.0.0.1:17678", &large);
+        transport_send(sender, name, "127.0.0.1:17678", &large);
+    }
+    counts = transport_count(sender);
+    ck_assert_uint_le(counts.queued_bytes, (uint64_t)25 << 20);
     /* The peer moves to another address: the link to the old one closes. */
     transport_send(sender, "vm-2", "127.0.0.1:17679", &bytes);
     bool received = false;
