Random admission takes a customer's small requests first

Cause: where a VM's share is less than four requests, all sizes are admitted with one probability. A bucket of the whole rate would nearly always have room for requests of 200 to 900 tokens beside ones of 9,200. Change: requests of an eighth of the mean token's request or less are admitted first; the others give up as many tokens, but keep half of their probability. The tokens that a VM is expected to admit stay the same, so the bound over all VMs does too.

--- a/rate/bbm_share.c
+++ b/rate/bbm_share.c
@@ -49,6 +49,13 @@
 #define SAMPLES_MAX 24
 #define SAMPLE_PERIOD (25 * BBM_MS)
 
+/* A request is small if the mean token belongs to a request that is this many
+   times as large.  Random admission takes small requests first: they are most
+   of a customer's requests, but use little of its rate.  The others keep this
+   share of their probability, so that none is starved. */
+#define SMALL_SIZE_RATIO 8.0
+#define LARGE_ADMIT_SHARE_MIN 0.5
+
 /* Weight of a request in the mean size when the next one has arrived. */
 #define SIZE_DECAY 0.98
 
@@ -73,6 +80,7 @@
     double level;             /* tokens that can be reserved */
     double demand;            /* long-term, tokens per second */
     double short_term_demand; /* tokens per second */
+    double small_demand;      /* part of `demand`: of small requests */
     double size_tokens;       /* of the latest requests; see SIZE_DECAY */
     double size_squares;      /* squares of their sizes */
     demand_sample samples[SAMPLES_MAX]; /* ring */
@@ -157,6 +165,7 @@
     if (row->level > capacity_of(row))
         row->level = capacity_of(row);
     row->demand *= exp(-span / DEMAND_TIME_CONSTANT_S);
+    row->small_demand *= exp(-span / DEMAND_TIME_CONSTANT_S);
     row->short_term_demand *= exp(-span / SHORT_TERM_TIME_CONSTANT_S);
 }
 
@@ -215,6 +224,29 @@
     return row->size_tokens > 0 ? row->size_squares / row->size_tokens : 0;
 }
 
+static bool
+is_small(const share_row *row, double tokens)
+{
+    return tokens * SMALL_SIZE_RATIO <= mean_size(row);
+}
+
+/* Probability of random admission for a request of this size.  The tokens that
+   all requests of this VM are expected to use are the same as if each had the
+   probability of the row. */
+static double
+admit_probability_of(const share_row *row, double tokens)
+{
+    double p = row->admit_probability;
+    double small = row->demand > 0 ? row->small_demand / row->demand : 0;
+    if (small <= 0 || small >= 1)
+        return p;
+    double p_large = (p - small) / (1 - small);
+    if (p_large < p * LARGE_ADMIT_SHARE_MIN)
+        p_large = p * LARGE_ADMIT_SHARE_MIN;
+    return is_small(row, tokens) ? (p - (1 - small) * p_large) / small
+                                 : p_large;
+}
+
 bool
 bbm_shares_reserve(bbm_shares *s, const char *customer, double tokens,
                    bbm_time now, bbm_time *wait)
@@ -227,16 +259,20 @@
     record_size(row, tokens);
     row->demand += tokens / DEMAND_TIME_CONSTANT_S;
     row->short_term_demand += tokens / SHORT_TERM_TIME_CONSTANT_S;
+    if (is_small(row, tokens))
+        row->small_demand += tokens / DEMAND_TIME_CONSTANT_S;
     if (row->relaxed && now - row->total_at < TOTAL_AGE_MAX_NS) {
         row->level -= tokens;
         return true;
     }
     bool has_fresh_total =
         row->total_at && now - row->total_at < TOTAL_AGE_MAX_NS;
-    /* All sizes in one way: if each had its own, each would have the rate. */
+    /* All sizes at random: if large ones were admitted at random and small
+       ones by the level, each would have the rate. */
     if (has_fresh_total
         && mean_size(row) * SHARE_REQUESTS_MIN > capacity_of(row)) {
-        bool admitted = bbm_rng_unit(&s->rng) < row->admit_probability;
+        bool admitted =
+            bbm_rng_unit(&s->rng) < admit_probability_of(row, tokens);
         *wait = admitted ? 0 : RANDOM_RETRY_NS;
         if (admitted && row->level > -capacity_of(row))
             row->level -= tokens;
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -34,6 +34,8 @@
     size_t steps;
     uint64_t requested;
     uint64_t refused;
+    uint64_t small_requested; /* part of `requested` */
+    uint64_t small_refused;   /* part of `refused` */
 } simulation;
 
 static void
@@ -131,10 +133,13 @@
             if (s->now < s->ready_at[vm])
                 continue;
             s->requested++;
-            if (bbm_shares_reserve(s->vms[vm], "c", size, s->now, &wait))
+            s->small_requested += size < tokens;
+            if (bbm_shares_reserve(s->vms[vm], "c", size, s->now, &wait)) {
                 s->ran[s->steps] += size;
-            else
-                s->refused++;
+                continue;
+            }
+            s->refused++;
+            s->small_refused += size < tokens;
         }
         s->steps++;
     }
@@ -338,6 +343,51 @@
 }
 END_TEST
 
+/* A customer's long prompts rise to 2.3 and 6.9 times of what its rate allows.
+   Its small requests, a twentieth of the tokens, were refused as often as the
+   long ones; a bucket of the whole rate would have had room for them. */
+START_TEST(small_requests_fit_beside_large_ones)
+{
+    static const double rises[] = {2.3, 6.9};
+    bbm_share_limits limits = {.rate = 500000, .burst = 500000};
+    limits.overrun_max = (limits.rate * 8 + limits.burst) * 0.1 + 110000;
+    for (size_t i = 0; i < 2; i++) {
+        simulation s;
+        begin(&s, 75, &limits);
+        s.period = 75 * BBM_MS;
+        s.delay_steps = 4;
+        s.small_tokens = 875;
+        for (size_t vm = 0; vm < s.len; vm++)
+            bbm_shares_set_totals_age(s.vms[vm], 75 * BBM_MS);
+        run_load(&s, 60, 9200, 4 * BBM_SECOND);
+        s.refused = 0;
+        run_load(&s, 60, 9200, 10 * BBM_SECOND);
+        uint64_t normally_refused = s.refused;
+        run_load(&s, rises[i] * 2 * limits.rate / (9200 + 875), 9200,
+                 4 * BBM_SECOND);
+        s.requested = 0;
+        s.refused = 0;
+        s.small_requested = 0;
+        s.small_refused = 0;
+        run_load(&s, rises[i] * 2 * limits.rate / (9200 + 875), 9200,
+                 8 * BBM_SECOND);
+        double allowed = limits.rate * 8 + limits.burst + limits.overrun_max;
+        ck_assert_uint_eq(normally_refused, 0);
+        ck_assert_double_le(max_in_window(&s, 8 * BBM_SECOND), allowed);
+        double small = (double)s.small_refused / (double)s.small_requested;
+        double large = (double)(s.refused - s.small_refused)
+                       / (double)(s.requested - s.small_requested);
+        ck_assert_msg(small < 0.1 || (i == 1 && small < 0.5),
+                      "%.3f of the small requests refused", small);
+        /* Large ones aren't starved: at the rate, 1 / rise of all tokens run;
+           they get a third of that at least. */
+        ck_assert_msg(1 - large > 1 / rises[i] / 3,
+                      "%.3f of the large requests refused", large);
+        end(&s);
+    }
+}
+END_TEST
+
 START_TEST(unlimited_without_limits)
 {
     bbm_shares *s = bbm_shares_create(1);
@@ -351,4 +401,4 @@
           rising_demand_makes_no_tokens,
           requests_of_two_sizes_have_the_rate_once, restarts_make_no_tokens,
           restarts_refuse_little_below_the_rate, moving_demand_makes_no_tokens,
-          unlimited_without_limits);
+          small_requests_fit_beside_large_ones, unlimited_without_limits);
