Sampled runners only under late loads; a large pool divided between short and long prompts

What was seen: with 17 to 99 VMs, totals of the load are 75 to 150 ms old. Change: what a request hasn't drawn is left to others (5 s). A pool of 32 runners or more leaves some of them to short prompts, by what all VMs know, while at most a quarter of its slots is taken.

--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -283,6 +283,7 @@
     if (!u) {
         u = bbm_calloc(1, sizeof(*u));
         u->hash = bbm_hash_text(info->id, 0);
+        u->partition_rank = bbm_partition_rank(u->hash);
         bbm_name_set(u->info.id, info->id);
         HASH_ADD_KEYPTR(hh, g->upstreams, u->info.id, strlen(u->info.id), u);
         HASH_ADD(by_hash, g->upstreams_by_hash, hash, sizeof(u->hash), u);
@@ -451,6 +452,7 @@
     g->held_elsewhere = held > g->held_reported ? held - g->held_reported : 0;
     g->totals_at = g->now;
     get_upstream_totals(g, rd);
+    gate_update_partitions(g);
     size_t len = bbm_get_u32(rd, BBM_LOADS_ROWS_MAX);
     for (size_t i = 0; i < len && !rd->failed; i++) {
         bbm_demand row;
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -8,6 +8,7 @@
 #include "bbm_gate.h"
 #include "bbm_hash.h"
 #include "bbm_loads.h"
+#include "bbm_partition.h"
 #include "bbm_places.h"
 #include "bbm_retry.h"
 #include "bbm_returns.h"
@@ -57,6 +58,7 @@
     bbm_returns returns; /**< When clients return that were refused because
                               of pauses. */
     bbm_returns limit_returns; /**< The same, because of limits. */
+    bbm_partition partition;   /**< Of its runners. */
     UT_hash_handle hh;         /**< By name. */
 } gate_pool;
 
@@ -76,6 +78,7 @@
     uint64_t hash;              /**< Hash of its id. */
     uint64_t origin;            /**< Of streams that begin there. */
     UT_hash_handle by_hash;     /**< By hash. */
+    double partition_rank;      /**< As in bbm_partition_has_short. */
     bbm_time cache_empty_since; /**< Last time that its cache was emptied, by a
                                      restart or new weights. */
     bool was_listed;            /**< Has been in a listing. */
@@ -214,6 +217,8 @@
                                    it. */
     bbm_time target_latency;  /**< Target time from arrival to the head of the
                                    answer. */
+    bbm_time target_gap;      /**< Longest time between events of its stream
+                                   that is on time. */
     bbm_time arrived_at;      /**< When it arrived. */
     bbm_time deadline;       /**< Time by which the answer must be complete. */
     bbm_time start_deadline; /**< Time by which the answer must begin. */
@@ -735,4 +740,14 @@
 /** Find a pool by name, or NULL. */
 gate_pool *gate_find_pool(const bbm_gate *g, const char *name);
 
+/* ---- gate_partition.c ---- */
+
+/** Adapt the partitions of all pools to the latest totals. */
+void gate_update_partitions(bbm_gate *g);
+/** Record a request that is sent to an upstream. */
+void gate_record_size(const gate_request *r, gate_upstream *u);
+/** True if an upstream is in the part of its pool for such requests, or the
+ *  pool isn't divided. */
+bool gate_is_in_part(const gate_request *r, const gate_upstream *u);
+
 #endif
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -58,12 +58,15 @@
 #define NEWEST_LOAD_SHARE 0.8
 /* Time constant of the smoothed prefill rate. */
 #define RATE_SMOOTHING_TIME (2 * BBM_SECOND)
-/* If placements are delayed, all VMs would choose the same runner at once.  So
-   each request prefers a few: the runners that hold the whole shared prefix,
-   its home, and this number of others on average, drawn at random.  The rest
-   get an extra cost. */
+/* If placements are delayed, all VMs would choose the same runner at once: the
+   one that was free at the last report gets all requests until the next one.
+   So each request considers a few: the runners that hold the whole shared
+   prefix, its home, and this number of others on average, drawn at random. */
 #define RANDOM_CANDIDATE_COUNT 3.0
-#define NOT_SAMPLED_COST_MS 150.0
+/* Extra cost of the others, which are left to requests that draw them. */
+#define NOT_SAMPLED_COST_MS 5000.0
+/* Extra cost of a runner outside the part of the pool for such prompts. */
+#define OUTSIDE_PART_COST_MS 300.0
 /* Load of the other VMs counts in full up to this age, then less and less:
    what they had sent by then has been processed, and where they send now isn't
    known.  Otherwise all VMs would go on avoiding the runners that were busy at
@@ -103,6 +106,7 @@
                     the grace period */
     gate_cached cached;
     double miss_tokens; /* prompt tokens that it must process */
+    bool is_in_part;    /* in the part of the pool for such prompts */
     bool is_home;       /* a home of the chain that this request considers */
     bool is_full; /* a further request would only wait there, and evict cached
                      prefixes */
@@ -228,6 +232,7 @@
         .upstream = u,
         .weight = rendezvous_weight(r, u),
         .version = version,
+        .is_in_part = gate_is_in_part(r, u),
         .is_old = age >= g->desc.old_weights_grace - OLD_WEIGHTS_MARGIN,
     };
 }
@@ -296,6 +301,8 @@
 {
     const candidate *x = a;
     const candidate *y = b;
+    if (x->is_in_part != y->is_in_part)
+        return x->is_in_part ? -1 : 1;
     if (x->weight == y->weight)
         return 0;
     return x->weight > y->weight ? -1 : 1;
@@ -486,6 +493,8 @@
 {
     c->cost_ms = runner_wait_ms(g, c->upstream) + cross_zone_ms(g, c->upstream)
                  + paused_elsewhere_ms(g, c->upstream);
+    if (!c->is_in_part)
+        c->cost_ms += OUTSIDE_PART_COST_MS;
     c->is_full = is_full(g, r, c->upstream);
     gate_find_cached(g, r, c->upstream, c->version, &c->cached);
 }
@@ -505,6 +514,28 @@
     }
 }
 
+/* Runners in the part of the pool for such prompts come first in the set.  If
+   none does, all are drawn from. */
+static size_t
+count_in_part(const candidate_set *set)
+{
+    size_t len = 0;
+    while (len < set->len && set->items[len].is_in_part)
+        len++;
+    return len ? len : set->len;
+}
+
+/* True if a request considers the i-th runner of the set. */
+static bool
+is_sampled(bbm_gate *g, const gate_request *r, const candidate_set *set,
+           size_t i, size_t in_part)
+{
+    if (i == 0 || set->items[i].cached.prefixes_held == r->prefixes_len)
+        return true;
+    return i < in_part
+           && bbm_rng_unit(&g->rng) * (double)in_part < RANDOM_CANDIDATE_COUNT;
+}
+
 static void
 estimate_runner_costs(bbm_gate *g, const gate_request *r, candidate_set *set)
 {
@@ -513,13 +544,11 @@
     for (size_t i = 0; i < set->len && set->holders_unknown; i++)
         set->holders_unknown =
             !gate_has_placement(g, r, set->items[i].version);
+    size_t in_part = count_in_part(set);
     for (size_t i = 0; i < set->len; i++) {
         candidate *c = &set->items[i];
         estimate_wait(g, r, c);
-        bool sampled = i == 0 || c->cached.prefixes_held == r->prefixes_len
-                       || bbm_rng_unit(&g->rng) * (double)set->len
-                              < RANDOM_CANDIDATE_COUNT;
-        if (g->placements_delayed && !sampled)
+        if (g->placements_delayed && !is_sampled(g, r, set, i, in_part))
             c->cost_ms += NOT_SAMPLED_COST_MS;
         if (set->holders_unknown)
             add_cost_holders_unknown(r, c, i);
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -320,6 +320,7 @@
     u->backlog_tokens += r->backlog_tokens;
     u->memory_tokens += r->memory_tokens;
     g->load_changed = true;
+    gate_record_size(r, u);
     gate_record_placement(g, r, c);
     if (gate_is_limited(u))
         bbm_turns_take(&u->turns);
@@ -703,6 +704,7 @@
     }
     r->attempts_max = (uint32_t)route->attempts_max;
     r->target_latency = route->target_latency_ms * BBM_MS;
+    r->target_gap = route->target_gap_ms * BBM_MS;
     r->deadline = BBM_NEVER;
     if (request->client_timeout > 0)
         r->deadline = r->arrived_at + request->client_timeout - ANSWER_MARGIN;
