Measure the speed of runners by their answers, and place by it

The configured prefill rate may be wrong by a factor, and runners of a pool may differ. Each VM takes samples from answers whose prompts are known to be processed, shares them in the news (format 6), and uses the rate of each runner for costs, backlog limits and refusals. Without significant differences factors are 1.

--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -34,6 +34,7 @@
     g->vms = 1;
     g->retry_vms = 1;
     g->shares = bbm_shares_create(desc->seed);
+    g->speeds = bbm_speed_create();
     g->chains = bbm_chains_create();
     g->places = bbm_places_create();
     g->quarantine = bbm_quarantine_create(desc->seed);
@@ -60,6 +61,7 @@
     BBM_TABLE_FREE(gate_store, g->stores);
     BBM_TABLE_FREE(gate_customer, g->customers);
     BBM_TABLE_FREE(gate_peer, g->peers);
+    bbm_speed_destroy(g->speeds);
     bbm_chains_destroy(g->chains);
     bbm_places_destroy(g->places);
     bbm_quarantine_destroy(g->quarantine);
@@ -210,6 +212,7 @@
     apply_stores(g, cfg);
     apply_customers(g, cfg);
     gate_update_origins(g);
+    gate_list_speeds(g);
     gate_dispatch_waiting(g);
 }
 
@@ -323,6 +326,7 @@
         free(u);
     }
     gate_update_origins(g);
+    gate_list_speeds(g);
     gate_dispatch_waiting(g);
 }
 
@@ -500,7 +504,8 @@
     g->unsent_placements.len = 0;
     g->unsent_placements_len = 0;
     bbm_quarantine_put_news(g->quarantine, g->now, buf);
-    gate_put_cut_pools(g, buf);
+    gate_put_cut_pools(g, bbm_speed_news_len(g->speeds) > 0, buf);
+    gate_put_speeds(g, buf);
 }
 
 void
@@ -517,6 +522,7 @@
     }
     bbm_quarantine_get_news(g->quarantine, rd, own, g->now);
     gate_get_cut_pools(g, rd, vm);
+    gate_get_speeds(g, rd, own);
     gate_apply_quarantine(g);
 }
 
@@ -534,6 +540,7 @@
     }
     bbm_quarantine_convert_news(&rd, from, to, buf);
     gate_convert_cut_pools(&rd, from, to, buf);
+    gate_convert_speeds(&rd, from, to, buf);
     return bbm_reader_done(&rd);
 }
 
@@ -550,9 +557,7 @@
 {
     gate_upstream *u = NULL;
     HASH_FIND_STR(g->upstreams, upstream, u);
-    return u && u->pool
-               ? gate_backlog_tokens(g, u) / u->pool->prefill_tokens_per_ms
-               : 0;
+    return u && u->pool ? gate_backlog_tokens(g, u) / gate_prefill_rate(u) : 0;
 }
 
 bbm_gate_counts
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -66,6 +66,7 @@
     double duration_ms = (double)(g->now - r->sent_at) / (double)BBM_MS;
     u->lateness_ms +=
         (duration_ms - r->expected_ms - u->lateness_ms) * SMOOTHING_WEIGHT;
+    gate_record_speed(g, r);
 }
 
 void
@@ -386,6 +387,8 @@
 {
     gate_advance(g, now);
     bbm_quarantine_tick(g->quarantine, g->now);
+    if (bbm_speed_update(g->speeds, g->now))
+        gate_apply_speeds(g);
     gate_apply_quarantine(g);
     gate_request *r, *next;
     HASH_ITER(hh, g->requests, r, next)
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -12,6 +12,7 @@
 #include "bbm_retry.h"
 #include "bbm_returns.h"
 #include "bbm_share.h"
+#include "bbm_speed.h"
 #include "bbm_turns.h"
 
 #include <sys/queue.h>
@@ -37,6 +38,8 @@
                                    upstream whose entry specifies none. */
     double prefill_tokens_per_ms; /**< Prompt processing rate of a runner, in
                                        tokens per millisecond. */
+    double speed; /**< Rate relative to the configured one, as measured. */
+    bool uneven;  /**< Its runners differ in speed. */
     double memory_tokens; /**< KV cache capacity of a runner, in tokens. */
     double fetch_ms_per_token; /**< Time to fetch the cache entries of a token
                                     from the own zone. */
@@ -113,6 +116,7 @@
                                   successfully. */
     double lateness_ms; /**< Milliseconds by which answers begin later than
                              expected, smoothed; negative: earlier. */
+    double speed;       /**< Rate relative to its pool, as measured. */
     UT_hash_handle hh;  /**< By id. */
 } gate_upstream;
 
@@ -226,6 +230,8 @@
     bbm_time head_at;        /**< When its answer began; 0: not yet. */
     double expected_ms;      /**< Expected time from sent_at until the answer
                                   begins. */
+    double speed_expected_ms; /**< The same at the configured rate of the pool;
+                                   0: its answer tells nothing of that. */
     bbm_time next_admission_at; /**< While held: time from which it may be
                                      admitted again (see
                                      passes_random_admission). */
@@ -317,6 +323,7 @@
                                   stores that may not have them. */
     bbm_time store_tokens_at; /**< When that was last updated. */
     bbm_time totals_at;       /**< When totals were last received; 0: never. */
+    bbm_speed *speeds;        /**< Speeds of the runners. */
     bbm_chains *chains;       /**< Demand for chains of shared prompt parts. */
     bbm_places *places;       /**< Which upstreams and stores likely hold which
                                    shared prefixes. */
@@ -605,6 +612,28 @@
 /** True if the upstream has answered this VM within the last second. */
 bool gate_has_answered_lately(const bbm_gate *g, const gate_upstream *u);
 
+/* ---- gate_speed.c ---- */
+
+/** Prompt tokens that a runner processes per millisecond, as measured. */
+double gate_prefill_rate(const gate_upstream *u);
+/** Set what the answer to a request that is sent now would tell of the speed
+ * of its upstream; before the counters of that change. */
+void gate_expect_speed(const bbm_gate *g, gate_request *r,
+                       const gate_choice *c);
+/** Record that its answer has begun. */
+void gate_record_speed(bbm_gate *g, const gate_request *r);
+/** Update the measured upstreams after a new listing or configuration. */
+void gate_list_speeds(bbm_gate *g);
+/** Apply changed measurements. */
+void gate_apply_speeds(bbm_gate *g);
+/** Append this VM's samples; nothing if there are none. */
+void gate_put_speeds(bbm_gate *g, bbm_buf *buf);
+/** Read those of a VM. */
+void gate_get_speeds(bbm_gate *g, bbm_reader *rd, bool own);
+/** Read them in one format and append them in another. */
+void gate_convert_speeds(bbm_reader *rd, bbm_format from, bbm_format to,
+                         bbm_buf *buf);
+
 /* ---- gate_quarantine.c ---- */
 
 /** Record that the current attempt was ended by its upstream. */
@@ -659,8 +688,9 @@
 void gate_record_reached(bbm_gate *g, gate_upstream *u);
 /** True if this VM reaches no upstream of the pool. */
 bool gate_is_cut_off(const gate_upstream *u);
-/** Append the pools that this VM doesn't reach; nothing if there are none. */
-void gate_put_cut_pools(const bbm_gate *g, bbm_buf *buf);
+/** Append the pools that this VM doesn't reach; nothing if there are none,
+ *  unless more news follow. */
+void gate_put_cut_pools(const bbm_gate *g, bool news_follow, bbm_buf *buf);
 /** Read those of another VM. */
 void gate_get_cut_pools(bbm_gate *g, bbm_reader *rd, uint64_t vm);
 /** Read them in one format and append them in another. */
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -329,7 +329,7 @@
     if (gate_is_brittle_full(g, u))
         return true;
     return running + r->prompt_tokens + r->output_tokens_max > room
-           || gate_backlog_tokens(g, u) / u->pool->prefill_tokens_per_ms
+           || gate_backlog_tokens(g, u) / gate_prefill_rate(u)
                   > BACKLOG_MAX_MS;
 }
 
@@ -339,8 +339,8 @@
 {
     double room = u->pool->memory_tokens * RUNNING_MEMORY_SHARE
                   - total_memory_tokens(g, u);
-    double backlog = BACKLOG_MAX_MS * u->pool->prefill_tokens_per_ms
-                     - gate_backlog_tokens(g, u);
+    double backlog =
+        BACKLOG_MAX_MS * gate_prefill_rate(u) - gate_backlog_tokens(g, u);
     double size = r->prompt_tokens + r->output_tokens_max;
     room = backlog < room ? backlog : room;
     return size > 0 ? room / size : room;
@@ -349,14 +349,13 @@
 static double
 runner_wait_ms(const bbm_gate *g, const gate_upstream *u)
 {
-    const gate_pool *p = u->pool;
     double open = gate_open_requests(g, u);
-    double wait = gate_backlog_tokens(g, u) / p->prefill_tokens_per_ms
-                  + open * DECODE_STEP_MS_PER_REQUEST;
+    double decode_ms = open * DECODE_STEP_MS_PER_REQUEST;
     if (open >= gate_slots_of(u))
-        wait +=
+        decode_ms +=
             SLOT_WAIT_MS * (1 + open - gate_slots_of(u)) / gate_slots_of(u);
-    return wait;
+    return gate_backlog_tokens(g, u) / gate_prefill_rate(u)
+           + decode_ms / u->speed;
 }
 
 /* A runner that asked other VMs for a pause is loaded more than its reported
@@ -377,8 +376,7 @@
 away_from_home_ms(const gate_request *r, const candidate *c, size_t rank)
 {
     double fetch_ms = gate_fetch_ms(c->upstream, r->shared_tokens, false);
-    double compute_ms =
-        r->shared_tokens / c->upstream->pool->prefill_tokens_per_ms;
+    double compute_ms = r->shared_tokens / gate_prefill_rate(c->upstream);
     if (rank == 0)
         return 0;
     if (rank > 1)
@@ -393,7 +391,7 @@
 {
     c->miss_tokens = r->prompt_tokens - r->shared_tokens;
     c->cost_ms += away_from_home_ms(r, c, rank)
-                  + c->miss_tokens / c->upstream->pool->prefill_tokens_per_ms;
+                  + c->miss_tokens / gate_prefill_rate(c->upstream);
     if (rank > 0)
         c->miss_tokens += r->shared_tokens * FETCH_FAILURE_SHARE;
 }
@@ -402,7 +400,7 @@
 add_cost_holders_known(const gate_request *r, candidate *c, size_t rank)
 {
     const gate_cached *cached = &c->cached;
-    double speed = c->upstream->pool->prefill_tokens_per_ms;
+    double speed = gate_prefill_rate(c->upstream);
     double available = cached->offered_tokens > 0 ? cached->offered_tokens
                                                   : cached->held_tokens;
     c->miss_tokens = r->prompt_tokens - available;
@@ -443,7 +441,7 @@
         .news_lost = is_news_lost(g),
     };
     double own_ms = (r->prompt_tokens - r->shared_tokens)
-                    / home->upstream->pool->prefill_tokens_per_ms;
+                    / gate_prefill_rate(home->upstream);
     size_t homes =
         bbm_chains_homes(bbm_chains_rate(g->chains, &q, g->now), own_ms);
     return homes < set->len ? homes : set->len;
@@ -464,7 +462,7 @@
 add_home_costs(bbm_gate *g, const gate_request *r, candidate *c)
 {
     const gate_cached *cached = &c->cached;
-    double speed = c->upstream->pool->prefill_tokens_per_ms;
+    double speed = gate_prefill_rate(c->upstream);
     double available = cached->offered_tokens > cached->held_tokens
                            ? cached->offered_tokens
                            : cached->held_tokens;
@@ -726,6 +724,15 @@
     return (double)(g->now - then) / (double)BBM_MS;
 }
 
+static double
+total_prefill_rate(const candidate_set *set)
+{
+    double sum = 0;
+    for (size_t i = 0; i < set->len; i++)
+        sum += gate_prefill_rate(set->items[i].upstream);
+    return sum;
+}
+
 /* Time to process the prompts of the held requests of all VMs, which are sent
    before a new one.  Assumes that each VM holds as many as this one, that
    their prompts are like this one, and that half of each shared prefix is
@@ -739,7 +746,7 @@
     if (!p->is_engine)
         return ahead * p->service_ms
                / (double)(gate_slots_of(set->items[0].upstream) * set->len);
-    double speed = p->prefill_tokens_per_ms * (double)set->len;
+    double speed = total_prefill_rate(set);
     return ahead * (r->prompt_tokens - r->shared_tokens / 2) / speed;
 }
 
@@ -806,9 +813,8 @@
     if (!g->placements_delayed)
         return true;
     double all = g->prefill_rate * (double)g->vms;
-    double capacity =
-        set->items[0].upstream->pool->prefill_tokens_per_ms * (double)set->len;
-    return bbm_rng_unit(&g->rng) * all < capacity * NEWEST_LOAD_SHARE;
+    return bbm_rng_unit(&g->rng) * all
+           < total_prefill_rate(set) * NEWEST_LOAD_SHARE;
 }
 
 /* An answer from old weights is worth less than one from new weights, but more
--- a/gate/gate_reach.c
+++ b/gate/gate_reach.c
@@ -145,12 +145,12 @@
 }
 
 void
-gate_put_cut_pools(const bbm_gate *g, bbm_buf *buf)
+gate_put_cut_pools(const bbm_gate *g, bool news_follow, bbm_buf *buf)
 {
     size_t len = 0;
     for (const gate_pool *p = g->pools; p; p = p->hh.next)
         len += p->cut;
-    if (!len)
+    if (!len && !news_follow)
         return;
     bbm_put_u64(buf, len < GATE_CUT_POOLS_MAX ? len : GATE_CUT_POOLS_MAX);
     len = 0;
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -314,6 +314,7 @@
     r->expected_ms = c->expected_ms;
     r->upstream = u;
     r->upstream_run = gate_run_of(&u->info);
+    gate_expect_speed(g, r, c);
     r->backlog_tokens = (uint32_t)c->miss_tokens;
     r->memory_tokens = (uint32_t)(r->prompt_tokens + r->output_tokens_max);
     u->open_requests++;
--- a/node/node_report.c
+++ b/node/node_report.c
@@ -125,7 +125,7 @@
 {
     bbm_put_u64(buf, len);
     bbm_reader rd = bbm_reader_of(groups.data, groups.len);
-    if (format >= BBM_FORMAT_ORIGINS)
+    if (format >= BBM_FORMAT_SPEEDS)
         bbm_buf_add(buf, groups.data, groups.len);
     else
         convert_groups(&rd, len, BBM_FORMAT_LATEST, format, buf);
--- a/tests/test_formats.c
+++ b/tests/test_formats.c
@@ -129,6 +129,9 @@
     bbm_quarantine_destroy(q);
     bbm_put_u64(buf, 1); /* pool that is cut off */
     bbm_put_u64(buf, 0xc1c2c3c4c5c6c7c8);
+    bbm_put_u64(buf, 1); /* sample of an upstream's speed */
+    bbm_put_u64(buf, 0xd1d2d3d4);
+    bbm_put_u64(buf, 40);
 }
 
 START_TEST(news_are_written_and_read_as_builds_of_each_format_do)
