Totals cross zones once, where zone_relay says so; bytes sent by kind and zone

VMs state in their reports which totals they have; one that falls behind gets them directly, and a relay that fails is replaced. The settings zone_delay_ms and zone_byte_price are read, and not used yet.

--- a/base/bbm_format.h
+++ b/base/bbm_format.h
@@ -27,6 +27,8 @@
                                 relayed. */
     BBM_FORMAT_STATED,     /**< The same content; VMs state their format, and
                                 reports, totals and listings theirs. */
+    BBM_FORMAT_RELAYED,    /**< Totals have a list of VMs to forward them to,
+                                and reports state the latest totals. */
     BBM_FORMAT_COUNT,      /**< Number of values. */
     BBM_FORMAT_LATEST = BBM_FORMAT_COUNT - 1, /**< Of this build. */
 } bbm_format;
--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -52,6 +52,8 @@
     X(BBM_EVENT_STATE_UNREADABLE, 211, ERROR,                                 \
       "control state is of a later format; left the control group")           \
     X(BBM_EVENT_OLDER_FORMAT, 212, INFO, "VM of an earlier format detected")  \
+    X(BBM_EVENT_ZONE_RELAY, 213, INFO,                                        \
+      "VM chosen that forwards totals in its zone; none: sent directly")      \
     X(BBM_EVENT_REVISION, 300, INFO, "configuration in force")                \
     X(BBM_EVENT_CONFIG_REFUSED, 306, WARN, "invalid configuration rejected")  \
     X(BBM_EVENT_KEY_ADDED, 301, INFO, "key added")                            \
--- a/daemon/bbm_settings.c
+++ b/daemon/bbm_settings.c
@@ -73,6 +73,24 @@
      SETTINGS_OFFSET(serve_stale_keys),
      .description = "true: keyed routes of pools are served whatever the age "
                     "of the view of the keys"},
+    {.name = "zone_relay",
+     .kind = BBM_FIELD_BOOL,
+     SETTINGS_OFFSET(zone_relay),
+     .description =
+         "true: with 17 to 99 VMs, the leader's totals are sent once into "
+         "each other zone and forwarded there"},
+    {.name = "zone_delay_ms",
+     .kind = BBM_FIELD_REAL,
+     SETTINGS_OFFSET(zone_delay_ms),
+     .max = 10000,
+     .description = "added delay of a request to another zone, both ways, "
+                    "milliseconds; 0 with zone_byte_price 0: built-in cost"},
+    {.name = "zone_byte_price",
+     .kind = BBM_FIELD_REAL,
+     SETTINGS_OFFSET(zone_byte_price),
+     .max = 1e9,
+     .description = "milliseconds of delay accepted to keep a megabyte in the "
+                    "zone"},
     {.name = "private_network",
      .kind = BBM_FIELD_BOOL,
      SETTINGS_OFFSET(private_network),
--- a/daemon/bbm_settings.h
+++ b/daemon/bbm_settings.h
@@ -70,6 +70,11 @@
     int64_t fresh_bound_ms;   /**< If this VM's copy of the API keys is
                                    older, no request starts on a route
                                    with keys; milliseconds. */
+    bool zone_relay;          /**< Totals cross zones once. */
+    double zone_delay_ms;     /**< Added delay of a request to another zone;
+                                   0: see bbm_gate_desc. */
+    double zone_byte_price;   /**< Delay accepted to keep a megabyte in the
+                                   zone, ms. */
     bool serve_stale_keys;    /**< Routes of pools with keys serve whatever
                                    the age of the copy. */
     int64_t cut_bound_ms;     /**< If the copy is older than this, open
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -78,6 +78,11 @@
     bbm_time old_weights_max;   /**< Time after that announcement from which no
                                      request starts on old weights; default 8
                                      s. */
+    double zone_delay_ms;   /**< Added delay of a request to another zone, both
+                                 ways, in ms. */
+    double zone_byte_price; /**< Delay accepted to keep a megabyte in the zone,
+                                 in ms.  Both 0: leaving the zone costs a
+                                 constant, and isn't bounded. */
     bool unsafe_no_hold; /**< Tests only: refuse a request at once, instead of
                               holding it, if there is no upstream. */
 } bbm_gate_desc;
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -92,12 +92,14 @@
                            group. */
     bool self_repair; /**< Replace lost control VMs without an operator. */
     bool discovery;   /**< Read the upstreams from the provider's list. */
-    bbm_time list_period;      /**< Interval between the leader's reads of
-                                    the listing; 0: 1 s. */
-    bbm_time load_period;      /**< Interval between load reports of up to 16
-                                    VMs, which also report each change; more
-                                    VMs: 1 ms for each, at least 40 ms.
-                                    0: 250 ms. */
+    bbm_time list_period; /**< Interval between the leader's reads of
+                               the listing; 0: 1 s. */
+    bbm_time load_period; /**< Interval between load reports of up to 16
+                               VMs, which also report each change; more
+                               VMs: 1 ms for each, at least 40 ms.
+                               0: 250 ms. */
+    bool zone_relay; /**< As the leader of 17 to 99 VMs, send totals to one VM
+                          of each other zone, which forwards them there. */
     bbm_time gossip_period;    /**< Interval between member pings; 0: 1 s. */
     bbm_time stop_timeout;     /**< A stopping VM exits after this time even
                                     with open requests; 0: never. */
@@ -464,6 +466,24 @@
 
 /* ---- the object ---- */
 
+/** Kinds of messages between daemons, as counted. */
+typedef enum bbm_traffic_kind {
+    BBM_TRAFFIC_CONTROL, /**< Log, state, commands and data folders. */
+    BBM_TRAFFIC_MEMBERS, /**< Failure detector. */
+    BBM_TRAFFIC_RATES,   /**< Reports and grants of rates. */
+    BBM_TRAFFIC_LISTING, /**< Listings and their changes. */
+    BBM_TRAFFIC_LOADS,   /**< Reports of load and news. */
+    BBM_TRAFFIC_TOTALS,  /**< Totals of the load, and news. */
+    BBM_TRAFFIC_ORIGINS, /**< Origins of streams. */
+    BBM_TRAFFIC_COUNT,   /**< Number of kinds. */
+} bbm_traffic_kind;
+
+/** Bytes sent to other daemons. */
+typedef struct bbm_traffic {
+    uint64_t in_zone;  /**< To VMs of this VM's zone. */
+    uint64_t out_zone; /**< To others, and to VMs whose zone isn't known. */
+} bbm_traffic;
+
 /** Metrics of a node: counters, unless marked as a gauge.  Pool requests are
  *  counted in `gate`; besides that in `requests`, and in refused_key or
  *  refused_other if they are refused before they reach the gate. */
@@ -492,6 +512,7 @@
     uint64_t repeats;          /**< Repeats answered from a claim. */
     uint64_t messages_out;     /**< Messages sent to daemons. */
     uint64_t bytes_out;        /**< Bytes sent to daemons. */
+    bbm_traffic traffic[BBM_TRAFFIC_COUNT]; /**< The same by kind. */
     uint64_t messages_in;      /**< Messages received from daemons. */
     uint64_t bytes_in;         /**< Bytes received from daemons. */
     uint64_t bad_messages;     /**< Messages that could not be decoded. */
--- a/node/node_act.c
+++ b/node/node_act.c
@@ -52,13 +52,46 @@
     free(q);
 }
 
+static bbm_traffic_kind
+traffic_kind(uint64_t kind)
+{
+    switch (kind) {
+    case NODE_MEMBERS:
+        return BBM_TRAFFIC_MEMBERS;
+    case NODE_RATE_REPORT:
+    case NODE_RATE_GRANT:
+        return BBM_TRAFFIC_RATES;
+    case NODE_LISTING:
+        return BBM_TRAFFIC_LISTING;
+    case NODE_LOADS:
+        return BBM_TRAFFIC_LOADS;
+    case NODE_TOTALS:
+        return BBM_TRAFFIC_TOTALS;
+    case NODE_ORIGINS:
+    case NODE_ORIGIN_QUERY:
+    case NODE_ORIGIN:
+        return BBM_TRAFFIC_ORIGINS;
+    default:
+        return BBM_TRAFFIC_CONTROL;
+    }
+}
+
 static void
 count_message(bbm_node *n, const bbm_action *a)
 {
     if (a->kind != BBM_ACT_SEND)
         return;
+    const bbm_buf *bytes = &a->u.send.bytes;
     n->counts.messages_out++;
-    n->counts.bytes_out += a->u.send.bytes.len;
+    n->counts.bytes_out += bytes->len;
+    bbm_reader rd = bbm_reader_of(bytes->data, bytes->len);
+    bbm_get_u64(&rd); /* format */
+    bbm_traffic *sent = &n->counts.traffic[traffic_kind(bbm_get_u64(&rd))];
+    const bbm_member *m = bbm_members_find(n->members, a->u.send.to);
+    if (m && strcmp(m->zone, n->desc.zone) == 0)
+        sent->in_zone += bytes->len;
+    else
+        sent->out_zone += bytes->len;
 }
 
 bbm_action *
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -15,6 +15,7 @@
 #include "bbm_loads.h"
 #include "bbm_node.h"
 #include "bbm_rate.h"
+#include "bbm_relays.h"
 #include "bbm_retry.h"
 
 #include <sys/queue.h>
@@ -391,6 +392,9 @@
                                               report or totals, in groups by VM. */
     size_t relayed_news_len;       /**< Groups in relayed_news. */
     bbm_buf sent_totals;           /**< Leader: the totals sent last. */
+    bbm_relays *relays;            /**< Leader: who forwards totals; NULL
+                                        before it is used. */
+    uint64_t relays_term;          /**< Term of the leader of relays. */
     size_t totals_requests;        /**< Leader: VMs that have asked for totals
                                         since. */
     bbm_time totals_asked_at;      /**< When this VM last asked for totals. */
--- a/node/node_news.c
+++ b/node/node_news.c
@@ -9,6 +9,11 @@
  *  children in its own zone, and between zones each message passes once.  The
  *  listing takes the same way down.
  *
+ *  Between these sizes the leader's totals take up most of what VMs send. With
+ *  the setting zone_relay it sends them once into each other zone, to a VM
+ * that forwards them (see bbm_relays.h).  Reports go to the leader directly,
+ * and state the latest totals.
+ *
  *  The root of a zone's tree is its first alive VM by name, or the leader if
  *  that is in the zone.  VMs may see different members for a moment: one that
  *  gets no totals asks the leader for them.  The leader answers only some of
@@ -294,8 +299,20 @@
     bbm_bytes rows;   /* empty: none */
     bbm_bytes groups;
     size_t groups_len;
+    const char *const *names; /* VMs that the receiver forwards it to */
+    size_t names_len;
+    size_t fanout; /* messages that each of them may send of it */
 } totals_message;
 
+static void
+put_names(bbm_buf *buf, const totals_message *m)
+{
+    bbm_put_u64(buf, m->fanout);
+    bbm_put_u64(buf, m->names_len);
+    for (size_t i = 0; i < m->names_len; i++)
+        bbm_put_str(buf, m->names[i]);
+}
+
 static void
 send_totals_to(bbm_node *n, const char *to, void *context)
 {
@@ -307,6 +324,8 @@
     bbm_put_u64(buf, m->listing_term);
     bbm_put_u64(buf, m->listing_version);
     bbm_put_i64(buf, m->listing_age);
+    if (format >= BBM_FORMAT_RELAYED)
+        put_names(buf, m);
     bbm_buf_add(buf, m->stores.data, m->stores.len);
     bbm_buf rows = {0};
     if (m->rows.len)
@@ -316,6 +335,110 @@
     node_report_put_groups(buf, m->groups_len, m->groups, format);
 }
 
+/* Forwards totals to the VMs on their list.  A VM that can't read its part of
+   the list forwards nothing, so that part is sent from here. */
+static void
+forward_totals(bbm_node *n, const totals_message *m)
+{
+    const char *share[BBM_RELAYS_VMS_MAX];
+    size_t heads = bbm_relays_heads(m->names_len, m->fanout);
+    for (size_t i = 0; i < heads; i++) {
+        totals_message part = *m;
+        part.names = share;
+        part.names_len =
+            bbm_relays_share(m->names, m->names_len, m->fanout, i, share);
+        send_totals_to(n, m->names[i], &part);
+        if (node_news_format(n, m->names[i]) >= BBM_FORMAT_RELAYED)
+            continue;
+        size_t len = part.names_len;
+        part.names_len = 0;
+        for (size_t k = 0; k < len; k++)
+            send_totals_to(n, share[k], &part);
+    }
+}
+
+/* Leader: the VMs that its totals are for.  Returns their number, which may be
+   larger than BBM_RELAYS_VMS_MAX. */
+static size_t
+list_receivers(const bbm_node *n, bbm_relays_vm vms[BBM_RELAYS_VMS_MAX])
+{
+    size_t len = 0;
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        if (!is_reachable(n, m))
+            continue;
+        node_disk *disk = NULL;
+        HASH_FIND_STR(n->disks, m->name, disk);
+        if (len < BBM_RELAYS_VMS_MAX)
+            vms[len] = (bbm_relays_vm){
+                .name = m->name,
+                .zone = m->zone,
+                .may_relay =
+                    node_news_format(n, m->name) >= BBM_FORMAT_RELAYED,
+                .has_disk = disk && disk->id,
+            };
+        len++;
+    }
+    return len;
+}
+
+static void
+log_relay(bbm_node *n, const bbm_relays_plan *plan)
+{
+    if (!plan->changed)
+        return;
+    bbm_action *a = node_log_event(n, BBM_EVENT_ZONE_RELAY);
+    node_log_text(a, "subject", plan->relay);
+    node_log_text(a, "zone", plan->zone);
+    node_log_number(a, "zones_with_relay", (int64_t)plan->relays);
+    node_log_number(a, "late_vms", (int64_t)plan->late);
+}
+
+static bbm_relays *
+own_relays(bbm_node *n)
+{
+    if (n->relays && n->relays_term != n->leader_term) {
+        bbm_relays_destroy(n->relays);
+        n->relays = NULL;
+    }
+    if (!n->relays)
+        n->relays = bbm_relays_create();
+    n->relays_term = n->leader_term;
+    return n->relays;
+}
+
+/* Leader: sends totals once into each other zone.  False if they must go to
+   each VM. */
+static bool
+send_by_relays(bbm_node *n, const totals_message *m)
+{
+    size_t count = count_vms(n);
+    bbm_relays_vm vms[BBM_RELAYS_VMS_MAX];
+    if (!n->desc.zone_relay || reports_directly(count) || uses_trees(count))
+        return false;
+    bbm_relays_query q = {
+        .vms = vms,
+        .vms_len = list_receivers(n, vms),
+        .zone = n->desc.zone,
+        .number = m->number,
+        .period = load_period(n, count),
+        .now = n->now,
+    };
+    if (q.vms_len > BBM_RELAYS_VMS_MAX)
+        return false;
+    const bbm_relays_plan *plan = bbm_relays_make_plan(own_relays(n), &q);
+    for (size_t i = 0; i < plan->sends_len; i++) {
+        const bbm_relays_send *s = &plan->sends[i];
+        totals_message part = *m;
+        part.names = s->names;
+        part.names_len = s->names_len;
+        part.fanout = s->fanout;
+        send_totals_to(n, s->to, &part);
+    }
+    log_relay(n, plan);
+    return true;
+}
+
 /* Leader: sends its last totals to a VM, or to all that get them from it
    (NULL). */
 static void
@@ -336,7 +459,7 @@
     };
     if (to)
         send_totals_to(n, to, &m);
-    else
+    else if (!send_by_relays(n, &m))
         node_news_to_children(n, send_totals_to, &m);
     bbm_buf_free(&stores);
 }
@@ -360,12 +483,25 @@
         node_upstreams_send_listing(n, vm);
 }
 
+/* Which totals a VM has received. */
+static void
+hear_totals(bbm_node *n, const char *from, bbm_reader *rd)
+{
+    uint64_t term = bbm_get_u64(rd);
+    uint64_t number = bbm_get_u64(rd);
+    if (!rd->failed && n->desc.zone_relay && node_leads(n))
+        bbm_relays_hear(own_relays(n), from,
+                        term == n->leader_term ? number : 0, n->now);
+}
+
 int
 node_news_receive_loads(bbm_node *n, const char *from, bbm_reader *rd)
 {
     uint64_t term = bbm_get_u64(rd);
     uint64_t version = bbm_get_u64(rd);
     bool asks = bbm_get_u32(rd, 1) != 0;
+    if (n->received_format >= BBM_FORMAT_RELAYED)
+        hear_totals(n, from, rd);
     if (asks && n->gate && node_leads(n)) {
         answer_request(n, from);
         update_listing_of(n, from, term, version);
@@ -408,6 +544,24 @@
     return rd->failed ? BBM_ERR_DECODE : BBM_OK;
 }
 
+/* Names in a message of totals. */
+typedef struct totals_names {
+    char texts[BBM_RELAYS_VMS_MAX][BBM_NAME_SIZE];
+    const char *names[BBM_RELAYS_VMS_MAX];
+} totals_names;
+
+static void
+get_names(bbm_reader *rd, totals_names *list, totals_message *m)
+{
+    m->fanout = bbm_get_u32(rd, BBM_RELAYS_VMS_MAX);
+    m->names_len = bbm_get_u32(rd, BBM_RELAYS_VMS_MAX);
+    m->names = list->names;
+    for (size_t i = 0; i < m->names_len && !rd->failed; i++) {
+        bbm_get_name(rd, list->texts[i]);
+        list->names[i] = list->texts[i];
+    }
+}
+
 /* The same totals may come by several ways, and older ones after newer. */
 static bool
 are_newer_totals(const bbm_node *n, uint64_t leader_term, uint64_t number)
@@ -426,6 +580,9 @@
     m.listing_term = bbm_get_u64(rd);
     m.listing_version = bbm_get_u64(rd);
     m.listing_age = bbm_get_i64(rd);
+    totals_names list = {0};
+    if (n->received_format >= BBM_FORMAT_RELAYED)
+        get_names(rd, &list, &m);
     if (rd->failed)
         return BBM_ERR_DECODE;
     if (!n->gate || !are_newer_totals(n, m.leader_term, m.number))
@@ -449,7 +606,10 @@
     n->totals_term = m.leader_term;
     n->totals_number = m.number;
     n->totals_at = n->now;
-    node_news_to_children(n, send_totals_to, &m);
+    if (m.names_len)
+        forward_totals(n, &m);
+    else
+        node_news_to_children(n, send_totals_to, &m);
     if (!m.rows.len)
         return BBM_OK;
     bbm_reader in = bbm_reader_of(r.rows.data, r.rows.len);
@@ -479,11 +639,15 @@
 static bbm_buf *
 begin_loads(bbm_node *n, const char *to, bool asks)
 {
-    bbm_buf *buf =
-        node_send_in_format(n, to, NODE_LOADS, node_news_format(n, to));
+    bbm_format format = node_news_format(n, to);
+    bbm_buf *buf = node_send_in_format(n, to, NODE_LOADS, format);
     bbm_put_u64(buf, n->listing_term);
     bbm_put_u64(buf, n->listing_version);
     bbm_put_u64(buf, asks);
+    if (format >= BBM_FORMAT_RELAYED) {
+        bbm_put_u64(buf, n->totals_term);
+        bbm_put_u64(buf, n->totals_number);
+    }
     return buf;
 }
 
--- a/node/node_upstreams.c
+++ b/node/node_upstreams.c
@@ -300,6 +300,7 @@
     bbm_listing_free(&n->raw_listing);
     bbm_listing_free(&n->listing);
     bbm_loads_destroy(n->loads);
+    bbm_relays_destroy(n->relays);
     bbm_buf_free(&n->relayed_news);
     bbm_buf_free(&n->sent_totals);
 }
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -204,7 +204,8 @@
     for (int j = 0; j < f->desc.founders; j++)
         bbm_name_set(d.founders[j], f->vms[j].name);
     bbm_name_set(d.name, p->name);
-    snprintf(d.zone, sizeof(d.zone), "zone-%d", i % 3);
+    snprintf(d.zone, sizeof(d.zone), "zone-%d",
+             i % (f->desc.zones ? f->desc.zones : 3));
     bbm_text_set(d.address, sizeof(d.address), f->peers[i].address);
     snprintf(d.entry_url, sizeof(d.entry_url), "http://127.0.0.1:%d",
              10000 + i);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -16,6 +16,8 @@
 typedef struct fleet_desc {
     uint64_t seed;
     int nodes;
+    int zones;          /**< Zones, to which the nodes belong in turn; 0:
+                             3. */
     int founders;       /**< Number of nodes, from the first, named as
                              founders; without seeds these have a disk. */
     int seeds;          /**< Number of nodes, from the first, whose addresses
