Leaving the availability zone is decided by its price, where one is set

With zone_delay_ms or zone_byte_price set, a request leaves its zone if the answer is expected to begin sooner elsewhere by more than the cost of leaving. What leaves because the zone is busy goes to zones that wait less, within this VM's part of what they can take. Short shared prefixes have their home in the zone. Without the settings nothing changes.

--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -41,6 +41,7 @@
 #include "bbm_origins.h"
 #include "bbm_quarantine.h"
 #include "bbm_time.h"
+#include "bbm_zones.h"
 
 /** Maximum number of prompt parts that are placed by; further parts count as
  *  part of the last one, which isn't shared. */
@@ -241,7 +242,9 @@
             bool resumes;
             /** Id of the last event that was forwarded, or "". */
             char last_event_id[BBM_EVENT_ID_SIZE];
-            uint32_t candidates; /**< Number of eligible upstreams. */
+            uint32_t candidates;    /**< Number of eligible upstreams. */
+            const char *zone_cause; /**< Why it leaves the zone, or can't; "":
+                                         it stays. */
             int64_t expected_ms; /**< Expected time until the answer begins. */
             int64_t elapsed_ms;  /**< Time since the request arrived. */
             /** How the previous attempt ended, for the log; NULL: this is the
@@ -348,6 +351,8 @@
                                       answer, but the request may have run. */
     uint64_t aborted;            /**< Answers aborted after their head. */
     uint64_t client_disconnects; /**< Clients that disconnected early. */
+    bbm_zones_counts zones;      /**< Attempts, by why they left the zone or
+                                      stayed. */
     uint64_t open_requests;      /**< Open requests (gauge). */
     uint64_t held_requests;      /**< Open requests that wait for an upstream
                                       (gauge). */
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -57,7 +57,9 @@
     bbm_returns returns; /**< When clients return that were refused because
                               of pauses. */
     bbm_returns limit_returns; /**< The same, because of limits. */
-    UT_hash_handle hh;         /**< By name. */
+    bbm_zones zones;   /**< Load of its upstreams by zone, if leaving the zone
+                            has a price. */
+    UT_hash_handle hh; /**< By name. */
 } gate_pool;
 
 /** A statement of an upstream about its limit, and when it was received. */
@@ -415,6 +417,7 @@
     const gate_store *store; /**< Store that gets a copy of new cache entries;
                                   NULL: none. */
     char cache_salt[BBM_SALT_SIZE]; /**< Scope of cache entries, or "". */
+    bbm_zones_verdict zone;         /**< Whether it leaves the zone. */
 } gate_choice;
 
 /** Result of gate_choose. */
@@ -431,6 +434,39 @@
     GATE_PICK_NO_UPSTREAM, /**< No pool of the route has an upstream. */
 } gate_pick;
 
+/* ---- gate_zones.c ---- */
+
+/** True if an upstream is in the zone of this VM. */
+bool gate_is_in_zone(const bbm_gate *g, const gate_upstream *u);
+/** True if leaving the zone has a price; otherwise it costs a constant. */
+bool gate_zones_priced(const bbm_gate *g);
+/** Cost of sending a request to another zone, in ms. */
+double gate_leave_ms(const bbm_gate *g, const gate_request *r);
+/** Take in the load of a pool's upstreams by zone, if that is due. */
+void gate_update_zones(bbm_gate *g, gate_pool *p);
+/** True if an upstream is in another zone, and this VM doesn't reach that. */
+bool gate_is_zone_cut(const bbm_gate *g, const gate_upstream *u);
+/** Decide whether a request leaves the zone.  @p other is the best upstream
+ *  elsewhere, or NULL; the caller fills in what @p q says of the best two and
+ *  its random number. */
+bbm_zones_verdict gate_decide_zone(const bbm_gate *g, const gate_request *r,
+                                   gate_pool *p, const gate_upstream *other,
+                                   bbm_zones_question *q);
+/** The verdict for the upstream that was chosen in the end. */
+bbm_zones_verdict gate_zone_verdict(const bbm_gate *g,
+                                    const bbm_zones_verdict *v,
+                                    const gate_upstream *u);
+/** Record an attempt that is sent. */
+void gate_record_zone(bbm_gate *g, const gate_request *r,
+                      const gate_choice *c);
+
+/* ---- gate_place.c ---- */
+
+/** Expected wait at an upstream, in ms. */
+double gate_wait_ms(const bbm_gate *g, const gate_upstream *u);
+/** Room of an upstream: tokens of a runner up to a backlog, slots of a
+ *  service. */
+double gate_room(const bbm_gate *g, const gate_upstream *u, double backlog_ms);
 /** Number of requests of this size that a runner can accept before it is full;
  *  may be fractional, or negative if it is overfull. */
 double gate_runner_capacity(const bbm_gate *g, const gate_request *r,
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -104,6 +104,7 @@
     gate_cached cached;
     double miss_tokens; /* prompt tokens that it must process */
     bool is_home;       /* a home of the chain that this request considers */
+    bool is_left_out;   /* in another zone, and the request stays in this */
     bool is_full; /* a further request would only wait there, and evict cached
                      prefixes */
     double cost_ms;
@@ -313,9 +314,11 @@
 /* ---- cost ---- */
 
 static double
-cross_zone_ms(const bbm_gate *g, const gate_upstream *u)
+cross_zone_ms(const bbm_gate *g, const gate_request *r, const gate_upstream *u)
 {
-    return strcmp(g->desc.zone, u->info.zone) == 0 ? 0 : CROSS_ZONE_MS;
+    if (gate_is_in_zone(g, u))
+        return 0;
+    return gate_zones_priced(g) ? gate_leave_ms(g, r) : CROSS_ZONE_MS;
 }
 
 static bool
@@ -359,6 +362,34 @@
     return wait;
 }
 
+double
+gate_wait_ms(const bbm_gate *g, const gate_upstream *u)
+{
+    const gate_pool *p = u->pool;
+    if (p->is_engine)
+        return runner_wait_ms(g, u);
+    double open = gate_open_requests(g, u);
+    double slots = gate_slots_of(u);
+    double wait = u->lateness_ms > 0 ? u->lateness_ms : 0;
+    return open < slots ? wait
+                        : wait + (open - slots + 1) / slots * p->service_ms;
+}
+
+double
+gate_room(const bbm_gate *g, const gate_upstream *u, double backlog_ms)
+{
+    const gate_pool *p = u->pool;
+    if (gate_is_brittle_full(g, u))
+        return 0;
+    if (!p->is_engine)
+        return fmax(0, gate_slots_of(u) - gate_open_requests(g, u));
+    double memory =
+        p->memory_tokens * RUNNING_MEMORY_SHARE - total_memory_tokens(g, u);
+    double backlog =
+        backlog_ms * p->prefill_tokens_per_ms - gate_backlog_tokens(g, u);
+    return fmax(0, fmin(memory, backlog));
+}
+
 /* A runner that asked other VMs for a pause is loaded more than its reported
    load says: the share of the VMs measures by how much. */
 static double
@@ -480,11 +511,33 @@
     }
 }
 
+/* A shared prefix that takes less time to process than the request to leave
+   the zone is processed in each zone: its home is among the zone's runners, if
+   there are any. */
+static void
+keep_home_in_zone(const bbm_gate *g, const gate_request *r, candidate_set *set)
+{
+    double speed = set->items[0].upstream->pool->prefill_tokens_per_ms;
+    if (!gate_zones_priced(g)
+        || r->shared_tokens / speed > gate_leave_ms(g, r))
+        return;
+    size_t own = 0;
+    for (size_t i = 0; i < set->len; i++) {
+        candidate c = set->items[i];
+        if (!gate_is_in_zone(g, c.upstream))
+            continue;
+        memmove(&set->items[own + 1], &set->items[own],
+                (i - own) * sizeof(*set->items));
+        set->items[own++] = c;
+    }
+}
+
 /* The costs of a runner whatever it holds of the prompt, and what it holds. */
 static void
 estimate_wait(bbm_gate *g, const gate_request *r, candidate *c)
 {
-    c->cost_ms = runner_wait_ms(g, c->upstream) + cross_zone_ms(g, c->upstream)
+    c->cost_ms = runner_wait_ms(g, c->upstream)
+                 + cross_zone_ms(g, r, c->upstream)
                  + paused_elsewhere_ms(g, c->upstream);
     c->is_full = is_full(g, r, c->upstream);
     gate_find_cached(g, r, c->upstream, c->version, &c->cached);
@@ -496,6 +549,7 @@
 estimate_costs_by_home(bbm_gate *g, const gate_request *r, candidate_set *set)
 {
     qsort(set->items, set->len, sizeof(*set->items), compare_weights);
+    keep_home_in_zone(g, r, set);
     draw_homes(g, set, count_homes(g, r, set));
     set->by_home = true;
     for (size_t i = 0; i < set->len; i++) {
@@ -509,6 +563,8 @@
 estimate_runner_costs(bbm_gate *g, const gate_request *r, candidate_set *set)
 {
     qsort(set->items, set->len, sizeof(*set->items), compare_weights);
+    keep_home_in_zone(g, r, set);
+    set->items[0].is_home = true;
     set->holders_unknown = g->now - g->places_since < LEARN_TIME;
     for (size_t i = 0; i < set->len && set->holders_unknown; i++)
         set->holders_unknown =
@@ -529,7 +585,7 @@
 }
 
 static void
-estimate_service_costs(bbm_gate *g, candidate_set *set)
+estimate_service_costs(bbm_gate *g, const gate_request *r, candidate_set *set)
 {
     for (size_t i = 0; i < set->len; i++) {
         candidate *c = &set->items[i];
@@ -545,7 +601,7 @@
         cost += u->lateness_ms > 0 ? u->lateness_ms : 0;
         /* Breaks ties at random. */
         cost += bbm_rng_unit(&g->rng);
-        c->cost_ms = cost + cross_zone_ms(g, u) + paused_elsewhere_ms(g, u);
+        c->cost_ms = cost + cross_zone_ms(g, r, u) + paused_elsewhere_ms(g, u);
     }
 }
 
@@ -555,13 +611,90 @@
     const candidate *best = NULL;
     for (size_t i = 0; i < set->len; i++) {
         const candidate *c = &set->items[i];
-        if ((with_full || !c->is_full)
+        if (!c->is_left_out && (with_full || !c->is_full)
             && (!best || c->cost_ms < best->cost_ms))
             best = c;
     }
     return best;
 }
 
+/* ---- zones ---- */
+
+static const candidate *
+cheapest_of(const bbm_gate *g, const candidate_set *set, bool own, bool full)
+{
+    const candidate *best = NULL;
+    for (size_t i = 0; i < set->len; i++) {
+        const candidate *c = &set->items[i];
+        if (!c->is_left_out && gate_is_in_zone(g, c->upstream) == own
+            && c->is_full == full && (!best || c->cost_ms < best->cost_ms))
+            best = c;
+    }
+    return best;
+}
+
+static bool
+has_own(const bbm_gate *g, const candidate_set *set)
+{
+    for (size_t i = 0; i < set->len; i++) {
+        if (gate_is_in_zone(g, set->items[i].upstream))
+            return true;
+    }
+    return false;
+}
+
+/* Part of the cost by which a runner elsewhere is better because of its
+   cache. */
+static double
+cached_elsewhere_ms(const bbm_gate *g, const candidate *own,
+                    const candidate *other)
+{
+    const gate_pool *p = other->upstream->pool;
+    if (!p->is_engine || !own)
+        return 0;
+    double held = other->cached.held_tokens - own->cached.held_tokens;
+    double ms = held > 0 ? held / p->prefill_tokens_per_ms : 0;
+    if (other->is_home && !own->is_home)
+        ms += chooses_by_home(g) ? AWAY_COST_MIN_MS : NOT_HOME_COST_MS;
+    return ms;
+}
+
+/* Decides whether a request leaves the zone, and leaves out the upstreams of
+   the others if not. */
+static bbm_zones_verdict
+decide_zone(bbm_gate *g, const gate_request *r, candidate_set *set)
+{
+    gate_pool *pool = set->items[0].upstream->pool;
+    gate_update_zones(g, pool);
+    for (size_t i = 0; i < set->len && has_own(g, set); i++)
+        set->items[i].is_left_out =
+            gate_is_zone_cut(g, set->items[i].upstream);
+    const candidate *own = cheapest_of(g, set, true, false);
+    const candidate *other = cheapest_of(g, set, false, false);
+    bool own_full = !own;
+    if (!own)
+        own = cheapest_of(g, set, true, true);
+    bbm_zones_question q = {
+        .has_own = own != NULL,
+        .own_full = own_full,
+        .has_other = other != NULL,
+        .random = bbm_rng_unit(&g->rng),
+    };
+    if (own)
+        q.own_ms = own->cost_ms + (own_full ? HOLD_ADVANTAGE_MS : 0);
+    if (other) {
+        q.other_ms = other->cost_ms;
+        q.cached_ms = cached_elsewhere_ms(g, own, other);
+    }
+    const gate_upstream *to = other ? other->upstream : NULL;
+    bbm_zones_verdict v = gate_decide_zone(g, r, pool, to, &q);
+    for (size_t i = 0; i < set->len && own && !v.leaves; i++) {
+        candidate *c = &set->items[i];
+        c->is_left_out = !gate_is_in_zone(g, c->upstream);
+    }
+    return v;
+}
+
 /* ---- cache entries ---- */
 
 static void
@@ -704,7 +837,7 @@
     double target_ms = (double)r->target_latency / (double)BBM_MS;
     for (size_t i = 0; i < set->len; i++) {
         const candidate *c = &set->items[i];
-        if (!c->is_full && c->cost_ms < target_ms
+        if (!c->is_full && !c->is_left_out && c->cost_ms < target_ms
             && gate_must_ask_limit(g, c->upstream))
             return c;
     }
@@ -715,8 +848,9 @@
 
 /* The best use of a set of candidates. */
 typedef struct placement_option {
-    const candidate *best; /* NULL: no candidate */
-    bool hold;             /* the best one is full: hold the request */
+    const candidate *best;  /* NULL: no candidate */
+    bool hold;              /* the best one is full: hold the request */
+    bbm_zones_verdict zone; /* whether it leaves the zone */
     double expected_ms; /* time until the answer begins, including the hold */
 } placement_option;
 
@@ -755,7 +889,9 @@
     else if (runners)
         estimate_runner_costs(g, r, set);
     else
-        estimate_service_costs(g, set);
+        estimate_service_costs(g, r, set);
+    if (gate_zones_priced(g))
+        o.zone = decide_zone(g, r, set);
     const candidate *best = cheapest(set, true);
     const candidate *not_full = cheapest(set, false);
     o.hold = best->is_full
@@ -782,6 +918,7 @@
         return GATE_PICK_TOO_LATE;
     if (o->hold)
         return GATE_PICK_HOLD;
+    c->zone = gate_zone_verdict(g, &o->zone, o->best->upstream);
     fill_choice(g, r, set, o->best, c);
     return GATE_PICK_SEND;
 }
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -321,6 +321,7 @@
     u->memory_tokens += r->memory_tokens;
     g->load_changed = true;
     gate_record_placement(g, r, c);
+    gate_record_zone(g, r, c);
     if (gate_is_limited(u))
         bbm_turns_take(&u->turns);
     if (r->prefixes_len)
@@ -331,6 +332,7 @@
     out->u.send.resumes = r->last_event_id[0] != '\0';
     memcpy(out->u.send.last_event_id, r->last_event_id,
            sizeof(r->last_event_id));
+    out->u.send.zone_cause = bbm_zones_cause_text(c->zone.cause);
     out->u.send.candidates = c->candidates;
     out->u.send.expected_ms = (int64_t)c->expected_ms;
     out->u.send.prompt_tokens = (int64_t)r->prompt_tokens;
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -330,6 +330,8 @@
     node_log_number(a, "candidates", out->u.send.candidates);
     node_log_number(a, "list_age_ms", (n->now - n->listing_read_at) / BBM_MS);
     node_log_number(a, "revision", (int64_t)n->config_revision);
+    if (out->u.send.zone_cause[0])
+        node_log_text(a, "zone_cause", out->u.send.zone_cause);
     if (s->build[0])
         node_log_text(a, "build", s->build);
     if (out->u.send.origin_source)
--- a/tests/scale_world.c
+++ b/tests/scale_world.c
@@ -110,11 +110,62 @@
     double arrivals_due;
     uint64_t version;
     bool leader_lost;
+    bool zone_unlisted[SCALE_ZONES_MAX];
+    bool zone_cut[SCALE_ZONES_MAX];
+    bool zone_news_lost[SCALE_ZONES_MAX];
+    double zone_load[SCALE_ZONES_MAX];
     scale_result result;
     int64_t *latencies_ms;
     size_t latencies_len;
 };
 
+/* ---- zones ---- */
+
+/* Both ways; between zones it is 0.5 to 1.4 ms one way. */
+#define ZONE_DELAY_MS 2.0
+/* An event of an answer. */
+#define EVENT_BYTES 100.0
+
+/* Of a VM or a runner. */
+static size_t
+zone_of(const scale_world *w, size_t i)
+{
+    return w->desc.zones ? i % w->desc.zones : i % 2;
+}
+
+static bool
+crosses_cut(const scale_world *w, size_t vm, size_t runner)
+{
+    size_t from = zone_of(w, vm);
+    size_t to = zone_of(w, runner);
+    return from != to && (w->zone_cut[from] || w->zone_cut[to]);
+}
+
+/* The VM of a new request. */
+static size_t
+draw_vm(scale_world *w)
+{
+    for (;;) {
+        size_t vm = (size_t)bbm_rng_below(&w->rng, w->desc.vms);
+        double load = w->zone_load[zone_of(w, vm)];
+        double most = 0;
+        for (size_t z = 0; z < SCALE_ZONES_MAX; z++)
+            most = fmax(most, w->zone_load[z]);
+        if (load >= most || bbm_rng_unit(&w->rng) * most < load)
+            return vm;
+    }
+}
+
+/* Requests per second, relative to those without further load. */
+static double
+load_factor(const scale_world *w)
+{
+    double sum = 0;
+    for (size_t vm = 0; vm < w->desc.vms; vm++)
+        sum += w->zone_load[zone_of(w, vm)];
+    return sum / (double)w->desc.vms;
+}
+
 /* ---- runners ---- */
 
 static uint64_t
@@ -250,8 +301,9 @@
         .head_at = BBM_NEVER,
         .end_at = w->now + CONNECT_TIMEOUT,
     };
-    if (r->dark)
+    if (r->dark || crosses_cut(w, vm, at))
         return;
+    bool crosses = w->desc.zones && zone_of(w, vm) != zone_of(w, at);
     uint64_t chain = w->vms[vm].chain[s->request % 4096];
     double ms = obtain_part(w, r, s, root_of(chain), ROOT_TOKENS)
                 + obtain_part(w, r, s, chain_part(chain), SCALE_CHAIN_TOKENS)
@@ -262,7 +314,13 @@
     r->free_at = from + (bbm_time)(ms * (double)BBM_MS);
     w->jobs[i].unsent = false;
     w->jobs[i].head_at = r->free_at;
-    w->jobs[i].end_at = r->free_at + DECODE_TIME;
+    if (crosses) {
+        w->result.crossed++;
+        w->result.crossed_bytes += ROOT_TOKENS + SCALE_CHAIN_TOKENS
+                                   + OWN_TOKENS + OUTPUT_TOKENS * EVENT_BYTES;
+        w->jobs[i].head_at += (bbm_time)(ZONE_DELAY_MS * (double)BBM_MS);
+    }
+    w->jobs[i].end_at = w->jobs[i].head_at + DECODE_TIME;
 }
 
 static void
@@ -306,7 +364,7 @@
 static void
 begin_request(scale_world *w)
 {
-    size_t vm = (size_t)bbm_rng_below(&w->rng, w->desc.vms);
+    size_t vm = draw_vm(w);
     sim_vm *v = &w->vms[vm];
     uint64_t chain = bbm_rng_unit(&w->rng) < w->desc.hot_share
                          ? 0
@@ -330,6 +388,7 @@
         .client_timeout = CLIENT_TIMEOUT,
     };
     w->result.requests++;
+    w->result.zone_requests[zone_of(w, vm)]++;
     bbm_gate_begin_request(v->gate, &a,
                            bbm_config_host_route(w->cfg, "h", "/check/a"),
                            NULL, w->now);
@@ -344,6 +403,7 @@
     bbm_time latency = w->now - v->arrived_at[j->request % 4096];
     j->head_sent = true;
     w->result.in_time += latency <= TARGET_LATENCY;
+    w->result.zone_in_time[zone_of(w, j->vm)] += latency <= TARGET_LATENCY;
     if (w->latencies_len < LATENCIES_MAX)
         w->latencies_ms[w->latencies_len++] = latency / BBM_MS;
     bbm_gate_record_head(v->gate, j->request, j->attempt, 1, &no_notice,
@@ -395,6 +455,9 @@
     }
     bbm_loads_put_totals(w->loads, w->now, &totals);
     for (size_t vm = 0; vm < w->desc.vms && !w->leader_lost; vm++) {
+        size_t zone = zone_of(w, vm);
+        if (w->zone_cut[zone] || w->zone_news_lost[zone])
+            continue;
         for (size_t from = 0; from < w->desc.vms; from++) {
             bbm_reader rd =
                 bbm_reader_of(placements[from].data, placements[from].len);
@@ -414,10 +477,16 @@
 static void
 apply_listing(scale_world *w)
 {
+    bbm_listing listed = {0};
+    for (size_t i = 0; i < w->desc.runners; i++) {
+        if (!w->zone_unlisted[zone_of(w, i)])
+            bbm_listing_add(&listed, &w->listing.items[i]);
+    }
     for (size_t vm = 0; vm < w->desc.vms; vm++) {
-        bbm_gate_set_listing(w->vms[vm].gate, &w->listing, w->now);
+        bbm_gate_set_listing(w->vms[vm].gate, &listed, w->now);
         take_outputs(w, vm);
     }
+    bbm_listing_free(&listed);
 }
 
 /* Starts and ends loads of weights. */
@@ -471,6 +540,31 @@
     w->leader_lost = lost;
 }
 
+void
+scale_set_zone_listed(scale_world *w, size_t zone, bool listed)
+{
+    w->zone_unlisted[zone] = !listed;
+    apply_listing(w);
+}
+
+void
+scale_set_zone_cut(scale_world *w, size_t zone, bool cut)
+{
+    w->zone_cut[zone] = cut;
+}
+
+void
+scale_set_zone_news_lost(scale_world *w, size_t zone, bool lost)
+{
+    w->zone_news_lost[zone] = lost;
+}
+
+void
+scale_set_zone_load(scale_world *w, size_t zone, double factor)
+{
+    w->zone_load[zone] = factor;
+}
+
 /* ---- time ---- */
 
 static void
@@ -478,8 +572,8 @@
 {
     w->now += STEP;
     step_loads(w);
-    w->arrivals_due +=
-        w->desc.requests_per_s * (double)STEP / (double)BBM_SECOND;
+    w->arrivals_due += w->desc.requests_per_s * load_factor(w) * (double)STEP
+                       / (double)BBM_SECOND;
     /* Poisson arrivals, by their exponential gaps. */
     while (w->arrivals_due > 0) {
         begin_request(w);
@@ -541,6 +635,15 @@
     return r;
 }
 
+static void
+set_zone_name(const scale_world *w, size_t i, char zone[BBM_NAME_SIZE])
+{
+    if (w->desc.zones)
+        snprintf(zone, BBM_NAME_SIZE, "zone-%zu", i % w->desc.zones);
+    else
+        bbm_name_set(zone, i % 2 ? "a" : "b");
+}
+
 scale_world *
 scale_create(const scale_desc *desc)
 {
@@ -549,6 +652,8 @@
     w->rng = bbm_rng_of(desc->seed);
     w->now = 100 * BBM_SECOND;
     w->version = 1;
+    for (size_t z = 0; z < SCALE_ZONES_MAX; z++)
+        w->zone_load[z] = 1;
     w->loads = bbm_loads_create();
     w->uses = bbm_calloc(PART_USES, sizeof(*w->uses));
     w->latencies_ms = bbm_calloc(LATENCIES_MAX, sizeof(*w->latencies_ms));
@@ -560,7 +665,7 @@
         bbm_listing_entry u = {.slots = 16};
         snprintf(u.id, sizeof(u.id), "r-%03zu", i);
         bbm_name_set(u.pool, "llm");
-        bbm_name_set(u.zone, i % 2 ? "a" : "b");
+        set_zone_name(w, i, u.zone);
         snprintf(u.address, sizeof(u.address), "10.0.0.1:%zu", i);
         bbm_listing_entry_set_version(&u, "m", 1);
         bbm_listing_add(&w->listing, &u);
@@ -572,8 +677,10 @@
         bbm_gate_desc gate = {
             .seed = desc->seed + vm + 1,
             .retry_slack = 100,
+            .zone_delay_ms = desc->zone_delay_ms,
+            .zone_byte_price = desc->zone_byte_price,
         };
-        bbm_name_set(gate.zone, vm % 2 ? "a" : "b");
+        set_zone_name(w, vm, gate.zone);
         bbm_gate *g = bbm_gate_create(&gate);
         w->vms[vm].gate = g;
         bbm_gate_set_vm_count(g, desc->vms, true);
--- a/tests/scale_world.h
+++ b/tests/scale_world.h
@@ -31,8 +31,15 @@
     size_t chains;         /**< Number of different chains of shared parts. */
     double hot_share;      /**< Share of the requests with the first chain. */
     uint64_t seed;
+    size_t zones; /**< Zones of the VMs and runners, in turn; 0: two, and
+                       nothing is added between them. */
+    double zone_delay_ms;   /**< Settings of the gates. */
+    double zone_byte_price; /**< The same. */
 } scale_desc;
 
+/** Maximum number of zones. */
+#define SCALE_ZONES_MAX 8
+
 /** What clients got in a span of time. */
 typedef struct scale_result {
     size_t requests;
@@ -45,8 +52,12 @@
                                processed them for the same weights within the
                                last 10 s. */
     double stored_tokens; /**< Tokens fetched from the store. */
-    double busiest;       /**< Requests at the busiest runner, relative to the
-                               mean of all. */
+    double crossed_bytes; /**< Of requests and answers between zones. */
+    size_t crossed;       /**< Attempts sent to another zone. */
+    size_t zone_requests[SCALE_ZONES_MAX]; /**< Requests of VMs by zone. */
+    size_t zone_in_time[SCALE_ZONES_MAX];  /**< in_time of these. */
+    double busiest; /**< Requests at the busiest runner, relative to the
+                         mean of all. */
 } scale_result;
 
 /** A world; opaque. */
@@ -67,5 +78,14 @@
 void scale_set_dark(scale_world *w, size_t runners);
 /** While the leader is lost, no VM hears of any other. */
 void scale_set_leader_lost(scale_world *w, bool lost);
+/** Remove the runners of a zone from the listing, or add them again. */
+void scale_set_zone_listed(scale_world *w, size_t zone, bool listed);
+/** Connections between VMs of a zone and runners of the others time out, and
+ *  its VMs hear nothing of the others. */
+void scale_set_zone_cut(scale_world *w, size_t zone, bool cut);
+/** VMs of a zone hear nothing of the others. */
+void scale_set_zone_news_lost(scale_world *w, size_t zone, bool lost);
+/** Multiply the requests of the VMs of a zone; 1 at the start. */
+void scale_set_zone_load(scale_world *w, size_t zone, double factor);
 
 #endif
