--- a/members/bbm_relays.h
+++ b/members/bbm_relays.h
@@ -85,9 +85,9 @@
 bbm_relays *bbm_relays_create(void);
 /** Destroy it; NULL is allowed. */
 void bbm_relays_destroy(bbm_relays *r);
-/** Record a VM's report: the number of the latest totals that it has received;
- *  0: none of this leader. */
-void bbm_relays_hear(bbm_relays *r, const char *vm, uint64_t number,
+/** Record the report of the VM @p name: the number of the latest totals that
+ * it has received; 0: none of this leader. */
+void bbm_relays_hear(bbm_relays *r, const char *name, uint64_t number,
                      bbm_time now);
 /** Decide who gets the next totals. */
 const bbm_relays_plan *bbm_relays_make_plan(bbm_relays *r,
