--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -41,6 +41,7 @@
 #include "bbm_origins.h"
 #include "bbm_quarantine.h"
 #include "bbm_time.h"
+#include "bbm_zones.h"
 
 /** Maximum number of prompt parts that are placed by; further parts count as
  *  part of the last one, which isn't shared. */
@@ -78,6 +79,11 @@
     bbm_time old_weights_max;   /**< Time after that announcement from which no
                                      request starts on old weights; default 8
                                      s. */
+    double zone_delay_ms;   /**< Added delay of a request to another zone, both
+                                 ways, in ms. */
+    double zone_byte_price; /**< Delay accepted to keep a megabyte in the zone,
+                                 in ms.  Both 0: leaving the zone costs a
+                                 constant, and isn't bounded. */
     bool unsafe_no_hold; /**< Tests only: refuse a request at once, instead of
                               holding it, if there is no upstream. */
 } bbm_gate_desc;
@@ -236,7 +242,9 @@
             bool resumes;
             /** Id of the last event that was forwarded, or "". */
             char last_event_id[BBM_EVENT_ID_SIZE];
-            uint32_t candidates; /**< Number of eligible upstreams. */
+            uint32_t candidates;    /**< Number of eligible upstreams. */
+            const char *zone_cause; /**< Why it leaves the zone, or can't; "":
+                                         it stays. */
             int64_t expected_ms; /**< Expected time until the answer begins. */
             int64_t elapsed_ms;  /**< Time since the request arrived. */
             /** How the previous attempt ended, for the log; NULL: this is the
@@ -343,6 +351,8 @@
                                       answer, but the request may have run. */
     uint64_t aborted;            /**< Answers aborted after their head. */
     uint64_t client_disconnects; /**< Clients that disconnected early. */
+    bbm_zones_counts zones;      /**< Attempts, by why they left the zone or
+                                      stayed. */
     uint64_t open_requests;      /**< Open requests (gauge). */
     uint64_t held_requests;      /**< Open requests that wait for an upstream
                                       (gauge). */
