--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -575,27 +575,53 @@
     }
 }
 
-/* Runners in the part of the pool for such prompts come first in the set.  If
-   none does, all are drawn from. */
-static size_t
-count_in_part(const candidate_set *set)
+/* Runners from which a request draws those that it considers. */
+typedef struct draw_counts {
+    size_t in_part; /* first ones of the set; all if none is in the part of
+                       the pool for such prompts */
+    size_t in_zone; /* number of these in the zone of this VM */
+} draw_counts;
+
+static draw_counts
+count_draws(const bbm_gate *g, const candidate_set *set)
+{
+    draw_counts d = {0};
+    while (d.in_part < set->len && set->items[d.in_part].is_in_part)
+        d.in_part++;
+    if (!d.in_part)
+        d.in_part = set->len;
+    for (size_t i = 0; i < d.in_part; i++)
+        d.in_zone += gate_is_in_zone(g, set->items[i].upstream);
+    return d;
+}
+
+/* Probability that the i-th runner is drawn.  If leaving the zone has a price,
+   half of the draws are from the zone, so that it isn't left only because none
+   of its runners was drawn. */
+static double
+draw_probability(const bbm_gate *g, const candidate_set *set, size_t i,
+                 const draw_counts *d)
 {
-    size_t len = 0;
-    while (len < set->len && set->items[len].is_in_part)
-        len++;
-    return len ? len : set->len;
+    bool both = d->in_zone && d->in_zone < d->in_part;
+    if (!gate_zones_priced(g) || !both)
+        return RANDOM_CANDIDATE_COUNT / (double)d->in_part;
+    bool in_zone = gate_is_in_zone(g, set->items[i].upstream);
+    size_t from = in_zone ? d->in_zone : d->in_part - d->in_zone;
+    return RANDOM_CANDIDATE_COUNT / 2 / (double)from;
 }
 
 /* True if a request considers the i-th runner of the set. */
 static bool
 is_sampled(bbm_gate *g, const gate_request *r, const candidate_set *set,
-           size_t i, size_t in_part)
+           size_t i, const draw_counts *d)
 {
     if (i == 0 || set->items[i].cached.prefixes_held == r->prefixes_len)
         return true;
-    double chance = RANDOM_CANDIDATE_COUNT / (double)in_part
+    if (i >= d->in_part)
+        return false;
+    double chance = draw_probability(g, set, i, d)
                     * pow(set->items[i].upstream->speed, HOME_SPEED_EXPONENT);
-    return i < in_part && bbm_rng_unit(&g->rng) < chance;
+    return bbm_rng_unit(&g->rng) < chance;
 }
 
 static void
@@ -608,11 +634,11 @@
     for (size_t i = 0; i < set->len && set->holders_unknown; i++)
         set->holders_unknown =
             !gate_has_placement(g, r, set->items[i].version);
-    size_t in_part = count_in_part(set);
+    draw_counts draws = count_draws(g, set);
     for (size_t i = 0; i < set->len; i++) {
         candidate *c = &set->items[i];
         estimate_wait(g, r, c);
-        if (g->placements_delayed && !is_sampled(g, r, set, i, in_part))
+        if (g->placements_delayed && !is_sampled(g, r, set, i, &draws))
             c->cost_ms += NOT_SAMPLED_COST_MS;
         if (set->holders_unknown)
             add_cost_holders_unknown(r, c, i);
