Tests of the memory that clients, upstreams and other VMs can fill

Process scenarios memory_*: unfinished bodies in large and tiny chunks, of declared length whole and in pieces, readers that read neither answers nor streams, and a mailbox that nobody takes from. Each checks that the process lives, its peak of memory and its descriptors, and that an ordinary request is served beside the load. A build that doesn't know the setting memory_mb is held to the same bounds.

--- /dev/null
+++ b/tests/memory_load.c
@@ -0,0 +1,427 @@
+/** @file
+ *  Clients and upstreams that make a daemon hold bytes, for the memory_*
+ *  scenarios of process.sh.
+ *
+ *      memory_load bodies IP PORT COUNT BYTES chunked|declared PIECE SECONDS
+ *      memory_load readers IP PORT COUNT PATH SECONDS
+ *      memory_load upstream PORT COUNT BYTES length|stream SECONDS
+ *
+ *  `bodies` sends COUNT requests at once, each with a body of BYTES less one
+ *  byte, in chunks of PIECE bytes or in pieces of PIECE bytes after a declared
+ *  length (0: whole), and leaves them unfinished.  `readers` sends COUNT
+ *  requests for PATH and reads nothing.  `upstream` listens on COUNT ports
+ * from PORT and answers each request with BYTES.  "held" is printed once all
+ * bytes are sent or their connections have ended.  All end after SECONDS.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#define SOCKETS_MAX 1024
+#define HEAD_SIZE 1024
+#define BLOCK_BYTES ((size_t)64 * 1024)
+/* Small receive buffers, so that what isn't read stays with the daemon. */
+#define RECEIVE_BYTES 4096
+
+typedef struct client {
+    int fd; /* -1: ended */
+    char head[HEAD_SIZE];
+    size_t head_len;
+    size_t pos;      /* bytes sent of the head and of what follows it */
+    size_t wire_len; /* all bytes that are to be sent */
+    size_t answer_len;
+    char answer[16]; /* begin of the answer */
+} client;
+
+typedef struct body_shape {
+    size_t unit_len; /* bytes on the wire of one chunk, or BLOCK_BYTES */
+    size_t piece;    /* longest write; 0: unlimited */
+    char *unit;      /* repeated: the wire bytes after the head */
+    size_t unit_copies;
+} body_shape;
+
+static double
+now_s(void)
+{
+    struct timespec ts;
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+static struct sockaddr_in
+address_of(const char *ip, int port)
+{
+    struct sockaddr_in to = {.sin_family = AF_INET,
+                             .sin_port = htons((uint16_t)port)};
+    if (inet_pton(AF_INET, ip, &to.sin_addr) != 1) {
+        fprintf(stderr, "not an address: %s\n", ip);
+        exit(2);
+    }
+    return to;
+}
+
+static void *
+allocate(size_t size)
+{
+    void *p = calloc(1, size);
+    if (!p)
+        exit(1);
+    return p;
+}
+
+static void
+end_client(client *c)
+{
+    if (c->fd >= 0)
+        close(c->fd);
+    c->fd = -1;
+}
+
+static int
+connect_client(const struct sockaddr_in *to, bool reads)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int bytes = RECEIVE_BYTES;
+    if (fd >= 0 && !reads)
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    if (fd < 0 || connect(fd, (const void *)to, sizeof(*to)) < 0) {
+        if (fd >= 0)
+            close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+/* Sends what the socket takes; a body repeats its unit. */
+static void
+send_some(client *c, const body_shape *shape)
+{
+    while (c->pos < c->wire_len) {
+        const char *from = c->head + c->pos;
+        size_t len = c->head_len - c->pos;
+        if (c->pos >= c->head_len) {
+            size_t at = (c->pos - c->head_len) % shape->unit_len;
+            from = shape->unit + at;
+            len = shape->unit_len * shape->unit_copies - at;
+            if (len > c->wire_len - c->pos)
+                len = c->wire_len - c->pos;
+            if (shape->piece && len > shape->piece)
+                len = shape->piece;
+        }
+        ssize_t n = send(c->fd, from, len, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (n < 0 && errno == EAGAIN)
+            return;
+        if (n <= 0) {
+            end_client(c);
+            return;
+        }
+        c->pos += (size_t)n;
+        if (shape && shape->piece && c->pos > c->head_len)
+            return; /* the others have their turn */
+    }
+}
+
+static void
+read_some(client *c)
+{
+    char bytes[4096];
+    ssize_t n = recv(c->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+    if (n < 0 && errno == EAGAIN)
+        return;
+    if (n <= 0) {
+        end_client(c);
+        return;
+    }
+    for (ssize_t i = 0; i < n && c->answer_len + 1 < sizeof(c->answer); i++)
+        c->answer[c->answer_len++] = bytes[i];
+}
+
+static void
+print_held(const client *clients, size_t count)
+{
+    size_t open = 0;
+    size_t refused = 0;
+    for (size_t i = 0; i < count; i++) {
+        open += clients[i].fd >= 0;
+        refused += strncmp(clients[i].answer, "HTTP/1.1 503", 12) == 0;
+    }
+    printf("held: %zu of %zu connections open, %zu answered with 503\n", open,
+           count, refused);
+    fflush(stdout);
+}
+
+static int
+run_clients(client *clients, size_t count, const body_shape *shape, bool reads,
+            double seconds)
+{
+    struct pollfd fds[SOCKETS_MAX];
+    double end = now_s() + seconds;
+    bool told = false;
+    while (now_s() < end) {
+        bool sending = false;
+        for (size_t i = 0; i < count; i++) {
+            const client *c = &clients[i];
+            short events = reads ? POLLIN : 0;
+            if (c->fd >= 0 && c->pos < c->wire_len) {
+                events |= POLLOUT;
+                sending = true;
+            }
+            fds[i] = (struct pollfd){.fd = c->fd, .events = events};
+        }
+        if (!sending && !told)
+            print_held(clients, count);
+        told = told || !sending;
+        if (poll(fds, (nfds_t)count, 100) <= 0)
+            continue;
+        for (size_t i = 0; i < count; i++) {
+            if (fds[i].revents & POLLIN)
+                read_some(&clients[i]);
+            else if (fds[i].revents & (POLLERR | POLLHUP))
+                end_client(&clients[i]);
+            if (clients[i].fd >= 0 && fds[i].revents & POLLOUT)
+                send_some(&clients[i], shape);
+        }
+    }
+    print_held(clients, count);
+    return 0;
+}
+
+/* ---- bodies ---- */
+
+static body_shape
+chunk_shape(size_t piece)
+{
+    char head[32];
+    int head_len = snprintf(head, sizeof(head), "%zx\r\n", piece);
+    body_shape s = {.unit_len = (size_t)head_len + piece + 2};
+    s.unit_copies = 1 + BLOCK_BYTES / s.unit_len;
+    s.unit = allocate(s.unit_len * s.unit_copies);
+    for (size_t i = 0; i < s.unit_copies; i++) {
+        char *at = s.unit + i * s.unit_len;
+        memcpy(at, head, (size_t)head_len);
+        memset(at + head_len, 'x', piece);
+        memcpy(at + head_len + piece, "\r\n", 2);
+    }
+    return s;
+}
+
+static body_shape
+declared_shape(size_t bytes, size_t piece)
+{
+    body_shape s = {
+        .unit_len = piece ? piece : bytes, .piece = piece, .unit_copies = 1};
+    s.unit = allocate(s.unit_len);
+    memset(s.unit, 'x', s.unit_len);
+    return s;
+}
+
+static int
+run_bodies(char **args)
+{
+    struct sockaddr_in to = address_of(args[0], atoi(args[1]));
+    size_t count = (size_t)atol(args[2]);
+    size_t bytes = (size_t)atol(args[3]);
+    bool chunked = strcmp(args[4], "chunked") == 0;
+    size_t piece = (size_t)atol(args[5]);
+    if (count > SOCKETS_MAX || bytes < 2 || (chunked && !piece))
+        return 2;
+    body_shape shape =
+        chunked ? chunk_shape(piece) : declared_shape(bytes, piece);
+    size_t body_len = bytes - 1;
+    if (chunked)
+        body_len = (bytes - 1) / piece * shape.unit_len
+                   + ((bytes - 1) % piece
+                          ? shape.unit_len - piece - 2 + (bytes - 1) % piece
+                          : 0);
+    client *clients = allocate(count * sizeof(*clients));
+    for (size_t i = 0; i < count; i++) {
+        client *c = &clients[i];
+        char framing[64];
+        if (chunked)
+            snprintf(framing, sizeof(framing), "Transfer-Encoding: chunked");
+        else
+            snprintf(framing, sizeof(framing), "Content-Length: %zu", bytes);
+        c->fd = connect_client(&to, true);
+        c->head_len = (size_t)snprintf(
+            c->head, sizeof(c->head),
+            "POST /safe/x HTTP/1.1\r\nHost: a.example\r\n"
+            "X-Bluebellmoor-Attempt-Id: body-%zu\r\n%s\r\n\r\n",
+            i, framing);
+        c->wire_len = c->head_len + body_len;
+    }
+    int rc = run_clients(clients, count, &shape, true, atof(args[6]));
+    free(clients);
+    free(shape.unit);
+    return rc;
+}
+
+/* ---- readers ---- */
+
+static int
+run_readers(char **args)
+{
+    struct sockaddr_in to = address_of(args[0], atoi(args[1]));
+    size_t count = (size_t)atol(args[2]);
+    if (count > SOCKETS_MAX)
+        return 2;
+    client *clients = allocate(count * sizeof(*clients));
+    for (size_t i = 0; i < count; i++) {
+        client *c = &clients[i];
+        c->fd = connect_client(&to, false);
+        c->head_len =
+            (size_t)snprintf(c->head, sizeof(c->head),
+                             "GET %s HTTP/1.1\r\nHost: a.example\r\n"
+                             "X-Bluebellmoor-Attempt-Id: reader-%zu\r\n\r\n",
+                             args[3], i);
+        c->wire_len = c->head_len;
+    }
+    int rc = run_clients(clients, count, NULL, false, atof(args[4]));
+    free(clients);
+    return rc;
+}
+
+/* ---- upstreams ---- */
+
+typedef struct answer {
+    int fd;
+    char request[4096];
+    size_t request_len;
+    char head[HEAD_SIZE];
+    size_t head_len; /* 0: the request isn't complete */
+    size_t pos;
+} answer;
+
+/* The answer repeats the request's attempt id, as upstreams do. */
+static void
+begin_answer(answer *a, size_t bytes, bool stream)
+{
+    static const char name[] = "X-Bluebellmoor-Attempt-Id: ";
+    char id[128] = "";
+    const char *at = strcasestr(a->request, name);
+    if (at)
+        sscanf(at + strlen(name), "%127[^\r]", id);
+    char framing[64];
+    snprintf(framing, sizeof(framing), "Content-Length: %zu", bytes);
+    a->pos = 0;
+    a->head_len = (size_t)snprintf(
+        a->head, sizeof(a->head),
+        "HTTP/1.1 200 OK\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+        "X-Bluebellmoor-Server-Stamp: s\r\nConnection: close\r\n"
+        "Content-Type: %s\r\n%s%s\r\n",
+        id, stream ? "text/event-stream" : "text/plain", stream ? "" : framing,
+        stream ? "" : "\r\n");
+}
+
+/* Returns false if the connection is to be closed. */
+static bool
+serve(answer *a, const char *block, size_t bytes, bool stream)
+{
+    if (!a->head_len) {
+        ssize_t n =
+            recv(a->fd, a->request + a->request_len,
+                 sizeof(a->request) - 1 - a->request_len, MSG_DONTWAIT);
+        if (n < 0 && errno == EAGAIN)
+            return true;
+        if (n <= 0)
+            return false;
+        a->request_len += (size_t)n;
+        a->request[a->request_len] = '\0';
+        if (!strstr(a->request, "\r\n\r\n"))
+            return a->request_len + 1 < sizeof(a->request);
+        begin_answer(a, bytes, stream);
+    }
+    while (a->pos < a->head_len + bytes) {
+        const char *from = a->head + a->pos;
+        size_t len = a->head_len - a->pos;
+        if (a->pos >= a->head_len) {
+            size_t at = (a->pos - a->head_len) % BLOCK_BYTES;
+            from = block + at;
+            len = BLOCK_BYTES - at;
+            if (len > a->head_len + bytes - a->pos)
+                len = a->head_len + bytes - a->pos;
+        }
+        ssize_t n = send(a->fd, from, len, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (n < 0 && errno == EAGAIN)
+            return true;
+        if (n <= 0)
+            return false;
+        a->pos += (size_t)n;
+    }
+    return false;
+}
+
+static int
+listen_on(int port)
+{
+    struct sockaddr_in to = address_of("127.0.0.1", port);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int yes = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    if (bind(fd, (void *)&to, sizeof(to)) < 0 || listen(fd, SOMAXCONN) < 0) {
+        perror("listen");
+        exit(1);
+    }
+    return fd;
+}
+
+static int
+run_upstream(char **args)
+{
+    int port = atoi(args[0]);
+    size_t listeners = (size_t)atol(args[1]);
+    size_t bytes = (size_t)atol(args[2]);
+    bool stream = strcmp(args[3], "stream") == 0;
+    double end = now_s() + atof(args[4]);
+    static char block[BLOCK_BYTES];
+    static answer answers[SOCKETS_MAX];
+    struct pollfd fds[SOCKETS_MAX];
+    size_t len = listeners;
+    /* 64 bytes an event, in equal blocks. */
+    for (size_t i = 0; i < sizeof(block); i++)
+        block[i] = i % 64 < 62 ? "data: "[i % 64 < 6 ? i % 64 : 5] : '\n';
+    for (size_t i = 0; i < listeners; i++)
+        answers[i].fd = listen_on(port + (int)i);
+    while (now_s() < end) {
+        for (size_t i = 0; i < len; i++) {
+            short events = answers[i].head_len ? POLLOUT : POLLIN;
+            fds[i] = (struct pollfd){.fd = answers[i].fd, .events = events};
+        }
+        if (poll(fds, (nfds_t)len, 100) <= 0)
+            continue;
+        size_t polled = len;
+        for (size_t i = 0; i < listeners; i++) {
+            if (!(fds[i].revents & POLLIN) || len == SOCKETS_MAX)
+                continue;
+            int fd = accept(answers[i].fd, NULL, NULL);
+            if (fd >= 0)
+                answers[len++] = (answer){.fd = fd};
+        }
+        for (size_t i = polled; i-- > listeners;) {
+            if (!fds[i].revents || serve(&answers[i], block, bytes, stream))
+                continue;
+            close(answers[i].fd);
+            answers[i] = answers[--len];
+        }
+    }
+    return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc == 9 && strcmp(argv[1], "bodies") == 0)
+        return run_bodies(argv + 2);
+    if (argc == 7 && strcmp(argv[1], "readers") == 0)
+        return run_readers(argv + 2);
+    if (argc == 7 && strcmp(argv[1], "upstream") == 0)
+        return run_upstream(argv + 2);
+    fputs("usage: memory_load bodies|readers|upstream ...\n", stderr);
+    return 2;
+}
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -1062,12 +1062,83 @@
     finish
 }
 
+# The memory_* scenarios: a VM with a limit of MEMORY_MB holds bytes for many
+# clients or upstreams that don't go on.  Its peak stays under the limit, and an
+# ordinary request is served meanwhile.  They are run one at a time, and check
+# no times.
+MEMORY_MB=32
+memory_vm() { # UPSTREAMS BYTES length|stream: vm-1 alone, with upstreams that answer with BYTES
+    local ports
+    ports=$(seq $((FLEET_PORT + 520)) $((FLEET_PORT + 519 + $1)))
+    # shellcheck disable=SC2086 # each port is an argument
+    fleet_run "$dir/list.log" "$FLEET_BUILD/stand_pool" list $((FLEET_PORT + 6)) $ports
+    fleet_run "$dir/upstream.log" "$FLEET_BUILD/memory_load" upstream $((FLEET_PORT + 520)) "$1" "$2" "$3" 60
+    mkdir -p "$dir/disk-1"
+    pool_settings 1 true
+    sed -i 's/"127.0.1.1:1", "127.0.1.2:1", "127.0.1.3:1"/"127.0.1.1:1"/' "$dir/vm-1.json"
+    cp "$dir/vm-1.json" "$dir/plain"
+    sed -i 's/"self_repair"/"memory_mb": '$MEMORY_MB', "self_repair"/' "$dir/vm-1.json"
+    # A build without the setting is held to the same bounds.
+    "$FLEET_BUILD/bluebellmoord" --check-settings "$dir/vm-1.json" || cp "$dir/plain" "$dir/vm-1.json"
+    fleet_daemon "$dir" 1
+    pool_config 1 | sed 's/"max-body-bytes":65536/"max-body-bytes":4194304/; s/"timeout-ms":3000/"timeout-ms":30000/g
+        s/"target-latency-ms":500/"target-latency-ms":20000/g
+        s/"routes":\[/&{"name":"stream","host":"a.example","path-prefix":"\/stream\/","type":"stream","timeout-ms":30000,"target-latency-ms":20000,"max-attempts":1,"public":true,"service":"api"},/
+        s/"max-connections":100/"max-connections":1000/' >"$dir/large.json"
+    memory_accepts() { [ "$(pool_control 1 PUT "$(cat "$dir/large.json")")" = 200 ]; }
+    check "the configuration is acknowledged" fleet_until 10 memory_accepts
+    check "an ordinary request is served" fleet_until 10 pool_is_served 1 /safe/x before
+}
+memory_holds() { # CONNECTIONS: waits for the load, then checks the VM
+    local pid=${fleet_daemon_pid[1]} peak descriptors bound=$((MEMORY_MB * 1000000 / 1024))
+    check "the load is held" fleet_until 40 grep -q held "$dir/load.log"
+    # What is on its way between the processes arrives.
+    sleep 2
+    check "an ordinary request is served beside the load" fleet_until 10 pool_is_served 1 /safe/x beside
+    peak=$(awk '/VmHWM/ { print $2 }' "/proc/$pid/status")
+    descriptors=$(find "/proc/$pid/fd" -mindepth 1 | wc -l)
+    check "the process lives" kill -0 "$pid"
+    check "its peak of ${peak:-unknown} KiB is under $bound KiB" test "${peak:-$bound}" -lt "$bound"
+    check "its $descriptors descriptors are under $((2 * $1 + 200))" test "$descriptors" -lt $((2 * $1 + 200))
+    echo "  $name: peak $peak KiB, $descriptors descriptors, $(tail -n 1 "$dir/load.log")"
+}
+memory_bodies() { # NAME CONNECTIONS BYTES chunked|declared PIECE
+    begin "$1"
+    memory_vm 1 100 length
+    fleet_run "$dir/load.log" "$FLEET_BUILD/memory_load" bodies "$(pool_vm_ip 1)" $((FLEET_PORT + 1)) \
+        "$2" "$3" "$4" "$5" 50
+    memory_holds "$2"
+    finish
+}
+t_memory_large_chunks() { memory_bodies memory_large_chunks 40 1000000 chunked 65536; }
+t_memory_tiny_chunks() { memory_bodies memory_tiny_chunks 150 200000 chunked 1; }
+t_memory_declared_whole() { memory_bodies memory_declared_whole 40 1000000 declared 0; }
+t_memory_declared_pieces() { memory_bodies memory_declared_pieces 40 1000000 declared 4096; }
+memory_readers() { # NAME length|stream PATH
+    begin "$1"
+    memory_vm 25 2000000 "$2"
+    fleet_run "$dir/load.log" "$FLEET_BUILD/memory_load" readers "$(pool_vm_ip 1)" $((FLEET_PORT + 1)) 150 "$3" 50
+    memory_holds 150
+    finish
+}
+t_memory_slow_answers() { memory_readers memory_slow_answers length /safe/x; }
+t_memory_slow_streams() { memory_readers memory_slow_streams stream /stream/x; }
+t_memory_mailbox() { # messages that control doesn't take hold bounded bytes
+    begin memory_mailbox
+    "$FLEET_BUILD/test_mailbox" >"$dir/vm-mailbox.log" 2>&1
+    check "the bytes are bounded" test $? -eq 0
+    touch "$dir/vm-mailbox.json"
+    finish
+}
+
 scenarios=(streams leader_killed bookings_once key_withdrawn isolated frozen
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
     address_in_use operator_commands disk_full pools limits pool_keys drain_under_load
     stopped_again refused_half_closed
-    half_closed_at_start left_while_held signal_at_start settings_late disk_late soak soak_callers peer_resets killed_peers fatal_signal)
+    half_closed_at_start left_while_held signal_at_start settings_late disk_late soak soak_callers peer_resets killed_peers fatal_signal
+    memory_large_chunks memory_tiny_chunks memory_declared_whole memory_declared_pieces
+    memory_slow_answers memory_slow_streams memory_mailbox)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
