--- a/tests/process.sh
+++ b/tests/process.sh
@@ -1120,6 +1120,45 @@
 }
 t_memory_slow_answers() { memory_readers memory_slow_answers length /safe/x; }
 t_memory_slow_streams() { memory_readers memory_slow_streams stream /stream/x; }
+memory_peak() { # CONNECTIONS chunked|declared PIECE: three VMs of 88 MB; the clients' bodies of 4 MB meet vm-1
+    local i pid peak bound=$((88 * 1000000 / 1024))
+    begin "memory_peak_$1_$2_$3"
+    fleet_run "$dir/list.log" "$FLEET_BUILD/stand_pool" list $((FLEET_PORT + 6)) $((FLEET_PORT + 520))
+    fleet_run "$dir/upstream.log" "$FLEET_BUILD/memory_load" upstream $((FLEET_PORT + 520)) 1 100 length 60
+    for i in 1 2 3; do
+        mkdir -p "$dir/disk-$i"
+        pool_settings "$i" true
+        sed -i 's/"self_repair"/"memory_mb": 88, "texts_kept": 2, "caller_threads": 1, "self_repair"/' "$dir/vm-$i.json"
+        fleet_daemon "$dir" "$i"
+    done
+    pool_config 1 | sed 's/"max-body-bytes":65536/"max-body-bytes":4194304/' >"$dir/large.json"
+    peak_accepts() { [ "$(pool_control 1 PUT "$(cat "$dir/large.json")")" = 200 ]; }
+    check "the configuration is acknowledged" fleet_until 20 peak_accepts
+    check "an ordinary request is served" fleet_until 10 pool_is_served 1 /safe/x before
+    fleet_run "$dir/load.log" "$FLEET_BUILD/memory_load" bodies "$(pool_vm_ip 1)" $((FLEET_PORT + 1)) \
+        "$1" 4000000 "$2" "$3" 50
+    check "the load is held" fleet_until 45 grep -q held "$dir/load.log"
+    sleep 2
+    check "an ordinary request is served beside the load" fleet_until 10 pool_is_served 1 /safe/x beside
+    for i in 1 2 3; do
+        pid=${fleet_daemon_pid[$i]}
+        check "vm-$i lives" kill -0 "$pid"
+        peak=$(awk '/VmHWM/ { print $2 }' "/proc/$pid/status")
+        echo "  $name: vm-$i: peak ${peak:-unknown} KiB"
+        check "its peak is under $bound KiB" test "${peak:-$bound}" -lt "$bound"
+    done
+    echo "  $name: $(tail -n 1 "$dir/load.log")"
+    finish
+}
+# By name only: they send up to 2 GB.
+t_memory_peak() {
+    local count
+    for count in 100 500; do
+        memory_peak $count chunked 65536
+        memory_peak $count declared 0
+        memory_peak $count declared 4096
+    done
+}
 t_memory_mailbox() { # messages that control doesn't take hold bounded bytes
     begin memory_mailbox
     "$FLEET_BUILD/test_mailbox" >"$dir/vm-mailbox.log" 2>&1
