Count the configuration's texts, and all bytes of a body that come

The texts of the revisions count in the memory budget, so that less is left for large bodies where the configuration grows. A body that was discarded is still held to its longest length: one without an end is answered with 413. The socket of a request is set under its lock, as another front's thread may look for a connection to evict.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -46,6 +46,7 @@
     bbm_node *node;
     open_exchange *exchanges;
     bbm_time next_client_check_at;
+    size_t text_bytes;         /* counted in the memory budget */
     bool any_resubmit_pending; /* of at least one exchange */
     bool stopped;
 } control;
@@ -645,10 +646,21 @@
         handle_disconnect(c, left[i].id, left[i].may_read);
 }
 
+static void
+count_texts(control *c)
+{
+    memory_budget *memory = mailbox_memory(c->desc->box);
+    size_t bytes = bbm_node_text_bytes(c->node);
+    memory_budget_force(memory, MEMORY_CONFIGS, bytes);
+    memory_budget_give(memory, MEMORY_CONFIGS, c->text_bytes);
+    c->text_bytes = bytes;
+}
+
 static void
 tick(control *c)
 {
     check_clients(c);
+    count_texts(c);
     bbm_event ev = {.kind = BBM_EV_TICK};
     ev.u.tick.wall_ms = control_wall_ms();
     step(c, &ev);
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -110,6 +110,8 @@
     bbm_buf body;          /**< Guarded by `lock` while it is unfinished;
                                 see bodies.h. */
     size_t body_declared;  /**< Its declared length; 0: unknown. */
+    size_t body_received;  /**< Bytes that have come, also of one that was
+                                discarded. */
     size_t body_counted;   /**< Counted for it in `memory`. */
     bbm_time body_grew_at; /**< Arrival of its last bytes. */
     bool body_discarded;   /**< There was no room for it. */
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -356,8 +356,11 @@
                                 : f->desc.settings->body_most);
     const union MHD_ConnectionInfo *info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    /* Another thread may look for a connection to evict. */
+    pthread_mutex_lock(&ex->lock);
     if (info)
         ex->socket = info->connect_fd;
+    pthread_mutex_unlock(&ex->lock);
     bbm_text_set(ex->content_type, sizeof(ex->content_type),
                  header(connection, "Content-Type"));
     bbm_text_set(ex->accept, sizeof(ex->accept), header(connection, "Accept"));
@@ -384,7 +387,8 @@
 static void
 append_body(const front *f, exchange *ex, const char *data, size_t len)
 {
-    if (!ex->too_large && ex->body.len + len > ex->body_bytes_max) {
+    ex->body_received += len;
+    if (!ex->too_large && ex->body_received > ex->body_bytes_max) {
         ex->too_large = true;
         bodies_discard(ex);
     }
--- a/node/node.c
+++ b/node/node.c
@@ -522,6 +522,12 @@
 
 /* ---- queries ---- */
 
+size_t
+bbm_node_text_bytes(const bbm_node *n)
+{
+    return bbm_registry_text_bytes(bbm_state_registry(n->state));
+}
+
 bbm_node_counts
 bbm_node_count(const bbm_node *n, bbm_time now)
 {
--- a/state/bbm_registry.c
+++ b/state/bbm_registry.c
@@ -740,3 +740,15 @@
     *reg = decoded;
     return BBM_OK;
 }
+
+size_t
+bbm_registry_text_bytes(const bbm_registry *reg)
+{
+    size_t bytes = 0;
+    for (size_t i = 0; i < reg->len; i++) {
+        const revision *rev = &reg->revisions[i];
+        bytes += rev->text ? rev->info.len : 0;
+        bytes += rev->source ? rev->info.source_len : 0;
+    }
+    return bytes;
+}
--- a/state/bbm_registry.h
+++ b/state/bbm_registry.h
@@ -129,4 +129,7 @@
 int bbm_registry_decode(bbm_registry *reg, bool has_quarantine,
                         bbm_reader *rd);
 
+/** Bytes of the texts that are kept of all revisions. */
+size_t bbm_registry_text_bytes(const bbm_registry *reg);
+
 #endif
