--- a/daemon/control.c
+++ b/daemon/control.c
@@ -46,6 +46,7 @@
     bbm_node *node;
     open_exchange *exchanges;
     bbm_time next_client_check_at;
+    size_t text_bytes;         /* counted in the memory budget */
     bool any_resubmit_pending; /* of at least one exchange */
     bool stopped;
 } control;
@@ -78,6 +79,15 @@
     return item;
 }
 
+size_t
+control_item_bytes(const void *item)
+{
+    const control_item *i = item;
+    return sizeof(*i) + i->bytes.cap
+           + i->listing.len * sizeof(*i->listing.items)
+           + i->report.events_len * sizeof(*i->events);
+}
+
 void
 control_item_destroy(control_item *item)
 {
@@ -292,7 +302,7 @@
     bbm_node_counts counts = bbm_node_count(c->node, control_now());
     bbm_buf text = {0};
     transport_counts links = transport_count(c->desc->transport);
-    metrics_write(&counts, &links, &text);
+    metrics_write(&counts, &links, mailbox_memory(c->desc->box), &text);
     exchange_answer(ex, 200, "text/plain; version=0.0.4", text.data, text.len);
     bbm_buf_free(&text);
 }
@@ -639,10 +649,21 @@
         handle_disconnect(c, left[i].id, left[i].may_read);
 }
 
+static void
+count_texts(control *c)
+{
+    memory_budget *memory = mailbox_memory(c->desc->box);
+    size_t bytes = bbm_node_text_bytes(c->node);
+    memory_budget_force(memory, MEMORY_CONFIGS, bytes);
+    memory_budget_give(memory, MEMORY_CONFIGS, c->text_bytes);
+    c->text_bytes = bytes;
+}
+
 static void
 tick(control *c)
 {
     check_clients(c);
+    count_texts(c);
     bbm_event ev = {.kind = BBM_EV_TICK};
     ev.u.tick.wall_ms = control_wall_ms();
     step(c, &ev);
