Forecast of runners counts slots, and is checked against results

Long prompts were expected to begin after 300 to 340 ms and began after 830 to 1,570 ms: the wait for a slot was a constant of 300 ms. The forecast now takes the measured time for which requests of a priority occupy a slot, counts the open requests that are at least as urgent, and is corrected by the ratio of results to forecasts when it refuses. Event 514 and three counters show both.

--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -114,6 +114,15 @@
      AT(gate.open_requests)},
     {"pool_held_requests", "gauge", "Of these, waiting for an upstream",
      AT(gate.held_requests)},
+    {"pool_forecasts_total", "counter",
+     "Answers of runners that began, or were given up after the time expected",
+     AT(gate.forecasts)},
+    {"pool_forecast_ms_total", "counter",
+     "Sum of the expected times until these answers begin",
+     AT(gate.forecast_ms)},
+    {"pool_forecast_result_ms_total", "counter",
+     "Sum of the actual times until these answers began",
+     AT(gate.forecast_result_ms)},
 };
 
 typedef struct histogram_metric {
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -268,11 +268,14 @@
         } abort;                 /**< BBM_GATE_ABORT. */
         struct {
             char upstream[BBM_NAME_SIZE]; /**< Upstream that answered. */
-            int64_t head_ms;   /**< From arrival to the head of the answer. */
-            int64_t total_ms;  /**< From arrival to the end of the answer. */
-            uint32_t attempts; /**< Number of attempts made. */
-            uint32_t status;   /**< HTTP status. */
-        } ended;               /**< BBM_GATE_ENDED. */
+            int64_t head_ms;  /**< From arrival to the head of the answer. */
+            int64_t total_ms; /**< From arrival to the end of the answer. */
+            int64_t forecast_ms; /**< Expected time from the last attempt to
+                                      the head of the answer. */
+            int64_t forecast_error_ms; /**< Its actual time less that. */
+            uint32_t attempts;         /**< Number of attempts made. */
+            uint32_t status;           /**< HTTP status. */
+        } ended;                       /**< BBM_GATE_ENDED. */
         struct {
             char upstream[BBM_NAME_SIZE]; /**< The upstream. */
             bbm_upstream_notice notice;   /**< What it stated; its fields that
@@ -346,6 +349,10 @@
     uint64_t open_requests;      /**< Open requests (gauge). */
     uint64_t held_requests;      /**< Open requests that wait for an upstream
                                       (gauge). */
+    uint64_t forecasts;          /**< Answers of runners that have begun, or
+                                      were given up after their forecast. */
+    uint64_t forecast_ms;        /**< Sum of the expected times until then. */
+    uint64_t forecast_result_ms; /**< Sum of the actual times. */
     bbm_histogram time_to_head;  /**< From arrival to the head of the answer;
                                       not of resumed streams. */
     bbm_histogram total_time;    /**< From arrival to the end of the answer. */
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -49,6 +49,8 @@
         return;
     r->stage = GATE_ANSWERING;
     r->head_at = g->now;
+    if (!r->is_relaying)
+        gate_forecast_record_start(g, r);
     if (r->is_relaying) {
         gate_record_brittle(g, gate_find_pool(g, r->pools[0]), notice);
         return;
@@ -99,10 +101,14 @@
     if (u->pool && !u->pool->is_engine && result->status < 500)
         u->pool->service_ms +=
             (duration_ms - u->pool->service_ms) * SMOOTHING_WEIGHT;
+    gate_forecast_record_end(g, r);
     bbm_gate_output *out = gate_push_output(g, BBM_GATE_ENDED, r);
     bbm_name_set(out->u.ended.upstream, u->info.id);
     bbm_time head = r->head_at ? r->head_at : g->now;
     out->u.ended.head_ms = (head - r->arrived_at) / BBM_MS;
+    out->u.ended.forecast_ms = (int64_t)r->corrected_ms;
+    out->u.ended.forecast_error_ms =
+        (head - r->sent_at) / BBM_MS - out->u.ended.forecast_ms;
     out->u.ended.total_ms = (g->now - r->arrived_at) / BBM_MS;
     out->u.ended.attempts = r->attempts;
     out->u.ended.status = result->status;
@@ -319,6 +325,7 @@
             return;
         /* fall through */
     case GATE_SENT:
+        gate_forecast_record_no_start(g, r);
         gate_abort(g, r, BBM_ERR_UPSTREAM_TIMEOUT, "deadline reached");
         return;
     }
@@ -387,6 +394,7 @@
     gate_advance(g, now);
     bbm_quarantine_tick(g->quarantine, g->now);
     gate_apply_quarantine(g);
+    gate_forecast_update(g);
     gate_request *r, *next;
     HASH_ITER(hh, g->requests, r, next)
     {
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -5,6 +5,7 @@
 #define GATE_CORE_H
 
 #include "bbm_chains.h"
+#include "bbm_forecast.h"
 #include "bbm_gate.h"
 #include "bbm_hash.h"
 #include "bbm_loads.h"
@@ -45,8 +46,14 @@
     bbm_retry_budget retry_budget; /**< This VM's part of the retry budget of
                                         the pool. */
     bool retry_slack_granted;      /**< It was filled. */
-    bbm_time brittle_until;        /**< Its upstreams have stated that they are
-                                        brittle; holds until then. */
+    bbm_forecast forecast;         /**< Of runners: expected times, checked
+                                        against results. */
+    uint32_t open_by_class[BBM_FORECAST_PRIORITIES]; /**< Open requests of this
+                                                          VM at its upstreams,
+                                                          by priority, at the
+                                                          last tick. */
+    bbm_time brittle_until; /**< Its upstreams have stated that they are
+                                 brittle; holds until then. */
     bool cut; /**< This VM reaches none of its upstreams; others may. */
     bbm_time unreached_since; /**< First failed connection since one of its
                                    upstreams answered; 0: none. */
@@ -226,6 +233,11 @@
     bbm_time head_at;        /**< When its answer began; 0: not yet. */
     double expected_ms;      /**< Expected time from sent_at until the answer
                                   begins. */
+    double corrected_ms;     /**< The same, corrected by results. */
+    double forecast_ms;      /**< The same as expected_ms without costs that
+                                  aren't times. */
+    double miss_tokens;      /**< Prompt tokens that the upstream must process
+                                  for the current attempt. */
     bbm_time next_admission_at; /**< While held: time from which it may be
                                      admitted again (see
                                      passes_random_admission). */
@@ -392,6 +404,9 @@
     gate_upstream *upstream; /**< The upstream. */
     uint64_t version;        /**< Version of its weights; 0: unknown. */
     double expected_ms;      /**< Expected time until the answer begins. */
+    double corrected_ms;     /**< The same, corrected by results. */
+    double forecast_ms;      /**< The same as expected_ms without costs that
+                                  aren't times. */
     double miss_tokens;      /**< Expected number of prompt tokens that it must
                                   process. */
     size_t prefixes_held;    /**< Shared prefixes that it likely has. */
@@ -447,6 +462,31 @@
  *  answers haven't begun. */
 double gate_backlog_tokens(const bbm_gate *g, const gate_upstream *u);
 
+/* ---- gate_forecast.c ---- */
+
+/** Expected time until a runner begins to process a request, in milliseconds,
+ *  without the correction factor. */
+double gate_forecast_wait_ms(const bbm_gate *g, const gate_request *r,
+                             const gate_upstream *u);
+/** Correction factor of such times; 1 for services. */
+double gate_forecast_factor(const bbm_gate *g, const gate_request *r,
+                            const gate_pool *p);
+/** Record that the answer of the current attempt begins now. */
+void gate_forecast_record_start(bbm_gate *g, const gate_request *r);
+/** Record that the answer of the current attempt hasn't begun until now, and
+ *  that the attempt ends. */
+void gate_forecast_record_no_start(bbm_gate *g, const gate_request *r);
+/** Count the open requests by priority, and how long those wait whose answers
+ *  haven't begun. */
+void gate_forecast_update(bbm_gate *g);
+/** Share of the open requests at upstreams of a pool that are at least as
+ *  urgent as this priority; 1 if this VM has none there.  Totals don't tell
+ *  priorities, so those of this VM are taken for all; one more urgent request
+ *  is added, as this VM has few. */
+double gate_forecast_urgent_share(const gate_pool *p, int priority);
+/** Record that the current attempt ends with a complete answer. */
+void gate_forecast_record_end(bbm_gate *g, const gate_request *r);
+
 /* ---- gate_cache.c ---- */
 
 /** Time per token to fetch from a store, relative to a runner: the link of a
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -14,8 +14,6 @@
    preferred: the runner chosen by rendezvous hashing over the eligible ones.
    So VMs that have just started choose the same one. */
 
-/* Time that each open request adds to a decoding step of a runner. */
-#define DECODE_STEP_MS_PER_REQUEST 0.3
 /* A runner counts as full once its open requests occupy this share of its KV
    cache memory, or the time to process its prompt backlog exceeds the maximum.
    Running requests use the same memory as cached prefixes, and a runner that
@@ -44,9 +42,8 @@
 /* Cost of placing a chain on a third or further runner, as a multiple of the
    time to compute its shared prefix, where the holders are unknown. */
 #define THIRD_HOLDER_COST_RATIO 2.0
-/* Approximate time for which a request occupies a slot of a runner: an
-   estimate of the wait if all slots are occupied. */
-#define SLOT_WAIT_MS 300.0
+/* Extra cost of an upstream that has asked all other VMs for a pause. */
+#define PAUSED_COST_MS 300.0
 /* Extra cost of an upstream in another availability zone: the round trip. */
 #define CROSS_ZONE_MS 2.0
 /* Runners with the newest weights are preferred if the answer is expected to
@@ -106,6 +103,8 @@
     bool is_home;       /* a home of the chain that this request considers */
     bool is_full; /* a further request would only wait there, and evict cached
                      prefixes */
+    double wait_ms; /* expected until the runner begins with it, without the
+                       correction factor */
     double cost_ms;
 } candidate;
 
@@ -346,19 +345,6 @@
     return size > 0 ? room / size : room;
 }
 
-static double
-runner_wait_ms(const bbm_gate *g, const gate_upstream *u)
-{
-    const gate_pool *p = u->pool;
-    double open = gate_open_requests(g, u);
-    double wait = gate_backlog_tokens(g, u) / p->prefill_tokens_per_ms
-                  + open * DECODE_STEP_MS_PER_REQUEST;
-    if (open >= gate_slots_of(u))
-        wait +=
-            SLOT_WAIT_MS * (1 + open - gate_slots_of(u)) / gate_slots_of(u);
-    return wait;
-}
-
 /* A runner that asked other VMs for a pause is loaded more than its reported
    load says: the share of the VMs measures by how much. */
 static double
@@ -366,7 +352,7 @@
 {
     double paused =
         of_other_vms(g, u->totals.paused_vms, u->reported.paused_vms);
-    return SLOT_WAIT_MS * paused / (double)g->vms;
+    return PAUSED_COST_MS * paused / (double)g->vms;
 }
 
 /* Extra cost of a runner by its rank in the rendezvous order of the chain (0:
@@ -484,7 +470,8 @@
 static void
 estimate_wait(bbm_gate *g, const gate_request *r, candidate *c)
 {
-    c->cost_ms = runner_wait_ms(g, c->upstream) + cross_zone_ms(g, c->upstream)
+    c->wait_ms = gate_forecast_wait_ms(g, r, c->upstream);
+    c->cost_ms = c->wait_ms + cross_zone_ms(g, c->upstream)
                  + paused_elsewhere_ms(g, c->upstream);
     c->is_full = is_full(g, r, c->upstream);
     gate_find_cached(g, r, c->upstream, c->version, &c->cached);
@@ -680,12 +667,33 @@
     g->prefill_rate_at = g->now;
 }
 
+/* Time that a runner needs for the request itself until the answer begins. */
+static double
+own_ms(const candidate *c)
+{
+    const gate_pool *p = c->upstream->pool;
+    return p->is_engine
+               ? c->miss_tokens / p->prefill_tokens_per_ms + c->cached.fetch_ms
+               : 0;
+}
+
+/* Expected time until the answer begins, corrected by results.  The costs have
+   no correction: it is the same for all runners of a pool. */
+static double
+corrected_ms(const bbm_gate *g, const gate_request *r, const candidate *c)
+{
+    double factor = gate_forecast_factor(g, r, c->upstream->pool);
+    return c->cost_ms + (c->wait_ms + own_ms(c)) * (factor - 1);
+}
+
 static void
 fill_choice(bbm_gate *g, const gate_request *r, const candidate_set *set,
             const candidate *best, gate_choice *c)
 {
     c->upstream = best->upstream;
     c->expected_ms = best->cost_ms;
+    c->corrected_ms = corrected_ms(g, r, best);
+    c->forecast_ms = best->wait_ms + own_ms(best);
     c->candidates = (uint32_t)set->len;
     c->miss_tokens = best->miss_tokens;
     if (best->upstream->pool->is_engine)
@@ -767,7 +775,7 @@
         o.best = asked;
         o.hold = false;
     }
-    o.expected_ms = o.best->cost_ms;
+    o.expected_ms = corrected_ms(g, r, o.best);
     if (o.hold)
         o.expected_ms += held_queue_ms(g, r, set);
     return o;
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -312,6 +312,9 @@
     r->sent_at = g->now;
     r->head_at = 0;
     r->expected_ms = c->expected_ms;
+    r->corrected_ms = c->corrected_ms;
+    r->forecast_ms = c->forecast_ms;
+    r->miss_tokens = c->miss_tokens;
     r->upstream = u;
     r->upstream_run = gate_run_of(&u->info);
     r->backlog_tokens = (uint32_t)c->miss_tokens;
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -414,6 +414,8 @@
     node_log_number(l, "first_ms", out->u.ended.head_ms);
     node_log_number(l, "whole_ms", out->u.ended.total_ms);
     node_log_number(l, "attempts", out->u.ended.attempts);
+    node_log_number(l, "forecast_ms", out->u.ended.forecast_ms);
+    node_log_number(l, "forecast_error_ms", out->u.ended.forecast_error_ms);
 }
 
 /* At most one line per period for all upstreams: a faulty one may send such
