Slots count as room of a runner, and late requests leave room for others

Runners had 40 to 55 open requests for 12 slots and counted as free as long as memory and backlog allowed it. Slots now count, by the requests that are at least as urgent. Requests that can't meet their target latency any more get 0.7 of the slots and of the backlog, and held ones are tried after those that can.

A variant in which late requests also got 0.7 of the memory is not taken: in test_tainted the last crash came so late that no request was left to count (part_that_crashes_runners_returns_after_a_pause).

--- a/gate/bbm_room.h
+++ b/gate/bbm_room.h
@@ -6,8 +6,8 @@
  *  leaves behind.  A runner is full for a request if one of these is used up.
  *  Of the slots, only those count that are used by requests at least as
  *  urgent, as a runner admits urgent requests first.  A request that can't
- *  meet its target latency any more gets less of the room, so that what is
- *  left serves requests that can.
+ *  meet its target latency any more gets less of the slots and of the backlog,
+ *  so that what is left serves requests that can.
  *
  *      bbm_room_load load = {...};
  *      if (bbm_room_for(&load, tokens, late) < 1)
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -12,6 +12,7 @@
 #include "bbm_places.h"
 #include "bbm_retry.h"
 #include "bbm_returns.h"
+#include "bbm_room.h"
 #include "bbm_share.h"
 #include "bbm_turns.h"
 
@@ -471,6 +472,12 @@
 /** Correction factor of such times; 1 for services. */
 double gate_forecast_factor(const bbm_gate *g, const gate_request *r,
                             const gate_pool *p);
+/** True if a request to runners can't meet its target latency any more,
+ *  wherever it is sent. */
+bool gate_is_late(const bbm_gate *g, const gate_request *r);
+/** True if it is expected not to meet its target latency at a runner. */
+bool gate_is_late_at(const bbm_gate *g, const gate_request *r,
+                     const gate_upstream *u);
 /** Record that the answer of the current attempt begins now. */
 void gate_forecast_record_start(bbm_gate *g, const gate_request *r);
 /** Record that the answer of the current attempt hasn't begun until now, and
--- a/gate/gate_forecast.c
+++ b/gate/gate_forecast.c
@@ -46,6 +46,24 @@
                : 1;
 }
 
+bool
+gate_is_late(const bbm_gate *g, const gate_request *r)
+{
+    const gate_pool *p = gate_find_pool(g, r->pools[0]);
+    return p && p->is_engine && r->target_latency
+           && g->now - r->arrived_at >= r->target_latency;
+}
+
+bool
+gate_is_late_at(const bbm_gate *g, const gate_request *r,
+                const gate_upstream *u)
+{
+    double wait_ms =
+        gate_forecast_wait_ms(g, r, u) * gate_forecast_factor(g, r, u->pool);
+    bbm_time begins = g->now + (bbm_time)(wait_ms * (double)BBM_MS);
+    return r->target_latency && begins - r->arrived_at >= r->target_latency;
+}
+
 void
 gate_forecast_record_start(bbm_gate *g, const gate_request *r)
 {
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -317,19 +317,33 @@
     return strcmp(g->desc.zone, u->info.zone) == 0 ? 0 : CROSS_ZONE_MS;
 }
 
+static bbm_room_load
+room_load(const bbm_gate *g, const gate_request *r, const gate_upstream *u)
+{
+    const gate_pool *p = u->pool;
+    return (bbm_room_load){
+        .memory_tokens = total_memory_tokens(g, u),
+        .memory_max = p->memory_tokens * RUNNING_MEMORY_SHARE,
+        .backlog_ms = gate_backlog_tokens(g, u) / p->prefill_tokens_per_ms,
+        .backlog_max_ms = BACKLOG_MAX_MS,
+        .open_ahead = gate_open_requests(g, u)
+                      * gate_forecast_urgent_share(p, r->priority),
+        .slots = gate_slots_of(u),
+        .slot_ms = bbm_forecast_slot_ms(&p->forecast, r->priority, g->now),
+    };
+}
+
 static bool
 is_full(const bbm_gate *g, const gate_request *r, const gate_upstream *u)
 {
-    double running = total_memory_tokens(g, u);
-    double room = u->pool->memory_tokens * RUNNING_MEMORY_SHARE;
+    bbm_room_load load = room_load(g, r, u);
     /* An idle runner accepts a request of any size. */
-    if (running <= 0)
+    if (load.memory_tokens <= 0)
         return false;
     if (gate_is_brittle_full(g, u))
         return true;
-    return running + r->prompt_tokens + r->output_tokens_max > room
-           || gate_backlog_tokens(g, u) / u->pool->prefill_tokens_per_ms
-                  > BACKLOG_MAX_MS;
+    return bbm_room_is_full(&load, r->prompt_tokens + r->output_tokens_max,
+                            gate_is_late_at(g, r, u));
 }
 
 double
@@ -342,7 +356,10 @@
                      - gate_backlog_tokens(g, u);
     double size = r->prompt_tokens + r->output_tokens_max;
     room = backlog < room ? backlog : room;
-    return size > 0 ? room / size : room;
+    room = size > 0 ? room / size : room;
+    bbm_room_load load = room_load(g, r, u);
+    double slots = bbm_room_slots(&load, gate_is_late_at(g, r, u));
+    return slots < room ? slots : room;
 }
 
 /* A runner that asked other VMs for a pause is loaded more than its reported
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -349,9 +349,13 @@
 static void
 refuse_too_late(bbm_gate *g, gate_request *r, const gate_choice *c)
 {
-    double left_ms = (double)(r->start_deadline - g->now) / (double)BBM_MS;
-    bbm_time retry_after =
-        (bbm_time)((c->expected_ms - left_ms) * (double)BBM_MS);
+    /* At a runner, so much of the backlog has to be processed before a request
+       of this kind can meet its target latency. */
+    const gate_pool *p = gate_find_pool(g, r->pools[0]);
+    bbm_time left = r->start_deadline - g->now;
+    if (p && p->is_engine && r->target_latency && r->target_latency < left)
+        left = r->target_latency;
+    bbm_time retry_after = (bbm_time)(c->expected_ms * (double)BBM_MS) - left;
     g->counts.refused_load += r->attempts_run == 0;
     gate_refuse(g, r, BBM_ERR_OVERLOAD, retry_after,
                 "no upstream can begin the answer in time");
@@ -562,17 +566,27 @@
     }
 }
 
+/* Dispatches the held requests that can meet their target latency, or those
+   that can't any more. */
+static void
+dispatch_held(bbm_gate *g, bool late)
+{
+    gate_request *r, *next;
+    for (r = TAILQ_FIRST(&g->waiting); r; r = next) {
+        next = TAILQ_NEXT(r, link);
+        if (gate_is_late(g, r) == late)
+            gate_dispatch(g, r);
+    }
+}
+
 void
 gate_dispatch_waiting(bbm_gate *g)
 {
-    gate_request *r, *next;
     if (g->was_stopped)
         refuse_all_held(g);
     g->was_stopped = false;
-    for (r = TAILQ_FIRST(&g->waiting); r; r = next) {
-        next = TAILQ_NEXT(r, link);
-        gate_dispatch(g, r);
-    }
+    dispatch_held(g, false);
+    dispatch_held(g, true);
 }
 
 /* ---- start ---- */
