--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -14,8 +14,6 @@
    preferred: the runner chosen by rendezvous hashing over the eligible ones.
    So VMs that have just started choose the same one. */
 
-/* Time that each open request adds to a decoding step of a runner. */
-#define DECODE_STEP_MS_PER_REQUEST 0.3
 /* A runner counts as full once its open requests occupy this share of its KV
    cache memory, or the time to process its prompt backlog exceeds the maximum.
    Running requests use the same memory as cached prefixes, and a runner that
@@ -44,8 +42,9 @@
 /* Cost of placing a chain on a third or further runner, as a multiple of the
    time to compute its shared prefix, where the holders are unknown. */
 #define THIRD_HOLDER_COST_RATIO 2.0
-/* Approximate time for which a request occupies a slot of a runner: an
-   estimate of the wait if all slots are occupied. */
+/* Extra cost of an upstream that has asked all other VMs for a pause. */
+#define PAUSED_COST_MS 300.0
+/* Approximate wait for a slot at a runner whose slots are all occupied. */
 #define SLOT_WAIT_MS 300.0
 /* Extra cost of an upstream in another availability zone: the round trip. */
 #define CROSS_ZONE_MS 2.0
@@ -115,6 +114,8 @@
     bool is_left_out;   /* in another zone, and the request stays in this */
     bool is_full; /* a further request would only wait there, and evict cached
                      prefixes */
+    double wait_ms; /* expected until the runner begins with it, without the
+                       correction factor */
     double cost_ms;
 } candidate;
 
@@ -337,19 +338,33 @@
     return gate_zones_priced(g) ? gate_leave_ms(g, r) : CROSS_ZONE_MS;
 }
 
+static bbm_room_load
+room_load(const bbm_gate *g, const gate_request *r, const gate_upstream *u)
+{
+    const gate_pool *p = u->pool;
+    return (bbm_room_load){
+        .memory_tokens = total_memory_tokens(g, u),
+        .memory_max = p->memory_tokens * RUNNING_MEMORY_SHARE,
+        .backlog_ms = gate_backlog_tokens(g, u) / gate_prefill_rate(u),
+        .backlog_max_ms = BACKLOG_MAX_MS,
+        .open_ahead = gate_open_requests(g, u)
+                      * gate_forecast_urgent_share(p, r->priority),
+        .slots = gate_slots_of(u),
+        .slot_ms = bbm_forecast_slot_ms(&p->forecast, r->priority, g->now),
+    };
+}
+
 static bool
 is_full(const bbm_gate *g, const gate_request *r, const gate_upstream *u)
 {
-    double running = total_memory_tokens(g, u);
-    double room = u->pool->memory_tokens * RUNNING_MEMORY_SHARE;
+    bbm_room_load load = room_load(g, r, u);
     /* An idle runner accepts a request of any size. */
-    if (running <= 0)
+    if (load.memory_tokens <= 0)
         return false;
     if (gate_is_brittle_full(g, u))
         return true;
-    return running + r->prompt_tokens + r->output_tokens_max > room
-           || gate_backlog_tokens(g, u) / gate_prefill_rate(u)
-                  > BACKLOG_MAX_MS;
+    return bbm_room_is_full(&load, r->prompt_tokens + r->output_tokens_max,
+                            gate_is_late_at(g, r, u));
 }
 
 double
@@ -362,19 +377,21 @@
         BACKLOG_MAX_MS * gate_prefill_rate(u) - gate_backlog_tokens(g, u);
     double size = r->prompt_tokens + r->output_tokens_max;
     room = backlog < room ? backlog : room;
-    return size > 0 ? room / size : room;
+    room = size > 0 ? room / size : room;
+    bbm_room_load load = room_load(g, r, u);
+    double slots = bbm_room_slots(&load, gate_is_late_at(g, r, u));
+    return slots < room ? slots : room;
 }
 
+/* Wait at a runner whatever the request, by which zones are compared. */
 static double
 runner_wait_ms(const bbm_gate *g, const gate_upstream *u)
 {
     double open = gate_open_requests(g, u);
-    double decode_ms = open * DECODE_STEP_MS_PER_REQUEST;
-    if (open >= gate_slots_of(u))
-        decode_ms +=
-            SLOT_WAIT_MS * (1 + open - gate_slots_of(u)) / gate_slots_of(u);
-    return gate_backlog_tokens(g, u) / gate_prefill_rate(u)
-           + decode_ms / u->speed;
+    double slots = gate_slots_of(u);
+    double wait = gate_backlog_tokens(g, u) / gate_prefill_rate(u);
+    return open < slots ? wait
+                        : wait + SLOT_WAIT_MS * (1 + open - slots) / slots;
 }
 
 double
@@ -412,7 +429,7 @@
 {
     double paused =
         of_other_vms(g, u->totals.paused_vms, u->reported.paused_vms);
-    return SLOT_WAIT_MS * paused / (double)g->vms;
+    return PAUSED_COST_MS * paused / (double)g->vms;
 }
 
 /* Extra cost of a runner by its rank in the rendezvous order of the chain (0:
@@ -550,8 +567,8 @@
 static void
 estimate_wait(bbm_gate *g, const gate_request *r, candidate *c)
 {
-    c->cost_ms = runner_wait_ms(g, c->upstream)
-                 + cross_zone_ms(g, r, c->upstream)
+    c->wait_ms = gate_forecast_wait_ms(g, r, c->upstream);
+    c->cost_ms = c->wait_ms + cross_zone_ms(g, r, c->upstream)
                  + paused_elsewhere_ms(g, c->upstream);
     if (!c->is_in_part)
         c->cost_ms += OUTSIDE_PART_COST_MS;
@@ -876,12 +893,33 @@
     g->prefill_rate_at = g->now;
 }
 
+/* Time that a runner needs for the request itself until the answer begins. */
+static double
+own_ms(const candidate *c)
+{
+    const gate_pool *p = c->upstream->pool;
+    return p->is_engine
+               ? c->miss_tokens / p->prefill_tokens_per_ms + c->cached.fetch_ms
+               : 0;
+}
+
+/* Expected time until the answer begins, corrected by results.  The costs have
+   no correction: it is the same for all runners of a pool. */
+static double
+corrected_ms(const bbm_gate *g, const gate_request *r, const candidate *c)
+{
+    double factor = gate_forecast_factor(g, r, c->upstream->pool);
+    return c->cost_ms + (c->wait_ms + own_ms(c)) * (factor - 1);
+}
+
 static void
 fill_choice(bbm_gate *g, const gate_request *r, const candidate_set *set,
             const candidate *best, gate_choice *c)
 {
     c->upstream = best->upstream;
     c->expected_ms = best->cost_ms;
+    c->corrected_ms = corrected_ms(g, r, best);
+    c->forecast_ms = best->wait_ms + own_ms(best);
     c->candidates = (uint32_t)set->len;
     c->miss_tokens = best->miss_tokens;
     if (best->upstream->pool->is_engine)
@@ -975,7 +1013,7 @@
         o.best = asked;
         o.hold = false;
     }
-    o.expected_ms = o.best->cost_ms;
+    o.expected_ms = corrected_ms(g, r, o.best);
     if (o.hold)
         o.expected_ms += held_queue_ms(g, r, set);
     return o;
