Limited runners are candidates of all requests with a turn; chains' homes by hash alone

test_limited failed since sampling became strict (limit_holds_over_75_vms: an upstream with a limit wasn't asked for 10.6 s): what a request doesn't draw costs more than its target latency. Turns spread the requests of VMs already.

--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -64,10 +64,6 @@
 #define RANDOM_CANDIDATE_COUNT 3.0
 /* Extra cost of the others, which are left to requests that draw them. */
 #define NOT_SAMPLED_COST_MS 5000.0
-/* Runners get homes of chains and random requests in proportion to this power
-   of their speed: while the others have room, an answer of a slow one is late
-   sooner. */
-#define HOME_SPEED_EXPONENT 3.0
 /* Extra cost of a runner outside the part of the pool for such prompts. */
 #define OUTSIDE_PART_COST_MS 300.0
 /* Load of the other VMs counts in full up to this age, then less and less:
@@ -103,7 +99,7 @@
 
 typedef struct candidate {
     gate_upstream *upstream;
-    double weight; /* rendezvous weight; the home has the highest */
+    uint64_t weight; /* rendezvous weight; the home has the highest */
     uint64_t version;
     bool is_old; /* a newer version was announced longer ago than
                     the grace period */
@@ -199,15 +195,10 @@
     return w;
 }
 
-/* Weighted rendezvous hashing: a runner is the home of a share of the chains
-   in proportion to a power of its speed.  Runners of equal speed have the
-   order of their hashes. */
-static double
+static uint64_t
 rendezvous_weight(const gate_request *r, const gate_upstream *u)
 {
-    uint64_t hash = bbm_hash64(&r->chain_key, sizeof(r->chain_key), u->hash);
-    double unit = ((double)(hash >> 11) + 0.5) / 9007199254740992.0;
-    return pow(u->speed, HOME_SPEED_EXPONENT) / -log(unit);
+    return bbm_hash64(&r->chain_key, sizeof(r->chain_key), u->hash);
 }
 
 /* Time since the announcement of the first version that is newer than this
@@ -627,18 +618,19 @@
     return RANDOM_CANDIDATE_COUNT / 2 / (double)from;
 }
 
-/* True if a request considers the i-th runner of the set. */
+/* True if a request considers the i-th runner of the set.  At a limited one the
+   turns spread the requests of the VMs already. */
 static bool
 is_sampled(bbm_gate *g, const gate_request *r, const candidate_set *set,
            size_t i, const draw_counts *d)
 {
-    if (i == 0 || set->items[i].cached.prefixes_held == r->prefixes_len)
+    const candidate *c = &set->items[i];
+    if (i == 0 || c->cached.prefixes_held == r->prefixes_len
+        || gate_is_limited(c->upstream))
         return true;
     if (i >= d->in_part)
         return false;
-    double chance = draw_probability(g, set, i, d)
-                    * pow(set->items[i].upstream->speed, HOME_SPEED_EXPONENT);
-    return bbm_rng_unit(&g->rng) < chance;
+    return bbm_rng_unit(&g->rng) < draw_probability(g, set, i, d);
 }
 
 static void
@@ -801,8 +793,8 @@
 {
     const gate_upstream *higher = NULL;
     const gate_upstream *lower = NULL;
-    double higher_weight = 0;
-    double lower_weight = 0;
+    uint64_t higher_weight = 0;
+    uint64_t lower_weight = 0;
     bbm_time emptied_at = chosen->upstream->cache_empty_since;
     for (const gate_upstream *u = g->upstreams; u; u = u->hh.next) {
         bool same = u != chosen->upstream && u->listed
@@ -812,7 +804,7 @@
                            == chosen->version;
         if (!same)
             continue;
-        double weight = rendezvous_weight(r, u);
+        uint64_t weight = rendezvous_weight(r, u);
         if (weight > chosen->weight) {
             if (!higher || weight > higher_weight) {
                 higher = u;
