Wait times and backlog limits of runners by their measured speed

Placement by the measured time of the own prompt, or by the measured rate of the pool, made the simulated load worse: slow runners were left idle.

--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -80,6 +80,8 @@
                                      s. */
     bool unsafe_no_hold; /**< Tests only: refuse a request at once, instead of
                               holding it, if there is no upstream. */
+    bool unsafe_ignore_speeds; /**< Tests only: take all runners to have the
+                                    configured rate. */
 } bbm_gate_desc;
 
 /** A new request. */
--- a/gate/bbm_speed.h
+++ b/gate/bbm_speed.h
@@ -20,8 +20,7 @@
  *      bbm_speed_end_listing(s);
  *      bbm_speed_add(s, upstream, expected_ms, actual_ms, now);
  *      if (bbm_speed_update(s, now))
- *          rate *= bbm_speed_pool_factor(s, pool)
- *                  * bbm_speed_factor(s, upstream);
+ *          rate = configured * bbm_speed_factor(s, upstream);
  *
  *  Pure: the caller passes in the time.
  */
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -38,8 +38,6 @@
                                    upstream whose entry specifies none. */
     double prefill_tokens_per_ms; /**< Prompt processing rate of a runner, in
                                        tokens per millisecond. */
-    double speed; /**< Rate relative to the configured one, as measured. */
-    bool uneven;  /**< Its runners differ in speed. */
     double memory_tokens; /**< KV cache capacity of a runner, in tokens. */
     double fetch_ms_per_token; /**< Time to fetch the cache entries of a token
                                     from the own zone. */
@@ -614,7 +612,8 @@
 
 /* ---- gate_speed.c ---- */
 
-/** Prompt tokens that a runner processes per millisecond, as measured. */
+/** Prompt tokens that a runner processes per millisecond: the configured rate
+ *  of its pool, and its measured speed relative to the pool. */
 double gate_prefill_rate(const gate_upstream *u);
 /** Set what the answer to a request that is sent now would tell of the speed
  * of its upstream; before the counters of that change. */
--- a/gate/gate_notice.c
+++ b/gate/gate_notice.c
@@ -110,9 +110,9 @@
                        const gate_choice *c)
 {
     gate_pool *p = c->paused_pool;
-    double service_ms =
-        p->is_engine ? r->prompt_tokens / (p->prefill_tokens_per_ms * p->speed)
-                     : p->service_ms / (p->slots ? p->slots : 1);
+    double service_ms = p->is_engine
+                            ? r->prompt_tokens / p->prefill_tokens_per_ms
+                            : p->service_ms / (p->slots ? p->slots : 1);
     /* The other VMs send their clients to the same upstreams. */
     double spacing_ms = service_ms * (double)g->vms / (double)c->paused
                         / RETURN_CAPACITY_SHARE;
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -318,6 +318,15 @@
     return strcmp(g->desc.zone, u->info.zone) == 0 ? 0 : CROSS_ZONE_MS;
 }
 
+/* A faster runner isn't given a longer queue: what waits there occupies memory
+   that its cached prefixes need. */
+static double
+backlog_tokens_max(const gate_upstream *u)
+{
+    return BACKLOG_MAX_MS * u->pool->prefill_tokens_per_ms
+           * (u->speed < 1 ? u->speed : 1);
+}
+
 static bool
 is_full(const bbm_gate *g, const gate_request *r, const gate_upstream *u)
 {
@@ -329,8 +338,7 @@
     if (gate_is_brittle_full(g, u))
         return true;
     return running + r->prompt_tokens + r->output_tokens_max > room
-           || gate_backlog_tokens(g, u) / gate_prefill_rate(u)
-                  > BACKLOG_MAX_MS;
+           || gate_backlog_tokens(g, u) > backlog_tokens_max(u);
 }
 
 double
@@ -339,8 +347,7 @@
 {
     double room = u->pool->memory_tokens * RUNNING_MEMORY_SHARE
                   - total_memory_tokens(g, u);
-    double backlog =
-        BACKLOG_MAX_MS * gate_prefill_rate(u) - gate_backlog_tokens(g, u);
+    double backlog = backlog_tokens_max(u) - gate_backlog_tokens(g, u);
     double size = r->prompt_tokens + r->output_tokens_max;
     room = backlog < room ? backlog : room;
     return size > 0 ? room / size : room;
@@ -376,7 +383,8 @@
 away_from_home_ms(const gate_request *r, const candidate *c, size_t rank)
 {
     double fetch_ms = gate_fetch_ms(c->upstream, r->shared_tokens, false);
-    double compute_ms = r->shared_tokens / gate_prefill_rate(c->upstream);
+    double compute_ms =
+        r->shared_tokens / c->upstream->pool->prefill_tokens_per_ms;
     if (rank == 0)
         return 0;
     if (rank > 1)
@@ -391,7 +399,7 @@
 {
     c->miss_tokens = r->prompt_tokens - r->shared_tokens;
     c->cost_ms += away_from_home_ms(r, c, rank)
-                  + c->miss_tokens / gate_prefill_rate(c->upstream);
+                  + c->miss_tokens / c->upstream->pool->prefill_tokens_per_ms;
     if (rank > 0)
         c->miss_tokens += r->shared_tokens * FETCH_FAILURE_SHARE;
 }
@@ -400,7 +408,7 @@
 add_cost_holders_known(const gate_request *r, candidate *c, size_t rank)
 {
     const gate_cached *cached = &c->cached;
-    double speed = gate_prefill_rate(c->upstream);
+    double speed = c->upstream->pool->prefill_tokens_per_ms;
     double available = cached->offered_tokens > 0 ? cached->offered_tokens
                                                   : cached->held_tokens;
     c->miss_tokens = r->prompt_tokens - available;
@@ -441,7 +449,7 @@
         .news_lost = is_news_lost(g),
     };
     double own_ms = (r->prompt_tokens - r->shared_tokens)
-                    / gate_prefill_rate(home->upstream);
+                    / home->upstream->pool->prefill_tokens_per_ms;
     size_t homes =
         bbm_chains_homes(bbm_chains_rate(g->chains, &q, g->now), own_ms);
     return homes < set->len ? homes : set->len;
@@ -462,7 +470,7 @@
 add_home_costs(bbm_gate *g, const gate_request *r, candidate *c)
 {
     const gate_cached *cached = &c->cached;
-    double speed = gate_prefill_rate(c->upstream);
+    double speed = c->upstream->pool->prefill_tokens_per_ms;
     double available = cached->offered_tokens > cached->held_tokens
                            ? cached->offered_tokens
                            : cached->held_tokens;
--- a/gate/gate_speed.c
+++ b/gate/gate_speed.c
@@ -12,7 +12,7 @@
 double
 gate_prefill_rate(const gate_upstream *u)
 {
-    return u->pool->prefill_tokens_per_ms * u->pool->speed * u->speed;
+    return u->pool->prefill_tokens_per_ms * u->speed;
 }
 
 /* Only answers whose prompts are known to be processed are samples: shared
@@ -60,11 +60,6 @@
 void
 gate_apply_speeds(bbm_gate *g)
 {
-    for (gate_pool *p = g->pools; p; p = p->hh.next) {
-        uint64_t hash = bbm_hash_text(p->name, 0);
-        p->speed = bbm_speed_pool_factor(g->speeds, hash);
-        p->uneven = bbm_speed_is_uneven(g->speeds, hash);
-    }
     for (gate_upstream *u = g->upstreams; u; u = u->hh.next)
         u->speed = bbm_speed_factor(g->speeds, u->hash);
 }
--- a/tests/scale_world.c
+++ b/tests/scale_world.c
@@ -17,6 +17,16 @@
 #define TARGET_LATENCY (600 * BBM_MS)
 #define CLIENT_TIMEOUT (5 * BBM_SECOND)
 #define PREFILL_TOKENS_PER_MS 51.1
+/* Uneven runners. */
+#define UNEVEN_CONFIGURED_PER_S 40000
+#define UNEVEN_TOKENS_PER_MS 93.6
+#define SLOW_ONE_IN 4
+#define SLOW_SPEED 0.55
+#define FAST_SPEED 1.2
+#define NOISE_SHARE 0.15
+#define NOISE_RATIO 2.5
+#define WAVE_PERIOD (8 * BBM_SECOND)
+#define WAVE_SHARE 0.25
 #define MEMORY_TOKENS 101786.0
 #define FETCH_TOKENS_PER_MS 420.0
 #define FETCH_BASE_MS 3.3
@@ -39,7 +49,7 @@
 static const char config_text[] =
     "{\"pools\":[{\"name\":\"llm\",\"engine\":true,\"slots\":16,"
     "\"memory_tokens\":101786,\"token_bytes\":163840,\"link_mbps\":550000,"
-    "\"prefill_tokens_per_s\":51100}],"
+    "\"prefill_tokens_per_s\":%d}],"
     "\"stores\":[{\"name\":\"s\",\"address\":\"10.0.1.1:80\","
     "\"zone\":\"a\",\"memory_tokens\":5000000}],"
     "\"routes\":["
@@ -57,6 +67,7 @@
     cached_part parts[CACHE_MAX]; /* most recently used first */
     size_t len;
     double running_tokens;
+    double tokens_per_ms;
     size_t requests;
     bbm_time free_at;
     uint64_t version;
@@ -226,7 +237,7 @@
         return fetch_from_store(w, tokens);
     if (read_before)
         w->result.reread_tokens += tokens;
-    return lost_ms + tokens / PREFILL_TOKENS_PER_MS;
+    return lost_ms + tokens / r->tokens_per_ms;
 }
 
 static void
@@ -255,7 +266,9 @@
     uint64_t chain = w->vms[vm].chain[s->request % 4096];
     double ms = obtain_part(w, r, s, root_of(chain), ROOT_TOKENS)
                 + obtain_part(w, r, s, chain_part(chain), SCALE_CHAIN_TOKENS)
-                + OWN_TOKENS / PREFILL_TOKENS_PER_MS;
+                + OWN_TOKENS / r->tokens_per_ms;
+    if (w->desc.uneven && bbm_rng_unit(&w->rng) < NOISE_SHARE)
+        ms *= NOISE_RATIO;
     r->running_tokens += ROOT_TOKENS + SCALE_CHAIN_TOKENS + OWN_TOKENS;
     r->requests++;
     bbm_time from = r->free_at > w->now ? r->free_at : w->now;
@@ -478,8 +491,12 @@
 {
     w->now += STEP;
     step_loads(w);
-    w->arrivals_due +=
-        w->desc.requests_per_s * (double)STEP / (double)BBM_SECOND;
+    double rate = w->desc.requests_per_s;
+    if (w->desc.uneven)
+        rate *= 1
+                + WAVE_SHARE
+                      * sin(2 * M_PI * (double)w->now / (double)WAVE_PERIOD);
+    w->arrivals_due += rate * (double)STEP / (double)BBM_SECOND;
     /* Poisson arrivals, by their exponential gaps. */
     while (w->arrivals_due > 0) {
         begin_request(w);
@@ -528,11 +545,15 @@
     scale_result r = w->result;
     size_t sum = 0;
     size_t busiest = 0;
+    size_t slow = 0;
     for (size_t i = 0; i < w->desc.runners; i++) {
         sum += w->runners[i].requests;
+        if (i % SLOW_ONE_IN == 0)
+            slow += w->runners[i].requests;
         if (w->runners[i].requests > busiest)
             busiest = w->runners[i].requests;
     }
+    r.slow_share = sum ? (double)slow / (double)sum : 0;
     r.busiest = sum ? (double)(busiest * w->desc.runners) / (double)sum : 0;
     qsort(w->latencies_ms, w->latencies_len, sizeof(*w->latencies_ms),
           compare_latencies);
@@ -553,7 +574,11 @@
     w->uses = bbm_calloc(PART_USES, sizeof(*w->uses));
     w->latencies_ms = bbm_calloc(LATENCIES_MAX, sizeof(*w->latencies_ms));
     bbm_doc_errors errors = {0};
-    w->cfg = bbm_config_create(config_text, strlen(config_text), &errors);
+    char text[sizeof(config_text) + 32];
+    snprintf(text, sizeof(text), config_text,
+             desc->uneven ? UNEVEN_CONFIGURED_PER_S
+                          : (int)(PREFILL_TOKENS_PER_MS * 1000));
+    w->cfg = bbm_config_create(text, strlen(text), &errors);
     ck_assert_ptr_nonnull(w->cfg);
     w->runners = bbm_calloc(desc->runners, sizeof(*w->runners));
     for (size_t i = 0; i < desc->runners; i++) {
@@ -565,6 +590,10 @@
         bbm_listing_entry_set_version(&u, "m", 1);
         bbm_listing_add(&w->listing, &u);
         w->runners[i].version = 1;
+        w->runners[i].tokens_per_ms =
+            desc->uneven ? UNEVEN_TOKENS_PER_MS
+                               * (i % SLOW_ONE_IN ? FAST_SPEED : SLOW_SPEED)
+                         : PREFILL_TOKENS_PER_MS;
         w->runners[i].load_from = BBM_NEVER;
     }
     w->vms = bbm_calloc(desc->vms, sizeof(*w->vms));
@@ -572,6 +601,7 @@
         bbm_gate_desc gate = {
             .seed = desc->seed + vm + 1,
             .retry_slack = 100,
+            .unsafe_ignore_speeds = desc->ignore_speeds,
         };
         bbm_name_set(gate.zone, vm % 2 ? "a" : "b");
         bbm_gate *g = bbm_gate_create(&gate);
--- a/tests/scale_world.h
+++ b/tests/scale_world.h
@@ -31,6 +31,12 @@
     size_t chains;         /**< Number of different chains of shared parts. */
     double hot_share;      /**< Share of the requests with the first chain. */
     uint64_t seed;
+    bool uneven; /**< A quarter of the runners has 0.55 of a rate of 93.6
+                      tokens per ms, the others 1.2; 15 in 100 prompts take 2.5
+                      times as long; the load swings by a quarter.  The
+                      configuration states 40 tokens per ms.  Otherwise all
+                      have the configured rate. */
+    bool ignore_speeds; /**< Gates don't use what they measure. */
 } scale_desc;
 
 /** What clients got in a span of time. */
@@ -45,6 +51,8 @@
                                processed them for the same weights within the
                                last 10 s. */
     double stored_tokens; /**< Tokens fetched from the store. */
+    double slow_share;    /**< Uneven: share of the requests at the slow
+                               runners. */
     double busiest;       /**< Requests at the busiest runner, relative to the
                                mean of all. */
 } scale_result;
