--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -86,6 +86,8 @@
                                  constant, and isn't bounded. */
     bool unsafe_no_hold; /**< Tests only: refuse a request at once, instead of
                               holding it, if there is no upstream. */
+    bool unsafe_ignore_speeds; /**< Tests only: take all runners to have the
+                                    configured rate. */
 } bbm_gate_desc;
 
 /** A new request. */
--- a/tests/scale_world.h
+++ b/tests/scale_world.h
@@ -35,6 +35,12 @@
                        nothing is added between them. */
     double zone_delay_ms;   /**< Settings of the gates. */
     double zone_byte_price; /**< The same. */
+    bool uneven; /**< A quarter of the runners has 0.55 of a rate of 93.6
+                      tokens per ms, the others 1.2; 15 in 100 prompts take 2.5
+                      times as long; the load swings by a quarter.  The
+                      configuration states 40 tokens per ms.  Otherwise all
+                      have the configured rate. */
+    bool ignore_speeds; /**< Gates don't use what they measure. */
 } scale_desc;
 
 /** Maximum number of zones. */
@@ -56,8 +62,10 @@
     size_t crossed;       /**< Attempts sent to another zone. */
     size_t zone_requests[SCALE_ZONES_MAX]; /**< Requests of VMs by zone. */
     size_t zone_in_time[SCALE_ZONES_MAX];  /**< in_time of these. */
-    double busiest; /**< Requests at the busiest runner, relative to the
-                         mean of all. */
+    double busiest;    /**< Requests at the busiest runner, relative to the
+                            mean of all. */
+    double slow_share; /**< Uneven: share of the requests at the slow
+                            runners. */
 } scale_result;
 
 /** A world; opaque. */
