bluebellmoor config check: findings about a configuration, and what differs

A document that the daemon accepts can still hold routes that no request reaches, objects that nothing names and limits that contradict each other. config/bbm_config_check finds these; it is pure and takes one or two configurations. The errors are those of bbm_config_create(), and covered routes are found by the daemon's own lookups. The paths of requests that name a model move from daemon/front.c to bbm_config_model_path() for that. The command compares with a file or with the revision in force at an admin address, and prints text or JSON.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -48,6 +48,9 @@
 json_t *cli_call_all(const cli_profile *p, const char *path);
 /** Exit status for an answer.  Prints the error, if it is one. */
 int cli_check_answer(const cli_profile *p, const cli_answer *a);
+/** Code of a refusal, from its "error" object or the top level; BBM_OK if
+ * there is none. */
+int cli_answer_code(const json_t *doc);
 /** Print a document as indented JSON on standard output. */
 void cli_print_json(const json_t *doc);
 /** Copy @p given, or make a random identifier for a change if it is NULL. */
@@ -66,5 +69,7 @@
 /** Commands that change something, and those that run without a daemon; the
  *  last row is all NULL. */
 extern const cli_command cli_change_commands[];
+/** Check of a configuration; the last row is all NULL. */
+extern const cli_command cli_config_commands[];
 
 #endif
--- a/cli/cli_call.c
+++ b/cli/cli_call.c
@@ -68,10 +68,8 @@
     return a;
 }
 
-/* Code of a refusal, from its "error" object or the top level; BBM_OK if there
-   is none. */
-static int
-answer_code(const json_t *doc)
+int
+cli_answer_code(const json_t *doc)
 {
     json_t *error = json_object_get(doc, "error");
     return (int)json_integer_value(
@@ -81,7 +79,7 @@
 static bool
 should_try_next(const cli_answer *a)
 {
-    int code = answer_code(a->doc);
+    int code = cli_answer_code(a->doc);
     return a->status == 0 || code == BBM_ERR_NOT_LEADER;
 }
 
@@ -153,7 +151,7 @@
               stderr);
         return CLI_OUTCOME_UNKNOWN;
     }
-    int code = answer_code(a->doc);
+    int code = cli_answer_code(a->doc);
     if (code == BBM_OK && a->status == 200)
         return CLI_OK;
     if (p->json) {
--- a/cli/main.c
+++ b/cli/main.c
@@ -13,8 +13,8 @@
 
 #define KEY_SIZE 512 /* bytes, including the terminating NUL */
 
-static const cli_command *const command_tables[] = {cli_change_commands,
-                                                    cli_query_commands};
+static const cli_command *const command_tables[] = {
+    cli_config_commands, cli_change_commands, cli_query_commands};
 
 static void
 usage(FILE *to)
@@ -35,7 +35,9 @@
     fputs("\n"
           "Exit status: 0 success, 1 refused, 2 invalid arguments or\n"
           "document, 3 no daemon reached, 4 outcome unknown: the change may\n"
-          "have been accepted, 5 another revision was published first.\n",
+          "have been accepted, 5 another revision was published first.\n"
+          "Of config check: 0 no findings, 1 warnings only, 2 errors, 3 the\n"
+          "version in force can't be read.\n",
           to);
 }
 
--- a/config/bbm_config.c
+++ b/config/bbm_config.c
@@ -437,6 +437,14 @@
     return best;
 }
 
+const char *
+bbm_config_model_path(size_t i)
+{
+    static const char *const paths[] = {"/v1/completions",
+                                        "/v1/chat/completions"};
+    return i < BBM_COUNT(paths) ? paths[i] : NULL;
+}
+
 const bbm_route *
 bbm_config_host_route(const bbm_config *cfg, const char *host,
                       const char *path)
--- a/config/bbm_config.h
+++ b/config/bbm_config.h
@@ -208,6 +208,9 @@
 const bbm_route *bbm_config_route(const bbm_config *cfg, const char *path,
                                   const char *model);
 
+/** Path @p i of those whose requests name a model, or NULL after the last. */
+const char *bbm_config_model_path(size_t i);
+
 /** The route to pools, for @p host or any host, with the longest path that is
  *  a prefix of @p path, or NULL. */
 const bbm_route *bbm_config_host_route(const bbm_config *cfg, const char *host,
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -1,5 +1,6 @@
 #include "front.h"
 
+#include "bbm_config.h"
 #include "control.h"
 #include "front_admin.h"
 #include "front_provider.h"
@@ -292,8 +293,12 @@
 static bool
 is_completion_path(const char *path)
 {
-    return strcmp(path, "/v1/completions") == 0
-           || strcmp(path, "/v1/chat/completions") == 0;
+    const char *known;
+    for (size_t i = 0; (known = bbm_config_model_path(i)) != NULL; i++) {
+        if (strcmp(path, known) == 0)
+            return true;
+    }
+    return false;
 }
 
 static int
