--- a/tests/process.sh
+++ b/tests/process.sh
@@ -522,7 +522,14 @@
     local cli="$FLEET_BUILD/bluebellmoor" words
     sed 's/"name": "jardin"/"name": "jardin", "weight": 3/' "$dir/config.json" >"$dir/next.json"
     check "check" "$cli" check "$dir/next.json"
+    # The revision in force is the one read, before and after the publish.
+    check "config check prints what differs from the revision in force" bash -c \
+        "'$cli' config check '$dir/next.json' --against \"\${BLUEBELLMOOR_ADMIN%%,*}\" | grep -q '^changed: customer \"jardin\".weight: from 1 to 3'"
     check "publish" "$cli" publish "$dir/next.json" 1
+    check "config check finds no difference from the revision in force" bash -c \
+        "'$cli' config check '$dir/next.json' --against \"\${BLUEBELLMOOR_ADMIN%%,*}\" | grep -q '^no differences'"
+    check "a wrong operator key ends config check with status 3" bash -c \
+        "BLUEBELLMOOR_KEY=no '$cli' config check '$dir/next.json' --against \"\${BLUEBELLMOOR_ADMIN%%,*}\"; test \$? -eq 3"
     for words in status members runners history "keys list" "orders list" burn; do
         # shellcheck disable=SC2086
         check "$words" "$cli" $words
