Releases of software: order and outcome in the replicated state, evidence, decision, gate

POST and GET of the provider's release calls, public command with fencing by term and step, evidence from each VM to the leader, the leader's decision, and the gate's choice of upstreams by build. The test of state version 2 encodes version 3 explicitly, as the latest one now ends with the releases.

--- a/base/bbm_format.h
+++ b/base/bbm_format.h
@@ -27,6 +27,8 @@
                                 relayed. */
     BBM_FORMAT_STATED,     /**< The same content; VMs state their format, and
                                 reports, totals and listings theirs. */
+    BBM_FORMAT_RELEASES,   /**< Releases of software in commands and snapshots,
+                                and the evidence about them. */
     BBM_FORMAT_COUNT,      /**< Number of values. */
     BBM_FORMAT_LATEST = BBM_FORMAT_COUNT - 1, /**< Of this build. */
 } bbm_format;
--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -113,6 +113,9 @@
     X(BBM_EVENT_LINK_LOST, 430, INFO, "connection to a VM was lost")          \
     X(BBM_EVENT_LINK_OPTIONS, 431, WARN,                                      \
       "options of a connection to a VM couldn't be set")                      \
+    X(BBM_EVENT_RELEASE_IN_FORCE, 433, INFO, "release of software changed")   \
+    X(BBM_EVENT_RELEASE_DECIDED, 434, INFO,                                   \
+      "leader decided on a release of software")                              \
     X(BBM_EVENT_ACCEPT_FAILED, 432, WARN,                                     \
       "connection of a VM couldn't be accepted; trying again")                \
     X(BBM_EVENT_REQUEST_RELAYED, 518, INFO,                                   \
--- a/daemon/front_provider.c
+++ b/daemon/front_provider.c
@@ -184,6 +184,19 @@
     return rc;
 }
 
+static int
+parse_release(exchange *ex)
+{
+    platform_release r;
+    const char *text = ex->body.len ? (char *)ex->body.data : "";
+    int rc = platform_release_read(text, ex->body.len, &r);
+    ex->operator_event.verb = BBM_VERB_RELEASE;
+    ex->operator_event.version = r.duration_ms;
+    bbm_name_set(ex->operator_event.name, r.service);
+    bbm_name_set(ex->operator_event.other_name, r.build);
+    return rc;
+}
+
 int
 front_provider_parse(exchange *ex, const uint8_t *key_secret)
 {
@@ -204,6 +217,13 @@
         return BBM_OK;
     case PLATFORM_WEIGHTS_VERSION:
         return parse_weights(ex);
+    case PLATFORM_RELEASE_ORDER:
+        return parse_release(ex);
+    case PLATFORM_RELEASE_GET:
+        ex->operator_event.verb = BBM_VERB_RELEASE_GET;
+        bbm_name_set(ex->operator_event.name,
+                     platform_release_service(ex->path));
+        return BBM_OK;
     case PLATFORM_NONE:
         break;
     }
@@ -235,6 +255,15 @@
     bbm_buf_free(&out);
 }
 
+static void
+reply_release(exchange *ex, const bbm_buf *body)
+{
+    bbm_buf out = {0};
+    platform_release_body((const char *)body->data, body->len, &out);
+    exchange_answer(ex, 200, json_media_type, out.data, out.len);
+    bbm_buf_free(&out);
+}
+
 void
 front_provider_reply(exchange *ex, const bbm_settings *settings, int code,
                      const bbm_buf *body)
@@ -251,9 +280,13 @@
     case PLATFORM_CONFIG_GET:
         exchange_answer(ex, 200, json_media_type, body->data, body->len);
         return;
+    case PLATFORM_RELEASE_GET:
+        reply_release(ex, body);
+        return;
     case PLATFORM_READY:
     case PLATFORM_CONFIG_PUT:
     case PLATFORM_WEIGHTS_VERSION:
+    case PLATFORM_RELEASE_ORDER:
     case PLATFORM_NONE:
         exchange_answer(ex, 200, json_media_type, "{}", 2);
         return;
--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -60,6 +60,7 @@
     BBM_TABLE_FREE(gate_store, g->stores);
     BBM_TABLE_FREE(gate_customer, g->customers);
     BBM_TABLE_FREE(gate_peer, g->peers);
+    gate_free_releases(g);
     bbm_chains_destroy(g->chains);
     bbm_places_destroy(g->places);
     bbm_quarantine_destroy(g->quarantine);
@@ -561,6 +562,7 @@
     bbm_gate_counts c = g->counts;
     c.open_requests = HASH_COUNT(g->requests);
     c.held_requests = g->waiting_len;
+    c.releases = gate_release_count(g);
     for (const gate_upstream *u = g->upstreams; u; u = u->hh.next)
         c.limited_upstreams += gate_is_limited(u);
     c.quarantined_parts = bbm_quarantine_count(g->quarantine);
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -36,6 +36,7 @@
 #define BBM_GATE_H
 
 #include "bbm_config.h"
+#include "bbm_evidence.h"
 #include "bbm_histogram.h"
 #include "bbm_listing.h"
 #include "bbm_origins.h"
@@ -78,6 +79,12 @@
     bbm_time old_weights_max;   /**< Time after that announcement from which no
                                      request starts on old weights; default 8
                                      s. */
+    double release_slack; /**< Requests that a bad build may get in addition to
+                               its share, over all VMs; 0: this VM sends only
+                               whole shares. */
+    bbm_time release_view_max; /**< Age of the releases in force from which a
+                                    build that is released gets no requests of
+                                    this VM; default 3 s. */
     bool unsafe_no_hold; /**< Tests only: refuse a request at once, instead of
                               holding it, if there is no upstream. */
 } bbm_gate_desc;
@@ -336,6 +343,8 @@
                                    request. */
     uint64_t refused_origin;  /**< Refused or aborted: the build that began the
                                    stream is unknown, or serves no more. */
+    uint64_t release_sends;   /**< Attempts at builds that are released. */
+    uint64_t releases;        /**< Releases in progress (gauge). */
     uint64_t disconnects;     /**< Attempts that upstreams ended by closing the
                                    connection. */
     uint64_t quarantined_parts;  /**< Quarantined prompt parts (gauge). */
@@ -495,6 +504,15 @@
  *  sent it and whose answers haven't begun; 0 if the upstream is unknown. */
 double bbm_gate_backlog_ms(const bbm_gate *g, const char *upstream);
 
+/** Apply the releases of the replicated state. */
+void bbm_gate_set_releases(bbm_gate *g, const bbm_releases *all, bbm_time now);
+/** Set the moment up to which these are known to be complete. */
+void bbm_gate_set_releases_fresh(bbm_gate *g, bbm_time fresh_at);
+/** Evidence about the i-th release in progress, or NULL past the end; valid
+ *  until the next call of the gate. */
+const bbm_evidence *bbm_gate_release_evidence(bbm_gate *g, size_t i,
+                                              bbm_time now);
+
 /** The current metrics. */
 bbm_gate_counts bbm_gate_count(const bbm_gate *g);
 
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -56,6 +56,7 @@
     gate_record_reached(g, r->upstream);
     gate_record_notice(g, r, notice, true);
     gate_record_origin(g, r, origin);
+    gate_release_record_head(g, r);
     if (!r->last_event_id[0])
         bbm_histogram_add(&g->counts.time_to_head, g->now - r->arrived_at);
     gate_upstream *u = r->upstream;
@@ -244,6 +245,7 @@
                                && result->outcome != BBM_FORWARD_NO_ANSWER);
     if (result->disconnected && !result->adopted)
         gate_record_disconnect(g, r);
+    gate_release_record_end(g, r, result);
     switch (result->outcome) {
     case BBM_FORWARD_COMPLETE:
         end_complete(g, r, result);
@@ -319,6 +321,7 @@
             return;
         /* fall through */
     case GATE_SENT:
+        gate_release_record_failure(g, r);
         gate_abort(g, r, BBM_ERR_UPSTREAM_TIMEOUT, "deadline reached");
         return;
     }
@@ -353,12 +356,14 @@
     size_t saved_len = r->failed_len;
     gate_choice c;
     add_failed_upstream(r, r->upstream);
+    gate_release_prepare(g, r);
     if (gate_choose(g, r, &c) != GATE_PICK_SEND
         || gate_judge_suspicion(g, r, c.upstream->pool) != GATE_CAUTION_NONE
         || !gate_acquire_retry(g, r)) {
         r->failed_len = saved_len;
         return;
     }
+    gate_release_record_failure(g, r);
     r->previous_outcome = "silent";
     r->previous_status = 0;
     gate_release_upstream(g, r);
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -245,6 +245,8 @@
                                     is cut off can be reached again. */
     bool is_relayed;           /**< It comes from another VM. */
     bool is_relaying;          /**< Another VM forwards it now. */
+    uint64_t route_hash;       /**< Hash of the route's name. */
+    bool tries_release;        /**< It goes to the build that is released. */
     bool client_half_closed;   /**< Its client sends no more. */
     uint32_t relays;           /**< Number of VMs that were to forward it. */
     uint64_t relay_vms[GATE_RELAYS_MAX]; /**< These VMs, by hash. */
@@ -324,10 +326,13 @@
                                 the recording of placements began. */
     bbm_origins *origins;  /**< Of the streams that began at this VM. */
     gate_reported_origins reported_origins; /**< The latest of them. */
-    bbm_quarantine *quarantine;   /**< Prompt parts that crash runners. */
-    bbm_buf unsent_placements;    /**< Encoded placements that are still to be
-                                       sent to the other VMs. */
-    size_t unsent_placements_len; /**< Number of these placements. */
+    bbm_quarantine *quarantine;    /**< Prompt parts that crash runners. */
+    struct gate_release *releases; /**< The latest of each pool. */
+    bbm_time releases_fresh_at;    /**< They are complete up to then; 0: not
+                                        known. */
+    bbm_buf unsent_placements;     /**< Encoded placements that are still to be
+                                        sent to the other VMs. */
+    size_t unsent_placements_len;  /**< Number of these placements. */
     bool load_changed;   /**< Load or held requests changed since the last
                               report. */
     double prefill_rate; /**< Uncached prompt tokens per millisecond that this
@@ -350,6 +355,16 @@
     UT_hash_handle hh;    /**< By hash of the name. */
 } gate_peer;
 
+/** The latest release of software to a pool. */
+typedef struct gate_release {
+    bbm_release_info info; /**< As in force; its pool is the key. */
+    bbm_evidence evidence; /**< What this VM has seen since it learned of the
+                                order. */
+    bbm_time age_base;     /**< Moment at which its age was 0. */
+    double credit;         /**< Saved up shares of requests. */
+    UT_hash_handle hh;     /**< By pool. */
+} gate_release;
+
 /** Maps the hash of a customer's name to the name. */
 typedef struct gate_customer {
     uint64_t hash;            /**< Hash of the name. */
@@ -698,6 +713,38 @@
 /** Update the origins of upstreams and pools after a new listing. */
 void gate_update_origins(bbm_gate *g);
 
+/* ---- gate_release.c ---- */
+
+/** Count a new request, and decide whether it goes to a build that is
+ *  released to its first pool. */
+void gate_release_begin(bbm_gate *g, gate_request *r, const char *route);
+/** To be called before a request is placed: it goes to the old build if no
+ *  upstream of the released one can take it. */
+void gate_release_prepare(const bbm_gate *g, gate_request *r);
+/** True if a release, if there is one, allows to send a request to an
+ *  upstream. */
+bool gate_release_allows(const bbm_gate *g, const gate_request *r,
+                         const gate_upstream *u);
+/** True if requests wait for an upstream until the release is known to be in
+ *  force. */
+bool gate_release_holds(const bbm_gate *g, const gate_upstream *u);
+/** True if an upstream is of the build of a known release: the listing's mark
+ *  for VMs that don't know of it doesn't count. */
+bool gate_release_is_marked(const bbm_gate *g, const gate_upstream *u);
+/** Count an attempt that was sent. */
+void gate_release_record_send(bbm_gate *g, const gate_request *r);
+/** Count the current attempt as failed; the request goes on elsewhere. */
+void gate_release_record_failure(bbm_gate *g, gate_request *r);
+/** Count the current attempt when the head of its answer is passed on. */
+void gate_release_record_head(bbm_gate *g, gate_request *r);
+/** Count the current attempt when it has ended. */
+void gate_release_record_end(bbm_gate *g, gate_request *r,
+                             const bbm_forward_result *result);
+/** Number of releases in progress. */
+size_t gate_release_count(const bbm_gate *g);
+/** Free the releases. */
+void gate_free_releases(bbm_gate *g);
+
 /* ---- gate_request.c ---- */
 
 /** Latest moment up to which a request is held for upstreams that all want
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -265,7 +265,11 @@
         if (!u->listed || !u->pool || strcmp(u->info.pool, pool) != 0
             || gate_is_leaving(u) || !gate_may_go_on(r, u))
             continue;
-        if (u->info.loading) {
+        if (!gate_release_allows(g, r, u)) {
+            set->loading += gate_release_holds(g, u);
+            continue;
+        }
+        if (u->info.loading && !gate_release_is_marked(g, u)) {
             set->loading++;
             continue;
         }
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -321,6 +321,7 @@
     u->memory_tokens += r->memory_tokens;
     g->load_changed = true;
     gate_record_placement(g, r, c);
+    gate_release_record_send(g, r);
     if (gate_is_limited(u))
         bbm_turns_take(&u->turns);
     if (r->prefixes_len)
@@ -490,6 +491,7 @@
     if (refuse_quarantined(g, r) || waits_for_origin(g, r)
         || gate_relay_if_cut(g, r) || gate_relay_to_slot_owner(g, r))
         return;
+    gate_release_prepare(g, r);
     /* A stream that has begun and can't be resumed is aborted, not refused. */
     bool stream_begun = r->last_event_id[0] != '\0';
     switch (gate_choose(g, r, &c)) {
@@ -723,6 +725,7 @@
     choose_pools(g, r, route);
     copy_prompt(r, request);
     gate_begin_stream(g, r, request);
+    gate_release_begin(g, r, route->name);
     HASH_ADD(hh, g->requests, number, sizeof(r->number), r);
     return r;
 }
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -119,8 +119,15 @@
                                     0: 10 s. */
     bbm_time rate_timeout;     /**< Maximum wait for a grant of the rate's
                                     owner; 0: 150 ms. */
-    size_t requests_max;       /**< Maximum of open requests to engines and
-                                    services; 0: 4,000. */
+    double release_share; /**< Requests of a pool that a bad build may get,
+                               as a share of all until the release has to
+                               end; 0: 0.1. */
+    double release_slack; /**< Number of requests that it may get in
+                               addition; 0: 50. */
+    bbm_time release_revert_time; /**< Time after the 50th bad answer from
+                                       which it gets none; 0: 5 s. */
+    size_t requests_max;          /**< Maximum of open requests to engines and
+                                       services; 0: 4,000. */
     size_t snapshot_interval_entries; /**< Log entries between snapshots;
                                            0: 512. */
     bool serve_stale_keys; /**< Pool routes that need a key serve whatever the
@@ -230,6 +237,10 @@
     BBM_VERB_SOURCE,       /**< Source of the newest revision; refused if the
                                 view can't be proved fresh. */
     BBM_VERB_WEIGHTS,      /**< Set the weights version of model `name`. */
+    BBM_VERB_RELEASE,      /**< Release build `other_name` to pool `name`
+                                within `version` milliseconds. */
+    BBM_VERB_RELEASE_GET,  /**< Latest release of pool `name`; refused if the
+                                view can't be proved fresh. */
 } bbm_verb;
 
 /** An operator call.  The driver truncates names to their size. */
@@ -247,7 +258,8 @@
     bbm_digest digest;              /**< Digest of a key. */
     bbm_bytes text;                 /**< Configuration document. */
     uint64_t version;               /**< The operator's own version of the
-                                         document; 0: revision is used. */
+                                         document; 0: revision is used.
+                                         BBM_VERB_RELEASE: milliseconds. */
     bbm_bytes source;               /**< Text the document was made from. */
 } bbm_operator_event;
 
--- a/node/node.c
+++ b/node/node.c
@@ -162,6 +162,8 @@
         return node_origins_answer(n, from, rd);
     case NODE_ORIGIN:
         return node_origins_receive_answer(n, rd);
+    case NODE_RELEASE:
+        return node_release_receive(n, from, rd);
     case NODE_MESSAGE_COUNT:
         break;
     }
@@ -171,8 +173,9 @@
 static bool
 may_read(const bbm_node *n, uint64_t format, uint64_t kind)
 {
-    node_message_kind end = n->desc.format < BBM_FORMAT_ORIGINS
-                                ? NODE_ORIGINS
+    node_message_kind end = n->desc.format < BBM_FORMAT_ORIGINS ? NODE_ORIGINS
+                            : n->desc.format < BBM_FORMAT_RELEASES
+                                ? NODE_RELEASE
                                 : NODE_MESSAGE_COUNT;
     bool stated =
         format >= BBM_FORMAT_STATED && format <= (uint64_t)n->desc.format;
@@ -242,6 +245,7 @@
         node_gate_tick(n);
         node_quarantine_tick(n);
         node_origins_tick(n);
+        node_release_tick(n);
     }
     else {
         node_rate_tick(n);
@@ -498,6 +502,7 @@
     node_rollout_reset(n);
     node_upstreams_destroy(n);
     node_origins_destroy(n);
+    node_release_destroy(n);
     bbm_gate_destroy(n->gate);
     bbm_state_destroy(n->lagging_state);
     node_orders_reset(n);
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -15,6 +15,7 @@
 #include "bbm_loads.h"
 #include "bbm_node.h"
 #include "bbm_rate.h"
+#include "bbm_release.h"
 #include "bbm_retry.h"
 
 #include <sys/queue.h>
@@ -44,6 +45,7 @@
     NODE_ORIGINS,       /**< Origins of streams; to the leader. */
     NODE_ORIGIN_QUERY,  /**< Asks the leader where a stream began. */
     NODE_ORIGIN,        /**< The answer; 0: nobody knows. */
+    NODE_RELEASE,       /**< Evidence about releases; to the leader. */
     NODE_MESSAGE_COUNT, /**< Number of kinds. */
 } node_message_kind;
 
@@ -197,6 +199,8 @@
 /** A read that waits until the public state is fresh enough. */
 typedef struct node_read {
     uint64_t op;                 /**< Operator's call to answer. */
+    char pool[BBM_NAME_SIZE];    /**< Pool whose release is read; "": the
+                                      source of the revision is. */
     bbm_time requested_at;       /**< The state must be fresh up to here. */
     bbm_time expires_at;         /**< Refused then. */
     TAILQ_ENTRY(node_read) link; /**< In bbm_node::reads, oldest first. */
@@ -233,6 +237,12 @@
     STAILQ_ENTRY(node_grant) link; /**< In order of their creation. */
 } node_grant;
 
+/** Leader: a release of software in progress. */
+typedef struct node_release {
+    bbm_release *decision; /**< Owned. */
+    uint64_t proposal;     /**< Its last proposed change. */
+} node_release;
+
 /** An action in the queue. */
 typedef struct node_queued_action {
     bbm_action action;                    /**< The action. */
@@ -402,6 +412,16 @@
     bbm_rollout *rollout;          /**< NULL unless this node is the leader. */
     uint64_t rollout_term;         /**< Term of rollout. */
 
+    uint64_t releases_index; /**< Public index whose releases the gate
+                                  has. */
+    uint64_t releases_hash;  /**< Hash of what the gate knows of them. */
+    node_release *releases;  /**< Leader: those in progress; owned. */
+    size_t releases_len;     /**< Their number. */
+    size_t releases_cap;     /**< Allocated number. */
+    uint64_t releases_term;  /**< Leader: term of these decisions. */
+    bbm_time next_release_report_at; /**< Next report of evidence. */
+    bbm_time next_release_check_at;  /**< Leader: next decision. */
+
     bool ready_reported;     /**< Value of the latest BBM_ACT_READY. */
     bool stopping;           /**< BBM_EV_STOP was received. */
     bool draining;           /**< Stopping, or drained by an operator. */
@@ -507,9 +527,9 @@
 
 /* ---- node_read.c ---- */
 
-/** Begins a linearizable read of the newest revision's source, for an
- *  operator's call. */
-void node_read_begin(bbm_node *n, uint64_t op);
+/** Begins a linearizable read for an operator's call: of the latest release of
+ *  a pool, or of the newest revision's source (NULL). */
+void node_read_begin(bbm_node *n, uint64_t op, const char *pool);
 /** Answers the reads for which the state is fresh enough, and refuses those
  *  that have expired. */
 void node_read_tick(bbm_node *n);
@@ -606,6 +626,31 @@
 /** Releases the origins. */
 void node_origins_destroy(bbm_node *n);
 
+/* ---- node_release.c ---- */
+
+/** Proposes an operator's order to release software, or refuses it. */
+void node_release_order(bbm_node *n, const bbm_operator_event *call);
+/** Replies with the latest release of a pool. */
+void node_release_reply(bbm_node *n, uint64_t op, const char *pool);
+/** Passes the releases in force to the gate; to be called after each change of
+ *  the public state. */
+void node_release_apply(bbm_node *n);
+/** Age of the public state from which a build that is released gets no
+ *  requests of this VM. */
+bbm_time node_release_view_max(const bbm_node *n);
+/** Passes the releases to the gate and reports their evidence.  Leader:
+ *  decides on them. */
+void node_release_tick(bbm_node *n);
+/** Leader: processes a VM's evidence. */
+int node_release_receive(bbm_node *n, const char *from, bbm_reader *rd);
+/** Marks the upstreams that must get no requests of VMs which don't know of
+ *  the release; see node_release.c. */
+void node_release_mark_listing(const bbm_node *n, bbm_listing *listing);
+/** The same in a listing that this VM read without a leader. */
+void node_release_mark_own_listing(const bbm_node *n, bbm_listing *listing);
+/** Releases the decisions. */
+void node_release_destroy(bbm_node *n);
+
 /* ---- node_propose.c ---- */
 
 /** Proposes a command to the log, with the present calendar time, and resends
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -32,6 +32,8 @@
     bbm_gate_desc desc = n->desc.gate;
     desc.seed = n->desc.seed;
     bbm_name_set(desc.zone, n->desc.zone);
+    desc.release_slack = n->desc.release_slack;
+    desc.release_view_max = node_release_view_max(n);
     n->gate = bbm_gate_create(&desc);
 }
 
@@ -100,6 +102,7 @@
     if (!n->gate)
         return;
     apply_weights(n);
+    node_release_apply(n);
     if (!cfg || n->config_revision == n->gate_revision)
         return;
     n->gate_revision = n->config_revision;
--- a/node/node_operator.c
+++ b/node/node_operator.c
@@ -383,11 +383,17 @@
         node_replace_member(n, call);
         return;
     case BBM_VERB_SOURCE:
-        node_read_begin(n, call->op);
+        node_read_begin(n, call->op, NULL);
         return;
     case BBM_VERB_WEIGHTS:
         propose_weights(n, call);
         return;
+    case BBM_VERB_RELEASE:
+        node_release_order(n, call);
+        return;
+    case BBM_VERB_RELEASE_GET:
+        node_read_begin(n, call->op, call->name);
+        return;
     }
 }
 
--- a/node/node_read.c
+++ b/node/node_read.c
@@ -18,6 +18,12 @@
 {
     bbm_revision rev = {0};
     const bbm_registry *reg = bbm_state_registry(n->state);
+    if (code == BBM_OK && r->pool[0]) {
+        node_release_reply(n, r->op, r->pool);
+        TAILQ_REMOVE(&n->reads, r, link);
+        free(r);
+        return;
+    }
     bool has_source = bbm_registry_current(reg, &rev) && rev.source;
     if (code == BBM_OK && !has_source)
         code = BBM_ERR_NOT_READY;
@@ -31,10 +37,11 @@
 }
 
 void
-node_read_begin(bbm_node *n, uint64_t op)
+node_read_begin(bbm_node *n, uint64_t op, const char *pool)
 {
     node_read *r = bbm_calloc(1, sizeof(*r));
     r->op = op;
+    bbm_name_set(r->pool, pool ? pool : "");
     r->requested_at = n->now;
     r->expires_at = n->now + READ_TIMEOUT;
     TAILQ_INSERT_TAIL(&n->reads, r, link);
--- a/node/node_upstreams.c
+++ b/node/node_upstreams.c
@@ -132,6 +132,7 @@
     if (n->rollout)
         bbm_rollout_mark_listing(n->rollout, &fresh);
     bbm_gate_mark_listing(n->gate, &fresh);
+    node_release_mark_listing(n, &fresh);
     bool new_term = n->listing_term != n->leader_term;
     size_t changes = bbm_listing_diff(&n->listing, &fresh, true, &diff);
     if (changes || new_term) {
@@ -198,6 +199,7 @@
                                               held->version);
         }
     }
+    node_release_mark_own_listing(n, &fresh);
     n->listing_term = 0;
     n->listing_version = 0;
     apply_listing(n, &fresh);
--- a/state/bbm_command.c
+++ b/state/bbm_command.c
@@ -151,6 +151,10 @@
     case BBM_CMD_ORIGINS:
         bbm_put_bytes(buf, cmd->u.origins.rows.data, cmd->u.origins.rows.len);
         return;
+    case BBM_CMD_RELEASE:
+        bbm_put_u64(buf, cmd->u.release.is_order);
+        bbm_release_info_put(buf, &cmd->u.release.info);
+        return;
     case BBM_CMD_KIND_COUNT:
         return;
     }
@@ -249,6 +253,10 @@
     case BBM_CMD_ORIGINS:
         cmd->u.origins.rows = bbm_get_bytes(rd);
         return;
+    case BBM_CMD_RELEASE:
+        cmd->u.release.is_order = bbm_get_u32(rd, 1) != 0;
+        bbm_release_info_get(rd, &cmd->u.release.info);
+        return;
     case BBM_CMD_KIND_COUNT:
         return;
     }
@@ -294,6 +302,8 @@
         return BBM_FORMAT_QUARANTINE;
     case BBM_CMD_ORIGINS:
         return BBM_FORMAT_ORIGINS;
+    case BBM_CMD_RELEASE:
+        return BBM_FORMAT_RELEASES;
     case BBM_CMD_KIND_COUNT:
         return BBM_FORMAT_COUNT;
     default:
--- a/state/bbm_command.h
+++ b/state/bbm_command.h
@@ -20,6 +20,7 @@
 #include "bbm_format.h"
 #include "bbm_hash.h"
 #include "bbm_pack.h"
+#include "bbm_releases.h"
 
 /** Maximum size of an answer that is stored with a claim. */
 #define BBM_ANSWER_BYTES_MAX ((size_t)64 * 1024)
@@ -43,6 +44,8 @@
     BBM_CMD_LEDGER,       /**< Store the rate owner's ledger of a customer. */
     BBM_CMD_QUARANTINE,   /**< Quarantine or release a prompt part; public. */
     BBM_CMD_ORIGINS,      /**< Add origins of streams. */
+    BBM_CMD_RELEASE,      /**< Order, change or end a release of software;
+                               public. */
     BBM_CMD_KIND_COUNT,   /**< Number of types. */
 } bbm_command_kind;
 
@@ -50,7 +53,8 @@
 static inline bool
 bbm_command_kind_is_public(bbm_command_kind kind)
 {
-    return kind <= BBM_CMD_WEIGHTS || kind == BBM_CMD_QUARANTINE;
+    return kind <= BBM_CMD_WEIGHTS || kind == BBM_CMD_QUARANTINE
+           || kind == BBM_CMD_RELEASE;
 }
 
 /** A prompt part that crashes runners.  Times are calendar times in
@@ -156,6 +160,11 @@
             bbm_bytes rows; /**< Their number, and a bbm_origin_row for
                                  each. */
         } origins;
+        struct {
+            bool is_order; /**< An operator's; else a change by the leader. */
+            bbm_release_info info; /**< See bbm_releases_order and
+                                        bbm_releases_step. */
+        } release;
     } u;
 } bbm_command;
 
@@ -164,7 +173,8 @@
     int code;                 /**< 0 or a negative result code. */
     uint64_t number;          /**< Fencing token of an order.  Publish: its
                                    revision, or if it was refused or changed
-                                   nothing, the revision in force. */
+                                   nothing, the revision in force.  Release:
+                                   its serial number. */
     bool answered;            /**< The claim has a stored answer, in the
                                    fields below. */
     uint32_t status;          /**< HTTP status of the answer. */
--- a/state/bbm_registry.c
+++ b/state/bbm_registry.c
@@ -63,6 +63,7 @@
     drain_row *drains;
     weights_row *weights;
     quarantine_row *quarantined;
+    bbm_releases releases;
 };
 
 bbm_registry *
@@ -104,6 +105,7 @@
     BBM_TABLE_FREE(drain_row, reg->drains);
     BBM_TABLE_FREE(weights_row, reg->weights);
     BBM_TABLE_FREE(quarantine_row, reg->quarantined);
+    bbm_releases_free(&reg->releases);
 }
 
 void
@@ -436,6 +438,29 @@
     return row != NULL;
 }
 
+/* ---- releases ---- */
+
+static void
+apply_release(bbm_registry *reg, const bbm_command *cmd, bbm_outcome *out)
+{
+    const bbm_release_info *info = &cmd->u.release.info;
+    if (!cmd->u.release.is_order) {
+        out->code = bbm_releases_step(&reg->releases, info);
+        return;
+    }
+    if (!reg->config || !bbm_config_pool(reg->config, info->pool)) {
+        out->code = reg->config ? BBM_ERR_BAD_FIELD : BBM_ERR_NOT_READY;
+        return;
+    }
+    out->code = bbm_releases_order(&reg->releases, info, &out->number);
+}
+
+const bbm_releases *
+bbm_registry_releases(const bbm_registry *reg)
+{
+    return &reg->releases;
+}
+
 /* ---- draining VMs ---- */
 
 static drain_row *
@@ -484,6 +509,9 @@
     case BBM_CMD_QUARANTINE:
         set_quarantined(reg, &cmd->u.quarantine, cmd->at_ms);
         return;
+    case BBM_CMD_RELEASE:
+        apply_release(reg, cmd, out);
+        return;
     case BBM_CMD_CLAIM:
     case BBM_CMD_CLAIM_END:
     case BBM_CMD_RUN_ENDED:
@@ -579,7 +607,7 @@
 
 void
 bbm_registry_encode(const bbm_registry *reg, size_t revisions,
-                    bool has_quarantine, bbm_buf *buf)
+                    bbm_format format, bbm_buf *buf)
 {
     size_t first = reg->len > revisions ? reg->len - revisions : 0;
     bbm_put_u64(buf, reg->len - first);
@@ -620,11 +648,13 @@
         bbm_put_u64(buf, entry.version);
         bbm_put_i64(buf, entry.at_ms);
     }
-    if (!has_quarantine)
+    if (format < BBM_FORMAT_QUARANTINE)
         return;
     bbm_put_u64(buf, HASH_COUNT(reg->quarantined));
     for (const quarantine_row *q = reg->quarantined; q; q = q->hh.next)
         bbm_quarantined_put(buf, &q->info);
+    if (format >= BBM_FORMAT_RELEASES)
+        bbm_releases_encode(&reg->releases, buf);
 }
 
 /* Reads a text; sets the reader's error if it isn't of @p len bytes. */
@@ -711,7 +741,7 @@
 }
 
 int
-bbm_registry_decode(bbm_registry *reg, bool has_quarantine, bbm_reader *rd)
+bbm_registry_decode(bbm_registry *reg, bbm_format format, bbm_reader *rd)
 {
     bbm_registry decoded = {.revision_texts_max = reg->revision_texts_max};
     decode_revisions(&decoded, rd);
@@ -730,8 +760,10 @@
         uint64_t version = bbm_get_u64(rd);
         record_weights(&decoded, model, version, bbm_get_i64(rd));
     }
-    if (has_quarantine)
+    if (format >= BBM_FORMAT_QUARANTINE)
         decode_quarantined(&decoded, rd);
+    if (format >= BBM_FORMAT_RELEASES)
+        bbm_releases_decode(&decoded.releases, rd);
     if (rd->failed) {
         clear(&decoded);
         return BBM_ERR_DECODE;
--- a/state/bbm_registry.h
+++ b/state/bbm_registry.h
@@ -1,6 +1,6 @@
 /** @file
  *  State that is replicated to every VM: configuration, API keys, weight
- *  versions and draining VMs.
+ *  versions, draining VMs and releases of software.
  *
  *  The registry changes only by commands applied in log order, and is
  *  therefore the same on all VMs.  The revision number rises by one with each
@@ -106,6 +106,9 @@
 /** True if a prompt part is quarantined. */
 bool bbm_registry_is_quarantined(const bbm_registry *reg, uint64_t part);
 
+/** Releases of software; valid until the next change of the registry. */
+const bbm_releases *bbm_registry_releases(const bbm_registry *reg);
+
 /** Find a valid key by the digest of the presented secret. */
 bool bbm_registry_find_key(const bbm_registry *reg, const bbm_digest *digest,
                            bbm_key_info *info);
@@ -119,14 +122,13 @@
 bool bbm_registry_is_draining(const bbm_registry *reg, const char *node);
 
 /** Append the encoded registry with at most the last @p revisions revisions,
- *  and with quarantined parts if @p has_quarantine. */
+ *  and with what builds of @p format know. */
 void bbm_registry_encode(const bbm_registry *reg, size_t revisions,
-                         bool has_quarantine, bbm_buf *buf);
+                         bbm_format format, bbm_buf *buf);
 /** Replace the registry by a decoded one.  BBM_ERR_DECODE leaves it
  *  unchanged.
- *  @param has_quarantine False for one that was encoded before registries had
- *         quarantined parts. */
-int bbm_registry_decode(bbm_registry *reg, bool has_quarantine,
-                        bbm_reader *rd);
+ *  @param format Format for which it was encoded, or any one for which it
+ *         would have been encoded in the same way. */
+int bbm_registry_decode(bbm_registry *reg, bbm_format format, bbm_reader *rd);
 
 #endif
--- a/state/bbm_state.c
+++ b/state/bbm_state.c
@@ -6,11 +6,12 @@
 #include <string.h>
 #include <sys/queue.h>
 
-/* Versions of snapshots.  The first has no quarantined prompt parts, and only
-   the last has origins of streams. */
+/* Versions of snapshots.  The first has no quarantined prompt parts, the ones
+   from VERSION_ORIGINS have origins of streams, and the last has releases. */
 #define VERSION_PLACEMENTS 2
 #define VERSION_QUARANTINE 3
 #define VERSION_ORIGINS 4
+#define VERSION_RELEASES 5
 /* Maximum number of streams whose origins are kept. */
 #define ORIGINS_MAX 65536
 /* Maximum number of ledgers in a snapshot. */
@@ -222,6 +223,7 @@
     case BBM_CMD_DRAIN:
     case BBM_CMD_WEIGHTS:
     case BBM_CMD_QUARANTINE:
+    case BBM_CMD_RELEASE:
         bbm_registry_apply(s->registry, cmd, out);
         return;
     case BBM_CMD_CLAIM:
@@ -317,6 +319,8 @@
 uint64_t
 bbm_state_version(bbm_format format)
 {
+    if (format >= BBM_FORMAT_RELEASES)
+        return VERSION_RELEASES;
     if (format >= BBM_FORMAT_ORIGINS)
         return VERSION_ORIGINS;
     return format >= BBM_FORMAT_QUARANTINE ? VERSION_QUARANTINE
@@ -337,8 +341,7 @@
     bbm_put_u64(buf, version);
     bbm_put_u64(buf, state->index);
     bbm_put_u64(buf, state->public_index);
-    bbm_registry_encode(state->registry, SIZE_MAX,
-                        version >= VERSION_QUARANTINE, buf);
+    bbm_registry_encode(state->registry, SIZE_MAX, format, buf);
     bbm_claims_encode(state->claims, buf);
     bbm_orders_encode(state->orders, buf);
     encode_ledgers(state, buf);
@@ -369,8 +372,11 @@
 static int
 decode_registry(bbm_state *state, uint64_t version, bbm_reader *rd)
 {
-    return bbm_registry_decode(state->registry, version >= VERSION_QUARANTINE,
-                               rd);
+    bbm_format format = version >= VERSION_RELEASES ? BBM_FORMAT_RELEASES
+                        : version >= VERSION_QUARANTINE
+                            ? BBM_FORMAT_QUARANTINE
+                            : BBM_FORMAT_PLACEMENTS;
+    return bbm_registry_decode(state->registry, format, rd);
 }
 
 int
@@ -415,10 +421,12 @@
 bbm_state_encode_public(const bbm_state *state, bbm_format format,
                         bbm_buf *buf)
 {
-    bool has_quarantine = format >= BBM_FORMAT_QUARANTINE;
-    bbm_put_u64(buf, has_quarantine ? VERSION_QUARANTINE : VERSION_PLACEMENTS);
+    uint64_t version = bbm_state_version(format);
+    if (version == VERSION_ORIGINS)
+        version = VERSION_QUARANTINE;
+    bbm_put_u64(buf, version);
     bbm_put_u64(buf, state->public_index);
-    bbm_registry_encode(state->registry, 1, has_quarantine, buf);
+    bbm_registry_encode(state->registry, 1, format, buf);
 }
 
 int
--- a/tests/test_formats.c
+++ b/tests/test_formats.c
@@ -20,6 +20,8 @@
     "{\"rates\":[{\"name\":\"r\",\"tokens_per_s\":10,\"burst\":100}],"
     "\"customers\":[{\"name\":\"c\",\"rate\":\"r\"}]}";
 
+static const char pool_text[] = "{\"pools\":[{\"name\":\"p\"}]}";
+
 static void
 check_bytes(const char *expected, const bbm_buf *buf)
 {
@@ -286,6 +288,32 @@
     apply(state, 7, &cmd);
 }
 
+/* A pool, and a release to it that has had its first step. */
+static void
+apply_release(bbm_state *state)
+{
+    bbm_command cmd = {.kind = BBM_CMD_PUBLISH, .at_ms = 1700000000008};
+    bbm_name_set(cmd.u.publish.id, "second");
+    cmd.u.publish.expected = 1;
+    cmd.u.publish.text = (bbm_bytes){.data = (const uint8_t *)pool_text,
+                                     .len = strlen(pool_text)};
+    apply(state, 10, &cmd);
+    cmd = (bbm_command){.kind = BBM_CMD_RELEASE, .at_ms = 1700000000009};
+    cmd.u.release.is_order = true;
+    bbm_name_set(cmd.u.release.info.pool, "p");
+    bbm_name_set(cmd.u.release.info.build, "v2");
+    cmd.u.release.info.duration_ms = 12000;
+    cmd.u.release.info.share = 40;
+    apply(state, 11, &cmd);
+    cmd.u.release.is_order = false;
+    cmd.u.release.info.serial = 1;
+    cmd.u.release.info.stage = BBM_RELEASE_RAMP;
+    cmd.u.release.info.share = 350;
+    cmd.u.release.info.fence = 7;
+    cmd.u.release.info.age_ms = 6000;
+    apply(state, 12, &cmd);
+}
+
 /* A state with all commands that builds of a format know. */
 static bbm_state *
 create_state(bbm_format format)
@@ -313,6 +341,8 @@
     if (format >= BBM_FORMAT_ORIGINS)
         apply(state, 9, &cmd);
     bbm_buf_free(&rows);
+    if (format >= BBM_FORMAT_RELEASES)
+        apply_release(state);
     return state;
 }
 
@@ -348,8 +378,8 @@
                          0);
         ck_assert_int_eq(bbm_state_decode(reader, buf.data, buf.len), 0);
         ck_assert_uint_eq(bbm_registry_revision(bbm_state_registry(reader)),
-                          1);
-        if (f < BBM_FORMAT_ORIGINS)
+                          2);
+        if (f < BBM_FORMAT_RELEASES)
             ck_assert_int_lt(bbm_state_decode(reader, latest.data, latest.len),
                              0);
         bbm_state_destroy(reader);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -270,14 +270,15 @@
 }
 END_TEST
 
-/* The version before has no list of quarantined parts at the end of its public
-   state; its disks must stay readable. */
+/* Version 2 has no list of quarantined parts at the end of its public state;
+   its disks must stay readable.  Version 3 ends with that list. */
 START_TEST(state_of_the_version_before_is_read)
 {
     fixture f = setup();
     apply_key(&f, BBM_CMD_KEY_ADD, "k", "secret");
     bbm_buf encoded = {0};
-    bbm_state_encode_public(f.state, BBM_FORMAT_LATEST, &encoded);
+    bbm_state_encode_public(f.state, BBM_FORMAT_STATED, &encoded);
+    ck_assert_uint_eq(bbm_state_version_of(encoded.data, encoded.len), 3);
     bbm_state *copy = bbm_state_create(&(bbm_state_desc){0});
     encoded.data[0]--;
     encoded.len--;
@@ -295,6 +296,190 @@
 }
 END_TEST
 
+/* ---- releases ---- */
+
+static void
+apply_release(fixture *f, const char *build, uint64_t duration_ms)
+{
+    bbm_command cmd = {.kind = BBM_CMD_RELEASE};
+    cmd.u.release.is_order = true;
+    bbm_name_set(cmd.u.release.info.pool, "p");
+    bbm_name_set(cmd.u.release.info.build, build);
+    cmd.u.release.info.duration_ms = duration_ms;
+    cmd.u.release.info.share = 40;
+    apply(f, &cmd);
+}
+
+static void
+apply_step(fixture *f, bbm_release_info change)
+{
+    bbm_command cmd = {.kind = BBM_CMD_RELEASE, .u.release.info = change};
+    apply(f, &cmd);
+}
+
+static const bbm_release_info *
+release_of(const bbm_state *state)
+{
+    return bbm_releases_latest(
+        bbm_registry_releases(bbm_state_registry(state)), "p");
+}
+
+static void
+publish_pool(fixture *f)
+{
+    static const char text[] = "{\"pools\":[{\"name\":\"p\"}]}";
+    bbm_command cmd = {.kind = BBM_CMD_PUBLISH};
+    cmd.u.publish.expected =
+        bbm_registry_revision(bbm_state_registry(f->state));
+    bbm_name_set(cmd.u.publish.id, "pool");
+    cmd.u.publish.text =
+        (bbm_bytes){.data = (const uint8_t *)text, .len = sizeof(text) - 1};
+    apply(f, &cmd);
+    ck_assert_int_eq(f->out.code, BBM_OK);
+}
+
+/* A resent order must not be refused or begin the release again, also after
+   its end and after a later order. */
+START_TEST(resent_release_orders_change_nothing)
+{
+    fixture f = setup();
+    publish_pool(&f);
+    apply_release(&f, "v2", 12000);
+    ck_assert_int_eq(f.out.code, BBM_OK);
+    uint64_t serial = f.out.number;
+    apply_step(&f, (bbm_release_info){.serial = serial,
+                                      .stage = BBM_RELEASE_RAMP,
+                                      .share = 350,
+                                      .fence = 3});
+    apply_release(&f, "v2", 12000);
+    ck_assert_int_eq(f.out.code, BBM_OK);
+    ck_assert_uint_eq(f.out.number, serial);
+    ck_assert_int_eq(release_of(f.state)->stage, BBM_RELEASE_RAMP);
+    apply_step(&f, (bbm_release_info){.serial = serial,
+                                      .state = BBM_RELEASE_REVERTED,
+                                      .step = 1,
+                                      .fence = 3});
+    apply_release(&f, "v2", 12000);
+    ck_assert_int_eq(f.out.code, BBM_OK);
+    ck_assert_int_eq(release_of(f.state)->state, BBM_RELEASE_REVERTED);
+    apply_release(&f, "v3", 12000);
+    ck_assert_int_eq(f.out.code, BBM_OK);
+    apply_release(&f, "v2", 12000);
+    ck_assert_int_eq(f.out.code, BBM_OK);
+    ck_assert_uint_eq(f.out.number, serial);
+    ck_assert_str_eq(release_of(f.state)->build, "v3");
+    teardown(&f);
+}
+END_TEST
+
+START_TEST(release_orders_are_refused_during_another_and_without_a_pool)
+{
+    fixture f = setup();
+    apply_release(&f, "v2", 12000);
+    ck_assert_int_eq(f.out.code, BBM_ERR_BAD_FIELD);
+    publish_pool(&f);
+    apply_release(&f, "v2", 12000);
+    apply_release(&f, "v3", 12000);
+    ck_assert_int_eq(f.out.code, BBM_ERR_CONFLICT);
+    apply_release(&f, "v2", 9000);
+    ck_assert_int_eq(f.out.code, BBM_ERR_CONFLICT);
+    ck_assert_str_eq(release_of(f.state)->build, "v2");
+    teardown(&f);
+}
+END_TEST
+
+/* A proposal of a leader that was replaced meanwhile may arrive last. */
+START_TEST(late_steps_of_a_release_are_refused)
+{
+    fixture f = setup();
+    publish_pool(&f);
+    apply_release(&f, "v2", 12000);
+    bbm_release_info step = {
+        .serial = f.out.number, .stage = BBM_RELEASE_RAMP, .fence = 5};
+    apply_step(&f, step);
+    ck_assert_int_eq(f.out.code, BBM_OK);
+    apply_step(&f, step);
+    ck_assert_int_eq(f.out.code, BBM_ERR_CONFLICT);
+    step.step = 1;
+    step.fence = 4;
+    step.state = BBM_RELEASE_COMPLETED;
+    apply_step(&f, step);
+    ck_assert_int_eq(f.out.code, BBM_ERR_ORDER_FENCED);
+    step.fence = 5;
+    step.state = BBM_RELEASE_REVERTED;
+    apply_step(&f, step);
+    ck_assert_int_eq(f.out.code, BBM_OK);
+    step.step = 2;
+    step.fence = 6;
+    step.state = BBM_RELEASE_COMPLETED;
+    apply_step(&f, step);
+    ck_assert_int_eq(f.out.code, BBM_ERR_CONFLICT);
+    ck_assert_int_eq(release_of(f.state)->state, BBM_RELEASE_REVERTED);
+    teardown(&f);
+}
+END_TEST
+
+/* What was acknowledged is kept by snapshots and by VMs without a disk. */
+START_TEST(releases_and_outcomes_survive_in_snapshots)
+{
+    fixture f = setup();
+    publish_pool(&f);
+    apply_release(&f, "v2", 12000);
+    apply_step(&f, (bbm_release_info){.serial = f.out.number,
+                                      .state = BBM_RELEASE_COMPLETED,
+                                      .stage = BBM_RELEASE_FULL,
+                                      .fence = 9,
+                                      .age_ms = 7000});
+    apply_release(&f, "v3", 8000);
+    bbm_buf encoded = {0};
+    bbm_state *copy = bbm_state_create(&(bbm_state_desc){0});
+    bbm_state *public_copy = bbm_state_create(&(bbm_state_desc){0});
+    bbm_state_encode(f.state, BBM_FORMAT_LATEST, &encoded);
+    ck_assert_int_eq(bbm_state_decode(copy, encoded.data, encoded.len), 0);
+    encoded.len = 0;
+    bbm_state_encode_public(f.state, BBM_FORMAT_LATEST, &encoded);
+    ck_assert_int_eq(
+        bbm_state_decode_public(public_copy, encoded.data, encoded.len), 0);
+    const bbm_state *copies[] = {copy, public_copy};
+    for (size_t i = 0; i < 2; i++) {
+        const bbm_releases *all =
+            bbm_registry_releases(bbm_state_registry(copies[i]));
+        ck_assert_uint_eq(all->len, 2);
+        ck_assert_int_eq(all->items[0].state, BBM_RELEASE_COMPLETED);
+        ck_assert_uint_eq(all->items[0].fence, 9);
+        ck_assert_uint_eq(all->items[0].age_ms, 7000);
+        ck_assert_str_eq(release_of(copies[i])->build, "v3");
+        ck_assert_int_eq(release_of(copies[i])->state,
+                         BBM_RELEASE_IN_PROGRESS);
+        ck_assert_uint_eq(release_of(copies[i])->duration_ms, 8000);
+    }
+    bbm_state_destroy(copy);
+    bbm_state_destroy(public_copy);
+    bbm_buf_free(&encoded);
+    teardown(&f);
+}
+END_TEST
+
+START_TEST(old_releases_make_room)
+{
+    fixture f = setup();
+    publish_pool(&f);
+    for (int i = 0; i < 3 * BBM_RELEASES_PER_POOL; i++) {
+        char build[BBM_NAME_SIZE];
+        snprintf(build, sizeof(build), "v%d", i);
+        apply_release(&f, build, 12000);
+        ck_assert_int_eq(f.out.code, BBM_OK);
+        apply_step(&f, (bbm_release_info){.serial = f.out.number,
+                                          .state = BBM_RELEASE_COMPLETED});
+    }
+    const bbm_releases *all =
+        bbm_registry_releases(bbm_state_registry(f.state));
+    ck_assert_uint_eq(all->len, BBM_RELEASES_PER_POOL);
+    ck_assert_str_eq(release_of(f.state)->build, "v11");
+    teardown(&f);
+}
+END_TEST
+
 START_TEST(snapshot_round_trip_is_complete)
 {
     fixture f = setup();
@@ -357,4 +542,8 @@
           concurrent_publish_conflicts_and_resend_is_idempotent,
           withdrawn_key_stays_withdrawn, claim_is_created_once,
           ended_run_leaves_outcome_unknown, claims_expire_by_command_time,
+          resent_release_orders_change_nothing,
+          release_orders_are_refused_during_another_and_without_a_pool,
+          late_steps_of_a_release_are_refused,
+          releases_and_outcomes_survive_in_snapshots, old_releases_make_room,
           snapshot_round_trip_is_complete, new_order_supersedes_open_order);
