--- a/daemon/bbm_settings.c
+++ b/daemon/bbm_settings.c
@@ -141,6 +141,21 @@
      .max = 3600,
      .default_number = 1,
      .description = "window in which overruns are measured, seconds"},
+    {.name = "release_share",
+     .kind = BBM_FIELD_REAL,
+     SETTINGS_OFFSET(release_share),
+     .max = 1,
+     .default_number = 0.1,
+     .description = "requests that a bad build may get while it is released, "
+                    "as a share of all requests to its pool until the release "
+                    "has to end"},
+    {.name = "release_slack",
+     .kind = BBM_FIELD_REAL,
+     SETTINGS_OFFSET(release_slack),
+     .max = 1e6,
+     .default_number = 50,
+     .description = "requests that it may get in addition to release_share, "
+                    "over all VMs"},
     TEXT(tls_cert_file, "certificate for callers, PEM; none: no TLS"),
     TEXT(tls_key_file, "private key of the certificate, PEM"),
     {.name = "log_level",
@@ -197,6 +212,9 @@
            "milliseconds for which old weights count as good as newer ones"),
     NUMBER(old_weights_most_ms, 0, 600000, 8000,
            "milliseconds after which no request starts on old weights"),
+    NUMBER(release_revert_ms, 500, 600000, 5000,
+           "milliseconds after the 50th bad answer of a build that is "
+           "released from which it gets no requests"),
     NUMBER(report_ms, 10, 5000, 250,
            "milliseconds between requests for a runner's report"),
     {.name = "testing",
--- a/daemon/bbm_settings.h
+++ b/daemon/bbm_settings.h
@@ -94,6 +94,12 @@
                                    whose texts are kept. */
     double retry_share;       /**< Retries allowed, as a share of the
                                    requests to a pool. */
+    double release_share;     /**< Requests that a bad build may get while it
+                                   is released, as a share of all. */
+    double release_slack;     /**< Further requests that it may get, in total
+                                   over all VMs. */
+    int64_t release_revert_ms; /**< Time after the 50th bad answer from which
+                                    it gets none. */
     double retry_slack;       /**< Further retries allowed, in total over
                                    all VMs. */
     double retry_window_s;    /**< Window in which retries are counted,
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -578,6 +578,9 @@
         .gossip_period = s->gossip_ms * BBM_MS,
         .stop_timeout = s->stop_ms * BBM_MS,
         .revision_texts_max = (size_t)s->texts_kept,
+        .release_share = s->release_share,
+        .release_slack = s->release_slack,
+        .release_revert_time = s->release_revert_ms * BBM_MS,
         .gate =
             {
                 .retry_share = s->retry_share,
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -79,9 +79,6 @@
     bbm_time old_weights_max;   /**< Time after that announcement from which no
                                      request starts on old weights; default 8
                                      s. */
-    double release_slack; /**< Requests that a bad build may get in addition to
-                               its share, over all VMs; 0: this VM sends only
-                               whole shares. */
     bbm_time release_view_max; /**< Age of the releases in force from which a
                                     build that is released gets no requests of
                                     this VM; default 3 s. */
--- a/gate/gate_release.c
+++ b/gate/gate_release.c
@@ -16,8 +16,6 @@
 /* Releases that aren't known to be in force for this time allow nothing, if
    the parameters give none. */
 #define DEFAULT_VIEW_MAX (3 * BBM_SECOND)
-/* Part of the slack over all VMs that the saved up shares may use. */
-#define SLACK_PART 0.5
 
 static gate_release *
 find_release(const bbm_gate *g, const char *pool)
@@ -43,13 +41,6 @@
 
 /* ---- the replicated state ---- */
 
-static double
-first_credit(bbm_gate *g)
-{
-    double max = g->desc.release_slack * SLACK_PART / (double)g->vms;
-    return bbm_rng_unit(&g->rng) * (max < 1 ? max : 1);
-}
-
 static void
 apply_release(bbm_gate *g, const bbm_release_info *info)
 {
@@ -62,7 +53,9 @@
     if (rel->evidence.serial != info->serial) {
         bbm_evidence_free(&rel->evidence);
         rel->evidence.serial = info->serial;
-        rel->credit = first_credit(g);
+        /* Over many VMs the random beginning adds nothing to the share: it
+           makes up for what each of them doesn't send of its last part. */
+        rel->credit = bbm_rng_unit(&g->rng);
         rel->age_base = g->now - (bbm_time)info->age_ms * BBM_MS;
     }
     bbm_time age_base = g->now - (bbm_time)info->age_ms * BBM_MS;
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -32,7 +32,6 @@
     bbm_gate_desc desc = n->desc.gate;
     desc.seed = n->desc.seed;
     bbm_name_set(desc.zone, n->desc.zone);
-    desc.release_slack = n->desc.release_slack;
     desc.release_view_max = node_release_view_max(n);
     n->gate = bbm_gate_create(&desc);
 }
--- a/node/node_release.c
+++ b/node/node_release.c
@@ -26,7 +26,7 @@
    filled. */
 #define REPORT_PERIOD_MIN (100 * BBM_MS)
 #define REPORT_PERIOD_PER_VM (2500 * BBM_US)
-#define DECIDE_PERIOD (100 * BBM_MS)
+#define DECIDE_PERIOD (50 * BBM_MS)
 /* A VM lets a build that is released get requests until its view of the
    releases is older than this part of the time to a revert; the rest is for
    the decision. */
--- a/release/bbm_release.c
+++ b/release/bbm_release.c
@@ -13,7 +13,7 @@
    the revert. */
 #define TRIAL_PART 0.4
 /* Shares per 1,000. */
-#define RAMP_SHARE 350
+#define RAMP_SHARE 250
 #define FULL_SHARE 1000
 /* Time before the end of a release at which the trial ends: the last two
    stages take a second, and the old build must finish what it has. */
