--- a/release/bbm_release.c
+++ b/release/bbm_release.c
@@ -25,7 +25,11 @@
 #define LAST_COMPLETE_MS 500
 /* Minimum time in a stage: evidence of it arrives within 0.3 s. */
 #define RAMP_TIME_MS 400
-#define FULL_TIME_MS 500
+#define FULL_TIME_MS 800
+/* With few requests the last stage lasts longer, until the new build has given
+   so many answers in it, but not longer than this. */
+#define FULL_ANSWERS_MIN 100
+#define FULL_TIME_MAX_MS 2500
 /* Time from the last decision of a VM on an earlier stage until the leader
    hears of its effect, and reverts. */
 #define REACTION_RAMP_S 0.8
@@ -61,6 +65,7 @@
 #define EVIDENCE_BAD 9.2
 #define EVIDENCE_DOUBT 3.0
 #define EVIDENCE_REST 3.0
+#define DOUBT_REST 1.5
 #define BAD_ANSWERS_MIN 3
 /* Answers of the old build in a window from which its rate is taken from
    there. */
@@ -111,6 +116,8 @@
     size_t runs_len;
     size_t runs_cap;
     expectation expected;
+    uint64_t answers_before_full; /* of the new build, before all requests
+                                     moved to it, as far as was reported */
 };
 
 /* ---- creation ---- */
@@ -498,11 +505,11 @@
 /* True if the evidence holds without a part of it. */
 static bool
 holds_without(const bbm_release *r, const selection *sel, const baseline *b,
-              bool slow)
+              bool slow, double min)
 {
     sums s = sum_up(r, sel);
     verdict v = judge(&s, b);
-    return (slow ? v.slow : v.failures) >= EVIDENCE_REST;
+    return (slow ? v.slow : v.failures) >= min;
 }
 
 /* How bad the new build looks. */
@@ -513,17 +520,21 @@
     LOOK_SLOW,
 } look;
 
+/* True if the evidence holds without the worst upstream of the new build, and
+   without the VM that sees it worst. */
 static bool
 is_of_build(const bbm_release *r, const selection *sel, const baseline *b,
-            bool slow)
+            bool slow, double min)
 {
     selection rest = *sel;
-    rest.not_upstream = worst_upstream(r, *sel, b->usual, 2);
-    if (rest.not_upstream && !holds_without(r, &rest, b, slow))
+    /* If others are listed, one upstream alone proves nothing. */
+    rest.not_upstream =
+        worst_upstream(r, *sel, b->usual, r->listed > 1 ? 1 : 2);
+    if (rest.not_upstream && !holds_without(r, &rest, b, slow, min))
         return false;
     rest = *sel;
     rest.not_vm = worst_vm(r, *sel, b->usual);
-    return !rest.not_vm || holds_without(r, &rest, b, slow);
+    return !rest.not_vm || holds_without(r, &rest, b, slow, min);
 }
 
 static look
@@ -541,12 +552,16 @@
         b.slow_rate = slow > b.slow_rate ? slow : b.slow_rate;
     }
     verdict v = judge(&s, &b);
-    if (v.failures >= EVIDENCE_BAD && is_of_build(r, &sel, &b, false))
+    if (v.failures >= EVIDENCE_BAD
+        && is_of_build(r, &sel, &b, false, EVIDENCE_REST))
         return LOOK_FAILS;
-    if (v.slow >= EVIDENCE_BAD && is_of_build(r, &sel, &b, true))
+    if (v.slow >= EVIDENCE_BAD
+        && is_of_build(r, &sel, &b, true, EVIDENCE_REST))
         return LOOK_SLOW;
-    bool in_doubt = (v.failures >= EVIDENCE_DOUBT && v.failures < EVIDENCE_BAD)
-                    || (v.slow >= EVIDENCE_DOUBT && v.slow < EVIDENCE_BAD);
+    bool in_doubt = (v.failures >= EVIDENCE_DOUBT
+                     && is_of_build(r, &sel, &b, false, DOUBT_REST))
+                    || (v.slow >= EVIDENCE_DOUBT
+                        && is_of_build(r, &sel, &b, true, DOUBT_REST));
     return in_doubt ? LOOK_DOUBTFUL : LOOK_SOUND;
 }
 
@@ -717,11 +732,22 @@
     p->reason = "sound under load";
 }
 
+/* Attempts at the new build that have ended. */
+static uint64_t
+count_new(const bbm_release *r)
+{
+    sums s = sum_up(r, &(selection){.view = VIEW_ALL, .is_new = true});
+    return s.failures + count_answers(&s);
+}
+
 static void
 plan_full(const bbm_release *r, bbm_time now, uint64_t age_ms, plan *p)
 {
     bool last = left_ms(r, age_ms) <= LAST_COMPLETE_MS;
-    bool stayed = (now - r->stage_at) / BBM_MS >= FULL_TIME_MS
+    bbm_time time_ms = (now - r->stage_at) / BBM_MS;
+    bool is_proved = count_new(r) - r->answers_before_full >= FULL_ANSWERS_MIN
+                     || time_ms >= FULL_TIME_MAX_MS;
+    bool stayed = time_ms >= FULL_TIME_MS && is_proved
                   && now - r->created_at >= SETTLE_TIME;
     if (!last && (!stayed || !all_vms_follow(r, now, true)))
         return;
@@ -808,6 +834,8 @@
         p.reason = "age";
     if (!p.reason)
         return false;
+    if (p.stage != r->info.stage)
+        r->answers_before_full = count_new(r);
     *change = r->info;
     change->state = p.state;
     change->stage = p.stage;
--- a/tests/test_release.c
+++ b/tests/test_release.c
@@ -1,6 +1,6 @@
-/* Releases of software in virtual time: the gates of up to 70 VMs, one leader's
-   decisions, and upstreams of two builds.  Reports and the state in force may
-   be late or lost; there is no network. */
+/* Releases of software in virtual time: the gates of up to 70 VMs, one
+   leader's decisions, and upstreams of two builds.  Reports and the state in
+   force may be late or lost; there is no network. */
 #include "bbm_codes.h"
 #include "bbm_gate.h"
 #include "bbm_hash.h"
@@ -206,8 +206,7 @@
     for (int i = 0; i < h->vms; i++) {
         start_vm(w, i);
         w->vms[i].listed_at =
-            ORDER_AT
-            + (bbm_time)(bbm_rng_unit(&w->rng) * 900 + 300) * BBM_MS;
+            ORDER_AT + (bbm_time)(bbm_rng_unit(&w->rng) * 900 + 300) * BBM_MS;
     }
     return w;
 }
@@ -398,12 +397,11 @@
     uint64_t vms[VMS_MAX];
     for (int i = 0; i < w->h->vms; i++)
         vms[i] = (uint64_t)i + 1;
-    w->decision = bbm_release_create(
-        &(bbm_release_desc){.info = *info_of(w),
-                            .share = SHARE,
-                            .slack = SLACK,
-                            .fence = w->term},
-        w->now);
+    w->decision = bbm_release_create(&(bbm_release_desc){.info = *info_of(w),
+                                                         .share = SHARE,
+                                                         .slack = SLACK,
+                                                         .fence = w->term},
+                                     w->now);
     bbm_release_set_vms(w->decision, vms, (size_t)w->h->vms);
 }
 
@@ -422,15 +420,14 @@
         return;
     }
     const bbm_release_info *info = info_of(w);
-    if (info->state != BBM_RELEASE_IN_PROGRESS
-        || w->now < w->next_decision_at)
+    if (info->state != BBM_RELEASE_IN_PROGRESS || w->now < w->next_decision_at)
         return;
     w->next_decision_at = w->now + DECIDE_PERIOD;
     if (!w->decision)
         create_decision(w);
     bbm_release_apply(w->decision, info, w->now);
-    bbm_release_set_upstreams(
-        w->decision, age_ms(w) > 900 ? NEW_UPSTREAMS : 0, w->now);
+    bbm_release_set_upstreams(w->decision, age_ms(w) > 900 ? NEW_UPSTREAMS : 0,
+                              w->now);
     bbm_release_reason why;
     if (w->has_pending
         || !bbm_release_decide(w->decision, w->now, &w->pending, &why))
@@ -536,7 +533,7 @@
         ck_assert_int_eq(info_of(w)->state, BBM_RELEASE_REVERTED);
         ck_assert_int_le(w->ended_at, ORDER_AT + h->duration_ms * BBM_MS);
         ck_assert_double_le((double)w->sends,
-                          (double)w->requests * SHARE + SLACK);
+                            (double)w->requests * SHARE + SLACK);
         if (w->bad_50_at)
             ck_assert_int_le(w->last_send_at, w->bad_50_at + REVERT_TIME);
         destroy_world(w);
@@ -589,8 +586,7 @@
 
 START_TEST(builds_that_fail_on_one_route_are_reverted)
 {
-    check_all((faults){.bad_share = 0.6, .bad_route = "book"},
-              check_reverted);
+    check_all((faults){.bad_share = 0.6, .bad_route = "book"}, check_reverted);
 }
 END_TEST
 
@@ -627,9 +623,9 @@
 
 START_TEST(a_vm_that_is_cut_off_sends_nothing_late)
 {
-    check_all((faults){.cut = {3000, 7000}, .bad_share = 0.5,
-                       .bad_from = 2500},
-              check_reverted);
+    check_all(
+        (faults){.cut = {3000, 7000}, .bad_share = 0.5, .bad_from = 2500},
+        check_reverted);
     check_all((faults){.cut = {2000, NEVER_MS}}, check_completed);
 }
 END_TEST
@@ -638,9 +634,9 @@
 {
     check_all((faults){.frozen = {3000, 5500}}, check_completed);
     check_all((faults){.restart = 4000}, check_completed);
-    check_all((faults){.restart = 3000, .frozen = {3500, 5000},
-                       .bad_share = 0.4},
-              check_reverted);
+    check_all(
+        (faults){.restart = 3000, .frozen = {3500, 5000}, .bad_share = 0.4},
+        check_reverted);
 }
 END_TEST
 
@@ -655,8 +651,7 @@
 START_TEST(lost_reports_change_no_outcome)
 {
     check_all((faults){.report_loss = 0.3}, check_completed);
-    check_all((faults){.report_loss = 0.5, .bad_share = 0.5},
-              check_reverted);
+    check_all((faults){.report_loss = 0.5, .bad_share = 0.5}, check_reverted);
 }
 END_TEST
 
@@ -671,5 +666,4 @@
           a_failing_old_upstream_excuses_no_bad_build,
           a_vm_that_is_cut_off_sends_nothing_late,
           frozen_and_restarted_vms_change_no_outcome,
-          releases_go_on_under_another_leader,
-          lost_reports_change_no_outcome);
+          releases_go_on_under_another_leader, lost_reports_change_no_outcome);
