--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -18,6 +18,7 @@
     int starts; /* number of starts so far */
     size_t sent_bytes;
     bbm_time frozen_until;
+    int64_t wall_offset_ms;
     bbm_format format; /* of its build; 0: as in the parameters */
     fake_disk disk;
 } vm;
@@ -240,6 +241,12 @@
     f->vms[i].format = format;
 }
 
+void
+fleet_set_wall_offset(fleet *f, int i, int64_t offset_ms)
+{
+    f->vms[i].wall_offset_ms = offset_ms;
+}
+
 void
 fleet_freeze(fleet *f, int i, bbm_time span)
 {
@@ -295,7 +302,8 @@
             continue;
         sync_due_writes(f, i);
         bbm_event ev = {.kind = BBM_EV_TICK};
-        ev.u.tick.wall_ms = 1000000 + f->now / BBM_MS;
+        ev.u.tick.wall_ms =
+            1000000 + f->now / BBM_MS + f->vms[i].wall_offset_ms;
         deliver_event(f, i, &ev);
     }
 }
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -84,6 +84,8 @@
 /** Set the format of the build that a node has from its next start on; 0:
  *  that of fleet_desc::node. */
 void fleet_set_format(fleet *f, int i, bbm_format format);
+/** Set by how much a node's calendar is ahead of the others'. */
+void fleet_set_wall_offset(fleet *f, int i, int64_t offset_ms);
 /** Freeze a node for @p span: it doesn't run, and messages to it wait. */
 void fleet_freeze(fleet *f, int i, bbm_time span);
 /** True if the node is neither down nor frozen. */
