--- a/node/node.c
+++ b/node/node.c
@@ -503,6 +503,7 @@
     node_upstreams_destroy(n);
     node_origins_destroy(n);
     node_release_destroy(n);
+    bbm_releases_free(&n->known_releases);
     bbm_gate_destroy(n->gate);
     bbm_state_destroy(n->lagging_state);
     node_orders_reset(n);
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -414,7 +414,7 @@
 
     uint64_t releases_index; /**< Public index whose releases the gate
                                   has. */
-    uint64_t releases_hash;  /**< Hash of what the gate knows of them. */
+    bbm_releases known_releases; /**< As last logged. */
     node_release *releases;  /**< Leader: those in progress; owned. */
     size_t releases_len;     /**< Their number. */
     size_t releases_cap;     /**< Allocated number. */
--- a/node/node_release.c
+++ b/node/node_release.c
@@ -60,14 +60,24 @@
 
 /* ---- operators ---- */
 
-/* False while a VM is of a build that doesn't know releases: it would send
-   requests to both builds. */
+/* False while a VM is known to be of a build that doesn't know releases: it
+   would send requests to both builds, or couldn't read the control state.  A
+   VM of which nothing is known yet has just started, or is lost. */
 static bool
 all_know_releases(const bbm_node *n)
 {
-    bbm_format oldest = node_oldest_format(n);
-    return oldest >= BBM_FORMAT_RELEASES
-           && (!n->raft || node_group_format(n) >= BBM_FORMAT_RELEASES);
+    if (n->desc.format < BBM_FORMAT_RELEASES)
+        return false;
+    const bbm_member *m;
+    for (size_t i = 0; (m = bbm_members_at(n->members, i)) != NULL; i++) {
+        bool counts = node_member_alive(m);
+        const bbm_raft_group *g = n->raft ? bbm_raft_group_of(n->raft) : NULL;
+        for (size_t k = 0; g && k < g->len; k++)
+            counts = counts || strcmp(g->members[k].name, m->name) == 0;
+        if (counts && m->format && m->format < BBM_FORMAT_RELEASES)
+            return false;
+    }
+    return true;
 }
 
 void
@@ -152,13 +162,12 @@
     return false;
 }
 
-/* Without a leader an order may have been accepted that this VM doesn't know:
-   a build that didn't serve before gets no requests while another one can. */
+/* A VM that reads the list itself has heard nothing of a leader for 2 s: an
+   order may have been accepted that it doesn't know.  A build that didn't serve
+   before gets no requests while another one can. */
 void
 node_release_mark_own_listing(const bbm_node *n, bbm_listing *listing)
 {
-    if (node_relay_age(n) <= node_release_view_max(n))
-        return;
     for (size_t i = 0; i < listing->len; i++) {
         bbm_listing_entry *u = &listing->items[i];
         if (has_serving(&n->listing, u->pool, NULL)
@@ -184,12 +193,33 @@
     node_log_number(a, "age_ms", (int64_t)r->age_ms);
 }
 
-/* Hash of what the gate must know; changes of the age alone are left out. */
-static uint64_t
-hash_of(const bbm_release_info *r)
+/* True if this VM knew a release as it is, but for its age. */
+static bool
+was_known(const bbm_node *n, const bbm_release_info *r)
 {
-    uint64_t parts[] = {r->serial, r->state, r->stage, r->share};
-    return bbm_hash64(parts, sizeof(parts), 0);
+    for (size_t i = 0; i < n->known_releases.len; i++) {
+        const bbm_release_info *known = &n->known_releases.items[i];
+        if (known->serial == r->serial)
+            return known->state == r->state && known->stage == r->stage;
+    }
+    return false;
+}
+
+static void
+log_changes(bbm_node *n, const bbm_releases *all)
+{
+    for (size_t i = 0; i < all->len; i++) {
+        if (!was_known(n, &all->items[i]))
+            log_in_force(n, &all->items[i]);
+    }
+    bbm_releases_free(&n->known_releases);
+    if (!all->len)
+        return;
+    n->known_releases = (bbm_releases){
+        .items = bbm_memdup(all->items, all->len * sizeof(*all->items)),
+        .len = all->len,
+        .cap = all->len,
+    };
 }
 
 void
@@ -203,14 +233,10 @@
         return;
     n->releases_index = index;
     const bbm_releases *all = all_releases(n);
-    uint64_t hash = 0;
-    for (size_t i = 0; i < all->len; i++)
-        hash += hash_of(&all->items[i]);
-    if (hash != n->releases_hash && all->len)
-        log_in_force(n, &all->items[all->len - 1]);
-    n->releases_hash = hash;
-    if (all->len)
-        bbm_gate_set_releases(n->gate, all, n->now);
+    if (!all->len)
+        return;
+    log_changes(n, all);
+    bbm_gate_set_releases(n->gate, all, n->now);
 }
 
 static bbm_time
--- a/tests/test_release_fleet.c
+++ b/tests/test_release_fleet.c
@@ -530,6 +530,26 @@
 }
 END_TEST
 
+/* The new upstreams are listed by the provider before a VM that is cut off can
+   know of the order. */
+START_TEST(a_vm_that_missed_the_order_sends_nothing_to_the_new_build)
+{
+    for (uint64_t seed = 1; seed <= 3; seed++) {
+        plan p = {.nodes = 6, .per_s = 200};
+        world *w = create(&p, seed);
+        net_isolate(fleet_net(w->fleet), 5, true);
+        run(w, STEP);
+        w->cut_at = fleet_now(w->fleet) - REVERT_TIME;
+        ck_assert_int_eq(order(w, 3, "v2"), BBM_OK);
+        w->ordered_at = fleet_now(w->fleet);
+        run(w, DURATION_MS * BBM_MS / 2);
+        ck_assert_uint_gt(w->sends_to_new, 0);
+        ck_assert_uint_eq(w->sends_of_cut_node, 0);
+        destroy(w);
+    }
+}
+END_TEST
+
 /* Upstreams are replaced by those of a newer build without any order. */
 START_TEST(builds_that_nobody_ordered_are_served)
 {
@@ -550,4 +570,5 @@
           a_vm_that_is_cut_off_sends_nothing_to_the_new_build,
           steps_of_the_calendar_change_no_release,
           calls_of_operators_are_answered_as_stated,
+          a_vm_that_missed_the_order_sends_nothing_to_the_new_build,
           builds_that_nobody_ordered_are_served);
