--- a/cli/cli_change.c
+++ b/cli/cli_change.c
@@ -226,6 +226,20 @@
                       on ? "paused" : "resumed");
 }
 
+static int
+release(const cli_profile *p, int argc, char **argv)
+{
+    char *end = NULL;
+    double seconds = argc == 3 ? strtod(argv[2], &end) : 0;
+    if (argc != 3 || *end || !(seconds >= 0.001 && seconds <= 86400))
+        return usage("release SERVICE VERSION SECONDS");
+    return run_change(p, "release",
+                      json_pack("{s:s, s:s, s:I}", "name", argv[0], "other",
+                                argv[1], "number",
+                                (json_int_t)(seconds * 1000 + 0.5)),
+                      "ordered");
+}
+
 const cli_command cli_change_commands[] = {
     {"check", "check FILE: find all mistakes in a configuration", check},
     {"publish",
@@ -246,6 +260,10 @@
      orders_give},
     {"orders pause", "orders pause on|off: pause or resume sending orders",
      orders_pause},
+    {"release",
+     "release SERVICE VERSION SECONDS: move the requests of a service to "
+     "upstreams of another software version, or revert, within a time",
+     release},
     {"digest",
      "digest SECRET-FILE: print the digest of the key on standard input",
      digest},
--- a/cli/cli_query.c
+++ b/cli/cli_query.c
@@ -302,6 +302,28 @@
     return CLI_OK;
 }
 
+static int
+release_show(const cli_profile *p, int argc, char **argv)
+{
+    if (argc != 1) {
+        fputs("usage: bluebellmoor release show SERVICE\n", stderr);
+        return CLI_USAGE;
+    }
+    int rc;
+    json_t *doc =
+        query(p, "release/show", json_pack("{s:s}", "name", argv[0]), &rc);
+    if (!doc)
+        return rc;
+    printf("state      %s\nversion    %s\nstage      %s\n"
+           "share      %.1f %%\nduration   %.1f s\nage        %.1f s\n",
+           text_of(doc, "state"), text_of(doc, "build"), text_of(doc, "stage"),
+           (double)number_of(doc, "share") / 10,
+           (double)number_of(doc, "duration_ms") / 1000,
+           (double)number_of(doc, "age_ms") / 1000);
+    json_decref(doc);
+    return CLI_OK;
+}
+
 /* ---- burn ---- */
 
 static void
@@ -412,6 +434,8 @@
      diff},
     {"keys list", "keys list: names of all keys", keys},
     {"orders list", "orders list: all orders to engines", orders},
+    {"release show", "release show SERVICE: state of the latest release",
+     release_show},
     {"burn",
      "burn: rates at which objectives consume their error budgets, summed "
      "over all addresses of --admin",
--- a/cli/main.c
+++ b/cli/main.c
@@ -13,8 +13,8 @@
 
 #define KEY_SIZE 512 /* bytes, including the terminating NUL */
 
-static const cli_command *const command_tables[] = {cli_change_commands,
-                                                    cli_query_commands};
+static const cli_command *const command_tables[] = {cli_query_commands,
+                                                    cli_change_commands};
 
 static void
 usage(FILE *to)
--- a/daemon/front_admin.c
+++ b/daemon/front_admin.c
@@ -16,14 +16,23 @@
 } verb_path;
 
 static const verb_path verb_paths[] = {
-    {"status", BBM_VERB_STATUS},     {"members", BBM_VERB_MEMBERS},
-    {"runners", BBM_VERB_RUNNERS},   {"burn", BBM_VERB_BURN},
-    {"show", BBM_VERB_SHOW},         {"history", BBM_VERB_HISTORY},
-    {"publish", BBM_VERB_PUBLISH},   {"keys", BBM_VERB_KEYS},
-    {"keys/add", BBM_VERB_KEY_ADD},  {"keys/withdraw", BBM_VERB_KEY_WITHDRAW},
-    {"drain", BBM_VERB_DRAIN},       {"orders", BBM_VERB_ORDERS},
-    {"orders/give", BBM_VERB_ORDER}, {"orders/pause", BBM_VERB_PAUSE},
+    {"status", BBM_VERB_STATUS},
+    {"members", BBM_VERB_MEMBERS},
+    {"runners", BBM_VERB_RUNNERS},
+    {"burn", BBM_VERB_BURN},
+    {"show", BBM_VERB_SHOW},
+    {"history", BBM_VERB_HISTORY},
+    {"publish", BBM_VERB_PUBLISH},
+    {"keys", BBM_VERB_KEYS},
+    {"keys/add", BBM_VERB_KEY_ADD},
+    {"keys/withdraw", BBM_VERB_KEY_WITHDRAW},
+    {"drain", BBM_VERB_DRAIN},
+    {"orders", BBM_VERB_ORDERS},
+    {"orders/give", BBM_VERB_ORDER},
+    {"orders/pause", BBM_VERB_PAUSE},
     {"replace", BBM_VERB_REPLACE},
+    {"release", BBM_VERB_RELEASE},
+    {"release/show", BBM_VERB_RELEASE_GET},
 };
 
 /* Fields of the JSON body; their meaning depends on the verb. */
--- a/daemon/front_provider.c
+++ b/daemon/front_provider.c
@@ -191,7 +191,7 @@
     const char *text = ex->body.len ? (char *)ex->body.data : "";
     int rc = platform_release_read(text, ex->body.len, &r);
     ex->operator_event.verb = BBM_VERB_RELEASE;
-    ex->operator_event.version = r.duration_ms;
+    ex->operator_event.revision = r.duration_ms;
     bbm_name_set(ex->operator_event.name, r.service);
     bbm_name_set(ex->operator_event.other_name, r.build);
     return rc;
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -238,7 +238,7 @@
                                 view can't be proved fresh. */
     BBM_VERB_WEIGHTS,      /**< Set the weights version of model `name`. */
     BBM_VERB_RELEASE,      /**< Release build `other_name` to pool `name`
-                                within `version` milliseconds. */
+                                within `revision` milliseconds. */
     BBM_VERB_RELEASE_GET,  /**< Latest release of pool `name`; refused if the
                                 view can't be proved fresh. */
 } bbm_verb;
@@ -251,15 +251,15 @@
     char author[BBM_NAME_SIZE];     /**< Name of the operator. */
     char name[BBM_NAME_SIZE];       /**< First object, by verb. */
     char other_name[BBM_NAME_SIZE]; /**< Second object, by verb. */
-    uint64_t revision;              /**< Revision number, or the version of
-                                         BBM_VERB_WEIGHTS. */
+    uint64_t revision;              /**< Revision number, the version of
+                                         BBM_VERB_WEIGHTS, or the time of
+                                         BBM_VERB_RELEASE, milliseconds. */
     bool on;                        /**< Switch of BBM_VERB_DRAIN and
                                          BBM_VERB_PAUSE. */
     bbm_digest digest;              /**< Digest of a key. */
     bbm_bytes text;                 /**< Configuration document. */
     uint64_t version;               /**< The operator's own version of the
-                                         document; 0: revision is used.
-                                         BBM_VERB_RELEASE: milliseconds. */
+                                         document; 0: revision is used. */
     bbm_bytes source;               /**< Text the document was made from. */
 } bbm_operator_event;
 
--- a/node/node_release.c
+++ b/node/node_release.c
@@ -83,6 +83,10 @@
 void
 node_release_order(bbm_node *n, const bbm_operator_event *call)
 {
+    if (!call->name[0] || !call->other_name[0] || !call->revision) {
+        node_reply_code(n, call->op, BBM_ERR_BAD_FIELD, NULL);
+        return;
+    }
     if (!all_know_releases(n)) {
         node_reply_code(n, call->op, BBM_ERR_NOT_READY, NULL);
         return;
@@ -92,7 +96,7 @@
     bbm_release_info *info = &cmd.u.release.info;
     bbm_name_set(info->pool, call->name);
     bbm_name_set(info->build, call->other_name);
-    info->duration_ms = call->version;
+    info->duration_ms = call->revision;
     info->share = bbm_release_first_share(n->desc.release_share);
     if (!node_propose(n, &cmd, WAITER_OPERATOR, call->op,
                       n->now + ORDER_TIMEOUT))
@@ -163,8 +167,8 @@
 }
 
 /* A VM that reads the list itself has heard nothing of a leader for 2 s: an
-   order may have been accepted that it doesn't know.  A build that didn't serve
-   before gets no requests while another one can. */
+   order may have been accepted that it doesn't know.  A build that didn't
+   serve before gets no requests while another one can. */
 void
 node_release_mark_own_listing(const bbm_node *n, bbm_listing *listing)
 {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -737,8 +737,94 @@
 }
 END_TEST
 
-TEST_MAIN("platform", unreadable_entries_hide_no_others,
-          page_without_its_end_is_refused,
+/* An order with a mistake must be refused with 400, and none may be taken for
+   another one. */
+START_TEST(release_orders_are_read)
+{
+    static const char *const bad[] = {
+        "",
+        "{}",
+        "[]",
+        "{\"service\":\"s\",\"to\":\"v2\"}",
+        "{\"service\":\"s\",\"duration-s\":12}",
+        "{\"to\":\"v2\",\"duration-s\":12}",
+        "{\"service\":\"\",\"to\":\"v2\",\"duration-s\":12}",
+        "{\"service\":\"s\",\"to\":\"\",\"duration-s\":12}",
+        "{\"service\":\"s\",\"to\":2,\"duration-s\":12}",
+        "{\"service\":\"s\",\"to\":\"v2\",\"duration-s\":0}",
+        "{\"service\":\"s\",\"to\":\"v2\",\"duration-s\":-3}",
+        "{\"service\":\"s\",\"to\":\"v2\",\"duration-s\":\"12\"}",
+        "{\"service\":\"s\",\"to\":\"v2\",\"duration-s\":1e99}",
+        "{\"service\":\"s\",\"to\":\"v2\",\"duration-s\":12",
+    };
+    static const char good[] =
+        "{\"service\":\"s\",\"to\":\"v2\",\"duration-s\":12.5}";
+    platform_release r;
+    ck_assert_int_eq(platform_release_read(good, sizeof(good) - 1, &r),
+                     BBM_OK);
+    ck_assert_str_eq(r.service, "s");
+    ck_assert_str_eq(r.build, "v2");
+    ck_assert_uint_eq(r.duration_ms, 12500);
+    for (size_t i = 0; i < BBM_COUNT(bad); i++)
+        ck_assert_int_eq(platform_release_read(bad[i], strlen(bad[i]), &r),
+                         BBM_ERR_BAD_FIELD);
+    ck_assert_int_eq(platform_call_of("POST", "/-/rollouts"),
+                     PLATFORM_RELEASE_ORDER);
+    ck_assert_int_eq(platform_call_of("GET", "/-/rollouts/s"),
+                     PLATFORM_RELEASE_GET);
+    ck_assert_str_eq(platform_release_service("/-/rollouts/s"), "s");
+    ck_assert_int_eq(platform_call_of("GET", "/-/rollouts/"), PLATFORM_NONE);
+    ck_assert_int_eq(platform_call_of("GET", "/-/rollouts"), PLATFORM_NONE);
+    ck_assert_int_eq(platform_call_of("POST", "/-/rollouts/s"), PLATFORM_NONE);
+    ck_assert_int_eq(platform_call_of("GET", "/-/rollouts/a/b"),
+                     PLATFORM_NONE);
+}
+END_TEST
+
+START_TEST(release_states_are_written)
+{
+    static const char reply[] =
+        "{\"state\":\"in_progress\",\"pool\":\"s\",\"build\":\"v2\"}";
+    bbm_buf out = {0};
+    platform_release_body(reply, sizeof(reply) - 1, &out);
+    bbm_buf_add(&out, "", 1);
+    ck_assert_str_eq((char *)out.data,
+                     "{\"state\":\"in_progress\",\"to\":\"v2\"}");
+    bbm_buf_free(&out);
+}
+END_TEST
+
+/* The build of an order and those in the list must be comparable. */
+START_TEST(long_builds_are_the_same_in_orders_and_in_the_list)
+{
+    char version[200];
+    char text[512];
+    memset(version, 'v', sizeof(version) - 1);
+    version[sizeof(version) - 1] = '\0';
+    snprintf(text, sizeof(text),
+             "{\"service\":\"s\",\"to\":\"%s\",\"duration-s\":1}", version);
+    platform_release r;
+    ck_assert_int_eq(platform_release_read(text, strlen(text), &r), BBM_OK);
+    snprintf(text, sizeof(text),
+             "{\"instances\":[{\"id\":\"i\",\"service\":\"s\",\"address\":"
+             "\"10.0.0.1:80\",\"zone\":\"a\",\"state\":\"ready\","
+             "\"slots\":1,\"born\":1,\"version\":\"%s\"}]}",
+             version);
+    bbm_listing listing = {0};
+    size_t invalid = 0;
+    char next[BBM_NAME_SIZE];
+    ck_assert_int_eq(
+        platform_listing_read(text, strlen(text), &listing, &invalid, next),
+        BBM_OK);
+    ck_assert_uint_eq(listing.len, 1);
+    ck_assert_str_eq(listing.items[0].build, r.build);
+    bbm_listing_free(&listing);
+}
+END_TEST
+
+TEST_MAIN("platform", release_orders_are_read, release_states_are_written,
+          long_builds_are_the_same_in_orders_and_in_the_list,
+          unreadable_entries_hide_no_others, page_without_its_end_is_refused,
           report_is_read_beside_unreadable_ids,
           answers_to_a_long_id_are_its_own, config_is_translated,
           invalid_configs_are_rejected, listing_page_is_parsed,
--- a/tests/test_release_fleet.c
+++ b/tests/test_release_fleet.c
@@ -278,7 +278,7 @@
     bbm_event ev = {.kind = BBM_EV_OPERATOR};
     ev.u.call.op = op;
     ev.u.call.verb = verb;
-    ev.u.call.version = duration_ms;
+    ev.u.call.revision = duration_ms;
     bbm_name_set(ev.u.call.name, pool);
     bbm_name_set(ev.u.call.other_name, build);
     fleet_deliver(w->fleet, node, &ev);
