--- a/stand/pool.c
+++ b/stand/pool.c
@@ -1,7 +1,7 @@
 /** @file
  *  Stand-ins for the provider's list of upstreams and for an upstream.
  *
- *      stand_pool list PORT UPSTREAM-PORT...
+ *      stand_pool list PORT UPSTREAM-PORT[@VERSION]...
  *      stand_pool upstream PORT
  *
  *  The list names the upstreams as instances of the service "api".  An
@@ -36,12 +36,17 @@
     for (int i = 0; i < p->ports_len; i++) {
         char id[32];
         char address[32];
-        snprintf(id, sizeof(id), "i-%s", p->ports[i]);
-        snprintf(address, sizeof(address), "127.0.0.1:%s", p->ports[i]);
-        json_array_append_new(
-            list, json_pack("{s:s, s:s, s:s, s:s, s:s, s:i}", "id", id,
-                            "service", "api", "address", address, "zone",
-                            "zone-1", "state", "ready", "slots", 8));
+        const char *version = strchr(p->ports[i], '@');
+        int len = (int)strcspn(p->ports[i], "@");
+        snprintf(id, sizeof(id), "i-%.*s", len, p->ports[i]);
+        snprintf(address, sizeof(address), "127.0.0.1:%.*s", len,
+                 p->ports[i]);
+        json_t *item = json_pack("{s:s, s:s, s:s, s:s, s:s, s:i}", "id", id,
+                                 "service", "api", "address", address, "zone",
+                                 "zone-1", "state", "ready", "slots", 8);
+        if (version)
+            json_object_set_new(item, "version", json_string(version + 1));
+        json_array_append_new(list, item);
     }
     return stand_reply(q, 200, json_pack("{s:o}", "instances", list));
 }
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -654,6 +654,68 @@
     finish
 }
 
+# Releases of software: both versions are listed from the beginning.
+release_call() { # VM METHOD PATH [BODY]: prints the HTTP status
+    curl -s -m 5 -o "$dir/answer" -w '%{http_code}' -X "$2" ${4:+-d "$4"} \
+        "http://$(pool_vm_ip "$1"):$((FLEET_PORT + 4))$3"
+}
+release_answers() { # EXPECTED-STATUS VM METHOD PATH [BODY]
+    [ "$(release_call "${@:2}")" = "$1" ]
+}
+release_is() { # VM STATE
+    release_answers 200 "$1" GET /-/rollouts/api && grep -q "\"state\":\"$2\"" "$dir/answer"
+}
+release_runs() { # UPSTREAM: prints how many requests it has run
+    curl -s "http://127.0.0.1:$((FLEET_PORT + $1))/runs" | grep -o '": *[0-9]*' | awk -F: '{n += $2} END {print n + 0}'
+}
+release_load() { # SECONDS: requests to the three VMs, one after the other
+    local end=$((SECONDS + $1)) n=0
+    while [ $SECONDS -lt $end ]; do
+        n=$((n + 1))
+        curl -s -m 5 -o /dev/null -w '%{http_code}\n' -H 'Host: a.example' \
+            -H "X-Bluebellmoor-Attempt-Id: load-$RANDOM-$n" -d '{}' \
+            "http://$(pool_vm_ip $((1 + n % 3))):$((FLEET_PORT + 1))/safe/x"
+        sleep 0.02
+    done
+}
+
+t_release() { # a release is ordered over HTTP and completes; another one reverts
+    begin release
+    local i
+    fleet_run "$dir/list.log" "$FLEET_BUILD/stand_pool" list $((FLEET_PORT + 6)) \
+        $((FLEET_PORT + 520))@v1 $((FLEET_PORT + 521))@v1 $((FLEET_PORT + 522))@v2 $((FLEET_PORT + 523))@v2
+    for i in 520 521 522 523; do
+        fleet_run "$dir/upstream-$i.log" "$FLEET_BUILD/stand_pool" upstream $((FLEET_PORT + i))
+    done
+    for i in 1 2 3; do
+        mkdir -p "$dir/disk-$i"
+        pool_settings $i true
+        fleet_daemon "$dir" $i
+    done
+    check "the configuration is acknowledged" fleet_until 10 pool_accepts 1 1
+    for i in 1 2 3; do check "vm-$i serves" fleet_until 10 pool_is_served $i /safe/x "first-$i"; done
+    check "a service without a release is 404" release_answers 404 2 GET /-/rollouts/api
+    check "an unknown service is 400" release_answers 400 1 POST /-/rollouts '{"service":"none","to":"v2","duration-s":8}'
+    check "a bad body is 400" release_answers 400 1 POST /-/rollouts '{"service":"api","to":"v2"}'
+    check "an order is acknowledged" release_answers 200 3 POST /-/rollouts '{"service":"api","to":"v2","duration-s":8}'
+    check "another VM says in_progress" release_is 1 in_progress
+    check "it names the version" grep -q '"to":"v2"' "$dir/answer"
+    check "a resend at another VM is acknowledged" release_answers 200 2 POST /-/rollouts '{"service":"api","to":"v2","duration-s":8}'
+    check "an order for another version is 409" release_answers 409 2 POST /-/rollouts '{"service":"api","to":"v3","duration-s":8}'
+    release_load 9 >"$dir/statuses"
+    check "all $(wc -l <"$dir/statuses") requests were served" bash -c "! grep -qv 200 '$dir/statuses'"
+    for i in 1 2 3; do check "vm-$i says completed" release_is $i completed; done
+    local old=$(($(release_runs 520) + $(release_runs 521)))
+    release_load 2 >"$dir/statuses"
+    check "the old version runs nothing more" test $(($(release_runs 520) + $(release_runs 521))) -eq "$old"
+    check "a resend is acknowledged after the end" release_answers 200 1 POST /-/rollouts '{"service":"api","to":"v2","duration-s":8}'
+    check "a version that isn't there is ordered" release_answers 200 1 POST /-/rollouts '{"service":"api","to":"v9","duration-s":4}'
+    check "and reverted" fleet_until 6 release_is 2 reverted
+    release_load 1 >"$dir/statuses"
+    check "requests are served as before" bash -c "! grep -qv 200 '$dir/statuses'"
+    finish
+}
+
 t_drain_under_load() { # SIGTERM while requests arrive: each accepted one is answered
     begin drain_under_load
     pool_single_vm '"entry_ms": 1500, "grace_s": 4, '
@@ -1065,7 +1127,7 @@
 scenarios=(streams leader_killed bookings_once key_withdrawn isolated frozen
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
-    address_in_use operator_commands disk_full pools limits pool_keys drain_under_load
+    address_in_use operator_commands disk_full pools limits pool_keys release drain_under_load
     stopped_again refused_half_closed
     half_closed_at_start left_while_held signal_at_start settings_late disk_late soak soak_callers peer_resets killed_peers fatal_signal)
 [ $# -gt 0 ] && scenarios=("$@")
