--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -79,9 +79,9 @@
     bbm_time old_weights_max;   /**< Time after that announcement from which no
                                      request starts on old weights; default 8
                                      s. */
-    bbm_time release_view_max; /**< Age of the releases in force from which a
-                                    build that is released gets no requests of
-                                    this VM; default 3 s. */
+    bbm_time release_view_max;  /**< Age of the releases in force from which a
+                                     build that is released gets no requests of
+                                     this VM; default 3 s. */
     bool unsafe_no_hold; /**< Tests only: refuse a request at once, instead of
                               holding it, if there is no upstream. */
 } bbm_gate_desc;
--- a/gate/gate_release.c
+++ b/gate/gate_release.c
@@ -16,6 +16,9 @@
 /* Releases that aren't known to be in force for this time allow nothing, if
    the parameters give none. */
 #define DEFAULT_VIEW_MAX (3 * BBM_SECOND)
+/* An upstream with fewer open requests than this share of its slots has
+   room. */
+#define ROOM_SHARE 0.5
 
 static gate_release *
 find_release(const bbm_gate *g, const char *pool)
@@ -252,6 +255,15 @@
         record(g, r, false, g->now - r->sent_at);
 }
 
+/* A build that refuses what it has room for doesn't work; one that is full or
+   asks for a pause does. */
+static bool
+refused_with_room(const bbm_gate *g, const gate_upstream *u)
+{
+    return !gate_is_paused(g, u)
+           && gate_open_requests(g, u) < gate_slots_of(u) * ROOM_SHARE;
+}
+
 void
 gate_release_record_end(bbm_gate *g, gate_request *r,
                         const bbm_forward_result *result)
@@ -270,6 +282,10 @@
             gate_release_record_failure(g, r);
         return;
     case BBM_FORWARD_NOT_RUN:
+        if (result->status == 503 && refused_with_room(g, r->upstream))
+            record(g, r, true, 0);
+        r->tries_release = false;
+        return;
     case BBM_FORWARD_UNSENT:
         r->tries_release = false;
         return;
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -412,13 +412,13 @@
     bbm_rollout *rollout;          /**< NULL unless this node is the leader. */
     uint64_t rollout_term;         /**< Term of rollout. */
 
-    uint64_t releases_index; /**< Public index whose releases the gate
-                                  has. */
-    bbm_releases known_releases; /**< As last logged. */
-    node_release *releases;  /**< Leader: those in progress; owned. */
-    size_t releases_len;     /**< Their number. */
-    size_t releases_cap;     /**< Allocated number. */
-    uint64_t releases_term;  /**< Leader: term of these decisions. */
+    uint64_t releases_index;         /**< Public index whose releases the gate
+                                          has. */
+    bbm_releases known_releases;     /**< As last logged. */
+    node_release *releases;          /**< Leader: those in progress; owned. */
+    size_t releases_len;             /**< Their number. */
+    size_t releases_cap;             /**< Allocated number. */
+    uint64_t releases_term;          /**< Leader: term of these decisions. */
     bbm_time next_release_report_at; /**< Next report of evidence. */
     bbm_time next_release_check_at;  /**< Leader: next decision. */
 
--- a/node/node_release.c
+++ b/node/node_release.c
@@ -26,6 +26,10 @@
    filled. */
 #define REPORT_PERIOD_MIN (100 * BBM_MS)
 #define REPORT_PERIOD_PER_VM (2500 * BBM_US)
+/* While a release is in progress, the public state is polled at least so
+   often: with two levels of VMs it is then at most some 0.7 s old, and a VM
+   isn't kept from the new build by a lost poll. */
+#define POLL_PERIOD (300 * BBM_MS)
 #define DECIDE_PERIOD (50 * BBM_MS)
 /* A VM lets a build that is released get requests until its view of the
    releases is older than this part of the time to a revert; the rest is for
@@ -459,12 +463,21 @@
     }
 }
 
+static void
+poll_often(bbm_node *n)
+{
+    bool in_progress = bbm_gate_release_evidence(n->gate, 0, n->now) != NULL;
+    if (in_progress && n->next_poll_at > n->now + POLL_PERIOD)
+        n->next_poll_at = n->now + POLL_PERIOD;
+}
+
 void
 node_release_tick(bbm_node *n)
 {
     if (n->desc.format < BBM_FORMAT_RELEASES)
         return;
     node_release_apply(n);
+    poll_often(n);
     if (n->now >= n->next_release_report_at) {
         n->next_release_report_at = n->now + report_period(n);
         report(n);
--- a/release/bbm_release.c
+++ b/release/bbm_release.c
@@ -22,7 +22,7 @@
 /* Latest time before the end at which all requests move, and at which the
    release is completed although a VM is silent or the old build has work. */
 #define LAST_FULL_MS 1800
-#define LAST_COMPLETE_MS 500
+#define LAST_COMPLETE_MS 800
 /* Minimum time in a stage: evidence of it arrives within 0.3 s. */
 #define RAMP_TIME_MS 400
 #define FULL_TIME_MS 800
