--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -64,6 +64,7 @@
     size_t served;
     uint64_t revision; /* acknowledged */
     uint64_t ops;
+    int last_code; /* of an operator's call */
 } world;
 
 static void
@@ -164,6 +165,8 @@
 on_answer(void *context, const fleet_answer *answer)
 {
     world *w = context;
+    if (answer->operator_call)
+        w->last_code = answer->code;
     if (answer->operator_call && answer->id == w->ops
         && answer->code == BBM_OK)
         w->revision++;
@@ -514,7 +517,49 @@
 }
 END_TEST
 
-TEST_MAIN("upgrade", builds_side_by_side_reject_no_messages_and_keep_the_rate,
+#define RELEASE_OP 1000000
+
+static int
+order_release(world *w, int node)
+{
+    bbm_event ev = {.kind = BBM_EV_OPERATOR};
+    ev.u.call.op = RELEASE_OP;
+    ev.u.call.verb = BBM_VERB_RELEASE;
+    ev.u.call.revision = 12000;
+    bbm_name_set(ev.u.call.name, "p");
+    bbm_name_set(ev.u.call.other_name, "v1");
+    w->last_code = 1;
+    fleet_deliver(w->fleet, node, &ev);
+    run(w, BBM_SECOND);
+    return w->last_code;
+}
+
+/* A VM of the format before would send requests to both builds, and couldn't
+   read the control state. */
+START_TEST(releases_are_refused_until_all_vms_know_them)
+{
+    world w;
+    create(&w, 5, BBM_FORMAT_STATED);
+    for (int i = 0; i < 5; i++) {
+        if (i > 0)
+            ck_assert_int_eq(order_release(&w, 0), BBM_ERR_NOT_READY);
+        replace(&w, i, BBM_FORMAT_LATEST);
+        run(&w, LEARN_TIME + BBM_SECOND);
+    }
+    ck_assert_int_eq(order_release(&w, 0), BBM_OK);
+    run(&w, 2 * BBM_SECOND);
+    ck_assert_uint_eq(count_rejected(&w), 0);
+    for (int i = 0; i < 5; i++) {
+        const bbm_state *state = bbm_node_state(fleet_node(w.fleet, i));
+        ck_assert_ptr_nonnull(bbm_releases_latest(
+            bbm_registry_releases(bbm_state_registry(state)), "p"));
+    }
+    fleet_destroy(w.fleet);
+}
+END_TEST
+
+TEST_MAIN("upgrade", releases_are_refused_until_all_vms_know_them,
+          builds_side_by_side_reject_no_messages_and_keep_the_rate,
           builds_side_by_side_hear_of_each_other_through_the_leader,
           builds_side_by_side_hear_of_each_other_through_trees,
           control_vm_of_an_older_build_keeps_its_state_after_a_snapshot,
