--- a/tests/test_release_fleet.c
+++ b/tests/test_release_fleet.c
@@ -75,6 +75,7 @@
     uint64_t sends_in_time;
     uint64_t sends_to_new; /* since the start */
     uint64_t sends_of_cut_node;
+    uint64_t sends_unordered; /* of VMs that don't know of the order */
     bbm_time cut_at;
     uint64_t bad;
     bbm_time bad_50_at;
@@ -95,6 +96,15 @@
     return w->cut_at && node == w->plan->nodes - 1;
 }
 
+static bool
+knows_order(const world *w, int node)
+{
+    const bbm_state *state = bbm_node_state(fleet_node(w->fleet, node));
+    return bbm_releases_latest(
+               bbm_registry_releases(bbm_state_registry(state)), "p")
+           != NULL;
+}
+
 static void
 on_forward(void *context, int node, const bbm_forward_request *send)
 {
@@ -106,6 +116,7 @@
     if (is_new) {
         w->sends_to_new++;
         w->last_send_at = now;
+        w->sends_unordered += !knows_order(w, node);
         w->sends_in_time += w->ordered_at && !is_cut(w, node)
                             && now - w->ordered_at < DURATION_MS * BBM_MS;
         w->sends_of_cut_node +=
@@ -432,6 +443,7 @@
         ck_assert_int_ne(w->ended_at, 0);
         ck_assert_int_le(w->ended_at, w->ordered_at + DURATION_MS * BBM_MS);
         ck_assert_uint_eq(w->sends_of_cut_node, 0);
+        ck_assert_uint_eq(w->sends_unordered, 0);
         if (p->bad_share > 0) {
             ck_assert_int_eq(w->state, BBM_RELEASE_REVERTED);
             ck_assert_double_le((double)w->sends_in_time,
@@ -550,6 +562,34 @@
 }
 END_TEST
 
+/* A VM gets the list from the leader, and changes of the control state from
+   another VM, whose messages to it are lost. */
+START_TEST(a_vm_that_has_the_list_before_the_order_waits)
+{
+    plan p = {.nodes = 20, .per_s = 200};
+    world *w = create(&p, 1);
+    int leader = fleet_leader(w->fleet);
+    for (int i = 0; i < p.nodes; i++) {
+        for (int k = 10; k < p.nodes; k++)
+            fleet_net(w->fleet)->blocked[i][k] = i != leader && i != k;
+    }
+    w->has_new = true;
+    ck_assert_int_eq(order(w, leader, "v2"), BBM_OK);
+    w->ordered_at = fleet_now(w->fleet);
+    int unknowing = 0;
+    for (int i = 0; i < 30; i++) {
+        run(w, 100 * BBM_MS);
+        for (int k = 10; k < p.nodes; k++)
+            unknowing += !knows_order(w, k);
+    }
+    /* The test needs VMs that lack the order for a while. */
+    ck_assert_int_gt(unknowing, 20);
+    ck_assert_uint_gt(w->sends_to_new, 0);
+    ck_assert_uint_eq(w->sends_unordered, 0);
+    destroy(w);
+}
+END_TEST
+
 /* Upstreams are replaced by those of a newer build without any order. */
 START_TEST(builds_that_nobody_ordered_are_served)
 {
@@ -571,4 +611,5 @@
           steps_of_the_calendar_change_no_release,
           calls_of_operators_are_answered_as_stated,
           a_vm_that_missed_the_order_sends_nothing_to_the_new_build,
+          a_vm_that_has_the_list_before_the_order_waits,
           builds_that_nobody_ordered_are_served);
