--- a/daemon/bbm_settings.h
+++ b/daemon/bbm_settings.h
@@ -101,16 +101,22 @@
                                    whose texts are kept. */
     double retry_share;       /**< Retries allowed, as a share of the
                                    requests to a pool. */
-    double retry_slack;       /**< Further retries allowed, in total over
-                                   all VMs. */
-    double retry_window_s;    /**< Window in which retries are counted,
-                                   seconds. */
-    double rate_slack;        /**< Allowed overrun of a customer's rate,
-                                   tokens. */
-    double rate_overrun;      /**< Overrun allowed in addition to
-                                   rate_slack, as a share of what the
-                                   rate allows in a window. */
-    double rate_window_s;     /**< Length of the window, seconds. */
+    double release_share;     /**< Requests that a bad build may get while it
+                                   is released, as a share of all. */
+    double release_slack;     /**< Further requests that it may get, in total
+                                   over all VMs. */
+    int64_t release_revert_ms;   /**< Time after the 50th bad answer from which
+                                      it gets none. */
+    double retry_slack;          /**< Further retries allowed, in total over
+                                      all VMs. */
+    double retry_window_s;       /**< Window in which retries are counted,
+                                      seconds. */
+    double rate_slack;           /**< Allowed overrun of a customer's rate,
+                                      tokens. */
+    double rate_overrun;         /**< Overrun allowed in addition to
+                                      rate_slack, as a share of what the
+                                      rate allows in a window. */
+    double rate_window_s;        /**< Length of the window, seconds. */
     int64_t old_weights_fine_ms; /**< Time for which old weights are as good
                                       as newer ones, milliseconds. */
     int64_t old_weights_most_ms; /**< Time after which no request starts on
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -121,8 +121,15 @@
                                     0: 10 s. */
     bbm_time rate_timeout;     /**< Maximum wait for a grant of the rate's
                                     owner; 0: 150 ms. */
-    size_t requests_max;       /**< Maximum of open requests to engines and
-                                    services; 0: 4,000. */
+    double release_share; /**< Requests of a pool that a bad build may get,
+                               as a share of all until the release has to
+                               end; 0: 0.1. */
+    double release_slack; /**< Number of requests that it may get in
+                               addition; 0: 50. */
+    bbm_time release_revert_time; /**< Time after the 50th bad answer from
+                                       which it gets none; 0: 5 s. */
+    size_t requests_max;          /**< Maximum of open requests to engines and
+                                       services; 0: 4,000. */
     size_t snapshot_interval_entries; /**< Log entries between snapshots;
                                            0: 512. */
     bool serve_stale_keys; /**< Pool routes that need a key serve whatever the
@@ -232,6 +239,10 @@
     BBM_VERB_SOURCE,       /**< Source of the newest revision; refused if the
                                 view can't be proved fresh. */
     BBM_VERB_WEIGHTS,      /**< Set the weights version of model `name`. */
+    BBM_VERB_RELEASE,      /**< Release build `other_name` to pool `name`
+                                within `revision` milliseconds. */
+    BBM_VERB_RELEASE_GET,  /**< Latest release of pool `name`; refused if the
+                                view can't be proved fresh. */
 } bbm_verb;
 
 /** An operator call.  The driver truncates names to their size. */
@@ -242,8 +253,9 @@
     char author[BBM_NAME_SIZE];     /**< Name of the operator. */
     char name[BBM_NAME_SIZE];       /**< First object, by verb. */
     char other_name[BBM_NAME_SIZE]; /**< Second object, by verb. */
-    uint64_t revision;              /**< Revision number, or the version of
-                                         BBM_VERB_WEIGHTS. */
+    uint64_t revision;              /**< Revision number, the version of
+                                         BBM_VERB_WEIGHTS, or the time of
+                                         BBM_VERB_RELEASE, milliseconds. */
     bool on;                        /**< Switch of BBM_VERB_DRAIN and
                                          BBM_VERB_PAUSE. */
     bbm_digest digest;              /**< Digest of a key. */
