--- a/daemon/front.c
+++ b/daemon/front.c
@@ -205,6 +205,12 @@
     return rc;
 }
 
+static bool
+serves_callers(const front *f)
+{
+    return f->desc.kind == FRONT_CALLERS || f->desc.kind == FRONT_POOL_CALLERS;
+}
+
 /* ---- room ---- */
 
 /* Called with the exchange's lock held.  Returns false if it holds nothing
@@ -373,7 +379,8 @@
         ex->too_large = true;
     if (f->desc.kind == FRONT_POOL_CALLERS)
         front_provider_read_headers(ex, connection, f->desc.key_secret);
-    if (!ex->finished && !make_room(f, ex)) {
+    /* The provider's and operators' calls are few, and tell how the VM is. */
+    if (!ex->finished && serves_callers(f) && !make_room(f, ex)) {
         ex->closes_connection = true;
         exchange_fail(ex, BBM_ERR_MEMORY, EXCHANGE_MEMORY_RETRY_MS);
     }
@@ -452,7 +459,9 @@
     /* Nothing is put once requests are rejected: nobody would take it. */
     pthread_mutex_lock(&f->lock);
     bool rejecting = f->rejecting;
-    ex->submitted = !rejecting && mailbox_put(f->desc.control_mailbox, item);
+    /* The connection of an evicted request is closed: nothing may run. */
+    ex->submitted = !rejecting && !ex->evicted
+                    && mailbox_put(f->desc.control_mailbox, item);
     pthread_mutex_unlock(&f->lock);
     if (ex->submitted)
         return;
@@ -718,12 +727,6 @@
     set_idle_timeout(f, connection);
 }
 
-static bool
-serves_callers(const front *f)
-{
-    return f->desc.kind == FRONT_CALLERS || f->desc.kind == FRONT_POOL_CALLERS;
-}
-
 static void
 log_refused_connection(front *f)
 {
@@ -749,6 +752,7 @@
     if (!serves_callers(f)
         || memory_budget_has_room(f->desc.memory, MEMORY_CONNECTIONS,
                                   CONNECTION_BYTES, MEMORY_SMALL_BYTES + 1)
+        || bodies_evict(f->desc.bodies, NULL, CONNECTION_BYTES)
         || evict(f, NULL))
         return MHD_YES;
     log_refused_connection(f);
--- a/daemon/mailbox.c
+++ b/daemon/mailbox.c
@@ -91,7 +91,7 @@
 mailbox_put(mailbox *box, void *item)
 {
     size_t bytes = bytes_of(box, item);
-    if (!memory_budget_take(box->memory, MEMORY_MAILBOX, bytes, bytes))
+    if (!memory_budget_take_own(box->memory, MEMORY_MAILBOX, bytes))
         return false;
     bool put = enqueue(box, item);
     if (!put)
--- a/daemon/memory_budget.c
+++ b/daemon/memory_budget.c
@@ -90,6 +90,20 @@
     return false;
 }
 
+bool
+memory_budget_take_own(memory_budget *b, memory_holder holder, size_t bytes)
+{
+    if (!b || bytes > MEMORY_SMALL_BYTES)
+        return memory_budget_take(b, holder, bytes, bytes);
+    size_t held = atomic_fetch_add(&b->held[holder], bytes);
+    atomic_fetch_add(&b->held_sum, bytes);
+    if (held + bytes <= b->shares[holder])
+        return true;
+    memory_budget_give(b, holder, bytes);
+    atomic_fetch_add(&b->refused, 1);
+    return false;
+}
+
 void
 memory_budget_force(memory_budget *b, memory_holder holder, size_t bytes)
 {
--- a/daemon/memory_budget.h
+++ b/daemon/memory_budget.h
@@ -83,6 +83,11 @@
  *  whole item that they belong to. */
 bool memory_budget_take(memory_budget *b, memory_holder holder, size_t bytes,
                         size_t item_bytes);
+/** Count @p bytes more, if the holder's share has room, or the total for an
+ *  item that isn't small.  So clients that use up the total don't keep small
+ *  messages of the control group from being handled. */
+bool memory_budget_take_own(memory_budget *b, memory_holder holder,
+                            size_t bytes);
 /** Count @p bytes more that can't be refused. */
 void memory_budget_force(memory_budget *b, memory_holder holder, size_t bytes);
 /** Count @p bytes less. */
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -90,8 +90,9 @@
                                     this VM; default 3 s. */
     bool unsafe_no_hold; /**< Tests only: refuse a request at once, instead of
                               holding it, if there is no upstream. */
-    bool unsafe_ignore_speeds; /**< Tests only: take all runners to have the
-                                    configured rate. */
+    bool use_speeds; /**< Measure the speed of runners, and use it for waits
+                          and backlog limits.  No setting selects it: with
+                          sampled runners fewer answers begin in time. */
 } bbm_gate_desc;
 
 /** A new request. */
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -399,7 +399,7 @@
 {
     gate_advance(g, now);
     bbm_quarantine_tick(g->quarantine, g->now);
-    if (!g->desc.unsafe_ignore_speeds && bbm_speed_update(g->speeds, g->now))
+    if (g->desc.use_speeds && bbm_speed_update(g->speeds, g->now))
         gate_apply_speeds(g);
     gate_apply_quarantine(g);
     gate_forecast_update(g);
--- a/gate/gate_speed.c
+++ b/gate/gate_speed.c
@@ -37,7 +37,7 @@
 void
 gate_record_speed(bbm_gate *g, const gate_request *r)
 {
-    if (r->speed_expected_ms <= 0
+    if (!g->desc.use_speeds || r->speed_expected_ms <= 0
         || r->upstream_run != gate_run_of(&r->upstream->info))
         return;
     bbm_speed_add(g->speeds, r->upstream->hash, r->speed_expected_ms,
