--- a/daemon/memory_budget.h
+++ b/daemon/memory_budget.h
@@ -107,7 +107,7 @@
                                 bbm_time now);
 /** True if @p victim may be evicted so that a body of @p item_bytes grows. One
  *  that isn't idle gives way to a small one only, and if it is larger than
- *  small itself; an answer that is read gives way to none. */
+ *  small itself; an answer that is read is never evicted. */
 bool memory_budget_may_evict(const memory_body *victim, size_t item_bytes,
                              bbm_time now);
 
