--- a/tests/test_partition.c
+++ b/tests/test_partition.c
@@ -223,7 +223,9 @@
     bbm_rng rng = bbm_rng_of(11);
     play_result r = {0};
     double per_ms = (short_per_s + long_per_s) / 1000;
-    for (double at = 0; at < PLAY_MS; at += 1 / per_ms) {
+    int requests = (int)(PLAY_MS * per_ms);
+    for (int i = 0; i < requests; i++) {
+        double at = i / per_ms;
         bool is_short = bbm_rng_unit(&rng) * per_ms * 1000 < short_per_s;
         played_runner *best = NULL;
         for (int drawn = 0; drawn < 2;) {
