Soak: upstreams that restart, refuse and copy refusals; callers that retry

The soak's upstreams now copy a refusal onto the next request of its connection, refuse a fifth of the requests, and start again under new ids; its callers try an order again after a promise, under a new id or the same one. An order's runs are counted over all its attempts.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -3,10 +3,11 @@
 
        run.sh BUILD FOLDER [--seed N] [--seconds N] [--vms N] [--clients N]
               [--port N] [--actions NAME,...] [--callers NAME,...]
-              [--upstreams faulty] [--steady N] [--pause MS]
+              [--upstreams NAME,...] [--steady N] [--pause MS]
 
    Callers stay until they have an answer; --callers lets some half-close,
-   leave, wander, or resend (see soak_world.h).  With --steady, the first N VMs
+   leave, wander, resend, retry, or retry under the same-id; --upstreams lets
+   them be faulty, refuse, copy and restart (see soak_world.h).  With --steady, the first N VMs
    are left alone, and callers use these first.  --pause is the longest time
    between two actions at a VM; by default it rises with their number.
 
@@ -61,7 +62,7 @@
     int steady;
     int64_t pause_ms;
     soak_callers callers;
-    bool faulty; /* upstreams */
+    soak_upstreams upstreams;
     uint16_t port;
 } opt = {.seed = 1,
          .seconds = 60,
@@ -635,7 +636,7 @@
     starter = open(path, O_WRONLY | O_CLOEXEC);
     if (starter < 0)
         return false;
-    soak_upstreams_start((uint16_t)(opt.port + SOAK_PORTS), opt.faulty);
+    soak_upstreams_start((uint16_t)(opt.port + SOAK_PORTS), &opt.upstreams);
     for (int i = 0; i < opt.vms; i++) {
         vm *v = &vms[i];
         char disk[512];
@@ -721,9 +722,17 @@
             opt.callers.leave = names_one(optarg, "leave");
             opt.callers.wander = names_one(optarg, "wander");
             opt.callers.resend = names_one(optarg, "resend");
+            opt.callers.same_id = names_one(optarg, "same-id");
+            opt.callers.retry =
+                opt.callers.same_id || names_one(optarg, "retry");
             break;
         case 'u':
-            opt.faulty = names_one(optarg, "faulty");
+            opt.upstreams = (soak_upstreams){
+                .faulty = names_one(optarg, "faulty"),
+                .refuse = names_one(optarg, "refuse"),
+                .copy = names_one(optarg, "copy"),
+                .restart = names_one(optarg, "restart"),
+            };
             break;
         case 'y':
             opt.steady = (int)number;
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -18,6 +18,7 @@
 #define PAUSE_MS 5
 #define RECONNECT_MS 50
 #define ANSWER_BYTES_MAX 16384
+#define RETRIES_MAX 4
 /* Of 10 requests, those after which a client of that kind closes its sending
    side, or leaves; and the longest wait before. */
 #define HALF_CLOSES_OF_10 3
@@ -49,7 +50,8 @@
 static int vms_len;
 
 typedef struct sent_request {
-    char id[64];
+    char id[64];       /* of this attempt */
+    char order_id[64]; /* of its first attempt */
     int vm;
     request_kind kind;
     ending ending;
@@ -59,18 +61,25 @@
     char text[512];
 } sent_request;
 
+static bool
+is_promise(int status)
+{
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
 static void
 check_runs(const sent_request *q, int status)
 {
     int count = soak_run_count(q->id);
-    if (q->kind == KIND_ONCE && count > 1)
-        soak_break("TWICE %s ran %d times", q->id, count);
-    bool promised =
-        status == 503 || status == 429 || status == 408 || status == 421;
-    if (q->kind == KIND_ONCE && count && promised)
+    int order_count = soak_run_count(q->order_id);
+    if (q->kind != KIND_ONCE)
+        return;
+    if (order_count > 1)
+        soak_break("TWICE %s ran %d times, %d as %s", q->order_id, order_count,
+                   count, q->id);
+    if (count && is_promise(status))
         soak_break("REFUSED %s was answered %d and ran", q->id, status);
-    if (q->kind == KIND_ONCE)
-        soak_record_order(q->id, promised);
+    soak_record_order(q->id, is_promise(status));
 }
 
 static bool
@@ -152,12 +161,15 @@
     return callers.leave && n >= 10 - LEAVES_OF_10 ? LEAVES : STAYS;
 }
 
+/* Sends an attempt of its order, @p tries attempts after the first. */
 static bool
-send_request(client *c, int fd, sent_request *q)
+send_attempt(client *c, int fd, sent_request *q, int tries)
 {
-    q->kind = (request_kind)soak_draw(&c->random, 3);
     q->vm = c->vm;
-    snprintf(q->id, sizeof(q->id), "c%d-%d", c->number, ++c->requests);
+    if (tries && callers.same_id)
+        soak_record_retry(q->id);
+    else
+        snprintf(q->id, sizeof(q->id), "%.40s.%d", q->order_id, tries);
     snprintf(q->text, sizeof(q->text),
              "POST /%s/x HTTP/1.1\r\nHost: a.example\r\n"
              "X-Bluebellmoor-Attempt-Id: %s\r\n"
@@ -165,11 +177,20 @@
              "Content-Length: 2\r\n\r\n{}",
              kind_names[q->kind], q->id, DAEMON_TIMEOUT_MS,
              (int)(20 + soak_draw(&c->random, 600)));
-    q->ending = draw_ending(c);
     q->sent_at = soak_now_ms();
     return soak_send(fd, q->text, strlen(q->text));
 }
 
+static bool
+send_request(client *c, int fd, sent_request *q)
+{
+    q->kind = (request_kind)soak_draw(&c->random, 3);
+    snprintf(q->order_id, sizeof(q->order_id), "c%d-%d", c->number,
+             ++c->requests);
+    q->ending = draw_ending(c);
+    return send_attempt(c, fd, q, 0);
+}
+
 /* Sends an order whose connection has ended without a byte a second time, to
    the next VM if its own refuses connections. */
 static void
@@ -198,6 +219,30 @@
     close(fd);
 }
 
+/* Tries an order again, on new connections, until it is told something else
+   than that the order has not run. */
+static void
+retry(client *c, sent_request *q, int status, char *text)
+{
+    char ip[32];
+    size_t received;
+    const char *body;
+    for (int i = 1; i <= RETRIES_MAX && is_promise(status); i++) {
+        soak_sleep_ms(PAUSE_MS);
+        status = 0;
+        int fd = soak_connect(soak_vm_ip(c->vm, ip),
+                              (uint16_t)(c->port + SOAK_CALLERS));
+        if (fd < 0)
+            return;
+        if (send_attempt(c, fd, q, i)
+            && soak_read_message(fd, text, ANSWER_BYTES_MAX,
+                                 q->sent_at + CLIENT_TIMEOUT_MS, &received,
+                                 &body))
+            status = judge_answer(q, text, body);
+        close(fd);
+    }
+}
+
 /* Returns false if the client has left. */
 static bool
 end_sending(client *c, int fd, const sent_request *q)
@@ -246,6 +291,10 @@
         return false;
     }
     int status = judge_answer(&q, text, body);
+    if (callers.retry && q.kind == KIND_ONCE && is_promise(status)) {
+        retry(c, &q, status, text);
+        return false;
+    }
     return q.ending == STAYS && (status == 200 || !callers.wander)
            && strcasecmp(soak_header(text, "Connection", value), "close") != 0;
 }
--- a/tests/soak/soak_world.c
+++ b/tests/soak/soak_world.c
@@ -186,14 +186,14 @@
 static run_count *runs;
 static order *orders;
 static uint16_t first_port;
-static bool upstreams_fail;
+static soak_upstreams upstreams;
+static int64_t upstreams_started_ms;
 static atomic_ullong upstream_requests;
 
 static void
-record_run(const char *id)
+count_run(const char *id)
 {
     run_count *r = NULL;
-    pthread_mutex_lock(&runs_lock);
     HASH_FIND_STR(runs, id, r);
     if (!r) {
         r = bbm_calloc(1, sizeof(*r));
@@ -201,6 +201,20 @@
         HASH_ADD_STR(runs, id, r);
     }
     r->count++;
+}
+
+static void
+record_run(const char *id)
+{
+    char order_id[64];
+    bbm_text_set(order_id, sizeof(order_id), id);
+    char *point = strchr(order_id, '.');
+    pthread_mutex_lock(&runs_lock);
+    count_run(id);
+    if (point) {
+        *point = '\0';
+        count_run(order_id);
+    }
     pthread_mutex_unlock(&runs_lock);
 }
 
@@ -231,6 +245,17 @@
     pthread_mutex_unlock(&runs_lock);
 }
 
+void
+soak_record_retry(const char *id)
+{
+    order *o = NULL;
+    pthread_mutex_lock(&runs_lock);
+    HASH_FIND_STR(orders, id, o);
+    if (o)
+        o->promised = false;
+    pthread_mutex_unlock(&runs_lock);
+}
+
 void
 soak_check_orders(void)
 {
@@ -250,19 +275,32 @@
            HASH_COUNT(orders), ran, promised);
 }
 
+/* How often an upstream has started again, @p ago_ms ago.  They do so one after
+   the other. */
+static int
+restarts(int upstream, int64_t ago_ms)
+{
+    int64_t ms = soak_now_ms() - ago_ms - upstreams_started_ms
+                 + upstream * SOAK_RESTART_MS / SOAK_UPSTREAMS;
+    return upstreams.restart && ms > 0 ? (int)(ms / SOAK_RESTART_MS) : 0;
+}
+
+/* The list shows a new id 200 ms late, and the one before for a second more. */
 static void
 send_list(int fd)
 {
     char list[2048] = "";
     char text[2560];
     size_t len = 0;
-    for (int i = 1; i <= SOAK_UPSTREAMS; i++)
-        len += (size_t)snprintf(
-            list + len, sizeof(list) - len,
-            "%s{\"id\":\"i-%d\",\"service\":\"api\",\"address\":\"127.0.0.1:"
-            "%d\",\"zone\":\"zone-1\",\"version\":\"v1\",\"state\":\"ready\","
-            "\"slots\":64}",
-            i > 1 ? "," : "", i, first_port + i);
+    for (int i = 1; i <= SOAK_UPSTREAMS; i++) {
+        for (int n = restarts(i, 1200); n <= restarts(i, 200); n++)
+            len += (size_t)snprintf(
+                list + len, sizeof(list) - len,
+                "%s{\"id\":\"i-%d-%d\",\"service\":\"api\",\"address\":"
+                "\"127.0.0.1:%d\",\"zone\":\"zone-1\",\"version\":\"v1\","
+                "\"state\":\"ready\",\"slots\":64}",
+                len ? "," : "", i, n, first_port + i);
+    }
     snprintf(text, sizeof(text),
              "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
              "Content-Length: %zu\r\n\r\n{\"instances\":[%s]}",
@@ -313,30 +351,43 @@
     FAULTS
 } fault;
 
-/* One request in three is played a fault, each kind as often. */
+/* One request in three is played a fault, each kind as often; or one in five is
+   refused. */
 static fault
 draw_fault(void)
 {
     soak_random r = {atomic_fetch_add(&upstream_requests, 1)};
     uint64_t n = soak_draw(&r, 3 * (uint64_t)(FAULTS - 1));
-    return upstreams_fail && n < FAULTS - 1 ? (fault)(n + 1) : FAULT_NONE;
+    if (upstreams.faulty && n < FAULTS - 1)
+        return (fault)(n + 1);
+    return upstreams.refuse && soak_draw(&r, 5) == 0 ? FAULT_NOT_RUN
+                                                     : FAULT_NONE;
 }
 
 static void
-send_status(int fd, const char *id, const char *status, const char *more)
+format_status(char text[512], const char *id, const char *status,
+              const char *more)
 {
-    char text[512];
-    snprintf(text, sizeof(text),
+    snprintf(text, 512,
              "HTTP/1.1 %s\r\nX-Bluebellmoor-Attempt-Id: %s\r\n%s"
              "Content-Length: 0\r\n\r\n",
              status, id, more);
+}
+
+static void
+send_status(int fd, const char *id, const char *status, const char *more)
+{
+    char text[512];
+    format_status(text, id, status, more);
     soak_send(fd, text, strlen(text));
 }
 
 /* Returns false if the connection is to be closed; *work_ms is prolonged by
-   FAULT_SLOW, which goes on as if there were no fault. */
+   FAULT_SLOW, which goes on as if there were no fault.  @p refusal receives a
+   refusal's text. */
 static bool
-play_fault(int fd, fault f, const char *id, int64_t *work_ms)
+play_fault(int fd, fault f, const char *id, int64_t *work_ms,
+           char refusal[512])
 {
     static const struct linger reset = {.l_onoff = 1};
     bool executes = f != FAULT_NOT_RUN && f != FAULT_WRONG_TARGET;
@@ -346,12 +397,12 @@
         soak_sleep_ms(*work_ms);
     switch (f) {
     case FAULT_NOT_RUN:
-        send_status(fd, id, "503 Service Unavailable",
-                    "X-Bluebellmoor-Not-Executed: 1\r\n");
-        return true;
+        format_status(refusal, id, "503 Service Unavailable",
+                      "X-Bluebellmoor-Not-Executed: 1\r\n");
+        return soak_send(fd, refusal, strlen(refusal));
     case FAULT_WRONG_TARGET:
-        send_status(fd, id, "421 Misdirected Request", "");
-        return true;
+        format_status(refusal, id, "421 Misdirected Request", "");
+        return soak_send(fd, refusal, strlen(refusal));
     case FAULT_RESET:
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
         return false;
@@ -376,11 +427,37 @@
     return false;
 }
 
+/* An upstream's listener; 0 is the list. */
+typedef struct listener {
+    int fd;
+    int upstream;
+} listener;
+
+static listener listeners[SOAK_UPSTREAMS + 1];
+
+typedef struct upstream_connection {
+    int fd;
+    int upstream;
+    int restarts; /* of the upstream, when it accepted the connection */
+} upstream_connection;
+
+static bool
+expects_another(const char *text, const upstream_connection *c)
+{
+    char expected[64];
+    char own[64];
+    soak_header(text, "X-Bluebellmoor-Expect-Instance", expected);
+    snprintf(own, sizeof(own), "i-%d-%d", c->upstream, c->restarts);
+    return upstreams.restart && expected[0] && strcmp(expected, own) != 0;
+}
+
 static void *
 serve_connection(void *context)
 {
-    int fd = (int)(intptr_t)context;
+    upstream_connection *c = context;
+    int fd = c->fd;
     char *text = bbm_calloc(1, MESSAGE_BYTES_MAX);
+    char refusal[512] = "";
     size_t received;
     const char *body;
     bool open = true;
@@ -397,10 +474,20 @@
             send_list(fd);
             continue;
         }
+        if (c->restarts != restarts(c->upstream, 0)) {
+            static const struct linger reset = {.l_onoff = 1};
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+            break;
+        }
+        if (upstreams.copy)
+            soak_send(fd, refusal, strlen(refusal));
+        refusal[0] = '\0';
         int64_t work_ms = strtol(work, NULL, 10);
         fault f = id[0] ? draw_fault() : FAULT_NONE;
+        if (expects_another(text, c))
+            f = FAULT_WRONG_TARGET;
         if (f != FAULT_NONE) {
-            open = play_fault(fd, f, id, &work_ms);
+            open = play_fault(fd, f, id, &work_ms, refusal);
             if (f != FAULT_SLOW)
                 continue;
         }
@@ -411,6 +498,7 @@
                            (int)strtol(after, NULL, 10));
     }
     free(text);
+    free(c);
     close(fd);
     return NULL;
 }
@@ -431,12 +519,16 @@
 static void *
 accept_connections(void *context)
 {
-    int listener = (int)(intptr_t)context;
+    const listener *l = context;
     int fd;
-    while ((fd = accept4(listener, NULL, NULL, SOCK_CLOEXEC)) >= 0) {
+    while ((fd = accept4(l->fd, NULL, NULL, SOCK_CLOEXEC)) >= 0) {
         int on = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        start_detached(serve_connection, (void *)(intptr_t)fd);
+        upstream_connection *c = bbm_calloc(1, sizeof(*c));
+        *c = (upstream_connection){.fd = fd,
+                                   .upstream = l->upstream,
+                                   .restarts = restarts(l->upstream, 0)};
+        start_detached(serve_connection, c);
     }
     return NULL;
 }
@@ -444,14 +536,15 @@
 bool
 soak_upstreams_fail(void)
 {
-    return upstreams_fail;
+    return upstreams.faulty || upstreams.restart;
 }
 
 void
-soak_upstreams_start(uint16_t port, bool faulty)
+soak_upstreams_start(uint16_t port, const soak_upstreams *kinds)
 {
     first_port = port;
-    upstreams_fail = faulty;
+    upstreams = *kinds;
+    upstreams_started_ms = soak_now_ms();
     for (uint16_t i = 0; i <= SOAK_UPSTREAMS; i++) {
         struct sockaddr_in address = {.sin_family = AF_INET,
                                       .sin_port = htons((uint16_t)(port + i)),
@@ -465,7 +558,8 @@
             perror("soak: listen");
             exit(2);
         }
-        start_detached(accept_connections, (void *)(intptr_t)fd);
+        listeners[i] = (listener){.fd = fd, .upstream = i};
+        start_detached(accept_connections, &listeners[i]);
     }
 }
 
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -16,6 +16,7 @@
 
 #define SOAK_VMS_MAX 64
 #define SOAK_UPSTREAMS 3
+#define SOAK_RESTART_MS 2500
 /* Kinds of ports of a VM, all at its own loopback address. */
 enum soak_port {
     SOAK_PEER,
@@ -55,17 +56,29 @@
 /** Value of a header of such a message, copied; "" if it has none. */
 const char *soak_header(const char *text, const char *name, char value[64]);
 
-/** Start the list and the upstreams on 127.0.0.1, ports from @p port.
- *  @param faulty some requests are refused as not run, fail, or lose their
- *                answer */
-void soak_upstreams_start(uint16_t port, bool faulty);
-/** True if they were started as faulty. */
+/** What upstreams do beside answering. */
+typedef struct soak_upstreams {
+    bool faulty; /**< Some requests are refused as not run, fail, or lose their
+                      answer. */
+    bool refuse; /**< A fifth of the requests is refused as not run. */
+    bool copy;   /**< A refusal comes once more when the next request on its
+                      connection has arrived. */
+    bool restart; /**< They start again under a new id every
+                       SOAK_RESTART_MS. */
+} soak_upstreams;
+
+/** Start the list and the upstreams on 127.0.0.1, ports from @p port. */
+void soak_upstreams_start(uint16_t port, const soak_upstreams *kinds);
+/** True if they break off answers. */
 bool soak_upstreams_fail(void);
-/** How often an attempt id ran. */
+/** How often an attempt id, or an order over all its attempts, ran.  The id of
+ *  an order's attempt is that of the order, or begins with it and a point. */
 int soak_run_count(const char *id);
 /** Keep an order's id for soak_check_orders(); @p promised if its client was
  *  told that it has not run and never will. */
 void soak_record_order(const char *id, bool promised);
+/** An order is asked for again under its id: a promise for it has ended. */
+void soak_record_retry(const char *id);
 /** Report the orders that ran twice, and those that ran after a promise. */
 void soak_check_orders(void);
 
@@ -99,6 +112,9 @@
     bool leave;      /* some close their connection before the answer */
     bool wander; /* after a refusal or a failure they ask the directory, and
                     go to another VM */
+    bool retry;   /* they try an order again, with a new id, if they are told
+                     that it has not run */
+    bool same_id; /* the same, under the id that it had */
     bool resend; /* they send an order again if its connection ends before any
                     byte of an answer, as many client libraries do; not if the
                     soak has killed its VM */
