Log and count which connection brought a refusal, and what it had carried

What callers saw: orders that ran twice, or after a 503. The log said 'not run' for a copy of a refusal as for a refusal.

The table of open connections moves out of forward.c into connections.c, numbers them and remembers the ids that each has carried. 529 tells for each statement of an upstream that a request has not run which connection brought it and whether that had carried the id before, 528 an answer with another request's id, 530 a kept connection that couldn't be used. Five counters. No decision changes.

--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -153,6 +153,12 @@
       "clients' connections closed unread: no memory for them")               \
     X(BBM_EVENT_CONNECTION_EVICTED, 527, WARN,                                \
       "idle request's connection closed: no memory")                          \
+    X(BBM_EVENT_FOREIGN_ANSWER, 528, WARN,                                    \
+      "answer on an attempt's connection is another request's")               \
+    X(BBM_EVENT_NOT_RUN, 529, INFO,                                           \
+      "upstream stated that a request has not run")                           \
+    X(BBM_EVENT_CONNECTION_REPLACED, 530, INFO,                               \
+      "kept connection closed: a request couldn't be sent on it")             \
     X(BBM_EVENT_REQUEST_FAILED, 500, WARN, "request ended with an error")     \
     X(BBM_EVENT_RETRY, 501, INFO, "request retried")                          \
     X(BBM_EVENT_CLAIM_UNKNOWN, 502, WARN, "claim closed, outcome unknown")    \
--- /dev/null
+++ b/daemon/connections.c
@@ -0,0 +1,165 @@
+#include "connections.h"
+
+#include "bbm_hash.h"
+#include "bbm_mem.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <uthash.h>
+
+connection_counts connection_count;
+
+typedef struct connection_key {
+    struct in_addr remote;
+    int remote_port;
+    int local_port;
+} connection_key;
+
+typedef struct connection {
+    connection_key key;
+    int fd;
+    uint64_t number;
+    uint64_t *ids; /* hashes of the ids that it has carried */
+    size_t ids_len;
+    size_t ids_cap;
+    UT_hash_handle hh;    /* by key */
+    UT_hash_handle by_fd; /* by socket */
+} connection;
+
+struct connections {
+    connection *by_key;
+    connection *by_fd;
+    uint64_t opened; /* connections, as numbers */
+};
+
+connections *
+connections_create(void)
+{
+    return bbm_calloc(1, sizeof(connections));
+}
+
+static void
+forget(connections *c, connection *n)
+{
+    HASH_DEL(c->by_key, n);
+    HASH_DELETE(by_fd, c->by_fd, n);
+    free(n->ids);
+    free(n);
+}
+
+void
+connections_destroy(connections *c)
+{
+    if (!c)
+        return;
+    connection *n, *next;
+    HASH_ITER(hh, c->by_key, n, next)
+    {
+        forget(c, n);
+    }
+    free(c);
+}
+
+void
+connection_use_begin(connection_use *u)
+{
+    *u = (connection_use){.socket = -1, .opened_socket = -1};
+}
+
+void
+connection_use_open(connection_use *u, int fd)
+{
+    u->opened_socket = fd;
+    atomic_fetch_add(&connection_count.opened, 1);
+}
+
+static connection *
+find_by_socket(const connections *c, int fd)
+{
+    connection *n = NULL;
+    HASH_FIND(by_fd, c->by_fd, &fd, sizeof(fd), n);
+    return n;
+}
+
+static connection *
+add(connections *c, const connection_key *key, int fd)
+{
+    connection *n = bbm_calloc(1, sizeof(*n));
+    n->key = *key;
+    n->fd = fd;
+    n->number = ++c->opened;
+    HASH_ADD(hh, c->by_key, key, sizeof(n->key), n);
+    HASH_ADD(by_fd, c->by_fd, fd, sizeof(n->fd), n);
+    return n;
+}
+
+static bool
+has_carried(const connection *n, const char *id)
+{
+    uint64_t hash = bbm_hash_text(id, 0);
+    for (size_t i = 0; i < n->ids_len; i++) {
+        if (n->ids[i] == hash)
+            return true;
+    }
+    return false;
+}
+
+void
+connections_find(connections *c, connection_use *u, const char *remote_ip,
+                 int remote_port, int local_port, const char *id)
+{
+    connection_key key = {.remote_port = remote_port,
+                          .local_port = local_port};
+    connection *n = NULL;
+    inet_pton(AF_INET, remote_ip, &key.remote);
+    HASH_FIND(hh, c->by_key, &key, sizeof(key), n);
+    if (u->opened_socket >= 0) {
+        if (n)
+            forget(c, n);
+        n = add(c, &key, u->opened_socket);
+    }
+    u->opened_socket = -1;
+    u->socket = n ? n->fd : -1;
+    u->number = n ? n->number : 0;
+    u->carried = n ? (uint32_t)n->ids_len : 0;
+    u->carried_id = n && has_carried(n, id);
+}
+
+void
+connections_record(connections *c, const connection_use *u, const char *id)
+{
+    connection *n = find_by_socket(c, u->socket);
+    if (!n)
+        return;
+    bbm_grow(&n->ids, &n->ids_cap, n->ids_len, sizeof(*n->ids));
+    n->ids[n->ids_len++] = bbm_hash_text(id, 0);
+}
+
+bool
+connections_has_carried(const connections *c, const connection_use *u,
+                        const char *id)
+{
+    const connection *n = find_by_socket(c, u->socket);
+    return n && has_carried(n, id);
+}
+
+bool
+connection_use_has_unread_bytes(const connection_use *u)
+{
+    char byte;
+    return u->socket >= 0
+           && recv(u->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+int
+connections_close(void *table, int fd)
+{
+    connections *c = table;
+    connection *n = find_by_socket(c, fd);
+    if (n)
+        forget(c, n);
+    return close(fd);
+}
--- /dev/null
+++ b/daemon/connections.h
@@ -0,0 +1,73 @@
+/** @file
+ *  The open connections of an HTTP client's thread, and the requests that each
+ *  of them has carried.
+ *
+ *  An upstream may send an answer too many, late, where the next one is due.
+ *  An answer's connection and id say whose it is only if that id was sent once
+ *  on the connection.
+ *
+ *      connections *c = connections_create();
+ *      connection_use u;
+ *      connection_use_begin(&u);           with each transfer
+ *      connection_use_open(&u, fd);        in CURLOPT_SOCKOPTFUNCTION
+ *      connections_find(c, &u, "10.0.0.1", 80, 40000, "id");
+ *                                          in CURLOPT_PREREQFUNCTION
+ *      connections_record(c, &u, "id");    there, if the request is sent
+ *      connections_close(c, fd);           CURLOPT_CLOSESOCKETFUNCTION
+ *      connections_destroy(c);
+ */
+#ifndef CONNECTIONS_H
+#define CONNECTIONS_H
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Table of open connections, used by one thread; opaque. */
+typedef struct connections connections;
+
+/** What a transfer knows of its connection. */
+typedef struct connection_use {
+    int socket;        /**< -1: unknown. */
+    int opened_socket; /**< Opened since the last send; -1: none. */
+    uint64_t number;   /**< Of the connection in its table; 0: unknown. */
+    uint32_t carried;  /**< Requests sent on it before this one. */
+    bool carried_id;   /**< One of these had this request's id. */
+} connection_use;
+
+/** Counts over all tables of the process; written by several threads. */
+typedef struct connection_counts {
+    atomic_ullong opened;   /**< Connections opened to upstreams and VMs. */
+    atomic_ullong not_run;  /**< Answers that say that a request hasn't run. */
+    atomic_ullong foreign;  /**< Answers with the id of another request. */
+    atomic_ullong copies;   /**< Of these, with an id that the connection had
+                                 carried. */
+    atomic_ullong replaced; /**< Idle connections that were closed since a
+                                 request couldn't be sent on them. */
+} connection_counts;
+extern connection_counts connection_count;
+
+connections *connections_create(void);
+/** NULL is allowed.  Open sockets stay open. */
+void connections_destroy(connections *c);
+
+void connection_use_begin(connection_use *u);
+void connection_use_open(connection_use *u, int fd);
+/** Set the fields of @p u for a request with @p id, "" for none, that is about
+ *  to be sent.  The addresses are those that libcurl gives: it doesn't tell
+ *  which socket a transfer uses. */
+void connections_find(connections *c, connection_use *u, const char *remote_ip,
+                      int remote_port, int local_port, const char *id);
+/** The request is sent on the connection that was found for @p u. */
+void connections_record(connections *c, const connection_use *u,
+                        const char *id);
+/** True if a request with this id was sent on the connection of @p u. */
+bool connections_has_carried(const connections *c, const connection_use *u,
+                             const char *id);
+/** True if bytes have arrived that belong to no request: what follows them
+ *  can't be told from the next answer. */
+bool connection_use_has_unread_bytes(const connection_use *u);
+/** Close a socket, of a known connection or not; @p table is a connections. */
+int connections_close(void *table, int fd);
+
+#endif
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -3,6 +3,7 @@
 #include "bbm_codes.h"
 #include "bbm_log.h"
 #include "calls.h"
+#include "connections.h"
 #include "control.h"
 #include "events.h"
 #include "relay.h"
@@ -101,9 +102,8 @@
     bool progress_reported;
     uint64_t checked_body_bytes;   /* body_bytes at the last check */
     uint64_t checked_socket_bytes; /* received by the socket by then */
-    int opened_socket;             /* opened since the last send; -1: none */
-    int socket;                    /* of its connection; -1: unknown */
-    bool fresh_connection;         /* never use an idle connection */
+    connection_use connection;
+    bool fresh_connection;    /* never use an idle connection */
     bool unusable_connection; /* the connection had unread bytes before the
                                  request was sent */
     bool sent;                /* the upstream may have received bytes */
@@ -116,26 +116,10 @@
     UT_hash_handle hh;
 } attempt;
 
-/* An open connection to an upstream, by its addresses: libcurl doesn't tell
-   which socket a transfer uses. */
-typedef struct connection_key {
-    struct in_addr remote;
-    int remote_port;
-    int local_port;
-} connection_key;
-
-typedef struct connection {
-    connection_key key;
-    int fd;
-    UT_hash_handle hh;    /* by key */
-    UT_hash_handle by_fd; /* by socket */
-} connection;
-
 struct forward {
     memory_budget *memory; /* the mailbox's */
     event_hold event_hold; /* of all attempts */
-    connection *connections;
-    connection *connections_by_fd;
+    connections *connections;
     mailbox *control;
     const uint8_t *secret; /* of the headers between VMs */
     calls *calls;
@@ -266,8 +250,64 @@
             "upstream", x->send.upstream, "limit", limit, NULL);
 }
 
+static const char *
+attempt_id(const attempt *x)
+{
+    const char *id = x->ex->parsed_headers.id;
+    return id ? id : "";
+}
+
+/* Logs an event about the attempt's connection; @p more are the last two
+   fields' names and values. */
+static void
+log_connection(bbm_log_event event, const attempt *x,
+               const char *const more[4])
+{
+    char connection[24];
+    char carried[24];
+    snprintf(connection, sizeof(connection), "%llu",
+             (unsigned long long)x->connection.number);
+    snprintf(carried, sizeof(carried), "%u", x->connection.carried);
+    bbm_log(event, "id", exchange_client_id(x->ex), "upstream",
+            x->send.upstream, "connection", connection, "carried", carried,
+            "carried_id", x->connection.carried_id ? "yes" : "no", more[0],
+            more[1], more[2], more[3], NULL);
+}
+
+static void
+log_replaced(const attempt *x, const char *why)
+{
+    atomic_fetch_add(&connection_count.replaced, 1);
+    log_connection(BBM_EVENT_CONNECTION_REPLACED, x,
+                   (const char *[4]){"why", why});
+}
+
 /* ---- the head of an answer ---- */
 
+/* Logs an answer that names another request, or says that this one has not
+   run. */
+static void
+log_attribution(const attempt *x)
+{
+    char status[24];
+    snprintf(status, sizeof(status), "%ld", x->status);
+    const char *other = x->parsed_head.other_id;
+    if (x->parsed_head.head.wrong_request_id) {
+        bool copy = connections_has_carried(x->thread->connections,
+                                            &x->connection, other);
+        atomic_fetch_add(&connection_count.foreign, 1);
+        atomic_fetch_add(&connection_count.copies, copy);
+        log_connection(BBM_EVENT_FOREIGN_ANSWER, x,
+                       (const char *[4]){"status", status,
+                                         copy ? "copy_of" : "answers", other});
+    }
+    else if (!x->accepted && x->outcome == BBM_FORWARD_NOT_RUN) {
+        atomic_fetch_add(&connection_count.not_run, 1);
+        log_connection(BBM_EVENT_NOT_RUN, x,
+                       (const char *[4]){"status", status});
+    }
+}
+
 static void
 parse_status_line(attempt *x, const char *line, size_t len)
 {
@@ -389,6 +429,7 @@
         x->outcome = BBM_FORWARD_FAILED;
     }
     if (!accepted) {
+        log_attribution(x);
         x->refused_at = control_now();
         return x->outcome != BBM_FORWARD_NO_ANSWER;
     }
@@ -396,7 +437,7 @@
     if (x->send.relay && bbm_status_promises_not_run((unsigned)x->status))
         exchange_record_not_run(x->ex);
     x->progress_at = control_now();
-    set_unacked_timeout(x->socket, UNACKED_ANSWER_TIMEOUT_MS);
+    set_unacked_timeout(x->connection.socket, UNACKED_ANSWER_TIMEOUT_MS);
     int64_t length = x->send.stream ? -1 : x->content_length;
     if (!resumes)
         exchange_set_verbatim_head(x->ex, (unsigned)x->status, length,
@@ -493,60 +534,6 @@
 
 /* ---- sending ---- */
 
-static void
-forget_connection(forward *f, connection *c)
-{
-    HASH_DEL(f->connections, c);
-    HASH_DELETE(by_fd, f->connections_by_fd, c);
-    free(c);
-}
-
-static int
-on_close(void *context, curl_socket_t fd)
-{
-    forward *f = context;
-    connection *c = NULL;
-    HASH_FIND(by_fd, f->connections_by_fd, &fd, sizeof(fd), c);
-    if (c)
-        forget_connection(f, c);
-    return close(fd);
-}
-
-/* Finds the socket of the attempt's connection, which is new if the attempt
-   has opened a socket. */
-static void
-find_socket(attempt *x, const char *remote_ip, int remote_port, int local_port)
-{
-    forward *f = x->thread;
-    connection_key key = {.remote_port = remote_port,
-                          .local_port = local_port};
-    connection *c = NULL;
-    inet_pton(AF_INET, remote_ip, &key.remote);
-    HASH_FIND(hh, f->connections, &key, sizeof(key), c);
-    x->socket = c ? c->fd : -1;
-    if (x->opened_socket < 0)
-        return;
-    x->socket = x->opened_socket;
-    x->opened_socket = -1;
-    if (c)
-        forget_connection(f, c);
-    c = bbm_calloc(1, sizeof(*c));
-    c->key = key;
-    c->fd = x->socket;
-    HASH_ADD(hh, f->connections, key, sizeof(c->key), c);
-    HASH_ADD(by_fd, f->connections_by_fd, fd, sizeof(c->fd), c);
-}
-
-/* True if bytes arrived on an idle connection.  They belong to no request:
-   what follows them can't be told from the next answer. */
-static bool
-has_unread_bytes(const attempt *x)
-{
-    char byte;
-    return x->socket >= 0
-           && recv(x->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 /* libcurl calls this right before it sends the request, and again if it is
    about to resend it because a reused connection was dead. */
 static int
@@ -557,13 +544,20 @@
     attempt *x = context;
     if (x->sent && !x->send.repeatable)
         return CURL_PREREQFUNC_ABORT;
-    find_socket(x, remote_ip, remote_port, local_port);
-    x->unusable_connection = !x->fresh_connection && has_unread_bytes(x);
-    if (x->unusable_connection)
+    const char *id = attempt_id(x);
+    connections_find(x->thread->connections, &x->connection, remote_ip,
+                     remote_port, local_port, id);
+    x->unusable_connection =
+        !x->fresh_connection
+        && connection_use_has_unread_bytes(&x->connection);
+    if (x->unusable_connection) {
+        log_replaced(x, "unread bytes");
         return CURL_PREREQFUNC_ABORT;
+    }
     if (!exchange_begin_send(x->ex))
         return CURL_PREREQFUNC_ABORT;
-    set_unacked_timeout(x->socket, UNACKED_REQUEST_TIMEOUT_MS);
+    set_unacked_timeout(x->connection.socket, UNACKED_REQUEST_TIMEOUT_MS);
+    connections_record(x->thread->connections, &x->connection, id);
     x->sent = true;
     return CURL_PREREQFUNC_OK;
 }
@@ -573,7 +567,7 @@
 {
     (void)purpose;
     attempt *x = context;
-    x->opened_socket = fd;
+    connection_use_open(&x->connection, fd);
     set_unacked_timeout(fd, UNACKED_REQUEST_TIMEOUT_MS);
     return CURL_SOCKOPT_OK;
 }
@@ -671,8 +665,8 @@
     curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, (long)KEEPALIVE_INTERVAL_S);
     curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
     curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, x);
-    curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
-    curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, x->thread);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, connections_close);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, x->thread->connections);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, x);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
@@ -748,8 +742,7 @@
     x->thread = f;
     x->send = j->send;
     x->events.hold = &f->event_hold;
-    x->opened_socket = -1;
-    x->socket = -1;
+    connection_use_begin(&x->connection);
     x->parsed_head.keep_alive_s = -1;
     x->content_length = -1;
     x->fresh_connection = j->send.fresh_connection;
@@ -794,8 +787,7 @@
 {
     x->unusable_connection = false;
     x->fresh_connection = true;
-    x->opened_socket = -1;
-    x->socket = -1;
+    connection_use_begin(&x->connection);
     calls_remove(f->calls, x->easy);
     curl_easy_cleanup(x->easy);
     curl_slist_free_all(x->request_headers);
@@ -839,8 +831,9 @@
 {
     struct tcp_info info = {0};
     socklen_t len = sizeof(info);
-    if (x->socket < 0
-        || getsockopt(x->socket, IPPROTO_TCP, TCP_INFO, &info, &len) < 0
+    if (x->connection.socket < 0
+        || getsockopt(x->connection.socket, IPPROTO_TCP, TCP_INFO, &info, &len)
+               < 0
         || len < offsetof(struct tcp_info, tcpi_bytes_received)
                      + sizeof(info.tcpi_bytes_received))
         return 0;
@@ -972,6 +965,7 @@
     if (f->memory && f->memory->shares[MEMORY_EVENTS] < EVENT_HOLD_BYTES_MAX)
         f->event_hold.bytes_max = f->memory->shares[MEMORY_EVENTS];
     f->secret = secret;
+    f->connections = connections_create();
     f->calls = calls_create(&(calls_desc){
         .context = f,
         .run_job = run_job,
@@ -1005,10 +999,6 @@
     if (!f)
         return;
     calls_destroy(f->calls);
-    connection *c, *next;
-    HASH_ITER(hh, f->connections, c, next)
-    {
-        forget_connection(f, c);
-    }
+    connections_destroy(f->connections);
     free(f);
 }
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -1,5 +1,6 @@
 #include "metrics.h"
 
+#include "connections.h"
 #include "exchange.h"
 
 #include <malloc.h>
@@ -292,6 +293,30 @@
              (unsigned long long)h->total);
 }
 
+static void
+write_connections(bbm_buf *out)
+{
+    const connection_counts *n = &connection_count;
+    write_metric("upstream_connections_opened_total", "counter",
+                 "Connections opened to upstreams and, for relays, to VMs",
+                 atomic_load(&n->opened), out);
+    write_metric("upstream_connections_replaced_total", "counter",
+                 "Kept connections closed since a request couldn't be sent on "
+                 "them",
+                 atomic_load(&n->replaced), out);
+    write_metric("answers_not_run_total", "counter",
+                 "Answers in which an upstream states that a request hasn't "
+                 "run",
+                 atomic_load(&n->not_run), out);
+    write_metric("answers_foreign_total", "counter",
+                 "Answers with the id of another request",
+                 atomic_load(&n->foreign), out);
+    write_metric("answers_copied_total", "counter",
+                 "Of these, with the id of an earlier request of their "
+                 "connection",
+                 atomic_load(&n->copies), out);
+}
+
 static void
 write_memory(const memory_budget *b, bbm_buf *out)
 {
@@ -362,6 +387,7 @@
     write_metric("requests_at_work", "gauge",
                  "Unanswered requests that may run now",
                  (uint64_t)atomic_load(&exchange_count.at_work), out);
+    write_connections(out);
     struct mallinfo2 heap = mallinfo2();
     write_metric("heap_bytes", "gauge", "Bytes allocated",
                  heap.uordblks + heap.hblkhd, out);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -7,9 +7,10 @@
 
    Callers stay until they have an answer; --callers lets some half-close,
    leave, wander, resend, retry, or retry under the same-id; --upstreams lets
-   them be faulty, refuse, copy and restart (see soak_world.h).  With --steady, the first N VMs
-   are left alone, and callers use these first.  --pause is the longest time
-   between two actions at a VM; by default it rises with their number.
+   them be faulty, refuse, copy and restart (see soak_world.h).  With --steady,
+   the first N VMs are left alone, and callers use these first.  --pause is the
+   longest time between two actions at a VM; by default it rises with their
+   number.
 
    Exit status: 0 no rule was broken, 1 one was, 2 it could not run. */
 #include "soak_world.h"
--- a/tests/soak/soak_world.c
+++ b/tests/soak/soak_world.c
@@ -275,8 +275,8 @@
            HASH_COUNT(orders), ran, promised);
 }
 
-/* How often an upstream has started again, @p ago_ms ago.  They do so one after
-   the other. */
+/* How often an upstream has started again, @p ago_ms ago.  They do so one
+   after the other. */
 static int
 restarts(int upstream, int64_t ago_ms)
 {
@@ -285,7 +285,8 @@
     return upstreams.restart && ms > 0 ? (int)(ms / SOAK_RESTART_MS) : 0;
 }
 
-/* The list shows a new id 200 ms late, and the one before for a second more. */
+/* The list shows a new id 200 ms late, and the one before for a second more.
+ */
 static void
 send_list(int fd)
 {
@@ -351,8 +352,8 @@
     FAULTS
 } fault;
 
-/* One request in three is played a fault, each kind as often; or one in five is
-   refused. */
+/* One request in three is played a fault, each kind as often; or one in five
+   is refused. */
 static fault
 draw_fault(void)
 {
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -110,14 +110,14 @@
     int count;
     bool half_close; /* some send, close their sending side, and read on */
     bool leave;      /* some close their connection before the answer */
-    bool wander; /* after a refusal or a failure they ask the directory, and
-                    go to another VM */
+    bool wander;  /* after a refusal or a failure they ask the directory, and
+                     go to another VM */
     bool retry;   /* they try an order again, with a new id, if they are told
                      that it has not run */
     bool same_id; /* the same, under the id that it had */
-    bool resend; /* they send an order again if its connection ends before any
-                    byte of an answer, as many client libraries do; not if the
-                    soak has killed its VM */
+    bool resend;  /* they send an order again if its connection ends before any
+                     byte of an answer, as many client libraries do; not if the
+                     soak has killed its VM */
 } soak_callers;
 
 /** Start clients, spread over @p vms VMs.
