Failing scenario copied_refusals: copies of refusals, retries under one id

The scenario plays restarts under new ids, a fifth of the tries refused, copies, and callers that try again under one id, at three VMs for 12 s.

--- a/tests/process.sh
+++ b/tests/process.sh
@@ -1029,6 +1029,10 @@
     soak soak_callers 20 "" --callers half-close,leave,wander --upstreams faulty
 }
 
+t_copied_refusals() { # the copy of a refusal isn't taken for the answer to a request that is sent again
+    soak copied_refusals 12 "" --steady 3 --clients 40 --callers same-id --upstreams restart,refuse,copy
+}
+
 t_refused_half_closed() { # an order whose caller closed its sending side isn't refused with a promise and run
     soak refused_half_closed 6 configs --callers half-close
 }
@@ -1240,7 +1244,7 @@
     disk_lost restart_500 operators_race drain upstream_cut kv_import crossed_answer leaving_upstream
     bad_input rollout no_key_upstream tls idle_connections
     address_in_use operator_commands disk_full pools limits pool_keys release drain_under_load
-    stopped_again refused_half_closed
+    stopped_again copied_refusals refused_half_closed
     half_closed_at_start left_while_held signal_at_start settings_late disk_late soak soak_callers peer_resets killed_peers fatal_signal
     memory_large_chunks memory_tiny_chunks memory_declared_whole memory_declared_pieces
     memory_slow_answers memory_slow_streams memory_mailbox)
