Send an id once on a connection, and keep none that brought a refusal

Cause: an answer was matched to its request by connection and id. Where one address stands under two ids, or a request comes to a VM again, the same id was sent on the connection on which it had been refused, and the copy was taken for its answer.

Change: a request goes out on a new connection if its id was sent on the kept one before; a connection that brought a refusal (503, 429, 421, 408, or any other answer marked as not run) is closed.

--- a/daemon/connections.c
+++ b/daemon/connections.c
@@ -10,6 +10,10 @@
 #include <unistd.h>
 #include <uthash.h>
 
+/* Requests that a connection may carry; their ids are searched before each
+   send. */
+#define CARRIED_MAX 256
+
 connection_counts connection_count;
 
 typedef struct connection_key {
@@ -125,6 +129,7 @@
     u->socket = n ? n->fd : -1;
     u->number = n ? n->number : 0;
     u->carried = n ? (uint32_t)n->ids_len : 0;
+    u->has_id = id[0] != '\0';
     u->carried_id = n && has_carried(n, id);
 }
 
@@ -146,12 +151,32 @@
     return n && has_carried(n, id);
 }
 
-bool
-connection_use_has_unread_bytes(const connection_use *u)
+/* Bytes that arrived before the request is sent belong to no request. */
+static bool
+has_unread_bytes(const connection_use *u)
 {
     char byte;
-    return u->socket >= 0
-           && recv(u->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return recv(u->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+const char *
+connection_use_conflict(const connection_use *u)
+{
+    if (!u->number)
+        return "unknown connection";
+    if (!u->carried)
+        return NULL;
+    if (!u->has_id)
+        return "request without an id";
+    if (u->carried_id)
+        return "its id was sent on it";
+    return has_unread_bytes(u) ? "unread bytes" : NULL;
+}
+
+bool
+connection_use_is_last(const connection_use *u)
+{
+    return u->carried + 1 >= CARRIED_MAX;
 }
 
 int
--- a/daemon/connections.h
+++ b/daemon/connections.h
@@ -32,6 +32,7 @@
     int opened_socket; /**< Opened since the last send; -1: none. */
     uint64_t number;   /**< Of the connection in its table; 0: unknown. */
     uint32_t carried;  /**< Requests sent on it before this one. */
+    bool has_id;       /**< The request has an id. */
     bool carried_id;   /**< One of these had this request's id. */
 } connection_use;
 
@@ -64,9 +65,13 @@
 /** True if a request with this id was sent on the connection of @p u. */
 bool connections_has_carried(const connections *c, const connection_use *u,
                              const char *id);
-/** True if bytes have arrived that belong to no request: what follows them
- *  can't be told from the next answer. */
-bool connection_use_has_unread_bytes(const connection_use *u);
+/** Why an answer to the request for which @p u was found couldn't be told from
+ *  another one on this connection, for the log; NULL: it could.  Such a
+ *  request needs a new connection. */
+const char *connection_use_conflict(const connection_use *u);
+/** True if the request is the last one that its connection may carry, which
+ *  remembers no more ids. */
+bool connection_use_is_last(const connection_use *u);
 /** Close a socket, of a known connection or not; @p table is a connections. */
 int connections_close(void *table, int fd);
 
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -104,8 +104,7 @@
     uint64_t checked_socket_bytes; /* received by the socket by then */
     connection_use connection;
     bool fresh_connection;    /* never use an idle connection */
-    bool unusable_connection; /* the connection had unread bytes before the
-                                 request was sent */
+    bool unusable_connection; /* its answer couldn't be told from another */
     bool sent;                /* the upstream may have received bytes */
     bool accepted;            /* the answer is passed to the client */
     bool adopted;             /* its answer goes on under the number of a later
@@ -363,13 +362,21 @@
 
 /* An upstream that answers before it has read the whole body would take the
    next request on this connection for the rest of it. */
-static void
-forbid_reuse_after_partial_upload(const attempt *x)
+static bool
+is_partly_uploaded(const attempt *x)
 {
     curl_off_t uploaded = 0;
     curl_easy_getinfo(x->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
-    if (uploaded < (curl_off_t)x->ex->body.len)
-        curl_easy_setopt(x->easy, CURLOPT_FORBID_REUSE, 1L);
+    return uploaded < (curl_off_t)x->ex->body.len;
+}
+
+/* A refusal may come once more, where the answer to the next request on its
+   connection is due. */
+static bool
+is_refusal(const attempt *x)
+{
+    return x->parsed_head.head.not_run
+           || bbm_status_promises_not_run((unsigned)x->status);
 }
 
 static void
@@ -409,11 +416,11 @@
     if (x->status < 200)
         return true;
     x->head_checked = true;
-    long connects = 0;
-    curl_easy_getinfo(x->easy, CURLINFO_NUM_CONNECTS, &connects);
-    x->parsed_head.head.reused_connection = connects == 0;
+    x->parsed_head.head.reused_connection = x->connection.carried > 0;
     platform_response_notice(&x->parsed_head, (uint32_t)x->status, &x->notice);
-    forbid_reuse_after_partial_upload(x);
+    if (is_partly_uploaded(x) || is_refusal(x)
+        || connection_use_is_last(&x->connection))
+        curl_easy_setopt(x->easy, CURLOPT_FORBID_REUSE, 1L);
     update_reuse_limit(x);
     x->parsed_head.head.status = (uint32_t)x->status;
     bool accepted = accepts_head(x);
@@ -547,11 +554,11 @@
     const char *id = attempt_id(x);
     connections_find(x->thread->connections, &x->connection, remote_ip,
                      remote_port, local_port, id);
-    x->unusable_connection =
-        !x->fresh_connection
-        && connection_use_has_unread_bytes(&x->connection);
-    if (x->unusable_connection) {
-        log_replaced(x, "unread bytes");
+    const char *conflict =
+        x->fresh_connection ? NULL : connection_use_conflict(&x->connection);
+    x->unusable_connection = conflict != NULL;
+    if (conflict) {
+        log_replaced(x, conflict);
         return CURL_PREREQFUNC_ABORT;
     }
     if (!exchange_begin_send(x->ex))
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -42,6 +42,9 @@
     atomic_bool stopping;
     atomic_ullong sent_bytes;
     char id[BBM_NAME_SIZE]; /* attempt id of the request being answered */
+    const char *refusal;    /* status line, and headers, of refuse_then_copy */
+    char copy[512];         /* of the last refusal; "": none */
+    int copied_to;          /* connection on which that was refused */
     char head[32768];       /* of that request */
     struct broken_stream {
         unsigned status;
@@ -314,6 +317,83 @@
     send_answer(u, fd, u->id, "");
 }
 
+/* Refuses odd requests.  Even ones are answered, on the connection of the last
+   refusal behind a copy of it. */
+static void
+refuse_then_copy(upstream *u, int fd, int n)
+{
+    if (n % 2) {
+        snprintf(u->copy, sizeof(u->copy),
+                 "HTTP/1.1 %s\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 u->refusal, u->id);
+        u->copied_to = atomic_load(&u->connections);
+        send_text(u, fd, u->copy);
+        return;
+    }
+    if (u->copied_to == atomic_load(&u->connections))
+        send_text(u, fd, u->copy);
+    send_answer(u, fd, u->id, "");
+}
+
+/* Status lines, and headers, of answers that say that a request has not run.
+ */
+static const char *const refusals[] = {
+    "503 Full\r\nX-Bluebellmoor-Not-Executed: 1",
+    "429 Limit\r\nX-Bluebellmoor-Not-Executed: 1",
+    "408 Late\r\nX-Bluebellmoor-Not-Executed: 1",
+    "400 No\r\nX-Bluebellmoor-Not-Executed: 1",
+    "421 Another",
+};
+
+/* The last event of a stream that is resumed; "": not resumed. */
+static void
+check_refused_again(const bbm_forward_request *kind, const char *refusal,
+                    const char *last_event)
+{
+    fixture w;
+    set_up(&w, refuse_then_copy);
+    w.upstream.refusal = refusal;
+    ended first = run_attempt(&w, kind, last_event);
+    ck_assert_uint_eq(first.result.status, strtoul(refusal, NULL, 10));
+    exchange_unref(first.ex);
+    w.requests = 0;
+    ended second = run_attempt(&w, kind, last_event);
+    ck_assert_int_eq(atomic_load(&w.upstream.requests), 2);
+    ck_assert_msg(second.result.status == 200, "%s: the copy was taken",
+                  refusal);
+    exchange_unref(second.ex);
+    tear_down(&w);
+}
+
+START_TEST(copied_refusal_is_not_believed_when_a_request_is_sent_again)
+{
+    static const bbm_forward_request order = {0};
+    static const bbm_forward_request relayed = {.relay = true};
+    for (size_t i = 0; i < BBM_COUNT(refusals); i++) {
+        check_refused_again(&order, refusals[i], "");
+        check_refused_again(&plain_stream, refusals[i], "");
+        check_refused_again(&resumable_stream, refusals[i], "7");
+        check_refused_again(&relayed, refusals[i], "");
+    }
+}
+END_TEST
+
+START_TEST(copied_refusal_does_not_take_the_next_answers_place)
+{
+    for (size_t i = 0; i < BBM_COUNT(refusals); i++) {
+        fixture w;
+        set_up(&w, refuse_then_copy);
+        w.upstream.refusal = refusals[i];
+        ended first = run_request(&w, false, false);
+        check_nothing_passed(&first);
+        ended second = run_request(&w, false, false);
+        check_whole(&second);
+        tear_down(&w);
+    }
+}
+END_TEST
+
 /* A copy of the previous answer arrives where the next answer is expected. */
 START_TEST(late_copy_is_not_the_next_answer)
 {
@@ -1351,6 +1431,8 @@
           refusal_of_the_vm_that_forwards_is_passed_on,
           request_that_was_refused_is_not_sent_later,
           only_a_vm_can_say_that_a_request_was_relayed,
+          copied_refusal_is_not_believed_when_a_request_is_sent_again,
+          copied_refusal_does_not_take_the_next_answers_place,
           late_copy_is_not_the_next_answer, copy_behind_an_answer_is_dropped,
           answer_without_id_is_not_passed_on,
           success_without_signature_is_not_passed_on,
