Tests: connections of refusals in all framings, bound on requests, trailers

Guards that pass on: a connection that brought a refusal with a length, in chunks with trailers, behind interim answers, over HTTP/1.0 or with a body that is cut isn't used again; 300 requests take two connections; a status line among the trailers of a cut stream doesn't make it complete. The test of connections also sends HEAD and streams that are resumed.

--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -122,6 +122,8 @@
             send_text(fd, "HTTP/1.1 103 Hints\r\n"
                           "X-Bluebellmoor-Not-Executed: 1\r\n\r\n");
         write_answer(answer, sizeof(answer), id, refuses, &state);
+        if (strncmp(head, "HEAD", 4) == 0)
+            *(strstr(answer, "\r\n\r\n") + 4) = '\0';
         if (refuses || draw(&state, 8) == 0)
             memcpy(copy, answer, sizeof(copy));
         send_text(fd, answer);
@@ -156,25 +158,26 @@
     char text[BBM_NAME_SIZE];
     exchange *ex = exchange_create(EXCHANGE_POOL, number);
     ex->connection = (void *)&connection;
-    ex->method = bbm_strdup("GET");
+    ex->method = bbm_strdup(draw(state, 4) ? "GET" : "HEAD");
     ex->host = bbm_strdup("h");
     snprintf(text, sizeof(text), "/%u", number);
     ex->request_target = bbm_strdup(text);
     snprintf(text, sizeof(text), "id-%u", draw(state, IDS));
     ex->parsed_headers.id = bbm_strdup(text);
     exchange_headers_add(&ex->headers, "X-Bluebellmoor-Attempt-Id", text);
-    unsigned kind = draw(state, 3);
+    unsigned kind = draw(state, 4);
     bbm_forward_request send = {
         .request = number,
         .attempt = 1,
         .deadline = control_now() + DEADLINE,
         .priority = -1,
-        .repeatable = kind == 1,
-        .stream = kind == 2,
+        .repeatable = kind & 1,
+        .stream = kind & 2,
+        .resumable = kind == 3,
     };
     bbm_name_set(send.upstream, "u");
     snprintf(send.address, sizeof(send.address), "127.0.0.1:%u", up.port);
-    forward_start(f, ex, &send, "");
+    forward_start(f, ex, &send, kind == 3 ? "7" : "");
     return ex;
 }
 
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -1231,6 +1231,106 @@
 }
 END_TEST
 
+/* Refusals in all framings; %s is the id. */
+static const char *const framings[] = {
+    "HTTP/1.1 503 Full\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+    "X-Bluebellmoor-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n"
+    "HTTP/1.1 503 Full\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+    "X-Bluebellmoor-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 429 Limit\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+    "X-Bluebellmoor-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n"
+    "Trailer: X-More\r\n\r\n4\r\nfull\r\n0\r\nX-More: 1\r\n\r\n",
+    "HTTP/1.0 503 Full\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+    "X-Bluebellmoor-Not-Executed: 1\r\nConnection: keep-alive\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "HTTP/1.1 421 Another\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+    "Content-Length: 400\r\n\r\npart of the body",
+};
+
+/* Refuses odd requests in the framing that is set. */
+static void
+refuse_in_framing(upstream *u, int fd, int n)
+{
+    if (n % 2)
+        dprintf(fd, u->refusal, u->id);
+    else
+        send_answer(u, fd, u->id, "");
+}
+
+/* Returns true if the framing is taken for a refusal, and the next request
+   goes out on another connection. */
+static bool
+is_taken_for_a_refusal(const char *framing)
+{
+    fixture w;
+    set_up(&w, refuse_in_framing);
+    w.upstream.refusal = framing;
+    ended first = run_request(&w, false, false);
+    bool not_run = first.result.outcome == BBM_FORWARD_NOT_RUN;
+    check_nothing_passed(&first);
+    ended second = run_request(&w, false, false);
+    check_whole(&second);
+    int connections = atomic_load(&w.upstream.connections);
+    tear_down(&w);
+    return not_run && connections == 2;
+}
+
+/* The refusal's copy took the place of the next answer on its connection. */
+START_TEST(connection_of_a_refusal_is_not_used_again)
+{
+    for (size_t i = 0; i < BBM_COUNT(framings); i++)
+        ck_assert_msg(is_taken_for_a_refusal(framings[i]), "%s", framings[i]);
+}
+END_TEST
+
+static void
+answer_each(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_answer(u, fd, u->id, "");
+}
+
+/* The ids that a connection remembers are bounded. */
+START_TEST(connection_is_replaced_after_256_requests)
+{
+    fixture w;
+    set_up(&w, answer_each);
+    for (int i = 0; i < 300; i++) {
+        ended e = run_request(&w, i % 2 == 0, false);
+        check_whole(&e);
+    }
+    ck_assert_int_eq(atomic_load(&w.upstream.connections), 2);
+    tear_down(&w);
+}
+END_TEST
+
+/* A stream in chunks that ends within an event, with a trailer that looks like
+   a status line. */
+static void
+end_with_status_line(upstream *u, int fd, int n)
+{
+    (void)n;
+    send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+    send_text(u, fd,
+              "4\r\ndata\r\n0\r\nHTTP/1.1 503 Full\r\n"
+              "X-Bluebellmoor-Not-Executed: 1\r\n\r\n");
+}
+
+/* ORDER: the status line of an answer came where the trailers of the one
+   before were due, and a stream that was cut counted as complete. */
+START_TEST(trailer_is_not_a_status_line)
+{
+    fixture w;
+    set_up(&w, end_with_status_line);
+    ended e = run_attempt(&w, &plain_stream, "");
+    ck_assert_uint_eq(e.result.status, 200);
+    ck_assert_int_eq(e.result.outcome, BBM_FORWARD_TRUNCATED);
+    exchange_unref(e.ex);
+    tear_down(&w);
+}
+END_TEST
+
 /* The refusal was decided before the attempt's turn came. */
 START_TEST(request_that_was_refused_is_not_sent_later)
 {
@@ -1422,7 +1522,9 @@
 }
 END_TEST
 
-TEST_MAIN("forward", long_header_is_passed_on_whole,
+TEST_MAIN("forward", connection_of_a_refusal_is_not_used_again,
+          connection_is_replaced_after_256_requests,
+          trailer_is_not_a_status_line, long_header_is_passed_on_whole,
           second_run_is_not_joined_to_an_answer_that_broke_off,
           complete_answer_is_not_asked_for_again,
           answer_goes_on_after_a_silence,
