Connections between VMs outlast refusals

An upstream's refusal may come twice; a VM's HTTP server answers a request once, so its connection is kept. An id is sent once on it all the same.

--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -370,13 +370,14 @@
     return uploaded < (curl_off_t)x->ex->body.len;
 }
 
-/* A refusal may come once more, where the answer to the next request on its
-   connection is due. */
+/* An upstream's refusal may come once more, where the answer to the next
+   request on its connection is due.  A VM answers once. */
 static bool
-is_refusal(const attempt *x)
+is_upstreams_refusal(const attempt *x)
 {
-    return x->parsed_head.head.not_run
-           || bbm_status_promises_not_run((unsigned)x->status);
+    return !x->send.relay
+           && (x->parsed_head.head.not_run
+               || bbm_status_promises_not_run((unsigned)x->status));
 }
 
 static void
@@ -418,7 +419,7 @@
     x->head_checked = true;
     x->parsed_head.head.reused_connection = x->connection.carried > 0;
     platform_response_notice(&x->parsed_head, (uint32_t)x->status, &x->notice);
-    if (is_partly_uploaded(x) || is_refusal(x)
+    if (is_partly_uploaded(x) || is_upstreams_refusal(x)
         || connection_use_is_last(&x->connection))
         curl_easy_setopt(x->easy, CURLOPT_FORBID_REUSE, 1L);
     update_reuse_limit(x);
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -922,6 +922,23 @@
 }
 END_TEST
 
+/* Thousands of refusals a second would each open a connection between VMs. */
+START_TEST(connection_between_vms_outlasts_refusals)
+{
+    fixture w;
+    bbm_forward_request kind = {.relay = true};
+    set_up(&w, refuse_as_vm);
+    for (int i = 0; i < 10; i++) {
+        ended e = run_attempt(&w, &kind, "");
+        ck_assert_uint_eq(e.ex->status, 503);
+        exchange_unref(e.ex);
+    }
+    int connections = atomic_load(&w.upstream.connections);
+    tear_down(&w);
+    ck_assert_int_eq(connections, 1);
+}
+END_TEST
+
 /* The refusal was decided before the attempt's turn came. */
 START_TEST(request_that_was_refused_is_not_sent_later)
 {
@@ -1114,7 +1131,9 @@
 END_TEST
 
 TEST_MAIN("forward", connection_is_replaced_after_256_requests,
-          trailer_is_not_a_status_line, long_header_is_passed_on_whole,
+          trailer_is_not_a_status_line,
+          connection_between_vms_outlasts_refusals,
+          long_header_is_passed_on_whole,
           second_run_is_not_joined_to_an_answer_that_broke_off,
           complete_answer_is_not_asked_for_again,
           answer_goes_on_after_a_silence,
