Engines and services: an answer is the request's own, or it isn't believed

A traffic thread keeps its connections to upstreams and took an answer for that of the request in progress unless it named another X-Request-Id.

- two upstreams with one address: an attempt goes out under its id on the connection on which the first one was refused, and the copied 409, 412, 429, 502, 503 or 504 ended the second attempt too (BBM_ERR_UPSTREAM), which had run;
- an upstream that names no id: the client got the body of the request before ("body of id-1" for id-2);
- one answer too many shifted all that followed on its connection by one, so each of them failed and counted against the upstream.

Requests that may run only once were not affected: they have a connection of their own.

An id is now sent at most once on a connection, and none on one with unread bytes; the attempt goes out again on a new connection (530). An answer without an id counts on a new connection only. A connection is closed after an answer that names no id or another one, and after a refusal. The id in an interim head isn't the answer's.

--- a/daemon/connections.c
+++ b/daemon/connections.c
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -179,6 +180,20 @@
     return u->carried + 1 >= CARRIED_MAX;
 }
 
+void
+connection_use_log(const connection_use *u, bbm_log_event event,
+                   const char *id, const char *upstream,
+                   const char *const more[4])
+{
+    char number[24];
+    char carried[24];
+    snprintf(number, sizeof(number), "%llu", (unsigned long long)u->number);
+    snprintf(carried, sizeof(carried), "%u", u->carried);
+    bbm_log(event, "id", id, "upstream", upstream, "connection", number,
+            "carried", carried, "carried_id", u->carried_id ? "yes" : "no",
+            more[0], more[1], more[2], more[3], NULL);
+}
+
 int
 connections_close(void *table, int fd)
 {
--- a/daemon/connections.h
+++ b/daemon/connections.h
@@ -19,6 +19,8 @@
 #ifndef CONNECTIONS_H
 #define CONNECTIONS_H
 
+#include "bbm_log.h"
+
 #include <stdatomic.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -72,6 +74,11 @@
 /** True if the request is the last one that its connection may carry, which
  *  remembers no more ids. */
 bool connection_use_is_last(const connection_use *u);
+/** Log an event about the connection of a request.  @p more are the names and
+ *  values of the last two fields; NULL: none. */
+void connection_use_log(const connection_use *u, bbm_log_event event,
+                        const char *id, const char *upstream,
+                        const char *const more[4]);
 /** Close a socket, of a known connection or not; @p table is a connections. */
 int connections_close(void *table, int fd);
 
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -1,6 +1,9 @@
 #include "traffic.h"
 
+#include "bbm_codes.h"
+#include "bbm_log.h"
 #include "calls.h"
+#include "connections.h"
 #include "control.h"
 #include "traffic_request.h"
 
@@ -36,6 +39,7 @@
 struct traffic {
     mailbox *control;
     calls *calls;
+    connections *connections;
     traffic_transfer *transfers;
     bbm_time last_check_at; /* of the time limits */
 };
@@ -148,12 +152,34 @@
     return data + skip;
 }
 
+/* What the heads before the final one state isn't about the answer. */
+static void
+begin_head(traffic_transfer *x)
+{
+    x->content_type[0] = '\0';
+    x->named_request = false;
+    x->wrong_request_id = false;
+}
+
+static void
+parse_request_id(traffic_transfer *x, const char *value, size_t len)
+{
+    bool same = len == strlen(x->start.request_id)
+                && memcmp(value, x->start.request_id, len) == 0;
+    x->named_request = x->named_request || same;
+    x->wrong_request_id = x->wrong_request_id || !same;
+    if (!same)
+        snprintf(x->other_id, sizeof(x->other_id), "%.*s", (int)len, value);
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *context)
 {
     (void)size;
     traffic_transfer *x = context;
     size_t len;
+    if (n >= 5 && memcmp(data, "HTTP/", 5) == 0)
+        begin_head(x);
     const char *value = header_value(data, n, "content-type:", &len);
     if (value) {
         if (len >= sizeof(x->content_type))
@@ -161,12 +187,9 @@
         memcpy(x->content_type, value, len);
         x->content_type[len] = '\0';
     }
-    /* An upstream that echoes X-Request-Id must echo the id of this
-       request. */
     value = header_value(data, n, "x-request-id:", &len);
     if (value)
-        x->wrong_request_id = len != strlen(x->start.request_id)
-                              || memcmp(value, x->start.request_id, len) != 0;
+        parse_request_id(x, value, len);
     return n;
 }
 
@@ -182,11 +205,50 @@
            || x->status == 502 || x->status == 503 || x->status == 504;
 }
 
+/* An upstream may send an answer twice, and the copy where the next one is
+   due. On a new connection nothing but the request's own answer can come. */
+static bool
+is_own_answer(const traffic_transfer *x)
+{
+    return !x->wrong_request_id
+           && (x->named_request || !x->connection.carried);
+}
+
+/* A connection is kept only while its next answer can be told from a copy of
+   those before. */
+static bool
+may_keep_connection(const traffic_transfer *x)
+{
+    return is_own_answer(x) && x->named_request && !is_rejection(x)
+           && !connection_use_is_last(&x->connection);
+}
+
+static void
+log_foreign_answer(const traffic_transfer *x)
+{
+    char status[24];
+    snprintf(status, sizeof(status), "%ld", x->status);
+    const char *other = x->wrong_request_id ? x->other_id : "";
+    bool copy =
+        connections_has_carried(x->thread->connections, &x->connection, other);
+    atomic_fetch_add(&connection_count.foreign, 1);
+    atomic_fetch_add(&connection_count.copies, copy);
+    connection_use_log(&x->connection, BBM_EVENT_FOREIGN_ANSWER,
+                       x->start.request_id, x->start.upstream,
+                       (const char *[4]){"status", status,
+                                         copy ? "copy_of" : "answers", other});
+}
+
 static bool
 start_answer(traffic_transfer *x)
 {
     curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &x->status);
-    if (x->wrong_request_id || is_rejection(x)) {
+    if (!may_keep_connection(x))
+        curl_easy_setopt(x->easy, CURLOPT_FORBID_REUSE, 1L);
+    bool own = is_own_answer(x);
+    if (!own)
+        log_foreign_answer(x);
+    if (!own || is_rejection(x)) {
         x->rejected = true;
         return true;
     }
@@ -223,32 +285,65 @@
     return len;
 }
 
-/* libcurl calls this right before it sends the request. */
+static void
+log_replaced(const traffic_transfer *x, const char *why)
+{
+    atomic_fetch_add(&connection_count.replaced, 1);
+    connection_use_log(&x->connection, BBM_EVENT_CONNECTION_REPLACED,
+                       x->start.request_id, x->start.upstream,
+                       (const char *[4]){"why", why});
+}
+
+/* libcurl calls this right before it sends the request, and again if it is
+   about to resend it because a reused connection was dead. */
 static int
 on_before_send(void *context, char *remote_ip, char *local_ip, int remote_port,
                int local_port)
 {
-    (void)remote_ip;
     (void)local_ip;
-    (void)remote_port;
-    (void)local_port;
     traffic_transfer *x = context;
+    const char *id = x->start.request_id;
     if (control_now() > x->start.not_after) {
         x->timed_out = true;
         return CURL_PREREQFUNC_ABORT;
     }
+    connections_find(x->thread->connections, &x->connection, remote_ip,
+                     remote_port, local_port, id);
+    const char *conflict =
+        x->fresh_connection ? NULL : connection_use_conflict(&x->connection);
+    x->unusable_connection = conflict != NULL;
+    if (conflict) {
+        log_replaced(x, conflict);
+        return CURL_PREREQFUNC_ABORT;
+    }
     if (!exchange_begin_send(x->ex))
         return CURL_PREREQFUNC_ABORT;
+    connections_record(x->thread->connections, &x->connection, id);
     x->sent = true;
     return CURL_PREREQFUNC_OK;
 }
 
+static int
+on_socket(void *context, curl_socket_t fd, curlsocktype purpose)
+{
+    (void)purpose;
+    traffic_transfer *x = context;
+    connection_use_open(&x->connection, fd);
+    return CURL_SOCKOPT_OK;
+}
+
 /* ---- starting ---- */
 
 static void
-set_callbacks(traffic_transfer *x)
+create_easy(traffic_transfer *x)
 {
+    connection_use_begin(&x->connection);
+    traffic_request_build(x);
     CURL *e = x->easy;
+    curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
+    curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, x);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, connections_close);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, x->thread->connections);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, x);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
@@ -258,12 +353,19 @@
 }
 
 static void
-free_transfer(traffic *t, traffic_transfer *x)
+free_easy(traffic *t, traffic_transfer *x)
 {
-    HASH_DEL(t->transfers, x);
     calls_remove(t->calls, x->easy);
     curl_easy_cleanup(x->easy);
     curl_slist_free_all(x->headers);
+    x->headers = NULL;
+}
+
+static void
+free_transfer(traffic *t, traffic_transfer *x)
+{
+    HASH_DEL(t->transfers, x);
+    free_easy(t, x);
     answer_parser_free(&x->parser);
     exchange_unref(x->ex);
     free(x);
@@ -290,9 +392,20 @@
     x->start = j->start;
     x->started_at = control_now();
     x->last_byte_at = x->started_at;
+    x->fresh_connection = x->start.no_retry;
     HASH_ADD(hh, t->transfers, request, sizeof(x->request), x);
-    traffic_request_build(x);
-    set_callbacks(x);
+    create_easy(x);
+    calls_add(t->calls, x->easy);
+}
+
+/* Starts the transfer again, on a new connection. */
+static void
+reconnect(traffic *t, traffic_transfer *x)
+{
+    x->unusable_connection = false;
+    x->fresh_connection = true;
+    free_easy(t, x);
+    create_easy(x);
     calls_add(t->calls, x->easy);
 }
 
@@ -337,7 +450,10 @@
 {
     traffic_transfer *x = NULL;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &x);
-    finish(context, x, code);
+    if (x->unusable_connection)
+        reconnect(context, x);
+    else
+        finish(context, x, code);
 }
 
 static bool
@@ -431,6 +547,7 @@
 {
     traffic *t = bbm_calloc(1, sizeof(*t));
     t->control = control;
+    t->connections = connections_create();
     t->calls = calls_create(&(calls_desc){
         .context = t,
         .run_job = run_job,
@@ -461,5 +578,6 @@
     if (!t)
         return;
     calls_destroy(t->calls);
+    connections_destroy(t->connections);
     free(t);
 }
--- a/daemon/traffic_request.h
+++ b/daemon/traffic_request.h
@@ -5,6 +5,7 @@
 #ifndef TRAFFIC_REQUEST_H
 #define TRAFFIC_REQUEST_H
 
+#include "connections.h"
 #include "traffic.h"
 #include "traffic_answer.h"
 
@@ -25,9 +26,14 @@
     bool sent;             /* the upstream may have received bytes */
     bool answer_started;   /* the answer is passed to the client */
     bool rejected;         /* the answer is discarded; the attempt failed */
+    bool named_request;    /* the answer carries the request's id */
     bool wrong_request_id; /* the answer carries another request's id */
-    bool paused;           /* until the exchange has room again */
-    bool timed_out;        /* ended by a limit of `start` */
+    char other_id[BBM_NAME_SIZE]; /* beginning of that id */
+    connection_use connection;
+    bool fresh_connection;    /* never use an idle connection */
+    bool unusable_connection; /* its answer couldn't be told from another */
+    bool paused;              /* until the exchange has room again */
+    bool timed_out;           /* ended by a limit of `start` */
     bbm_time started_at;
     bbm_time last_byte_at; /* or when the transfer was resumed */
     /* Time of the last progress report.  Before the answer begins: time of
