Calls of the provider's thread: a late copy isn't the next call's answer

provider.c makes its calls on kept connections, and their answers don't say which call they answer.

- list: the copy of one read's page was the first page of the next read ("i-1" for "i-2"), so an upstream that had come was missing, one that had gone was used; the copy of a page in place of the next one was read as well, with one request more;
- reports and polls of stores: a copied 503 or 500 failed the next call too, and one answer too many shifted those that followed by one while the connection was used.

Per kind of call:

- list: a new connection for each page.
No content tells an old page, and with one an upstream would be taken for gone.
These connections go to the provider's own address, not to an upstream;
- order: as before, a connection of its own;
- report, store: the connection is kept, since each new one costs the upstream something, but not after another status than 200, and not if bytes have arrived before the call is sent.

silent_connection_to_the_list_is_replaced silenced the kept connection, which no list call uses any more. It now silences the next one that is opened, so that it still checks that the call fails within its time and the one after it doesn't.

--- a/daemon/provider.c
+++ b/daemon/provider.c
@@ -1,7 +1,9 @@
 #include "provider.h"
 
+#include "bbm_log.h"
 #include "bbm_table.h"
 #include "calls.h"
+#include "connections.h"
 #include "control.h"
 
 #include <curl/curl.h>
@@ -73,11 +75,19 @@
     char *body;             /* of an order; owned */
     struct curl_slist *headers;
     watched_store *store; /* CALL_STORE */
+    provider *thread;
+    CURL *easy;
+    char number[24]; /* stands for an id, which calls don't have */
+    connection_use connection;
+    bool fresh_connection;    /* never use an idle connection */
+    bool unusable_connection; /* its answer couldn't be told from another */
 } call;
 
 struct provider {
     provider_desc desc;
     calls *calls;
+    connections *connections;
+    uint64_t last_call;       /* number of the last call */
     bbm_listing listing;      /* from the pages read so far */
     size_t bad_entries;       /* unreadable entries in these pages */
     size_t pages;             /* pages read that named a next one */
@@ -133,28 +143,55 @@
     return len;
 }
 
+/* True if the call can't be sent on its connection.  Answers don't say which
+   call they answer. */
+static bool
+has_conflict(call *c)
+{
+    const char *why = connection_use_conflict(&c->connection);
+    c->unusable_connection = !c->fresh_connection && why;
+    if (!c->unusable_connection)
+        return false;
+    atomic_fetch_add(&connection_count.replaced, 1);
+    connection_use_log(&c->connection, BBM_EVENT_CONNECTION_REPLACED, "",
+                       c->id, (const char *[4]){"why", why});
+    return true;
+}
+
 /* libcurl calls this right before it sends the request.  Aborts an order that
    is past its time limit. */
 static int
 on_before_send(void *context, char *remote_ip, char *local_ip, int remote_port,
                int local_port)
 {
-    (void)remote_ip;
     (void)local_ip;
-    (void)remote_port;
-    (void)local_port;
     call *c = context;
-    if (c->kind != CALL_ORDER)
-        return CURL_PREREQFUNC_OK;
-    c->expired = control_now() > c->not_after;
-    return c->expired ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    c->expired = c->kind == CALL_ORDER && control_now() > c->not_after;
+    connections_find(c->thread->connections, &c->connection, remote_ip,
+                     remote_port, local_port, c->number);
+    if (c->expired || has_conflict(c))
+        return CURL_PREREQFUNC_ABORT;
+    connections_record(c->thread->connections, &c->connection, c->number);
+    return CURL_PREREQFUNC_OK;
+}
+
+static int
+on_socket(void *context, curl_socket_t fd, curlsocktype purpose)
+{
+    (void)purpose;
+    call *c = context;
+    connection_use_open(&c->connection, fd);
+    return CURL_SOCKOPT_OK;
 }
 
 static call *
-new_call(call_kind kind, const char *id)
+new_call(provider *p, call_kind kind, const char *id)
 {
     call *c = bbm_calloc(1, sizeof(*c));
     c->kind = kind;
+    c->thread = p;
+    snprintf(c->number, sizeof(c->number), "%llu",
+             (unsigned long long)++p->last_call);
     bbm_name_set(c->id, id);
     return c;
 }
@@ -168,6 +205,17 @@
     free(c);
 }
 
+/* An answer other than the expected one may be a refusal, of which a copy may
+   come where the next answer is due. */
+static void
+finish_head(const call *c)
+{
+    long status = 0;
+    curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+    if (status != 200 || connection_use_is_last(&c->connection))
+        curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 /* Parses the headers of a runner's answer. */
 static size_t
 on_header(char *data, size_t size, size_t n, void *context)
@@ -175,6 +223,8 @@
     call *c = context;
     size_t len = size * n;
     char line[HEADER_LINE_BYTES];
+    if (len == 2 && data[0] == '\r')
+        finish_head(c);
     if (len >= sizeof(line))
         return len;
     memcpy(line, data, len);
@@ -189,6 +239,29 @@
     return len;
 }
 
+/* Calls whose answer does harm if it belongs to an earlier call.
+
+   A page doesn't say which one it is: with an old one in its place an upstream
+   would be missing.  An order must be sent once only, while libcurl resends a
+   request on a new connection if a reused one turns out to be closed.
+
+   The others keep their connections, as upstreams and stores take few.  An old
+   report has an old sequence number, and of a store's answer only its arrival
+   counts. */
+static bool
+needs_own_connection(call_kind kind)
+{
+    switch (kind) {
+    case CALL_LIST:
+    case CALL_ORDER:
+        return true;
+    case CALL_REPORT:
+    case CALL_STORE:
+        return false;
+    }
+    return true;
+}
+
 static void
 start_call(provider *p, call *c, const char *address, const char *path,
            long timeout_ms)
@@ -196,7 +269,13 @@
     char url[URL_SIZE];
     snprintf(url, sizeof(url), "http://%s%s", address, path);
     CURL *e = calls_create_easy(url, "http", CONNECT_TIMEOUT_MS);
+    c->easy = e;
+    connection_use_begin(&c->connection);
     curl_easy_setopt(e, CURLOPT_PRIVATE, c);
+    curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
+    curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, c);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, connections_close);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, p->connections);
     curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, timeout_ms);
     curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, CONNECTION_IDLE_MAX_S);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
@@ -209,19 +288,30 @@
         curl_easy_setopt(e, CURLOPT_HTTPHEADER, c->headers);
     if (c->body)
         curl_easy_setopt(e, CURLOPT_POSTFIELDS, c->body);
-    /* libcurl resends a request on a new connection if a reused one turns out
-       to be closed; an order must be sent once only. */
-    if (c->kind == CALL_ORDER)
+    c->fresh_connection = needs_own_connection(c->kind);
+    if (c->fresh_connection)
         calls_forbid_reuse(e);
     calls_add(p->calls, e);
 }
 
+/* Starts the call again, on a new connection. */
+static void
+reconnect(provider *p, call *c)
+{
+    c->unusable_connection = false;
+    c->fresh_connection = true;
+    connection_use_begin(&c->connection);
+    curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, 1L);
+    calls_remove(p->calls, c->easy);
+    calls_add(p->calls, c->easy);
+}
+
 static void
 request_page(provider *p, const char *page)
 {
     bbm_buf path = {0};
     platform_listing_path(page, &path);
-    start_call(p, new_call(CALL_LIST, ""), p->desc.list_address,
+    start_call(p, new_call(p, CALL_LIST, ""), p->desc.list_address,
                (char *)path.data, LIST_TIMEOUT_MS);
     bbm_buf_free(&path);
 }
@@ -243,11 +333,11 @@
 {
     const bbm_rollout_action *act = &j->act;
     if (!act->is_order) {
-        start_call(p, new_call(CALL_REPORT, act->id), act->address,
+        start_call(p, new_call(p, CALL_REPORT, act->id), act->address,
                    platform_report_path(), REPORT_TIMEOUT_MS);
         return;
     }
-    call *c = new_call(CALL_ORDER, act->id);
+    call *c = new_call(p, CALL_ORDER, act->id);
     bbm_buf body = {0};
     char line[2 * BBM_NAME_SIZE];
     platform_order_body(act, p->desc.owner, &body);
@@ -286,7 +376,7 @@
             continue;
         bbm_buf path = {0};
         platform_store_events_path(s->cursor, &path);
-        call *c = new_call(CALL_STORE, s->address);
+        call *c = new_call(p, CALL_STORE, s->address);
         c->store = s;
         c->headers = curl_slist_append(NULL, platform_store_wait_header());
         s->in_flight = true;
@@ -380,6 +470,10 @@
     call *c = NULL;
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &c);
+    if (c->unusable_connection) {
+        reconnect(p, c);
+        return;
+    }
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     calls_remove(p->calls, easy);
     curl_easy_cleanup(easy);
@@ -427,6 +521,7 @@
 {
     provider *p = bbm_calloc(1, sizeof(*p));
     p->desc = *desc;
+    p->connections = connections_create();
     p->calls = calls_create(&(calls_desc){
         .context = p,
         .run_job = run_job,
@@ -450,5 +545,6 @@
     bbm_listing_free(&p->listing);
     BBM_TABLE_FREE(watched_store, p->stores);
     calls_destroy(p->calls);
+    connections_destroy(p->connections);
     free(p);
 }
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -353,19 +353,12 @@
 }
 
 static void
-free_easy(traffic *t, traffic_transfer *x)
+free_transfer(traffic *t, traffic_transfer *x)
 {
+    HASH_DEL(t->transfers, x);
     calls_remove(t->calls, x->easy);
     curl_easy_cleanup(x->easy);
     curl_slist_free_all(x->headers);
-    x->headers = NULL;
-}
-
-static void
-free_transfer(traffic *t, traffic_transfer *x)
-{
-    HASH_DEL(t->transfers, x);
-    free_easy(t, x);
     answer_parser_free(&x->parser);
     exchange_unref(x->ex);
     free(x);
@@ -404,8 +397,9 @@
 {
     x->unusable_connection = false;
     x->fresh_connection = true;
-    free_easy(t, x);
-    create_easy(x);
+    connection_use_begin(&x->connection);
+    curl_easy_setopt(x->easy, CURLOPT_FRESH_CONNECT, 1L);
+    calls_remove(t->calls, x->easy);
     calls_add(t->calls, x->easy);
 }
 
--- a/daemon/traffic_request.c
+++ b/daemon/traffic_request.c
@@ -56,7 +56,6 @@
     curl_easy_setopt(e, CURLOPT_BUFFERSIZE, READ_BUFFER_BYTES);
     add_headers(x);
     curl_easy_setopt(e, CURLOPT_HTTPHEADER, x->headers);
-    curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, x->fresh_connection ? 1L : 0L);
     if (x->start.no_retry)
         calls_forbid_reuse(e);
     bool has_body = ex->body.len || strcmp(ex->method, "POST") == 0
--- a/tests/test_provider.c
+++ b/tests/test_provider.c
@@ -1,5 +1,7 @@
 /* Kept connections of the provider's calls that go silent: a call fails within
-   its time, and the next one has a new connection. */
+   its time, and the next one has a new connection.  Servers that send an
+   answer twice, the copy where the next one is due: it isn't taken for that
+   one. */
 #include "control.h"
 #include "provider.h"
 #include "test_main.h"
@@ -15,13 +17,27 @@
 /* How long a call may last beyond its time limit. */
 #define SLACK_MS 500
 #define CONNECTIONS_MAX 16
+/* Until bytes that were sent have surely been received; shorter than the time
+   between two reports. */
+#define DELIVERY_MS 50
 
-/* A server that answers each request with the same body.  Connections that
-   were open when it was silenced take bytes and deliver none. */
+struct server;
+
+/* Answers request number @p n (from 1, over all connections). */
+typedef void server_script(struct server *s, int fd, int n);
+
+/* A server that answers each request with the same body, or by its script.
+   Connections that were open when it was silenced take bytes and deliver none.
+ */
 typedef struct server {
     int listener;
     char address[BBM_NAME_SIZE];
     const char *body;
+    server_script *script; /* NULL: none */
+    atomic_int requests;
+    char copy[1024]; /* of an answer, sent before the next one of its
+                        connection */
+    int copied_to;   /* socket of that connection */
     pthread_t thread;
     atomic_int connections;
     atomic_int silent; /* the first so many connections */
@@ -34,6 +50,17 @@
     int number;
 } reader;
 
+static void
+send_answer(int fd, const char *status, const char *body, char sent[1024])
+{
+    int len = snprintf(sent, 1024,
+                       "HTTP/1.1 %s\r\n"
+                       "Content-Type: application/json\r\n"
+                       "Content-Length: %zu\r\n\r\n%s",
+                       status, strlen(body), body);
+    (void)!send(fd, sent, (size_t)len, MSG_NOSIGNAL);
+}
+
 static void *
 serve_connection(void *context)
 {
@@ -47,12 +74,11 @@
         head[n] = '\0';
         if (!strstr(head, "\r\n\r\n") || r->number < atomic_load(&s->silent))
             continue;
-        int len = snprintf(answer, sizeof(answer),
-                           "HTTP/1.1 200 OK\r\n"
-                           "Content-Type: application/json\r\n"
-                           "Content-Length: %zu\r\n\r\n%s",
-                           strlen(s->body), s->body);
-        (void)!send(fd, answer, (size_t)len, MSG_NOSIGNAL);
+        int number = atomic_fetch_add(&s->requests, 1) + 1;
+        if (s->script)
+            s->script(s, fd, number);
+        else
+            send_answer(fd, "200 OK", s->body, answer);
     }
     free(r);
     return NULL;
@@ -133,32 +159,41 @@
     mailbox_destroy(w->control);
 }
 
+/* Silences the connections there are, and @p more that will be opened. */
 static void
-silence(fixture *w)
+silence(fixture *w, int more)
 {
-    atomic_store(&w->server.silent, atomic_load(&w->server.connections));
+    atomic_store(&w->server.silent,
+                 atomic_load(&w->server.connections) + more);
 }
 
-/* Whether the next result of a kind says success; fails if none comes within
-   @p ms. */
-static bool
-next_result(fixture *w, control_kind kind, int64_t ms)
+/* The next result of a kind; fails if none comes within @p ms. */
+static control_item *
+expect_result(fixture *w, control_kind kind, int64_t ms)
 {
     bbm_time until = control_now() + ms * BBM_MS;
     while (control_now() < until) {
         control_item *item = mailbox_take(w->control);
-        bool found = item && item->kind == kind;
-        bool succeeded = item && item->succeeded;
+        if (item && item->kind == kind)
+            return item;
         if (item)
             control_item_destroy(item);
         else
             mailbox_wait(w->control, 10);
-        if (found)
-            return succeeded;
     }
     ck_abort_msg("no result of kind %d within %lld ms", (int)kind,
                  (long long)ms);
-    return false;
+    return NULL;
+}
+
+/* Whether the next result of a kind says success. */
+static bool
+next_result(fixture *w, control_kind kind, int64_t ms)
+{
+    control_item *item = expect_result(w, kind, ms);
+    bool succeeded = item->succeeded;
+    control_item_destroy(item);
+    return succeeded;
 }
 
 static void
@@ -176,15 +211,17 @@
     provider_send_rollout(w->provider, &act, BBM_NEVER);
 }
 
+/* @p more connections are silent beside those there are: a call with a new
+   connection meets the first of them. */
 static void
 check_silence_shows(const char *body, void (*call)(fixture *w),
-                    control_kind kind, int64_t limit_ms)
+                    control_kind kind, int64_t limit_ms, int more)
 {
     fixture w;
     set_up(&w, body);
     call(&w);
     ck_assert(next_result(&w, kind, limit_ms + SLACK_MS));
-    silence(&w);
+    silence(&w, more);
     call(&w);
     ck_assert(!next_result(&w, kind, limit_ms + SLACK_MS));
     int before = atomic_load(&w.server.connections);
@@ -197,7 +234,7 @@
 START_TEST(silent_connection_to_the_list_is_replaced)
 {
     check_silence_shows("{\"instances\":[],\"next-token\":null}", read_list,
-                        CONTROL_LISTING, 900);
+                        CONTROL_LISTING, 900, 1);
 }
 END_TEST
 
@@ -206,7 +243,7 @@
     check_silence_shows("{\"phase\":\"both\",\"models\":[],\"busy\":false,"
                         "\"sequence\":0,\"queued\":0,\"active\":0,"
                         "\"kv-used\":0,\"kv-total\":1,\"handles\":0}",
-                        read_report, CONTROL_ROLLOUT_REPORT, 250);
+                        read_report, CONTROL_ROLLOUT_REPORT, 250, 0);
 }
 END_TEST
 
@@ -216,7 +253,7 @@
     set_up(&w, "{\"epoch\":1,\"next-token\":1,\"lost\":false,\"events\":[]}");
     provider_watch_store(w.provider, w.server.address, true);
     ck_assert(next_result(&w, CONTROL_STORE_STATUS, 1700 + SLACK_MS));
-    silence(&w);
+    silence(&w, 0);
     while (next_result(&w, CONTROL_STORE_STATUS, 1700 + 2 * SLACK_MS))
         ;
     ck_assert(next_result(&w, CONTROL_STORE_STATUS, 1700 + SLACK_MS));
@@ -224,6 +261,169 @@
 }
 END_TEST
 
+/* ---- copies ---- */
+
+static void
+set_up_script(fixture *w, server_script *script)
+{
+    set_up(w, "");
+    w->server.script = script;
+    w->server.copied_to = -1;
+}
+
+/* Sends the copy of the last answer, if it was sent on the same connection,
+   and then the next answer, of which there will be a copy. */
+static void
+answer_behind_copy(server *s, int fd, const char *status, const char *body)
+{
+    if (s->copied_to == fd)
+        (void)!send(fd, s->copy, strlen(s->copy), MSG_NOSIGNAL);
+    s->copied_to = fd;
+    send_answer(fd, status, body, s->copy);
+}
+
+/* Sends a page with the upstream "i-N". */
+static void
+send_page(server *s, int fd, int n, const char *next)
+{
+    char body[512];
+    snprintf(body, sizeof(body),
+             "{\"instances\":[{\"id\":\"i-%d\",\"service\":\"s\","
+             "\"address\":\"127.0.0.1:1\",\"zone\":\"a\",\"slots\":1,"
+             "\"state\":\"ready\"}],\"next-token\":%s}",
+             n, next);
+    answer_behind_copy(s, fd, "200 OK", body);
+}
+
+static void
+send_next_list(server *s, int fd, int n)
+{
+    send_page(s, fd, n, "null");
+}
+
+/* An upstream that only the late list has would be used, and one that it lacks
+   be given up. */
+START_TEST(copied_list_is_not_the_next_one)
+{
+    fixture w;
+    set_up_script(&w, send_next_list);
+    for (int n = 1; n <= 3; n++) {
+        char id[BBM_NAME_SIZE];
+        snprintf(id, sizeof(id), "i-%d", n);
+        read_list(&w);
+        control_item *item = expect_result(&w, CONTROL_LISTING, 900);
+        ck_assert_uint_eq(item->listing.len, 1);
+        ck_assert_str_eq(item->listing.items[0].id, id);
+        control_item_destroy(item);
+    }
+    tear_down(&w);
+}
+END_TEST
+
+static void
+send_two_pages(server *s, int fd, int n)
+{
+    send_page(s, fd, n, n == 1 ? "\"2\"" : "null");
+}
+
+START_TEST(copied_page_is_not_the_next_one)
+{
+    fixture w;
+    set_up_script(&w, send_two_pages);
+    read_list(&w);
+    control_item *item = expect_result(&w, CONTROL_LISTING, 1800);
+    ck_assert_int_eq(atomic_load(&w.server.requests), 2);
+    ck_assert_uint_eq(item->listing.len, 2);
+    control_item_destroy(item);
+    tear_down(&w);
+}
+END_TEST
+
+static void
+write_report(int sequence, char body[512])
+{
+    snprintf(body, 512,
+             "{\"models\":[],\"busy\":false,\"sequence\":%d,\"born\":5}",
+             sequence);
+}
+
+static void
+refuse_first_report(server *s, int fd, int n)
+{
+    char body[512];
+    write_report(n, body);
+    answer_behind_copy(s, fd, n == 1 ? "503 Busy" : "200 OK", body);
+}
+
+/* A runner that answers would be taken for one that doesn't. */
+START_TEST(copied_refusal_is_not_the_next_report)
+{
+    fixture w;
+    set_up_script(&w, refuse_first_report);
+    read_report(&w);
+    ck_assert(!next_result(&w, CONTROL_ROLLOUT_REPORT, 250 + SLACK_MS));
+    read_report(&w);
+    ck_assert(next_result(&w, CONTROL_ROLLOUT_REPORT, 250 + SLACK_MS));
+    tear_down(&w);
+}
+END_TEST
+
+static void
+copy_first_report(server *s, int fd, int n)
+{
+    char body[512];
+    write_report(n, body);
+    answer_behind_copy(s, fd, "200 OK", body);
+    if (n > 1)
+        s->copied_to = -1;
+}
+
+/* A copied report has a sequence number that the rollout knows.  It must not
+   shift those that follow. */
+START_TEST(copied_report_costs_one_call)
+{
+    fixture w;
+    set_up_script(&w, copy_first_report);
+    static const uint64_t sequences[] = {1, 1, 3, 4};
+    for (size_t i = 0; i < BBM_COUNT(sequences); i++) {
+        read_report(&w);
+        control_item *item =
+            expect_result(&w, CONTROL_ROLLOUT_REPORT, 250 + SLACK_MS);
+        ck_assert_uint_eq(item->runner_report.sequence, sequences[i]);
+        control_item_destroy(item);
+        usleep(DELIVERY_MS * 1000);
+    }
+    ck_assert_int_eq(atomic_load(&w.server.connections), 2);
+    tear_down(&w);
+}
+END_TEST
+
+static void
+fail_first_poll(server *s, int fd, int n)
+{
+    answer_behind_copy(s, fd, n == 1 ? "500 Failed" : "200 OK",
+                       "{\"epoch\":1,\"next-token\":1}");
+    if (n > 1)
+        s->copied_to = -1;
+}
+
+/* A store that answers would be taken for one that failed. */
+START_TEST(copied_failure_is_not_the_next_poll_of_a_store)
+{
+    fixture w;
+    set_up_script(&w, fail_first_poll);
+    provider_watch_store(w.provider, w.server.address, true);
+    ck_assert(!next_result(&w, CONTROL_STORE_STATUS, 1700 + SLACK_MS));
+    ck_assert(next_result(&w, CONTROL_STORE_STATUS, 1700 + SLACK_MS));
+    ck_assert(next_result(&w, CONTROL_STORE_STATUS, 1700 + SLACK_MS));
+    ck_assert_int_eq(atomic_load(&w.server.connections), 2);
+    tear_down(&w);
+}
+END_TEST
+
 TEST_MAIN("provider", silent_connection_to_the_list_is_replaced,
           silent_connection_for_reports_is_replaced,
-          silent_connection_to_a_store_is_replaced);
+          silent_connection_to_a_store_is_replaced,
+          copied_list_is_not_the_next_one, copied_page_is_not_the_next_one,
+          copied_refusal_is_not_the_next_report, copied_report_costs_one_call,
+          copied_failure_is_not_the_next_poll_of_a_store);
