Rollout: a report from before the last order is not believed

Reports come on kept connections and don't say which call they answer. A report that comes once more after the runner has accepted an order says "idle" under the old sequence number. The rollout sent a second order with that number (test_rollout, report_from_before_the_order_is_not_believed, failed: an order where a report was due), which the runner refuses by its precondition, so that nothing ran twice.

A report with a lower sequence number than the last one, or from an idle runner without the order that it has accepted since, now counts as no answer. Only if it names the start of the runner: a restarted runner counts from the beginning, and one that doesn't name its start can't be told from it.

--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -44,6 +44,7 @@
     runner_stage stage;
     bool listed;
     uint64_t sequence;             /* orders accepted, as last reported */
+    bool has_accepted;             /* one more since that report */
     bbm_time next_action_at;       /* BBM_NEVER while waiting for an answer */
     uint32_t consecutive_failures; /* requests without an answer */
     bbm_time draining_until;       /* latest time of the order */
@@ -133,6 +134,7 @@
     r->info = *info;
     r->stage = RUNNER_NEW;
     r->sequence = 0;
+    r->has_accepted = false;
     r->next_action_at = 0;
     r->consecutive_failures = 0;
     r->backoff_until = 0;
@@ -407,6 +409,30 @@
     r->next_action_at = now;
 }
 
+static void
+apply_no_report(runner *r, bbm_time now)
+{
+    if (r->stage == RUNNER_FIRST_QUERIED) {
+        r->stage = RUNNER_IDLE;
+        return;
+    }
+    bool was_loading = r->stage == RUNNER_LOADING_QUERIED;
+    on_no_answer(r, was_loading ? RUNNER_LOADING : RUNNER_DRAINING, now);
+}
+
+/* True for a report from before the last one, or from before the last order,
+   that comes late.  The next order would have an old sequence number.  Without
+   the start of the runner a lower number may be that of a restarted one. */
+static bool
+is_late(const runner *r, const bbm_runner_report *report)
+{
+    if (!report->started_at_ms)
+        return false;
+    uint64_t accepted =
+        r->sequence + (r->has_accepted && !report->order_in_progress);
+    return report->sequence < accepted;
+}
+
 void
 bbm_rollout_apply_report(bbm_rollout *ro, const char *id,
                          const bbm_runner_report *report, bbm_time now)
@@ -418,17 +444,11 @@
                        || r->stage == RUNNER_FIRST_QUERIED);
     if (!awaited)
         return;
-    bool was_loading = r->stage == RUNNER_LOADING_QUERIED;
     bool was_first_query = r->stage == RUNNER_FIRST_QUERIED;
-    if (!report && was_first_query) {
-        r->stage = RUNNER_IDLE;
-        return;
-    }
     if (!report) {
-        on_no_answer(r, was_loading ? RUNNER_LOADING : RUNNER_DRAINING, now);
+        apply_no_report(r, now);
         return;
     }
-    r->consecutive_failures = 0;
     if (report->started_at_ms && r->info.started_at_ms
         && report->started_at_ms != r->info.started_at_ms) {
         /* The runner has restarted. */
@@ -439,9 +459,16 @@
         reset_runner(r, &info);
         return;
     }
+    if (is_late(r, report)) {
+        apply_no_report(r, now);
+        return;
+    }
+    r->consecutive_failures = 0;
     if (report->started_at_ms)
         r->info.started_at_ms = report->started_at_ms;
     raise_versions(r, report->models, report->models_len);
+    if (report->sequence > r->sequence || !report->order_in_progress)
+        r->has_accepted = false;
     r->sequence = report->sequence;
     if (report->order_in_progress) {
         r->stage = RUNNER_LOADING;
@@ -463,6 +490,7 @@
         return;
     switch (answer) {
     case BBM_ORDER_ACCEPTED:
+        r->has_accepted = true;
         r->stage = RUNNER_LOADING;
         r->next_action_at = now + FIRST_REPORT_DELAY;
         r->consecutive_failures = 0;
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -308,7 +308,65 @@
 }
 END_TEST
 
-TEST_MAIN("rollout", runners_finish_their_requests_before_the_order,
+/* The next action for the one runner, of the given kind; time passes until it
+   is due. */
+static const bbm_rollout_action *
+expect_action(simulation *sim, bool is_order)
+{
+    const bbm_rollout_action *act = NULL;
+    for (int i = 0; i < 500 && !act; i++) {
+        sim->now += STEP_TIME;
+        bbm_rollout_set_runners(sim->ro, &sim->listing);
+        act = bbm_rollout_next_action(sim->ro, sim->now);
+    }
+    ck_assert_ptr_nonnull(act);
+    ck_assert_int_eq(act->is_order, is_order);
+    return act;
+}
+
+/* A report that was sent before the order, and comes once more after it, names
+   a sequence number that the order has ended.  Believed, it brings a second
+   order. */
+START_TEST(report_from_before_the_order_is_not_believed)
+{
+    simulation sim;
+    setup(&sim);
+    sim.listing.len = 1;
+    sim.listing.items[0].started_at_ms = 9;
+    bbm_rollout_set_target(sim.ro, "m", 2, sim.now);
+    bbm_runner_report report = {
+        .started_at_ms = 9, .sequence = 4, .models_len = 1};
+    bbm_name_set(report.models[0].name, "m");
+    report.models[0].version = 1;
+    for (int i = 0; i < 2; i++) {
+        expect_action(&sim, false);
+        bbm_rollout_apply_report(sim.ro, "i-00", &report, sim.now);
+    }
+    ck_assert_uint_eq(expect_action(&sim, true)->sequence, 4);
+    bbm_rollout_apply_answer(sim.ro, "i-00", BBM_ORDER_ACCEPTED, sim.now);
+    expect_action(&sim, false);
+    bbm_rollout_apply_report(sim.ro, "i-00", &report, sim.now);
+    expect_action(&sim, false);
+    report.sequence = 5;
+    report.models[0].version = 2;
+    bbm_rollout_apply_report(sim.ro, "i-00", &report, sim.now);
+    ck_assert_ptr_null(bbm_rollout_next_action(sim.ro, sim.now));
+    /* After a restart the runner counts from the beginning. */
+    sim.listing.items[0].started_at_ms = 10;
+    report.started_at_ms = 10;
+    report.sequence = 0;
+    bbm_rollout_set_target(sim.ro, "m", 3, sim.now);
+    for (int i = 0; i < 2; i++) {
+        expect_action(&sim, false);
+        bbm_rollout_apply_report(sim.ro, "i-00", &report, sim.now);
+    }
+    ck_assert_uint_eq(expect_action(&sim, true)->sequence, 0);
+    teardown(&sim);
+}
+END_TEST
+
+TEST_MAIN("rollout", report_from_before_the_order_is_not_believed,
+          runners_finish_their_requests_before_the_order,
           all_runners_get_the_newest_version, superseded_versions_are_skipped,
           delayed_orders_never_lower_a_version, loading_runners_are_marked,
           stops_when_fenced, three_quarters_serve_under_frequent_versions);
