Gate: an answer that isn't the request's says nothing of its upstream

finish_head() reads what an answer states of its upstream before it is known whose answer it is, and reports it with the attempt's end. The gate used it although the attempt had no answer: a copy of an earlier refusal renewed its pause, its limit, that the upstream leaves or is brittle (test_gate, answer_to_another_request_states_nothing, failed). Such an attempt also counted as a failed connection, though bytes had come from the upstream: two or three of them made the VM take the pool as cut off and relay all its requests (foreign_answers_do_not_cut_a_pool_off, failed; with status 0 the pool is cut off as before).

Both now need no answer's bytes, or an answer of the request. Left as it is: the attempt still counts as a failure of the upstream, and its retry takes from the budget, once each, since the request has no answer and is sent again.

--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -195,7 +195,8 @@
     uint64_t request;            /**< Request number. */
     uint32_t attempt;            /**< As in bbm_forward_request. */
     bbm_forward_outcome outcome; /**< How the attempt ended. */
-    uint32_t status;             /**< HTTP status; 0: no answer. */
+    uint32_t status;             /**< HTTP status of the last head, also of
+                                      one that isn't the request's; 0: none. */
     bool disconnected; /**< The upstream closed the connection before the end
                             of its answer. */
     bool adopted; /**< It is the result of an earlier attempt, whose answer
@@ -203,7 +204,8 @@
                        one was never sent. */
     bbm_time began_at; /**< When the first bytes of the answer's body arrived;
                             0: none did. */
-    bbm_upstream_notice notice;            /**< All zero without an answer. */
+    bbm_upstream_notice notice; /**< All zero without a head; ignored
+                                     with BBM_FORWARD_NO_ANSWER. */
     char last_event_id[BBM_EVENT_ID_SIZE]; /**< Id of the last complete event
                                                 that was forwarded; "":
                                                 none. */
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -193,7 +193,8 @@
     gate_record_failure(g, r->upstream, result->outcome);
     if (result->outcome == BBM_FORWARD_FAILED)
         gate_record_reached(g, r->upstream);
-    else if (result->outcome == BBM_FORWARD_NO_ANSWER && !result->disconnected)
+    else if (result->outcome == BBM_FORWARD_NO_ANSWER && !result->disconnected
+             && !result->status)
         gate_record_unreached(g, r->upstream);
     add_failed_upstream(r, r->upstream);
 }
@@ -246,10 +247,10 @@
     }
     r->previous_outcome = outcome_names[result->outcome];
     r->previous_status = result->status;
-    if (r->stage == GATE_SENT)
-        gate_record_notice(g, r, &result->notice,
-                           result->status
-                               && result->outcome != BBM_FORWARD_NO_ANSWER);
+    /* What came instead of the request's answer may be a copy of an earlier
+       one. */
+    if (r->stage == GATE_SENT && result->outcome != BBM_FORWARD_NO_ANSWER)
+        gate_record_notice(g, r, &result->notice, result->status != 0);
     if (result->disconnected && !result->adopted)
         gate_record_disconnect(g, r);
     gate_release_record_end(g, r, result);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -633,6 +633,46 @@
 }
 END_TEST
 
+/* Ends an attempt with an answer that isn't the request's. */
+static void
+end_with_foreign_answer(fixture *w, const bbm_forward_request *s,
+                        uint32_t status, const bbm_upstream_notice *notice)
+{
+    bbm_forward_result f = {
+        .request = s->request,
+        .attempt = s->attempt,
+        .outcome = BBM_FORWARD_NO_ANSWER,
+        .status = status,
+        .notice = *notice,
+    };
+    bbm_gate_end_attempt(w->gate, &f, w->now);
+}
+
+/* A copy of an earlier answer would renew a pause, a limit, or that the
+   upstream leaves or is brittle. */
+START_TEST(answer_to_another_request_states_nothing)
+{
+    static const bbm_upstream_notice notices[] = {
+        {.leaving = true},
+        {.pause = 5 * BBM_SECOND},
+        {.limited = true, .limit = 0.5},
+        {.brittle = true, .refusals_max = 1},
+        {.invalid = true},
+    };
+    for (size_t i = 0; i < BBM_COUNT(notices); i++) {
+        fixture w = setup(0, 1);
+        begin_request(&w, "/once/a", 0);
+        bbm_forward_request s = expect_send(&w);
+        end_with_foreign_answer(&w, &s, 503, &notices[i]);
+        expect_output(&w, BBM_GATE_ABORT);
+        expect_no_output(&w);
+        w.now += BBM_SECOND;
+        ck_assert_uint_eq(count_served_by(&w, s.upstream, 5), 5);
+        teardown(&w);
+    }
+}
+END_TEST
+
 /* Sends requests until one goes to an upstream, and lets that one fail without
    an answer, or be answered. */
 static void
@@ -650,6 +690,43 @@
     ck_abort_msg("no request goes to %s", upstream);
 }
 
+/* Whether VM a takes its pool as cut off after attempts at all its upstreams
+   that ended without an answer, while VM b is answered. */
+static bool
+is_cut_off_after(uint32_t status)
+{
+    fixture a = setup(0, 3);
+    fixture b = setup_seeded(0, 3, 2);
+    bool cut = false;
+    bbm_gate_set_vm_count(a.gate, 2, false);
+    bbm_gate_set_vm_count(b.gate, 2, false);
+    for (size_t i = 0; i < 3; i++)
+        let_request_to(&b, b.listing.items[i].id, BBM_FORWARD_COMPLETE);
+    exchange_loads_between((fixture *[]){&a, &b}, 2);
+    bbm_forward_request s[3];
+    for (size_t i = 0; i < 3; i++) {
+        begin_request(&a, "/once/a", 0);
+        s[i] = expect_send(&a);
+    }
+    for (size_t i = 0; i < 3; i++)
+        end_with_foreign_answer(&a, &s[i], status, &no_notice);
+    const bbm_gate_output *out;
+    while ((out = bbm_gate_next_output(a.gate)) != NULL)
+        cut =
+            cut || (out->kind == BBM_GATE_POOL_REACH && out->u.pool_reach.cut);
+    teardown(&a);
+    teardown(&b);
+    return cut;
+}
+
+/* An upstream that sends another request's answer is reached. */
+START_TEST(foreign_answers_do_not_cut_a_pool_off)
+{
+    ck_assert(is_cut_off_after(0));
+    ck_assert(!is_cut_off_after(200));
+}
+END_TEST
+
 /* With many VMs, an upstream that two of them get no answer from is avoided by
    the others too, unless it answers some VM. */
 START_TEST(suspicion_is_shared_between_many_vms)
@@ -1556,7 +1633,9 @@
     order_of_a_half_closed_client_is_sent_nowhere_else,
     only_orders_go_on_without_their_client, leaving_upstreams_get_no_requests,
     upstream_that_says_it_leaves_gets_no_requests,
-    notice_of_an_earlier_run_is_ignored, notices_reach_other_vms,
+    notice_of_an_earlier_run_is_ignored,
+    answer_to_another_request_states_nothing,
+    foreign_answers_do_not_cut_a_pool_off, notices_reach_other_vms,
     suspicion_is_shared_between_many_vms,
     pause_of_one_upstream_costs_no_client,
     pause_of_most_upstreams_costs_no_client,
