Watcher: a failure that an engine sends twice is one failure

The watcher polls engines on kept connections. An engine that sends a 503 twice, late, where the next report is due, counted a second failed poll, and its reports shifted by one (test_provider, copied_failure_is_not_an_engines_next_report, failed: the second result was CONTROL_REPORT_FAILED again). As in the provider's thread a connection is now kept only after a report (200), and a poll isn't sent on one with unread bytes. A copied report is told by the numbers of its events (bbm_fleet_report()), so reports keep their connections; orders have had one of their own before.

What traffic, provider and watcher share is in calls.c (calls_track_connection, calls_restart) and connections.c (connection_use_log_replaced).

test_provider's server counted a connection after it had begun to answer on it, so that silent_connection_to_the_list_is_replaced, which opens one for each call since the last change but two, failed in 1 of 6 runs by the test's own race.

--- a/daemon/calls.c
+++ b/daemon/calls.c
@@ -112,6 +112,15 @@
     curl_multi_add_handle(c->multi, easy);
 }
 
+void
+calls_restart(calls *c, CURL *easy, connection_use *use)
+{
+    connection_use_begin(use);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    calls_remove(c, easy);
+    calls_add(c, easy);
+}
+
 void
 calls_remove(calls *c, CURL *easy)
 {
@@ -140,6 +149,24 @@
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
+static int
+on_socket(void *context, curl_socket_t fd, curlsocktype purpose)
+{
+    (void)purpose;
+    connection_use_open(context, fd);
+    return CURL_SOCKOPT_OK;
+}
+
+void
+calls_track_connection(CURL *easy, connections *table, connection_use *use)
+{
+    connection_use_begin(use);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, use);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, connections_close);
+    curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, table);
+}
+
 void
 calls_set_request(CURL *easy, const char *method, const bbm_buf *body)
 {
--- a/daemon/calls.h
+++ b/daemon/calls.h
@@ -15,6 +15,7 @@
 #define CALLS_H
 
 #include "bbm_pack.h"
+#include "connections.h"
 
 #include <curl/curl.h>
 
@@ -64,6 +65,10 @@
 /** Use a new connection for this transfer and close it afterwards: libcurl
  *  resends a request by itself only on a reused connection. */
 void calls_forbid_reuse(CURL *easy);
+/** Keep the connections of a transfer in @p table, which outlives the client.
+ *  @p use begins anew; it is for connections_find(). */
+void calls_track_connection(CURL *easy, connections *table,
+                            connection_use *use);
 /** Set method and body.  @p body must outlive the transfer; NULL: no body. */
 void calls_set_request(CURL *easy, const char *method, const bbm_buf *body);
 /** Append a header line; the list stays as it is if memory runs out. */
@@ -71,6 +76,8 @@
 
 /** Start a transfer. */
 void calls_add(calls *c, CURL *easy);
+/** Start a finished transfer again, on a new connection. */
+void calls_restart(calls *c, CURL *easy, connection_use *use);
 /** Remove a transfer, finished or not.  The handle is not released: the owner
  *  calls curl_easy_cleanup(). */
 void calls_remove(calls *c, CURL *easy);
--- a/daemon/connections.c
+++ b/daemon/connections.c
@@ -194,6 +194,15 @@
             more[0], more[1], more[2], more[3], NULL);
 }
 
+void
+connection_use_log_replaced(const connection_use *u, const char *id,
+                            const char *upstream, const char *why)
+{
+    atomic_fetch_add(&connection_count.replaced, 1);
+    connection_use_log(u, BBM_EVENT_CONNECTION_REPLACED, id, upstream,
+                       (const char *[4]){"why", why});
+}
+
 int
 connections_close(void *table, int fd)
 {
--- a/daemon/connections.h
+++ b/daemon/connections.h
@@ -79,6 +79,10 @@
 void connection_use_log(const connection_use *u, bbm_log_event event,
                         const char *id, const char *upstream,
                         const char *const more[4]);
+/** Log and count a kept connection on which a request couldn't be sent.
+ *  @p why as from connection_use_conflict(). */
+void connection_use_log_replaced(const connection_use *u, const char *id,
+                                 const char *upstream, const char *why);
 /** Close a socket, of a known connection or not; @p table is a connections. */
 int connections_close(void *table, int fd);
 
--- a/daemon/provider.c
+++ b/daemon/provider.c
@@ -152,9 +152,7 @@
     c->unusable_connection = !c->fresh_connection && why;
     if (!c->unusable_connection)
         return false;
-    atomic_fetch_add(&connection_count.replaced, 1);
-    connection_use_log(&c->connection, BBM_EVENT_CONNECTION_REPLACED, "",
-                       c->id, (const char *[4]){"why", why});
+    connection_use_log_replaced(&c->connection, "", c->id, why);
     return true;
 }
 
@@ -175,15 +173,6 @@
     return CURL_PREREQFUNC_OK;
 }
 
-static int
-on_socket(void *context, curl_socket_t fd, curlsocktype purpose)
-{
-    (void)purpose;
-    call *c = context;
-    connection_use_open(&c->connection, fd);
-    return CURL_SOCKOPT_OK;
-}
-
 static call *
 new_call(provider *p, call_kind kind, const char *id)
 {
@@ -270,12 +259,8 @@
     snprintf(url, sizeof(url), "http://%s%s", address, path);
     CURL *e = calls_create_easy(url, "http", CONNECT_TIMEOUT_MS);
     c->easy = e;
-    connection_use_begin(&c->connection);
+    calls_track_connection(e, p->connections, &c->connection);
     curl_easy_setopt(e, CURLOPT_PRIVATE, c);
-    curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
-    curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, c);
-    curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, connections_close);
-    curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, p->connections);
     curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, timeout_ms);
     curl_easy_setopt(e, CURLOPT_MAXAGE_CONN, CONNECTION_IDLE_MAX_S);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
@@ -300,10 +285,7 @@
 {
     c->unusable_connection = false;
     c->fresh_connection = true;
-    connection_use_begin(&c->connection);
-    curl_easy_setopt(c->easy, CURLOPT_FRESH_CONNECT, 1L);
-    calls_remove(p->calls, c->easy);
-    calls_add(p->calls, c->easy);
+    calls_restart(p->calls, c->easy, &c->connection);
 }
 
 static void
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -285,15 +285,6 @@
     return len;
 }
 
-static void
-log_replaced(const traffic_transfer *x, const char *why)
-{
-    atomic_fetch_add(&connection_count.replaced, 1);
-    connection_use_log(&x->connection, BBM_EVENT_CONNECTION_REPLACED,
-                       x->start.request_id, x->start.upstream,
-                       (const char *[4]){"why", why});
-}
-
 /* libcurl calls this right before it sends the request, and again if it is
    about to resend it because a reused connection was dead. */
 static int
@@ -313,7 +304,8 @@
         x->fresh_connection ? NULL : connection_use_conflict(&x->connection);
     x->unusable_connection = conflict != NULL;
     if (conflict) {
-        log_replaced(x, conflict);
+        connection_use_log_replaced(&x->connection, id, x->start.upstream,
+                                    conflict);
         return CURL_PREREQFUNC_ABORT;
     }
     if (!exchange_begin_send(x->ex))
@@ -323,27 +315,14 @@
     return CURL_PREREQFUNC_OK;
 }
 
-static int
-on_socket(void *context, curl_socket_t fd, curlsocktype purpose)
-{
-    (void)purpose;
-    traffic_transfer *x = context;
-    connection_use_open(&x->connection, fd);
-    return CURL_SOCKOPT_OK;
-}
-
 /* ---- starting ---- */
 
 static void
 create_easy(traffic_transfer *x)
 {
-    connection_use_begin(&x->connection);
     traffic_request_build(x);
     CURL *e = x->easy;
-    curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
-    curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, x);
-    curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, connections_close);
-    curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, x->thread->connections);
+    calls_track_connection(e, x->thread->connections, &x->connection);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, x);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
@@ -397,10 +376,7 @@
 {
     x->unusable_connection = false;
     x->fresh_connection = true;
-    connection_use_begin(&x->connection);
-    curl_easy_setopt(x->easy, CURLOPT_FRESH_CONNECT, 1L);
-    calls_remove(t->calls, x->easy);
-    calls_add(t->calls, x->easy);
+    calls_restart(t->calls, x->easy, &x->connection);
 }
 
 /* ---- ending ---- */
--- a/daemon/watcher.c
+++ b/daemon/watcher.c
@@ -2,6 +2,7 @@
 
 #include "bbm_table.h"
 #include "calls.h"
+#include "connections.h"
 #include "control.h"
 #include "watcher_report.h"
 
@@ -47,12 +48,20 @@
     struct curl_slist *headers;
     bbm_time not_after; /* 0: no limit */
     bool expired;       /* not sent, as not_after had passed */
+    watcher *thread;
+    CURL *easy;
+    char number[24]; /* stands for an id, which calls don't have */
+    connection_use connection;
+    bool fresh_connection;    /* never use an idle connection */
+    bool unusable_connection; /* its answer couldn't be told from another */
 } call;
 
 struct watcher {
     mailbox *control;
     bbm_time period;
     calls *calls;
+    connections *connections;
+    uint64_t last_call; /* number of the last call */
     watched_engine *engines;
 };
 
@@ -98,26 +107,59 @@
 }
 
 /* libcurl calls this right before it sends the request.  Aborts an order that
-   is past its time limit. */
+   is past its time limit, and a poll whose answer couldn't be told from a late
+   one. */
 static int
 on_before_send(void *context, char *remote_ip, char *local_ip, int remote_port,
                int local_port)
 {
-    (void)remote_ip;
     (void)local_ip;
-    (void)remote_port;
-    (void)local_port;
     call *c = context;
     c->expired = c->not_after && control_now() > c->not_after;
-    return c->expired ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    if (c->expired)
+        return CURL_PREREQFUNC_ABORT;
+    connections_find(c->thread->connections, &c->connection, remote_ip,
+                     remote_port, local_port, c->number);
+    const char *conflict =
+        c->fresh_connection ? NULL : connection_use_conflict(&c->connection);
+    c->unusable_connection = conflict != NULL;
+    if (conflict) {
+        connection_use_log_replaced(&c->connection, "", c->engine->name,
+                                    conflict);
+        return CURL_PREREQFUNC_ABORT;
+    }
+    connections_record(c->thread->connections, &c->connection, c->number);
+    return CURL_PREREQFUNC_OK;
+}
+
+/* Of any answer but a report a copy may come where the next report is due.  A
+   copied report shows by the numbers of its events. */
+static size_t
+on_header(char *data, size_t size, size_t n, void *context)
+{
+    const call *c = context;
+    long status = 0;
+    if (size * n != 2 || data[0] != '\r')
+        return size * n;
+    curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
+    if (status != 200 || connection_use_is_last(&c->connection))
+        curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
+    return size * n;
 }
 
 static CURL *
-new_call(call *c, const char *url, long timeout_ms)
+new_call(watcher *w, call *c, const char *url, long timeout_ms)
 {
     CURL *e = calls_create_easy(url, "http,https", CONNECT_TIMEOUT_MS);
+    c->thread = w;
+    c->easy = e;
+    snprintf(c->number, sizeof(c->number), "%llu",
+             (unsigned long long)++w->last_call);
+    calls_track_connection(e, w->connections, &c->connection);
     curl_easy_setopt(e, CURLOPT_PRIVATE, c);
     curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, timeout_ms);
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
     curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_before_send);
@@ -147,7 +189,7 @@
                  (unsigned long long)r->last_event);
     r->in_flight = true;
     r->next_poll_at = now + w->period;
-    calls_add(w->calls, new_call(c, url, REPORT_TIMEOUT_MS));
+    calls_add(w->calls, new_call(w, c, url, REPORT_TIMEOUT_MS));
 }
 
 static void
@@ -165,10 +207,11 @@
     c->body = json_dumps(doc, JSON_COMPACT);
     json_decref(doc);
     long limit = (long)(a->u.order.timeout / BBM_MS);
-    CURL *e = new_call(c, url, limit);
+    CURL *e = new_call(w, c, url, limit);
     c->headers = curl_slist_append(NULL, "Content-Type: application/json");
     curl_easy_setopt(e, CURLOPT_HTTPHEADER, c->headers);
     curl_easy_setopt(e, CURLOPT_POSTFIELDS, c->body);
+    c->fresh_connection = true;
     calls_forbid_reuse(e);
     calls_add(w->calls, e);
 }
@@ -231,6 +274,12 @@
     call *c = NULL;
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &c);
+    if (c->unusable_connection) {
+        c->unusable_connection = false;
+        c->fresh_connection = true;
+        calls_restart(w->calls, easy, &c->connection);
+        return;
+    }
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     calls_remove(w->calls, easy);
     curl_easy_cleanup(easy);
@@ -315,6 +364,7 @@
     watcher *w = bbm_calloc(1, sizeof(*w));
     w->control = control;
     w->period = period;
+    w->connections = connections_create();
     w->calls = calls_create(&(calls_desc){
         .context = w,
         .run_job = run_job,
@@ -335,5 +385,6 @@
     calls_stop(w->calls, INT_MAX, POLL_WAIT_MS);
     BBM_TABLE_FREE(watched_engine, w->engines);
     calls_destroy(w->calls);
+    connections_destroy(w->connections);
     free(w);
 }
--- a/tests/test_provider.c
+++ b/tests/test_provider.c
@@ -1,10 +1,11 @@
-/* Kept connections of the provider's calls that go silent: a call fails within
-   its time, and the next one has a new connection.  Servers that send an
-   answer twice, the copy where the next one is due: it isn't taken for that
-   one. */
+/* Kept connections of the provider's and the watcher's calls that go silent: a
+   call fails within its time, and the next one has a new connection.  Servers
+   that send an answer twice, the copy where the next one is due: it isn't
+   taken for that one. */
 #include "control.h"
 #include "provider.h"
 #include "test_main.h"
+#include "watcher.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -95,8 +96,8 @@
         reader *r = malloc(sizeof(*r));
         *r = (reader){.server = s, .number = number};
         s->fds[number] = fd;
-        pthread_create(&s->readers[number], NULL, serve_connection, r);
         atomic_fetch_add(&s->connections, 1);
+        pthread_create(&s->readers[number], NULL, serve_connection, r);
     }
     return NULL;
 }
@@ -421,7 +422,47 @@
 }
 END_TEST
 
-TEST_MAIN("provider", silent_connection_to_the_list_is_replaced,
+static void
+fail_first_state(server *s, int fd, int n)
+{
+    char body[512];
+    snprintf(body, sizeof(body),
+             "{\"incarnation\":\"8\",\"weights\":\"v1\",\"running\":0,"
+             "\"queued\":0,\"backlog_tokens\":0,\"age_ms\":0,"
+             "\"leaving\":false,\"loading\":false,\"whole\":true,"
+             "\"first_event\":%d,\"last_event\":%d,\"events\":[]}",
+             n, n);
+    answer_behind_copy(s, fd, n == 1 ? "503 Busy" : "200 OK", body);
+    if (n > 1)
+        s->copied_to = -1;
+}
+
+/* An engine that reports would count one more failure. */
+START_TEST(copied_failure_is_not_an_engines_next_report)
+{
+    char url[BBM_NAME_SIZE + 8];
+    fixture w;
+    set_up_script(&w, fail_first_state);
+    snprintf(url, sizeof(url), "http://%s", w.server.address);
+    watcher *engines = watcher_create(w.control, 100 * BBM_MS);
+    watcher_watch(engines, "e", url, true);
+    control_item_destroy(expect_result(&w, CONTROL_REPORT_FAILED, 1000));
+    for (uint64_t n = 2; n <= 5; n++) {
+        control_item *item;
+        while ((item = mailbox_take(w.control)) == NULL)
+            mailbox_wait(w.control, 10);
+        ck_assert_int_eq(item->kind, CONTROL_REPORT);
+        ck_assert_uint_eq(item->report.last_event, n);
+        control_item_destroy(item);
+    }
+    ck_assert_int_eq(atomic_load(&w.server.connections), 2);
+    watcher_destroy(engines);
+    tear_down(&w);
+}
+END_TEST
+
+TEST_MAIN("provider", copied_failure_is_not_an_engines_next_report,
+          silent_connection_to_the_list_is_replaced,
           silent_connection_for_reports_is_replaced,
           silent_connection_to_a_store_is_replaced,
           copied_list_is_not_the_next_one, copied_page_is_not_the_next_one,
