Soak: refusals and copies of all kinds, streams, later attempts, cut VMs

Upstreams now refuse with 503, 429, 421, 408 and 400, copy refusals (copy) and some other answers (copy-all) on the idle connection, as a request arrives, behind an interim answer or late, stand under two ids at one address (alias), and serve two versions (versions).

Each attempt has a name of its own, so that REFUSED is judged per attempt under one id too; events name their order, version and run. Answers that were lost though the order ran to a good end are counted, and per rule what could have broken it. Draws of the upstreams follow from the seed.

--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -9,11 +9,14 @@
 shift 2
 mkdir -p "$folder"
 mkfifo "$folder/starts" || exit 2
+preload=
+case " $* " in *" --cut "*) preload=$build/libsoak_cut.so ;; esac
 put() { # FILE NUMBER: the file is there only with its content
     echo "$2" >"$1.new" && mv "$1.new" "$1"
 }
 run_daemon() { # VM
-    "$build/bluebellmoord" --settings "$folder/vm-$1.json" >>"$folder/vm-$1.log" 2>&1 &
+    env ${preload:+"LD_PRELOAD=$preload" "SOAK_CUT_FILE=$folder/vm-$1.cut" "SOAK_CUT_SOURCE=127.0.2.$1"} \
+        "$build/bluebellmoord" --settings "$folder/vm-$1.json" >>"$folder/vm-$1.log" 2>&1 &
     local pid=$!
     put "$folder/vm-$1.pid" "$pid"
     wait "$pid" 2>/dev/null
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -3,14 +3,16 @@
 
        run.sh BUILD FOLDER [--seed N] [--seconds N] [--vms N] [--clients N]
               [--port N] [--actions NAME,...] [--callers NAME,...]
-              [--upstreams NAME,...] [--steady N] [--pause MS]
+              [--upstreams NAME,...] [--steady N] [--cut N] [--pause MS]
 
    Callers stay until they have an answer; --callers lets some half-close,
-   leave, wander, resend, retry, or retry under the same-id; --upstreams lets
-   them be faulty, refuse, copy and restart (see soak_world.h).  With --steady,
-   the first N VMs are left alone, and callers use these first.  --pause is the
-   longest time between two actions at a VM; by default it rises with their
-   number.
+   leave, wander, resend, retry, retry under the same-id, or resume streams;
+   --upstreams lets them be faulty, refuse, copy, copy-all, restart, and have
+   an alias or two versions (see soak_world.h).  With --steady, the first N VMs
+   are left alone, and callers use these first.  With --cut, the last N VMs are
+   cut from all upstreams at times, so that other VMs forward their requests.
+   --pause is the longest time between two actions at a VM; by default it rises
+   with their number.
 
    Exit status: 0 no rule was broken, 1 one was, 2 it could not run. */
 #include "soak_world.h"
@@ -38,6 +40,9 @@
 #define READY_MS_MAX 20000
 /* A VM whose disk was lost has this time before the next one may lose its. */
 #define WIPE_GAP_MS 15000
+/* A VM is cut from the upstreams, and isn't, for a time of these. */
+#define CUT_MS_MIN 300
+#define CUT_MS_DRAWN 2500
 /* VMs with a disk. */
 #define DISKS 3
 
@@ -52,6 +57,9 @@
     bool kill_sent;
     bool wiped; /* its disk has been lost: it isn't a first start */
     int herds;  /* that it has taken part in */
+    soak_random cut_random;
+    int64_t cut_until; /* it is cut, or not, until then */
+    bool cut;
 } vm;
 
 static struct options {
@@ -61,6 +69,7 @@
     int64_t seconds;
     int vms;
     int steady;
+    int cut;
     int64_t pause_ms;
     soak_callers callers;
     soak_upstreams upstreams;
@@ -75,6 +84,7 @@
 static vm vms[SOAK_VMS_MAX];
 static int starter; /* pipe to run.sh */
 static int64_t end_at;
+static pthread_t cuts_thread;
 static atomic_int config_version = 1;
 static atomic_int acked_version; /* newest configuration that was acked */
 static atomic_int herds;         /* times at which all VMs were killed */
@@ -153,6 +163,20 @@
     write_bytes(path, text, len);
 }
 
+/* Cuts a VM from all upstreams, or ends the cut. */
+static void
+set_cut(const vm *v, bool cut)
+{
+    char path[512];
+    vm_path(v, "cut", path);
+    if (cut)
+        write_bytes(path, "", 0);
+    else
+        unlink(path);
+    soak_upstreams_cut(v->number, cut);
+    say(v, cut ? "is cut from the upstreams" : "reaches the upstreams", 0);
+}
+
 /* ---- processes ---- */
 
 /* The number in a file that run.sh writes; -1: there is no file yet. */
@@ -486,14 +510,18 @@
         "{\"version\":%d,\"routes\":["
         "{\"name\":\"once\",\"host\":\"a.example\",\"path-prefix\":\"/once/\","
         "\"type\":\"unsafe\",\"timeout-ms\":5000,\"target-latency-ms\":800,"
-        "\"max-attempts\":1,\"public\":true,\"service\":\"api\"},"
+        "\"max-attempts\":3,\"public\":true,\"service\":\"api\"},"
         "{\"name\":\"safe\",\"host\":\"a.example\",\"path-prefix\":\"/safe/\","
         "\"type\":\"safe\",\"timeout-ms\":5000,\"target-latency-ms\":800,"
         "\"max-attempts\":2,\"public\":true,\"service\":\"api\"},"
         "{\"name\":\"stream\",\"host\":\"a.example\",\"path-prefix\":"
         "\"/stream/\",\"type\":\"stream\",\"timeout-ms\":5000,"
         "\"target-latency-ms\":800,\"target-gap-ms\":500,\"max-attempts\":2,"
-        "\"public\":true,\"resumable\":true,\"service\":\"api\"}],"
+        "\"public\":true,\"resumable\":true,\"service\":\"api\"},"
+        "{\"name\":\"talk\",\"host\":\"a.example\",\"path-prefix\":"
+        "\"/talk/\",\"type\":\"stream\",\"timeout-ms\":5000,"
+        "\"target-latency-ms\":800,\"target-gap-ms\":500,\"max-attempts\":3,"
+        "\"public\":true,\"service\":\"api\"}],"
         "\"services\":[{\"name\":\"api\",\"max-connections\":200}],"
         "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":65536,"
         "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},"
@@ -593,6 +621,37 @@
     }
 }
 
+/* The VMs of --cut are cut from the upstreams at times. */
+static void
+play_cuts(void)
+{
+    for (int i = 1; i < opt.vms && i <= opt.cut; i++) {
+        vm *v = &vms[i];
+        if (soak_now_ms() < v->cut_until)
+            continue;
+        bool cut = v->cut_until && !v->cut;
+        if (cut != v->cut)
+            set_cut(v, cut);
+        v->cut = cut;
+        v->cut_until =
+            soak_now_ms()
+            + (int64_t)(CUT_MS_MIN + soak_draw(&v->cut_random, CUT_MS_DRAWN));
+    }
+}
+
+static void *
+run_cuts(void *context)
+{
+    (void)context;
+    for (; soak_now_ms() < end_at; soak_sleep_ms(20))
+        play_cuts();
+    for (int i = 0; i < opt.vms; i++) {
+        if (vms[i].cut)
+            set_cut(&vms[i], false);
+    }
+    return NULL;
+}
+
 /* Returns sooner if all VMs are killed meanwhile. */
 static void
 wait_for_turn(vm *v, int64_t ms)
@@ -637,11 +696,14 @@
     starter = open(path, O_WRONLY | O_CLOEXEC);
     if (starter < 0)
         return false;
+    opt.upstreams.seed = opt.seed;
     soak_upstreams_start((uint16_t)(opt.port + SOAK_PORTS), &opt.upstreams);
     for (int i = 0; i < opt.vms; i++) {
         vm *v = &vms[i];
         char disk[512];
-        *v = (vm){.number = i, .random = {opt.seed * 7919 + (uint64_t)i}};
+        *v = (vm){.number = i,
+                  .random = {opt.seed * 7919 + (uint64_t)i},
+                  .cut_random = {opt.seed * 104729 + (uint64_t)i}};
         snprintf(disk, sizeof(disk), "%s/disk-%d", opt.folder, i + 1);
         if (i < DISKS)
             mkdir(disk, 0755);
@@ -663,6 +725,7 @@
 {
     for (int i = 0; i < opt.vms; i++)
         pthread_join(vms[i].thread, NULL);
+    pthread_join(cuts_thread, NULL);
     for (int i = 0; i < opt.vms; i++) {
         if (!until_ready(&vms[i], READY_MS_MAX))
             soak_break("RECOVER vm-%d isn't ready %d ms after the last fault",
@@ -693,6 +756,7 @@
         {"callers", required_argument, NULL, 'k'},
         {"upstreams", required_argument, NULL, 'u'},
         {"steady", required_argument, NULL, 'y'},
+        {"cut", required_argument, NULL, 'x'},
         {"pause", required_argument, NULL, 'w'},
         {NULL, 0, NULL, 0},
     };
@@ -723,6 +787,7 @@
             opt.callers.leave = names_one(optarg, "leave");
             opt.callers.wander = names_one(optarg, "wander");
             opt.callers.resend = names_one(optarg, "resend");
+            opt.callers.resume = names_one(optarg, "resume");
             opt.callers.same_id = names_one(optarg, "same-id");
             opt.callers.retry =
                 opt.callers.same_id || names_one(optarg, "retry");
@@ -731,13 +796,19 @@
             opt.upstreams = (soak_upstreams){
                 .faulty = names_one(optarg, "faulty"),
                 .refuse = names_one(optarg, "refuse"),
+                .copy_all = names_one(optarg, "copy-all"),
                 .copy = names_one(optarg, "copy"),
                 .restart = names_one(optarg, "restart"),
+                .alias = names_one(optarg, "alias"),
+                .versions = names_one(optarg, "versions"),
             };
             break;
         case 'y':
             opt.steady = (int)number;
             break;
+        case 'x':
+            opt.cut = (int)number;
+            break;
         case 'w':
             opt.pause_ms = number;
             break;
@@ -786,9 +857,18 @@
         if (pthread_create(&vms[i].thread, NULL, run_vm, &vms[i]) != 0)
             abort();
     }
+    if (pthread_create(&cuts_thread, NULL, run_cuts, NULL) != 0)
+        abort();
     finish();
     kill_processes();
     soak_check_orders();
+    soak_upstreams_report();
+    printf("callers: %d bodies (could break MIXED), %d events (could break "
+           "ORDER), %d later attempts, %d streams taken up, of which %d went "
+           "on\n",
+           atomic_load(&soak_count.bodies), atomic_load(&soak_count.events),
+           atomic_load(&soak_count.retries), atomic_load(&soak_count.resumed),
+           atomic_load(&soak_count.went_on));
     printf("seed %llu: %d served, %d refused, %d failed, %d unread, %d left, "
            "%d of %d half-closed orders served, %d broken\n",
            (unsigned long long)opt.seed, atomic_load(&soak_count.served),
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -56,30 +56,58 @@
 /** Value of a header of such a message, copied; "" if it has none. */
 const char *soak_header(const char *text, const char *name, char value[64]);
 
-/** What upstreams do beside answering. */
+/** The body of a message that broke off, without chunks, in place. */
+const char *soak_partial_body(char *text);
+
+/** What upstreams do beside answering; drawn for each request. */
 typedef struct soak_upstreams {
-    bool faulty; /**< Some requests are refused as not run, fail, or lose their
-                      answer. */
-    bool refuse; /**< A fifth of the requests is refused as not run. */
-    bool copy;   /**< A refusal comes once more when the next request on its
-                      connection has arrived. */
-    bool restart; /**< They start again under a new id every
-                       SOAK_RESTART_MS. */
+    uint64_t seed;
+    bool faulty; /**< Some requests are refused as not run, fail, lose their
+                      answer, or have it cut. */
+    bool refuse; /**< A fifth of the requests is refused as not run, with one
+                      of several statuses. */
+    bool copy;   /**< Refusals come once more on their connection: while it is
+                      idle, or with the next request, before its answer. */
+    bool copy_all; /**< So do some answers of other kinds. */
+    bool restart;  /**< They start again under a new id every
+                        SOAK_RESTART_MS. */
+    bool alias;    /**< Each is listed under two ids at its address. */
+    bool versions; /**< They serve two versions of their software. */
 } soak_upstreams;
 
-/** Start the list and the upstreams on 127.0.0.1, ports from @p port. */
+/** Start the list on 127.0.0.1 and the upstreams on 127.0.3.1, ports from
+ *  @p port. */
 void soak_upstreams_start(uint16_t port, const soak_upstreams *kinds);
 /** True if they break off answers. */
 bool soak_upstreams_fail(void);
-/** How often an attempt id, or an order over all its attempts, ran.  The id of
- *  an order's attempt is that of the order, or begins with it and a point. */
-int soak_run_count(const char *id);
-/** Keep an order's id for soak_check_orders(); @p promised if its client was
- *  told that it has not run and never will. */
-void soak_record_order(const char *id, bool promised);
-/** An order is asked for again under its id: a promise for it has ended. */
-void soak_record_retry(const char *id);
-/** Report the orders that ran twice, and those that ran after a promise. */
+/** Cut a VM from the upstreams, or end the cut: idle connections are reset.
+ *  New ones are refused by soak_cut.c. */
+void soak_upstreams_cut(int vm, bool cut);
+/** Print what the upstreams have counted. */
+void soak_upstreams_report(void);
+
+/* Each attempt of a caller has a name of its own, that of its order and the
+   attempt's number after a point.  Its id differs if an order is tried again
+   under one id. */
+
+/** An upstream begins to run an attempt. */
+void soak_record_run(const char *attempt);
+/** An upstream has sent the whole answer of an attempt. */
+void soak_record_complete(const char *attempt);
+/** How often an attempt, or an order over all its attempts, ran. */
+int soak_run_count(const char *name);
+
+/** What a caller was told of an attempt that may run once. */
+typedef enum soak_verdict {
+    SOAK_ANSWERED,
+    SOAK_PROMISED, /**< It has not run and never will. */
+    SOAK_LOST,     /**< Nothing is known of it: 502, 504, or an answer that
+                        broke off. */
+} soak_verdict;
+/** Keep what a caller was told for soak_check_orders(). */
+void soak_record_attempt(const char *attempt, soak_verdict verdict);
+/** Report the orders that ran twice, and the attempts that ran after a
+ *  promise. */
 void soak_check_orders(void);
 
 /** A time during which a VM is killed or frozen. */
@@ -98,7 +126,12 @@
     atomic_int left;    /* the client didn't wait for the answer */
     atomic_int half_closed_orders; /* sent by clients that then read on */
     atomic_int half_closed_served; /* of these */
-    atomic_int broken;             /* rules, see soak_break() */
+    atomic_int bodies;  /* compared with what the request's run wrote */
+    atomic_int events;  /* the same, of streams */
+    atomic_int retries; /* attempts after the first of a request */
+    atomic_int resumed; /* of these, attempts to take up a stream */
+    atomic_int went_on; /* of these, streams that went on */
+    atomic_int broken;  /* rules, see soak_break() */
 } soak_counts;
 extern soak_counts soak_count;
 
@@ -112,9 +145,12 @@
     bool leave;      /* some close their connection before the answer */
     bool wander;  /* after a refusal or a failure they ask the directory, and
                      go to another VM */
-    bool retry;   /* they try an order again, with a new id, if they are told
-                     that it has not run */
+    bool retry;   /* they try again, with a new id: what may run once if they
+                     are told that it has not run, all else after any failure;
+                     those that wander go to a random VM for it */
     bool same_id; /* the same, under the id that it had */
+    bool resume;  /* they take up streams that broke off, where the route
+                     allows it */
     bool resend;  /* they send an order again if its connection ends before any
                      byte of an answer, as many client libraries do; not if the
                      soak has killed its VM */
