--- a/tests/process.sh
+++ b/tests/process.sh
@@ -1030,7 +1030,8 @@
 }
 
 t_copied_refusals() { # the copy of a refusal isn't taken for the answer to a request that is sent again
-    soak copied_refusals 12 "" --steady 3 --clients 40 --callers same-id --upstreams restart,refuse,copy
+    soak copied_refusals 15 "" --steady 3 --cut 2 --clients 40 --callers same-id,resume,wander \
+        --upstreams restart,refuse,copy,copy-all,alias
 }
 
 t_refused_half_closed() { # an order whose caller closed its sending side isn't refused with a promise and run
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -72,12 +72,12 @@
                  "Last-Event-Id: %d\r\nResumes: %s\r\n", q->stream.last,
                  q->stream.first_id);
     snprintf(q->text, sizeof(q->text),
-             "POST /%s/x HTTP/1.1\r\nHost: a.example\r\n"
+             "POST /%s/%s HTTP/1.1\r\nHost: a.example\r\n"
              "X-Bluebellmoor-Attempt-Id: %s\r\nX-Soak-Attempt: %s\r\n"
              "X-Soak-Vm: %d\r\n"
              "X-Bluebellmoor-Deadline-Ms: %d\r\nX-Work-Ms: %d\r\n"
              "%sContent-Length: 2\r\n\r\n{}",
-             soak_kind_names[q->kind], q->id, q->attempt, q->vm,
+             soak_kind_names[q->kind], q->order, q->id, q->attempt, q->vm,
              DAEMON_TIMEOUT_MS, draw_work_ms(c), resumption);
     q->sent_at = soak_now_ms();
     atomic_fetch_add(&soak_count.retries, tries > 0);
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -117,6 +117,24 @@
 
 /* ---- answers ---- */
 
+static void
+reset_at_close(const connection *c)
+{
+    static const struct linger reset = {.l_onoff = 1};
+    setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+/* An upstream that starts again resets its connections.  Returns false if it
+   did since the connection was accepted. */
+static bool
+survives(const connection *c)
+{
+    if (c->restarts == restarts(c->upstream, 0))
+        return true;
+    reset_at_close(c);
+    return false;
+}
+
 static bool
 send_part(connection *c, const char *text)
 {
@@ -155,6 +173,8 @@
     bool sent = true;
     for (int i = q->after + 1; i <= EVENTS && i <= events + 1 && sent; i++) {
         soak_sleep_ms(q->work_ms / EVENTS);
+        if (!survives(c))
+            return false;
         int len =
             snprintf(event, sizeof(event), "id: %d\ndata: %.*s v%d %llu\n\n",
                      i, order_len(q), q->attempt, version_of(c->upstream),
@@ -175,6 +195,8 @@
     char text[512];
     if (!q->stream) {
         soak_sleep_ms(q->work_ms);
+        if (!survives(c))
+            return false;
         snprintf(text, sizeof(text),
                  "HTTP/1.1 200 OK\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
                  "X-Bluebellmoor-Server-Stamp: s\r\nContent-Length: %zu\r\n"
@@ -277,13 +299,6 @@
     "421 Misdirected Request", "400 Bad Request"};
 #define BARE_STATUSES 3
 
-static void
-reset_at_close(const connection *c)
-{
-    static const struct linger reset = {.l_onoff = 1};
-    setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-}
-
 /* Returns false if the connection is to be closed. */
 static bool
 play_fault(connection *c, upstream_request *q, fault f)
@@ -428,11 +443,7 @@
             send_list(c->fd);
             continue;
         }
-        if (c->restarts != restarts(c->upstream, 0)) {
-            reset_at_close(c);
-            break;
-        }
-        open = serve_request(c, text);
+        open = survives(c) && serve_request(c, text);
     }
     free(text);
     close(c->fd);
