--- a/tests/soak/soak_world.c
+++ b/tests/soak/soak_world.c
@@ -234,3 +234,17 @@
     printf("BROKEN %lld %s\n", (long long)soak_now_ms(), text);
     fflush(stdout);
 }
+
+bool
+soak_names_one(const char *names, const char *name)
+{
+    size_t len = strlen(name);
+    while (names) {
+        if (strncmp(names, name, len) == 0
+            && (!names[len] || names[len] == ','))
+            return true;
+        names = strchr(names, ',');
+        names = names ? names + 1 : NULL;
+    }
+    return false;
+}
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -38,6 +38,8 @@
 /** Milliseconds of the steady clock. */
 int64_t soak_now_ms(void);
 void soak_sleep_ms(int64_t ms);
+/** True if a list split by commas has the name; NULL: no list. */
+bool soak_names_one(const char *names, const char *name);
 /** Dotted address of a VM, from 0. */
 const char *soak_vm_ip(int vm, char text[32]);
 /** A socket connected to an address, or -1. */
