--- a/base/bbm_format.h
+++ b/base/bbm_format.h
@@ -32,6 +32,8 @@
                                 and reports state the latest totals. */
     BBM_FORMAT_RELEASES,   /**< Releases of software in commands and snapshots,
                                 and the evidence about them. */
+    BBM_FORMAT_DEFLATED,   /**< Compressed configurations in commands and
+                                snapshots. */
     BBM_FORMAT_COUNT,      /**< Number of values. */
     BBM_FORMAT_LATEST = BBM_FORMAT_COUNT - 1, /**< Of this build. */
 } bbm_format;
--- a/node/node_propose.c
+++ b/node/node_propose.c
@@ -46,6 +46,16 @@
     return false;
 }
 
+/* Appends a command as a format has it.  One that the format lacks stays as
+   it is: what proposes those knows who reads them. */
+static void
+put_command(bbm_buf *buf, const uint8_t *data, size_t len, bbm_format format)
+{
+    if (bbm_command_convert(data, len, format, buf) < 0)
+        bbm_buf_add(buf, data, len);
+}
+
+/* Calls bbm_raft_propose with what all members of the group read. */
 static void
 append_command(bbm_node *n, const char *origin, uint64_t run, uint64_t seq,
                const uint8_t *data, size_t len)
@@ -53,8 +63,12 @@
     uint64_t index = 0;
     if (is_pending(n, origin, run, seq))
         return;
-    if (bbm_raft_propose(n->raft, data, len, n->now, &index) == BBM_OK)
+    bbm_buf read = {0};
+    put_command(&read, data, len, node_group_format(n));
+    if (bbm_raft_propose(n->raft, read.data, read.len, n->now, &index)
+        == BBM_OK)
         add_pending_entry(n, index, origin, run, seq);
+    bbm_buf_free(&read);
 }
 
 static void
@@ -72,7 +86,11 @@
     bbm_buf *buf = node_send(n, n->leader, NODE_PROPOSE);
     bbm_put_u64(buf, n->desc.run);
     bbm_put_u64(buf, p->seq);
-    bbm_put_bytes(buf, p->bytes.data, p->bytes.len);
+    bbm_buf read = {0};
+    put_command(&read, p->bytes.data, p->bytes.len,
+                node_state_format(n, n->leader));
+    bbm_put_bytes(buf, read.data, read.len);
+    bbm_buf_free(&read);
 }
 
 node_proposal *
@@ -88,7 +106,11 @@
     p->expires_at = until;
     bbm_command timestamped = *cmd;
     timestamped.at_ms = n->wall_ms;
+    bbm_buf documents = {0};
+    if (n->desc.format >= BBM_FORMAT_DEFLATED)
+        bbm_command_deflate(&timestamped, &documents);
     bbm_command_encode(&timestamped, &p->bytes);
+    bbm_buf_free(&documents);
     HASH_ADD(hh, n->proposals, seq, sizeof(p->seq), p);
     send_proposal(n, p);
     return p;
--- a/state/bbm_command.c
+++ b/state/bbm_command.c
@@ -1,11 +1,17 @@
 #include "bbm_command.h"
 
 #include "bbm_codes.h"
+#include "bbm_deflate.h"
 
 /* Commands with another format version are refused. */
 #define COMMAND_FORMAT_VERSION 2
 /* Result codes are encoded as their absolute value, up to this. */
 #define RESULT_CODE_MAX 100000
+/* Documents of fewer bytes are not compressed. */
+#define DEFLATE_BYTES_MIN ((size_t)4 * 1024)
+/* Documents of more bytes are neither compressed nor restored: a few bytes of
+   a message must not take the memory of a VM. */
+#define DEFLATE_BYTES_MAX ((size_t)16 * 1024 * 1024)
 
 /* ---- shared fields ---- */
 
@@ -74,6 +80,15 @@
     q->times = bbm_get_u32(rd, UINT32_MAX);
 }
 
+static void
+put_publish(const bbm_command *cmd, bbm_buf *buf)
+{
+    bbm_put_str(buf, cmd->u.publish.id);
+    bbm_put_str(buf, cmd->u.publish.author);
+    bbm_put_u64(buf, cmd->u.publish.expected);
+    bbm_put_u64(buf, cmd->u.publish.version);
+}
+
 void
 bbm_command_encode(const bbm_command *cmd, bbm_buf *buf)
 {
@@ -82,14 +97,18 @@
     bbm_put_i64(buf, cmd->at_ms);
     switch (cmd->kind) {
     case BBM_CMD_PUBLISH:
-        bbm_put_str(buf, cmd->u.publish.id);
-        bbm_put_str(buf, cmd->u.publish.author);
-        bbm_put_u64(buf, cmd->u.publish.expected);
-        bbm_put_u64(buf, cmd->u.publish.version);
+        put_publish(cmd, buf);
         bbm_put_bytes(buf, cmd->u.publish.text.data, cmd->u.publish.text.len);
         bbm_put_bytes(buf, cmd->u.publish.source.data,
                       cmd->u.publish.source.len);
         return;
+    case BBM_CMD_PUBLISH_DEFLATED:
+        put_publish(cmd, buf);
+        bbm_put_u64(buf, cmd->u.publish.text.len);
+        bbm_put_u64(buf, cmd->u.publish.source.len);
+        bbm_put_bytes(buf, cmd->u.publish.deflated.data,
+                      cmd->u.publish.deflated.len);
+        return;
     case BBM_CMD_KEY_ADD:
         bbm_put_str(buf, cmd->u.key.name);
         bbm_put_str(buf, cmd->u.key.customer);
@@ -192,8 +211,14 @@
     bbm_get_name(rd, cmd->u.publish.author);
     cmd->u.publish.expected = bbm_get_u64(rd);
     cmd->u.publish.version = bbm_get_u64(rd);
-    cmd->u.publish.text = bbm_get_bytes(rd);
-    cmd->u.publish.source = bbm_get_bytes(rd);
+    if (cmd->kind == BBM_CMD_PUBLISH) {
+        cmd->u.publish.text = bbm_get_bytes(rd);
+        cmd->u.publish.source = bbm_get_bytes(rd);
+        return;
+    }
+    cmd->u.publish.text.len = bbm_get_u32(rd, DEFLATE_BYTES_MAX);
+    cmd->u.publish.source.len = bbm_get_u32(rd, DEFLATE_BYTES_MAX);
+    cmd->u.publish.deflated = bbm_get_bytes(rd);
 }
 
 static void
@@ -201,6 +226,7 @@
 {
     switch (cmd->kind) {
     case BBM_CMD_PUBLISH:
+    case BBM_CMD_PUBLISH_DEFLATED:
         decode_publish(rd, cmd);
         return;
     case BBM_CMD_KEY_ADD:
@@ -304,6 +330,8 @@
         return BBM_FORMAT_ORIGINS;
     case BBM_CMD_RELEASE:
         return BBM_FORMAT_RELEASES;
+    case BBM_CMD_PUBLISH_DEFLATED:
+        return BBM_FORMAT_DEFLATED;
     case BBM_CMD_KIND_COUNT:
         return BBM_FORMAT_COUNT;
     default:
@@ -311,6 +339,67 @@
     }
 }
 
+/* ---- compressed documents ---- */
+
+void
+bbm_command_deflate(bbm_command *cmd, bbm_buf *storage)
+{
+    bbm_bytes text = cmd->u.publish.text;
+    bbm_bytes source = cmd->u.publish.source;
+    size_t len = text.len + source.len;
+    if (cmd->kind != BBM_CMD_PUBLISH || len < DEFLATE_BYTES_MIN
+        || len > DEFLATE_BYTES_MAX)
+        return;
+    bbm_buf documents = {0};
+    bbm_buf_add(&documents, text.data, text.len);
+    bbm_buf_add(&documents, source.data, source.len);
+    bbm_deflate(bbm_buf_view(&documents), storage);
+    bbm_buf_free(&documents);
+    cmd->kind = BBM_CMD_PUBLISH_DEFLATED;
+    cmd->u.publish.text.data = NULL;
+    cmd->u.publish.source.data = NULL;
+    cmd->u.publish.deflated = bbm_buf_view(storage);
+}
+
+int
+bbm_command_inflate(bbm_command *cmd, bbm_buf *storage)
+{
+    if (cmd->kind != BBM_CMD_PUBLISH_DEFLATED)
+        return BBM_OK;
+    bbm_bytes *text = &cmd->u.publish.text;
+    bbm_bytes *source = &cmd->u.publish.source;
+    size_t len = text->len + source->len;
+    if (text->len > DEFLATE_BYTES_MAX || source->len > DEFLATE_BYTES_MAX
+        || len > DEFLATE_BYTES_MAX
+        || bbm_inflate(cmd->u.publish.deflated, len, storage) < 0)
+        return BBM_ERR_DECODE;
+    cmd->kind = BBM_CMD_PUBLISH;
+    text->data = storage->data;
+    source->data = storage->data + text->len;
+    return BBM_OK;
+}
+
+int
+bbm_command_convert(const uint8_t *data, size_t len, bbm_format format,
+                    bbm_buf *buf)
+{
+    if (bbm_command_format(data, len) <= format) {
+        bbm_buf_add(buf, data, len);
+        return BBM_OK;
+    }
+    bbm_command cmd;
+    bbm_buf documents = {0};
+    int rc = bbm_command_decode(data, len, &cmd);
+    if (rc == BBM_OK && cmd.kind != BBM_CMD_PUBLISH_DEFLATED)
+        rc = BBM_ERR_DECODE;
+    if (rc == BBM_OK)
+        rc = bbm_command_inflate(&cmd, &documents);
+    if (rc == BBM_OK)
+        bbm_command_encode(&cmd, buf);
+    bbm_buf_free(&documents);
+    return rc;
+}
+
 /* ---- outcomes ---- */
 
 void
--- a/state/bbm_command.h
+++ b/state/bbm_command.h
@@ -46,7 +46,9 @@
     BBM_CMD_ORIGINS,      /**< Add origins of streams. */
     BBM_CMD_RELEASE,      /**< Order, change or end a release of software;
                                public. */
-    BBM_CMD_KIND_COUNT,   /**< Number of types. */
+    BBM_CMD_PUBLISH_DEFLATED, /**< Publish a configuration whose documents are
+                                   compressed; public. */
+    BBM_CMD_KIND_COUNT,       /**< Number of types. */
 } bbm_command_kind;
 
 /** True if every VM applies commands of this type. */
@@ -54,7 +56,7 @@
 bbm_command_kind_is_public(bbm_command_kind kind)
 {
     return kind <= BBM_CMD_WEIGHTS || kind == BBM_CMD_QUARANTINE
-           || kind == BBM_CMD_RELEASE;
+           || kind == BBM_CMD_RELEASE || kind == BBM_CMD_PUBLISH_DEFLATED;
 }
 
 /** A prompt part that crashes runners.  Times are calendar times in
@@ -96,14 +98,16 @@
             char id[BBM_NAME_SIZE];     /**< Identifies resends of it, unless
                                              it has a version. */
             char author[BBM_NAME_SIZE]; /**< Operator. */
-            uint64_t expected; /**< Number of the revision that it is based
-                                    on, which must still be in force. */
-            uint64_t version;  /**< Operator's version, the highest of which
-                                    wins; 0: `expected` is compared. */
-            bbm_bytes text;    /**< Configuration document. */
-            bbm_bytes source;  /**< Document that the text was generated from;
-                                    may be empty. */
-        } publish;
+            uint64_t expected;  /**< Number of the revision that it is based
+                                     on, which must still be in force. */
+            uint64_t version;   /**< Operator's version, the highest of which
+                                     wins; 0: `expected` is compared. */
+            bbm_bytes text;     /**< Configuration document. */
+            bbm_bytes source;   /**< Document that the text was generated from;
+                                     may be empty. */
+            bbm_bytes deflated; /**< PUBLISH_DEFLATED: text and source as one
+                                     zlib stream; they have no data. */
+        } publish;              /**< Of both kinds. */
         struct {
             char name[BBM_NAME_SIZE];     /**< Name of the key. */
             char customer[BBM_NAME_SIZE]; /**< Unused by KEY_WITHDRAW. */
@@ -192,6 +196,17 @@
 void bbm_command_encode(const bbm_command *cmd, bbm_buf *buf);
 /** Decode a command.  BBM_ERR_DECODE if it is malformed. */
 int bbm_command_decode(const uint8_t *data, size_t len, bbm_command *cmd);
+/** Compress the documents of a publish, unless they are short.  The command
+ *  then refers to @p storage, which the caller frees. */
+void bbm_command_deflate(bbm_command *cmd, bbm_buf *storage);
+/** Restore the documents of a publish that is compressed.  The command then
+ *  refers to @p storage, which the caller frees.  BBM_ERR_DECODE if they are
+ *  malformed. */
+int bbm_command_inflate(bbm_command *cmd, bbm_buf *storage);
+/** Append an encoded command as builds of @p format read it.  BBM_ERR_DECODE
+ *  if they can't, or if it is malformed. */
+int bbm_command_convert(const uint8_t *data, size_t len, bbm_format format,
+                        bbm_buf *buf);
 /** True if an encoded command is applied by every VM. */
 bool bbm_command_is_public(const uint8_t *data, size_t len);
 /** First format whose builds know an encoded command; BBM_FORMAT_COUNT if this
--- a/state/bbm_registry.c
+++ b/state/bbm_registry.c
@@ -16,8 +16,17 @@
     bbm_revision info; /* texts are in the fields below, which own them */
     char *text;
     char *source;
+    bbm_buf deflated; /* both, as they were published; empty if they weren't
+                         compressed */
 } revision;
 
+/* What a snapshot has of a revision's texts. */
+typedef enum texts_form {
+    TEXTS_NONE,
+    TEXTS_PLAIN,
+    TEXTS_DEFLATED,
+} texts_form;
+
 typedef struct weights_row {
     char model[BBM_NAME_SIZE];
     bbm_weights_version versions[BBM_WEIGHTS_VERSIONS_MAX]; /* oldest first */
@@ -85,6 +94,7 @@
 {
     free(rev->text);
     free(rev->source);
+    bbm_buf_free(&rev->deflated);
     rev->text = NULL;
     rev->source = NULL;
 }
@@ -243,12 +253,10 @@
 }
 
 static void
-add_revision(bbm_registry *reg, const bbm_revision *info, char *text,
-             char *source)
+add_revision(bbm_registry *reg, const revision *rev)
 {
     bbm_grow(&reg->revisions, &reg->cap, reg->len, sizeof(revision));
-    reg->revisions[reg->len++] =
-        (revision){.info = *info, .text = text, .source = source};
+    reg->revisions[reg->len++] = *rev;
     trim_history(reg);
 }
 
@@ -301,9 +309,9 @@
 }
 
 static void
-publish(bbm_registry *reg, const bbm_command *cmd, bbm_outcome *out)
+publish_plain(bbm_registry *reg, const bbm_command *cmd, bbm_outcome *out)
 {
-    if (is_duplicate_publish(reg, cmd, out) || !accepts_publish(reg, cmd, out))
+    if (!accepts_publish(reg, cmd, out))
         return;
     bbm_bytes text = cmd->u.publish.text;
     bbm_bytes source = cmd->u.publish.source;
@@ -320,18 +328,34 @@
     }
     bbm_config_destroy(reg->config);
     reg->config = cfg;
-    bbm_revision info = {
+    revision rev = {.text = copy_text(text), .source = copy_text(source)};
+    bbm_buf_add(&rev.deflated, cmd->u.publish.deflated.data,
+                cmd->u.publish.deflated.len);
+    rev.info = (bbm_revision){
         .number = out->number + 1,
         .at_ms = cmd->at_ms,
         .version = cmd->u.publish.version,
         .len = text.len,
         .source_len = source.len,
     };
-    bbm_name_set(info.id, cmd->u.publish.id);
-    bbm_name_set(info.author, cmd->u.publish.author);
-    add_revision(reg, &info, copy_text(text), copy_text(source));
+    bbm_name_set(rev.info.id, cmd->u.publish.id);
+    bbm_name_set(rev.info.author, cmd->u.publish.author);
+    add_revision(reg, &rev);
     replace_config_keys(reg);
-    out->number = info.number;
+    out->number = rev.info.number;
+}
+
+static void
+publish(bbm_registry *reg, const bbm_command *cmd, bbm_outcome *out)
+{
+    if (is_duplicate_publish(reg, cmd, out))
+        return;
+    bbm_command plain = *cmd;
+    bbm_buf documents = {0};
+    out->code = bbm_command_inflate(&plain, &documents);
+    if (out->code == BBM_OK)
+        publish_plain(reg, &plain, out);
+    bbm_buf_free(&documents);
 }
 
 /* ---- weights ---- */
@@ -491,6 +515,7 @@
 {
     switch (cmd->kind) {
     case BBM_CMD_PUBLISH:
+    case BBM_CMD_PUBLISH_DEFLATED:
         publish(reg, cmd, out);
         return;
     case BBM_CMD_KEY_ADD:
@@ -605,6 +630,27 @@
 
 /* ---- snapshots ---- */
 
+static void
+encode_texts(const revision *rev, bbm_format format, bbm_buf *buf)
+{
+    texts_form form = !rev->text ? TEXTS_NONE
+                      : rev->deflated.len && format >= BBM_FORMAT_DEFLATED
+                          ? TEXTS_DEFLATED
+                          : TEXTS_PLAIN;
+    bbm_put_u64(buf, form);
+    switch (form) {
+    case TEXTS_NONE:
+        return;
+    case TEXTS_PLAIN:
+        bbm_put_bytes(buf, rev->text, rev->info.len);
+        bbm_put_bytes(buf, rev->source, rev->info.source_len);
+        return;
+    case TEXTS_DEFLATED:
+        bbm_put_bytes(buf, rev->deflated.data, rev->deflated.len);
+        return;
+    }
+}
+
 void
 bbm_registry_encode(const bbm_registry *reg, size_t revisions,
                     bbm_format format, bbm_buf *buf)
@@ -613,7 +659,6 @@
     bbm_put_u64(buf, reg->len - first);
     for (size_t i = first; i < reg->len; i++) {
         const revision *rev = &reg->revisions[i];
-        bool has_text = rev->text != NULL;
         bbm_put_u64(buf, rev->info.number);
         bbm_put_i64(buf, rev->info.at_ms);
         bbm_put_str(buf, rev->info.id);
@@ -621,11 +666,7 @@
         bbm_put_u64(buf, rev->info.version);
         bbm_put_u64(buf, rev->info.len);
         bbm_put_u64(buf, rev->info.source_len);
-        bbm_put_u64(buf, has_text);
-        if (has_text) {
-            bbm_put_bytes(buf, rev->text, rev->info.len);
-            bbm_put_bytes(buf, rev->source, rev->info.source_len);
-        }
+        encode_texts(rev, format, buf);
     }
     bbm_put_u64(buf, HASH_COUNT(reg->keys));
     for (const key_row *k = reg->keys; k; k = k->hh.next) {
@@ -668,24 +709,57 @@
 }
 
 static void
-decode_revisions(bbm_registry *reg, bbm_reader *rd)
+decode_deflated(revision *rev, bbm_reader *rd)
+{
+    bbm_bytes deflated = bbm_get_bytes(rd);
+    bbm_command cmd = {.kind = BBM_CMD_PUBLISH_DEFLATED};
+    cmd.u.publish.deflated = deflated;
+    cmd.u.publish.text.len = rev->info.len;
+    cmd.u.publish.source.len = rev->info.source_len;
+    bbm_buf documents = {0};
+    if (bbm_command_inflate(&cmd, &documents) < 0) {
+        rd->failed = true;
+    }
+    else {
+        rev->text = copy_text(cmd.u.publish.text);
+        rev->source = copy_text(cmd.u.publish.source);
+        bbm_buf_add(&rev->deflated, deflated.data, deflated.len);
+    }
+    bbm_buf_free(&documents);
+}
+
+static void
+decode_texts(revision *rev, bbm_format format, bbm_reader *rd)
+{
+    uint32_t last =
+        format >= BBM_FORMAT_DEFLATED ? TEXTS_DEFLATED : TEXTS_PLAIN;
+    switch ((texts_form)bbm_get_u32(rd, last)) {
+    case TEXTS_NONE:
+        return;
+    case TEXTS_PLAIN:
+        rev->text = get_text(rd, rev->info.len);
+        rev->source = get_text(rd, rev->info.source_len);
+        return;
+    case TEXTS_DEFLATED:
+        decode_deflated(rev, rd);
+        return;
+    }
+}
+
+static void
+decode_revisions(bbm_registry *reg, bbm_format format, bbm_reader *rd)
 {
     size_t len = bbm_get_u32(rd, REVISIONS_MAX);
     for (size_t i = 0; i < len && !rd->failed; i++) {
-        bbm_revision info = {.number = bbm_get_u64(rd)};
-        info.at_ms = bbm_get_i64(rd);
-        bbm_get_name(rd, info.id);
-        bbm_get_name(rd, info.author);
-        info.version = bbm_get_u64(rd);
-        info.len = (size_t)bbm_get_u64(rd);
-        info.source_len = (size_t)bbm_get_u64(rd);
-        char *text = NULL;
-        char *source = NULL;
-        if (bbm_get_u32(rd, 1)) {
-            text = get_text(rd, info.len);
-            source = get_text(rd, info.source_len);
-        }
-        add_revision(reg, &info, text, source);
+        revision rev = {.info.number = bbm_get_u64(rd)};
+        rev.info.at_ms = bbm_get_i64(rd);
+        bbm_get_name(rd, rev.info.id);
+        bbm_get_name(rd, rev.info.author);
+        rev.info.version = bbm_get_u64(rd);
+        rev.info.len = (size_t)bbm_get_u64(rd);
+        rev.info.source_len = (size_t)bbm_get_u64(rd);
+        decode_texts(&rev, format, rd);
+        add_revision(reg, &rev);
     }
 }
 
@@ -744,7 +818,7 @@
 bbm_registry_decode(bbm_registry *reg, bbm_format format, bbm_reader *rd)
 {
     bbm_registry decoded = {.revision_texts_max = reg->revision_texts_max};
-    decode_revisions(&decoded, rd);
+    decode_revisions(&decoded, format, rd);
     decode_config(&decoded, rd);
     decode_keys(&decoded, rd);
     size_t draining_len = bbm_get_u32(rd, BBM_KEYS_MAX);
@@ -781,6 +855,7 @@
         const revision *rev = &reg->revisions[i];
         bytes += rev->text ? rev->info.len : 0;
         bytes += rev->source ? rev->info.source_len : 0;
+        bytes += rev->deflated.len;
     }
     return bytes;
 }
--- a/state/bbm_state.c
+++ b/state/bbm_state.c
@@ -7,11 +7,13 @@
 #include <sys/queue.h>
 
 /* Versions of snapshots.  The first has no quarantined prompt parts, the ones
-   from VERSION_ORIGINS have origins of streams, and the last has releases. */
+   from VERSION_ORIGINS have origins of streams, those from VERSION_RELEASES
+   have releases, and the last may have compressed configurations. */
 #define VERSION_PLACEMENTS 2
 #define VERSION_QUARANTINE 3
 #define VERSION_ORIGINS 4
 #define VERSION_RELEASES 5
+#define VERSION_DEFLATED 6
 /* Maximum number of streams whose origins are kept. */
 #define ORIGINS_MAX 65536
 /* Maximum number of ledgers in a snapshot. */
@@ -218,6 +220,7 @@
 {
     switch (cmd->kind) {
     case BBM_CMD_PUBLISH:
+    case BBM_CMD_PUBLISH_DEFLATED:
     case BBM_CMD_KEY_ADD:
     case BBM_CMD_KEY_WITHDRAW:
     case BBM_CMD_DRAIN:
@@ -319,6 +322,8 @@
 uint64_t
 bbm_state_version(bbm_format format)
 {
+    if (format >= BBM_FORMAT_DEFLATED)
+        return VERSION_DEFLATED;
     if (format >= BBM_FORMAT_RELEASES)
         return VERSION_RELEASES;
     if (format >= BBM_FORMAT_ORIGINS)
@@ -372,7 +377,8 @@
 static int
 decode_registry(bbm_state *state, uint64_t version, bbm_reader *rd)
 {
-    bbm_format format = version >= VERSION_RELEASES ? BBM_FORMAT_RELEASES
+    bbm_format format = version >= VERSION_DEFLATED   ? BBM_FORMAT_DEFLATED
+                        : version >= VERSION_RELEASES ? BBM_FORMAT_RELEASES
                         : version >= VERSION_QUARANTINE
                             ? BBM_FORMAT_QUARANTINE
                             : BBM_FORMAT_PLACEMENTS;
--- a/tests/net.c
+++ b/tests/net.c
@@ -18,6 +18,27 @@
     *n = (net){0};
 }
 
+/* Messages up to this are one packet, which other connections of the link let
+   pass. */
+#define PACKET_BYTES 1500
+
+/* Time at which a message has left its sender. */
+static bbm_time
+sent_at(net *n, bbm_time now, int from, size_t len)
+{
+    int64_t rate = n->link_bytes_per_s[from];
+    if (!rate)
+        return now;
+    bbm_time span = (bbm_time)len * BBM_SECOND / rate;
+    bool is_idle = n->sends_until[from] < now;
+    n->sends_until[from] = (is_idle ? now : n->sends_until[from]) + span;
+    double wait_s = (double)(n->sends_until[from] - now) / (double)BBM_SECOND;
+    size_t waiting = (size_t)(wait_s * (double)rate);
+    if (waiting > n->waiting_bytes_max[from])
+        n->waiting_bytes_max[from] = waiting;
+    return len <= PACKET_BYTES ? now + span : n->sends_until[from];
+}
+
 static void
 add_message(net *n, bbm_time now, int from, int to, const void *data,
             size_t len)
@@ -26,8 +47,8 @@
     bbm_time delay_bound = n->desc.delay_max + 1;
     net_message *m = &n->messages[n->len++];
     *m = (net_message){.from = from, .to = to};
-    m->deliver_at =
-        now + (bbm_time)bbm_rng_below(&n->rng, (uint64_t)delay_bound);
+    m->deliver_at = sent_at(n, now, from, len)
+                    + (bbm_time)bbm_rng_below(&n->rng, (uint64_t)delay_bound);
     bbm_buf_add(&m->bytes, data, len);
 }
 
--- a/tests/net.h
+++ b/tests/net.h
@@ -39,6 +39,13 @@
     bool blocked[NET_NODES_MAX][NET_NODES_MAX]; /**< By sender and receiver:
                                                      messages sent now are
                                                      lost. */
+    int64_t link_bytes_per_s[NET_NODES_MAX]; /**< By sender, which sends one
+                                                  message after the other; 0:
+                                                  without limit. */
+    bbm_time sends_until[NET_NODES_MAX];     /**< Its link is busy until
+                                                  then. */
+    size_t waiting_bytes_max[NET_NODES_MAX]; /**< Most bytes that have waited
+                                                  for its link. */
 } net;
 
 void net_init(net *n, const net_desc *desc);
--- a/tests/test_formats.c
+++ b/tests/test_formats.c
@@ -22,6 +22,14 @@
 
 static const char pool_text[] = "{\"pools\":[{\"name\":\"p\"}]}";
 
+/* A configuration of two pools, its source, and both compressed. */
+static const char pools_text[] =
+    "{\"pools\":[{\"name\":\"p\"},{\"name\":\"p2\"}]}";
+static const char pools_source[] = "{\"pools\":[\"p\",\"p2\"]}";
+static const char pools_deflated[] =
+    "789cab562ac8cfcf2956b28aae56ca4bcc4d55b2522a50aad541708c946a636b"
+    "abe1aa80b23a20c1d85a0030b81271";
+
 static void
 check_bytes(const char *expected, const bbm_buf *buf)
 {
@@ -317,6 +325,22 @@
     apply(state, 12, &cmd);
 }
 
+/* A configuration that is compressed. */
+static void
+apply_deflated(bbm_state *state)
+{
+    bbm_buf deflated = bytes_of(pools_deflated);
+    bbm_command cmd = {.kind = BBM_CMD_PUBLISH_DEFLATED,
+                       .at_ms = 1700000000010};
+    bbm_name_set(cmd.u.publish.id, "third");
+    cmd.u.publish.expected = 2;
+    cmd.u.publish.text.len = strlen(pools_text);
+    cmd.u.publish.source.len = strlen(pools_source);
+    cmd.u.publish.deflated = bbm_buf_view(&deflated);
+    apply(state, 13, &cmd);
+    bbm_buf_free(&deflated);
+}
+
 /* A state with all commands that builds of a format know. */
 static bbm_state *
 create_state(bbm_format format)
@@ -346,6 +370,8 @@
     bbm_buf_free(&rows);
     if (format >= BBM_FORMAT_RELEASES)
         apply_release(state);
+    if (format >= BBM_FORMAT_DEFLATED)
+        apply_deflated(state);
     return state;
 }
 
@@ -380,9 +406,12 @@
         ck_assert_int_eq(bbm_state_convert(latest.data, latest.len, f, &buf),
                          0);
         ck_assert_int_eq(bbm_state_decode(reader, buf.data, buf.len), 0);
-        ck_assert_uint_eq(bbm_registry_revision(bbm_state_registry(reader)),
-                          2);
-        if (f < BBM_FORMAT_RELEASES)
+        bbm_revision rev;
+        ck_assert(bbm_registry_current(bbm_state_registry(reader), &rev));
+        ck_assert_uint_eq(rev.number, 3);
+        ck_assert_str_eq(rev.text, pools_text);
+        ck_assert_str_eq(rev.source, pools_source);
+        if (f < BBM_FORMAT_DEFLATED)
             ck_assert_int_lt(bbm_state_decode(reader, latest.data, latest.len),
                              0);
         bbm_state_destroy(reader);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -107,6 +107,104 @@
 }
 END_TEST
 
+/* Documents of a configuration of many pools, which the caller frees. */
+static char *
+write_pools(int count)
+{
+    bbm_buf text = {0};
+    char pool[64];
+    bbm_buf_add(&text, "{\"pools\":[", 10);
+    for (int i = 0; i < count; i++) {
+        snprintf(pool, sizeof(pool), "%s{\"name\":\"pool-%d\"}", i ? "," : "",
+                 i);
+        bbm_buf_add(&text, pool, strlen(pool));
+    }
+    bbm_buf_add(&text, "]}", 3);
+    return (char *)text.data;
+}
+
+/* A large configuration travels and is kept compressed, and builds that don't
+   know that get it as it was: its revision must be the same for all. */
+START_TEST(compressed_publish_is_as_the_plain_one)
+{
+    BBM_AUTO_FREE char *text = write_pools(500);
+    fixture f = setup();
+    bbm_command plain = {.kind = BBM_CMD_PUBLISH};
+    bbm_name_set(plain.u.publish.id, "many");
+    plain.u.publish.expected = 1;
+    plain.u.publish.text =
+        (bbm_bytes){.data = (const uint8_t *)text, .len = strlen(text)};
+    plain.u.publish.source = plain.u.publish.text;
+    bbm_command cmd = plain;
+    bbm_buf storage = {0};
+    bbm_buf plain_bytes = {0};
+    bbm_buf bytes = {0};
+    bbm_buf converted = {0};
+    bbm_command_deflate(&cmd, &storage);
+    bbm_command_encode(&plain, &plain_bytes);
+    bbm_command_encode(&cmd, &bytes);
+    ck_assert_uint_lt(bytes.len, plain_bytes.len / 8);
+    ck_assert(bbm_command_is_public(bytes.data, bytes.len));
+    ck_assert_int_eq(bbm_command_format(bytes.data, bytes.len),
+                     BBM_FORMAT_DEFLATED);
+    ck_assert_int_eq(bbm_command_convert(bytes.data, bytes.len,
+                                         BBM_FORMAT_RELEASES, &converted),
+                     0);
+    ck_assert_uint_eq(converted.len, plain_bytes.len);
+    ck_assert_mem_eq(converted.data, plain_bytes.data, plain_bytes.len);
+    ck_assert_int_eq(apply(&f, &cmd), 0);
+    bbm_revision rev;
+    ck_assert(bbm_registry_current(bbm_state_registry(f.state), &rev));
+    ck_assert_uint_eq(rev.number, 2);
+    ck_assert_str_eq(rev.text, text);
+    ck_assert_str_eq(rev.source, text);
+    /* A VM that starts gets it compressed too. */
+    bbm_buf snapshot = {0};
+    bbm_state *copy = bbm_state_create(&(bbm_state_desc){0});
+    bbm_state_encode_public(f.state, BBM_FORMAT_LATEST, &snapshot);
+    ck_assert_uint_lt(snapshot.len, plain_bytes.len / 8);
+    ck_assert_int_eq(
+        bbm_state_decode_public(copy, snapshot.data, snapshot.len), 0);
+    ck_assert(bbm_registry_current(bbm_state_registry(copy), &rev));
+    ck_assert_str_eq(rev.text, text);
+    bbm_state_destroy(copy);
+    bbm_buf_free(&snapshot);
+    bbm_buf_free(&converted);
+    bbm_buf_free(&bytes);
+    bbm_buf_free(&plain_bytes);
+    bbm_buf_free(&storage);
+    teardown(&f);
+}
+END_TEST
+
+/* A stream that is cut, or longer or shorter than stated, changes nothing. */
+START_TEST(damaged_compressed_publish_is_refused)
+{
+    BBM_AUTO_FREE char *text = write_pools(500);
+    fixture f = setup();
+    bbm_command cmd = {.kind = BBM_CMD_PUBLISH};
+    cmd.u.publish.version = 5;
+    cmd.u.publish.text =
+        (bbm_bytes){.data = (const uint8_t *)text, .len = strlen(text)};
+    bbm_buf storage = {0};
+    bbm_command_deflate(&cmd, &storage);
+    size_t len = strlen(text);
+    size_t lens[] = {0, len - 1, len + 1, (size_t)16 * 1024 * 1024};
+    for (size_t i = 0; i < BBM_COUNT(lens); i++) {
+        cmd.u.publish.text.len = lens[i];
+        ck_assert_int_eq(apply(&f, &cmd), BBM_ERR_DECODE);
+    }
+    cmd.u.publish.text.len = len;
+    cmd.u.publish.deflated.len--;
+    ck_assert_int_eq(apply(&f, &cmd), BBM_ERR_DECODE);
+    ck_assert_uint_eq(bbm_registry_revision(bbm_state_registry(f.state)), 1);
+    cmd.u.publish.deflated.len++;
+    ck_assert_int_eq(apply(&f, &cmd), 0);
+    bbm_buf_free(&storage);
+    teardown(&f);
+}
+END_TEST
+
 START_TEST(withdrawn_key_stays_withdrawn)
 {
     fixture f = setup();
@@ -536,7 +634,9 @@
 }
 END_TEST
 
-TEST_MAIN("state", quarantined_parts_end_by_command_time,
+TEST_MAIN("state", compressed_publish_is_as_the_plain_one,
+          damaged_compressed_publish_is_refused,
+          quarantined_parts_end_by_command_time,
           origins_of_streams_are_kept_and_expire,
           state_of_the_version_before_is_read,
           concurrent_publish_conflicts_and_resend_is_idempotent,
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -25,6 +25,9 @@
 #define LEARN_TIME (1500 * BBM_MS)
 #define DEADLY_FINGERPRINT 4711
 
+/* Makes a configuration long enough to be compressed. */
+#define PADDING_BYTES 6000
+
 #define KEY_BYTE 0x11
 #define ATTEMPT_TIME (60 * BBM_MS)
 #define ATTEMPTS_MAX 16384
@@ -57,6 +60,7 @@
     size_t attempts_len;
     bbm_time crashed_at[UPSTREAMS];
     uint64_t upstream_runs[UPSTREAMS];
+    bool large; /* publishes large configurations */
     uint64_t requests;
     double per_s; /* requests over all VMs */
     double owed;
@@ -227,10 +231,10 @@
 }
 
 static bool
-publish(world *w)
+publish_through(world *w, int node)
 {
     char digest[2 * BBM_DIGEST_SIZE + 1];
-    char text[2048];
+    char text[2048 + PADDING_BYTES];
     char id[BBM_NAME_SIZE];
     for (size_t i = 0; i < sizeof(digest) - 1; i++)
         digest[i] = '1';
@@ -239,16 +243,24 @@
     /* Each differs from the one before. */
     snprintf(text, sizeof(text), config_format, 3000 + (int)before,
              RATE_TOKENS_PER_S, RATE_TOKENS_PER_S, digest);
+    size_t len = strlen(text);
+    if (w->large)
+        memset(text + len, ' ', PADDING_BYTES);
+    text[len + (w->large ? PADDING_BYTES : 0)] = '\0';
     snprintf(id, sizeof(id), "p-%llu", (unsigned long long)++w->ops);
-    int leader = fleet_leader(w->fleet);
-    if (leader < 0
-        || !fleet_publish(w->fleet, leader, w->ops, id, before, text))
+    if (node < 0 || !fleet_publish(w->fleet, node, w->ops, id, before, text))
         return false;
     for (int i = 0; i < 30 && w->revision == before; i++)
         run(w, STEP_MS * BBM_MS);
     return w->revision > before;
 }
 
+static bool
+publish(world *w)
+{
+    return publish_through(w, fleet_leader(w->fleet));
+}
+
 static void
 create(world *w, int nodes, bbm_format format)
 {
@@ -517,6 +529,29 @@
 }
 END_TEST
 
+/* A VM of the format before can't read what is compressed, as the leader, as a
+   member of the group, or further down the tree. */
+START_TEST(large_configurations_are_published_through_vms_of_both_builds)
+{
+    world w;
+    create(&w, 8, BBM_FORMAT_RELEASES);
+    w.large = true;
+    for (int i = 0; i < 8; i++) {
+        replace(&w, i, BBM_FORMAT_LATEST);
+        run(&w, LEARN_TIME + BBM_SECOND);
+        for (int vm = 0; vm < 8; vm++) {
+            ck_assert_msg(publish_through(&w, vm), "%d new, through VM %d",
+                          i + 1, vm);
+            run(&w, BBM_SECOND);
+            check_revisions(&w);
+        }
+    }
+    check_all_readable(&w);
+    ck_assert_uint_eq(count_rejected(&w), 0);
+    fleet_destroy(w.fleet);
+}
+END_TEST
+
 #define RELEASE_OP 1000000
 
 static int
@@ -558,7 +593,9 @@
 }
 END_TEST
 
-TEST_MAIN("upgrade", releases_are_refused_until_all_vms_know_them,
+TEST_MAIN("upgrade",
+          large_configurations_are_published_through_vms_of_both_builds,
+          releases_are_refused_until_all_vms_know_them,
           builds_side_by_side_reject_no_messages_and_keep_the_rate,
           builds_side_by_side_hear_of_each_other_through_the_leader,
           builds_side_by_side_hear_of_each_other_through_trees,
