A VM whose parent has a change for it doesn't ask others for it

Cause: an answer that only said 'there is more' counted as unanswered. While the change was on its way, each VM polled every 120 ms, after two polls a random member or the leader, and these sent it as well. What was queued most delayed all others, most of all on weak links.

Ruled out: children that a VM still has from the time before a new leader; they cause the further copies of the first changes after a start, and are gone after 4 s.

--- a/node/node_core.h
+++ b/node/node_core.h
@@ -288,6 +288,9 @@
     bbm_time next_poll_at;      /**< Next poll. */
     uint32_t polls_unanswered;  /**< Polls since the latest answer that was
                                      younger than key_age_max. */
+    bbm_time incomplete_since;  /**< Since then others have more of the public
+                                     state, and nothing of it has come; 0: they
+                                     don't. */
     uint64_t last_poll_seq;     /**< Unused. */
 
     bbm_members *members;       /**< All VMs of the system. */
--- a/node/node_relay.c
+++ b/node/node_relay.c
@@ -433,6 +433,15 @@
         if (age <= n->desc.key_age_max)
             n->polls_unanswered = 0;
     }
+    if (complete || own_index != index_before)
+        n->incomplete_since = 0;
+    else if (!n->incomplete_since)
+        n->incomplete_since = n->now;
+    /* What this VM lacks is on its way from the parent; another one would send
+       it a second time. */
+    if (current && !complete && age <= n->desc.key_age_max
+        && n->now - n->incomplete_since < RESEND_DELAY)
+        n->polls_unanswered = 0;
     if (is_reply && !complete && !n->in_group)
         n->next_poll_at =
             n->now + (own_index != index_before ? 0 : POLL_RETRY_PERIOD);
--- a/tests/net.c
+++ b/tests/net.c
@@ -18,6 +18,21 @@
     *n = (net){0};
 }
 
+static bool
+is_long(const net *n, size_t len)
+{
+    return n->long_message_bytes && len >= n->long_message_bytes;
+}
+
+static bool
+loses_long_message(net *n, size_t len)
+{
+    if (!n->lost_long_messages || !is_long(n, len))
+        return false;
+    n->lost_long_messages--;
+    return true;
+}
+
 /* Messages up to this are one packet, which other connections of the link let
    pass. */
 #define PACKET_BYTES 1500
@@ -45,6 +60,7 @@
 {
     bbm_grow(&n->messages, &n->cap, n->len, sizeof(net_message));
     bbm_time delay_bound = n->desc.delay_max + 1;
+    n->long_messages += is_long(n, len);
     net_message *m = &n->messages[n->len++];
     *m = (net_message){.from = from, .to = to};
     m->deliver_at = sent_at(n, now, from, len)
@@ -57,7 +73,7 @@
 {
     bool lost = bbm_rng_unit(&n->rng) < n->desc.loss;
     bool duplicated = bbm_rng_unit(&n->rng) < n->desc.duplicated;
-    if (n->blocked[from][to] || lost)
+    if (n->blocked[from][to] || lost || loses_long_message(n, len))
         return;
     add_message(n, now, from, to, data, len);
     if (duplicated)
--- a/tests/net.h
+++ b/tests/net.h
@@ -39,11 +39,15 @@
     bool blocked[NET_NODES_MAX][NET_NODES_MAX]; /**< By sender and receiver:
                                                      messages sent now are
                                                      lost. */
-    int64_t link_bytes_per_s[NET_NODES_MAX]; /**< By sender, which sends one
-                                                  message after the other; 0:
-                                                  without limit. */
-    bbm_time sends_until[NET_NODES_MAX];     /**< Its link is busy until
-                                                  then. */
+    int64_t link_bytes_per_s[NET_NODES_MAX];    /**< By sender, which sends one
+                                                     message after the other; 0:
+                                                     without limit. */
+    bbm_time sends_until[NET_NODES_MAX];        /**< Its link is busy until
+                                                     then. */
+    size_t long_message_bytes; /**< Messages of at least so many are counted;
+                                    0: none. */
+    size_t lost_long_messages; /**< So many of the next ones are lost. */
+    size_t long_messages;      /**< Their number. */
     size_t waiting_bytes_max[NET_NODES_MAX]; /**< Most bytes that have waited
                                                   for its link. */
 } net;
--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -21,6 +21,8 @@
 /* An operator waits this long for the acknowledgement, and longer for a
    configuration of many routes. */
 #define ACK_TIME (6 * BBM_SECOND + 3 * BBM_MS * (ROUTES + MORE_ROUTES))
+/* A tenth of the VMs may get a change twice. */
+#define COPIES_MAX (VMS + VMS / 10)
 #define MACHINE_BYTES ((size_t)88 * 1000 * 1000)
 
 typedef struct world {
@@ -192,6 +194,24 @@
                   count, VMS);
 }
 
+static size_t
+compressed_bytes(const world *w)
+{
+    const uint8_t secret[BBM_DIGEST_SIZE] = {1};
+    platform_config cfg;
+    bbm_command cmd = {.kind = BBM_CMD_PUBLISH};
+    bbm_buf storage = {0};
+    ck_assert_int_eq(platform_config_read((char *)w->source.data,
+                                          w->source.len, secret, &cfg),
+                     BBM_OK);
+    cmd.u.publish.text = bbm_buf_view(&cfg.document);
+    cmd.u.publish.source = bbm_buf_view(&w->source);
+    bbm_command_deflate(&cmd, &storage);
+    bbm_buf_free(&storage);
+    bbm_buf_free(&cfg.document);
+    return cmd.u.publish.deflated.len;
+}
+
 static void
 check_memory(const world *w)
 {
@@ -220,6 +240,47 @@
 }
 END_TEST
 
+/* VMs that were told by their parent that a change is on its way asked others,
+   which sent it as well. */
+START_TEST(change_is_sent_to_each_vm_once)
+{
+    world w;
+    create_world(&w);
+    publish(&w, 0, ROUTES);
+    /* Until parents have forgotten the children that they had at the start. */
+    fleet_run(w.fleet, 6 * BBM_SECOND);
+    publish(&w, 0, ROUTES + MORE_ROUTES);
+    fleet_run(w.fleet, 2 * BBM_SECOND);
+    net *n = fleet_net(w.fleet);
+    n->long_message_bytes = compressed_bytes(&w);
+    for (int i = 0; i < 3; i++) {
+        n->long_messages = 0;
+        publish(&w, 0, ROUTES + MORE_ROUTES);
+        fleet_run(w.fleet, 2 * BBM_SECOND);
+        ck_assert_uint_ge(n->long_messages, VMS - 1);
+        ck_assert_uint_le(n->long_messages, COPIES_MAX);
+    }
+    destroy_world(&w);
+}
+END_TEST
+
+/* A change for which a queue had no room must come again. */
+START_TEST(lost_change_is_sent_again_in_time)
+{
+    world w;
+    create_world(&w);
+    publish(&w, 0, ROUTES);
+    fleet_run(w.fleet, 6 * BBM_SECOND);
+    publish(&w, 0, ROUTES + MORE_ROUTES);
+    net *n = fleet_net(w.fleet);
+    n->long_message_bytes = compressed_bytes(&w);
+    n->lost_long_messages = 8;
+    publish(&w, 0, ROUTES + MORE_ROUTES);
+    ck_assert_uint_eq(n->lost_long_messages, 0);
+    destroy_world(&w);
+}
+END_TEST
+
 /* Further changes of it follow each other closely, by VMs with weak links. */
 START_TEST(changes_of_a_grown_configuration_keep_up)
 {
@@ -235,5 +296,7 @@
 }
 END_TEST
 
-TEST_MAIN("spread", grown_configuration_is_in_force_in_time,
+TEST_MAIN("spread", change_is_sent_to_each_vm_once,
+          lost_change_is_sent_again_in_time,
+          grown_configuration_is_in_force_in_time,
           changes_of_a_grown_configuration_keep_up);
