Fetched cache entries cost what they evict

Each request weighs a runner that holds its prefix against others, where it can be fetched in 18 ms. The entries that a copy evicts counted as a tenth of the time to compute it. So copies were made for short queues, caches lost prefixes that were still in use, and these were computed again, which made the queues longer.

Evicted entries are now taken to be of prompts like the one that evicts them: their shared part has to be computed again. No constant is left.

--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -36,9 +36,6 @@
 /* Extra cost of a runner that isn't the home of the prompt and must compute
    some of the shared prefix. */
 #define NOT_HOME_COST_MS 30.0
-/* Fetched entries evict others.  That adds this share of the time to compute
-   the fetched tokens to the cost. */
-#define EVICTION_COST_RATIO 0.1
 /* Cost of placing a chain on a third or further runner, as a multiple of the
    time to compute its shared prefix, where the holders are unknown. */
 #define THIRD_HOLDER_COST_RATIO 2.0
@@ -464,6 +461,16 @@
         c->miss_tokens += r->shared_tokens * FETCH_FAILURE_SHARE;
 }
 
+/* Fetched entries evict as many others.  These are taken to be of prompts like
+   this one: the shared part of them has to be computed again. */
+static double
+eviction_ms(const gate_request *r, double fetched_tokens, double speed)
+{
+    if (fetched_tokens <= 0 || r->prompt_tokens <= 0)
+        return 0;
+    return fetched_tokens / speed * r->shared_tokens / r->prompt_tokens;
+}
+
 static void
 add_cost_holders_known(const gate_request *r, candidate *c, size_t rank)
 {
@@ -473,8 +480,7 @@
                                                   : cached->held_tokens;
     c->miss_tokens = r->prompt_tokens - available;
     c->cost_ms += c->miss_tokens / speed + cached->fetch_ms;
-    c->cost_ms +=
-        (available - cached->held_tokens) / speed * EVICTION_COST_RATIO;
+    c->cost_ms += eviction_ms(r, available - cached->held_tokens, speed);
     if (rank > 0 && available < r->shared_tokens)
         c->cost_ms += NOT_HOME_COST_MS;
 }
--- a/tests/scale_world.c
+++ b/tests/scale_world.c
@@ -736,3 +736,27 @@
     bbm_config_destroy(w->cfg);
     free(w);
 }
+
+scale_result
+scale_measure_uneven(bool ignore_speeds, double requests_per_s, uint64_t seed)
+{
+    scale_world *w = scale_create(&(scale_desc){
+        .vms = 63,
+        .runners = 90,
+        .requests_per_s = requests_per_s,
+        .chains = 600,
+        .seed = seed,
+        .uneven = true,
+        .ignore_speeds = ignore_speeds,
+    });
+    scale_run(w, 12 * BBM_SECOND);
+    scale_result r = scale_measure(w, 16 * BBM_SECOND);
+    scale_destroy(w);
+    return r;
+}
+
+double
+scale_in_time_share(const scale_result *r)
+{
+    return (double)r->in_time / (double)r->requests;
+}
--- a/tests/scale_world.h
+++ b/tests/scale_world.h
@@ -78,6 +78,12 @@
 void scale_run(scale_world *w, bbm_time span);
 /** Let time pass under load, and return what clients got. */
 scale_result scale_measure(scale_world *w, bbm_time span);
+/** What clients get with uneven runners, after the time in which the speeds
+ * are learned. */
+scale_result scale_measure_uneven(bool ignore_speeds, double requests_per_s,
+                                  uint64_t seed);
+/** Share of the requests whose answers began within 600 ms. */
+double scale_in_time_share(const scale_result *r);
 /** Announce the next version of the weights: a quarter of the runners at a
  *  time load it, each quarter for 1 s. */
 void scale_announce_version(scale_world *w);
