--- a/tests/test_connections.c
+++ b/tests/test_connections.c
@@ -16,6 +16,7 @@
 #define REQUESTS 4000
 #define IDS 24
 #define OPEN_MAX 8
+#define BODY_BYTES 200000
 #define DEADLINE (60 * BBM_SECOND)
 
 /* ---- the upstream ---- */
@@ -33,6 +34,7 @@
     atomic_int open;
     atomic_int sent_twice;    /* ids that came again on their connection */
     atomic_int after_refusal; /* requests on a connection that refused one */
+    atomic_int without_id;    /* heads that are no request's */
     atomic_int copies;
     atomic_int verdicts[REQUESTS];
 } up;
@@ -49,18 +51,38 @@
     (void)!send(fd, text, strlen(text), MSG_NOSIGNAL);
 }
 
-static bool
+/* Returns the bytes of the body that are still to be read, or -1 if the
+   connection has ended. */
+static long
 read_head(int fd, char *head, size_t size)
 {
+    const char *end;
     size_t len = 0;
     do {
         ssize_t n = recv(fd, head + len, size - 1 - len, 0);
         if (n <= 0)
-            return false;
+            return -1;
         len += (size_t)n;
         head[len] = '\0';
-    } while (!strstr(head, "\r\n\r\n"));
-    return true;
+    } while (!(end = strstr(head, "\r\n\r\n")));
+    const char *length = strstr(head, "Content-Length: ");
+    long left = length && length < end ? strtol(length + 16, NULL, 10) : 0;
+    return left - (long)(head + len - end - 4);
+}
+
+static bool
+read_body(int fd, long left)
+{
+    static char block[65536];
+    while (left > 0) {
+        size_t len =
+            (size_t)left < sizeof(block) ? (size_t)left : sizeof(block);
+        ssize_t n = recv(fd, block, len, 0);
+        if (n <= 0)
+            return false;
+        left -= n;
+    }
+    return left == 0;
 }
 
 /* Writes an answer: a refusal in one of several framings, or a success. */
@@ -85,8 +107,8 @@
              refuses ? bodies[kind] : "ran");
 }
 
-/* Answers, refuses, hesitates or closes.  A copy of an earlier answer of the
-   connection precedes some answers. */
+/* Answers, refuses, hesitates or closes, also before it has read the body.  A
+   copy of an earlier answer of the connection precedes some answers. */
 static void *
 serve(void *context)
 {
@@ -97,16 +119,24 @@
     char head[4096];
     char answer[512] = "";
     char copy[512] = "";
-    while (read_head(fd, head, sizeof(head))) {
+    long body;
+    while ((body = read_head(fd, head, sizeof(head))) >= 0) {
+        const char *id_header = strstr(head, "Attempt-Id: ");
+        atomic_fetch_add(&up.without_id, !id_header);
+        if (!id_header)
+            break;
+        bool early = draw(&state, 2) == 0;
         char id[32] = "";
         unsigned number = 0;
-        sscanf(strstr(head, "Attempt-Id: "), "Attempt-Id: %30s", id);
+        sscanf(id_header, "Attempt-Id: %30s", id);
         sscanf(strstr(head, " /") + 2, "%u", &number);
         unsigned n = (unsigned)strtoul(id + 3, NULL, 10);
         atomic_fetch_add(&up.sent_twice, seen[n]);
         atomic_fetch_add(&up.after_refusal, refused);
         seen[n] = true;
         bool refuses = draw(&state, 3) == 0;
+        if (!early && !read_body(fd, body))
+            break;
         if (!refuses)
             atomic_store(&up.verdicts[number], RAN);
         else if (atomic_load(&up.verdicts[number]) == NOT_ARRIVED)
@@ -128,6 +158,8 @@
             memcpy(copy, answer, sizeof(copy));
         send_text(fd, answer);
         refused |= refuses;
+        if (early && !read_body(fd, body))
+            break;
     }
     close(fd);
     atomic_fetch_sub(&up.open, 1);
@@ -158,8 +190,13 @@
     char text[BBM_NAME_SIZE];
     exchange *ex = exchange_create(EXCHANGE_POOL, number);
     ex->connection = (void *)&connection;
-    ex->method = bbm_strdup(draw(state, 4) ? "GET" : "HEAD");
+    ex->method = bbm_strdup(draw(state, 4) ? "POST" : "HEAD");
     ex->host = bbm_strdup("h");
+    if (ex->method[0] == 'P' && draw(state, 3) == 0) {
+        static const char body[BODY_BYTES];
+        bbm_buf_add(&ex->body, body, sizeof(body));
+        ex->parsed_headers.content_length_count = 1;
+    }
     snprintf(text, sizeof(text), "/%u", number);
     ex->request_target = bbm_strdup(text);
     snprintf(text, sizeof(text), "id-%u", draw(state, IDS));
@@ -263,6 +300,7 @@
            outcomes[BBM_FORWARD_NO_ANSWER], outcomes[BBM_FORWARD_TRUNCATED]);
     ck_assert_int_gt(atomic_load(&up.copies), 0);
     ck_assert_int_eq(wrong, 0);
+    ck_assert_int_eq(atomic_load(&up.without_id), 0);
     ck_assert_int_eq(atomic_load(&up.sent_twice), 0);
     ck_assert_int_eq(atomic_load(&up.after_refusal), 0);
 }
