Soak: a process that seems not to stop is reported with its state

'Still runs' and 'doesn't stop' can't be told from a late word of the shell that waits for the process: in half_closed_at_start (10:03 UTC) all three daemons had logged 102 after 2.6 s and were reported as running after 6.5 to 19.5 s, beside writes that took seconds. The state in /proc tells.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -120,6 +120,7 @@
 static void
 finish(void)
 {
+    char state[32];
     for (int i = 0; i < opt.vms; i++)
         pthread_join(vms[i].thread, NULL);
     pthread_join(cuts_thread, NULL);
@@ -134,7 +135,8 @@
         vm_send_signal(&vms[i], SIGTERM);
     for (int i = 0; i < opt.vms; i++) {
         if (!vm_wait_for_end(&vms[i], VM_STOP_MS_MAX))
-            soak_break("FAULT vm-%d doesn't stop", i + 1);
+            soak_break("FAULT vm-%d doesn't stop, state %s", i + 1,
+                       vm_state(&vms[i], state));
     }
     soak_clients_stop();
 }
--- a/tests/soak/soak_vm.c
+++ b/tests/soak/soak_vm.c
@@ -213,6 +213,21 @@
     return true;
 }
 
+const char *
+vm_state(const vm *v, char text[32])
+{
+    char path[64];
+    char line[256];
+    snprintf(path, sizeof(path), "/proc/%d/status", (int)v->pid);
+    FILE *f = fopen(path, "re");
+    snprintf(text, 32, "gone");
+    while (f && fgets(line, sizeof(line), f))
+        sscanf(line, "State: %31[^\n]", text);
+    if (f)
+        fclose(f);
+    return text;
+}
+
 /* True once the process blocks signals, which it does before all else; the
    dynamic linker's time is left to the scenario signal_at_start. */
 static bool
@@ -253,14 +268,15 @@
 void
 vm_stop_and_start(vm *v, int64_t pause_ms)
 {
+    char state[32];
     if (!v->kill_sent && !vm_wait_for_end(v, VM_STOP_MS_MAX)) {
-        soak_break("FAULT vm-%d still runs %d ms after SIGTERM", v->number + 1,
-                   VM_STOP_MS_MAX);
+        soak_break("FAULT vm-%d still runs %d ms after SIGTERM, state %s",
+                   v->number + 1, VM_STOP_MS_MAX, vm_state(v, state));
         vm_send_signal(v, SIGKILL);
     }
     if (!vm_wait_for_end(v, VM_KILL_MS_MAX))
-        soak_break("FAULT vm-%d still runs %d ms after SIGKILL", v->number + 1,
-                   VM_KILL_MS_MAX);
+        soak_break("FAULT vm-%d still runs %d ms after SIGKILL, state %s",
+                   v->number + 1, VM_KILL_MS_MAX, vm_state(v, state));
     soak_sleep_ms(pause_ms);
     vm_start(v);
 }
--- a/tests/soak/soak_vm.h
+++ b/tests/soak/soak_vm.h
@@ -57,6 +57,9 @@
 void vm_start(vm *v);
 /** Wait for the end of the process; true if it has ended. */
 bool vm_wait_for_end(vm *v, int64_t ms);
+/** State of the process as /proc has it, or "gone": tells one that runs from
+ *  one whose end run.sh has not told. */
+const char *vm_state(const vm *v, char text[32]);
 void vm_send_signal(vm *v, int number);
 /** Wait for the end of a process that was told to end, and start the next. */
 void vm_stop_and_start(vm *v, int64_t pause_ms);
