Keep connections that brought a refusal, unless their address sends copies

What callers would see since: at an upstream at its limit of connections, orders without an answer (502). Closing after each refusal opens a new connection at the moment when the upstream is full, and the new one overtakes the close of the old one.

Change: an address that has sent an answer with another request's id, or bytes between answers, is remembered (1,024 addresses, the oldest yield); a connection to it that brought a refusal isn't used again. REFUSED and TWICE rest on the other rule, that an id is sent once on a connection, which stays as it was. A transfer that libcurl resends on a connection in conflict is started again, not ended.

--- a/daemon/connections.c
+++ b/daemon/connections.c
@@ -15,17 +15,27 @@
    send. */
 #define CARRIED_MAX 256
 
+/* Addresses that are remembered as sending answers twice. */
+#define REPEATERS_MAX 1024
+
 connection_counts connection_count;
 
 typedef struct connection_key {
     struct in_addr remote;
     int remote_port;
-    int local_port;
+    int local_port; /* 0: any */
 } connection_key;
 
+/* An address that has sent an answer twice, or bytes that belong to none. */
+typedef struct repeater {
+    connection_key key;
+    UT_hash_handle hh; /* by key, the oldest first */
+} repeater;
+
 typedef struct connection {
     connection_key key;
     int fd;
+    bool refused; /* it has brought a refusal */
     uint64_t number;
     uint64_t *ids; /* hashes of the ids that it has carried */
     size_t ids_len;
@@ -35,6 +45,7 @@
 } connection;
 
 struct connections {
+    repeater *repeaters;
     connection *by_key;
     connection *by_fd;
     uint64_t opened; /* connections, as numbers */
@@ -65,6 +76,12 @@
     {
         forget(c, n);
     }
+    repeater *r, *next_repeater;
+    HASH_ITER(hh, c->repeaters, r, next_repeater)
+    {
+        HASH_DEL(c->repeaters, r);
+        free(r);
+    }
     free(c);
 }
 
@@ -112,6 +129,40 @@
     return false;
 }
 
+/* Bytes that arrived before the request is sent belong to no request. */
+static bool
+has_unread_bytes(const connection *n)
+{
+    char byte;
+    return recv(n->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static repeater *
+find_repeater(const connections *c, const connection *n)
+{
+    connection_key key = n->key;
+    repeater *r = NULL;
+    key.local_port = 0;
+    HASH_FIND(hh, c->repeaters, &key, sizeof(key), r);
+    return r;
+}
+
+static void
+add_repeater(connections *c, const connection *n)
+{
+    if (find_repeater(c, n))
+        return;
+    if (HASH_COUNT(c->repeaters) >= REPEATERS_MAX) {
+        repeater *oldest = c->repeaters;
+        HASH_DEL(c->repeaters, oldest);
+        free(oldest);
+    }
+    repeater *r = bbm_calloc(1, sizeof(*r));
+    r->key = n->key;
+    r->key.local_port = 0;
+    HASH_ADD(hh, c->repeaters, key, sizeof(r->key), r);
+}
+
 void
 connections_find(connections *c, connection_use *u, const char *remote_ip,
                  int remote_port, int local_port, const char *id)
@@ -132,6 +183,10 @@
     u->carried = n ? (uint32_t)n->ids_len : 0;
     u->has_id = id[0] != '\0';
     u->carried_id = n && has_carried(n, id);
+    u->has_unread = n && n->ids_len && has_unread_bytes(n);
+    if (u->has_unread)
+        add_repeater(c, n);
+    u->expects_copy = n && n->refused && find_repeater(c, n);
 }
 
 void
@@ -144,20 +199,25 @@
     n->ids[n->ids_len++] = bbm_hash_text(id, 0);
 }
 
-bool
-connections_has_carried(const connections *c, const connection_use *u,
-                        const char *id)
+void
+connections_record_refusal(const connections *c, const connection_use *u)
 {
-    const connection *n = find_by_socket(c, u->socket);
-    return n && has_carried(n, id);
+    connection *n = find_by_socket(c, u->socket);
+    if (n)
+        n->refused = true;
 }
 
-/* Bytes that arrived before the request is sent belong to no request. */
-static bool
-has_unread_bytes(const connection_use *u)
+bool
+connections_record_foreign(connections *c, const connection_use *u,
+                           const char *id)
 {
-    char byte;
-    return recv(u->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    const connection *n = find_by_socket(c, u->socket);
+    bool copy = n && has_carried(n, id);
+    if (n)
+        add_repeater(c, n);
+    atomic_fetch_add(&connection_count.foreign, 1);
+    atomic_fetch_add(&connection_count.copies, copy);
+    return copy;
 }
 
 const char *
@@ -171,7 +231,9 @@
         return "request without an id";
     if (u->carried_id)
         return "its id was sent on it";
-    return has_unread_bytes(u) ? "unread bytes" : NULL;
+    if (u->has_unread)
+        return "unread bytes";
+    return u->expects_copy ? "a refusal on it may come again" : NULL;
 }
 
 bool
--- a/daemon/connections.h
+++ b/daemon/connections.h
@@ -36,6 +36,10 @@
     uint32_t carried;  /**< Requests sent on it before this one. */
     bool has_id;       /**< The request has an id. */
     bool carried_id;   /**< One of these had this request's id. */
+    bool has_unread;   /**< Bytes had arrived on it that belong to no
+                            request. */
+    bool expects_copy; /**< It has brought a refusal, from an address that
+                            sends answers twice. */
 } connection_use;
 
 /** Counts over all tables of the process; written by several threads. */
@@ -64,9 +68,14 @@
 /** The request is sent on the connection that was found for @p u. */
 void connections_record(connections *c, const connection_use *u,
                         const char *id);
-/** True if a request with this id was sent on the connection of @p u. */
-bool connections_has_carried(const connections *c, const connection_use *u,
-                             const char *id);
+/** The request of @p u was refused. */
+void connections_record_refusal(const connections *c, const connection_use *u);
+/** The answer had the id of another request, @p id.  Returns true if that was
+ *  sent on the connection: the answer came twice.  From then on the address
+ *  counts as one that sends answers twice, as it does if bytes arrive that
+ *  belong to no request. */
+bool connections_record_foreign(connections *c, const connection_use *u,
+                                const char *id);
 /** Why an answer to the request for which @p u was found couldn't be told from
  *  another one on this connection, for the log; NULL: it could.  Such a
  *  request needs a new connection. */
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -256,54 +256,43 @@
     return id ? id : "";
 }
 
-/* Logs an event about the attempt's connection; @p more are the last two
-   fields' names and values. */
-static void
-log_connection(bbm_log_event event, const attempt *x,
-               const char *const more[4])
-{
-    char connection[24];
-    char carried[24];
-    snprintf(connection, sizeof(connection), "%llu",
-             (unsigned long long)x->connection.number);
-    snprintf(carried, sizeof(carried), "%u", x->connection.carried);
-    bbm_log(event, "id", exchange_client_id(x->ex), "upstream",
-            x->send.upstream, "connection", connection, "carried", carried,
-            "carried_id", x->connection.carried_id ? "yes" : "no", more[0],
-            more[1], more[2], more[3], NULL);
-}
+/* ---- the head of an answer ---- */
 
-static void
-log_replaced(const attempt *x, const char *why)
+/* An upstream's refusal may come once more, where the answer to the next
+   request on its connection is due.  A VM answers once. */
+static bool
+is_upstreams_refusal(const attempt *x)
 {
-    atomic_fetch_add(&connection_count.replaced, 1);
-    log_connection(BBM_EVENT_CONNECTION_REPLACED, x,
-                   (const char *[4]){"why", why});
+    return !x->send.relay
+           && (x->parsed_head.head.not_run
+               || bbm_status_promises_not_run((unsigned)x->status));
 }
 
-/* ---- the head of an answer ---- */
-
-/* Logs an answer that names another request, or says that this one has not
-   run. */
+/* Records and logs an answer that names another request, or says that this one
+   has not run. */
 static void
-log_attribution(const attempt *x)
+record_attribution(const attempt *x)
 {
     char status[24];
-    snprintf(status, sizeof(status), "%ld", x->status);
+    connections *table = x->thread->connections;
     const char *other = x->parsed_head.other_id;
+    snprintf(status, sizeof(status), "%ld", x->status);
     if (x->parsed_head.head.wrong_request_id) {
-        bool copy = connections_has_carried(x->thread->connections,
-                                            &x->connection, other);
-        atomic_fetch_add(&connection_count.foreign, 1);
-        atomic_fetch_add(&connection_count.copies, copy);
-        log_connection(BBM_EVENT_FOREIGN_ANSWER, x,
-                       (const char *[4]){"status", status,
-                                         copy ? "copy_of" : "answers", other});
+        bool copy = connections_record_foreign(table, &x->connection, other);
+        connection_use_log(&x->connection, BBM_EVENT_FOREIGN_ANSWER,
+                           exchange_client_id(x->ex), x->send.upstream,
+                           (const char *[4]){"status", status,
+                                             copy ? "copy_of" : "answers",
+                                             other});
+        return;
     }
-    else if (!x->accepted && x->outcome == BBM_FORWARD_NOT_RUN) {
+    if (is_upstreams_refusal(x))
+        connections_record_refusal(table, &x->connection);
+    if (!x->accepted && x->outcome == BBM_FORWARD_NOT_RUN) {
         atomic_fetch_add(&connection_count.not_run, 1);
-        log_connection(BBM_EVENT_NOT_RUN, x,
-                       (const char *[4]){"status", status});
+        connection_use_log(&x->connection, BBM_EVENT_NOT_RUN,
+                           exchange_client_id(x->ex), x->send.upstream,
+                           (const char *[4]){"status", status});
     }
 }
 
@@ -370,16 +359,6 @@
     return uploaded < (curl_off_t)x->ex->body.len;
 }
 
-/* An upstream's refusal may come once more, where the answer to the next
-   request on its connection is due.  A VM answers once. */
-static bool
-is_upstreams_refusal(const attempt *x)
-{
-    return !x->send.relay
-           && (x->parsed_head.head.not_run
-               || bbm_status_promises_not_run((unsigned)x->status));
-}
-
 static void
 update_reuse_limit(const attempt *x)
 {
@@ -419,8 +398,7 @@
     x->head_checked = true;
     x->parsed_head.head.reused_connection = x->connection.carried > 0;
     platform_response_notice(&x->parsed_head, (uint32_t)x->status, &x->notice);
-    if (is_partly_uploaded(x) || is_upstreams_refusal(x)
-        || connection_use_is_last(&x->connection))
+    if (is_partly_uploaded(x) || connection_use_is_last(&x->connection))
         curl_easy_setopt(x->easy, CURLOPT_FORBID_REUSE, 1L);
     update_reuse_limit(x);
     x->parsed_head.head.status = (uint32_t)x->status;
@@ -437,7 +415,7 @@
         x->outcome = BBM_FORWARD_FAILED;
     }
     if (!accepted) {
-        log_attribution(x);
+        record_attribution(x);
         x->refused_at = control_now();
         return x->outcome != BBM_FORWARD_NO_ANSWER;
     }
@@ -566,7 +544,8 @@
         x->fresh_connection ? NULL : connection_use_conflict(&x->connection);
     x->unusable_connection = conflict != NULL;
     if (conflict) {
-        log_replaced(x, conflict);
+        connection_use_log_replaced(&x->connection, exchange_client_id(x->ex),
+                                    x->send.upstream, conflict);
         return CURL_PREREQFUNC_ABORT;
     }
     if (!exchange_begin_send(x->ex))
@@ -814,7 +793,7 @@
 static void
 finish(forward *f, attempt *x, CURLcode rc)
 {
-    if (x->unusable_connection && !x->sent) {
+    if (x->unusable_connection) {
         reconnect(f, x);
         return;
     }
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -229,10 +229,8 @@
     char status[24];
     snprintf(status, sizeof(status), "%ld", x->status);
     const char *other = x->wrong_request_id ? x->other_id : "";
-    bool copy =
-        connections_has_carried(x->thread->connections, &x->connection, other);
-    atomic_fetch_add(&connection_count.foreign, 1);
-    atomic_fetch_add(&connection_count.copies, copy);
+    bool copy = connections_record_foreign(x->thread->connections,
+                                           &x->connection, other);
     connection_use_log(&x->connection, BBM_EVENT_FOREIGN_ANSWER,
                        x->start.request_id, x->start.upstream,
                        (const char *[4]){"status", status,
