A part is quarantined only after an answer that began since the deciding crash

Sound parts were quarantined by ordinary crashes. Trace of test_tainted's ordinary_crashes_quarantine_no_part with seed 213: the part that all requests have is accused by four crashes at 106.040 s, one common loss, which count for no part, and by two at 107.060 and 107.080 s. At 107.100 s it is quarantined: five crashes are enough whatever else crashed, and the condition that another answer has begun was checked against the third crash, 1.06 s before the fifth.

It is now checked against the crash with which there is enough evidence. Tried and dropped: the 0.5 s for acquittals of other VMs from that crash too.

Tests: the seeds 213, 311, 522 and 530 are added to the test.

--- a/gate/bbm_quarantine.c
+++ b/gate/bbm_quarantine.c
@@ -292,22 +292,30 @@
     return lost >= COMMON_LOSS_MIN && without > 0;
 }
 
-static bool
-has_enough_crashes(const bbm_quarantine *q, const quarantine_part *p)
+/* Time of the crash with which there are enough; 0: there aren't. */
+static bbm_time
+enough_crashes_at(const bbm_quarantine *q, const quarantine_part *p)
 {
-    size_t len = p->entry.crashes_len;
+    bbm_time at = 0;
     size_t own = 0;
-    for (size_t i = 0; i < len; i++)
-        own += !is_common_loss(q, p, &p->entry.crashes[i]);
-    return own >= QUARANTINE_CRASHES_MIN || len >= CRASHES_ENOUGH;
+    for (size_t i = 0; i < p->entry.crashes_len; i++) {
+        const bbm_part_crash *crash = &p->entry.crashes[i];
+        at = crash->at > at ? crash->at : at;
+        own += !is_common_loss(q, p, crash);
+        if (own >= QUARANTINE_CRASHES_MIN || i + 1 >= CRASHES_ENOUGH)
+            return at;
+    }
+    return 0;
 }
 
+/* If the first crashes were of a common loss, the crash that decides may be
+   long after the third: another answer must have begun since then. */
 static bool
 is_proved(const bbm_quarantine *q, quarantine_part *p, bbm_time now)
 {
     const quarantine_pool *pool = find_pool(q, p->pool);
-    if (!p->counted_at || !pool || pool->answer_began_at <= p->counted_at
-        || !has_enough_crashes(q, p))
+    bbm_time enough_at = p->counted_at ? enough_crashes_at(q, p) : 0;
+    if (!enough_at || !pool || pool->answer_began_at <= enough_at)
         return false;
     if (!p->answered_at)
         p->answered_at = now;
--- a/gate/bbm_quarantine.h
+++ b/gate/bbm_quarantine.h
@@ -14,9 +14,9 @@
  *  - three runs of runners have crashed on it since it was last acquitted,
  *  - one of these crashes ended a request that was sent after the first crash
  *    was known, as a loss of many runners accuses what they had in common,
- *  - and since the third crash, time for acquittals of other VMs has passed
- *    and another answer of the pool began and was completed: otherwise no
- *    runner works.
+ *  - since the third crash, time for acquittals of other VMs has passed,
+ *  - and since the crash with which there was enough evidence, another answer
+ *    of the pool began and was completed: otherwise no runner works.
  *
  *  A whole request is judged in the same way, by the hash of all that an
  *  upstream gets of it: it may crash what runs it, also a service without
--- a/tests/test_tainted.c
+++ b/tests/test_tainted.c
@@ -193,8 +193,11 @@
    parts, but none is quarantined. */
 START_TEST(ordinary_crashes_quarantine_no_part)
 {
-    static const uint64_t seeds[] = {21, 22, 23, 24, 27, 29,  61,
-                                     67, 68, 74, 76, 93, 104, 107};
+    static const uint64_t seeds[] = {21, 22, 23, 24, 27, 29, 61, 67, 68, 74,
+                                     76, 93, 104, 107,
+                                     /* A common loss, and others a second
+                                        later. */
+                                     213, 311, 522, 530};
     for (size_t i = 0; i < BBM_COUNT(seeds); i++) {
         world_load l = few_vms;
         l.seed = seeds[i];
