--- a/tests/test_spread.c
+++ b/tests/test_spread.c
@@ -23,6 +23,8 @@
 #define ACK_TIME (6 * BBM_SECOND + 3 * BBM_MS * (ROUTES + MORE_ROUTES))
 /* A tenth of the VMs may get a change twice. */
 #define COPIES_MAX (VMS + VMS / 10)
+/* VMs that start have the configuration after this. */
+#define RECOVERY_TIME (6 * BBM_SECOND)
 #define MACHINE_BYTES ((size_t)88 * 1000 * 1000)
 
 typedef struct world {
@@ -281,6 +283,40 @@
 }
 END_TEST
 
+/* Power comes back for all VMs at once: those without a disk have nothing, and
+   all ask for the whole configuration. */
+START_TEST(all_vms_start_with_a_grown_configuration)
+{
+    world w;
+    create_world(&w);
+    publish(&w, 0, ROUTES);
+    fleet_run(w.fleet, 2 * BBM_SECOND);
+    publish(&w, 0, ROUTES + MORE_ROUTES);
+    fleet_run(w.fleet, 2 * BBM_SECOND);
+    for (int i = 0; i < VMS; i++)
+        fleet_crash(w.fleet, i);
+    net *n = fleet_net(w.fleet);
+    memset(n->sends_until, 0, sizeof(n->sends_until));
+    memset(n->waiting_bytes_max, 0, sizeof(n->waiting_bytes_max));
+    n->long_message_bytes = compressed_bytes(&w);
+    n->long_messages = 0;
+    bbm_time started_at = fleet_now(w.fleet);
+    for (int i = 0; i < VMS; i++)
+        fleet_start(w.fleet, i);
+    while (vms_at_version(&w, w.version) < VMS
+           && fleet_now(w.fleet) < started_at + RECOVERY_TIME)
+        fleet_step(w.fleet);
+    printf("%zu of %d VMs have the configuration %lld ms after the start; "
+           "%zu copies\n",
+           vms_at_version(&w, w.version), VMS,
+           (long long)((fleet_now(w.fleet) - started_at) / BBM_MS),
+           n->long_messages);
+    ck_assert_uint_eq(vms_at_version(&w, w.version), VMS);
+    check_memory(&w);
+    destroy_world(&w);
+}
+END_TEST
+
 /* Further changes of it follow each other closely, by VMs with weak links. */
 START_TEST(changes_of_a_grown_configuration_keep_up)
 {
@@ -296,7 +332,7 @@
 }
 END_TEST
 
-TEST_MAIN("spread", change_is_sent_to_each_vm_once,
-          lost_change_is_sent_again_in_time,
+TEST_MAIN("spread", all_vms_start_with_a_grown_configuration,
+          change_is_sent_to_each_vm_once, lost_change_is_sent_again_in_time,
           grown_configuration_is_in_force_in_time,
           changes_of_a_grown_configuration_keep_up);
