--- a/tests/test_copies.c
+++ b/tests/test_copies.c
@@ -1,5 +1,5 @@
-/* Copies of refusals: none is taken for an answer, and none takes an answer's
-   place. */
+/* Copies of refusals: none is taken for an answer, and no more than the first
+   one of an upstream takes an answer's place. */
 #include "forward_world.h"
 #include "test_main.h"
 
