One judgement of a connection before a send, one end of a head

Cause: forward, traffic, provider and watcher each repeated the lines that judge a kept connection before a send, and the end of a head was recognised in three places, of which only forward.c knew a bare line feed. So a refusal of a report with bare line feeds left its connection kept in provider.c and watcher.c. Found by reading the whole change.

Change: connection_use_conflicts() judges, counts and logs; calls_is_head_end() and calls_keep_if_ok() serve the callers of both kinds. Nothing else behaves differently. provider.c and watcher.c have no test of bare line feeds; that of test_copies covers the shared function.

--- a/daemon/calls.c
+++ b/daemon/calls.c
@@ -167,6 +167,21 @@
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, table);
 }
 
+bool
+calls_is_head_end(const char *line, size_t len)
+{
+    return (len == 2 && line[0] == '\r') || (len == 1 && line[0] == '\n');
+}
+
+void
+calls_keep_if_ok(CURL *easy, const connection_use *use)
+{
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    if (status != 200 || connection_use_is_last(use))
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 void
 calls_set_request(CURL *easy, const char *method, const bbm_buf *body)
 {
--- a/daemon/calls.h
+++ b/daemon/calls.h
@@ -69,6 +69,13 @@
  *  @p use begins anew; it is for connections_find(). */
 void calls_track_connection(CURL *easy, connections *table,
                             connection_use *use);
+/** True if a line that CURLOPT_HEADERFUNCTION gets is the end of a head.
+ *  libcurl takes a line feed alone for the end of a line, too. */
+bool calls_is_head_end(const char *line, size_t len);
+/** At the end of a head: close the connection after this transfer unless the
+ *  status is 200.  Any other answer may be a refusal, of which a copy may come
+ *  where the next answer is due. */
+void calls_keep_if_ok(CURL *easy, const connection_use *use);
 /** Set method and body.  @p body must outlive the transfer; NULL: no body. */
 void calls_set_request(CURL *easy, const char *method, const bbm_buf *body);
 /** Append a header line; the list stays as it is if memory runs out. */
--- a/daemon/connections.c
+++ b/daemon/connections.c
@@ -220,8 +220,10 @@
     return copy;
 }
 
-const char *
-connection_use_conflict(const connection_use *u)
+/* Why the request can't be sent on the connection, for the log; NULL: it can.
+ */
+static const char *
+find_conflict(const connection_use *u)
 {
     if (!u->number)
         return "unknown connection";
@@ -256,13 +258,17 @@
             more[0], more[1], more[2], more[3], NULL);
 }
 
-void
-connection_use_log_replaced(const connection_use *u, const char *id,
-                            const char *upstream, const char *why)
+bool
+connection_use_conflicts(const connection_use *u, const char *id,
+                         const char *upstream)
 {
+    const char *why = find_conflict(u);
+    if (!why)
+        return false;
     atomic_fetch_add(&connection_count.replaced, 1);
     connection_use_log(u, BBM_EVENT_CONNECTION_REPLACED, id, upstream,
                        (const char *[4]){"why", why});
+    return true;
 }
 
 int
--- a/daemon/connections.h
+++ b/daemon/connections.h
@@ -76,10 +76,11 @@
  *  belong to no request. */
 bool connections_record_foreign(connections *c, const connection_use *u,
                                 const char *id);
-/** Why an answer to the request for which @p u was found couldn't be told from
- *  another one on this connection, for the log; NULL: it could.  Such a
- *  request needs a new connection. */
-const char *connection_use_conflict(const connection_use *u);
+/** True if an answer to the request for which @p u was found couldn't be told
+ *  from another one on this connection.  Such a request needs a new one; the
+ *  kept one counts as replaced, and is logged with @p id and @p upstream. */
+bool connection_use_conflicts(const connection_use *u, const char *id,
+                              const char *upstream);
 /** True if the request is the last one that its connection may carry, which
  *  remembers no more ids. */
 bool connection_use_is_last(const connection_use *u);
@@ -88,10 +89,6 @@
 void connection_use_log(const connection_use *u, bbm_log_event event,
                         const char *id, const char *upstream,
                         const char *const more[4]);
-/** Log and count a kept connection on which a request couldn't be sent.
- *  @p why as from connection_use_conflict(). */
-void connection_use_log_replaced(const connection_use *u, const char *id,
-                                 const char *upstream, const char *why);
 /** Close a socket, of a known connection or not; @p table is a connections. */
 int connections_close(void *table, int fd);
 
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -434,13 +434,6 @@
     return true;
 }
 
-/* libcurl takes a line feed alone for the end of a line, too. */
-static bool
-is_blank_line(const char *data, size_t len)
-{
-    return (len == 2 && data[0] == '\r') || (len == 1 && data[0] == '\n');
-}
-
 static size_t
 on_header(char *data, size_t size, size_t n, void *context)
 {
@@ -454,7 +447,7 @@
     }
     if (len >= 5 && memcmp(data, "HTTP/", 5) == 0)
         parse_status_line(x, data, len);
-    else if (is_blank_line(data, len))
+    else if (calls_is_head_end(data, len))
         return finish_head(x) ? len : 0;
     else if (!x->head_checked)
         parse_header_line(x, data, len);
@@ -540,14 +533,12 @@
     const char *id = attempt_id(x);
     connections_find(x->thread->connections, &x->connection, remote_ip,
                      remote_port, local_port, id);
-    const char *conflict =
-        x->fresh_connection ? NULL : connection_use_conflict(&x->connection);
-    x->unusable_connection = conflict != NULL;
-    if (conflict) {
-        connection_use_log_replaced(&x->connection, exchange_client_id(x->ex),
-                                    x->send.upstream, conflict);
+    x->unusable_connection =
+        !x->fresh_connection
+        && connection_use_conflicts(&x->connection, exchange_client_id(x->ex),
+                                    x->send.upstream);
+    if (x->unusable_connection)
         return CURL_PREREQFUNC_ABORT;
-    }
     if (!exchange_begin_send(x->ex))
         return CURL_PREREQFUNC_ABORT;
     set_unacked_timeout(x->connection.socket, UNACKED_REQUEST_TIMEOUT_MS);
--- a/daemon/provider.c
+++ b/daemon/provider.c
@@ -143,19 +143,6 @@
     return len;
 }
 
-/* True if the call can't be sent on its connection.  Answers don't say which
-   call they answer. */
-static bool
-has_conflict(call *c)
-{
-    const char *why = connection_use_conflict(&c->connection);
-    c->unusable_connection = !c->fresh_connection && why;
-    if (!c->unusable_connection)
-        return false;
-    connection_use_log_replaced(&c->connection, "", c->id, why);
-    return true;
-}
-
 /* libcurl calls this right before it sends the request.  Aborts an order that
    is past its time limit. */
 static int
@@ -167,7 +154,12 @@
     c->expired = c->kind == CALL_ORDER && control_now() > c->not_after;
     connections_find(c->thread->connections, &c->connection, remote_ip,
                      remote_port, local_port, c->number);
-    if (c->expired || has_conflict(c))
+    if (c->expired)
+        return CURL_PREREQFUNC_ABORT;
+    c->unusable_connection =
+        !c->fresh_connection
+        && connection_use_conflicts(&c->connection, "", c->id);
+    if (c->unusable_connection)
         return CURL_PREREQFUNC_ABORT;
     connections_record(c->thread->connections, &c->connection, c->number);
     return CURL_PREREQFUNC_OK;
@@ -194,17 +186,6 @@
     free(c);
 }
 
-/* An answer other than the expected one may be a refusal, of which a copy may
-   come where the next answer is due. */
-static void
-finish_head(const call *c)
-{
-    long status = 0;
-    curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-    if (status != 200 || connection_use_is_last(&c->connection))
-        curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
-}
-
 /* Parses the headers of a runner's answer. */
 static size_t
 on_header(char *data, size_t size, size_t n, void *context)
@@ -212,8 +193,8 @@
     call *c = context;
     size_t len = size * n;
     char line[HEADER_LINE_BYTES];
-    if (len == 2 && data[0] == '\r')
-        finish_head(c);
+    if (calls_is_head_end(data, len))
+        calls_keep_if_ok(c->easy, &c->connection);
     if (len >= sizeof(line))
         return len;
     memcpy(line, data, len);
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -298,14 +298,11 @@
     }
     connections_find(x->thread->connections, &x->connection, remote_ip,
                      remote_port, local_port, id);
-    const char *conflict =
-        x->fresh_connection ? NULL : connection_use_conflict(&x->connection);
-    x->unusable_connection = conflict != NULL;
-    if (conflict) {
-        connection_use_log_replaced(&x->connection, id, x->start.upstream,
-                                    conflict);
+    x->unusable_connection =
+        !x->fresh_connection
+        && connection_use_conflicts(&x->connection, id, x->start.upstream);
+    if (x->unusable_connection)
         return CURL_PREREQFUNC_ABORT;
-    }
     if (!exchange_begin_send(x->ex))
         return CURL_PREREQFUNC_ABORT;
     connections_record(x->thread->connections, &x->connection, id);
--- a/daemon/watcher.c
+++ b/daemon/watcher.c
@@ -120,14 +120,11 @@
         return CURL_PREREQFUNC_ABORT;
     connections_find(c->thread->connections, &c->connection, remote_ip,
                      remote_port, local_port, c->number);
-    const char *conflict =
-        c->fresh_connection ? NULL : connection_use_conflict(&c->connection);
-    c->unusable_connection = conflict != NULL;
-    if (conflict) {
-        connection_use_log_replaced(&c->connection, "", c->engine->name,
-                                    conflict);
+    c->unusable_connection =
+        !c->fresh_connection
+        && connection_use_conflicts(&c->connection, "", c->engine->name);
+    if (c->unusable_connection)
         return CURL_PREREQFUNC_ABORT;
-    }
     connections_record(c->thread->connections, &c->connection, c->number);
     return CURL_PREREQFUNC_OK;
 }
@@ -138,12 +135,8 @@
 on_header(char *data, size_t size, size_t n, void *context)
 {
     const call *c = context;
-    long status = 0;
-    if (size * n != 2 || data[0] != '\r')
-        return size * n;
-    curl_easy_getinfo(c->easy, CURLINFO_RESPONSE_CODE, &status);
-    if (status != 200 || connection_use_is_last(&c->connection))
-        curl_easy_setopt(c->easy, CURLOPT_FORBID_REUSE, 1L);
+    if (calls_is_head_end(data, size * n))
+        calls_keep_if_ok(c->easy, &c->connection);
     return size * n;
 }
 
