--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -347,6 +347,7 @@
                 ("X-Bluebellmoor-Instance-Id", self.id)], 0))
             return
         self.ran.append((time.monotonic(), attempt, request))
+        self.fleet.record("run", attempt, "at", self.id)
         self.active += 1
         try:
             await self.run(request, attempt, writer)
