--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -592,7 +592,14 @@
 
 def main(folder, case):
     """Runs case(fleet), which returns the breaks of the rule that it saw."""
+    def out_of_time(*_):
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        signal.signal(signal.SIGINT, signal.SIG_IGN)
+        raise CannotRun("it was stopped, or took too long")
+
     fleet = None
+    signal.signal(signal.SIGTERM, out_of_time)
+    signal.signal(signal.SIGINT, out_of_time)
     try:
         fleet = Fleet(folder)
         fleet.record("TROUBLE=%d" % TROUBLE)
