--- a/review/9/case.py
+++ b/review/9/case.py
@@ -113,4 +113,4 @@
             if when > since and tenant != maker]
 
 
-main(FOLDER, case)
+main(os.path.join(FOLDER, "record.txt"), case)
--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -386,8 +386,8 @@
 # ---- the fleet ----
 
 class Fleet:
-    def __init__(self, folder, machines=3, memory_mb=MEMORY_MB):
-        self.record = Record(os.path.join(folder, "record.txt"))
+    def __init__(self, record_path, machines=3, memory_mb=MEMORY_MB):
+        self.record = Record(record_path)
         self.temp = tempfile.mkdtemp(prefix="bbm-review-")
         self.memory_mb = memory_mb
         self.runners, self.daemons = [], []
@@ -590,7 +590,7 @@
     return "%016x" % random.getrandbits(64)
 
 
-def main(folder, case):
+def main(record_path, case):
     """Runs case(fleet), which returns the breaks of the rule that it saw."""
     def out_of_time(*_):
         signal.signal(signal.SIGTERM, signal.SIG_IGN)
@@ -601,7 +601,7 @@
     signal.signal(signal.SIGTERM, out_of_time)
     signal.signal(signal.SIGINT, out_of_time)
     try:
-        fleet = Fleet(folder)
+        fleet = Fleet(record_path)
         fleet.record("TROUBLE=%d" % TROUBLE)
         breaks = case(fleet)
         for text in breaks:
