Malformed answers of upstreams no longer reach clients

Cause: forward.c read the lines of a head only for what it needed, and left it to libcurl whether the head is one at all and where the body ends. libcurl takes more than RFC 9112 allows: "5x", "0x0c" or "+5" as a length, the last of two, a number beyond 64 bits as none; "Content-Length : 5" as another field, so that the body ends with the connection; a length in an interim head; an empty transfer encoding as none. A line that begins with HTTP/ was taken for a status line wherever it came. The gate judged only ids, signature and status.

Evidence: test_answer_heads sends each of 97 malformed answers by a stand-in to the forwarding thread. Before the change 62 of them reached the client of a plain request, of a stream and of a request that another VM relays, 14 with a body that was cut at a wrong length or had chunk sizes in it.

Change: daemon/answer_head reads the heads line by line and accepts only what has one meaning: a status line with a status of 100 to 599 but 101, names that are tokens, values without control bytes, one length or exactly "chunked", neither where no body may be. It says for each line what it is. A malformed line ends the attempt as one without an answer, which the gate already treats as "may have run": sent again only if it may run twice, else 502. Event 532 and answers_malformed_total tell it, also if libcurl refused the head itself.

Why it works: what is accepted has one reading by RFC 9112, so libcurl, which still finds the end of the body, and the receiver can't differ. 18 unusual but sound heads are passed on whole (line feeds alone, HTTP/1.0, no reason, the same length twice, every byte of a token).

--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -167,6 +167,8 @@
       "upstream stated that a request has not run")                           \
     X(BBM_EVENT_CONNECTION_REPLACED, 530, INFO,                               \
       "kept connection closed: a request couldn't be sent on it")             \
+    X(BBM_EVENT_MALFORMED_ANSWER, 532, WARN,                                  \
+      "answer of an upstream is malformed; none of it is used any more")      \
     X(BBM_EVENT_REQUEST_FAILED, 500, WARN, "request ended with an error")     \
     X(BBM_EVENT_RETRY, 501, INFO, "request retried")                          \
     X(BBM_EVENT_CLAIM_UNKNOWN, 502, WARN, "claim closed, outcome unknown")    \
--- /dev/null
+++ b/daemon/answer_head.c
@@ -0,0 +1,307 @@
+#include "answer_head.h"
+
+#include "bbm_mem.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+typedef enum head_part {
+    PART_STATUS_LINE,
+    PART_FIELDS,
+    PART_BODY, /* lines that come now are trailers */
+    PART_MALFORMED,
+} head_part;
+
+struct answer_head {
+    head_part part;
+    const char *fault; /* valid if malformed */
+    bool ends_with_lf; /* lines of this head have no carriage return */
+    bool is_http_1_0;
+    unsigned status; /* 0: no status line was read */
+    int64_t length;  /* -1: none */
+    bool chunked;
+};
+
+answer_head *
+answer_head_create(void)
+{
+    answer_head *h = bbm_calloc(1, sizeof(*h));
+    h->length = -1;
+    return h;
+}
+
+void
+answer_head_destroy(answer_head *h)
+{
+    free(h);
+}
+
+static answer_line
+malformed(answer_head *h, const char *fault)
+{
+    h->part = PART_MALFORMED;
+    h->fault = fault;
+    return (answer_line){.kind = ANSWER_LINE_MALFORMED, .u.fault = fault};
+}
+
+/* ---- bytes (RFC 9110, 5.5 and 5.6.2) ---- */
+
+static bool
+is_digit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
+static bool
+is_blank(char c)
+{
+    return c == ' ' || c == '\t';
+}
+
+static bool
+is_token(const char *text, size_t len)
+{
+    for (size_t i = 0; i < len; i++) {
+        char c = text[i];
+        bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+        if (!letter && !is_digit(c)
+            && (c == '\0' || !strchr("!#$%&'*+-.^_`|~", c)))
+            return false;
+    }
+    return len > 0;
+}
+
+/* Bytes above 127 are allowed. */
+static bool
+has_control_bytes(const char *text, size_t len)
+{
+    for (size_t i = 0; i < len; i++) {
+        unsigned char c = (unsigned char)text[i];
+        if ((c < ' ' && c != '\t') || c == 0x7f)
+            return true;
+    }
+    return false;
+}
+
+static bool
+equals(const char *text, size_t len, const char *other)
+{
+    return len == strlen(other) && strncasecmp(text, other, len) == 0;
+}
+
+/* ---- the status line (RFC 9112, 4) ---- */
+
+static bool
+is_status_line(const char *line, size_t len)
+{
+    static const char pattern[] = "HTTP/1.x ddd ";
+    size_t n = sizeof(pattern) - 1;
+    if (len < n - 1)
+        return false;
+    for (size_t i = 0; i < n && i < len; i++) {
+        bool matches = line[i] == pattern[i];
+        if (pattern[i] == 'x')
+            matches = line[i] == '0' || line[i] == '1';
+        else if (pattern[i] == 'd')
+            matches = is_digit(line[i]);
+        if (!matches)
+            return false;
+    }
+    return true;
+}
+
+static answer_line
+read_status_line(answer_head *h, const char *line, size_t len)
+{
+    if (!is_status_line(line, len))
+        return malformed(h, "no status line");
+    if (has_control_bytes(line, len))
+        return malformed(h, "control byte in the status line");
+    h->is_http_1_0 = line[7] == '0';
+    h->status = (unsigned)((line[9] - '0') * 100 + (line[10] - '0') * 10
+                           + (line[11] - '0'));
+    h->length = -1;
+    h->chunked = false;
+    h->part = PART_FIELDS;
+    if (h->status < 100 || h->status > 599)
+        return malformed(h, "status out of range");
+    if (h->status == 101)
+        return malformed(h, "switches protocols");
+    return (answer_line){.kind = ANSWER_LINE_STATUS, .u.status = h->status};
+}
+
+/* ---- fields (RFC 9112, 5) ---- */
+
+/* False if the line has no colon or no valid name. */
+static bool
+split_field(const char *line, size_t len, answer_field *f)
+{
+    const char *colon = memchr(line, ':', len);
+    if (!colon || !is_token(line, (size_t)(colon - line)))
+        return false;
+    const char *end = line + len;
+    *f = (answer_field){.name = line,
+                        .name_len = (size_t)(colon - line),
+                        .value = colon + 1};
+    while (f->value < end && is_blank(*f->value))
+        f->value++;
+    while (end > f->value && is_blank(end[-1]))
+        end--;
+    f->value_len = (size_t)(end - f->value);
+    return true;
+}
+
+/* -1 unless the text is a decimal number of 63 bits. */
+static int64_t
+parse_length(const char *text, size_t len)
+{
+    int64_t length = 0;
+    for (size_t i = 0; i < len; i++) {
+        int digit = text[i] - '0';
+        if (!is_digit(text[i]) || length > (INT64_MAX - digit) / 10)
+            return -1;
+        length = length * 10 + digit;
+    }
+    return len ? length : -1;
+}
+
+/* The fault of a Content-Length, or NULL. */
+static const char *
+add_length(answer_head *h, const answer_field *f)
+{
+    int64_t length = parse_length(f->value, f->value_len);
+    if (length < 0)
+        return "invalid length";
+    if (h->length >= 0 && h->length != length)
+        return "two lengths";
+    h->length = length;
+    if (h->status < 200 || (h->status == 204 && length))
+        return "length of an answer without a body";
+    return h->chunked ? "both a length and chunks" : NULL;
+}
+
+/* The fault of a Transfer-Encoding, or NULL.  None but chunked is ever asked
+   for. */
+static const char *
+add_encoding(answer_head *h, const answer_field *f)
+{
+    if (h->chunked || !equals(f->value, f->value_len, "chunked"))
+        return "invalid transfer encoding";
+    h->chunked = true;
+    if (h->status < 200 || h->status == 204)
+        return "chunks of an answer without a body";
+    if (h->is_http_1_0)
+        return "chunks in HTTP/1.0";
+    return h->length >= 0 ? "both a length and chunks" : NULL;
+}
+
+/* A line that begins with a blank would continue the one before: its name
+   isn't valid, as a blank belongs to none. */
+static answer_line
+read_field(answer_head *h, const char *line, size_t len)
+{
+    answer_line l = {.kind = ANSWER_LINE_FIELD};
+    const answer_field *f = &l.u.field;
+    const char *fault = NULL;
+    if (!split_field(line, len, &l.u.field))
+        return malformed(h, "line is no field");
+    if (has_control_bytes(f->value, f->value_len))
+        return malformed(h, "control byte in a value");
+    if (answer_field_is(&l, "Content-Length"))
+        fault = add_length(h, f);
+    else if (answer_field_is(&l, "Transfer-Encoding"))
+        fault = add_encoding(h, f);
+    return fault ? malformed(h, fault) : l;
+}
+
+/* libcurl keeps the framing by what the head said, so a trailer can't change
+   it; but bytes of a body that are taken for trailers show that the chunks
+   are misread. */
+static answer_line
+read_trailer(answer_head *h, const char *line, size_t len)
+{
+    answer_field f;
+    bool valid = !len
+                 || (split_field(line, len, &f)
+                     && !has_control_bytes(f.value, f.value_len));
+    return valid ? (answer_line){.kind = ANSWER_LINE_TRAILER}
+                 : malformed(h, "trailer is no field");
+}
+
+/* ---- lines ---- */
+
+static answer_line
+end_head(answer_head *h)
+{
+    bool interim = h->status < 200;
+    h->part = interim ? PART_STATUS_LINE : PART_BODY;
+    return (answer_line){.kind = interim ? ANSWER_LINE_INTERIM_END
+                                         : ANSWER_LINE_HEAD_END};
+}
+
+answer_line
+answer_head_read(answer_head *h, const char *line, size_t len)
+{
+    size_t text_len = len;
+    if (text_len && line[text_len - 1] == '\n')
+        text_len--;
+    bool has_lf = text_len < len;
+    if (has_lf && text_len && line[text_len - 1] == '\r')
+        text_len--;
+    bool lf_alone = len - text_len == 1;
+    switch (h->part) {
+    case PART_STATUS_LINE:
+        h->ends_with_lf = lf_alone;
+        return has_lf ? read_status_line(h, line, text_len)
+                      : malformed(h, "line without end");
+    case PART_FIELDS:
+        /* A byte of a line's end was lost or replaced. */
+        if (!has_lf || lf_alone != h->ends_with_lf)
+            return malformed(h, "line ends differ");
+        return text_len ? read_field(h, line, text_len) : end_head(h);
+    case PART_BODY:
+        return read_trailer(h, line, text_len);
+    case PART_MALFORMED:
+        break;
+    }
+    return malformed(h, h->fault);
+}
+
+unsigned
+answer_head_status(const answer_head *h)
+{
+    return h->status;
+}
+
+int64_t
+answer_head_length(const answer_head *h)
+{
+    return h->length;
+}
+
+bool
+answer_head_is_chunked(const answer_head *h)
+{
+    return h->chunked;
+}
+
+bool
+answer_field_is(const answer_line *l, const char *name)
+{
+    return equals(l->u.field.name, l->u.field.name_len, name);
+}
+
+const char *
+answer_field_copy(const answer_line *l, char *text, size_t size)
+{
+    const answer_field *f = &l->u.field;
+    if (f->name_len + f->value_len + 2 > size)
+        return NULL;
+    char *value = text + f->name_len + 1;
+    memcpy(text, f->name, f->name_len);
+    text[f->name_len] = '\0';
+    memcpy(value, f->value, f->value_len);
+    value[f->value_len] = '\0';
+    return value;
+}
--- /dev/null
+++ b/daemon/answer_head.h
@@ -0,0 +1,74 @@
+/** @file
+ *  Checks the heads of the answer to one HTTP request, line by line as libcurl
+ *  gives them.
+ *
+ *  libcurl takes more than RFC 9112 allows: a length with other bytes behind
+ *  it, two lengths, names with blanks.  Where such a head says that the body
+ *  ends is a guess, so nothing of the answer may be used.
+ *
+ *      answer_head *h = answer_head_create();
+ *      answer_line l = answer_head_read(h, data, len);
+ *      if (l.kind == ANSWER_LINE_FIELD && answer_field_is(&l, "Date"))
+ *          use(l.u.field.value, l.u.field.value_len);
+ *      answer_head_destroy(h);
+ */
+#ifndef ANSWER_HEAD_H
+#define ANSWER_HEAD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** What has been read of an answer's heads; opaque. */
+typedef struct answer_head answer_head;
+
+/** What a line is. */
+typedef enum answer_line_kind {
+    ANSWER_LINE_STATUS,      /**< Status line, of an interim head too. */
+    ANSWER_LINE_FIELD,       /**< Header. */
+    ANSWER_LINE_INTERIM_END, /**< End of an interim head. */
+    ANSWER_LINE_HEAD_END,    /**< End of the final head. */
+    ANSWER_LINE_TRAILER,     /**< Line behind the body. */
+    ANSWER_LINE_MALFORMED,   /**< The answer can't be used. */
+} answer_line_kind;
+
+/** A header; its texts aren't terminated, and point into the line. */
+typedef struct answer_field {
+    const char *name;
+    size_t name_len;
+    const char *value; /**< Without the blanks around it. */
+    size_t value_len;
+} answer_field;
+
+/** A line, as a tagged union. */
+typedef struct answer_line {
+    answer_line_kind kind;
+    union {
+        unsigned status;    /**< ANSWER_LINE_STATUS: 100 to 599. */
+        answer_field field; /**< ANSWER_LINE_FIELD. */
+        const char *fault;  /**< ANSWER_LINE_MALFORMED: what is wrong, for the
+                                 log; static. */
+    } u;
+} answer_line;
+
+answer_head *answer_head_create(void);
+/** NULL is allowed. */
+void answer_head_destroy(answer_head *h);
+/** Read the next line, as CURLOPT_HEADERFUNCTION gets it: with its end.  Once a
+ *  line is malformed, all further ones are. */
+answer_line answer_head_read(answer_head *h, const char *line, size_t len);
+/** Status of the last head; 0: none was read. */
+unsigned answer_head_status(const answer_head *h);
+/** Content-Length of the last head in bytes; -1: none. */
+int64_t answer_head_length(const answer_head *h);
+/** True if the last head says that the body comes in chunks. */
+bool answer_head_is_chunked(const answer_head *h);
+
+/** True if an ANSWER_LINE_FIELD has this name, in any case. */
+bool answer_field_is(const answer_line *l, const char *name);
+/** Copy an ANSWER_LINE_FIELD to @p text, of @p size bytes: the name, and the
+ *  value behind it, both terminated.  Returns the value; NULL if the two don't
+ *  fit. */
+const char *answer_field_copy(const answer_line *l, char *text, size_t size);
+
+#endif
--- a/daemon/calls.c
+++ b/daemon/calls.c
@@ -182,6 +182,20 @@
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
+bool
+calls_is_malformed(CURLcode code)
+{
+    switch (code) {
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_UNSUPPORTED_PROTOCOL: /* no status line */
+    case CURLE_BAD_CONTENT_ENCODING: /* a transfer encoding, too */
+    case CURLE_FILESIZE_EXCEEDED:    /* a length beyond 63 bits */
+        return true;
+    default:
+        return false;
+    }
+}
+
 void
 calls_set_request(CURL *easy, const char *method, const bbm_buf *body)
 {
--- a/daemon/calls.h
+++ b/daemon/calls.h
@@ -76,6 +76,9 @@
  *  status is 200.  Any other answer may be a refusal, of which a copy may come
  *  where the next answer is due. */
 void calls_keep_if_ok(CURL *easy, const connection_use *use);
+/** True if a transfer ended because libcurl itself refused the answer's head
+ * or its framing. */
+bool calls_is_malformed(CURLcode code);
 /** Set method and body.  @p body must outlive the transfer; NULL: no body. */
 void calls_set_request(CURL *easy, const char *method, const bbm_buf *body);
 /** Append a header line; the list stays as it is if memory runs out. */
--- a/daemon/connections.c
+++ b/daemon/connections.c
@@ -271,6 +271,15 @@
     return true;
 }
 
+void
+connection_use_record_malformed(const connection_use *u, const char *id,
+                                const char *upstream, const char *fault)
+{
+    atomic_fetch_add(&connection_count.malformed, 1);
+    connection_use_log(u, BBM_EVENT_MALFORMED_ANSWER, id, upstream,
+                       (const char *[4]){"fault", fault});
+}
+
 int
 connections_close(void *table, int fd)
 {
--- a/daemon/connections.h
+++ b/daemon/connections.h
@@ -51,6 +51,8 @@
                                  carried. */
     atomic_ullong replaced; /**< Idle connections that were closed since a
                                  request couldn't be sent on them. */
+    atomic_ullong malformed; /**< Answers that weren't used, as they break the
+                                  rules of HTTP. */
 } connection_counts;
 extern connection_counts connection_count;
 
@@ -89,6 +91,10 @@
 void connection_use_log(const connection_use *u, bbm_log_event event,
                         const char *id, const char *upstream,
                         const char *const more[4]);
+/** Count and log a malformed answer to the request with @p id, "" for none;
+ *  @p fault says what is wrong with it. */
+void connection_use_record_malformed(const connection_use *u, const char *id,
+                                     const char *upstream, const char *fault);
 /** Close a socket, of a known connection or not; @p table is a connections. */
 int connections_close(void *table, int fd);
 
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -1,5 +1,6 @@
 #include "forward.h"
 
+#include "answer_head.h"
 #include "bbm_codes.h"
 #include "bbm_log.h"
 #include "calls.h"
@@ -86,19 +87,17 @@
     char resume_after[BBM_EVENT_ID_SIZE]; /* event id; "": not a resumption */
     CURL *easy;
     struct curl_slist *request_headers;
+    answer_head *head;
     exchange_headers answer_headers; /* to be passed on */
     platform_response parsed_head;
     bbm_upstream_notice notice; /* valid if head_checked */
-    long status;
-    int64_t content_length; /* -1: unknown */
-    bool chunked;           /* the answer's transfer encoding */
-    event_splitter events;  /* of a stream; holds bytes if it is resumable */
-    size_t head_bytes;      /* received of all heads */
-    size_t refused_bytes;   /* body bytes received of a refused answer */
-    bbm_time refused_at;    /* when that head was received */
-    uint64_t body_bytes;    /* received of an accepted answer */
-    bbm_time progress_at;   /* last complete event, or head, of a stream */
-    bbm_time began_at;      /* first bytes of an accepted body; 0: none */
+    event_splitter events; /* of a stream; holds bytes if it is resumable */
+    size_t head_bytes;     /* received of all heads */
+    size_t refused_bytes;  /* body bytes received of a refused answer */
+    bbm_time refused_at;   /* when that head was received */
+    uint64_t body_bytes;   /* received of an accepted answer */
+    bbm_time progress_at;  /* last complete event, or head, of a stream */
+    bbm_time began_at;     /* first bytes of an accepted body; 0: none */
     bool progress_reported;
     uint64_t checked_body_bytes;   /* body_bytes at the last check */
     uint64_t checked_socket_bytes; /* received by the socket by then */
@@ -228,7 +227,7 @@
         .request = x->request,
         .attempt = x->send.attempt,
         .outcome = end,
-        .status = (uint32_t)x->status,
+        .status = answer_head_status(x->head),
         .disconnected = is_disconnected(x, rc, end),
         .adopted = x->adopted,
         .began_at = x->began_at,
@@ -256,6 +255,13 @@
     return id ? id : "";
 }
 
+static void
+record_malformed(const attempt *x, const char *fault)
+{
+    connection_use_record_malformed(&x->connection, exchange_client_id(x->ex),
+                                    x->send.upstream, fault);
+}
+
 /* ---- the head of an answer ---- */
 
 /* An upstream's refusal may come once more, where the answer to the next
@@ -265,7 +271,7 @@
 {
     return !x->send.relay
            && (x->parsed_head.head.not_run
-               || bbm_status_promises_not_run((unsigned)x->status));
+               || bbm_status_promises_not_run(answer_head_status(x->head)));
 }
 
 /* Records and logs an answer that names another request, or says that this one
@@ -276,7 +282,7 @@
     char status[24];
     connections *table = x->thread->connections;
     const char *other = x->parsed_head.other_id;
-    snprintf(status, sizeof(status), "%ld", x->status);
+    snprintf(status, sizeof(status), "%u", answer_head_status(x->head));
     if (x->parsed_head.head.wrong_request_id) {
         bool copy = connections_record_foreign(table, &x->connection, other);
         connection_use_log(&x->connection, BBM_EVENT_FOREIGN_ANSWER,
@@ -296,54 +302,32 @@
     }
 }
 
+/* What the heads before the final one state isn't about the answer. */
 static void
-parse_status_line(attempt *x, const char *line, size_t len)
+begin_head(attempt *x)
 {
-    char text[32] = "";
-    size_t n = len < sizeof(text) - 1 ? len : sizeof(text) - 1;
-    memcpy(text, line, n);
-    const char *separator = strchr(text, ' ');
-    x->status = separator ? strtol(separator + 1, NULL, 10) : 0;
     x->parsed_head = (platform_response){.keep_alive_s = -1};
-    x->content_length = -1;
-    x->chunked = false;
     exchange_headers_free(&x->answer_headers);
 }
 
 static void
-log_dropped_header(const attempt *x, const char *line, size_t len)
+log_dropped_header(const attempt *x, const answer_field *field)
 {
-    char name[BBM_NAME_SIZE] = "";
-    const char *colon = memchr(line, ':', len);
-    size_t n = colon ? (size_t)(colon - line) : len;
-    memcpy(name, line, n < sizeof(name) ? n : sizeof(name) - 1);
+    char name[BBM_NAME_SIZE];
+    snprintf(name, sizeof(name), "%.*s", (int)field->name_len, field->name);
     bbm_log(BBM_EVENT_ANSWER_HEADER_DROPPED, "id", exchange_client_id(x->ex),
             "upstream", x->send.upstream, "header", name, NULL);
 }
 
 static void
-parse_header_line(attempt *x, const char *line, size_t len)
+add_answer_header(attempt *x, const answer_line *line)
 {
     char text[HEADER_LINE_BYTES];
-    if (len >= sizeof(text)) {
-        log_dropped_header(x, line, len);
+    const char *value = answer_field_copy(line, text, sizeof(text));
+    if (!value) {
+        log_dropped_header(x, &line->u.field);
         return;
     }
-    memcpy(text, line, len);
-    text[len] = '\0';
-    char *colon = strchr(text, ':');
-    if (!colon)
-        return;
-    *colon = '\0';
-    char *value = colon + 1;
-    value += strspn(value, " \t");
-    size_t end = strlen(value);
-    while (end && strchr(" \t\r\n", value[end - 1]))
-        value[--end] = '\0';
-    if (strcasecmp(text, "Content-Length") == 0)
-        x->content_length = strtoll(value, NULL, 10);
-    if (strcasecmp(text, "Transfer-Encoding") == 0)
-        x->chunked = true;
     if (platform_response_add_header(&x->parsed_head, x->ex->parsed_headers.id,
                                      text, value))
         exchange_headers_add(&x->answer_headers, text, value);
@@ -393,18 +377,17 @@
 static bool
 finish_head(attempt *x)
 {
-    if (x->status < 200)
-        return true;
+    unsigned status = answer_head_status(x->head);
     x->head_checked = true;
     x->parsed_head.head.reused_connection = x->connection.carried > 0;
-    platform_response_notice(&x->parsed_head, (uint32_t)x->status, &x->notice);
+    platform_response_notice(&x->parsed_head, status, &x->notice);
     if (is_partly_uploaded(x) || connection_use_is_last(&x->connection))
         curl_easy_setopt(x->easy, CURLOPT_FORBID_REUSE, 1L);
     update_reuse_limit(x);
-    x->parsed_head.head.status = (uint32_t)x->status;
+    x->parsed_head.head.status = status;
     bool accepted = accepts_head(x);
     bool resumes = x->resume_after[0] != '\0';
-    if (accepted && resumes && x->status != 200) {
+    if (accepted && resumes && status != 200) {
         accepted = false;
         x->outcome = BBM_FORWARD_FAILED;
     }
@@ -420,14 +403,13 @@
         return x->outcome != BBM_FORWARD_NO_ANSWER;
     }
     x->accepted = true;
-    if (x->send.relay && bbm_status_promises_not_run((unsigned)x->status))
+    if (x->send.relay && bbm_status_promises_not_run(status))
         exchange_record_not_run(x->ex);
     x->progress_at = control_now();
     set_unacked_timeout(x->connection.socket, UNACKED_ANSWER_TIMEOUT_MS);
-    int64_t length = x->send.stream ? -1 : x->content_length;
+    int64_t length = x->send.stream ? -1 : answer_head_length(x->head);
     if (!resumes)
-        exchange_set_verbatim_head(x->ex, (unsigned)x->status, length,
-                                   &x->answer_headers);
+        exchange_set_verbatim_head(x->ex, status, length, &x->answer_headers);
     x->ex->source = (exchange_source){.attempt = x->send.attempt,
                                       .origin = x->send.origin};
     report_head(x->thread, x->ex, &x->notice);
@@ -445,12 +427,23 @@
         log_limit(x, "bytes of the heads");
         return 0;
     }
-    if (len >= 5 && memcmp(data, "HTTP/", 5) == 0)
-        parse_status_line(x, data, len);
-    else if (calls_is_head_end(data, len))
+    answer_line line = answer_head_read(x->head, data, len);
+    switch (line.kind) {
+    case ANSWER_LINE_STATUS:
+        begin_head(x);
+        break;
+    case ANSWER_LINE_FIELD:
+        add_answer_header(x, &line);
+        break;
+    case ANSWER_LINE_HEAD_END:
         return finish_head(x) ? len : 0;
-    else if (!x->head_checked)
-        parse_header_line(x, data, len);
+    case ANSWER_LINE_INTERIM_END:
+    case ANSWER_LINE_TRAILER:
+        break;
+    case ANSWER_LINE_MALFORMED:
+        record_malformed(x, line.u.fault);
+        return 0;
+    }
     return len;
 }
 
@@ -681,6 +674,7 @@
     calls_remove(f->calls, x->easy);
     curl_easy_cleanup(x->easy);
     curl_slist_free_all(x->request_headers);
+    answer_head_destroy(x->head);
     exchange_headers_free(&x->answer_headers);
     event_splitter_free(&x->events);
     exchange_unref(x->ex);
@@ -728,8 +722,8 @@
     x->send = j->send;
     x->events.hold = &f->event_hold;
     connection_use_begin(&x->connection);
+    x->head = answer_head_create();
     x->parsed_head.keep_alive_s = -1;
-    x->content_length = -1;
     x->fresh_connection = j->send.fresh_connection;
     memcpy(x->resume_after, j->last_event, sizeof(x->resume_after));
     memcpy(x->events.last_id, j->last_event, sizeof(x->resume_after));
@@ -744,13 +738,14 @@
 static bool
 ends_within_event(const attempt *x)
 {
-    bool has_events = x->send.stream && x->status >= 200 && x->status < 300
-                      && x->status != 204
-                      && strcmp(x->ex->method, "HEAD") != 0;
-    if (!has_events || x->content_length >= 0)
+    unsigned status = answer_head_status(x->head);
+    bool has_events = x->send.stream && status >= 200 && status < 300
+                      && status != 204 && strcmp(x->ex->method, "HEAD") != 0;
+    if (!has_events || answer_head_length(x->head) >= 0)
         return false;
     const event_scanner *sc = &x->events.scanner;
-    return event_scanner_within_event(sc) || (!x->chunked && !sc->ended_event);
+    return event_scanner_within_event(sc)
+           || (!answer_head_is_chunked(x->head) && !sc->ended_event);
 }
 
 static bbm_forward_outcome
@@ -789,6 +784,8 @@
         return;
     }
     bbm_forward_outcome end = outcome_of(x, rc);
+    if (calls_is_malformed(rc))
+        record_malformed(x, curl_easy_strerror(rc));
     if (end == BBM_FORWARD_COMPLETE) {
         if (x->events.bytes.len)
             exchange_write(x->ex, x->events.bytes.data, x->events.bytes.len);
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -320,6 +320,9 @@
                  "Of these, with the id of an earlier request of their "
                  "connection",
                  atomic_load(&n->copies), out);
+    write_metric("answers_malformed_total", "counter",
+                 "Answers that weren't used, as they break the rules of HTTP",
+                 atomic_load(&n->malformed), out);
 }
 
 static void
