Malformed answers of engines no longer reach clients

A malformed answer was a complete one for the client, and for the claim of its Idempotency-Key.

Cause: traffic.c took what libcurl takes, as forward.c did, and less: it never looked whether the head had ended. libcurl also takes a line that begins with a CR or a NUL for the end of a head; the client got the next headers as the body ("Content-Length: 12..."). A status 101 was passed on as a final answer.

Change: the thread reads heads by answer_head, and an answer begins only once its head is complete. calls_result() says so for both threads: libcurl's OK without a whole head is none. Both also tell a malformed answer that libcurl refuses by a line that it can't split; each of the 97 is now counted and logged once, which both tests check.

--- a/daemon/answer_head.c
+++ b/daemon/answer_head.c
@@ -141,9 +141,8 @@
     if (!colon || !is_token(line, (size_t)(colon - line)))
         return false;
     const char *end = line + len;
-    *f = (answer_field){.name = line,
-                        .name_len = (size_t)(colon - line),
-                        .value = colon + 1};
+    *f = (answer_field){
+        .name = line, .name_len = (size_t)(colon - line), .value = colon + 1};
     while (f->value < end && is_blank(*f->value))
         f->value++;
     while (end > f->value && is_blank(end[-1]))
@@ -268,6 +267,12 @@
     return malformed(h, h->fault);
 }
 
+bool
+answer_head_is_complete(const answer_head *h)
+{
+    return h->part == PART_BODY;
+}
+
 unsigned
 answer_head_status(const answer_head *h)
 {
--- a/daemon/answer_head.h
+++ b/daemon/answer_head.h
@@ -54,9 +54,11 @@
 answer_head *answer_head_create(void);
 /** NULL is allowed. */
 void answer_head_destroy(answer_head *h);
-/** Read the next line, as CURLOPT_HEADERFUNCTION gets it: with its end.  Once a
- *  line is malformed, all further ones are. */
+/** Read the next line, as CURLOPT_HEADERFUNCTION gets it: with its end.  Once
+ * a line is malformed, all further ones are. */
 answer_line answer_head_read(answer_head *h, const char *line, size_t len);
+/** True once the final head has ended. */
+bool answer_head_is_complete(const answer_head *h);
 /** Status of the last head; 0: none was read. */
 unsigned answer_head_status(const answer_head *h);
 /** Content-Length of the last head in bytes; -1: none. */
--- a/daemon/calls.c
+++ b/daemon/calls.c
@@ -182,14 +182,23 @@
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
+CURLcode
+calls_result(CURLcode code, const answer_head *head)
+{
+    return code == CURLE_OK && !answer_head_is_complete(head)
+               ? CURLE_WEIRD_SERVER_REPLY
+               : code;
+}
+
 bool
 calls_is_malformed(CURLcode code)
 {
     switch (code) {
     case CURLE_WEIRD_SERVER_REPLY:
-    case CURLE_UNSUPPORTED_PROTOCOL: /* no status line */
-    case CURLE_BAD_CONTENT_ENCODING: /* a transfer encoding, too */
-    case CURLE_FILESIZE_EXCEEDED:    /* a length beyond 63 bits */
+    case CURLE_BAD_FUNCTION_ARGUMENT: /* a line that can't be split */
+    case CURLE_UNSUPPORTED_PROTOCOL:  /* no status line */
+    case CURLE_BAD_CONTENT_ENCODING:  /* a transfer encoding, too */
+    case CURLE_FILESIZE_EXCEEDED:     /* a length beyond 63 bits */
         return true;
     default:
         return false;
--- a/daemon/calls.h
+++ b/daemon/calls.h
@@ -14,6 +14,7 @@
 #ifndef CALLS_H
 #define CALLS_H
 
+#include "answer_head.h"
 #include "bbm_pack.h"
 #include "connections.h"
 
@@ -76,6 +77,10 @@
  *  status is 200.  Any other answer may be a refusal, of which a copy may come
  *  where the next answer is due. */
 void calls_keep_if_ok(CURL *easy, const connection_use *use);
+/** The result of a transfer, given the one of libcurl: an answer is whole only
+ *  if its head is, while libcurl may take other bytes for the end of a head.
+ */
+CURLcode calls_result(CURLcode code, const answer_head *head);
 /** True if a transfer ended because libcurl itself refused the answer's head
  * or its framing. */
 bool calls_is_malformed(CURLcode code);
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -777,12 +777,13 @@
 }
 
 static void
-finish(forward *f, attempt *x, CURLcode rc)
+finish(forward *f, attempt *x, CURLcode libcurl_rc)
 {
     if (x->unusable_connection) {
         reconnect(f, x);
         return;
     }
+    CURLcode rc = calls_result(libcurl_rc, x->head);
     bbm_forward_outcome end = outcome_of(x, rc);
     if (calls_is_malformed(rc))
         record_malformed(x, curl_easy_strerror(rc));
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -95,7 +95,7 @@
         .code = code,
         .sent = x->sent,
         .answer_started = x->answer_started,
-        .status = (uint32_t)x->status,
+        .status = x->status,
         .prompt_tokens = p->bytes ? p->prompt_tokens : -1,
         .output_tokens = has_usage ? p->output_tokens : p->data_events,
     };
@@ -135,23 +135,6 @@
 
 /* ---- libcurl callbacks ---- */
 
-/* Returns the value of a header line, or NULL if the line has another name.
-   @p name is in lower case and ends with the colon.  *len receives the value's
-   length without surrounding blanks. */
-static const char *
-header_value(const char *data, size_t n, const char *name, size_t *len)
-{
-    size_t skip = strlen(name);
-    if (n <= skip || strncasecmp(data, name, skip) != 0)
-        return NULL;
-    while (skip < n && data[skip] == ' ')
-        skip++;
-    while (n > skip && strchr("\r\n ", data[n - 1]))
-        n--;
-    *len = n - skip;
-    return data + skip;
-}
-
 /* What the heads before the final one state isn't about the answer. */
 static void
 begin_head(traffic_transfer *x)
@@ -172,25 +155,46 @@
         snprintf(x->other_id, sizeof(x->other_id), "%.*s", (int)len, value);
 }
 
+static void
+parse_field(traffic_transfer *x, const answer_line *line)
+{
+    const answer_field *f = &line->u.field;
+    if (answer_field_is(line, "Content-Type"))
+        snprintf(x->content_type, sizeof(x->content_type), "%.*s",
+                 (int)f->value_len, f->value);
+    else if (answer_field_is(line, "X-Request-Id"))
+        parse_request_id(x, f->value, f->value_len);
+}
+
+static void
+record_malformed(const traffic_transfer *x, const char *fault)
+{
+    connection_use_record_malformed(&x->connection, x->start.request_id,
+                                    x->start.upstream, fault);
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *context)
 {
-    (void)size;
     traffic_transfer *x = context;
-    size_t len;
-    if (n >= 5 && memcmp(data, "HTTP/", 5) == 0)
+    size_t len = size * n;
+    answer_line line = answer_head_read(x->head, data, len);
+    switch (line.kind) {
+    case ANSWER_LINE_STATUS:
         begin_head(x);
-    const char *value = header_value(data, n, "content-type:", &len);
-    if (value) {
-        if (len >= sizeof(x->content_type))
-            len = sizeof(x->content_type) - 1;
-        memcpy(x->content_type, value, len);
-        x->content_type[len] = '\0';
+        break;
+    case ANSWER_LINE_FIELD:
+        parse_field(x, &line);
+        break;
+    case ANSWER_LINE_INTERIM_END:
+    case ANSWER_LINE_HEAD_END:
+    case ANSWER_LINE_TRAILER:
+        break;
+    case ANSWER_LINE_MALFORMED:
+        record_malformed(x, line.u.fault);
+        return 0;
     }
-    value = header_value(data, n, "x-request-id:", &len);
-    if (value)
-        parse_request_id(x, value, len);
-    return n;
+    return len;
 }
 
 /* Returns whether the status says that the upstream didn't execute the
@@ -227,7 +231,7 @@
 log_foreign_answer(const traffic_transfer *x)
 {
     char status[24];
-    snprintf(status, sizeof(status), "%ld", x->status);
+    snprintf(status, sizeof(status), "%u", x->status);
     const char *other = x->wrong_request_id ? x->other_id : "";
     bool copy = connections_record_foreign(x->thread->connections,
                                            &x->connection, other);
@@ -240,7 +244,7 @@
 static bool
 start_answer(traffic_transfer *x)
 {
-    curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &x->status);
+    x->status = answer_head_status(x->head);
     if (!may_keep_connection(x))
         curl_easy_setopt(x->easy, CURLOPT_FORBID_REUSE, 1L);
     bool own = is_own_answer(x);
@@ -256,9 +260,8 @@
     report_first_byte(x);
     int64_t cached_tokens =
         x->start.weights[0] ? (int64_t)x->start.cached_tokens : -1;
-    bool connected =
-        exchange_set_head(x->ex, (unsigned)x->status, x->content_type,
-                          x->start.upstream, cached_tokens);
+    bool connected = exchange_set_head(x->ex, x->status, x->content_type,
+                                       x->start.upstream, cached_tokens);
     /* A request with an idempotency claim runs on without its client: the
        answer is stored for a repeat of the request. */
     return connected || x->start.return_body;
@@ -270,6 +273,8 @@
     traffic_transfer *x = context;
     size_t len = size * n;
     x->last_byte_at = control_now();
+    if (!answer_head_is_complete(x->head))
+        return CURL_WRITEFUNC_ERROR;
     if (!x->answer_started && !x->rejected && !start_answer(x))
         return CURL_WRITEFUNC_ERROR;
     if (x->rejected)
@@ -333,6 +338,7 @@
     calls_remove(t->calls, x->easy);
     curl_easy_cleanup(x->easy);
     curl_slist_free_all(x->headers);
+    answer_head_destroy(x->head);
     answer_parser_free(&x->parser);
     exchange_unref(x->ex);
     free(x);
@@ -357,6 +363,7 @@
     x->ex = exchange_ref(j->ex);
     x->thread = t;
     x->start = j->start;
+    x->head = answer_head_create();
     x->started_at = control_now();
     x->last_byte_at = x->started_at;
     x->fresh_connection = x->start.no_retry;
@@ -395,13 +402,16 @@
 }
 
 static void
-finish(traffic *t, traffic_transfer *x, CURLcode rc)
+finish(traffic *t, traffic_transfer *x, CURLcode libcurl_rc)
 {
+    CURLcode rc = calls_result(libcurl_rc, x->head);
     /* libcurl doesn't call on_data for an answer without a body. */
     bool empty = rc == CURLE_OK && !x->answer_started && !x->rejected;
     if (empty)
         start_answer(x);
     int code = result_of(x, rc);
+    if (calls_is_malformed(rc))
+        record_malformed(x, curl_easy_strerror(rc));
     report_finished(x, code);
     if (code == BBM_OK)
         exchange_finish(x->ex, false);
--- a/daemon/traffic_request.h
+++ b/daemon/traffic_request.h
@@ -5,6 +5,7 @@
 #ifndef TRAFFIC_REQUEST_H
 #define TRAFFIC_REQUEST_H
 
+#include "answer_head.h"
 #include "connections.h"
 #include "traffic.h"
 #include "traffic_answer.h"
@@ -21,7 +22,8 @@
     CURL *easy;
     struct curl_slist *headers;
     answer_parser parser;
-    long status; /* HTTP status; 0: none received */
+    answer_head *head;
+    unsigned status; /* HTTP status; 0: none received */
     char content_type[EXCHANGE_HEADER_SIZE];
     bool sent;             /* the upstream may have received bytes */
     bool answer_started;   /* the answer is passed to the client */
--- a/tests/test_answer_heads.c
+++ b/tests/test_answer_heads.c
@@ -1,6 +1,7 @@
-/* The forwarding thread against upstreams whose answers are malformed: a client
-   must not get such an answer, as nothing says where its body ends. */
+/* The forwarding thread against upstreams whose answers are malformed: a
+   client must not get such an answer, as nothing says where its body ends. */
 #include "answer_cases.h"
+#include "connections.h"
 #include "forward_world.h"
 #include "test_main.h"
 
@@ -48,7 +49,10 @@
         fixture w;
         sent_case = &malformed_answers[i];
         set_up(&w, answer_by_case);
+        unsigned long long before = atomic_load(&connection_count.malformed);
         ended e = run_attempt(&w, kind, "");
+        ck_assert_msg(atomic_load(&connection_count.malformed) == before + 1,
+                      "%s isn't told once", sent_case->name);
         if (is_passed(&e)) {
             passed++;
             printf("%s: status %u, outcome %d, body '%.*s'\n", sent_case->name,
--- a/tests/test_traffic.c
+++ b/tests/test_traffic.c
@@ -1,7 +1,9 @@
 /* The traffic thread against an upstream that sends answers twice: a copy
    comes late, where the answer to the next request on its connection is due.
- */
+   And against one whose answers are malformed. */
+#include "answer_cases.h"
 #include "bbm_codes.h"
+#include "connections.h"
 #include "control.h"
 #include "test_main.h"
 #include "traffic.h"
@@ -33,11 +35,12 @@
     atomic_int connections;
     atomic_int requests;
     atomic_bool stopping;
-    char id[BBM_NAME_SIZE]; /* of the request being answered */
-    const char *refusal;    /* status line of refuse_then_copy */
-    char copy[512];         /* of an earlier answer; "": none */
-    int copied_to;          /* connection on which that was sent */
-    char head[8192];        /* of the request being answered */
+    char id[BBM_NAME_SIZE];    /* of the request being answered */
+    const char *refusal;       /* status line of refuse_then_copy */
+    const answer_case *answer; /* of answer_by_case */
+    char copy[512];            /* of an earlier answer; "": none */
+    int copied_to;             /* connection on which that was sent */
+    char head[8192];           /* of the request being answered */
 } upstream;
 
 static void
@@ -177,6 +180,7 @@
 
 typedef struct ended {
     bbm_finished_event result;
+    bool has_head;            /* the client got a head */
     char body[BBM_NAME_SIZE]; /* as the client gets it */
 } ended;
 
@@ -214,6 +218,7 @@
     ck_assert_msg(found, "no end of attempt %u of request %d", attempt,
                   (int)id);
     pthread_mutex_lock(&ex->lock);
+    e.has_head = ex->has_head;
     snprintf(e.body, sizeof(e.body), "%.*s", (int)ex->out.len,
              ex->out.len ? (char *)ex->out.data : "");
     pthread_mutex_unlock(&ex->lock);
@@ -297,6 +302,63 @@
 }
 END_TEST
 
+/* ---- malformed answers ---- */
+
+/* Ends the connection behind the answer. */
+static void
+answer_by_case(upstream *u, int fd, int n)
+{
+    (void)n;
+    char lines[BBM_NAME_SIZE + 64];
+    char body[BBM_NAME_SIZE + 16];
+    bbm_buf text = {0};
+    snprintf(lines, sizeof(lines),
+             "Content-Type: text/plain\r\nX-Request-Id: %s\r\n", u->id);
+    snprintf(body, sizeof(body), "body of %s", u->id);
+    answer_case_write(u->answer, lines, body, &text);
+    (void)!send(fd, text.data, text.len, MSG_NOSIGNAL);
+    bbm_buf_free(&text);
+    shutdown(fd, SHUT_WR);
+}
+
+/* MIXED: an answer whose head didn't say how long it is reached the client as
+   a complete one. */
+START_TEST(malformed_answers_are_not_passed_on)
+{
+    unsigned passed = 0;
+    for (size_t i = 0; i < 2 * malformed_answers_len; i++) {
+        fixture w;
+        set_up(&w, answer_by_case);
+        w.upstream.answer = &malformed_answers[i / 2];
+        unsigned long long before = atomic_load(&connection_count.malformed);
+        ended e = run_attempt(&w, 1, 1, i % 2);
+        if (e.has_head || e.result.code != BBM_ERR_UPSTREAM) {
+            passed++;
+            printf("%s: code %d, status %u, body '%s'\n",
+                   w.upstream.answer->name, e.result.code, e.result.status,
+                   e.body);
+        }
+        ck_assert_msg(atomic_load(&connection_count.malformed) == before + 1,
+                      "%s isn't told once", w.upstream.answer->name);
+        tear_down(&w);
+    }
+    ck_assert_uint_eq(passed, 0);
+}
+END_TEST
+
+START_TEST(unusual_answers_are_passed_on_whole)
+{
+    for (size_t i = 0; i < sound_answers_len; i++) {
+        fixture w;
+        set_up(&w, answer_by_case);
+        w.upstream.answer = &sound_answers[i];
+        ended e = run_request(&w, 1);
+        check_whole(&e, 1);
+        tear_down(&w);
+    }
+}
+END_TEST
+
 /* ---- whole answers ---- */
 
 static void
@@ -470,7 +532,9 @@
 }
 END_TEST
 
-TEST_MAIN("traffic", copied_refusal_is_not_the_next_attempts,
+TEST_MAIN("traffic", malformed_answers_are_not_passed_on,
+          unusual_answers_are_passed_on_whole,
+          copied_refusal_is_not_the_next_attempts,
           copied_refusal_does_not_take_the_next_answers_place,
           attempt_does_not_use_the_connection_of_an_earlier_one,
           foreign_answer_costs_one_request, copy_behind_an_answer_is_dropped,
