Malformed answers to the daemon's own calls are none

An order whose answer was malformed counted as carried out or refused, and a store as alive; headers that announce limits or a leave were taken from such a head.

Change: provider.c and watcher.c read heads by answer_head. What a malformed answer has announced up to there is dropped. The end of an interim head is no longer taken for that of the answer when it is decided whether the connection is kept.

Not changed: the operators' command reads answers of the daemon itself, and uses only a status of 200 with a body that is one JSON document.

--- a/daemon/calls.c
+++ b/daemon/calls.c
@@ -167,12 +167,6 @@
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, table);
 }
 
-bool
-calls_is_head_end(const char *line, size_t len)
-{
-    return (len == 2 && line[0] == '\r') || (len == 1 && line[0] == '\n');
-}
-
 void
 calls_keep_if_ok(CURL *easy, const connection_use *use)
 {
--- a/daemon/calls.h
+++ b/daemon/calls.h
@@ -70,9 +70,6 @@
  *  @p use begins anew; it is for connections_find(). */
 void calls_track_connection(CURL *easy, connections *table,
                             connection_use *use);
-/** True if a line that CURLOPT_HEADERFUNCTION gets is the end of a head.
- *  libcurl takes a line feed alone for the end of a line, too. */
-bool calls_is_head_end(const char *line, size_t len);
 /** At the end of a head: close the connection after this transfer unless the
  *  status is 200.  Any other answer may be a refusal, of which a copy may come
  *  where the next answer is due. */
--- a/daemon/provider.c
+++ b/daemon/provider.c
@@ -1,5 +1,6 @@
 #include "provider.h"
 
+#include "answer_head.h"
 #include "bbm_log.h"
 #include "bbm_table.h"
 #include "calls.h"
@@ -71,8 +72,9 @@
     bbm_time not_after; /* CALL_ORDER: latest time of sending */
     bool expired;       /* not sent, as not_after had passed */
     bbm_buf answer;
-    platform_response head; /* parsed headers of the answer */
-    char *body;             /* of an order; owned */
+    answer_head *head;
+    platform_response parsed_head;
+    char *body; /* of an order; owned */
     struct curl_slist *headers;
     watched_store *store; /* CALL_STORE */
     provider *thread;
@@ -174,6 +176,7 @@
     snprintf(c->number, sizeof(c->number), "%llu",
              (unsigned long long)++p->last_call);
     bbm_name_set(c->id, id);
+    c->head = answer_head_create();
     return c;
 }
 
@@ -181,31 +184,52 @@
 free_call(call *c)
 {
     bbm_buf_free(&c->answer);
+    answer_head_destroy(c->head);
     curl_slist_free_all(c->headers);
     free(c->body);
     free(c);
 }
 
-/* Parses the headers of a runner's answer. */
+static void
+parse_field(call *c, const answer_line *line)
+{
+    char text[HEADER_LINE_BYTES];
+    const char *value = answer_field_copy(line, text, sizeof(text));
+    if (value)
+        platform_response_add_header(&c->parsed_head, NULL, text, value);
+}
+
+/* Nothing that the answer has said so far is used. */
+static void
+record_malformed(call *c, const char *fault)
+{
+    c->parsed_head = (platform_response){0};
+    connection_use_record_malformed(&c->connection, "", c->id, fault);
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *context)
 {
     call *c = context;
     size_t len = size * n;
-    char line[HEADER_LINE_BYTES];
-    if (calls_is_head_end(data, len))
+    answer_line line = answer_head_read(c->head, data, len);
+    switch (line.kind) {
+    case ANSWER_LINE_STATUS:
+        c->parsed_head = (platform_response){0};
+        break;
+    case ANSWER_LINE_FIELD:
+        parse_field(c, &line);
+        break;
+    case ANSWER_LINE_HEAD_END:
         calls_keep_if_ok(c->easy, &c->connection);
-    if (len >= sizeof(line))
-        return len;
-    memcpy(line, data, len);
-    line[len] = '\0';
-    char *colon = strchr(line, ':');
-    if (!colon)
-        return len;
-    *colon = '\0';
-    char *value = colon + 1 + strspn(colon + 1, " \t");
-    value[strcspn(value, "\r\n")] = '\0';
-    platform_response_add_header(&c->head, NULL, line, value);
+        break;
+    case ANSWER_LINE_INTERIM_END:
+    case ANSWER_LINE_TRAILER:
+        break;
+    case ANSWER_LINE_MALFORMED:
+        record_malformed(c, line.u.fault);
+        return 0;
+    }
     return len;
 }
 
@@ -351,7 +375,7 @@
 /* A status 429 counts as alive too: the store only limits the rate of the
    calls. */
 static void
-finish_store(provider *p, call *c, bool answered, long status)
+finish_store(provider *p, call *c, bool answered, unsigned status)
 {
     watched_store *s = c->store;
     bool alive = answered && (status == 200 || status == 429);
@@ -406,7 +430,7 @@
 {
     control_item *item = control_item_create(CONTROL_ROLLOUT_REPORT);
     bbm_name_set(item->name, c->id);
-    platform_response_notice(&c->head, 0, &item->notice);
+    platform_response_notice(&c->parsed_head, 0, &item->notice);
     item->succeeded =
         succeeded
         && platform_report_read((char *)c->answer.data, c->answer.len,
@@ -416,28 +440,30 @@
 }
 
 static void
-finish_order(provider *p, const call *c, bool answered, long status)
+finish_order(provider *p, const call *c, bool answered, unsigned status)
 {
     control_item *item = control_item_create(CONTROL_ROLLOUT_ANSWER);
     bbm_name_set(item->name, c->id);
-    platform_response_notice(&c->head, 0, &item->notice);
-    item->order_answer = answered ? platform_order_answer((unsigned)status)
-                                  : BBM_ORDER_NO_ANSWER;
+    platform_response_notice(&c->parsed_head, 0, &item->notice);
+    item->order_answer =
+        answered ? platform_order_answer(status) : BBM_ORDER_NO_ANSWER;
     mailbox_put_waiting(p->desc.control, item);
 }
 
 static void
-finish_call(void *context, CURL *easy, CURLcode rc)
+finish_call(void *context, CURL *easy, CURLcode libcurl_rc)
 {
     provider *p = context;
     call *c = NULL;
-    long status = 0;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &c);
     if (c->unusable_connection) {
         reconnect(p, c);
         return;
     }
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    unsigned status = answer_head_status(c->head);
+    CURLcode rc = calls_result(libcurl_rc, c->head);
+    if (calls_is_malformed(rc))
+        record_malformed(c, curl_easy_strerror(rc));
     calls_remove(p->calls, easy);
     curl_easy_cleanup(easy);
     bool answered = rc == CURLE_OK;
--- a/daemon/watcher.c
+++ b/daemon/watcher.c
@@ -1,5 +1,6 @@
 #include "watcher.h"
 
+#include "answer_head.h"
 #include "bbm_table.h"
 #include "calls.h"
 #include "connections.h"
@@ -43,6 +44,7 @@
 typedef struct call {
     watched_engine *engine; /* NULL for an order */
     char id[BBM_NAME_SIZE];
+    answer_head *head;
     bbm_buf answer;
     char *body; /* of an order; owned */
     struct curl_slist *headers;
@@ -129,15 +131,35 @@
     return CURL_PREREQFUNC_OK;
 }
 
+static void
+record_malformed(const call *c, const char *fault)
+{
+    connection_use_record_malformed(&c->connection, c->id,
+                                    c->engine ? c->engine->name : "", fault);
+}
+
 /* Of any answer but a report a copy may come where the next report is due.  A
    copied report shows by the numbers of its events. */
 static size_t
 on_header(char *data, size_t size, size_t n, void *context)
 {
     const call *c = context;
-    if (calls_is_head_end(data, size * n))
+    size_t len = size * n;
+    answer_line line = answer_head_read(c->head, data, len);
+    switch (line.kind) {
+    case ANSWER_LINE_HEAD_END:
         calls_keep_if_ok(c->easy, &c->connection);
-    return size * n;
+        break;
+    case ANSWER_LINE_STATUS:
+    case ANSWER_LINE_FIELD:
+    case ANSWER_LINE_INTERIM_END:
+    case ANSWER_LINE_TRAILER:
+        break;
+    case ANSWER_LINE_MALFORMED:
+        record_malformed(c, line.u.fault);
+        return 0;
+    }
+    return len;
 }
 
 static CURL *
@@ -146,6 +168,7 @@
     CURL *e = calls_create_easy(url, "http,https", CONNECT_TIMEOUT_MS);
     c->thread = w;
     c->easy = e;
+    c->head = answer_head_create();
     snprintf(c->number, sizeof(c->number), "%llu",
              (unsigned long long)++w->last_call);
     calls_track_connection(e, w->connections, &c->connection);
@@ -164,6 +187,7 @@
 free_call(call *c)
 {
     bbm_buf_free(&c->answer);
+    answer_head_destroy(c->head);
     curl_slist_free_all(c->headers);
     free(c->body);
     free(c);
@@ -249,7 +273,7 @@
 }
 
 static void
-handle_order_answer(watcher *w, const call *c, CURLcode rc, long status)
+handle_order_answer(watcher *w, const call *c, CURLcode rc, unsigned status)
 {
     control_item *item = control_item_create(CONTROL_ORDER_RESULT);
     bbm_name_set(item->name, c->id);
@@ -261,11 +285,10 @@
 }
 
 static void
-finish_call(void *context, CURL *easy, CURLcode rc)
+finish_call(void *context, CURL *easy, CURLcode libcurl_rc)
 {
     watcher *w = context;
     call *c = NULL;
-    long status = 0;
     curl_easy_getinfo(easy, CURLINFO_PRIVATE, &c);
     if (c->unusable_connection) {
         c->unusable_connection = false;
@@ -273,7 +296,10 @@
         calls_restart(w->calls, easy, &c->connection);
         return;
     }
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    unsigned status = answer_head_status(c->head);
+    CURLcode rc = calls_result(libcurl_rc, c->head);
+    if (calls_is_malformed(rc))
+        record_malformed(c, curl_easy_strerror(rc));
     calls_remove(w->calls, easy);
     curl_easy_cleanup(easy);
     watched_engine *r = c->engine;
--- a/tests/test_provider.c
+++ b/tests/test_provider.c
@@ -1,7 +1,10 @@
 /* Kept connections of the provider's and the watcher's calls that go silent: a
    call fails within its time, and the next one has a new connection.  Servers
    that send an answer twice, the copy where the next one is due: it isn't
-   taken for that one. */
+   taken for that one.  And malformed answers, which say nothing. */
+#include "answer_cases.h"
+#include "bbm_codes.h"
+#include "connections.h"
 #include "control.h"
 #include "provider.h"
 #include "test_main.h"
@@ -461,7 +464,100 @@
 }
 END_TEST
 
-TEST_MAIN("provider", copied_failure_is_not_an_engines_next_report,
+/* ---- malformed answers ---- */
+
+static const answer_case *sent_case;
+
+/* The body doesn't matter; the connection ends behind it. */
+static void
+answer_by_case(server *s, int fd, int n)
+{
+    (void)s;
+    (void)n;
+    bbm_buf text = {0};
+    answer_case_write(sent_case, "", "{\"events\":1}", &text);
+    (void)!send(fd, text.data, text.len, MSG_NOSIGNAL);
+    bbm_buf_free(&text);
+    shutdown(fd, SHUT_WR);
+}
+
+/* True if the answer to an order for an upstream counts as one. */
+static bool
+is_order_answered(fixture *w)
+{
+    bbm_rollout_action act = {.is_order = true};
+    bbm_name_set(act.id, "i-1");
+    bbm_name_set(act.address, w->server.address);
+    provider_send_rollout(w->provider, &act, BBM_NEVER);
+    control_item *item = expect_result(w, CONTROL_ROLLOUT_ANSWER, SLACK_MS);
+    bool answered = item->order_answer != BBM_ORDER_NO_ANSWER;
+    control_item_destroy(item);
+    return answered;
+}
+
+static bool
+is_store_alive(fixture *w)
+{
+    provider_watch_store(w->provider, w->server.address, true);
+    return next_result(w, CONTROL_STORE_STATUS, 1700 + SLACK_MS);
+}
+
+/* True if the answer to an order for an engine says that it was taken. */
+static bool
+is_order_taken(fixture *w)
+{
+    bbm_action act = {.kind = BBM_ACT_ORDER};
+    watcher *engines = watcher_create(w->control, BBM_SECOND);
+    bbm_name_set(act.u.order.id, "o-1");
+    snprintf(act.u.order.url, sizeof(act.u.order.url), "http://%s",
+             w->server.address);
+    act.u.order.timeout = BBM_SECOND;
+    act.u.order.not_after = BBM_NEVER;
+    watcher_order(engines, &act);
+    control_item *item =
+        expect_result(w, CONTROL_ORDER_RESULT, 1000 + SLACK_MS);
+    bool taken = item->code == BBM_OK;
+    control_item_destroy(item);
+    watcher_destroy(engines);
+    return taken;
+}
+
+typedef bool answer_check(fixture *w);
+
+static void
+check_cases(const answer_case *cases, size_t cases_len, answer_check *check,
+            bool expected)
+{
+    for (size_t i = 0; i < cases_len; i++) {
+        fixture w;
+        sent_case = &cases[i];
+        set_up_script(&w, answer_by_case);
+        unsigned long long before = atomic_load(&connection_count.malformed);
+        bool answered = check(&w);
+        bool malformed = atomic_load(&connection_count.malformed) > before;
+        ck_assert_msg(answered == expected && malformed != expected,
+                      "%s: answered %d, malformed %d", sent_case->name,
+                      answered, malformed);
+        tear_down(&w);
+    }
+}
+
+/* Orders whose answer was malformed counted as carried out, and stores as
+   alive. */
+START_TEST(malformed_answers_to_calls_are_none)
+{
+    static answer_check *const checks[] = {is_order_answered, is_store_alive,
+                                           is_order_taken};
+    for (size_t i = 0; i < BBM_COUNT(checks); i++) {
+        check_cases(malformed_answers, malformed_answers_len, checks[i],
+                    false);
+        check_cases(sound_answers, sound_answers_len, checks[i], true);
+    }
+}
+END_TEST
+
+TEST_MAIN("provider", malformed_answers_to_calls_are_none,
+          copied_failure_is_not_an_engines_next_report,
           silent_connection_to_the_list_is_replaced,
           silent_connection_for_reports_is_replaced,
           silent_connection_to_a_store_is_replaced,
