The soak plays malformed answers

The soak's upstreams can answer one request in five with a head or chunks that say wrongly where the body ends (--upstreams malformed), 12 kinds; the callers' judge already knows which body is the runner's.

Also a test that answers without a body (HEAD, 204, 304) stay whole whatever their head says of one.

--- a/tests/process.sh
+++ b/tests/process.sh
@@ -1041,7 +1041,7 @@
 }
 
 t_soak_callers() { # the same, with callers that half-close, leave and go elsewhere, and upstreams that fail
-    soak soak_callers 20 "" --callers half-close,leave,wander --upstreams faulty
+    soak soak_callers 20 "" --callers half-close,leave,wander --upstreams faulty,malformed
 }
 
 t_copied_refusals() { # the copy of a refusal isn't taken for the answer to a request that is sent again
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -7,11 +7,11 @@
 
    Callers stay until they have an answer; --callers lets some half-close,
    leave, wander, resend, retry, retry under the same-id, or resume streams;
-   --upstreams lets them be faulty, refuse, copy, copy-all, restart, and have
-   an alias or two versions (see soak_world.h).  With --steady, the first N VMs
-   are left alone, and callers use these first.  With --cut, N VMs after the
-   first are cut from all upstreams at times, so that other VMs forward their
-   requests.
+   --upstreams lets them be faulty, malformed, refuse, copy, copy-all, restart,
+   and have an alias or two versions (see soak_world.h).  With --steady, the
+   first N VMs are left alone, and callers use these first.  With --cut, N VMs
+   after the first are cut from all upstreams at times, so that other VMs
+   forward their requests.
    --pause is the longest time between two actions at a VM; by default it rises
    with their number.
 
@@ -194,6 +194,7 @@
         case 'u':
             opt.upstreams = (soak_upstreams){
                 .faulty = soak_names_one(optarg, "faulty"),
+                .malformed = soak_names_one(optarg, "malformed"),
                 .refuse = soak_names_one(optarg, "refuse"),
                 .copy_all = soak_names_one(optarg, "copy-all"),
                 .copy = soak_names_one(optarg, "copy"),
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -38,6 +38,7 @@
     atomic_int own_copies; /* under the id of the request under way */
     atomic_int relayed;
     atomic_int resumed;
+    atomic_int malformed;
 } count;
 
 /* When an answer is sent once more, on a connection that is kept. */
@@ -272,7 +273,9 @@
     FAULT_BARE,         /* runs it, and answers as if it were refused, without
                            saying so */
     FAULT_SLOW,         /* runs it for longer */
-    FAULTS
+    FAULTS,
+    FAULT_MALFORMED, /* runs it, and sends an answer that says wrongly where it
+                        ends */
 } fault;
 
 /* One request in three is played a fault, each kind as often; or one in five
@@ -283,6 +286,8 @@
     uint64_t n = soak_draw(r, 3 * (uint64_t)(FAULTS - 1));
     if (upstreams.faulty && n < FAULTS - 1)
         return (fault)(n + 1);
+    if (upstreams.malformed && soak_draw(r, 5) == 0)
+        return FAULT_MALFORMED;
     return upstreams.refuse && soak_draw(r, 5) == 0 ? FAULT_NOT_RUN
                                                     : FAULT_NONE;
 }
@@ -300,6 +305,40 @@
     "421 Misdirected Request", "400 Bad Request"};
 #define BARE_STATUSES 3
 
+/* Lines that say where an answer ends, and the beginning of its body.  Taken
+   leniently, they make another body of it. */
+static const struct malformed_answer {
+    const char *lines;
+    const char *body;
+} malformed_answers[] = {
+    {"Content-Length: 3x", ""},
+    {"Content-Length: +3", ""},
+    {"Content-Length: 0x30", ""},
+    {"Content-Length: 3\r\n 0", ""},
+    {"Content-Length: 99\r\nContent-Length: 3", ""},
+    {"Content-Length : 3", "x"},
+    {"Content-Length\001: 3", "x"},
+    {"Content-Length: 99999999999999999999", "x"},
+    {"HTTP/1.1 200 OK", "x"},
+    {"Transfer-Encoding:", "5\r\n"},
+    {"Transfer-Encoding: chunked", "0x05\r\n\r\n"},
+    {"Transfer-Encoding: chunked", "3x\r\nabc\r\n0\r\n\r\n"},
+};
+
+static void
+send_malformed(connection *c, upstream_request *q)
+{
+    char text[512];
+    const struct malformed_answer *m = &malformed_answers[soak_draw(
+        &q->random, BBM_COUNT(malformed_answers))];
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 200 OK\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+             "X-Bluebellmoor-Server-Stamp: s\r\n%s\r\n\r\n%s%s",
+             q->id, m->lines, m->body, q->attempt);
+    send_part(c, text);
+    atomic_fetch_add(&count.malformed, 1);
+}
+
 /* Returns false if the connection is to be closed. */
 static bool
 play_fault(connection *c, upstream_request *q, fault f)
@@ -329,6 +368,9 @@
     case FAULT_BARE:
         return send_status(c, q,
                            refusals[soak_draw(&q->random, BARE_STATUSES)], "");
+    case FAULT_MALFORMED:
+        send_malformed(c, q);
+        return false;
     case FAULT_SLOW:
     case FAULT_NONE:
     case FAULT_CLOSE:
@@ -497,7 +539,7 @@
 bool
 soak_upstreams_fail(void)
 {
-    return upstreams.faulty || upstreams.restart;
+    return upstreams.faulty || upstreams.restart || upstreams.malformed;
 }
 
 void
@@ -518,10 +560,11 @@
 soak_upstreams_report(void)
 {
     printf("upstreams: %d refusals; %d copies, of which %d under the id of "
-           "the request under way; %d relayed requests; %d resumed streams\n",
+           "the request under way; %d relayed requests; %d resumed streams; "
+           "%d malformed answers\n",
            atomic_load(&count.refusals), atomic_load(&count.copies),
            atomic_load(&count.own_copies), atomic_load(&count.relayed),
-           atomic_load(&count.resumed));
+           atomic_load(&count.resumed), atomic_load(&count.malformed));
 }
 
 void
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -64,8 +64,9 @@
 /** What upstreams do beside answering; drawn for each request. */
 typedef struct soak_upstreams {
     uint64_t seed;
-    bool faulty; /**< Some requests are refused as not run, fail, lose their
-                      answer, or have it cut. */
+    bool faulty;    /**< Some requests are refused as not run, fail, lose their
+                         answer, or have it cut. */
+    bool malformed; /**< Some answers say wrongly where they end. */
     bool refuse; /**< A fifth of the requests is refused as not run, with one
                       of several statuses. */
     bool copy;   /**< Refusals come once more on their connection: while it is
--- a/tests/test_answer_heads.c
+++ b/tests/test_answer_heads.c
@@ -386,36 +386,53 @@
 }
 END_TEST
 
-/* A request for a head is sent without its body. */
+/* Some answers have no body, whatever their head says. */
 static void
-answer_head_request(upstream *u, int fd, int n)
+answer_without_body(upstream *u, int fd, int n)
 {
     char text[256];
     (void)n;
     snprintf(text, sizeof(text),
-             "HTTP/1.1 200 OK\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+             "HTTP/1.1 %s\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
              "X-Bluebellmoor-Server-Stamp: s\r\n\r\n",
-             u->id);
+             u->refusal, u->id);
     send_text(u, fd, text);
 }
 
-START_TEST(answer_to_head_is_whole_without_the_body_of_the_request)
+START_TEST(answers_without_a_body_are_whole)
 {
-    fixture w;
-    set_up(&w, answer_head_request);
-    w.body_len = UPLOAD_BYTES;
-    w.method = "HEAD";
-    ended e = run_request(&w, false, false);
-    ck_assert_int_eq(e.result.outcome, BBM_FORWARD_COMPLETE);
-    exchange_unref(e.ex);
-    tear_down(&w);
+    static const struct {
+        const char *method;
+        const char *head;
+    } answers[] = {
+        {"HEAD", "200 OK"},
+        {"HEAD", "200 OK\r\nContent-Length: 12"},
+        {"HEAD", "200 OK\r\nTransfer-Encoding: chunked"},
+        {"GET", "204 No Content"},
+        {"GET", "204 No Content\r\nContent-Length: 0"},
+        {"GET", "304 Not Modified\r\nContent-Length: 12"},
+        {"GET", "304 Not Modified\r\nTransfer-Encoding: chunked"},
+    };
+    for (size_t i = 0; i < BBM_COUNT(answers); i++) {
+        fixture w;
+        set_up(&w, answer_without_body);
+        w.upstream.refusal = answers[i].head;
+        w.method = answers[i].method;
+        w.body_len = 1000;
+        ended e = run_request(&w, false, false);
+        ck_assert_msg(e.result.outcome == BBM_FORWARD_COMPLETE,
+                      "%s, %s: outcome %d", answers[i].method, answers[i].head,
+                      (int)e.result.outcome);
+        exchange_unref(e.ex);
+        tear_down(&w);
+    }
 }
 END_TEST
 
 TEST_MAIN("answer_heads", memory_that_others_take_costs_no_bytes,
           answers_in_malformed_chunks_are_cut,
           answers_in_unusual_chunks_are_whole, slow_reader_gets_all_chunks,
-          answer_to_head_is_whole_without_the_body_of_the_request,
+          answers_without_a_body_are_whole,
           success_before_the_end_of_an_upload_is_cut,
           refusal_before_the_end_of_an_upload_is_whole,
           malformed_answers_are_not_passed_on,
