--- a/daemon/answer_reader.c
+++ b/daemon/answer_reader.c
@@ -7,15 +7,15 @@
 #include <string.h>
 #include <strings.h>
 
-typedef enum head_part {
+typedef enum answer_part {
     PART_STATUS_LINE,
     PART_FIELDS,
-    PART_BODY, /* lines that come now are trailers */
+    PART_BODY, /* no more lines */
     PART_MALFORMED,
-} head_part;
+} answer_part;
 
 struct answer_reader {
-    head_part part;
+    answer_part part;
     const char *fault; /* valid if malformed */
     bool ends_with_lf; /* lines of this head have no carriage return */
     bool is_http_1_0;
--- a/tests/forward_world.c
+++ b/tests/forward_world.c
@@ -33,6 +33,17 @@
     return send_bytes(u, fd, text, strlen(text));
 }
 
+bool
+send_head(upstream *u, int fd, const char *status, const char *more)
+{
+    char text[512];
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 %s\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
+             "X-Bluebellmoor-Server-Stamp: s\r\n%s\r\n",
+             status, u->id, more);
+    return send_text(u, fd, text);
+}
+
 /* Sends an answer with the id and the text of a request. */
 bool
 send_answer(upstream *u, int fd, const char *id, const char *more)
--- a/tests/forward_world.h
+++ b/tests/forward_world.h
@@ -79,6 +79,9 @@
 /** Send all bytes on a connection of the upstream; false on failure. */
 bool send_bytes(upstream *u, int fd, const char *data, size_t len);
 bool send_text(upstream *u, int fd, const char *text);
+/** Send the head of an answer to the request being answered; @p more are
+ *  further header lines. */
+bool send_head(upstream *u, int fd, const char *status, const char *more);
 /** Send a complete answer to the request with @p id; @p more are further
  *  header lines. */
 bool send_answer(upstream *u, int fd, const char *id, const char *more);
--- a/tests/test_answer_heads.c
+++ b/tests/test_answer_heads.c
@@ -100,14 +100,8 @@
 static void
 answer_in_chunks(upstream *u, int fd, int n)
 {
-    char text[256];
     (void)n;
-    snprintf(text, sizeof(text),
-             "HTTP/1.1 200 OK\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
-             "X-Bluebellmoor-Server-Stamp: s\r\n"
-             "Transfer-Encoding: chunked\r\n\r\n",
-             u->id);
-    send_text(u, fd, text);
+    send_head(u, fd, "200 OK", "Transfer-Encoding: chunked\r\n");
     send_bytes(u, fd, sent_chunks->text, sent_chunks->text_len);
     shutdown(fd, SHUT_WR);
 }
@@ -161,14 +155,9 @@
 static void
 answer_long_in_chunks(upstream *u, int fd, int n)
 {
-    char text[256];
+    char text[32];
     (void)n;
-    snprintf(text, sizeof(text),
-             "HTTP/1.1 200 OK\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
-             "X-Bluebellmoor-Server-Stamp: s\r\n"
-             "Transfer-Encoding: chunked\r\n\r\n",
-             u->id);
-    send_text(u, fd, text);
+    send_head(u, fd, "200 OK", "Transfer-Encoding: chunked\r\n");
     for (size_t pos = 0, i = 0; pos < LONG_BODY_BYTES; i++) {
         static char piece[40000];
         size_t len = 1 + i * 7919 % sizeof(piece);
@@ -308,13 +297,9 @@
 answer_early(upstream *u, int fd, int n)
 {
     static char bytes[65536];
-    char text[256];
     (void)n;
-    snprintf(text, sizeof(text),
-             "HTTP/1.1 200 OK\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
-             "X-Bluebellmoor-Server-Stamp: s\r\n\r\nbody of",
-             u->id);
-    send_text(u, fd, text);
+    send_head(u, fd, "200 OK", "");
+    send_text(u, fd, "body of");
     for (size_t len = 0; len < early_end.read_len;) {
         ssize_t got = recv(fd, bytes, sizeof(bytes), 0);
         if (got <= 0)
@@ -363,13 +348,10 @@
 static void
 refuse_early(upstream *u, int fd, int n)
 {
-    char text[256];
     (void)n;
-    snprintf(text, sizeof(text),
-             "HTTP/1.1 413 Too Large\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
-             "\r\nbody of %s",
-             u->id, u->id);
-    send_text(u, fd, text);
+    send_head(u, fd, "413 Too Large", "");
+    send_text(u, fd, "body of ");
+    send_text(u, fd, u->id);
     shutdown(fd, SHUT_WR);
     usleep(30000);
 }
@@ -390,13 +372,8 @@
 static void
 answer_without_body(upstream *u, int fd, int n)
 {
-    char text[256];
     (void)n;
-    snprintf(text, sizeof(text),
-             "HTTP/1.1 %s\r\nX-Bluebellmoor-Attempt-Id: %s\r\n"
-             "X-Bluebellmoor-Server-Stamp: s\r\n\r\n",
-             u->refusal, u->id);
-    send_text(u, fd, text);
+    send_head(u, fd, u->refusal, "");
 }
 
 START_TEST(answers_without_a_body_are_whole)
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -171,12 +171,7 @@
 static void
 send_stream_head(upstream *u, int fd, const char *more)
 {
-    char text[512];
-    snprintf(text, sizeof(text),
-             "%sX-Bluebellmoor-Attempt-Id: %s\r\n"
-             "X-Bluebellmoor-Server-Stamp: s\r\n%s\r\n",
-             head_start, u->id, more);
-    send_text(u, fd, text);
+    send_head(u, fd, "200 OK", more);
 }
 
 static void
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -1,6 +1,7 @@
 /* Mutation fuzzing of all parsers of outside input, with a fixed seed and
    number of inputs.  The environment variables BBM_FUZZ_SEED and
    BBM_FUZZ_COUNT override these. */
+#include "answer_reader.h"
 #include "bbm_command.h"
 #include "bbm_config.h"
 #include "bbm_members.h"
@@ -29,6 +30,10 @@
     "data: {\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":2}}\n\n"
     "data: [DONE]\n\n",
     "{\"name\":\"vm\",\"zone\":\"z\",\"peer_address\":\"127.0.0.1:1\"}",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nDate: 1\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n"
+    "01\r\n!\r\n0\r\nX: y\r\n\r\n",
+    "HTTP/1.0 200 OK\nContent-Length: 5\n\nhello",
 };
 
 static uint64_t
@@ -66,9 +71,30 @@
     return len;
 }
 
+/* Reads the heads line by line, and the rest as a body. */
+static void
+read_answer(const char *text, size_t len)
+{
+    answer_reader *r = answer_reader_create();
+    answer_line line = {0};
+    bbm_buf body = {0};
+    size_t pos = 0;
+    while (pos < len && line.kind != ANSWER_LINE_HEAD_END
+           && line.kind != ANSWER_LINE_MALFORMED) {
+        const char *end = memchr(text + pos, '\n', len - pos);
+        size_t n = end ? (size_t)(end - text) + 1 - pos : len - pos;
+        line = answer_reader_line(r, text + pos, n);
+        pos += n;
+    }
+    answer_reader_body(r, text + pos, len - pos, &body);
+    bbm_buf_free(&body);
+    answer_reader_destroy(r);
+}
+
 static void
 parse_text(const char *text, size_t len)
 {
+    read_answer(text, len);
     bbm_completion_request request;
     if (bbm_completion_request_parse(text, len, &request) == 0)
         bbm_completion_request_free(&request);
