--- a/daemon/answer_reader.h
+++ b/daemon/answer_reader.h
@@ -56,8 +56,8 @@
 answer_reader *answer_reader_create(void);
 /** NULL is allowed. */
 void answer_reader_destroy(answer_reader *r);
-/** Read the next line, as CURLOPT_HEADERFUNCTION gets it: with its end.  Once
- * a line is malformed, all further ones are. */
+/** Read the next line, as CURLOPT_HEADERFUNCTION gets it: with its end. Behind
+ *  a malformed line all others are. */
 answer_line answer_reader_line(answer_reader *r, const char *line, size_t len);
 /** Read the next bytes behind the final head, and append those of the body to
  *  @p out.  Returns NULL, or what is malformed: a static text, for the log.
@@ -74,10 +74,11 @@
 int64_t answer_reader_length(const answer_reader *r);
 /** True if the last head says that the body comes in chunks. */
 bool answer_reader_is_chunked(const answer_reader *r);
-
 /** True if the body ends with the connection: the head doesn't say where. */
 bool answer_reader_is_unframed(const answer_reader *r);
 
+/* ---- fields ---- */
+
 /** Split a line, without its end, into name and value.  Returns false if it is
  *  no field. */
 bool answer_field_parse(const char *line, size_t len, answer_field *f);
--- a/daemon/calls.h
+++ b/daemon/calls.h
@@ -60,8 +60,8 @@
 
 /** Create an easy handle that ignores proxy settings of the environment and
  *  follows no redirects.  Chunks aren't decoded: answer_reader_body() does
- *  that.  @p protocols is a list in libcurl's form,
- *  @p connect_ms the connect timeout in milliseconds. */
+ *  that.  @p protocols is a list in libcurl's form, @p connect_ms the connect
+ *  timeout in milliseconds. */
 CURL *calls_create_easy(const char *url, const char *protocols,
                         long connect_ms);
 /** Use a new connection for this transfer and close it afterwards: libcurl
@@ -77,16 +77,14 @@
 void calls_keep_if_ok(CURL *easy, const connection_use *use);
 /** True if a request's body, of @p body_len bytes, wasn't written whole. */
 bool calls_is_partly_uploaded(CURL *easy, size_t body_len);
-/** The result of a transfer, given the one of libcurl: an answer is whole only
- *  if its reader has read it to the end, while libcurl may take other bytes
- * for the end of a head or of chunks. Nor is a success without a length that
- * ends while the request's body, of
- *  @p body_len bytes, is still being written: the upstream has crashed or
- * given up. */
+/** The result of a transfer, given the one of libcurl.  An answer is whole
+ *  only if its reader has found its end, too.  Nor is a success without a
+ *  length whole that ends while the request's body, of @p body_len bytes, is
+ *  still being written: the upstream has crashed or given up. */
 CURLcode calls_result(CURL *easy, CURLcode code, const answer_reader *reader,
                       size_t body_len);
-/** True if a transfer ended because libcurl itself refused the answer's head
- * or its framing. */
+/** True if a transfer ended because the answer breaks the rules of HTTP, as
+ *  libcurl or calls_result() found. */
 bool calls_is_malformed(CURLcode code);
 /** Set method and body.  @p body must outlive the transfer; NULL: no body. */
 void calls_set_request(CURL *easy, const char *method, const bbm_buf *body);
