Answers' readers: one check of a field, one state of chunks

The comment on SILENT_LOOPS_MAX spoke of callbacks, which now come for the framing too.

Change: answer_field_parse() gives the fault and serves both; the chunk reader is made where the encoding is read, and the flag is gone; the tests call send_head(). No behaviour and no assertion changes.

--- a/daemon/answer_reader.c
+++ b/daemon/answer_reader.c
@@ -19,9 +19,8 @@
     const char *fault; /* valid if malformed */
     bool ends_with_lf; /* lines of this head have no carriage return */
     bool is_http_1_0;
-    unsigned status; /* 0: no status line was read */
-    int64_t length;  /* -1: none */
-    bool chunked;
+    unsigned status;      /* 0: no status line was read */
+    int64_t length;       /* -1: none */
     chunk_reader *chunks; /* of the body; NULL: it isn't in chunks */
 };
 
@@ -126,7 +125,6 @@
     r->status = (unsigned)((line[9] - '0') * 100 + (line[10] - '0') * 10
                            + (line[11] - '0'));
     r->length = -1;
-    r->chunked = false;
     r->part = PART_FIELDS;
     if (r->status < 100 || r->status > 599)
         return malformed(r, "status out of range");
@@ -137,13 +135,14 @@
 
 /* ---- fields (RFC 9112, 5) ---- */
 
-/* False if the line has no colon or no valid name. */
-static bool
-split_field(const char *line, size_t len, answer_field *f)
+/* A line that begins with a blank would continue the one before: its name
+   isn't valid, as a blank belongs to none. */
+const char *
+answer_field_parse(const char *line, size_t len, answer_field *f)
 {
     const char *colon = memchr(line, ':', len);
     if (!colon || !is_token(line, (size_t)(colon - line)))
-        return false;
+        return "line is no field";
     const char *end = line + len;
     *f = (answer_field){
         .name = line, .name_len = (size_t)(colon - line), .value = colon + 1};
@@ -152,14 +151,9 @@
     while (end > f->value && is_blank(end[-1]))
         end--;
     f->value_len = (size_t)(end - f->value);
-    return true;
-}
-
-bool
-answer_field_parse(const char *line, size_t len, answer_field *f)
-{
-    return split_field(line, len, f)
-           && !answer_text_has_controls(f->value, f->value_len);
+    return answer_text_has_controls(f->value, f->value_len)
+               ? "control byte in a value"
+               : NULL;
 }
 
 /* -1 unless the text is a decimal number of 63 bits. */
@@ -188,7 +182,7 @@
     r->length = length;
     if (r->status < 200 || (r->status == 204 && length))
         return "length of an answer without a body";
-    return r->chunked ? "both a length and chunks" : NULL;
+    return r->chunks ? "both a length and chunks" : NULL;
 }
 
 /* The fault of a Transfer-Encoding, or NULL.  None but chunked is ever asked
@@ -196,9 +190,9 @@
 static const char *
 add_encoding(answer_reader *r, const answer_field *f)
 {
-    if (r->chunked || !equals(f->value, f->value_len, "chunked"))
+    if (r->chunks || !equals(f->value, f->value_len, "chunked"))
         return "invalid transfer encoding";
-    r->chunked = true;
+    r->chunks = chunk_reader_create(r->ends_with_lf);
     if (r->status < 200 || r->status == 204)
         return "chunks of an answer without a body";
     if (r->is_http_1_0)
@@ -206,18 +200,14 @@
     return r->length >= 0 ? "both a length and chunks" : NULL;
 }
 
-/* A line that begins with a blank would continue the one before: its name
-   isn't valid, as a blank belongs to none. */
 static answer_line
 read_field(answer_reader *r, const char *line, size_t len)
 {
     answer_line l = {.kind = ANSWER_LINE_FIELD};
     const answer_field *f = &l.u.field;
-    const char *fault = NULL;
-    if (!split_field(line, len, &l.u.field))
-        return malformed(r, "line is no field");
-    if (answer_text_has_controls(f->value, f->value_len))
-        return malformed(r, "control byte in a value");
+    const char *fault = answer_field_parse(line, len, &l.u.field);
+    if (fault)
+        return malformed(r, fault);
     if (answer_field_is(&l, "Content-Length"))
         fault = add_length(r, f);
     else if (answer_field_is(&l, "Transfer-Encoding"))
@@ -235,8 +225,6 @@
         return (answer_line){.kind = ANSWER_LINE_INTERIM_END};
     }
     r->part = PART_BODY;
-    if (r->chunked)
-        r->chunks = chunk_reader_create(r->ends_with_lf);
     return (answer_line){.kind = ANSWER_LINE_HEAD_END};
 }
 
@@ -309,13 +297,13 @@
 bool
 answer_reader_is_chunked(const answer_reader *r)
 {
-    return r->chunked;
+    return r->chunks != NULL;
 }
 
 bool
 answer_reader_is_unframed(const answer_reader *r)
 {
-    return r->length < 0 && !r->chunked;
+    return r->length < 0 && !r->chunks;
 }
 
 bool
--- a/daemon/answer_reader.h
+++ b/daemon/answer_reader.h
@@ -1,6 +1,6 @@
 /** @file
- *  Checks the answer to one HTTP request as libcurl gives it: the heads line
- * by line, and the body with CURLOPT_HTTP_TRANSFER_DECODING off.
+ *  Checks the answer to one HTTP request as libcurl gives it: heads line by
+ *  line, and the body with CURLOPT_HTTP_TRANSFER_DECODING off.
  *
  *  libcurl takes more than RFC 9112 allows: a length with other bytes behind
  *  it, two lengths, names with blanks.  Where the body of such an answer ends
@@ -79,9 +79,9 @@
 
 /* ---- fields ---- */
 
-/** Split a line, without its end, into name and value.  Returns false if it is
- *  no field. */
-bool answer_field_parse(const char *line, size_t len, answer_field *f);
+/** Split a line, without its end, into name and value.  Returns NULL, or why
+ * it is no field: a static text, for the log. */
+const char *answer_field_parse(const char *line, size_t len, answer_field *f);
 /** True if a text has control bytes but tabs; bytes above 127 are none. */
 bool answer_text_has_controls(const char *text, size_t len);
 /** True if an ANSWER_LINE_FIELD has this name, in any case. */
--- a/daemon/chunk_reader.c
+++ b/daemon/chunk_reader.c
@@ -105,7 +105,7 @@
     c->trailer_bytes += len;
     if (!len)
         c->part = PART_END;
-    else if (!answer_field_parse(line, len, &field))
+    else if (answer_field_parse(line, len, &field))
         return fail(c, "trailer is no field");
     else if (c->trailer_bytes > TRAILER_BYTES_MAX)
         return fail(c, "too many trailers");
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -56,8 +56,8 @@
 #define REFUSED_BODY_TIME_MAX (100 * BBM_MS)
 #define FRAMING_BYTES_MAX ((uint64_t)256 * 1024)
 /* Period of the checks of the last two limits.  They are checked sooner after
-   this number of loops in which libcurl called no callback: it may be reading
-   much and passing on nothing. */
+   this number of loops that brought no line of a head and no byte of a body:
+   libcurl may be reading much. */
 #define CHECK_PERIOD (50 * BBM_MS)
 #define SILENT_LOOPS_MAX 4
 /* A stream that sends events for this time after its first bytes is reported
@@ -124,7 +124,7 @@
     calls *calls;
     attempt *attempts;
     bbm_time last_check_at; /* of the limits on faulty answers */
-    int silent_loops;       /* loops without a callback of a transfer */
+    int silent_loops;       /* loops without a line or a byte of a body */
     /* Longest idle time for reuse: the shortest keep-alive timeout announced
        by an upstream less 1 s, but at least 1 s; 0: none was announced. */
     long reuse_s;
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -168,12 +168,6 @@
         ;
 }
 
-static void
-send_stream_head(upstream *u, int fd, const char *more)
-{
-    send_head(u, fd, "200 OK", more);
-}
-
 static void
 endless_status_line(upstream *u, int fd, int n)
 {
@@ -217,7 +211,7 @@
 endless_chunk_extension(upstream *u, int fd, int n)
 {
     (void)n;
-    send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+    send_head(u, fd, "200 OK", "Transfer-Encoding: chunked\r\n");
     send_text(u, fd, "5;x=");
     send_forever(u, fd, "abcdefgh");
 }
@@ -226,7 +220,7 @@
 endless_trailers(upstream *u, int fd, int n)
 {
     (void)n;
-    send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+    send_head(u, fd, "200 OK", "Transfer-Encoding: chunked\r\n");
     send_text(u, fd, "5\r\nhello\r\n0\r\n");
     send_forever(u, fd, "X-More: 1\r\n");
 }
@@ -310,7 +304,7 @@
 endless_event(upstream *u, int fd, int n)
 {
     (void)n;
-    send_stream_head(u, fd, "");
+    send_head(u, fd, "200 OK", "");
     send_text(u, fd, "id: 1\ndata: x\n\ndata: ");
     send_forever(u, fd, "abcdefgh");
 }
@@ -371,7 +365,7 @@
 slow_stream(upstream *u, int fd, int n)
 {
     (void)n;
-    send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+    send_head(u, fd, "200 OK", "Transfer-Encoding: chunked\r\n");
     for (int i = 0; i < 4; i++) {
         send_text(u, fd, "9\r\ndata: x\n\n\r\n");
         usleep(400000);
@@ -383,7 +377,7 @@
 stalled_stream(upstream *u, int fd, int n)
 {
     (void)n;
-    send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+    send_head(u, fd, "200 OK", "Transfer-Encoding: chunked\r\n");
     send_text(u, fd, "9\r\ndata: x\n\n\r\n");
     for (int i = 0; i < 100 && !atomic_load(&u->stopping); i++) {
         if (!send_text(u, fd, "1\r\n:\r\n"))
@@ -897,7 +891,7 @@
 end_with_status_line(upstream *u, int fd, int n)
 {
     (void)n;
-    send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+    send_head(u, fd, "200 OK", "Transfer-Encoding: chunked\r\n");
     send_text(u, fd,
               "4\r\ndata\r\n0\r\nHTTP/1.1 503 Full\r\n"
               "X-Bluebellmoor-Not-Executed: 1\r\n\r\n");
@@ -997,14 +991,14 @@
 {
     struct linger reset = {.l_onoff = 1};
     if (n == 1) {
-        send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+        send_head(u, fd, "200 OK", "Transfer-Encoding: chunked\r\n");
         send_text(u, fd, "11\r\nid: 1\ndata: one\n\n\r\n");
         usleep(50000);
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
         shutdown(fd, SHUT_RD);
         return;
     }
-    send_stream_head(u, fd, "Transfer-Encoding: chunked\r\n");
+    send_head(u, fd, "200 OK", "Transfer-Encoding: chunked\r\n");
     send_text(u, fd, "11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n");
 }
 
