Show the progress of a rollout, and the time left on old weights

Requests began on old weights on the large fleet. The logs name each request to a runner (416, 417) and each version heard of (305), but not how many runners a rollout has left, whether its places are held by runners that don't answer, nor how near an attempt is to the bound. So a slow rollout, a stopped one and late news look the same.

Event 436 on the leader, once a second while runners are pending; metrics rollout_pending, _in_progress, _silent and _age_ms; weights_left_ms in 510 and 511; pool_old_weights_attempts_total.

--- a/base/bbm_log.h
+++ b/base/bbm_log.h
@@ -128,6 +128,8 @@
       "connection of a VM couldn't be accepted; trying again")                \
     X(BBM_EVENT_MESSAGE_DROPPED, 435, WARN,                                   \
       "message of a VM dropped: no memory for it")                            \
+    X(BBM_EVENT_ROLLOUT_PROGRESS, 436, INFO,                                  \
+      "progress of a rollout of weights")                                     \
     X(BBM_EVENT_REQUEST_RELAYED, 518, INFO,                                   \
       "request passed to another VM to be forwarded")                         \
     X(BBM_EVENT_REQUEST_SENT, 510, INFO, "request sent to an upstream")       \
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -265,6 +265,9 @@
             uint32_t previous_status; /**< HTTP status of the previous attempt;
                                            0: no answer. */
             int64_t prompt_tokens;    /**< Prompt tokens; 0: unspecified. */
+            /** Time until requests may no longer begin on the weights of the
+             *  upstream, in ms; -1: no newer version is known. */
+            int64_t weights_left_ms;
             /** Prompt tokens likely cached at the upstream. */
             int64_t held_tokens;
             /** Prompt tokens likely cached at the source; 0: unknown. */
@@ -335,11 +338,13 @@
 
 /** Metrics: counters unless marked as gauges. */
 typedef struct bbm_gate_counts {
-    uint64_t requests;       /**< Requests received. */
-    uint64_t attempts;       /**< Attempts sent to upstreams. */
-    uint64_t retries;        /**< Attempts after the first. */
-    uint64_t completed;      /**< Complete answers forwarded. */
-    uint64_t refused_rate;   /**< Refused: customer's rate exceeded. */
+    uint64_t requests;             /**< Requests received. */
+    uint64_t attempts;             /**< Attempts sent to upstreams. */
+    uint64_t old_weights_attempts; /**< Attempts at runners on older weights
+                                        than the newest. */
+    uint64_t retries;              /**< Attempts after the first. */
+    uint64_t completed;            /**< Complete answers forwarded. */
+    uint64_t refused_rate;         /**< Refused: customer's rate exceeded. */
     uint64_t retries_denied; /**< Retries for which the budget had no room. */
     uint64_t refused_load;   /**< Refused: no upstream could answer in time, or
                                   upstreams refused the request. */
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -442,6 +442,8 @@
 typedef struct gate_choice {
     gate_upstream *upstream; /**< The upstream. */
     uint64_t version;        /**< Version of its weights; 0: unknown. */
+    bbm_time weights_until;  /**< Time from which no request may begin on them;
+                                  BBM_NEVER: no newer version is known. */
     double expected_ms;      /**< Expected time until the answer begins. */
     double corrected_ms;     /**< The same, corrected by results. */
     double forecast_ms;      /**< The same as expected_ms without costs that
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -98,8 +98,9 @@
     gate_upstream *upstream;
     uint64_t weight; /* rendezvous weight; the home has the highest */
     uint64_t version;
-    bool is_old; /* a newer version was announced longer ago than
-                    the grace period */
+    bbm_time weights_until; /* as in gate_choice */
+    bool is_old;            /* a newer version was announced longer ago than
+                               the grace period */
     gate_cached cached;
     double miss_tokens; /* prompt tokens that it must process */
     bool is_in_part;    /* in the part of the pool for such prompts */
@@ -231,6 +232,8 @@
         .upstream = u,
         .weight = rendezvous_weight(r, u),
         .version = version,
+        .weights_until =
+            age > 0 ? g->now - age + g->desc.old_weights_max : BBM_NEVER,
         .is_in_part = gate_is_in_part(r, u),
         .is_old = age >= g->desc.old_weights_grace - OLD_WEIGHTS_MARGIN,
     };
@@ -939,6 +942,7 @@
         record_prefill(g, r->prompt_tokens);
     if (best->upstream->pool->is_engine && r->model[0]) {
         c->version = best->version;
+        c->weights_until = best->weights_until;
         set_cache_plan(g, r, set, best, c);
     }
 }
@@ -1147,7 +1151,7 @@
 gate_pick
 gate_choose(bbm_gate *g, const gate_request *r, gate_choice *c)
 {
-    *c = (gate_choice){0};
+    *c = (gate_choice){.weights_until = BBM_NEVER};
     gate_pick pick = GATE_PICK_NO_UPSTREAM;
     candidate_set set = {0};
     set.items = bbm_calloc(HASH_COUNT(g->upstreams), sizeof(*set.items));
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -345,9 +345,13 @@
     out->u.send.candidates = c->candidates;
     out->u.send.expected_ms = (int64_t)c->expected_ms;
     out->u.send.prompt_tokens = (int64_t)r->prompt_tokens;
+    out->u.send.weights_left_ms = c->weights_until == BBM_NEVER
+                                      ? -1
+                                      : (c->weights_until - g->now) / BBM_MS;
     out->u.send.held_tokens = (int64_t)c->held_tokens;
     out->u.send.offered_tokens = (int64_t)c->offered_tokens;
     g->counts.attempts++;
+    g->counts.old_weights_attempts += c->weights_until != BBM_NEVER;
     if (r->attempts > 1)
         g->counts.retries++;
     else
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -545,7 +545,15 @@
     uint64_t listing_age_ms;   /**< Age of the listing; 0 if it was never read
                                     (gauge). */
     uint64_t upstreams;        /**< Upstreams in the listing (gauge). */
-    bbm_gate_counts gate;      /**< Requests to pools. */
+    uint64_t rollout_pending;  /**< Leader: runners that hold an older
+                                    version than the newest (gauge). */
+    uint64_t rollout_in_progress; /**< Leader: runners that occupy a place of
+                                       the rollout (gauge). */
+    uint64_t rollout_silent;      /**< Leader: those of them that haven't
+                                       answered the last request (gauge). */
+    uint64_t rollout_age_ms;      /**< Leader: time since the first version was
+                                       named that a runner lacks (gauge). */
+    bbm_gate_counts gate;         /**< Requests to pools. */
 } bbm_node_counts;
 
 /** A node; opaque. */
--- a/node/node.c
+++ b/node/node.c
@@ -548,6 +548,13 @@
     c.key_age_ms = (uint64_t)((now - n->fresh_at) / BBM_MS);
     c.totals_age_ms =
         n->totals_at ? (uint64_t)((now - n->totals_at) / BBM_MS) : 0;
+    if (n->rollout) {
+        bbm_rollout_progress p = bbm_rollout_get_progress(n->rollout, now);
+        c.rollout_pending = p.pending;
+        c.rollout_in_progress = p.in_progress;
+        c.rollout_silent = p.silent;
+        c.rollout_age_ms = (uint64_t)(p.age / BBM_MS);
+    }
     if (n->gate) {
         c.gate = bbm_gate_count(n->gate);
         c.upstreams = n->listing.len;
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -419,6 +419,8 @@
                                        they were sent; 0: never. */
     bbm_rollout *rollout;         /**< NULL unless this node is the leader. */
     uint64_t rollout_term;        /**< Term of rollout. */
+    bbm_rollout_progress rollout_progress; /**< As last logged. */
+    bbm_time rollout_logged_at;            /**< When that was logged. */
 
     uint64_t releases_index;         /**< Public index whose releases the gate
                                           has. */
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -354,6 +354,8 @@
         node_log_text(a, "goes_on_by", out->u.send.origin_source);
     if (s->version)
         node_log_number(a, "weights", (int64_t)s->version);
+    if (out->u.send.weights_left_ms >= 0)
+        node_log_number(a, "weights_left_ms", out->u.send.weights_left_ms);
     if (s->source_address[0])
         node_log_text(a, "source", s->source_address);
     if (out->u.send.prompt_tokens) {
--- a/node/node_rollout.c
+++ b/node/node_rollout.c
@@ -13,6 +13,9 @@
    there. */
 #define DRAIN_TIME_MAX BBM_SECOND
 
+/* Shortest time between two log lines on the progress of a rollout. */
+#define PROGRESS_LOG_PERIOD BBM_SECOND
+
 static const char *const answer_names[] = {
     [BBM_ORDER_ACCEPTED] = "taken",     [BBM_ORDER_ALREADY_DONE] = "holds",
     [BBM_ORDER_CONFLICT] = "conflict",  [BBM_ORDER_FENCED] = "fenced",
@@ -25,6 +28,7 @@
 {
     bbm_rollout_destroy(n->rollout);
     n->rollout = NULL;
+    n->rollout_progress = (bbm_rollout_progress){0};
 }
 
 static bool
@@ -71,6 +75,25 @@
     node_log_number(a, "fence", (int64_t)act->fence);
 }
 
+/* Logs the progress of a rollout each second, and its end. */
+static void
+log_progress(bbm_node *n)
+{
+    bbm_rollout_progress p = bbm_rollout_get_progress(n->rollout, n->now);
+    bool was_pending = n->rollout_progress.pending > 0;
+    bool is_due = n->now - n->rollout_logged_at >= PROGRESS_LOG_PERIOD;
+    if (p.pending ? was_pending && !is_due : !was_pending)
+        return;
+    n->rollout_progress = p;
+    n->rollout_logged_at = n->now;
+    bbm_action *a = node_log_event(n, BBM_EVENT_ROLLOUT_PROGRESS);
+    node_log_number(a, "runners", (int64_t)p.runners);
+    node_log_number(a, "pending", (int64_t)p.pending);
+    node_log_number(a, "in_progress", (int64_t)p.in_progress);
+    node_log_number(a, "silent", (int64_t)p.silent);
+    node_log_number(a, "age_ms", p.age / BBM_MS);
+}
+
 void
 node_rollout_tick(bbm_node *n)
 {
@@ -94,6 +117,7 @@
         a->u.rollout.action = *act;
         a->u.rollout.not_after = bbm_raft_lease_until(n->raft);
     }
+    log_progress(n);
     node_upstreams_update(n);
 }
 
--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -536,6 +536,23 @@
     }
 }
 
+bbm_rollout_progress
+bbm_rollout_get_progress(const bbm_rollout *ro, bbm_time now)
+{
+    bbm_rollout_progress p = {.runners = HASH_COUNT(ro->runners)};
+    for (const runner *r = ro->runners; r; r = r->hh.next) {
+        const target *t = pending_target(ro, r);
+        p.in_progress += is_in_progress(r);
+        p.silent += is_in_progress(r) && r->consecutive_failures > 0;
+        if (!t)
+            continue;
+        p.pending++;
+        if (now - t->set_at > p.age)
+            p.age = now - t->set_at;
+    }
+    return p;
+}
+
 bool
 bbm_rollout_is_fenced(const bbm_rollout *ro)
 {
--- a/rollout/bbm_rollout.h
+++ b/rollout/bbm_rollout.h
@@ -89,6 +89,19 @@
     uint64_t fence;    /**< Order: fencing number. */
 } bbm_rollout_action;
 
+/** Progress of a rollout. */
+typedef struct bbm_rollout_progress {
+    size_t runners;     /**< Known runners. */
+    size_t pending;     /**< Those that hold an older version than the
+                             newest. */
+    size_t in_progress; /**< Those that occupy one of the places for runners in
+                             progress. */
+    size_t silent;      /**< Those in progress that haven't answered the last
+                             request. */
+    bbm_time age; /**< Time since the first target was set that a runner hasn't
+                       reached; 0: none is pending. */
+} bbm_rollout_progress;
+
 /** A rollout; opaque. */
 typedef struct bbm_rollout bbm_rollout;
 
@@ -121,6 +134,9 @@
 /** Update a listing: the versions as last reported by the runners, and the
  *  mark @c loading on runners in progress, which get no new requests. */
 void bbm_rollout_mark_listing(const bbm_rollout *ro, bbm_listing *listing);
+/** Progress at time @p now. */
+bbm_rollout_progress bbm_rollout_get_progress(const bbm_rollout *ro,
+                                              bbm_time now);
 /** True if a runner has answered that it has seen a higher fencing number:
  *  another daemon is the leader.  No further actions follow. */
 bool bbm_rollout_is_fenced(const bbm_rollout *ro);
