Silent runners hold no places of a rollout

Cause: only a quarter of the runners may be updated at a time, and a runner kept its place while it left three requests without an answer, and was first again 0.8 s later, as a silent runner has no open requests. 41 silent ones of 117 held nearly all of 30 places: 1 to 5 orders a second instead of 11 and more, until they left the list. The class of fault: a bounded resource is held by peers that don't answer.

Change: places limit what a rollout takes from clients, so a runner has one only while it answers. Without an answer, or suspected by VMs, it is asked for a report beside the places, at a bounded rate, and awaits its turn once it answers. The share counts runners that answer. A time-out doubles once for slow runners. Runners whose weights get no new requests any more need no place. A new leader counts from when the version was named.

--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -113,7 +113,7 @@
      "Leader: runners that occupy a place of the rollout of weights",
      AT(rollout_in_progress)},
     {"rollout_silent", "gauge",
-     "Leader: those of them that have not answered the last request",
+     "Leader: runners without the newest weights that do not answer it",
      AT(rollout_silent)},
     {"rollout_age_ms", "gauge",
      "Leader: time since the first weights were named that a runner lacks",
--- a/daemon/provider.c
+++ b/daemon/provider.c
@@ -14,8 +14,6 @@
 #define POLL_WAIT_MS 200
 #define CONNECT_TIMEOUT_MS 150L
 #define LIST_TIMEOUT_MS 900L
-#define REPORT_TIMEOUT_MS 250L
-#define ORDER_TIMEOUT_MS 200L
 /* A store holds a call open for up to one second before it answers. */
 #define STORE_TIMEOUT_MS 1700L
 /* Delay until the next call to a store: after one that it answered, and after
@@ -318,9 +316,10 @@
 start_rollout_call(provider *p, const job *j)
 {
     const bbm_rollout_action *act = &j->act;
+    long timeout_ms = (long)(act->timeout / BBM_MS);
     if (!act->is_order) {
         start_call(p, new_call(p, CALL_REPORT, act->id), act->address,
-                   platform_report_path(), REPORT_TIMEOUT_MS);
+                   platform_report_path(), timeout_ms);
         return;
     }
     call *c = new_call(p, CALL_ORDER, act->id);
@@ -334,7 +333,7 @@
              act->id);
     c->headers = curl_slist_append(NULL, "Content-Type: application/json");
     c->headers = curl_slist_append(c->headers, line);
-    start_call(p, c, act->address, platform_order_path(), ORDER_TIMEOUT_MS);
+    start_call(p, c, act->address, platform_order_path(), timeout_ms);
 }
 
 /* ---- stores ---- */
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -549,8 +549,8 @@
                                     version than the newest (gauge). */
     uint64_t rollout_in_progress; /**< Leader: runners that occupy a place of
                                        the rollout (gauge). */
-    uint64_t rollout_silent;      /**< Leader: those of them that haven't
-                                       answered the last request (gauge). */
+    uint64_t rollout_silent;      /**< Leader: pending runners that don't
+                                       answer it, or are suspected (gauge). */
     uint64_t rollout_age_ms;      /**< Leader: time since the first version was
                                        named that a runner lacks (gauge). */
     bbm_gate_counts gate;         /**< Requests to pools. */
--- a/node/node_rollout.c
+++ b/node/node_rollout.c
@@ -47,6 +47,7 @@
             .fence = term,
             .drain_time_min = delay,
             .drain_time_max = delay ? DRAIN_TIME_MAX : 0,
+            .unused_after = bbm_gate_old_weights_unused_after(n->gate),
         });
     }
     return true;
@@ -57,8 +58,12 @@
 {
     const bbm_registry *reg = bbm_state_registry(n->state);
     bbm_weights_version named;
-    for (size_t i = 0; bbm_registry_weights_at(reg, i, &named); i++)
-        bbm_rollout_set_target(n->rollout, named.model, named.version, n->now);
+    for (size_t i = 0; bbm_registry_weights_at(reg, i, &named); i++) {
+        bbm_time at =
+            bbm_gate_version_named_at(n->gate, named.model, named.version);
+        bbm_rollout_set_target(n->rollout, named.model, named.version,
+                               at < n->now ? at : n->now);
+    }
 }
 
 static void
@@ -106,9 +111,14 @@
     bbm_rollout_set_runners(n->rollout, &n->raw_listing);
     for (size_t i = 0; i < n->raw_listing.len; i++) {
         const char *id = n->raw_listing.items[i].id;
-        bbm_rollout_set_load(n->rollout, id,
-                             bbm_gate_open_requests(n->gate, id),
-                             bbm_gate_backlog_ms(n->gate, id));
+        bbm_rollout_set_load(
+            n->rollout, id,
+            &(bbm_rollout_load){
+                .open_requests = bbm_gate_open_requests(n->gate, id),
+                .backlog_ms = bbm_gate_backlog_ms(n->gate, id),
+                .is_suspected = bbm_gate_suspects(n->gate, id),
+                .answers_lately = bbm_gate_answers_lately(n->gate, id),
+            });
     }
     const bbm_rollout_action *act;
     while ((act = bbm_rollout_next_action(n->rollout, n->now)) != NULL) {
--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -1,6 +1,7 @@
 #include "bbm_rollout.h"
 
 #include "bbm_table.h"
+#include "bbm_versions.h"
 
 #include <math.h>
 #include <string.h>
@@ -21,16 +22,21 @@
 /* Interval of report requests while a runner loads. */
 #define REPORT_POLL_PERIOD (150 * BBM_MS)
 /* Delay of the next report request after one without an answer. */
-#define RETRY_DELAY (200 * BBM_MS)
+#define RETRY_DELAY (50 * BBM_MS)
 /* After this number of consecutive requests without an answer a runner is not
    contacted for BACKOFF_TIME. */
 #define CONSECUTIVE_FAILURES_MAX_COUNT 3
 #define BACKOFF_TIME (800 * BBM_MS)
+/* Time for which the answer to a report request is awaited.  It doubles with
+   the first one without an answer, for runners that answer slowly. */
+#define REPORT_TIMEOUT_FIRST (250 * BBM_MS)
+#define REPORT_TIMEOUT_MAX (500 * BBM_MS)
+#define ORDER_TIMEOUT (200 * BBM_MS)
 
 /* Stages after RUNNER_IDLE count as in progress. */
 typedef enum runner_stage {
-    RUNNER_NEW,             /* a first report is to be requested */
-    RUNNER_FIRST_QUERIED,   /* waiting for that report */
+    RUNNER_NEW,             /* a report is to be requested, before its turn */
+    RUNNER_QUERIED,         /* waiting for that report */
     RUNNER_IDLE,            /* is up to date, or waits for its turn */
     RUNNER_DRAINING,        /* gets no new requests */
     RUNNER_DRAINED_QUERIED, /* waiting for the report before the order */
@@ -47,19 +53,23 @@
     bool has_accepted;             /* one more since that report */
     bbm_time next_action_at;       /* BBM_NEVER while waiting for an answer */
     uint32_t consecutive_failures; /* requests without an answer */
-    bbm_time draining_until;       /* latest time of the order */
-    bbm_time backoff_until;        /* no update starts before this time */
-    double open_requests;          /* in progress on it, of all VMs */
-    double backlog_ms;             /* time for the prompts not yet processed */
-    char model[BBM_NAME_SIZE];     /* of the current order */
-    uint64_t version;              /* of the current order */
+    bool is_silent;      /* the last request has no answer, or VMs suspect that
+                            it has failed; false once it answers */
+    bool is_suspected;   /* by VMs, as last told */
+    bool answers_lately; /* as last told */
+    bbm_time report_timeout;
+    bbm_time draining_until;   /* latest time of the order */
+    bbm_time backoff_until;    /* no update starts before this time */
+    double open_requests;      /* in progress on it, of all VMs */
+    double backlog_ms;         /* time for the prompts not yet processed */
+    char model[BBM_NAME_SIZE]; /* of the current order */
+    uint64_t version;          /* of the current order */
     UT_hash_handle hh;
 } runner;
 
 typedef struct target {
     char model[BBM_NAME_SIZE];
-    uint64_t version;
-    bbm_time set_at; /* time when the version was set */
+    bbm_versions versions;
     UT_hash_handle hh;
 } target;
 
@@ -111,7 +121,7 @@
 
 void
 bbm_rollout_set_target(bbm_rollout *ro, const char *model, uint64_t version,
-                       bbm_time now)
+                       bbm_time named_at)
 {
     target *t = NULL;
     HASH_FIND_STR(ro->targets, model, t);
@@ -120,10 +130,7 @@
         bbm_name_set(t->model, model);
         HASH_ADD_STR(ro->targets, model, t);
     }
-    if (version <= t->version)
-        return;
-    t->version = version;
-    t->set_at = now;
+    bbm_versions_add(&t->versions, version, named_at);
 }
 
 /* ---- runners ---- */
@@ -137,6 +144,9 @@
     r->has_accepted = false;
     r->next_action_at = 0;
     r->consecutive_failures = 0;
+    r->is_silent = false;
+    r->is_suspected = false;
+    r->report_timeout = REPORT_TIMEOUT_FIRST;
     r->backoff_until = 0;
 }
 
@@ -194,15 +204,36 @@
     }
 }
 
+/* What VMs know counts while the runner isn't asked: one that is suspected has
+   to answer before its turn.  Its answers to VMs don't count once it has left
+   a request of the rollout without an answer. */
+static void
+update_suspicion(runner *r, const bbm_rollout_load *load)
+{
+    bool is_new = load->is_suspected && !r->is_suspected;
+    r->is_suspected = load->is_suspected;
+    if (is_new && r->stage == RUNNER_DRAINING)
+        r->stage = RUNNER_IDLE;
+    if (r->stage != RUNNER_IDLE)
+        return;
+    if (is_new)
+        r->is_silent = true;
+    else if (!r->consecutive_failures && load->answers_lately
+             && !load->is_suspected)
+        r->is_silent = false;
+}
+
 void
-bbm_rollout_set_load(bbm_rollout *ro, const char *id, double open_requests,
-                     double backlog_ms)
+bbm_rollout_set_load(bbm_rollout *ro, const char *id,
+                     const bbm_rollout_load *load)
 {
     runner *r = find_runner(ro, id);
     if (!r)
         return;
-    r->open_requests = open_requests;
-    r->backlog_ms = backlog_ms;
+    r->open_requests = load->open_requests;
+    r->backlog_ms = load->backlog_ms;
+    r->answers_lately = load->answers_lately;
+    update_suspicion(r, load);
 }
 
 /* ---- choice of the next runner ---- */
@@ -214,7 +245,7 @@
 {
     for (const target *t = ro->targets; t; t = t->hh.next) {
         uint64_t has = bbm_listing_entry_version(&r->info, t->model);
-        if (has && has < t->version)
+        if (has && has < bbm_versions_newest(&t->versions))
             return t;
     }
     return NULL;
@@ -226,17 +257,52 @@
     return r->stage > RUNNER_IDLE;
 }
 
+/* When the first version was named that the runner lacks. */
+static bbm_time
+overtaken_at(const runner *r, const target *t)
+{
+    return bbm_versions_overtaken_at(
+        &t->versions, bbm_listing_entry_version(&r->info, t->model));
+}
+
+/* True if its weights are so old that it gets no new requests anyway. */
+static bool
+is_unused(const bbm_rollout *ro, const runner *r, bbm_time now)
+{
+    const target *t = pending_target(ro, r);
+    return ro->desc.unused_after && t
+           && now - overtaken_at(r, t) >= ro->desc.unused_after;
+}
+
+/* The places limit how much capacity a rollout takes from the clients.  A
+   runner that doesn't answer, or gets no requests, takes none; with a place it
+   would keep out one that makes progress. */
+static bool
+has_place(const bbm_rollout *ro, const runner *r, bbm_time now)
+{
+    return is_in_progress(r) && !r->is_silent && !is_unused(ro, r, now);
+}
+
 static size_t
-count_in_progress(const bbm_rollout *ro)
+count_places(const bbm_rollout *ro, bbm_time now)
 {
     size_t n = 0;
     for (const runner *r = ro->runners; r; r = r->hh.next)
-        n += is_in_progress(r);
+        n += has_place(ro, r, now);
     return n;
 }
 
-/* True if no target was set longer than slow_time_max ago, enough runners are
-   updated, and the mean backlog of these is at most slow_backlog_ms. */
+static size_t
+count_answering(const bbm_rollout *ro)
+{
+    size_t n = 0;
+    for (const runner *r = ro->runners; r; r = r->hh.next)
+        n += !r->is_silent;
+    return n;
+}
+
+/* True if no target was named longer than slow_time_max ago, enough runners
+   are updated, and the mean backlog of these is at most slow_backlog_ms. */
 static bool
 can_proceed_slowly(const bbm_rollout *ro, bbm_time now)
 {
@@ -244,7 +310,8 @@
     size_t updated = 0;
     double backlog = 0;
     for (const target *t = ro->targets; t; t = t->hh.next) {
-        if (now - t->set_at > ro->desc.slow_time_max)
+        bbm_time named_at = t->versions.named_at[t->versions.len - 1];
+        if (now - named_at > ro->desc.slow_time_max)
             return false;
     }
     for (const runner *r = ro->runners; r; r = r->hh.next) {
@@ -258,56 +325,80 @@
            && backlog <= ro->desc.slow_backlog_ms * (double)updated;
 }
 
-/* Maximum number of runners in progress. */
+/* Number of places. */
 static size_t
 concurrent_max(const bbm_rollout *ro, bbm_time now)
 {
     if (can_proceed_slowly(ro, now))
         return ro->desc.slow_concurrent;
-    double share = (double)HASH_COUNT(ro->runners) * ro->desc.concurrent_share;
+    double share = (double)count_answering(ro) * ro->desc.concurrent_share;
     size_t n = (size_t)ceil(share);
     return n > ro->desc.concurrent_min ? n : ro->desc.concurrent_min;
 }
 
-/* The runner with the older weights comes first, as their permitted time of
-   use ends first; then the less busy one, as its requests end sooner. */
+/* A runner that is known to work comes first; then the one with the older
+   weights, as their permitted time of use ends first; then the less busy one,
+   as its requests end sooner. */
 static bool
 comes_before(const bbm_rollout *ro, const runner *a, const runner *b)
 {
     const target *t = pending_target(ro, a);
     uint64_t has_a = bbm_listing_entry_version(&a->info, t->model);
     uint64_t has_b = bbm_listing_entry_version(&b->info, t->model);
+    if (a->answers_lately != b->answers_lately)
+        return a->answers_lately;
     if (has_a != has_b)
         return has_a < has_b;
     return a->open_requests < b->open_requests;
 }
 
+static bool
+awaits_turn(const bbm_rollout *ro, const runner *r, bbm_time now)
+{
+    return r->stage == RUNNER_IDLE && !r->info.leaving
+           && now >= r->backoff_until && pending_target(ro, r);
+}
+
 static runner *
 next_runner(const bbm_rollout *ro, bbm_time now)
 {
     runner *best = NULL;
     for (runner *r = ro->runners; r; r = r->hh.next) {
-        bool eligible = r->stage == RUNNER_IDLE && !r->info.leaving
-                        && now >= r->backoff_until && pending_target(ro, r);
-        if (eligible && (!best || comes_before(ro, r, best)))
+        if (awaits_turn(ro, r, now) && (!best || comes_before(ro, r, best)))
             best = r;
     }
     return best;
 }
 
 static void
-start_draining(bbm_rollout *ro, bbm_time now)
+start_draining(const bbm_rollout *ro, runner *r, bbm_time now)
+{
+    r->stage = RUNNER_DRAINING;
+    r->next_action_at = now + ro->desc.drain_time_min;
+    r->draining_until = now + ro->desc.drain_time_max;
+}
+
+/* Begins the updates for which there are places.  A silent runner is asked for
+   a report instead, and awaits its turn once it answers. */
+static void
+start_updates(bbm_rollout *ro, bbm_time now)
 {
+    for (runner *r = ro->runners; r; r = r->hh.next) {
+        if (!awaits_turn(ro, r, now))
+            continue;
+        if (r->is_silent) {
+            r->stage = RUNNER_NEW;
+            r->next_action_at = now;
+        }
+        else if (is_unused(ro, r, now)) {
+            start_draining(ro, r, now);
+        }
+    }
     size_t max = concurrent_max(ro, now);
-    size_t busy = count_in_progress(ro);
     runner *r;
-    while (busy < max && (r = next_runner(ro, now)) != NULL) {
-        r->stage = RUNNER_DRAINING;
-        r->next_action_at = now + ro->desc.drain_time_min;
-        r->draining_until = now + ro->desc.drain_time_max;
-        r->consecutive_failures = 0;
-        busy++;
-    }
+    for (size_t n = count_places(ro, now);
+         n < max && (r = next_runner(ro, now)) != NULL; n++)
+        start_draining(ro, r, now);
 }
 
 /* ---- actions ---- */
@@ -320,6 +411,7 @@
         .version = r->version,
         .sequence = r->sequence,
         .fence = ro->desc.fence,
+        .timeout = order ? ORDER_TIMEOUT : r->report_timeout,
     };
     bbm_name_set(ro->action.id, r->info.id);
     bbm_name_set(ro->action.address, r->info.address);
@@ -332,7 +424,7 @@
 {
     if (ro->fenced)
         return NULL;
-    start_draining(ro, now);
+    start_updates(ro, now);
     for (runner *r = ro->runners; r; r = r->hh.next) {
         if (now < r->next_action_at)
             continue;
@@ -342,7 +434,7 @@
                 r->stage = RUNNER_IDLE;
                 break;
             }
-            r->stage = RUNNER_FIRST_QUERIED;
+            r->stage = RUNNER_QUERIED;
             r->next_action_at = BBM_NEVER;
             return make_action(ro, r, false);
         case RUNNER_DRAINING:
@@ -358,7 +450,7 @@
             r->next_action_at = BBM_NEVER;
             return make_action(ro, r, false);
         case RUNNER_IDLE:
-        case RUNNER_FIRST_QUERIED:
+        case RUNNER_QUERIED:
         case RUNNER_DRAINED_QUERIED:
         case RUNNER_ORDERED:
         case RUNNER_LOADING_QUERIED:
@@ -384,15 +476,28 @@
     r->backoff_until = now + BACKOFF_TIME;
 }
 
+static void
+record_answer(runner *r)
+{
+    r->consecutive_failures = 0;
+    r->is_silent = false;
+}
+
+/* The runner gives its place back.  Its request is repeated a few times; then
+   it is asked for a report now and then. */
 static void
 on_no_answer(runner *r, runner_stage retry_stage, bbm_time now)
 {
+    r->is_silent = true;
+    if (r->report_timeout < REPORT_TIMEOUT_MAX)
+        r->report_timeout *= 2;
     if (++r->consecutive_failures >= CONSECUTIVE_FAILURES_MAX_COUNT) {
         back_off(r, now);
         return;
     }
     r->stage = retry_stage;
     r->next_action_at = now + RETRY_DELAY;
+    r->backoff_until = r->next_action_at;
 }
 
 static void
@@ -404,7 +509,7 @@
         return;
     }
     bbm_name_set(r->model, t->model);
-    r->version = t->version;
+    r->version = bbm_versions_newest(&t->versions);
     r->stage = RUNNER_ORDERED;
     r->next_action_at = now;
 }
@@ -412,12 +517,22 @@
 static void
 apply_no_report(runner *r, bbm_time now)
 {
-    if (r->stage == RUNNER_FIRST_QUERIED) {
-        r->stage = RUNNER_IDLE;
+    switch (r->stage) {
+    case RUNNER_DRAINED_QUERIED:
+        on_no_answer(r, RUNNER_DRAINING, now);
+        return;
+    case RUNNER_LOADING_QUERIED:
+        on_no_answer(r, RUNNER_LOADING, now);
+        return;
+    case RUNNER_NEW:
+    case RUNNER_QUERIED:
+    case RUNNER_IDLE:
+    case RUNNER_DRAINING:
+    case RUNNER_ORDERED:
+    case RUNNER_LOADING:
+        on_no_answer(r, RUNNER_IDLE, now);
         return;
     }
-    bool was_loading = r->stage == RUNNER_LOADING_QUERIED;
-    on_no_answer(r, was_loading ? RUNNER_LOADING : RUNNER_DRAINING, now);
 }
 
 /* True for a report from before the last one, or from before the last order,
@@ -441,10 +556,10 @@
     bool awaited = r
                    && (r->stage == RUNNER_DRAINED_QUERIED
                        || r->stage == RUNNER_LOADING_QUERIED
-                       || r->stage == RUNNER_FIRST_QUERIED);
+                       || r->stage == RUNNER_QUERIED);
     if (!awaited)
         return;
-    bool was_first_query = r->stage == RUNNER_FIRST_QUERIED;
+    bool was_first_query = r->stage == RUNNER_QUERIED;
     if (!report) {
         apply_no_report(r, now);
         return;
@@ -463,7 +578,8 @@
         apply_no_report(r, now);
         return;
     }
-    r->consecutive_failures = 0;
+    bool was_silent = r->is_silent;
+    record_answer(r);
     if (report->started_at_ms)
         r->info.started_at_ms = report->started_at_ms;
     raise_versions(r, report->models, report->models_len);
@@ -475,7 +591,9 @@
         r->next_action_at = now + REPORT_POLL_PERIOD;
         return;
     }
-    if (was_first_query)
+    bool has_turn =
+        !was_silent || count_places(ro, now) <= concurrent_max(ro, now);
+    if (was_first_query || !has_turn)
         r->stage = RUNNER_IDLE;
     else
         prepare_order(ro, r, now);
@@ -488,12 +606,13 @@
     runner *r = find_runner(ro, id);
     if (!r || r->stage != RUNNER_ORDERED)
         return;
+    if (answer != BBM_ORDER_NO_ANSWER)
+        record_answer(r);
     switch (answer) {
     case BBM_ORDER_ACCEPTED:
         r->has_accepted = true;
         r->stage = RUNNER_LOADING;
         r->next_action_at = now + FIRST_REPORT_DELAY;
-        r->consecutive_failures = 0;
         return;
     case BBM_ORDER_ALREADY_DONE:
         bbm_listing_entry_set_version(&r->info, r->model, r->version);
@@ -542,13 +661,14 @@
     bbm_rollout_progress p = {.runners = HASH_COUNT(ro->runners)};
     for (const runner *r = ro->runners; r; r = r->hh.next) {
         const target *t = pending_target(ro, r);
-        p.in_progress += is_in_progress(r);
-        p.silent += is_in_progress(r) && r->consecutive_failures > 0;
+        p.in_progress += has_place(ro, r, now);
         if (!t)
             continue;
         p.pending++;
-        if (now - t->set_at > p.age)
-            p.age = now - t->set_at;
+        p.silent += r->is_silent;
+        bbm_time age = now - overtaken_at(r, t);
+        if (age > p.age)
+            p.age = age;
     }
     return p;
 }
--- a/rollout/bbm_rollout.h
+++ b/rollout/bbm_rollout.h
@@ -19,14 +19,18 @@
  *      bbm_rollout_mark_listing(ro, &listing);
  *
  *  The design handles versions that follow each other faster than all runners
- *  can load them.  Only a share of the runners is in progress at a time, by
- *  default a quarter, but at least 3 runners.  For most of that time a runner
- *  waits for its running requests to end, not for the loading of the weights.
- *  Runners with the oldest weights come first, then the least busy.  A runner
- *  that has not begun when a newer version is set skips to the newer one.
- *  Once half of the runners are updated and serve almost without a backlog,
- *  the others are updated slowly: if another version follows soon, they load
- *  only that one.
+ *  can load them.  There are places for a share of the runners that answer, by
+ *  default a quarter, but for at least 3, so that the others serve meanwhile.
+ *  For most of that time a runner waits for its running requests to end, not
+ *  for the loading of the weights.  A runner has its place only while it
+ *  answers: a silent one is asked for a report from time to time, without a
+ *  place, and awaits its turn once it answers.  So the time of a rollout
+ *  doesn't depend on silent runners.  Runners whose weights are too old for
+ * new requests need no place either. Runners with the oldest weights come
+ * first, then the least busy.  A runner that has not begun when a newer
+ * version is set skips to the newer one. Once half of the runners are updated
+ * and serve almost without a backlog, the others are updated slowly: if
+ * another version follows soon, they load only that one.
  */
 #ifndef BBM_ROLLOUT_H
 #define BBM_ROLLOUT_H
@@ -53,6 +57,9 @@
                                   drain_time_min. */
     bbm_time slow_time_max;  /**< Time after which the rollout of a version
                                    is no longer slow; 0: 4 s. */
+    bbm_time unused_after;   /**< Time after the naming of a version from which
+                                  runners that lack it get no new requests; 0:
+                                  unlimited. */
 } bbm_rollout_desc;
 
 /** Report of a runner. */
@@ -87,19 +94,28 @@
     uint64_t version;            /**< Order: version to load. */
     uint64_t sequence; /**< Order: must equal the runner's own sequence. */
     uint64_t fence;    /**< Order: fencing number. */
+    bbm_time timeout;  /**< Time for which its answer is awaited. */
 } bbm_rollout_action;
 
+/** Load of a runner. */
+typedef struct bbm_rollout_load {
+    double open_requests; /**< Requests in progress on it, of all VMs. */
+    double backlog_ms;    /**< Time that it needs for their prompts not yet
+                               processed, in ms. */
+    bool is_suspected;    /**< VMs suspect that it has failed. */
+    bool answers_lately;  /**< It has answered requests in the last second. */
+} bbm_rollout_load;
+
 /** Progress of a rollout. */
 typedef struct bbm_rollout_progress {
     size_t runners;     /**< Known runners. */
     size_t pending;     /**< Those that hold an older version than the
                              newest. */
-    size_t in_progress; /**< Those that occupy one of the places for runners in
-                             progress. */
-    size_t silent;      /**< Those in progress that haven't answered the last
-                             request. */
-    bbm_time age; /**< Time since the first target was set that a runner hasn't
-                       reached; 0: none is pending. */
+    size_t in_progress; /**< Those that have one of the places. */
+    size_t silent;      /**< Those pending that don't answer, or are suspected
+                             to have failed. */
+    bbm_time age; /**< Time since the first version was named that a runner
+                       lacks; 0: none is pending. */
 } bbm_rollout_progress;
 
 /** A rollout; opaque. */
@@ -109,17 +125,15 @@
 bbm_rollout *bbm_rollout_create(const bbm_rollout_desc *desc);
 /** Release; NULL is allowed. */
 void bbm_rollout_destroy(bbm_rollout *ro);
-/** Set the newest version of a model; a version that is not higher than the
- *  present one is ignored. */
+/** Set the newest version of a model, which was named at @p named_at; one that
+ *  isn't higher than the present one is ignored. */
 void bbm_rollout_set_target(bbm_rollout *ro, const char *model,
-                            uint64_t version, bbm_time now);
+                            uint64_t version, bbm_time named_at);
 /** Replace the runners by the entries of the listing that have models. */
 void bbm_rollout_set_runners(bbm_rollout *ro, const bbm_listing *listing);
-/** Set the load of a runner: the requests in progress on it, of all VMs, and
- *  the time in ms that it needs for their prompts not yet processed.  No
- *  effect if there is no such runner. */
+/** Set the load of a runner; no effect if there is no such runner. */
 void bbm_rollout_set_load(bbm_rollout *ro, const char *id,
-                          double open_requests, double backlog_ms);
+                          const bbm_rollout_load *load);
 /** The next action that is due, or NULL; valid until the next call. */
 const bbm_rollout_action *bbm_rollout_next_action(bbm_rollout *ro,
                                                   bbm_time now);
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -291,8 +291,9 @@
         &(bbm_rollout_desc){.fence = 5, .drain_time_max = BBM_SECOND});
     run_for(&sim, 500 * BBM_MS);
     for (size_t i = 0; i < RUNNERS; i++)
-        bbm_rollout_set_load(sim.ro, sim.listing.items[i].id,
-                             i < RUNNERS / 2 ? 3 : 0, 0);
+        bbm_rollout_set_load(
+            sim.ro, sim.listing.items[i].id,
+            &(bbm_rollout_load){.open_requests = i < RUNNERS / 2 ? 3 : 0});
     bbm_rollout_set_target(sim.ro, "m", 2, sim.now);
     bbm_time set_at = sim.now;
     while (sim.now < set_at + 6 * BBM_SECOND) {
--- a/tests/test_rollout_silent.c
+++ b/tests/test_rollout_silent.c
@@ -9,13 +9,20 @@
 #define RUNNERS_MAX 300
 #define STEP_TIME (10 * BBM_MS)
 #define LOAD_TIME (570 * BBM_MS)
-#define REPORT_TIMEOUT (250 * BBM_MS)
-#define ORDER_TIMEOUT (200 * BBM_MS)
+/* Time that a slow runner takes for a report. */
+#define SLOW_REPORT_TIME (300 * BBM_MS)
 /* Time after which a runner that gets no new requests has no open ones. */
 #define DRAIN_TIME (400 * BBM_MS)
-/* Requests that one runner without an answer costs the rollout at most: the
-   time of the first of them. */
+/* Time that a rollout may take longer to find out which runners are silent. */
 #define FIND_SILENT_TIME (1500 * BBM_MS)
+/* Time after the naming of a version from which no request may begin on an
+   older one. */
+#define OLD_WEIGHTS_MAX (8 * BBM_SECOND)
+/* A request may wait at a runner for 2 s before it begins. */
+#define UPDATE_TIME_MAX (OLD_WEIGHTS_MAX - 2 * BBM_SECOND)
+/* Time after the naming of a version by which all runners have it that can be
+   reached now and then. */
+#define UPDATE_ALL_TIME_MAX (11 * BBM_SECOND)
 
 typedef enum sim_health {
     SIM_SOUND,
@@ -30,7 +37,8 @@
     uint64_t sequence;
     uint64_t new_version; /* that it loads; 0: none */
     bbm_time load_ends_at;
-    bool is_marked; /* gets no new requests */
+    bool is_suspected; /* by VMs */
+    bool is_marked;    /* gets no new requests */
     bbm_time marked_at;
     bbm_rollout_action call; /* that it hasn't answered */
     bbm_time answer_at;      /* 0: none */
@@ -42,6 +50,7 @@
     bbm_listing listing;
     sim_runner runners[RUNNERS_MAX];
     size_t len;
+    bool has_traffic; /* it shows which runners answer */
     bbm_time now;
     size_t calls;      /* reports and orders sent */
     size_t taken_peak; /* maximum of sound runners without requests */
@@ -54,10 +63,12 @@
     ck_assert_ptr_nonnull(sim);
     sim->now = BBM_SECOND;
     sim->len = len;
-    sim->ro =
-        bbm_rollout_create(&(bbm_rollout_desc){.fence = 5,
-                                               .drain_time_min = 150 * BBM_MS,
-                                               .drain_time_max = BBM_SECOND});
+    sim->has_traffic = true;
+    sim->ro = bbm_rollout_create(
+        &(bbm_rollout_desc){.fence = 5,
+                            .drain_time_min = 150 * BBM_MS,
+                            .drain_time_max = BBM_SECOND,
+                            .unused_after = OLD_WEIGHTS_MAX - 3 * BBM_SECOND});
     for (size_t i = 0; i < len; i++) {
         bbm_listing_entry entry = {
             .models_len = 1, .models = {{.version = 1}}, .started_at_ms = 7};
@@ -93,7 +104,7 @@
         return sim->now % BBM_SECOND < BBM_SECOND / 2 ? BBM_NEVER
                                                       : sim->now + 10 * BBM_MS;
     case SIM_SLOW:
-        return sim->now + REPORT_TIMEOUT + 50 * BBM_MS;
+        return sim->now + SLOW_REPORT_TIME;
     }
     return BBM_NEVER;
 }
@@ -105,7 +116,7 @@
     ck_assert_int_eq(r->answer_at, 0);
     r->call = *act;
     r->answer_at = answer_time(sim, r);
-    r->lost_at = sim->now + (act->is_order ? ORDER_TIMEOUT : REPORT_TIMEOUT);
+    r->lost_at = sim->now + act->timeout;
     if (r->health == SIM_SLOW && act->is_order)
         r->answer_at = sim->now + 50 * BBM_MS;
     sim->calls++;
@@ -172,7 +183,14 @@
         taken += r->is_marked && r->health == SIM_SOUND;
         bool drained = r->is_marked && sim->now - r->marked_at >= DRAIN_TIME;
         bool busy = r->health != SIM_DARK && !drained;
-        bbm_rollout_set_load(sim->ro, marked.items[i].id, busy ? 3 : 0, 200);
+        bbm_rollout_set_load(
+            sim->ro, marked.items[i].id,
+            &(bbm_rollout_load){
+                .open_requests = busy ? 3 : 0,
+                .backlog_ms = 200,
+                .is_suspected = r->is_suspected,
+                .answers_lately = sim->has_traffic && r->health != SIM_DARK,
+            });
     }
     if (taken > sim->taken_peak)
         sim->taken_peak = taken;
@@ -198,25 +216,36 @@
         send_call(sim, act);
 }
 
+/* True if all runners that are sound or, with others, not dark have it. */
 static bool
-all_have(const simulation *sim, uint64_t version)
+all_have(const simulation *sim, uint64_t version, bool others)
 {
     for (size_t i = 0; i < sim->len; i++) {
         const sim_runner *r = &sim->runners[i];
-        if (r->health != SIM_DARK && r->version < version)
+        bool counts = others ? r->health != SIM_DARK : r->health == SIM_SOUND;
+        if (counts && r->version < version)
             return false;
     }
     return true;
 }
 
-/* Names a version; returns the time until all runners that aren't dark have
-   it, or 60 s. */
+static void
+run_for(simulation *sim, bbm_time span)
+{
+    for (bbm_time until = sim->now + span; sim->now < until;)
+        step(sim);
+}
+
+/* Names a version; returns the time until all runners that are sound or, with
+   others, not dark have it; at most 60 s. */
 static bbm_time
-roll_out(simulation *sim, uint64_t version)
+roll_out(simulation *sim, uint64_t version, bool others)
 {
+    run_for(sim, 100 * BBM_MS);
     bbm_time begin = sim->now;
     bbm_rollout_set_target(sim->ro, "m", version, sim->now);
-    while (!all_have(sim, version) && sim->now - begin < 60 * BBM_SECOND)
+    while (!all_have(sim, version, others)
+           && sim->now - begin < 60 * BBM_SECOND)
         step(sim);
     return sim->now - begin;
 }
@@ -229,13 +258,13 @@
 {
     for (size_t i = 0; i < BBM_COUNT(sizes); i++) {
         simulation *sound = create_simulation(sizes[i], 0, SIM_SOUND);
-        bbm_time limit = roll_out(sound, 2) + FIND_SILENT_TIME;
+        bbm_time limit = roll_out(sound, 2, false) + FIND_SILENT_TIME;
         destroy_simulation(sound);
         for (int percent = 10; percent <= 60; percent += 10) {
             simulation *sim =
                 create_simulation(sizes[i], percent / 100.0, SIM_DARK);
             for (uint64_t version = 2; version <= 3; version++) {
-                bbm_time time = roll_out(sim, version);
+                bbm_time time = roll_out(sim, version, false);
                 ck_assert_msg(time <= limit,
                               "%zu runners, %d%% dark, version %d: %.2f s, "
                               "%.2f s allowed",
@@ -249,4 +278,110 @@
 }
 END_TEST
 
-TEST_MAIN("rollout_silent", dark_runners_hold_no_places);
+/* Guards against the same where no traffic shows which runners answer. */
+START_TEST(dark_runners_hold_no_places_without_traffic)
+{
+    for (size_t i = 0; i < BBM_COUNT(sizes); i++) {
+        simulation *sim = create_simulation(sizes[i], 0.6, SIM_DARK);
+        sim->has_traffic = false;
+        bbm_time time = roll_out(sim, 2, false);
+        ck_assert_msg(time < UPDATE_TIME_MAX, "%zu runners: %.2f s", sizes[i],
+                      (double)time / BBM_SECOND);
+        destroy_simulation(sim);
+    }
+}
+END_TEST
+
+/* Guards against silent runners that are given up for good. */
+START_TEST(returning_runners_are_updated)
+{
+    for (size_t i = 0; i < BBM_COUNT(sizes); i++) {
+        simulation *sim = create_simulation(sizes[i], 0.6, SIM_DARK);
+        roll_out(sim, 2, false);
+        run_for(sim, 5 * BBM_SECOND);
+        for (size_t k = 0; k < sim->len; k++)
+            sim->runners[k].health = SIM_SOUND;
+        bbm_time time = roll_out(sim, 2, false);
+        ck_assert_msg(time < UPDATE_TIME_MAX, "%zu runners: %.2f s", sizes[i],
+                      (double)time / BBM_SECOND);
+        destroy_simulation(sim);
+    }
+}
+END_TEST
+
+/* Guards against runners that never answer within the first time-out, or only
+   now and then, and so keep their old weights. */
+START_TEST(slow_and_flapping_runners_are_updated)
+{
+    for (size_t i = 0; i < BBM_COUNT(sizes); i++) {
+        for (sim_health h = SIM_FLAPPING; h <= SIM_SLOW; h++) {
+            simulation *sim = create_simulation(sizes[i], 0.4, h);
+            bbm_time time = roll_out(sim, 2, false);
+            ck_assert_msg(time < UPDATE_TIME_MAX, "%zu runners: %.2f s",
+                          sizes[i], (double)time / BBM_SECOND);
+            time = roll_out(sim, 3, true);
+            ck_assert_msg(time < UPDATE_ALL_TIME_MAX, "%zu runners: %.2f s",
+                          sizes[i], (double)time / BBM_SECOND);
+            destroy_simulation(sim);
+        }
+    }
+}
+END_TEST
+
+/* Guards against a rollout that takes more than its share of the runners from
+   the clients, as silent ones need no place. */
+START_TEST(three_quarters_serve_beside_silent_runners)
+{
+    for (size_t i = 0; i < BBM_COUNT(sizes); i++) {
+        for (sim_health h = SIM_SOUND; h <= SIM_SLOW; h++) {
+            simulation *sim = create_simulation(sizes[i], 0.4, h);
+            roll_out(sim, 2, false);
+            roll_out(sim, 3, false);
+            size_t places = (sizes[i] + 3) / 4;
+            ck_assert_uint_le(sim->taken_peak, places);
+            ck_assert_uint_le(sim->calls, 100 * sizes[i]);
+            destroy_simulation(sim);
+        }
+    }
+}
+END_TEST
+
+/* Guards against a new leader that begins a rollout anew as if the version had
+   just been named: it went slowly, and runners without requests waited. */
+START_TEST(new_leader_goes_on_where_the_time_is)
+{
+    simulation *sim = create_simulation(117, 0, SIM_SOUND);
+    bbm_time named_at = sim->now - 5 * BBM_SECOND;
+    bbm_rollout_set_target(sim->ro, "m", 2, named_at);
+    bbm_time time = roll_out(sim, 2, false);
+    ck_assert_msg(time < OLD_WEIGHTS_MAX - 5 * BBM_SECOND, "%.2f s",
+                  (double)time / BBM_SECOND);
+    destroy_simulation(sim);
+}
+END_TEST
+
+/* Guards against suspected runners that are given places although VMs can't
+   reach them. */
+START_TEST(suspected_runners_are_asked_before_their_turn)
+{
+    simulation *sim = create_simulation(117, 0.6, SIM_DARK);
+    run_for(sim, 100 * BBM_MS);
+    for (size_t i = 0; i < sim->len; i++)
+        sim->runners[i].is_suspected = sim->runners[i].health == SIM_DARK;
+    run_for(sim, 100 * BBM_MS);
+    bbm_rollout_set_target(sim->ro, "m", 2, sim->now);
+    run_for(sim, BBM_SECOND);
+    for (size_t i = 0; i < sim->len; i++) {
+        const sim_runner *r = &sim->runners[i];
+        ck_assert(!r->is_marked || r->health == SIM_SOUND);
+    }
+    destroy_simulation(sim);
+}
+END_TEST
+
+TEST_MAIN("rollout_silent", dark_runners_hold_no_places,
+          dark_runners_hold_no_places_without_traffic,
+          returning_runners_are_updated, slow_and_flapping_runners_are_updated,
+          three_quarters_serve_beside_silent_runners,
+          new_leader_goes_on_where_the_time_is,
+          suspected_runners_are_asked_before_their_turn);
