--- a/gate/bbm_gate.c
+++ b/gate/bbm_gate.c
@@ -572,15 +572,6 @@
     return u && (u->totals.answered_vms || gate_has_answered_lately(g, u));
 }
 
-bbm_time
-bbm_gate_version_named_at(const bbm_gate *g, const char *model,
-                          uint64_t version)
-{
-    gate_weights *w = NULL;
-    HASH_FIND_STR(g->weights, model, w);
-    return w ? bbm_versions_named_at(&w->versions, version) : BBM_NEVER;
-}
-
 bbm_gate_counts
 bbm_gate_count(const bbm_gate *g)
 {
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -487,6 +487,26 @@
     GATE_PICK_NO_UPSTREAM, /**< No pool of the route has an upstream. */
 } gate_pick;
 
+/* ---- gate_weights.c ---- */
+
+/** Age of a runner's weights. */
+typedef struct gate_weights_age {
+    bbm_time until; /**< Time from which no request may begin on them;
+                         BBM_NEVER: no newer version is known. */
+    bool is_old;    /**< A newer version was named longer ago than the grace
+                         period. */
+} gate_weights_age;
+
+/** The versions of a model's weights, or NULL. */
+const gate_weights *gate_find_weights(const bbm_gate *g, const char *model);
+/** Age of a version, 0 if unknown, of these weights, which may be NULL. */
+gate_weights_age gate_age_of_weights(const bbm_gate *g, const gate_weights *w,
+                                     uint64_t version);
+/** True if a request may still wait at a runner when its weights are too
+ *  old. */
+bool gate_weights_expire(const bbm_gate *g, const gate_request *r,
+                         const gate_weights_age *age);
+
 /* ---- gate_zones.c ---- */
 
 /** True if an upstream is in the zone of this VM. */
--- a/gate/gate_place.c
+++ b/gate/gate_place.c
@@ -84,16 +84,6 @@
 /* Of the homes of a chain with several, each request considers this number,
    drawn at random. */
 #define HOMES_DRAWN 2
-/* A request may wait at a runner until its start deadline, so a runner is
-   eligible only if its weights won't be too old by then.  That wait is capped
-   at this time, or at the silence after which the client of a stream leaves if
-   that is longer; otherwise runners with old weights would be left idle when
-   clients wait for long. */
-#define OLD_WEIGHTS_WAIT_MAX (3 * BBM_SECOND)
-/* Safety margin of the limits on old weights, for clock differences and
-   message delays. */
-#define OLD_WEIGHTS_MARGIN (100 * BBM_MS)
-
 typedef struct candidate {
     gate_upstream *upstream;
     uint64_t weight; /* rendezvous weight; the home has the highest */
@@ -185,23 +175,6 @@
 
 /* ---- candidates ---- */
 
-static const gate_weights *
-find_weights(const bbm_gate *g, const char *model)
-{
-    gate_weights *w = NULL;
-    HASH_FIND_STR(g->weights, model, w);
-    return w;
-}
-
-bbm_time
-bbm_gate_old_weights_unused_after(const bbm_gate *g)
-{
-    bbm_time after =
-        g->desc.old_weights_max - GATE_STREAM_SILENCE_MIN - OLD_WEIGHTS_MARGIN;
-    return after > g->desc.old_weights_grace ? after
-                                             : g->desc.old_weights_grace;
-}
-
 static uint64_t
 rendezvous_weight(const gate_request *r, const gate_upstream *u)
 {
@@ -213,18 +186,8 @@
               const gate_request *r, const gate_weights *w)
 {
     uint64_t version = bbm_listing_entry_version(&u->info, r->model);
-    bbm_time overtaken_at =
-        w ? bbm_versions_overtaken_at(&w->versions, version) : BBM_NEVER;
-    bool is_newest = overtaken_at == BBM_NEVER;
-    bbm_time weights_until =
-        is_newest ? BBM_NEVER : overtaken_at + g->desc.old_weights_max;
-    bbm_time wait = r->start_deadline - g->now;
-    bbm_time wait_max = r->silence_limit > OLD_WEIGHTS_WAIT_MAX
-                            ? r->silence_limit
-                            : OLD_WEIGHTS_WAIT_MAX;
-    if (wait > wait_max)
-        wait = wait_max;
-    if (!is_newest && g->now + wait + OLD_WEIGHTS_MARGIN >= weights_until) {
+    gate_weights_age age = gate_age_of_weights(g, w, version);
+    if (gate_weights_expire(g, r, &age)) {
         set->loading++;
         return;
     }
@@ -232,11 +195,9 @@
         .upstream = u,
         .weight = rendezvous_weight(r, u),
         .version = version,
-        .weights_until = weights_until,
+        .weights_until = age.until,
         .is_in_part = gate_is_in_part(r, u),
-        .is_old = !is_newest
-                  && g->now - overtaken_at
-                         >= g->desc.old_weights_grace - OLD_WEIGHTS_MARGIN,
+        .is_old = age.is_old,
     };
 }
 
@@ -261,7 +222,7 @@
 collect_candidates(bbm_gate *g, const gate_request *r, const char *pool,
                    bool avoided, candidate_set *set)
 {
-    const gate_weights *w = find_weights(g, r->model);
+    const gate_weights *w = gate_find_weights(g, r->model);
     set->len = 0;
     set->loading = 0;
     set->avoided = 0;
