Attempts end before the weights of their runner are too old

Cause: a VM sends a request to old weights if its wait there ends 100 ms before the bound. The class: a safety bound that is kept by a later cancel rather than by the decision.

Change: the decision keeps 0.4 s for an end to reach the runner, and as much again as this VM itself was late in the last seconds; the VM ends attempts that haven't begun 0.4 s before the bound. A repeatable request goes elsewhere. pool_old_weights_ended_total counts them.

--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -338,8 +338,10 @@
 
 /** Metrics: counters unless marked as gauges. */
 typedef struct bbm_gate_counts {
-    uint64_t requests;             /**< Requests received. */
-    uint64_t attempts;             /**< Attempts sent to upstreams. */
+    uint64_t requests;          /**< Requests received. */
+    uint64_t attempts;          /**< Attempts sent to upstreams. */
+    uint64_t old_weights_ended; /**< Attempts at such runners that were ended,
+                                     as they hadn't begun in time. */
     uint64_t old_weights_attempts; /**< Attempts at runners on older weights
                                         than the newest. */
     uint64_t retries;              /**< Attempts after the first. */
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -395,6 +395,20 @@
         retry_elsewhere(g, r);
 }
 
+/* Whether the upstream has begun isn't known, so only a repeatable request may
+   go elsewhere. */
+static void
+end_on_old_weights(bbm_gate *g, gate_request *r)
+{
+    uint32_t attempts = r->attempts;
+    g->counts.old_weights_ended++;
+    if (r->repeatable && r->attempts_run < r->attempts_max)
+        retry_elsewhere(g, r);
+    if (r->attempts == attempts)
+        gate_abort(g, r, BBM_ERR_UPSTREAM_TIMEOUT,
+                   "the weights of the upstream have become too old");
+}
+
 void
 bbm_gate_tick(bbm_gate *g, bbm_time now)
 {
@@ -409,6 +423,8 @@
     {
         if (g->now >= r->deadline)
             end_at_deadline(g, r);
+        else if (gate_must_end_attempt(g, r))
+            end_on_old_weights(g, r);
         else if (r->stage == GATE_SENT && !r->is_relaying)
             check_silence(g, r);
     }
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -280,6 +280,7 @@
                                                      refused it, by hash. */
     size_t failed_len;       /**< Number of these upstreams. */
     gate_upstream *upstream; /**< Upstream of the current attempt, or NULL. */
+    bbm_time weights_until;  /**< As in gate_choice, of the current attempt. */
     uint64_t upstream_run;   /**< Its start time when the attempt was sent, as
                                   gate_run_of. */
     uint32_t backlog_tokens; /**< Its part of the upstream's counter. */
@@ -302,12 +303,21 @@
 } gate_queued_output;
 
 /** A gate. */
+/** Longest times between two events of this VM, other than those for which its
+ *  process was stopped. */
+typedef struct gate_stalls {
+    bbm_time longest;   /**< In the current window of time. */
+    bbm_time previous;  /**< In the window before. */
+    bbm_time window_at; /**< Begin of the current one. */
+} gate_stalls;
+
 struct bbm_gate {
     bbm_gate_desc desc; /**< Parameters, with defaults set. */
     bbm_rng rng;        /**< Random number generator. */
     bbm_time now;       /**< Latest time that was passed in. */
     bool was_stopped;   /**< There was a gap in time since held requests were
                              last dispatched. */
+    gate_stalls stalls; /**< How late this VM was lately. */
     size_t vms;         /**< Number of VMs that share rates; at least 1. */
     size_t retry_vms;   /**< Number of VMs that share the retry budget, with
                              those lately gone; at least 1. */
@@ -402,14 +412,22 @@
 /** A client abandons a stream after a silence that is never shorter. */
 #define GATE_STREAM_SILENCE_MIN (2 * BBM_SECOND)
 
+/** Record that no event was processed for a time that ends now. */
+void gate_record_stall(bbm_gate *g, bbm_time gap);
+/** Longest such time of the last seconds. */
+bbm_time gate_longest_stall(const bbm_gate *g);
+
 /** Set the current time; an earlier one than before is ignored. */
 static inline void
 gate_advance(bbm_gate *g, bbm_time now)
 {
     if (now <= g->now)
         return;
-    g->was_stopped = g->was_stopped || now - g->now > GATE_CLOCK_GAP;
+    bbm_time gap = now - g->now;
+    g->was_stopped = g->was_stopped || gap > GATE_CLOCK_GAP;
     g->now = now;
+    if (gap <= GATE_CLOCK_GAP)
+        gate_record_stall(g, gap);
 }
 
 /** Queue an output that concerns a request, or none (NULL); the caller fills
@@ -506,6 +524,9 @@
  *  old. */
 bool gate_weights_expire(const bbm_gate *g, const gate_request *r,
                          const gate_weights_age *age);
+/** True if the current attempt hasn't begun, and has to end now, so that it
+ *  doesn't begin on weights that are too old. */
+bool gate_must_end_attempt(const bbm_gate *g, const gate_request *r);
 
 /* ---- gate_zones.c ---- */
 
--- a/gate/gate_weights.c
+++ b/gate/gate_weights.c
@@ -8,9 +8,14 @@
    that is longer; otherwise runners with old weights would be left idle when
    clients wait for long. */
 #define WAIT_MAX (3 * BBM_SECOND)
-/* Safety margin of the limits on old weights, for clock differences and
-   message delays. */
-#define MARGIN (100 * BBM_MS)
+/* Time in which a runner notices that an attempt there has been ended: by a VM
+   with little processor time, over a busy link. */
+#define END_TIME (400 * BBM_MS)
+/* Time in which the news of a version reaches all VMs. */
+#define NEWS_TIME (100 * BBM_MS)
+/* A VM that was late to process an event may be as late again for this long.
+ */
+#define STALL_WINDOW (5 * BBM_SECOND)
 
 const gate_weights *
 gate_find_weights(const bbm_gate *g, const char *model)
@@ -32,7 +37,7 @@
 bbm_gate_old_weights_unused_after(const bbm_gate *g)
 {
     bbm_time after =
-        g->desc.old_weights_max - GATE_STREAM_SILENCE_MIN - MARGIN;
+        g->desc.old_weights_max - GATE_STREAM_SILENCE_MIN - END_TIME;
     return after > g->desc.old_weights_grace ? after
                                              : g->desc.old_weights_grace;
 }
@@ -46,7 +51,8 @@
         return (gate_weights_age){.until = BBM_NEVER};
     return (gate_weights_age){
         .until = overtaken_at + g->desc.old_weights_max,
-        .is_old = g->now - overtaken_at >= g->desc.old_weights_grace - MARGIN,
+        .is_old =
+            g->now - overtaken_at >= g->desc.old_weights_grace - NEWS_TIME,
     };
 }
 
@@ -61,5 +67,34 @@
         r->silence_limit > WAIT_MAX ? r->silence_limit : WAIT_MAX;
     if (wait > wait_max)
         wait = wait_max;
-    return g->now + wait + MARGIN >= age->until;
+    return g->now + wait + END_TIME + gate_longest_stall(g) >= age->until;
+}
+
+bool
+gate_must_end_attempt(const bbm_gate *g, const gate_request *r)
+{
+    return r->stage == GATE_SENT && !r->is_relaying
+           && r->weights_until != BBM_NEVER
+           && g->now + END_TIME >= r->weights_until;
+}
+
+void
+gate_record_stall(bbm_gate *g, bbm_time gap)
+{
+    gate_stalls *s = &g->stalls;
+    if (g->now - s->window_at >= STALL_WINDOW) {
+        s->previous =
+            g->now - s->window_at < 2 * STALL_WINDOW ? s->longest : 0;
+        s->longest = 0;
+        s->window_at = g->now;
+    }
+    if (gap > s->longest)
+        s->longest = gap;
+}
+
+bbm_time
+gate_longest_stall(const bbm_gate *g)
+{
+    const gate_stalls *s = &g->stalls;
+    return s->longest > s->previous ? s->longest : s->previous;
 }
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -1102,6 +1102,76 @@
 }
 END_TEST
 
+static const char long_call_text[] =
+    "{\"pools\":[{\"name\":\"llm\",\"engine\":true,\"slots\":64,"
+    "\"memory_tokens\":113846,\"token_bytes\":163840,\"link_mbps\":550000,"
+    "\"prefill_tokens_per_s\":51000}],\"routes\":["
+    "{\"name\":\"once\",\"host\":\"h\",\"path\":\"/once/"
+    "\",\"pools\":[\"llm\"],"
+    "\"timeout_ms\":15000,\"aim_ms\":400,\"attempts\":1},"
+    "{\"name\":\"safe\",\"host\":\"h\",\"path\":\"/safe/"
+    "\",\"pools\":[\"llm\"],"
+    "\"repeatable\":true,\"timeout_ms\":15000,\"aim_ms\":400,\"attempts\":2}]"
+    "}";
+
+/* An end of an attempt has taken so long to reach its runner. */
+#define END_TIME_SEEN (330 * BBM_MS)
+
+/* Lets time pass in ticks until there is an output or a time is reached. */
+static const bbm_gate_output *
+tick_until(fixture *w, bbm_time until)
+{
+    const bbm_gate_output *out = NULL;
+    while (!out && w->now < until) {
+        w->now += 20 * BBM_MS;
+        bbm_gate_tick(w->gate, w->now);
+        out = bbm_gate_next_output(w->gate);
+    }
+    return out;
+}
+
+/* Guards against a request that waits at a runner, and begins when the weights
+   there are too old, as nobody but its client ends it. */
+START_TEST(attempt_ends_before_its_weights_are_too_old)
+{
+    fixture w = setup(1, 0);
+    use_config(&w, long_call_text);
+    bbm_time named_at = w.now;
+    bbm_gate_add_version(w.gate, "m", 2, 0, w.now);
+    tick_until(&w, named_at + 4500 * BBM_MS);
+    begin_request(&w, "/once/a", 1);
+    ck_assert_uint_eq(expect_send(&w).version, 1);
+    bbm_time bound = named_at + 8 * BBM_SECOND;
+    const bbm_gate_output *out = tick_until(&w, bound);
+    ck_assert_ptr_nonnull(out);
+    ck_assert_int_eq(out->kind, BBM_GATE_ABORT);
+    ck_assert_int_ge(bound - w.now, END_TIME_SEEN);
+    teardown(&w);
+}
+END_TEST
+
+/* Guards against a VM that is late itself, and goes as near to the bound as
+   others: it ends attempts late as well. */
+START_TEST(slow_vm_keeps_away_from_the_bound_on_old_weights)
+{
+    for (int slow = 0; slow < 2; slow++) {
+        fixture w = setup(1, 0);
+        bbm_time named_at = w.now;
+        bbm_gate_add_version(w.gate, "m", 2, 0, w.now);
+        tick_until(&w, named_at + 4 * BBM_SECOND);
+        if (slow)
+            w.now += 580 * BBM_MS;
+        tick_until(&w, named_at + 5 * BBM_SECOND);
+        /* It may begin 2.37 s later. */
+        begin_request(&w, "/check/a", 1);
+        const bbm_gate_output *out = bbm_gate_next_output(w.gate);
+        bool is_sent = out && out->kind == BBM_GATE_SEND;
+        ck_assert_int_eq(is_sent, !slow);
+        teardown(&w);
+    }
+}
+END_TEST
+
 START_TEST(cache_salt_differs_by_version)
 {
     fixture w = setup(1, 0);
@@ -1680,6 +1750,8 @@
     held_requests_are_not_sent_after_a_stop,
     weights_age_from_first_newer_version, old_weights_limit_includes_wait,
     huge_token_counts_do_not_pass_the_rate,
+    attempt_ends_before_its_weights_are_too_old,
+    slow_vm_keeps_away_from_the_bound_on_old_weights,
     old_weights_limit_includes_the_whole_wait, cache_salt_differs_by_version,
     chains_stay_at_their_homes, delayed_placements_do_not_flood_new_weights,
     prompts_are_distributed_over_stores, placements_are_shared_between_vms,
--- a/tests/test_provider.c
+++ b/tests/test_provider.c
@@ -209,7 +209,7 @@
 static void
 read_report(fixture *w)
 {
-    bbm_rollout_action act = {0};
+    bbm_rollout_action act = {.timeout = 250 * BBM_MS};
     bbm_name_set(act.id, "i-1");
     bbm_name_set(act.address, w->server.address);
     provider_send_rollout(w->provider, &act, BBM_NEVER);
@@ -485,7 +485,7 @@
 static bool
 is_order_answered(fixture *w)
 {
-    bbm_rollout_action act = {.is_order = true};
+    bbm_rollout_action act = {.is_order = true, .timeout = 200 * BBM_MS};
     bbm_name_set(act.id, "i-1");
     bbm_name_set(act.address, w->server.address);
     provider_send_rollout(w->provider, &act, BBM_NEVER);
