A runner answers before it is drained for its update

Cause: the report was asked for at the end of the drain, so that a place went to a silent runner for a second and the time-out: its requests hang, and the drain waits for them.

Change: the report is requested as soon as a runner is chosen, while its requests end; the order follows without a second one. No more requests are sent than before.

--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -38,8 +38,9 @@
     RUNNER_NEW,             /* a report is to be requested, before its turn */
     RUNNER_QUERIED,         /* waiting for that report */
     RUNNER_IDLE,            /* is up to date, or waits for its turn */
-    RUNNER_DRAINING,        /* gets no new requests */
-    RUNNER_DRAINED_QUERIED, /* waiting for the report before the order */
+    RUNNER_CHOSEN,          /* its report is due; gets no new requests */
+    RUNNER_CHOSEN_QUERIED,  /* waiting for that report */
+    RUNNER_DRAINING,        /* has answered; its open requests end */
     RUNNER_ORDERED,         /* the order is due, or waiting for its answer */
     RUNNER_LOADING,         /* accepted the order */
     RUNNER_LOADING_QUERIED, /* waiting for a report while it loads */
@@ -58,6 +59,7 @@
     bool is_suspected;   /* by VMs, as last told */
     bool answers_lately; /* as last told */
     bbm_time report_timeout;
+    bbm_time chosen_at;
     bbm_time draining_until;   /* latest time of the order */
     bbm_time backoff_until;    /* no update starts before this time */
     double open_requests;      /* in progress on it, of all VMs */
@@ -212,8 +214,6 @@
 {
     bool is_new = load->is_suspected && !r->is_suspected;
     r->is_suspected = load->is_suspected;
-    if (is_new && r->stage == RUNNER_DRAINING)
-        r->stage = RUNNER_IDLE;
     if (r->stage != RUNNER_IDLE)
         return;
     if (is_new)
@@ -371,10 +371,11 @@
 }
 
 static void
-start_draining(const bbm_rollout *ro, runner *r, bbm_time now)
+choose_runner(const bbm_rollout *ro, runner *r, bbm_time now)
 {
-    r->stage = RUNNER_DRAINING;
-    r->next_action_at = now + ro->desc.drain_time_min;
+    r->stage = RUNNER_CHOSEN;
+    r->next_action_at = now;
+    r->chosen_at = now;
     r->draining_until = now + ro->desc.drain_time_max;
 }
 
@@ -391,14 +392,14 @@
             r->next_action_at = now;
         }
         else if (is_unused(ro, r, now)) {
-            start_draining(ro, r, now);
+            choose_runner(ro, r, now);
         }
     }
     size_t max = concurrent_max(ro, now);
     runner *r;
     for (size_t n = count_places(ro, now);
          n < max && (r = next_runner(ro, now)) != NULL; n++)
-        start_draining(ro, r, now);
+        choose_runner(ro, r, now);
 }
 
 /* ---- actions ---- */
@@ -419,6 +420,20 @@
     return &ro->action;
 }
 
+static void
+prepare_order(bbm_rollout *ro, runner *r, bbm_time now)
+{
+    const target *t = pending_target(ro, r);
+    if (!t) {
+        r->stage = RUNNER_IDLE;
+        return;
+    }
+    bbm_name_set(r->model, t->model);
+    r->version = bbm_versions_newest(&t->versions);
+    r->stage = RUNNER_ORDERED;
+    r->next_action_at = now;
+}
+
 const bbm_rollout_action *
 bbm_rollout_next_action(bbm_rollout *ro, bbm_time now)
 {
@@ -437,21 +452,23 @@
             r->stage = RUNNER_QUERIED;
             r->next_action_at = BBM_NEVER;
             return make_action(ro, r, false);
-        case RUNNER_DRAINING:
-            if (r->open_requests > 0 && now < r->draining_until) {
-                r->next_action_at = now + DRAIN_CHECK_PERIOD;
-                break;
-            }
-            r->stage = RUNNER_DRAINED_QUERIED;
+        case RUNNER_CHOSEN:
+            r->stage = RUNNER_CHOSEN_QUERIED;
             r->next_action_at = BBM_NEVER;
             return make_action(ro, r, false);
+        case RUNNER_DRAINING:
+            if (r->open_requests > 0 && now < r->draining_until)
+                r->next_action_at = now + DRAIN_CHECK_PERIOD;
+            else
+                prepare_order(ro, r, now);
+            break;
         case RUNNER_LOADING:
             r->stage = RUNNER_LOADING_QUERIED;
             r->next_action_at = BBM_NEVER;
             return make_action(ro, r, false);
         case RUNNER_IDLE:
         case RUNNER_QUERIED:
-        case RUNNER_DRAINED_QUERIED:
+        case RUNNER_CHOSEN_QUERIED:
         case RUNNER_ORDERED:
         case RUNNER_LOADING_QUERIED:
             break;
@@ -500,26 +517,12 @@
     r->backoff_until = r->next_action_at;
 }
 
-static void
-prepare_order(bbm_rollout *ro, runner *r, bbm_time now)
-{
-    const target *t = pending_target(ro, r);
-    if (!t) {
-        r->stage = RUNNER_IDLE;
-        return;
-    }
-    bbm_name_set(r->model, t->model);
-    r->version = bbm_versions_newest(&t->versions);
-    r->stage = RUNNER_ORDERED;
-    r->next_action_at = now;
-}
-
 static void
 apply_no_report(runner *r, bbm_time now)
 {
     switch (r->stage) {
-    case RUNNER_DRAINED_QUERIED:
-        on_no_answer(r, RUNNER_DRAINING, now);
+    case RUNNER_CHOSEN_QUERIED:
+        on_no_answer(r, RUNNER_CHOSEN, now);
         return;
     case RUNNER_LOADING_QUERIED:
         on_no_answer(r, RUNNER_LOADING, now);
@@ -527,6 +530,7 @@
     case RUNNER_NEW:
     case RUNNER_QUERIED:
     case RUNNER_IDLE:
+    case RUNNER_CHOSEN:
     case RUNNER_DRAINING:
     case RUNNER_ORDERED:
     case RUNNER_LOADING:
@@ -554,12 +558,13 @@
 {
     runner *r = find_runner(ro, id);
     bool awaited = r
-                   && (r->stage == RUNNER_DRAINED_QUERIED
+                   && (r->stage == RUNNER_CHOSEN_QUERIED
                        || r->stage == RUNNER_LOADING_QUERIED
                        || r->stage == RUNNER_QUERIED);
     if (!awaited)
         return;
     bool was_first_query = r->stage == RUNNER_QUERIED;
+    bool was_chosen = r->stage == RUNNER_CHOSEN_QUERIED;
     if (!report) {
         apply_no_report(r, now);
         return;
@@ -591,9 +596,14 @@
         r->next_action_at = now + REPORT_POLL_PERIOD;
         return;
     }
-    bool has_turn =
-        !was_silent || count_places(ro, now) <= concurrent_max(ro, now);
-    if (was_first_query || !has_turn)
+    if (was_chosen) {
+        bool has_turn =
+            !was_silent || count_places(ro, now) <= concurrent_max(ro, now);
+        r->stage = has_turn ? RUNNER_DRAINING : RUNNER_IDLE;
+        r->next_action_at = r->chosen_at + ro->desc.drain_time_min;
+        return;
+    }
+    if (was_first_query)
         r->stage = RUNNER_IDLE;
     else
         prepare_order(ro, r, now);
--- a/tests/test_rollout_silent.c
+++ b/tests/test_rollout_silent.c
@@ -52,7 +52,8 @@
     size_t len;
     bool has_traffic; /* it shows which runners answer */
     bbm_time now;
-    size_t calls;      /* reports and orders sent */
+    size_t calls; /* reports and orders sent */
+    bbm_time load_time;
     size_t taken_peak; /* maximum of sound runners without requests */
 } simulation;
 
@@ -64,6 +65,7 @@
     sim->now = BBM_SECOND;
     sim->len = len;
     sim->has_traffic = true;
+    sim->load_time = LOAD_TIME;
     sim->ro = bbm_rollout_create(
         &(bbm_rollout_desc){.fence = 5,
                             .drain_time_min = 150 * BBM_MS,
@@ -141,7 +143,7 @@
     if (accepted) {
         r->sequence++;
         r->new_version = r->call.version;
-        r->load_ends_at = sim->now + LOAD_TIME;
+        r->load_ends_at = sim->now + sim->load_time;
     }
     bbm_rollout_apply_answer(
         sim->ro, r->call.id,
@@ -182,7 +184,8 @@
         r->is_marked = marked.items[i].loading;
         taken += r->is_marked && r->health == SIM_SOUND;
         bool drained = r->is_marked && sim->now - r->marked_at >= DRAIN_TIME;
-        bool busy = r->health != SIM_DARK && !drained;
+        /* Requests at a dark runner hang. */
+        bool busy = r->health == SIM_DARK || !drained;
         bbm_rollout_set_load(
             sim->ro, marked.items[i].id,
             &(bbm_rollout_load){
@@ -360,6 +363,23 @@
 }
 END_TEST
 
+/* Guards against a pace that leaves runners without requests, as their weights
+   are too old, where updates take long: running requests end first. */
+START_TEST(long_updates_end_before_weights_are_too_old)
+{
+    for (size_t i = 0; i < BBM_COUNT(sizes); i++) {
+        simulation *sim = create_simulation(sizes[i], 0.35, SIM_DARK);
+        sim->load_time = 2500 * BBM_MS;
+        for (uint64_t version = 2; version <= 3; version++) {
+            bbm_time time = roll_out(sim, version, false);
+            ck_assert_msg(time < OLD_WEIGHTS_MAX, "%zu runners: %.2f s",
+                          sizes[i], (double)time / BBM_SECOND);
+        }
+        destroy_simulation(sim);
+    }
+}
+END_TEST
+
 /* Guards against suspected runners that are given places although VMs can't
    reach them. */
 START_TEST(suspected_runners_are_asked_before_their_turn)
@@ -384,4 +404,5 @@
           returning_runners_are_updated, slow_and_flapping_runners_are_updated,
           three_quarters_serve_beside_silent_runners,
           new_leader_goes_on_where_the_time_is,
+          long_updates_end_before_weights_are_too_old,
           suspected_runners_are_asked_before_their_turn);
