Releases count attempts that are never answered

What callers saw: an operator released a build that left part of its requests without an answer; the release was completed, and all requests of the pool went there.

Cause: the evidence had only attempts that ended by themselves or at a deadline. One whose client states no time limit and leaves, or waits for longer than the release lasts, was never counted, so a build that hangs looked sound unless its requests are repeatable and went elsewhere. The class: a safety bound that is kept by a later event (the caller's leave or deadline) rather than by the decision.

Change: an attempt counts as failed once its answer is overdue: after four times the expected time, and the longer of a second and three times the target latency, and as long as this VM was late itself. A client that leaves before the answer, but later than expected, counts as an answer of that latency. Both hold for the old build as well, so that trouble of both reverts nothing.

--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -386,6 +386,7 @@
 {
     gate_upstream *u = r->upstream;
     bool silent = is_silent(g, r);
+    gate_release_check_wait(g, r);
     if (silent && u->avoid_until < g->now)
         gate_record_failure(g, u, BBM_FORWARD_NO_ANSWER);
     bool retryable = r->repeatable && r->attempts_run < r->attempts_max
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -266,6 +266,9 @@
     bool is_relaying;          /**< Another VM forwards it now. */
     uint64_t route_hash;       /**< Hash of the route's name. */
     bool tries_release;        /**< It goes to the build that is released. */
+    uint32_t release_overdue;  /**< Attempt that the evidence of a release has
+                                    as failed, as it waits for too long; 0:
+                                    none. */
     bool client_half_closed;   /**< Its client sends no more. */
     uint32_t relays;           /**< Number of VMs that were to forward it. */
     uint64_t relay_vms[GATE_RELAYS_MAX]; /**< These VMs, by hash. */
@@ -907,6 +910,12 @@
 void gate_release_record_failure(bbm_gate *g, gate_request *r);
 /** Count the current attempt when the head of its answer is passed on. */
 void gate_release_record_head(bbm_gate *g, gate_request *r);
+/** Count the current attempt as failed if its answer hasn't begun long after
+ *  the expected time. */
+void gate_release_check_wait(bbm_gate *g, gate_request *r);
+/** Count the current attempt when its client leaves before the answer: that
+ *  would have taken longer than the client has waited. */
+void gate_release_record_leave(bbm_gate *g, gate_request *r);
 /** Count the current attempt when it has ended. */
 void gate_release_record_end(bbm_gate *g, gate_request *r,
                              const bbm_forward_result *result);
--- a/gate/gate_release.c
+++ b/gate/gate_release.c
@@ -19,6 +19,14 @@
 /* An upstream with fewer open requests than this share of its slots has
    room. */
 #define ROOM_SHARE 0.5
+/* An attempt counts as failed before it ends once it has waited for this
+   multiple of the expected time and the longer of a multiple of its target
+   latency and the minimum: its client may wait for longer than the release
+   lasts.  The first multiple is beyond what counts as a slow answer
+   (SLOW_BUCKETS in bbm_release.c). */
+#define OVERDUE_RATIO 4.0
+#define OVERDUE_TARGET_RATIO 3.0
+#define OVERDUE_MIN BBM_SECOND
 
 static gate_release *
 find_release(const bbm_gate *g, const char *pool)
@@ -235,7 +243,7 @@
 {
     gate_release *rel = release_of(g, r);
     /* After a stop of this process everything looks late. */
-    if (!rel || g->was_stopped)
+    if (!rel || g->was_stopped || r->release_overdue == r->attempts)
         return;
     bbm_evidence_add(&rel->evidence, r->upstream->hash, r->route_hash,
                      is_new(rel, r->upstream), failed, latency);
@@ -255,6 +263,31 @@
         record(g, r, false, g->now - r->sent_at);
 }
 
+void
+gate_release_check_wait(bbm_gate *g, gate_request *r)
+{
+    bbm_time wait =
+        (bbm_time)((double)r->target_latency * OVERDUE_TARGET_RATIO);
+    if (wait < OVERDUE_MIN)
+        wait = OVERDUE_MIN;
+    wait += (bbm_time)(r->forecast_ms * OVERDUE_RATIO * (double)BBM_MS);
+    /* What this VM hasn't read yet may be its answer. */
+    wait += gate_longest_stall(g);
+    if (g->now - r->sent_at <= wait)
+        return;
+    record(g, r, true, 0);
+    r->release_overdue = r->attempts;
+}
+
+void
+gate_release_record_leave(bbm_gate *g, gate_request *r)
+{
+    bbm_time waited = g->now - r->sent_at;
+    if (r->stage == GATE_SENT
+        && (double)waited > r->forecast_ms * (double)BBM_MS)
+        record(g, r, false, waited);
+}
+
 /* A build that refuses what it has room for doesn't work; one that is full or
    asks for a pause does. */
 static bool
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -234,6 +234,7 @@
 {
     bool may_have_run = r->stage != GATE_WAITING || r->attempts_run;
     g->counts.client_disconnects++;
+    gate_release_record_leave(g, r);
     if (!may_have_run)
         bbm_shares_refund(g->shares, r->customer, r->reserved_tokens);
     push_abort(g, r,
--- a/tests/test_release.c
+++ b/tests/test_release.c
@@ -52,6 +52,9 @@
     const char *bad_route; /* on this route only; NULL: on all */
     span both;             /* both builds fail half of their requests */
     bool both_slow;        /* they are slow instead */
+    bool hangs;            /* bad answers never come */
+    int64_t patience;      /* clients leave after this time, which they don't
+                              state; 0: they state CLIENT_TIMEOUT */
     int failing_upstream;  /* from 1; 0: none.  It fails all requests. */
     int slow_upstream;     /* from 1; it answers five times slower */
     span cut;              /* VM 0 gets no updates and its reports are lost */
@@ -89,6 +92,7 @@
     bbm_time end_at;
     bool bad;
     bool fails;
+    bool hangs; /* its client leaves at end_at */
 } attempt;
 
 typedef struct world {
@@ -260,6 +264,9 @@
     }
     fails = fails || upstream + 1 == f->failing_upstream;
     ms *= upstream + 1 == f->slow_upstream ? 5 : 1;
+    bool hangs = f->hangs && fails;
+    if (hangs)
+        ms = f->patience ? (double)f->patience : NEVER_MS;
     const bbm_release_info *info = info_of(w);
     if (is_new) {
         w->last_send_at = w->now;
@@ -280,6 +287,7 @@
         .end_at = w->now + (bbm_time)(ms * (double)BBM_MS),
         .bad = bad,
         .fails = fails,
+        .hangs = hangs,
     };
 }
 
@@ -315,6 +323,10 @@
             w->bad_50_at = w->now;
         if (a.run != v->run)
             continue;
+        if (a.hangs) {
+            bbm_gate_client_disconnected(v->gate, a.request, false, w->now);
+            continue;
+        }
         bbm_forward_result result = {
             .request = a.request,
             .attempt = a.number,
@@ -346,7 +358,7 @@
             .request = ++w->last_request,
             .prompt_tokens = -1,
             .output_tokens_max = -1,
-            .client_timeout = CLIENT_TIMEOUT,
+            .client_timeout = w->h->faults.patience ? 0 : CLIENT_TIMEOUT,
         };
         const bbm_route *route = NULL;
         HASH_FIND_STR(w->config->routes, route_of(r.request), route);
@@ -598,11 +610,27 @@
 }
 END_TEST
 
+/* Clients that state no time limit leave without a word, or wait for longer
+   than the release lasts. */
+START_TEST(builds_that_answer_nothing_are_reverted)
+{
+    check_all((faults){.bad_share = 1, .hangs = true, .patience = 700},
+              check_reverted);
+    check_all((faults){.bad_share = 0.6,
+                       .hangs = true,
+                       .patience = 60000,
+                       .bad_route = "book"},
+              check_reverted);
+}
+END_TEST
+
 START_TEST(trouble_of_both_builds_reverts_nothing)
 {
     check_all((faults){.both = {2500, 4000}}, check_completed);
     check_all((faults){.both = {2500, 4000}, .both_slow = true},
               check_completed);
+    check_all((faults){.both = {2500, 4000}, .hangs = true, .patience = 700},
+              check_completed);
 }
 END_TEST
 
@@ -661,6 +689,7 @@
           builds_that_fail_under_load_are_reverted,
           builds_that_fail_on_one_route_are_reverted,
           builds_that_are_slow_are_reverted,
+          builds_that_answer_nothing_are_reverted,
           trouble_of_both_builds_reverts_nothing,
           one_failing_or_slow_upstream_reverts_nothing,
           a_failing_old_upstream_excuses_no_bad_build,
