Silent engines hold no places of orders

What operators saw: after a configuration named new weights, no engine got them any more once three engines with earlier orders had gone silent.

Cause: three engines may load at a time. An order without an answer held its place for 5 s; then the orders were tried by age, so that the same three silent engines were first again, for ever. Engines that refuse orders, or accept them and keep their weights, did the same. The class of fault: a bounded resource is held by peers that don't answer.

Change: an engine gets an order only while it reports. One that refuses it, or leaves it without an answer and doesn't report that it loads, gives its place back at once. The order that was sent least recently comes first. The model's capacity is kept as before, by what other engines report.

--- a/node/node_core.h
+++ b/node/node_core.h
@@ -193,6 +193,8 @@
 typedef struct node_sent_order {
     char id[BBM_NAME_SIZE]; /**< Id of the order. */
     bbm_time last_sent_at;  /**< Latest send to the engine. */
+    bool is_refused;        /**< The engine has refused the latest send, or
+                                 hasn't answered it. */
     bool end_proposed;      /**< Its final state was proposed to the log. */
     UT_hash_handle hh;      /**< By id. */
 } node_sent_order;
--- a/node/node_orders.c
+++ b/node/node_orders.c
@@ -11,7 +11,8 @@
 
 #define ORDERS_CHECK_PERIOD (200 * BBM_MS)
 #define LOST_VM_CHECK_PERIOD BBM_SECOND
-/* Engines that may load weights at the same time. */
+/* Engines that may load weights at the same time.  One that refuses its order,
+   or leaves it without an answer and doesn't load, isn't counted. */
 #define LOADING_ENGINES_MAX 3
 /* Share of a model's other runners that must be usable while one loads. */
 #define SERVING_SHARE_MIN 0.6
@@ -90,6 +91,7 @@
         propose_order_state(n, o->id, BBM_ORDER_SENT, BBM_OK);
     }
     s->last_sent_at = n->now;
+    s->is_refused = false;
     bbm_action *a = node_push_action(n, BBM_ACT_ORDER);
     bbm_name_set(a->u.order.id, o->id);
     bbm_text_set(a->u.order.url, BBM_URL_SIZE, e->url);
@@ -106,38 +108,75 @@
         bbm_text_set(a->u.order.source, BBM_URL_SIZE, w->source);
 }
 
-/* Closes an order that is done or impossible, or sends it if that is allowed
-   now.  *loading counts the engines that load weights. */
-static void
-process_order(bbm_node *n, const bbm_order *o, size_t *loading)
+static bool
+is_open(const bbm_order *o)
+{
+    return o->state == BBM_ORDER_WAITING || o->state == BBM_ORDER_SENT;
+}
+
+/* True while the engine of an order may be loading.  One that hasn't answered
+   in time may have got the order; then its reports say that it loads. */
+static bool
+is_in_progress(const bbm_node *n, const bbm_order *o, const node_sent_order *s)
+{
+    if (!s || n->now - s->last_sent_at >= ORDER_RETRY_DELAY)
+        return false;
+    bbm_runner_view view;
+    bool is_reporting = find_view(n, o->engine, &view) && view.is_reporting;
+    return !s->is_refused
+           || (is_reporting && !bbm_fleet_usable(n->fleet, o->engine, n->now));
+}
+
+/* Closes an open order that is done or impossible.  Returns true if it is to
+   be sent, now or later. */
+static bool
+settle_order(bbm_node *n, const bbm_order *o)
 {
-    const bbm_engine *e = bbm_config_engine(node_config(n), o->engine);
     node_sent_order *s = find_sent_order(n, o->id);
     if (s && s->end_proposed)
-        return;
-    if (!e) {
+        return false;
+    if (!bbm_config_engine(node_config(n), o->engine)) {
         propose_order_state(n, o->id, BBM_ORDER_FAILED, BBM_ERR_NOT_FOUND);
-        return;
-    }
-    if (has_weights(n, o->engine, o->weights)) {
-        if (s)
-            s->end_proposed = true;
-        propose_order_state(n, o->id, BBM_ORDER_DONE, BBM_OK);
-        node_log(n, BBM_EVENT_ORDER_COMPLETED, o->engine, o->weights);
-        return;
-    }
-    bool in_progress = s && n->now - s->last_sent_at < ORDER_RETRY_DELAY;
-    if (in_progress) {
-        ++*loading;
-        return;
+        return false;
     }
-    bool may_send = !bbm_orders_paused(bbm_state_orders(n->state))
-                    && *loading < LOADING_ENGINES_MAX && keeps_capacity(n, e)
-                    && bbm_raft_lease_until(n->raft) - n->now > ORDER_TIMEOUT;
-    if (may_send) {
-        send_order(n, o, e);
-        ++*loading;
+    if (!has_weights(n, o->engine, o->weights))
+        return true;
+    if (s)
+        s->end_proposed = true;
+    propose_order_state(n, o->id, BBM_ORDER_DONE, BBM_OK);
+    node_log(n, BBM_EVENT_ORDER_COMPLETED, o->engine, o->weights);
+    return false;
+}
+
+/* An engine that doesn't report gets no order, or silent ones would hold the
+   places of those that answer. */
+static bool
+may_send(const bbm_node *n, const bbm_order *o, const node_sent_order *s)
+{
+    bbm_runner_view view;
+    return (!s || n->now - s->last_sent_at >= ORDER_RETRY_DELAY)
+           && find_view(n, o->engine, &view) && view.is_reporting
+           && keeps_capacity(n, bbm_config_engine(node_config(n), o->engine));
+}
+
+/* The order to send next: the one that was sent least recently, so that
+   engines that fail to load leave places to the others.  NULL: none may be
+   sent now. */
+static const bbm_order *
+choose_order(bbm_node *n, const bbm_order *orders, size_t len)
+{
+    const bbm_order *chosen = NULL;
+    bbm_time chosen_sent_at = 0;
+    for (size_t i = 0; i < len; i++) {
+        const node_sent_order *s = find_sent_order(n, orders[i].id);
+        bbm_time sent_at = s ? s->last_sent_at : 0;
+        if ((chosen && sent_at >= chosen_sent_at)
+            || !may_send(n, &orders[i], s))
+            continue;
+        chosen = &orders[i];
+        chosen_sent_at = sent_at;
     }
+    return chosen;
 }
 
 /* ---- orders that follow from the configuration ---- */
@@ -148,8 +187,7 @@
     bbm_order o;
     const bbm_orders *orders = bbm_state_orders(n->state);
     for (size_t i = 0; bbm_orders_at(orders, i, &o); i++) {
-        bool open = o.state == BBM_ORDER_WAITING || o.state == BBM_ORDER_SENT;
-        if (open && strcmp(o.engine, engine) == 0
+        if (is_open(&o) && strcmp(o.engine, engine) == 0
             && strcmp(o.weights, weights) == 0)
             return true;
     }
@@ -183,21 +221,30 @@
 static void
 process_orders(bbm_node *n)
 {
+    const bbm_orders *all = bbm_state_orders(n->state);
+    BBM_AUTO_FREE bbm_order *orders = NULL; /* those to be sent */
+    size_t len = 0;
+    size_t cap = 0;
     size_t loading = 0;
     bbm_order o;
-    const bbm_orders *orders = bbm_state_orders(n->state);
-    for (int pass = 0; pass < 2; pass++) {
-        /* First the orders under way, so that they count as loading; then the
-           others. */
-        for (size_t i = 0; bbm_orders_at(orders, i, &o); i++) {
-            bool open =
-                o.state == BBM_ORDER_WAITING || o.state == BBM_ORDER_SENT;
-            node_sent_order *s = find_sent_order(n, o.id);
-            bool in_progress =
-                s && n->now - s->last_sent_at < ORDER_RETRY_DELAY;
-            if (open && in_progress == (pass == 0))
-                process_order(n, &o, &loading);
+    for (size_t i = 0; bbm_orders_at(all, i, &o); i++) {
+        if (!is_open(&o) || !settle_order(n, &o))
+            continue;
+        if (is_in_progress(n, &o, find_sent_order(n, o.id))) {
+            loading++;
+            continue;
         }
+        bbm_grow(&orders, &cap, len, sizeof(*orders));
+        orders[len++] = o;
+    }
+    if (bbm_orders_paused(all)
+        || bbm_raft_lease_until(n->raft) - n->now <= ORDER_TIMEOUT)
+        return;
+    for (; loading < LOADING_ENGINES_MAX; loading++) {
+        const bbm_order *next = choose_order(n, orders, len);
+        if (!next)
+            return;
+        send_order(n, next, bbm_config_engine(node_config(n), next->engine));
     }
 }
 
@@ -211,6 +258,7 @@
         s->end_proposed = true;
         propose_order_state(n, id, BBM_ORDER_FAILED, code);
     }
+    s->is_refused = code < 0;
     if (code < 0)
         node_log(n, BBM_EVENT_ORDER_FAILED, id, bbm_code_name(code));
 }
