--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -135,9 +135,12 @@
         if (h->log)
             h->log(h->context, i, a->u.log.event);
         return;
+    case BBM_ACT_ROLLOUT:
+        if (h->rollout)
+            h->rollout(h->context, i, &a->u.rollout.action);
+        return;
     case BBM_ACT_WATCH_RUNNER:
     case BBM_ACT_READY:
-    case BBM_ACT_ROLLOUT:
     case BBM_ACT_WATCH_STORE:
     case BBM_ACT_LIMITS:
     case BBM_ACT_STOPPED:
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -58,6 +58,7 @@
     void (*read_listing)(void *context, int node);
     void (*resubmit)(void *context, int node, uint64_t request);
     void (*forward)(void *context, int node, const bbm_forward_request *send);
+    void (*rollout)(void *context, int node, const bbm_rollout_action *action);
     void (*log)(void *context, int node, bbm_log_event event);
 } fleet_hooks;
 
