--- a/tests/test_answer_heads.c
+++ b/tests/test_answer_heads.c
@@ -370,7 +370,7 @@
 /* MIXED: the part was complete where the kernels had taken the request. */
 START_TEST(success_to_a_request_that_was_not_read_is_cut)
 {
-    static const size_t lens[] = {300000, 4000000};
+    static const size_t lens[] = {60000, 300000, 4000000};
     static const useconds_t waits[] = {0, 20000};
     unsigned passed = 0;
     for (size_t i = 0; i < BBM_COUNT(lens) * 4 * ROUNDS; i++) {
@@ -444,6 +444,41 @@
 }
 END_TEST
 
+static atomic_bool connection_closed;
+
+/* Sends a part of an answer, and reads until the connection is closed. */
+static void
+answer_until_closed(upstream *u, int fd, int n)
+{
+    static char bytes[65536];
+    ssize_t got;
+    (void)n;
+    send_head(u, fd, "200 OK", "");
+    send_text(u, fd, "body of ");
+    while ((got = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+        ;
+    atomic_store(&connection_closed, got == 0);
+}
+
+/* GONE: the wait for a reset must not keep a request at its upstream after its
+   client has left. */
+START_TEST(cancelled_request_is_not_held)
+{
+    fixture w;
+    set_up(&w, answer_until_closed);
+    w.body_len = 60000;
+    exchange *ex = start_request(&w, false, false);
+    control_item_destroy(expect_item(&w, CONTROL_RESPONSE_HEAD, END_MS_MAX));
+    forward_cancel(w.forward, ex->id);
+    bbm_time until = control_now() + 40 * BBM_MS;
+    while (!atomic_load(&connection_closed) && control_now() < until)
+        usleep(1000);
+    ck_assert(atomic_load(&connection_closed));
+    exchange_unref(ex);
+    tear_down(&w);
+}
+END_TEST
+
 /* Ends the connection behind a refusal, with most of the request unread. */
 static void
 refuse_early(upstream *u, int fd, int n)
@@ -512,6 +547,7 @@
           answers_without_a_body_are_whole,
           success_before_the_end_of_an_upload_is_cut,
           success_to_a_request_that_was_not_read_is_cut,
+          cancelled_request_is_not_held,
           early_success_to_a_request_that_is_read_is_whole,
           refusal_before_the_end_of_an_upload_is_whole,
           malformed_answers_are_not_passed_on,
