--- a/daemon/calls.h
+++ b/daemon/calls.h
@@ -34,6 +34,10 @@
     /** A transfer has finished.  It stays in the multi handle until
      *  calls_remove(). */
     void (*transfer_done)(void *context, CURL *easy, CURLcode code);
+    /** True if a transfer that has finished with CURLE_OK is to be reported a
+     *  little later, as its connection may be reset behind the answer; may be
+     *  NULL. */
+    bool (*may_be_reset)(void *context, CURL *easy);
     /** Called once per loop, before transfers are driven; may be NULL. */
     void (*before_poll)(void *context);
     /** Longest wait in ms that the transfers allow, at most wait_ms; NULL:
@@ -77,12 +81,16 @@
 void calls_keep_if_ok(CURL *easy, const connection_use *use);
 /** True if a request's body, of @p body_len bytes, wasn't written whole. */
 bool calls_is_partly_uploaded(CURL *easy, size_t body_len);
+/** True if the answer whose final head was read is a success with a body that
+ *  ends with the connection. */
+bool calls_is_unframed_success(CURL *easy, const answer_reader *reader);
 /** The result of a transfer, given the one of libcurl.  An answer is whole
  *  only if its reader has found its end, too.  Nor is a success without a
  *  length whole that ends while the request's body, of @p body_len bytes, is
- *  still being written: the upstream has crashed or given up. */
+ *  still being written: the upstream has crashed or given up.  The same holds
+ *  if @p ended_early, see connections_ended_early(). */
 CURLcode calls_result(CURL *easy, CURLcode code, const answer_reader *reader,
-                      size_t body_len);
+                      size_t body_len, bool ended_early);
 /** True if a transfer ended because the answer breaks the rules of HTTP, as
  *  libcurl or calls_result() found. */
 bool calls_is_malformed(CURLcode code);
