The time that a slow VM keeps on old weights contains its own lateness

A VM that was up to 0.3 s late keeps 0.4 s now, a slower one its lateness and 0.1 s for the link, so that old weights are used for as long as they may be. test_gate: 44 passed.

--- a/gate/gate_weights.c
+++ b/gate/gate_weights.c
@@ -9,8 +9,10 @@
    clients wait for long. */
 #define WAIT_MAX (3 * BBM_SECOND)
 /* Time in which a runner notices that an attempt there has been ended: by a VM
-   with little processor time, over a busy link. */
+   with little processor time, over a busy link.  Of this the link may take
+   LINK_TIME; a VM that was later than the rest keeps more. */
 #define END_TIME (400 * BBM_MS)
+#define LINK_TIME (100 * BBM_MS)
 /* Time in which the news of a version reaches all VMs. */
 #define NEWS_TIME (100 * BBM_MS)
 /* A VM that was late to process an event may be as late again for this long.
@@ -67,7 +69,10 @@
         r->silence_limit > WAIT_MAX ? r->silence_limit : WAIT_MAX;
     if (wait > wait_max)
         wait = wait_max;
-    return g->now + wait + END_TIME + gate_longest_stall(g) >= age->until;
+    bbm_time end_time = gate_longest_stall(g) + LINK_TIME;
+    if (end_time < END_TIME)
+        end_time = END_TIME;
+    return g->now + wait + end_time >= age->until;
 }
 
 bool
