Places of a rollout follow from the time that is left

Cause: the share of places was fixed. The rest was taken at once: 8 to 37 runners of 76 within half a second.

Change: the time of an update is measured, and there are as many places as begin the last update before its weights get no requests, per age of weights; at least the share as before, at most half of the runners.

Evidence: test_rollout_silent, long_runs_leave_a_third_of_the_runners: 29 of 39 runners were taken before (26 allowed); passes. test_rollout and the other checks, among them that a quarter is enough without long runs, pass unchanged.

--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -32,6 +32,12 @@
 #define REPORT_TIMEOUT_FIRST (250 * BBM_MS)
 #define REPORT_TIMEOUT_MAX (500 * BBM_MS)
 #define ORDER_TIMEOUT (200 * BBM_MS)
+/* Assumed time of an update until some have ended, and weight of each that
+   ends in the smoothed time. */
+#define UPDATE_TIME_FIRST BBM_SECOND
+#define UPDATE_TIME_WEIGHT 0.1
+/* Maximum share of the runners that have places if time is short. */
+#define URGENT_CONCURRENT_SHARE 0.5
 
 /* Stages after RUNNER_IDLE count as in progress. */
 typedef enum runner_stage {
@@ -77,6 +83,7 @@
 
 struct bbm_rollout {
     bbm_rollout_desc desc;
+    double update_time; /* smoothed, of the updates that have ended */
     runner *runners;
     target *targets;
     bbm_rollout_action action;
@@ -100,6 +107,7 @@
         ro->desc.drain_time_min = DEFAULT_DRAIN_TIME_MIN;
     if (!ro->desc.slow_time_max)
         ro->desc.slow_time_max = DEFAULT_SLOW_TIME_MAX;
+    ro->update_time = (double)UPDATE_TIME_FIRST;
     return ro;
 }
 
@@ -325,14 +333,87 @@
            && backlog <= ro->desc.slow_backlog_ms * (double)updated;
 }
 
+/* Expected time of an update.  Short updates end first, so those that already
+   take longer than the mean count with the time that they have taken. */
+static double
+expected_update_time(const bbm_rollout *ro, bbm_time now)
+{
+    double sum = 0;
+    size_t n = 0;
+    for (const runner *r = ro->runners; r; r = r->hh.next) {
+        if (!has_place(ro, r, now))
+            continue;
+        sum += fmax((double)(now - r->chosen_at), ro->update_time);
+        n++;
+    }
+    return n ? sum / (double)n : ro->update_time;
+}
+
+/* Part of its update that a runner still needs, from 0 to 1. */
+static double
+remaining_update(const runner *r, double update_time, bbm_time now)
+{
+    if (!is_in_progress(r))
+        return 1;
+    return fmax(0, 1 - (double)(now - r->chosen_at) / update_time);
+}
+
+/* Adds up the remaining updates of the runners by the version that overtook
+   theirs; without silent and unused runners. */
+static void
+sum_remaining_updates(const bbm_rollout *ro, const target *t,
+                      double update_time, bbm_time now, double *sums)
+{
+    for (const runner *r = ro->runners; r; r = r->hh.next) {
+        if (r->is_silent || r->info.leaving || pending_target(ro, r) != t
+            || is_unused(ro, r, now))
+            continue;
+        size_t i = 0;
+        while (i + 1 < t->versions.len
+               && t->versions.named_at[i] < overtaken_at(r, t))
+            i++;
+        sums[i] += remaining_update(r, update_time, now);
+    }
+}
+
+/* Number of places with which the update of each runner begins half an update
+   time before its weights get no requests any more.  With p places, p updates
+   begin at once and p more in each update time.  Runners with older weights
+   come first, so each age needs places for all runners that are at least as
+   old. */
+static double
+urgent_concurrent(const bbm_rollout *ro, bbm_time now)
+{
+    if (!ro->desc.unused_after)
+        return 0;
+    double time = expected_update_time(ro, now);
+    double most = 0;
+    for (const target *t = ro->targets; t; t = t->hh.next) {
+        double sums[BBM_VERSIONS_MAX] = {0};
+        sum_remaining_updates(ro, t, time, now, sums);
+        double updates = 0;
+        for (size_t i = 0; i < t->versions.len; i++) {
+            bbm_time left =
+                t->versions.named_at[i] + ro->desc.unused_after - now;
+            updates += sums[i];
+            most = fmax(most,
+                        updates * time / (fmax((double)left, 0) + time / 2));
+        }
+    }
+    return most;
+}
+
 /* Number of places. */
 static size_t
 concurrent_max(const bbm_rollout *ro, bbm_time now)
 {
     if (can_proceed_slowly(ro, now))
         return ro->desc.slow_concurrent;
-    double share = (double)count_answering(ro) * ro->desc.concurrent_share;
-    size_t n = (size_t)ceil(share);
+    double answering = (double)count_answering(ro);
+    double urgent =
+        fmin(urgent_concurrent(ro, now), answering * URGENT_CONCURRENT_SHARE);
+    size_t n =
+        (size_t)ceil(fmax(urgent, answering * ro->desc.concurrent_share));
     return n > ro->desc.concurrent_min ? n : ro->desc.concurrent_min;
 }
 
@@ -420,6 +501,13 @@
     return &ro->action;
 }
 
+static void
+record_update(bbm_rollout *ro, const runner *r, bbm_time now)
+{
+    double time = (double)(now - r->chosen_at);
+    ro->update_time += (time - ro->update_time) * UPDATE_TIME_WEIGHT;
+}
+
 static void
 prepare_order(bbm_rollout *ro, runner *r, bbm_time now)
 {
@@ -592,6 +680,9 @@
         r->has_accepted = false;
     r->sequence = report->sequence;
     if (report->order_in_progress) {
+        /* The update has begun before, or was silent meanwhile. */
+        if (was_first_query || was_silent)
+            r->chosen_at = now;
         r->stage = RUNNER_LOADING;
         r->next_action_at = now + REPORT_POLL_PERIOD;
         return;
@@ -603,10 +694,13 @@
         r->next_action_at = r->chosen_at + ro->desc.drain_time_min;
         return;
     }
-    if (was_first_query)
+    if (was_first_query) {
         r->stage = RUNNER_IDLE;
-    else
-        prepare_order(ro, r, now);
+        return;
+    }
+    prepare_order(ro, r, now);
+    if (r->stage == RUNNER_IDLE)
+        record_update(ro, r, now);
 }
 
 void
--- a/rollout/bbm_rollout.h
+++ b/rollout/bbm_rollout.h
@@ -21,6 +21,9 @@
  *  The design handles versions that follow each other faster than all runners
  *  can load them.  There are places for a share of the runners that answer, by
  *  default a quarter, but for at least 3, so that the others serve meanwhile.
+ *  There are more, up to half, if the updates would otherwise last until the
+ *  weights get no requests any more: all runners left would then be taken at
+ *  once.
  *  For most of that time a runner waits for its running requests to end, not
  *  for the loading of the weights.  A runner has its place only while it
  *  answers: a silent one is asked for a report from time to time, without a
@@ -42,8 +45,8 @@
 typedef struct bbm_rollout_desc {
     uint64_t fence; /**< Fencing number of all its orders: the term of the
                          leader. */
-    double concurrent_share; /**< Maximum share of the runners that are
-                                  in progress; 0: 0.25. */
+    double concurrent_share; /**< Share of the runners that may be in progress
+                                  unless time is short; 0: 0.25. */
     size_t concurrent_min;   /**< Lower bound of that maximum, in
                                   runners; 0: 3. */
     size_t slow_concurrent;  /**< Maximum of runners in progress while
--- a/tests/test_rollout_silent.c
+++ b/tests/test_rollout_silent.c
@@ -18,6 +18,9 @@
 /* Time after the naming of a version from which no request may begin on an
    older one. */
 #define OLD_WEIGHTS_MAX (8 * BBM_SECOND)
+/* Time after the naming of a version from which a runner gets no requests on
+   an older one. */
+#define OLD_WEIGHTS_UNUSED_TIME (5 * BBM_SECOND)
 /* A request may wait at a runner for 2 s before it begins. */
 #define UPDATE_TIME_MAX (OLD_WEIGHTS_MAX - 2 * BBM_SECOND)
 /* Time after the naming of a version by which all runners have it that can be
@@ -50,7 +53,8 @@
     bbm_listing listing;
     sim_runner runners[RUNNERS_MAX];
     size_t len;
-    bool has_traffic; /* it shows which runners answer */
+    bool has_traffic;  /* it shows which runners answer */
+    bbm_time run_time; /* after which runs end at a runner without new ones */
     bbm_time now;
     size_t calls; /* reports and orders sent */
     bbm_time load_time;
@@ -70,7 +74,7 @@
         &(bbm_rollout_desc){.fence = 5,
                             .drain_time_min = 150 * BBM_MS,
                             .drain_time_max = BBM_SECOND,
-                            .unused_after = OLD_WEIGHTS_MAX - 3 * BBM_SECOND});
+                            .unused_after = OLD_WEIGHTS_UNUSED_TIME});
     for (size_t i = 0; i < len; i++) {
         bbm_listing_entry entry = {
             .models_len = 1, .models = {{.version = 1}}, .started_at_ms = 7};
@@ -143,7 +147,9 @@
     if (accepted) {
         r->sequence++;
         r->new_version = r->call.version;
-        r->load_ends_at = sim->now + sim->load_time;
+        bbm_time runs_end_at = r->marked_at + sim->run_time;
+        r->load_ends_at =
+            (runs_end_at > sim->now ? runs_end_at : sim->now) + sim->load_time;
     }
     bbm_rollout_apply_answer(
         sim->ro, r->call.id,
@@ -183,7 +189,8 @@
             r->marked_at = sim->now;
         r->is_marked = marked.items[i].loading;
         taken += r->is_marked && r->health == SIM_SOUND;
-        bool drained = r->is_marked && sim->now - r->marked_at >= DRAIN_TIME;
+        bool drained =
+            r->is_marked && sim->now - r->marked_at >= sim->run_time;
         /* Requests at a dark runner hang. */
         bool busy = r->health == SIM_DARK || !drained;
         bbm_rollout_set_load(
@@ -349,6 +356,32 @@
 }
 END_TEST
 
+/* Guards against a rollout that is too slow where runs last long: runners that
+   had to wait until they got no requests any more were then all taken at once,
+   and only a quarter of the runners served. */
+START_TEST(long_runs_leave_a_third_of_the_runners)
+{
+    for (size_t i = 0; i < BBM_COUNT(sizes); i++) {
+        simulation *sim = create_simulation(sizes[i], 0.35, SIM_DARK);
+        sim->run_time = 2 * BBM_SECOND;
+        size_t sound = 0;
+        run_for(sim, 100 * BBM_MS);
+        for (size_t k = 0; k < sim->len; k++) {
+            sound += sim->runners[k].health == SIM_SOUND;
+            sim->runners[k].is_suspected = sim->runners[k].health == SIM_DARK;
+        }
+        for (uint64_t version = 2; version <= 3; version++) {
+            roll_out(sim, version, false);
+            ck_assert_msg(sim->taken_peak <= (2 * sound + 2) / 3,
+                          "version %d: %zu of %zu sound runners taken",
+                          (int)version, sim->taken_peak, sound);
+            run_for(sim, BBM_SECOND);
+        }
+        destroy_simulation(sim);
+    }
+}
+END_TEST
+
 /* Guards against a new leader that begins a rollout anew as if the version had
    just been named: it went slowly, and runners without requests waited. */
 START_TEST(new_leader_goes_on_where_the_time_is)
@@ -403,6 +436,7 @@
           dark_runners_hold_no_places_without_traffic,
           returning_runners_are_updated, slow_and_flapping_runners_are_updated,
           three_quarters_serve_beside_silent_runners,
+          long_runs_leave_a_third_of_the_runners,
           new_leader_goes_on_where_the_time_is,
           long_updates_end_before_weights_are_too_old,
           suspected_runners_are_asked_before_their_turn);
