--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -1172,6 +1172,102 @@
 }
 END_TEST
 
+/* Begins a request whose client states no time limit. */
+static void
+begin_patient_request(fixture *w, const char *path)
+{
+    bbm_prompt_part part = {1000 + w->requests, 100};
+    bbm_gate_request_desc a = {
+        .request = ++w->requests,
+        .id = "id",
+        .model = "m",
+        .parts = &part,
+        .parts_len = 1,
+        .prompt_tokens = 100,
+        .output_tokens_max = 50,
+    };
+    const bbm_route *r = bbm_config_host_route(w->cfg, "h", path);
+    bbm_gate_begin_request(w->gate, &a, r, NULL, w->now);
+}
+
+/* Guards against a request that waits at a runner whose weights were the
+   newest when it was sent, and begins there when they are too old. */
+START_TEST(attempt_ends_if_its_weights_are_overtaken_while_it_waits)
+{
+    fixture w = setup(1, 0);
+    use_config(&w, long_call_text);
+    begin_patient_request(&w, "/once/a");
+    ck_assert_uint_eq(expect_send(&w).version, 1);
+    w.now += 20 * BBM_MS;
+    bbm_gate_add_version(w.gate, "m", 2, 0, w.now);
+    bbm_time bound = w.now + 8 * BBM_SECOND;
+    const bbm_gate_output *out = tick_until(&w, bound);
+    ck_assert_msg(out != NULL, "not ended by the bound");
+    ck_assert_int_eq(out->kind, BBM_GATE_ABORT);
+    ck_assert_int_ge(bound - w.now, END_TIME_SEEN);
+    teardown(&w);
+}
+END_TEST
+
+/* Guards against a time from which runners count as unused that is later than
+   the bound, where the grace period is longer: a rollout then takes its time
+   while no runner may get requests. */
+START_TEST(runners_count_as_unused_by_the_bound_on_old_weights)
+{
+    static const bbm_time limits[] = {500 * BBM_MS, 2 * BBM_SECOND,
+                                      8 * BBM_SECOND, 60 * BBM_SECOND};
+    for (size_t i = 0; i < BBM_COUNT(limits); i++) {
+        for (size_t k = 0; k < BBM_COUNT(limits); k++) {
+            bbm_gate *g = bbm_gate_create(
+                &(bbm_gate_desc){.zone = "a",
+                                 .old_weights_max = limits[i],
+                                 .old_weights_grace = limits[k]});
+            bbm_time after = bbm_gate_old_weights_unused_after(g);
+            ck_assert_msg(after > 0 && after <= limits[i],
+                          "%lld ms with a bound of %lld and a grace of %lld",
+                          (long long)(after / BBM_MS),
+                          (long long)(limits[i] / BBM_MS),
+                          (long long)(limits[k] / BBM_MS));
+            bbm_gate_destroy(g);
+        }
+    }
+}
+END_TEST
+
+/* Guards against an age of all versions since the first one where more follow
+   each other than are remembered: no runner got requests any more. */
+START_TEST(forgotten_versions_make_no_weights_older)
+{
+    fixture w = setup(1, 0);
+    bbm_listing_entry_set_version(&w.listing.items[0], "m", 12);
+    apply_listing(&w);
+    for (uint64_t version = 2; version <= 20; version++) {
+        w.now += 500 * BBM_MS;
+        bbm_gate_add_version(w.gate, "m", version, 0, w.now);
+    }
+    /* Version 13 was named 3.5 s ago; 8 s are allowed. */
+    begin_request(&w, "/check/a", 1);
+    const bbm_gate_output *out = bbm_gate_next_output(w.gate);
+    ck_assert(out && out->kind == BBM_GATE_SEND);
+    teardown(&w);
+}
+END_TEST
+
+/* Guards against weights that look younger than the time since a newer version
+   was named, as one between them has a later time: another VM proposed it, by
+   another calendar. */
+START_TEST(weights_age_from_the_earliest_newer_version)
+{
+    fixture w = setup(1, 0);
+    bbm_gate_add_version(w.gate, "m", 2, 0, w.now);
+    bbm_gate_add_version(w.gate, "m", 3, 9 * BBM_SECOND, w.now);
+    begin_request(&w, "/check/a", 1);
+    const bbm_gate_output *out = bbm_gate_next_output(w.gate);
+    ck_assert(!out || out->kind != BBM_GATE_SEND);
+    teardown(&w);
+}
+END_TEST
+
 START_TEST(cache_salt_differs_by_version)
 {
     fixture w = setup(1, 0);
@@ -1751,6 +1847,10 @@
     weights_age_from_first_newer_version, old_weights_limit_includes_wait,
     huge_token_counts_do_not_pass_the_rate,
     attempt_ends_before_its_weights_are_too_old,
+    attempt_ends_if_its_weights_are_overtaken_while_it_waits,
+    runners_count_as_unused_by_the_bound_on_old_weights,
+    forgotten_versions_make_no_weights_older,
+    weights_age_from_the_earliest_newer_version,
     slow_vm_keeps_away_from_the_bound_on_old_weights,
     old_weights_limit_includes_the_whole_wait, cache_salt_differs_by_version,
     chains_stay_at_their_homes, delayed_placements_do_not_flood_new_weights,
--- a/tests/test_rollout_silent.c
+++ b/tests/test_rollout_silent.c
@@ -32,6 +32,8 @@
     SIM_DARK,     /* answers nothing */
     SIM_FLAPPING, /* answers in each second half of a second */
     SIM_SLOW,     /* answers reports after the time-out of the first one */
+    SIM_KEEPS,    /* accepts orders, and keeps its weights */
+    SIM_GAPS,     /* answers not in the first tenth of a second */
 } sim_health;
 
 typedef struct sim_runner {
@@ -41,7 +43,8 @@
     uint64_t new_version; /* that it loads; 0: none */
     bbm_time load_ends_at;
     bool is_suspected; /* by VMs */
-    bool is_marked;    /* gets no new requests */
+    bool model_is_other;
+    bool is_marked; /* gets no new requests */
     bbm_time marked_at;
     bbm_rollout_action call; /* that it hasn't answered */
     bbm_time answer_at;      /* 0: none */
@@ -58,7 +61,8 @@
     bbm_time now;
     size_t calls; /* reports and orders sent */
     bbm_time load_time;
-    size_t taken_peak; /* maximum of sound runners without requests */
+    uint64_t restarted_at_ms; /* as reported; 0: as listed */
+    size_t taken_peak;        /* maximum of sound runners without requests */
 } simulation;
 
 static simulation *
@@ -109,8 +113,14 @@
     case SIM_FLAPPING:
         return sim->now % BBM_SECOND < BBM_SECOND / 2 ? BBM_NEVER
                                                       : sim->now + 10 * BBM_MS;
+    case SIM_GAPS:
+        return sim->now % BBM_SECOND < BBM_SECOND / 10
+                   ? BBM_NEVER
+                   : sim->now + 10 * BBM_MS;
     case SIM_SLOW:
         return sim->now + SLOW_REPORT_TIME;
+    case SIM_KEEPS:
+        return sim->now + 10 * BBM_MS;
     }
     return BBM_NEVER;
 }
@@ -135,7 +145,9 @@
                                 .sequence = r->sequence,
                                 .order_in_progress = r->new_version > 0,
                                 .models_len = 1};
-    bbm_name_set(report.models[0].name, "m");
+    if (sim->restarted_at_ms)
+        report.started_at_ms = sim->restarted_at_ms;
+    bbm_name_set(report.models[0].name, r->model_is_other ? "n" : "m");
     report.models[0].version = r->version;
     bbm_rollout_apply_report(sim->ro, r->call.id, &report, sim->now);
 }
@@ -146,7 +158,7 @@
     bool accepted = !r->new_version && r->sequence == r->call.sequence;
     if (accepted) {
         r->sequence++;
-        r->new_version = r->call.version;
+        r->new_version = r->health == SIM_KEEPS ? r->version : r->call.version;
         bbm_time runs_end_at = r->marked_at + sim->run_time;
         r->load_ends_at =
             (runs_end_at > sim->now ? runs_end_at : sim->now) + sim->load_time;
@@ -432,6 +444,192 @@
 }
 END_TEST
 
+/* Guards against places that are held by runners that accept orders, but keep
+   their weights. */
+START_TEST(runners_that_keep_their_weights_hold_no_places)
+{
+    for (size_t i = 0; i < BBM_COUNT(sizes); i++) {
+        simulation *sound = create_simulation(sizes[i], 0, SIM_SOUND);
+        bbm_time limit = roll_out(sound, 2, false) + FIND_SILENT_TIME;
+        destroy_simulation(sound);
+        simulation *sim = create_simulation(sizes[i], 0.35, SIM_KEEPS);
+        for (uint64_t version = 2; version <= 3; version++) {
+            bbm_time time = roll_out(sim, version, false);
+            ck_assert_msg(time <= limit,
+                          "%zu runners, version %d: %.2f s, %.2f s allowed",
+                          sizes[i], (int)version, (double)time / BBM_SECOND,
+                          (double)limit / BBM_SECOND);
+        }
+        destroy_simulation(sim);
+    }
+}
+END_TEST
+
+/* Guards against places that are given away while a runner loads, as one
+   answer was lost, also where the leader misses the answers of all. */
+START_TEST(lost_answers_leave_two_thirds_of_the_runners)
+{
+    static const sim_health kinds[] = {SIM_GAPS, SIM_SLOW};
+    for (size_t i = 1; i < BBM_COUNT(sizes); i++) {
+        for (size_t k = 0; k < BBM_COUNT(kinds); k++) {
+            simulation *sim = create_simulation(sizes[i], 1, kinds[k]);
+            bbm_rollout_set_target(sim->ro, "m", 2, sim->now);
+            size_t peak = 0;
+            while (!all_have(sim, 2, true) && sim->now < 60 * BBM_SECOND) {
+                step(sim);
+                size_t taken = 0;
+                for (size_t n = 0; n < sim->len; n++)
+                    taken += sim->runners[n].is_marked;
+                peak = taken > peak ? taken : peak;
+            }
+            ck_assert_msg(peak <= sizes[i] / 3, "%zu of %zu runners taken",
+                          peak, sizes[i]);
+            destroy_simulation(sim);
+        }
+    }
+}
+END_TEST
+
+/* Names a version each period for 30 s; returns the least number of runners,
+   after the first 5 s, that get requests and whose weights aren't too old for
+   them. */
+static size_t
+least_serving(simulation *sim, bbm_time period)
+{
+    bbm_time named_at[128] = {0};
+    uint64_t newest = 1;
+    size_t least = sim->len;
+    run_for(sim, 100 * BBM_MS);
+    bbm_time begin = sim->now;
+    while (sim->now - begin < 30 * BBM_SECOND) {
+        if (sim->now - begin >= (bbm_time)(newest - 1) * period) {
+            named_at[++newest] = sim->now;
+            bbm_rollout_set_target(sim->ro, "m", newest, sim->now);
+        }
+        step(sim);
+        size_t serving = 0;
+        for (size_t i = 0; i < sim->len; i++) {
+            const sim_runner *r = &sim->runners[i];
+            bool is_used = r->version == newest
+                           || sim->now - named_at[r->version + 1]
+                                  < OLD_WEIGHTS_UNUSED_TIME;
+            serving += !r->is_marked && is_used;
+        }
+        if (sim->now - begin > 5 * BBM_SECOND && serving < least)
+            least = serving;
+    }
+    return least;
+}
+
+/* Guards against a runner that is ordered to load again as soon as it has
+   loaded, since a newer version was named meanwhile, and never serves. */
+START_TEST(runners_serve_while_versions_follow_faster_than_they_load)
+{
+    for (size_t i = 0; i < BBM_COUNT(sizes); i++) {
+        simulation *sim = create_simulation(sizes[i], 0, SIM_SOUND);
+        size_t least = least_serving(sim, 500 * BBM_MS);
+        ck_assert_msg(least >= sizes[i] / 3, "%zu of %zu runners serve", least,
+                      sizes[i]);
+        destroy_simulation(sim);
+    }
+}
+END_TEST
+
+/* Guards against versions that follow each other while runs last long: the
+   runners that have waited for too long were taken beside all places. */
+START_TEST(long_runs_and_many_versions_leave_a_third_of_the_runners)
+{
+    for (size_t i = 0; i < BBM_COUNT(sizes); i++) {
+        simulation *sim = create_simulation(sizes[i], 0, SIM_SOUND);
+        sim->run_time = 2 * BBM_SECOND;
+        size_t least = least_serving(sim, 4 * BBM_SECOND);
+        ck_assert_msg(least >= sizes[i] / 3, "%zu of %zu runners serve", least,
+                      sizes[i]);
+        destroy_simulation(sim);
+    }
+}
+END_TEST
+
+/* Guards against requests without end to a runner that has restarted, as long
+   as the listing is of before. */
+START_TEST(restarted_runner_is_updated_while_the_listing_is_old)
+{
+    simulation *sim = create_simulation(10, 0, SIM_SOUND);
+    sim->restarted_at_ms = 9;
+    bbm_rollout_set_target(sim->ro, "m", 2, sim->now);
+    run_for(sim, 5 * BBM_SECOND);
+    ck_assert_msg(sim->calls <= 100 * sim->len && all_have(sim, 2, false),
+                  "%zu calls to %zu runners in 5 s, %s updated", sim->calls,
+                  sim->len, all_have(sim, 2, false) ? "all" : "not all");
+    destroy_simulation(sim);
+}
+END_TEST
+
+/* Guards against runners of one model that wait until all of another one are
+   updated: version numbers of different models were compared. */
+START_TEST(models_are_updated_by_the_age_of_their_weights)
+{
+    simulation *sim = create_simulation(60, 0, SIM_SOUND);
+    sim->run_time = 2 * BBM_SECOND;
+    for (size_t i = sim->len / 2; i < sim->len; i++) {
+        bbm_name_set(sim->listing.items[i].models[0].name, "n");
+        sim->runners[i].model_is_other = true;
+    }
+    run_for(sim, 100 * BBM_MS);
+    bbm_rollout_set_target(sim->ro, "n", 2, sim->now);
+    bbm_rollout_set_target(sim->ro, "m", 2, sim->now);
+    run_for(sim, 4 * BBM_SECOND);
+    bbm_rollout_set_target(sim->ro, "m", 3, sim->now);
+    run_for(sim, BBM_SECOND);
+    size_t updated[2] = {0};
+    for (size_t i = 0; i < sim->len; i++)
+        updated[sim->runners[i].model_is_other] +=
+            sim->runners[i].version >= 2;
+    ck_assert_msg(2 * updated[1] >= updated[0],
+                  "%zu of one model updated, %zu of the other", updated[0],
+                  updated[1]);
+    destroy_simulation(sim);
+}
+END_TEST
+
+/* Guards against a runner that is taken to be late for ever, as the answer to
+   an order of before its restart counted for the order after it. */
+START_TEST(answer_of_before_a_restart_does_not_count)
+{
+    simulation *sim = create_simulation(1, 0, SIM_SOUND);
+    bbm_rollout *ro = sim->ro;
+    bbm_rollout_set_runners(ro, &sim->listing);
+    bbm_rollout_set_target(ro, "m", 2, sim->now);
+    bbm_runner_report report = {.started_at_ms = 7, .models_len = 1};
+    bbm_name_set(report.models[0].name, "m");
+    report.models[0].version = 1;
+    const bbm_rollout_action *act;
+    int orders = 0;
+    for (int i = 0; i < 1000; i++) {
+        sim->now += STEP_TIME;
+        bbm_rollout_set_runners(ro, &sim->listing);
+        while ((act = bbm_rollout_next_action(ro, sim->now)) != NULL) {
+            if (!act->is_order) {
+                bbm_rollout_apply_report(ro, "i-000", &report, sim->now);
+                continue;
+            }
+            orders++;
+            if (orders == 1) {
+                sim->listing.items[0].started_at_ms = 9;
+                report.started_at_ms = 9;
+            }
+            else if (orders == 2) {
+                /* The answer to the first one comes; the second is lost. */
+                bbm_rollout_apply_answer(ro, "i-000", BBM_ORDER_ACCEPTED,
+                                         sim->now);
+            }
+        }
+    }
+    ck_assert_msg(orders > 2, "%d orders in 10 s", orders);
+    destroy_simulation(sim);
+}
+END_TEST
+
 TEST_MAIN("rollout_silent", dark_runners_hold_no_places,
           dark_runners_hold_no_places_without_traffic,
           returning_runners_are_updated, slow_and_flapping_runners_are_updated,
@@ -439,4 +637,11 @@
           long_runs_leave_a_third_of_the_runners,
           new_leader_goes_on_where_the_time_is,
           long_updates_end_before_weights_are_too_old,
-          suspected_runners_are_asked_before_their_turn);
+          suspected_runners_are_asked_before_their_turn,
+          runners_that_keep_their_weights_hold_no_places,
+          lost_answers_leave_two_thirds_of_the_runners,
+          runners_serve_while_versions_follow_faster_than_they_load,
+          long_runs_and_many_versions_leave_a_third_of_the_runners,
+          answer_of_before_a_restart_does_not_count,
+          restarted_runner_is_updated_while_the_listing_is_old,
+          models_are_updated_by_the_age_of_their_weights);
