Age of weights: no older than true, by the version of the attempt, within the bound

Nothing is passed on now; an earlier version counts as named by the time of a later one at the latest (weights_age_from_the_earliest_newer_version). - An attempt that was sent before a newer version was named was never ended (attempt_ends_if_its_weights_are_overtaken_while_it_waits). Its version is looked up now, not a time that was fixed when it was sent. - With some settings runners counted as unused later than the bound (runners_count_as_unused_by_the_bound_on_old_weights).

--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -281,13 +281,14 @@
                                    run. */
     uint64_t failed_upstreams[GATE_FAILED_MAX]; /**< Upstreams that failed or
                                                      refused it, by hash. */
-    size_t failed_len;       /**< Number of these upstreams. */
-    gate_upstream *upstream; /**< Upstream of the current attempt, or NULL. */
-    bbm_time weights_until;  /**< As in gate_choice, of the current attempt. */
-    uint64_t upstream_run;   /**< Its start time when the attempt was sent, as
-                                  gate_run_of. */
-    uint32_t backlog_tokens; /**< Its part of the upstream's counter. */
-    uint32_t memory_tokens;  /**< Its part of the upstream's counter. */
+    size_t failed_len;        /**< Number of these upstreams. */
+    gate_upstream *upstream;  /**< Upstream of the current attempt, or NULL. */
+    uint64_t weights_version; /**< Version of the weights of the current
+                                   attempt's runner; 0: unknown. */
+    uint64_t upstream_run;    /**< Its start time when the attempt was sent, as
+                                   gate_run_of. */
+    uint32_t backlog_tokens;  /**< Its part of the upstream's counter. */
+    uint32_t memory_tokens;   /**< Its part of the upstream's counter. */
     char last_event_id[BBM_EVENT_ID_SIZE]; /**< Id of the last event that was
                                                 forwarded before the stream was
                                                 interrupted; "": not
@@ -305,7 +306,6 @@
     STAILQ_ENTRY(gate_queued_output) link; /**< Next in the queue. */
 } gate_queued_output;
 
-/** A gate. */
 /** Longest times between two events of this VM, other than those for which its
  *  process was stopped. */
 typedef struct gate_stalls {
@@ -314,6 +314,7 @@
     bbm_time window_at; /**< Begin of the current one. */
 } gate_stalls;
 
+/** A gate. */
 struct bbm_gate {
     bbm_gate_desc desc; /**< Parameters, with defaults set. */
     bbm_rng rng;        /**< Random number generator. */
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -319,7 +319,7 @@
     r->forecast_ms = c->forecast_ms;
     r->miss_tokens = c->miss_tokens;
     r->upstream = u;
-    r->weights_until = c->weights_until;
+    r->weights_version = c->version;
     r->upstream_run = gate_run_of(&u->info);
     gate_expect_speed(g, r, c);
     r->backlog_tokens = (uint32_t)c->miss_tokens;
--- a/gate/gate_weights.c
+++ b/gate/gate_weights.c
@@ -38,10 +38,9 @@
 bbm_time
 bbm_gate_old_weights_unused_after(const bbm_gate *g)
 {
-    bbm_time after =
-        g->desc.old_weights_max - GATE_STREAM_SILENCE_MIN - END_TIME;
-    return after > g->desc.old_weights_grace ? after
-                                             : g->desc.old_weights_grace;
+    bbm_time max = g->desc.old_weights_max;
+    bbm_time after = max - GATE_STREAM_SILENCE_MIN - END_TIME;
+    return after > max / 2 ? after : max / 2;
 }
 
 gate_weights_age
@@ -78,9 +77,11 @@
 bool
 gate_must_end_attempt(const bbm_gate *g, const gate_request *r)
 {
-    return r->stage == GATE_SENT && !r->is_relaying
-           && r->weights_until != BBM_NEVER
-           && g->now + END_TIME >= r->weights_until;
+    if (r->stage != GATE_SENT || r->is_relaying || !r->weights_version)
+        return false;
+    gate_weights_age age = gate_age_of_weights(
+        g, gate_find_weights(g, r->model), r->weights_version);
+    return age.until != BBM_NEVER && g->now + END_TIME >= age.until;
 }
 
 void
--- a/pool/bbm_versions.c
+++ b/pool/bbm_versions.c
@@ -8,12 +8,14 @@
     if (number <= bbm_versions_newest(v))
         return false;
     if (v->len == BBM_VERSIONS_MAX) {
-        /* The second one then stands for both. */
-        bbm_time first = v->named_at[0];
         v->len--;
         memmove(v->numbers, v->numbers + 1, v->len * sizeof(*v->numbers));
         memmove(v->named_at, v->named_at + 1, v->len * sizeof(*v->named_at));
-        v->named_at[0] = first;
+    }
+    /* Calendars of those that named them may differ. */
+    for (size_t i = 0; i < v->len; i++) {
+        if (v->named_at[i] > named_at)
+            v->named_at[i] = named_at;
     }
     v->numbers[v->len] = number;
     v->named_at[v->len++] = named_at;
--- a/pool/bbm_versions.h
+++ b/pool/bbm_versions.h
@@ -24,16 +24,16 @@
     size_t len;                          /**< Number of versions. */
 } bbm_versions;
 
-/** Add a version that was named at @p named_at.  Returns false, without
+/** Add a version that was named at @p named_at; earlier ones count as named by
+ *  then.  Returns false, without
  *  effect, if it isn't higher than the newest. */
 bool bbm_versions_add(bbm_versions *v, uint64_t number, bbm_time named_at);
 /** The newest version; 0 if there is none. */
 uint64_t bbm_versions_newest(const bbm_versions *v);
 /** When a version was named; BBM_NEVER if it isn't remembered. */
 bbm_time bbm_versions_named_at(const bbm_versions *v, uint64_t number);
-/** When the first version was named that is newer than this one; BBM_NEVER if
- *  none is, or if the number is 0 (unknown).  Never later than that for a
- *  version that isn't remembered. */
+/** When the first of the remembered versions was named that is newer than this
+ *  one; BBM_NEVER if none is, or if the number is 0 (unknown). */
 bbm_time bbm_versions_overtaken_at(const bbm_versions *v, uint64_t number);
 
 #endif
