--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -1,5 +1,6 @@
 #include "bbm_rollout.h"
 
+#include "bbm_hash.h"
 #include "bbm_table.h"
 #include "bbm_versions.h"
 
@@ -58,8 +59,12 @@
     bool listed;
     uint64_t sequence;             /* orders accepted, as last reported */
     bool has_accepted;             /* one more since that report */
+    bool is_loading;               /* accepted the order of this update */
     bbm_time next_action_at;       /* BBM_NEVER while waiting for an answer */
     uint32_t consecutive_failures; /* requests without an answer */
+    uint64_t draw;                 /* hash of the id */
+    uint32_t failed_orders;        /* accepted ones that left the weights as
+                                      they were, since one changed them */
     bool is_silent;      /* the last request has no answer, or VMs suspect that
                             it has failed; false once it answers */
     bool is_suspected;   /* by VMs, as last told */
@@ -152,6 +157,8 @@
     r->stage = RUNNER_NEW;
     r->sequence = 0;
     r->has_accepted = false;
+    r->is_loading = false;
+    r->failed_orders = 0;
     r->next_action_at = 0;
     r->consecutive_failures = 0;
     r->is_silent = false;
@@ -180,17 +187,19 @@
     if (!r) {
         r = bbm_calloc(1, sizeof(*r));
         bbm_name_set(r->info.id, info->id);
+        r->draw = bbm_hash64(info->id, strlen(info->id), 0);
         HASH_ADD_KEYPTR(hh, ro->runners, r->info.id, strlen(r->info.id), r);
         reset_runner(r, info);
     }
     else if (info->started_at_ms && r->info.started_at_ms
-             && info->started_at_ms != r->info.started_at_ms) {
+             && info->started_at_ms > r->info.started_at_ms) {
         reset_runner(r, info);
     }
     r->listed = true;
     r->info.leaving = info->leaving;
     memcpy(r->info.address, info->address, sizeof(r->info.address));
-    if (info->started_at_ms)
+    /* A report may tell of a restart before the listing does. */
+    if (info->started_at_ms > r->info.started_at_ms)
         r->info.started_at_ms = info->started_at_ms;
     raise_versions(r, info->models, info->models_len);
 }
@@ -273,30 +282,21 @@
         &t->versions, bbm_listing_entry_version(&r->info, t->model));
 }
 
-/* True if its weights are so old that it gets no new requests anyway. */
-static bool
-is_unused(const bbm_rollout *ro, const runner *r, bbm_time now)
-{
-    const target *t = pending_target(ro, r);
-    return ro->desc.unused_after && t
-           && now - overtaken_at(r, t) >= ro->desc.unused_after;
-}
-
 /* The places limit how much capacity a rollout takes from the clients.  A
-   runner that doesn't answer, or gets no requests, takes none; with a place it
-   would keep out one that makes progress. */
+   runner that doesn't answer takes none; with a place it would keep out one
+   that makes progress. */
 static bool
-has_place(const bbm_rollout *ro, const runner *r, bbm_time now)
+has_place(const runner *r)
 {
-    return is_in_progress(r) && !r->is_silent && !is_unused(ro, r, now);
+    return is_in_progress(r) && !r->is_silent;
 }
 
 static size_t
-count_places(const bbm_rollout *ro, bbm_time now)
+count_places(const bbm_rollout *ro)
 {
     size_t n = 0;
     for (const runner *r = ro->runners; r; r = r->hh.next)
-        n += has_place(ro, r, now);
+        n += has_place(r);
     return n;
 }
 
@@ -341,7 +341,7 @@
     double sum = 0;
     size_t n = 0;
     for (const runner *r = ro->runners; r; r = r->hh.next) {
-        if (!has_place(ro, r, now))
+        if (!has_place(r))
             continue;
         sum += fmax((double)(now - r->chosen_at), ro->update_time);
         n++;
@@ -359,14 +359,13 @@
 }
 
 /* Adds up the remaining updates of the runners by the version that overtook
-   theirs; without silent and unused runners. */
+   theirs; without silent runners. */
 static void
 sum_remaining_updates(const bbm_rollout *ro, const target *t,
                       double update_time, bbm_time now, double *sums)
 {
     for (const runner *r = ro->runners; r; r = r->hh.next) {
-        if (r->is_silent || r->info.leaving || pending_target(ro, r) != t
-            || is_unused(ro, r, now))
+        if (r->is_silent || r->info.leaving || pending_target(ro, r) != t)
             continue;
         size_t i = 0;
         while (i + 1 < t->versions.len
@@ -417,20 +416,25 @@
     return n > ro->desc.concurrent_min ? n : ro->desc.concurrent_min;
 }
 
-/* A runner that is known to work comes first; then the one with the older
-   weights, as their permitted time of use ends first; then the less busy one,
-   as its requests end sooner. */
+/* A runner whose last orders changed its weights, and one that is known to
+   work, comes first; then the one with the older weights, as their permitted
+   time of use ends first; then the less busy one, as its requests end
+   sooner. */
 static bool
 comes_before(const bbm_rollout *ro, const runner *a, const runner *b)
 {
-    const target *t = pending_target(ro, a);
-    uint64_t has_a = bbm_listing_entry_version(&a->info, t->model);
-    uint64_t has_b = bbm_listing_entry_version(&b->info, t->model);
+    if (a->failed_orders != b->failed_orders)
+        return a->failed_orders < b->failed_orders;
     if (a->answers_lately != b->answers_lately)
         return a->answers_lately;
-    if (has_a != has_b)
-        return has_a < has_b;
-    return a->open_requests < b->open_requests;
+    bbm_time since_a = overtaken_at(a, pending_target(ro, a));
+    bbm_time since_b = overtaken_at(b, pending_target(ro, b));
+    if (since_a != since_b)
+        return since_a < since_b;
+    if (a->open_requests != b->open_requests)
+        return a->open_requests < b->open_requests;
+    /* Any order that doesn't prefer a model. */
+    return a->draw < b->draw;
 }
 
 static bool
@@ -457,6 +461,7 @@
     r->stage = RUNNER_CHOSEN;
     r->next_action_at = now;
     r->chosen_at = now;
+    r->is_loading = false;
     r->draining_until = now + ro->desc.drain_time_max;
 }
 
@@ -466,19 +471,14 @@
 start_updates(bbm_rollout *ro, bbm_time now)
 {
     for (runner *r = ro->runners; r; r = r->hh.next) {
-        if (!awaits_turn(ro, r, now))
-            continue;
-        if (r->is_silent) {
+        if (r->is_silent && awaits_turn(ro, r, now)) {
             r->stage = RUNNER_NEW;
             r->next_action_at = now;
         }
-        else if (is_unused(ro, r, now)) {
-            choose_runner(ro, r, now);
-        }
     }
     size_t max = concurrent_max(ro, now);
     runner *r;
-    for (size_t n = count_places(ro, now);
+    for (size_t n = count_places(ro);
          n < max && (r = next_runner(ro, now)) != NULL; n++)
         choose_runner(ro, r, now);
 }
@@ -578,6 +578,8 @@
 back_off(runner *r, bbm_time now)
 {
     r->stage = RUNNER_IDLE;
+    /* The answer may have been one to an order of before a restart. */
+    r->has_accepted = false;
     r->backoff_until = now + BACKOFF_TIME;
 }
 
@@ -588,12 +590,17 @@
     r->is_silent = false;
 }
 
-/* The runner gives its place back.  Its request is repeated a few times; then
-   it is asked for a report now and then. */
+/* The request is repeated a few times; then the runner is asked for a report
+   now and then.  It gives its place back at once, unless it may be loading:
+   then it serves nobody, also if just an answer was lost. */
 static void
 on_no_answer(runner *r, runner_stage retry_stage, bbm_time now)
 {
-    r->is_silent = true;
+    bool may_load =
+        retry_stage == RUNNER_ORDERED || retry_stage == RUNNER_LOADING;
+    bool is_last =
+        r->consecutive_failures + 1 >= CONSECUTIVE_FAILURES_MAX_COUNT;
+    r->is_silent = r->is_silent || !may_load || is_last;
     if (r->report_timeout < REPORT_TIMEOUT_MAX)
         r->report_timeout *= 2;
     if (++r->consecutive_failures >= CONSECUTIVE_FAILURES_MAX_COUNT) {
@@ -627,6 +634,23 @@
     }
 }
 
+/* Ends an update whose order was accepted.  If the runner still lacks the
+   newest version, it awaits its turn: without requests it would serve nobody
+   where versions follow fast, and one that keeps its weights would hold a
+   place for ever. */
+static void
+end_update(bbm_rollout *ro, runner *r, bbm_time now)
+{
+    if (bbm_listing_entry_version(&r->info, r->model) < r->version) {
+        r->failed_orders++;
+        back_off(r, now);
+        return;
+    }
+    record_update(ro, r, now);
+    r->failed_orders = 0;
+    r->stage = RUNNER_IDLE;
+}
+
 /* True for a report from before the last one, or from before the last order,
    that comes late.  The next order would have an old sequence number.  Without
    the start of the runner a lower number may be that of a restarted one. */
@@ -635,6 +659,8 @@
 {
     if (!report->started_at_ms)
         return false;
+    if (report->started_at_ms < r->info.started_at_ms)
+        return true;
     uint64_t accepted =
         r->sequence + (r->has_accepted && !report->order_in_progress);
     return report->sequence < accepted;
@@ -657,8 +683,8 @@
         apply_no_report(r, now);
         return;
     }
-    if (report->started_at_ms && r->info.started_at_ms
-        && report->started_at_ms != r->info.started_at_ms) {
+    if (r->info.started_at_ms
+        && report->started_at_ms > r->info.started_at_ms) {
         /* The runner has restarted. */
         bbm_listing_entry info = r->info;
         info.started_at_ms = report->started_at_ms;
@@ -689,18 +715,17 @@
     }
     if (was_chosen) {
         bool has_turn =
-            !was_silent || count_places(ro, now) <= concurrent_max(ro, now);
+            !was_silent || count_places(ro) <= concurrent_max(ro, now);
         r->stage = has_turn ? RUNNER_DRAINING : RUNNER_IDLE;
         r->next_action_at = r->chosen_at + ro->desc.drain_time_min;
         return;
     }
-    if (was_first_query) {
+    if (was_first_query)
         r->stage = RUNNER_IDLE;
-        return;
-    }
-    prepare_order(ro, r, now);
-    if (r->stage == RUNNER_IDLE)
-        record_update(ro, r, now);
+    else if (r->is_loading)
+        end_update(ro, r, now);
+    else
+        prepare_order(ro, r, now);
 }
 
 void
@@ -715,6 +740,7 @@
     switch (answer) {
     case BBM_ORDER_ACCEPTED:
         r->has_accepted = true;
+        r->is_loading = true;
         r->stage = RUNNER_LOADING;
         r->next_action_at = now + FIRST_REPORT_DELAY;
         return;
@@ -765,7 +791,7 @@
     bbm_rollout_progress p = {.runners = HASH_COUNT(ro->runners)};
     for (const runner *r = ro->runners; r; r = r->hh.next) {
         const target *t = pending_target(ro, r);
-        p.in_progress += has_place(ro, r, now);
+        p.in_progress += has_place(r);
         if (!t)
             continue;
         p.pending++;
