--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -544,9 +544,6 @@
  *  or too long ago. */
 bbm_time bbm_gate_version_named_at(const bbm_gate *g, const char *model,
                                    uint64_t version);
-/** Time after the naming of a newer version from which new requests for
- * streams are no longer sent to runners that lack it. */
-bbm_time bbm_gate_old_weights_unused_after(const bbm_gate *g);
 
 /** Apply the releases of the replicated state. */
 void bbm_gate_set_releases(bbm_gate *g, const bbm_releases *all, bbm_time now);
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -413,9 +413,6 @@
  *  longer gap this process was stopped, and what it held is out of date. */
 #define GATE_CLOCK_GAP (1500 * BBM_MS)
 
-/** A client abandons a stream after a silence that is never shorter. */
-#define GATE_STREAM_SILENCE_MIN (2 * BBM_SECOND)
-
 /** Record that no event was processed for a time that ends now. */
 void gate_record_stall(bbm_gate *g, bbm_time gap);
 /** Longest such time of the last seconds. */
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -14,6 +14,7 @@
 /* A client is assumed to abandon a stream that is silent for the longest of
    these: a fixed time, a multiple of the route's target latency, and a
    multiple of its target gap between events. */
+#define STREAM_SILENCE_MIN (2 * BBM_SECOND)
 #define STREAM_SILENCE_TARGET_RATIO 4
 #define STREAM_SILENCE_GAP_RATIO 8
 /* A stream is cut after this multiple of that silence: by then its client has
@@ -681,7 +682,7 @@
 static bbm_time
 silence_limit_of(const bbm_route *route)
 {
-    bbm_time max = GATE_STREAM_SILENCE_MIN;
+    bbm_time max = STREAM_SILENCE_MIN;
     bbm_time target_limit =
         route->target_latency_ms * BBM_MS * STREAM_SILENCE_TARGET_RATIO;
     bbm_time gap_limit =
--- a/gate/gate_weights.c
+++ b/gate/gate_weights.c
@@ -35,14 +35,6 @@
     return w ? bbm_versions_named_at(&w->versions, version) : BBM_NEVER;
 }
 
-bbm_time
-bbm_gate_old_weights_unused_after(const bbm_gate *g)
-{
-    bbm_time max = g->desc.old_weights_max;
-    bbm_time after = max - GATE_STREAM_SILENCE_MIN - END_TIME;
-    return after > max / 2 ? after : max / 2;
-}
-
 gate_weights_age
 gate_age_of_weights(const bbm_gate *g, const gate_weights *w, uint64_t version)
 {
--- a/node/node_rollout.c
+++ b/node/node_rollout.c
@@ -47,7 +47,7 @@
             .fence = term,
             .drain_time_min = delay,
             .drain_time_max = delay ? DRAIN_TIME_MAX : 0,
-            .unused_after = bbm_gate_old_weights_unused_after(n->gate),
+            .update_time_max = n->desc.gate.old_weights_max,
         });
     }
     return true;
--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -375,15 +375,13 @@
     }
 }
 
-/* Number of places with which the update of each runner begins half an update
-   time before its weights get no requests any more.  With p places, p updates
-   begin at once and p more in each update time.  Runners with older weights
-   come first, so each age needs places for all runners that are at least as
-   old. */
+/* Number of places with which the update of each runner ends in time.  With p
+   places, p updates end in each update time.  Runners with older weights come
+   first, so each age needs places for all runners that are at least as old. */
 static double
 urgent_concurrent(const bbm_rollout *ro, bbm_time now)
 {
-    if (!ro->desc.unused_after)
+    if (!ro->desc.update_time_max)
         return 0;
     double time = expected_update_time(ro, now);
     double most = 0;
@@ -393,10 +391,9 @@
         double updates = 0;
         for (size_t i = 0; i < t->versions.len; i++) {
             bbm_time left =
-                t->versions.named_at[i] + ro->desc.unused_after - now;
+                t->versions.named_at[i] + ro->desc.update_time_max - now;
             updates += sums[i];
-            most = fmax(most,
-                        updates * time / (fmax((double)left, 0) + time / 2));
+            most = fmax(most, updates * time / fmax((double)left, time));
         }
     }
     return most;
--- a/rollout/bbm_rollout.h
+++ b/rollout/bbm_rollout.h
@@ -21,19 +21,19 @@
  *  The design handles versions that follow each other faster than all runners
  *  can load them.  There are places for a share of the runners that answer, by
  *  default a quarter, but for at least 3, so that the others serve meanwhile.
- *  There are more, up to half, if the updates would otherwise last until the
- *  weights get no requests any more: all runners left would then be taken at
- *  once.
  *  For most of that time a runner waits for its running requests to end, not
- *  for the loading of the weights.  A runner has its place only while it
- *  answers: a silent one is asked for a report from time to time, without a
- *  place, and awaits its turn once it answers.  So the time of a rollout
- *  doesn't depend on silent runners.  Runners whose weights are too old for
- * new requests need no place either. Runners with the oldest weights come
- * first, then the least busy.  A runner that has not begun when a newer
- * version is set skips to the newer one. Once half of the runners are updated
- * and serve almost without a backlog, the others are updated slowly: if
- * another version follows soon, they load only that one.
+ *  for the loading of the weights.  If the updates would otherwise last for
+ *  longer than allowed, there are places for up to half of the runners.
+ *
+ *  A runner has its place only while it answers: a silent one is asked for a
+ *  report from time to time, without a place, and awaits its turn once it
+ *  answers.  So the time of a rollout doesn't depend on silent runners.
+ *
+ *  Runners that are known to work come first, of these the ones with the
+ * oldest weights, then the least busy.  A runner that has not begun when a
+ * newer version is set skips to the newer one.  Once half of the runners are
+ * updated and serve almost without a backlog, the others are updated slowly:
+ * if another version follows soon, they load only that one.
  */
 #ifndef BBM_ROLLOUT_H
 #define BBM_ROLLOUT_H
@@ -45,24 +45,24 @@
 typedef struct bbm_rollout_desc {
     uint64_t fence; /**< Fencing number of all its orders: the term of the
                          leader. */
-    double concurrent_share; /**< Share of the runners that may be in progress
-                                  unless time is short; 0: 0.25. */
-    size_t concurrent_min;   /**< Lower bound of that maximum, in
-                                  runners; 0: 3. */
-    size_t slow_concurrent;  /**< Maximum of runners in progress while
-                                  the rollout is slow; 0: 2. */
-    double slow_backlog_ms;  /**< The rollout is slow only up to this mean
-                                  backlog of the updated runners; 0: 40 ms. */
-    bbm_time drain_time_min; /**< Time from marking a runner as loading until
-                                  no VM sends it new requests; 0: 20 ms. */
-    bbm_time drain_time_max; /**< A runner is ordered to load once it has no
-                                  open requests, or after this time; 0: after
-                                  drain_time_min. */
-    bbm_time slow_time_max;  /**< Time after which the rollout of a version
-                                   is no longer slow; 0: 4 s. */
-    bbm_time unused_after;   /**< Time after the naming of a version from which
-                                  runners that lack it get no new requests; 0:
-                                  unlimited. */
+    double concurrent_share;  /**< Share of the runners that may be in progress
+                                   unless time is short; 0: 0.25. */
+    size_t concurrent_min;    /**< Lower bound of that maximum, in
+                                   runners; 0: 3. */
+    size_t slow_concurrent;   /**< Maximum of runners in progress while
+                                   the rollout is slow; 0: 2. */
+    double slow_backlog_ms;   /**< The rollout is slow only up to this mean
+                                   backlog of the updated runners; 0: 40 ms. */
+    bbm_time drain_time_min;  /**< Time from marking a runner as loading until
+                                   no VM sends it new requests; 0: 20 ms. */
+    bbm_time drain_time_max;  /**< A runner is ordered to load once it has no
+                                   open requests, or after this time; 0: after
+                                   drain_time_min. */
+    bbm_time slow_time_max;   /**< Time after which the rollout of a version
+                                    is no longer slow; 0: 4 s. */
+    bbm_time update_time_max; /**< Time after the naming of a version by which
+                                   all runners are to have it, with up to half
+                                   of them in progress; 0: unlimited. */
 } bbm_rollout_desc;
 
 /** Report of a runner. */
