A rollout notices that a late order has lowered a version

Cause: an order without an answer may be carried out seconds later. A restart sets the runner's sequence number to 0, so an order of before that expects 0 holds again, and may bring an older version. The runner's id in the order doesn't prevent it: an id may be kept over a restart, and the order has nothing else that names the start. The leader believed no lower version within one start, and asked no runner that it believed to be up to date.

Change: a report whose sequence number is above that of the orders that the leader knows to be accepted is newer than what it knows, and its versions hold once that order has ended, also lower ones. A runner that is listed with an older version than believed is asked for a report, if its last answer is 3 s old, as the list lags; at most once in 3 s. A listing of before isn't believed after such a report. Late copies of reports stay ignored, and a lower version in a report with the known number, too.

Evidence: test_rollout, late_order_after_a_restart_is_followed_by_a_newer_one and listing_of_before_a_late_order_is_not_believed failed before: no action followed within 5 s ('act != NULL' failed). Now the report is asked for at once, and an order follows. old_listing_and_old_report_bring_no_order fails if each report is believed. test_rollout 11 and test_rollout_silent 7 passed.

A list that never shows newer versions costs a report request of each runner in 3 s.

--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -32,6 +32,9 @@
 #define REPORT_TIMEOUT_FIRST (250 * BBM_MS)
 #define REPORT_TIMEOUT_MAX (500 * BBM_MS)
 #define ORDER_TIMEOUT (200 * BBM_MS)
+/* Time after an answer of a runner in which the listing may still have
+   versions of before it: it lags by 0.8 s, and is read each second. */
+#define LISTING_LAG_MAX (3 * BBM_SECOND)
 
 /* Stages after RUNNER_IDLE count as in progress. */
 typedef enum runner_stage {
@@ -49,8 +52,14 @@
     bbm_listing_entry info;
     runner_stage stage;
     bool listed;
-    uint64_t sequence;             /* orders accepted, as last reported */
-    bool has_accepted;             /* one more since that report */
+    uint64_t sequence;      /* orders accepted, as last reported */
+    bool has_accepted;      /* one more since that report */
+    bool has_unknown_order; /* it was carrying out an order that this
+                               leader doesn't know of */
+    bool is_listed_older;   /* than it is believed to be */
+    bool ignores_listing; /* until that no longer has a newer version than the
+                             runner reported */
+    bbm_time check_at;    /* is_listed_older counts from then on */
     bbm_time next_action_at;       /* BBM_NEVER while waiting for an answer */
     uint32_t consecutive_failures; /* requests without an answer */
     bool is_silent;      /* the last request has no answer, or VMs suspect that
@@ -142,6 +151,10 @@
     r->stage = RUNNER_NEW;
     r->sequence = 0;
     r->has_accepted = false;
+    r->has_unknown_order = false;
+    r->is_listed_older = false;
+    r->ignores_listing = false;
+    r->check_at = 0;
     r->next_action_at = 0;
     r->consecutive_failures = 0;
     r->is_silent = false;
@@ -150,8 +163,9 @@
     r->backoff_until = 0;
 }
 
-/* A runner's versions only rise between its restarts; a lower one comes from a
-   listing that is older than the runner's own report. */
+/* The versions that this leader orders only rise; a lower one comes from a
+   listing or a report that is older than the runner's last one, or from an
+   order that this leader doesn't know of. */
 static void
 raise_versions(runner *r, const bbm_loaded_model *models, size_t len)
 {
@@ -163,6 +177,20 @@
     }
 }
 
+/* True if one of the versions is lower than the runner is believed to have, or
+   higher if that is asked for. */
+static bool
+any_differs(const runner *r, const bbm_loaded_model *models, size_t len,
+            bool higher)
+{
+    for (size_t i = 0; i < len; i++) {
+        uint64_t current = bbm_listing_entry_version(&r->info, models[i].name);
+        if (higher ? models[i].version > current : models[i].version < current)
+            return true;
+    }
+    return false;
+}
+
 static void
 update_listed_runner(bbm_rollout *ro, const bbm_listing_entry *info)
 {
@@ -182,7 +210,11 @@
     memcpy(r->info.address, info->address, sizeof(r->info.address));
     if (info->started_at_ms)
         r->info.started_at_ms = info->started_at_ms;
-    raise_versions(r, info->models, info->models_len);
+    r->is_listed_older = any_differs(r, info->models, info->models_len, false);
+    if (!any_differs(r, info->models, info->models_len, true))
+        r->ignores_listing = false;
+    if (!r->ignores_listing)
+        raise_versions(r, info->models, info->models_len);
 }
 
 void
@@ -378,12 +410,26 @@
     r->draining_until = now + ro->desc.drain_time_max;
 }
 
+/* A runner that is believed to be up to date, and is listed with an older
+   version, may have carried out an order of before its last restart. */
+static bool
+must_check(const bbm_rollout *ro, const runner *r, bbm_time now)
+{
+    return r->stage == RUNNER_IDLE && r->is_listed_older && !r->info.leaving
+           && now >= r->check_at && !pending_target(ro, r);
+}
+
 /* Begins the updates for which there are places.  A silent runner is asked for
    a report instead, and awaits its turn once it answers. */
 static void
 start_updates(bbm_rollout *ro, bbm_time now)
 {
     for (runner *r = ro->runners; r; r = r->hh.next) {
+        if (must_check(ro, r, now)) {
+            r->stage = RUNNER_NEW;
+            r->next_action_at = now;
+            r->check_at = now + LISTING_LAG_MAX;
+        }
         if (!awaits_turn(ro, r, now))
             continue;
         if (r->is_silent) {
@@ -430,7 +476,7 @@
             continue;
         switch (r->stage) {
         case RUNNER_NEW:
-            if (!pending_target(ro, r)) {
+            if (!pending_target(ro, r) && !r->is_listed_older) {
                 r->stage = RUNNER_IDLE;
                 break;
             }
@@ -477,8 +523,9 @@
 }
 
 static void
-record_answer(runner *r)
+record_answer(runner *r, bbm_time now)
 {
+    r->check_at = now + LISTING_LAG_MAX;
     r->consecutive_failures = 0;
     r->is_silent = false;
 }
@@ -548,6 +595,26 @@
     return report->sequence < accepted;
 }
 
+/* A report whose sequence number shows an order that this leader doesn't count
+   on is newer than all that it knows: its versions hold once that order has
+   ended, also lower ones. */
+static void
+apply_versions(runner *r, const bbm_runner_report *report)
+{
+    if (report->sequence > r->sequence + r->has_accepted)
+        r->has_unknown_order = true;
+    if (report->order_in_progress || !r->has_unknown_order) {
+        raise_versions(r, report->models, report->models_len);
+        return;
+    }
+    r->has_unknown_order = false;
+    r->ignores_listing =
+        any_differs(r, report->models, report->models_len, false);
+    for (size_t i = 0; i < report->models_len; i++)
+        bbm_listing_entry_set_version(&r->info, report->models[i].name,
+                                      report->models[i].version);
+}
+
 void
 bbm_rollout_apply_report(bbm_rollout *ro, const char *id,
                          const bbm_runner_report *report, bbm_time now)
@@ -579,10 +646,10 @@
         return;
     }
     bool was_silent = r->is_silent;
-    record_answer(r);
+    record_answer(r, now);
     if (report->started_at_ms)
         r->info.started_at_ms = report->started_at_ms;
-    raise_versions(r, report->models, report->models_len);
+    apply_versions(r, report);
     if (report->sequence > r->sequence || !report->order_in_progress)
         r->has_accepted = false;
     r->sequence = report->sequence;
@@ -607,7 +674,7 @@
     if (!r || r->stage != RUNNER_ORDERED)
         return;
     if (answer != BBM_ORDER_NO_ANSWER)
-        record_answer(r);
+        record_answer(r, now);
     switch (answer) {
     case BBM_ORDER_ACCEPTED:
         r->has_accepted = true;
--- a/rollout/bbm_rollout.h
+++ b/rollout/bbm_rollout.h
@@ -129,7 +129,9 @@
  *  isn't higher than the present one is ignored. */
 void bbm_rollout_set_target(bbm_rollout *ro, const char *model,
                             uint64_t version, bbm_time named_at);
-/** Replace the runners by the entries of the listing that have models. */
+/** Replace the runners by the entries of the listing that have models.  A
+ *  runner that is listed with an older version than it is believed to have is
+ *  asked for a report, if its last answer is more than 3 s old. */
 void bbm_rollout_set_runners(bbm_rollout *ro, const bbm_listing *listing);
 /** Set the load of a runner; no effect if there is no such runner. */
 void bbm_rollout_set_load(bbm_rollout *ro, const char *id,
@@ -138,7 +140,9 @@
 const bbm_rollout_action *bbm_rollout_next_action(bbm_rollout *ro,
                                                   bbm_time now);
 /** Process the report of a runner; NULL: it didn't answer.  Ignored unless a
- *  report was requested from that runner. */
+ *  report was requested from that runner.  A lower version than before is
+ *  believed if the sequence number shows an order that isn't one of this
+ *  rollout, or not known to be accepted. */
 void bbm_rollout_apply_report(bbm_rollout *ro, const char *id,
                               const bbm_runner_report *report, bbm_time now);
 /** Process the answer of a runner to an order; ignored unless an order was
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -366,7 +366,133 @@
 }
 END_TEST
 
-TEST_MAIN("rollout", report_from_before_the_order_is_not_believed,
+static bbm_runner_report
+make_report(uint64_t started_at_ms, uint64_t sequence, uint64_t version)
+{
+    bbm_runner_report report = {
+        .started_at_ms = started_at_ms, .sequence = sequence, .models_len = 1};
+    bbm_name_set(report.models[0].name, "m");
+    report.models[0].version = version;
+    return report;
+}
+
+/* Answers the reports before an order; expects the order. */
+static void
+expect_order(simulation *sim, const bbm_runner_report *report, int reports,
+             uint64_t version)
+{
+    for (int i = 0; i < reports; i++) {
+        expect_action(sim, false);
+        bbm_rollout_apply_report(sim->ro, "i-00", report, sim->now);
+    }
+    const bbm_rollout_action *act = expect_action(sim, true);
+    ck_assert_uint_eq(act->version, version);
+    ck_assert_uint_eq(act->sequence, report->sequence);
+}
+
+/* True if no action is due for a time. */
+static bool
+is_idle(simulation *sim, bbm_time span)
+{
+    bbm_time until = sim->now + span;
+    while (sim->now < until) {
+        sim->now += STEP_TIME;
+        bbm_rollout_set_runners(sim->ro, &sim->listing);
+        if (bbm_rollout_next_action(sim->ro, sim->now))
+            return false;
+    }
+    return true;
+}
+
+/* One runner that has version 3, the newest, and has restarted. */
+static void
+setup_restarted_runner(simulation *sim)
+{
+    setup(sim);
+    sim->listing.len = 1;
+    bbm_listing_entry *item = &sim->listing.items[0];
+    item->started_at_ms = 9;
+    item->models[0].version = 2;
+    bbm_rollout_set_target(sim->ro, "m", 3, sim->now);
+    bbm_runner_report report = make_report(9, 1, 2);
+    expect_order(sim, &report, 2, 3);
+    bbm_rollout_apply_answer(sim->ro, "i-00", BBM_ORDER_ACCEPTED, sim->now);
+    report = make_report(9, 2, 3);
+    expect_action(sim, false);
+    bbm_rollout_apply_report(sim->ro, "i-00", &report, sim->now);
+    ck_assert(is_idle(sim, BBM_SECOND));
+    item->started_at_ms = 10;
+    item->models[0].version = 3;
+    ck_assert(is_idle(sim, BBM_SECOND));
+}
+
+/* An unanswered order of before a restart, for version 2, is carried out after
+   it: the runner then serves old weights while the leader counts it as done.
+ */
+START_TEST(late_order_after_a_restart_is_followed_by_a_newer_one)
+{
+    simulation sim;
+    setup_restarted_runner(&sim);
+    sim.listing.items[0].models[0].version = 2;
+    bbm_runner_report report = make_report(10, 1, 3);
+    report.order_in_progress = true;
+    expect_action(&sim, false);
+    bbm_rollout_apply_report(sim.ro, "i-00", &report, sim.now);
+    report = make_report(10, 1, 2);
+    expect_order(&sim, &report, 1, 3);
+    teardown(&sim);
+}
+END_TEST
+
+/* The list may still have the version of before that order; believed, it ends
+   the update. */
+START_TEST(listing_of_before_a_late_order_is_not_believed)
+{
+    simulation sim;
+    setup_restarted_runner(&sim);
+    sim.listing.items[0].models[0].version = 2;
+    bbm_runner_report report = make_report(10, 1, 2);
+    expect_action(&sim, false);
+    bbm_rollout_apply_report(sim.ro, "i-00", &report, sim.now);
+    sim.listing.items[0].models[0].version = 3;
+    expect_order(&sim, &report, 1, 3);
+    bbm_rollout_apply_answer(sim.ro, "i-00", BBM_ORDER_ACCEPTED, sim.now);
+    report = make_report(10, 2, 3);
+    expect_action(&sim, false);
+    bbm_rollout_apply_report(sim.ro, "i-00", &report, sim.now);
+    ck_assert(is_idle(&sim, 5 * BBM_SECOND));
+    teardown(&sim);
+}
+END_TEST
+
+/* Neither a list that lags behind nor a report whose sequence number shows no
+   other order makes the runner load its weights again. */
+START_TEST(old_listing_and_old_report_bring_no_order)
+{
+    simulation sim;
+    setup_restarted_runner(&sim);
+    bbm_rollout_set_target(sim.ro, "m", 4, sim.now);
+    bbm_runner_report report = make_report(10, 0, 3);
+    expect_order(&sim, &report, 1, 4);
+    bbm_rollout_apply_answer(sim.ro, "i-00", BBM_ORDER_ACCEPTED, sim.now);
+    report = make_report(10, 1, 4);
+    expect_action(&sim, false);
+    bbm_rollout_apply_report(sim.ro, "i-00", &report, sim.now);
+    ck_assert(is_idle(&sim, 2 * BBM_SECOND));
+    for (int i = 0; i < 3; i++) {
+        report = make_report(10, (uint64_t)i % 2, 3);
+        expect_action(&sim, false);
+        bbm_rollout_apply_report(sim.ro, "i-00", &report, sim.now);
+    }
+    ck_assert(is_idle(&sim, 2 * BBM_SECOND));
+    teardown(&sim);
+}
+END_TEST
+
+TEST_MAIN("rollout", late_order_after_a_restart_is_followed_by_a_newer_one,
+          listing_of_before_a_late_order_is_not_believed,
+          old_listing_and_old_report_bring_no_order,
+          report_from_before_the_order_is_not_believed,
           runners_finish_their_requests_before_the_order,
           all_runners_get_the_newest_version, superseded_versions_are_skipped,
           delayed_orders_never_lower_a_version, loading_runners_are_marked,
