Test: children of a frozen VM count the age of weights from the naming

Their parent in the tree was frozen when a version was named, so they heard of it 1 s later from another VM.

--- a/tests/test_weights_age.c
+++ b/tests/test_weights_age.c
@@ -8,6 +8,8 @@
 #include <string.h>
 
 #define VMS 4
+/* VMs of a tree of two levels. */
+#define VMS_MAX 12
 /* The VM that hears of the version late; VM 0 leads. */
 #define LATE 3
 #define LATENESS (4 * BBM_SECOND)
@@ -42,12 +44,13 @@
 
 typedef struct world {
     fleet *fleet;
+    int vms;
     bbm_listing listing;
     uint64_t requests;
-    bool list_wanted[VMS];
+    bool list_wanted[VMS_MAX];
     bool report_wanted;
-    sent_request sent[VMS]; /* not yet answered; attempt 0: none */
-    bbm_time last_sent_at[VMS];
+    sent_request sent[VMS_MAX]; /* not yet answered; attempt 0: none */
+    bbm_time last_sent_at[VMS_MAX];
 } world;
 
 static void
@@ -114,7 +117,7 @@
     bbm_time end = fleet_now(f) + span;
     for (int i = 0; fleet_now(f) < end; i++) {
         fleet_step(f);
-        for (int vm = 0; vm < VMS; vm++) {
+        for (int vm = 0; vm < w->vms; vm++) {
             bbm_event ev = {.kind = BBM_EV_LISTING};
             ev.u.listing.listing = &w->listing;
             if (w->list_wanted[vm] && fleet_deliver(f, vm, &ev))
@@ -133,9 +136,9 @@
 }
 
 static void
-create_world(world *w)
+create_world_of(world *w, int vms)
 {
-    *w = (world){0};
+    *w = (world){.vms = vms};
     bbm_listing_entry u = {
         .pool = "p", .zone = "zone-0", .slots = 50, .models_len = 1};
     bbm_name_set(u.id, "runner");
@@ -145,7 +148,7 @@
     bbm_listing_add(&w->listing, &u);
     fleet_desc desc = {
         .seed = 41,
-        .nodes = VMS,
+        .nodes = w->vms,
         .seeds = 1,
         .disks = 1,
         .delay_max = BBM_MS,
@@ -163,6 +166,12 @@
     ck_assert_int_eq(fleet_leader(w->fleet), 0);
 }
 
+static void
+create_world(world *w)
+{
+    create_world_of(w, VMS);
+}
+
 static void
 destroy_world(world *w)
 {
@@ -198,7 +207,7 @@
     run(w, late_until);
     net_isolate(fleet_net(w->fleet), LATE, false);
     run(w, OLD_WEIGHTS_MAX + LATENESS + BBM_SECOND);
-    for (int vm = 0; vm < VMS; vm++)
+    for (int vm = 0; vm < w->vms; vm++)
         printf("VM %d used the old weights for %lld ms\n", vm,
                (long long)(used_for(w, vm, named_at) / BBM_MS));
     return named_at;
@@ -240,6 +249,23 @@
 }
 END_TEST
 
+/* VM 9 is the parent of VMs 6 to 8, which look for another one after two polls
+   without an answer. */
+START_TEST(children_of_a_frozen_vm_count_from_the_naming)
+{
+    world w;
+    create_world_of(&w, VMS_MAX);
+    fleet_freeze(w.fleet, 9, FREEZE_TIME);
+    bbm_time named_at = play(&w, LATENESS);
+    for (int vm = 0; vm < VMS_MAX; vm++) {
+        ck_assert_int_lt(used_for(&w, vm, named_at), OLD_WEIGHTS_MAX);
+        ck_assert_int_ge(used_for(&w, vm, named_at),
+                         OLD_WEIGHTS_MAX - UNUSED_TIME_MAX);
+    }
+    destroy_world(&w);
+}
+END_TEST
+
 /* One VM that hears late and one that hears in time have wrong calendars. */
 static void
 play_wrong_calendars(int64_t offset_ms, bool is_frozen)
@@ -322,6 +348,7 @@
 
 TEST_MAIN("weights_age", frozen_vm_counts_from_the_naming,
           cut_off_vm_counts_from_the_naming,
+          children_of_a_frozen_vm_count_from_the_naming,
           wrong_calendars_lose_no_more_than_the_unproved_age,
           wrong_calendar_of_the_leader_makes_no_vm_late,
           joining_vm_and_restarted_leader_count_from_the_naming);
