--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -266,6 +266,9 @@
     bool is_relaying;          /**< Another VM forwards it now. */
     uint64_t route_hash;       /**< Hash of the route's name. */
     bool tries_release;        /**< It goes to the build that is released. */
+    uint32_t release_overdue;  /**< Attempt that the evidence of a release has
+                                    as failed, as it waits for too long; 0:
+                                    none. */
     bool client_half_closed;   /**< Its client sends no more. */
     uint32_t relays;           /**< Number of VMs that were to forward it. */
     uint64_t relay_vms[GATE_RELAYS_MAX]; /**< These VMs, by hash. */
@@ -278,13 +281,14 @@
                                    run. */
     uint64_t failed_upstreams[GATE_FAILED_MAX]; /**< Upstreams that failed or
                                                      refused it, by hash. */
-    size_t failed_len;       /**< Number of these upstreams. */
-    gate_upstream *upstream; /**< Upstream of the current attempt, or NULL. */
-    bbm_time weights_until;  /**< As in gate_choice, of the current attempt. */
-    uint64_t upstream_run;   /**< Its start time when the attempt was sent, as
-                                  gate_run_of. */
-    uint32_t backlog_tokens; /**< Its part of the upstream's counter. */
-    uint32_t memory_tokens;  /**< Its part of the upstream's counter. */
+    size_t failed_len;        /**< Number of these upstreams. */
+    gate_upstream *upstream;  /**< Upstream of the current attempt, or NULL. */
+    uint64_t weights_version; /**< Version of the weights of the current
+                                   attempt's runner; 0: unknown. */
+    uint64_t upstream_run;    /**< Its start time when the attempt was sent, as
+                                   gate_run_of. */
+    uint32_t backlog_tokens;  /**< Its part of the upstream's counter. */
+    uint32_t memory_tokens;   /**< Its part of the upstream's counter. */
     char last_event_id[BBM_EVENT_ID_SIZE]; /**< Id of the last event that was
                                                 forwarded before the stream was
                                                 interrupted; "": not
@@ -302,7 +306,6 @@
     STAILQ_ENTRY(gate_queued_output) link; /**< Next in the queue. */
 } gate_queued_output;
 
-/** A gate. */
 /** Longest times between two events of this VM, other than those for which its
  *  process was stopped. */
 typedef struct gate_stalls {
@@ -311,6 +314,7 @@
     bbm_time window_at; /**< Begin of the current one. */
 } gate_stalls;
 
+/** A gate. */
 struct bbm_gate {
     bbm_gate_desc desc; /**< Parameters, with defaults set. */
     bbm_rng rng;        /**< Random number generator. */
@@ -907,6 +911,12 @@
 void gate_release_record_failure(bbm_gate *g, gate_request *r);
 /** Count the current attempt when the head of its answer is passed on. */
 void gate_release_record_head(bbm_gate *g, gate_request *r);
+/** Count the current attempt as failed if its answer hasn't begun long after
+ *  the expected time. */
+void gate_release_check_wait(bbm_gate *g, gate_request *r);
+/** Count the current attempt when its client leaves before the answer: that
+ *  would have taken longer than the client has waited. */
+void gate_release_record_leave(bbm_gate *g, gate_request *r);
 /** Count the current attempt when it has ended. */
 void gate_release_record_end(bbm_gate *g, gate_request *r,
                              const bbm_forward_result *result);
--- a/gate/gate_weights.c
+++ b/gate/gate_weights.c
@@ -9,8 +9,10 @@
    clients wait for long. */
 #define WAIT_MAX (3 * BBM_SECOND)
 /* Time in which a runner notices that an attempt there has been ended: by a VM
-   with little processor time, over a busy link. */
+   with little processor time, over a busy link.  Of this the link may take
+   LINK_TIME; a VM that was later than the rest keeps more. */
 #define END_TIME (400 * BBM_MS)
+#define LINK_TIME (100 * BBM_MS)
 /* Time in which the news of a version reaches all VMs. */
 #define NEWS_TIME (100 * BBM_MS)
 /* A VM that was late to process an event may be as late again for this long.
@@ -36,10 +38,9 @@
 bbm_time
 bbm_gate_old_weights_unused_after(const bbm_gate *g)
 {
-    bbm_time after =
-        g->desc.old_weights_max - GATE_STREAM_SILENCE_MIN - END_TIME;
-    return after > g->desc.old_weights_grace ? after
-                                             : g->desc.old_weights_grace;
+    bbm_time max = g->desc.old_weights_max;
+    bbm_time after = max - GATE_STREAM_SILENCE_MIN - END_TIME;
+    return after > max / 2 ? after : max / 2;
 }
 
 gate_weights_age
@@ -67,15 +68,20 @@
         r->silence_limit > WAIT_MAX ? r->silence_limit : WAIT_MAX;
     if (wait > wait_max)
         wait = wait_max;
-    return g->now + wait + END_TIME + gate_longest_stall(g) >= age->until;
+    bbm_time end_time = gate_longest_stall(g) + LINK_TIME;
+    if (end_time < END_TIME)
+        end_time = END_TIME;
+    return g->now + wait + end_time >= age->until;
 }
 
 bool
 gate_must_end_attempt(const bbm_gate *g, const gate_request *r)
 {
-    return r->stage == GATE_SENT && !r->is_relaying
-           && r->weights_until != BBM_NEVER
-           && g->now + END_TIME >= r->weights_until;
+    if (r->stage != GATE_SENT || r->is_relaying || !r->weights_version)
+        return false;
+    gate_weights_age age = gate_age_of_weights(
+        g, gate_find_weights(g, r->model), r->weights_version);
+    return age.until != BBM_NEVER && g->now + END_TIME >= age.until;
 }
 
 void
--- a/node/node_gate.c
+++ b/node/node_gate.c
@@ -21,10 +21,7 @@
    lets a control group form or elect a leader first. */
 #define CATCH_UP_TIMEOUT (4 * BBM_SECOND)
 /* The age of a version is never taken to be lower than that of the view less
-   this time.  Views of VMs that hear of all in time are younger: of 200 VMs,
-   96 to 99 in 100 at any moment, and all are 2.4 s old at most.  By default no
-   request starts on weights 8 s after they were overtaken; 10 s are allowed.
- */
+   this time, which views of VMs that hear of all in time seldom exceed. */
 #define UNPROVED_AGE_MAX (1500 * BBM_MS)
 /* Period of log lines about invalid notices of upstreams. */
 #define INVALID_NOTICE_LOG_PERIOD (60 * BBM_SECOND)
--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -1,5 +1,6 @@
 #include "bbm_rollout.h"
 
+#include "bbm_hash.h"
 #include "bbm_table.h"
 #include "bbm_versions.h"
 
@@ -35,14 +36,21 @@
 /* Time after an answer of a runner in which the listing may still have
    versions of before it: it lags by 0.8 s, and is read each second. */
 #define LISTING_LAG_MAX (3 * BBM_SECOND)
+/* Assumed time of an update until some have ended, and weight of each that
+   ends in the smoothed time. */
+#define UPDATE_TIME_FIRST BBM_SECOND
+#define UPDATE_TIME_WEIGHT 0.1
+/* Maximum share of the runners that have places if time is short. */
+#define URGENT_CONCURRENT_SHARE 0.5
 
 /* Stages after RUNNER_IDLE count as in progress. */
 typedef enum runner_stage {
     RUNNER_NEW,             /* a report is to be requested, before its turn */
     RUNNER_QUERIED,         /* waiting for that report */
     RUNNER_IDLE,            /* is up to date, or waits for its turn */
-    RUNNER_DRAINING,        /* gets no new requests */
-    RUNNER_DRAINED_QUERIED, /* waiting for the report before the order */
+    RUNNER_CHOSEN,          /* its report is due; gets no new requests */
+    RUNNER_CHOSEN_QUERIED,  /* waiting for that report */
+    RUNNER_DRAINING,        /* has answered; its open requests end */
     RUNNER_ORDERED,         /* the order is due, or waiting for its answer */
     RUNNER_LOADING,         /* accepted the order */
     RUNNER_LOADING_QUERIED, /* waiting for a report while it loads */
@@ -60,13 +68,18 @@
     bool ignores_listing; /* until that no longer has a newer version than the
                              runner reported */
     bbm_time check_at;    /* is_listed_older counts from then on */
+    bool is_loading;      /* accepted the order of this update */
     bbm_time next_action_at;       /* BBM_NEVER while waiting for an answer */
     uint32_t consecutive_failures; /* requests without an answer */
+    uint64_t draw;                 /* hash of the id */
+    uint32_t failed_orders;        /* accepted ones that left the weights as
+                                      they were, since one changed them */
     bool is_silent;      /* the last request has no answer, or VMs suspect that
                             it has failed; false once it answers */
     bool is_suspected;   /* by VMs, as last told */
     bool answers_lately; /* as last told */
     bbm_time report_timeout;
+    bbm_time chosen_at;
     bbm_time draining_until;   /* latest time of the order */
     bbm_time backoff_until;    /* no update starts before this time */
     double open_requests;      /* in progress on it, of all VMs */
@@ -84,6 +97,7 @@
 
 struct bbm_rollout {
     bbm_rollout_desc desc;
+    double update_time; /* smoothed, of the updates that have ended */
     runner *runners;
     target *targets;
     bbm_rollout_action action;
@@ -107,6 +121,7 @@
         ro->desc.drain_time_min = DEFAULT_DRAIN_TIME_MIN;
     if (!ro->desc.slow_time_max)
         ro->desc.slow_time_max = DEFAULT_SLOW_TIME_MAX;
+    ro->update_time = (double)UPDATE_TIME_FIRST;
     return ro;
 }
 
@@ -155,6 +170,8 @@
     r->is_listed_older = false;
     r->ignores_listing = false;
     r->check_at = 0;
+    r->is_loading = false;
+    r->failed_orders = 0;
     r->next_action_at = 0;
     r->consecutive_failures = 0;
     r->is_silent = false;
@@ -198,17 +215,19 @@
     if (!r) {
         r = bbm_calloc(1, sizeof(*r));
         bbm_name_set(r->info.id, info->id);
+        r->draw = bbm_hash64(info->id, strlen(info->id), 0);
         HASH_ADD_KEYPTR(hh, ro->runners, r->info.id, strlen(r->info.id), r);
         reset_runner(r, info);
     }
     else if (info->started_at_ms && r->info.started_at_ms
-             && info->started_at_ms != r->info.started_at_ms) {
+             && info->started_at_ms > r->info.started_at_ms) {
         reset_runner(r, info);
     }
     r->listed = true;
     r->info.leaving = info->leaving;
     memcpy(r->info.address, info->address, sizeof(r->info.address));
-    if (info->started_at_ms)
+    /* A report may tell of a restart before the listing does. */
+    if (info->started_at_ms > r->info.started_at_ms)
         r->info.started_at_ms = info->started_at_ms;
     r->is_listed_older = any_differs(r, info->models, info->models_len, false);
     if (!any_differs(r, info->models, info->models_len, true))
@@ -244,8 +263,6 @@
 {
     bool is_new = load->is_suspected && !r->is_suspected;
     r->is_suspected = load->is_suspected;
-    if (is_new && r->stage == RUNNER_DRAINING)
-        r->stage = RUNNER_IDLE;
     if (r->stage != RUNNER_IDLE)
         return;
     if (is_new)
@@ -297,30 +314,21 @@
         &t->versions, bbm_listing_entry_version(&r->info, t->model));
 }
 
-/* True if its weights are so old that it gets no new requests anyway. */
-static bool
-is_unused(const bbm_rollout *ro, const runner *r, bbm_time now)
-{
-    const target *t = pending_target(ro, r);
-    return ro->desc.unused_after && t
-           && now - overtaken_at(r, t) >= ro->desc.unused_after;
-}
-
 /* The places limit how much capacity a rollout takes from the clients.  A
-   runner that doesn't answer, or gets no requests, takes none; with a place it
-   would keep out one that makes progress. */
+   runner that doesn't answer takes none; with a place it would keep out one
+   that makes progress. */
 static bool
-has_place(const bbm_rollout *ro, const runner *r, bbm_time now)
+has_place(const runner *r)
 {
-    return is_in_progress(r) && !r->is_silent && !is_unused(ro, r, now);
+    return is_in_progress(r) && !r->is_silent;
 }
 
 static size_t
-count_places(const bbm_rollout *ro, bbm_time now)
+count_places(const bbm_rollout *ro)
 {
     size_t n = 0;
     for (const runner *r = ro->runners; r; r = r->hh.next)
-        n += has_place(ro, r, now);
+        n += has_place(r);
     return n;
 }
 
@@ -357,31 +365,108 @@
            && backlog <= ro->desc.slow_backlog_ms * (double)updated;
 }
 
+/* Expected time of an update.  Short updates end first, so those that already
+   take longer than the mean count with the time that they have taken. */
+static double
+expected_update_time(const bbm_rollout *ro, bbm_time now)
+{
+    double sum = 0;
+    size_t n = 0;
+    for (const runner *r = ro->runners; r; r = r->hh.next) {
+        if (!has_place(r))
+            continue;
+        sum += fmax((double)(now - r->chosen_at), ro->update_time);
+        n++;
+    }
+    return n ? sum / (double)n : ro->update_time;
+}
+
+/* Part of its update that a runner still needs, from 0 to 1. */
+static double
+remaining_update(const runner *r, double update_time, bbm_time now)
+{
+    if (!is_in_progress(r))
+        return 1;
+    return fmax(0, 1 - (double)(now - r->chosen_at) / update_time);
+}
+
+/* Adds up the remaining updates of the runners by the version that overtook
+   theirs; without silent runners. */
+static void
+sum_remaining_updates(const bbm_rollout *ro, const target *t,
+                      double update_time, bbm_time now, double *sums)
+{
+    for (const runner *r = ro->runners; r; r = r->hh.next) {
+        if (r->is_silent || r->info.leaving || pending_target(ro, r) != t)
+            continue;
+        size_t i = 0;
+        while (i + 1 < t->versions.len
+               && t->versions.named_at[i] < overtaken_at(r, t))
+            i++;
+        sums[i] += remaining_update(r, update_time, now);
+    }
+}
+
+/* Number of places with which the update of each runner begins half an update
+   time before its weights get no requests any more.  With p places, p updates
+   begin at once and p more in each update time.  Runners with older weights
+   come first, so each age needs places for all runners that are at least as
+   old. */
+static double
+urgent_concurrent(const bbm_rollout *ro, bbm_time now)
+{
+    if (!ro->desc.unused_after)
+        return 0;
+    double time = expected_update_time(ro, now);
+    double most = 0;
+    for (const target *t = ro->targets; t; t = t->hh.next) {
+        double sums[BBM_VERSIONS_MAX] = {0};
+        sum_remaining_updates(ro, t, time, now, sums);
+        double updates = 0;
+        for (size_t i = 0; i < t->versions.len; i++) {
+            bbm_time left =
+                t->versions.named_at[i] + ro->desc.unused_after - now;
+            updates += sums[i];
+            most = fmax(most,
+                        updates * time / (fmax((double)left, 0) + time / 2));
+        }
+    }
+    return most;
+}
+
 /* Number of places. */
 static size_t
 concurrent_max(const bbm_rollout *ro, bbm_time now)
 {
     if (can_proceed_slowly(ro, now))
         return ro->desc.slow_concurrent;
-    double share = (double)count_answering(ro) * ro->desc.concurrent_share;
-    size_t n = (size_t)ceil(share);
+    double answering = (double)count_answering(ro);
+    double urgent =
+        fmin(urgent_concurrent(ro, now), answering * URGENT_CONCURRENT_SHARE);
+    size_t n =
+        (size_t)ceil(fmax(urgent, answering * ro->desc.concurrent_share));
     return n > ro->desc.concurrent_min ? n : ro->desc.concurrent_min;
 }
 
-/* A runner that is known to work comes first; then the one with the older
-   weights, as their permitted time of use ends first; then the less busy one,
-   as its requests end sooner. */
+/* A runner whose last orders changed its weights, and one that is known to
+   work, comes first; then the one with the older weights, as their permitted
+   time of use ends first; then the less busy one, as its requests end
+   sooner. */
 static bool
 comes_before(const bbm_rollout *ro, const runner *a, const runner *b)
 {
-    const target *t = pending_target(ro, a);
-    uint64_t has_a = bbm_listing_entry_version(&a->info, t->model);
-    uint64_t has_b = bbm_listing_entry_version(&b->info, t->model);
+    if (a->failed_orders != b->failed_orders)
+        return a->failed_orders < b->failed_orders;
     if (a->answers_lately != b->answers_lately)
         return a->answers_lately;
-    if (has_a != has_b)
-        return has_a < has_b;
-    return a->open_requests < b->open_requests;
+    bbm_time since_a = overtaken_at(a, pending_target(ro, a));
+    bbm_time since_b = overtaken_at(b, pending_target(ro, b));
+    if (since_a != since_b)
+        return since_a < since_b;
+    if (a->open_requests != b->open_requests)
+        return a->open_requests < b->open_requests;
+    /* Any order that doesn't prefer a model. */
+    return a->draw < b->draw;
 }
 
 static bool
@@ -403,10 +488,12 @@
 }
 
 static void
-start_draining(const bbm_rollout *ro, runner *r, bbm_time now)
+choose_runner(const bbm_rollout *ro, runner *r, bbm_time now)
 {
-    r->stage = RUNNER_DRAINING;
-    r->next_action_at = now + ro->desc.drain_time_min;
+    r->stage = RUNNER_CHOSEN;
+    r->next_action_at = now;
+    r->chosen_at = now;
+    r->is_loading = false;
     r->draining_until = now + ro->desc.drain_time_max;
 }
 
@@ -430,21 +517,16 @@
             r->next_action_at = now;
             r->check_at = now + LISTING_LAG_MAX;
         }
-        if (!awaits_turn(ro, r, now))
-            continue;
-        if (r->is_silent) {
+        if (r->is_silent && awaits_turn(ro, r, now)) {
             r->stage = RUNNER_NEW;
             r->next_action_at = now;
         }
-        else if (is_unused(ro, r, now)) {
-            start_draining(ro, r, now);
-        }
     }
     size_t max = concurrent_max(ro, now);
     runner *r;
-    for (size_t n = count_places(ro, now);
+    for (size_t n = count_places(ro);
          n < max && (r = next_runner(ro, now)) != NULL; n++)
-        start_draining(ro, r, now);
+        choose_runner(ro, r, now);
 }
 
 /* ---- actions ---- */
@@ -465,6 +547,27 @@
     return &ro->action;
 }
 
+static void
+record_update(bbm_rollout *ro, const runner *r, bbm_time now)
+{
+    double time = (double)(now - r->chosen_at);
+    ro->update_time += (time - ro->update_time) * UPDATE_TIME_WEIGHT;
+}
+
+static void
+prepare_order(bbm_rollout *ro, runner *r, bbm_time now)
+{
+    const target *t = pending_target(ro, r);
+    if (!t) {
+        r->stage = RUNNER_IDLE;
+        return;
+    }
+    bbm_name_set(r->model, t->model);
+    r->version = bbm_versions_newest(&t->versions);
+    r->stage = RUNNER_ORDERED;
+    r->next_action_at = now;
+}
+
 const bbm_rollout_action *
 bbm_rollout_next_action(bbm_rollout *ro, bbm_time now)
 {
@@ -483,21 +586,23 @@
             r->stage = RUNNER_QUERIED;
             r->next_action_at = BBM_NEVER;
             return make_action(ro, r, false);
-        case RUNNER_DRAINING:
-            if (r->open_requests > 0 && now < r->draining_until) {
-                r->next_action_at = now + DRAIN_CHECK_PERIOD;
-                break;
-            }
-            r->stage = RUNNER_DRAINED_QUERIED;
+        case RUNNER_CHOSEN:
+            r->stage = RUNNER_CHOSEN_QUERIED;
             r->next_action_at = BBM_NEVER;
             return make_action(ro, r, false);
+        case RUNNER_DRAINING:
+            if (r->open_requests > 0 && now < r->draining_until)
+                r->next_action_at = now + DRAIN_CHECK_PERIOD;
+            else
+                prepare_order(ro, r, now);
+            break;
         case RUNNER_LOADING:
             r->stage = RUNNER_LOADING_QUERIED;
             r->next_action_at = BBM_NEVER;
             return make_action(ro, r, false);
         case RUNNER_IDLE:
         case RUNNER_QUERIED:
-        case RUNNER_DRAINED_QUERIED:
+        case RUNNER_CHOSEN_QUERIED:
         case RUNNER_ORDERED:
         case RUNNER_LOADING_QUERIED:
             break;
@@ -519,6 +624,8 @@
 back_off(runner *r, bbm_time now)
 {
     r->stage = RUNNER_IDLE;
+    /* The answer may have been one to an order of before a restart. */
+    r->has_accepted = false;
     r->backoff_until = now + BACKOFF_TIME;
 }
 
@@ -530,12 +637,17 @@
     r->is_silent = false;
 }
 
-/* The runner gives its place back.  Its request is repeated a few times; then
-   it is asked for a report now and then. */
+/* The request is repeated a few times; then the runner is asked for a report
+   now and then.  It gives its place back at once, unless it may be loading:
+   then it serves nobody, also if just an answer was lost. */
 static void
 on_no_answer(runner *r, runner_stage retry_stage, bbm_time now)
 {
-    r->is_silent = true;
+    bool may_load =
+        retry_stage == RUNNER_ORDERED || retry_stage == RUNNER_LOADING;
+    bool is_last =
+        r->consecutive_failures + 1 >= CONSECUTIVE_FAILURES_MAX_COUNT;
+    r->is_silent = r->is_silent || !may_load || is_last;
     if (r->report_timeout < REPORT_TIMEOUT_MAX)
         r->report_timeout *= 2;
     if (++r->consecutive_failures >= CONSECUTIVE_FAILURES_MAX_COUNT) {
@@ -547,26 +659,12 @@
     r->backoff_until = r->next_action_at;
 }
 
-static void
-prepare_order(bbm_rollout *ro, runner *r, bbm_time now)
-{
-    const target *t = pending_target(ro, r);
-    if (!t) {
-        r->stage = RUNNER_IDLE;
-        return;
-    }
-    bbm_name_set(r->model, t->model);
-    r->version = bbm_versions_newest(&t->versions);
-    r->stage = RUNNER_ORDERED;
-    r->next_action_at = now;
-}
-
 static void
 apply_no_report(runner *r, bbm_time now)
 {
     switch (r->stage) {
-    case RUNNER_DRAINED_QUERIED:
-        on_no_answer(r, RUNNER_DRAINING, now);
+    case RUNNER_CHOSEN_QUERIED:
+        on_no_answer(r, RUNNER_CHOSEN, now);
         return;
     case RUNNER_LOADING_QUERIED:
         on_no_answer(r, RUNNER_LOADING, now);
@@ -574,6 +672,7 @@
     case RUNNER_NEW:
     case RUNNER_QUERIED:
     case RUNNER_IDLE:
+    case RUNNER_CHOSEN:
     case RUNNER_DRAINING:
     case RUNNER_ORDERED:
     case RUNNER_LOADING:
@@ -582,6 +681,23 @@
     }
 }
 
+/* Ends an update whose order was accepted.  If the runner still lacks the
+   newest version, it awaits its turn: without requests it would serve nobody
+   where versions follow fast, and one that keeps its weights would hold a
+   place for ever. */
+static void
+end_update(bbm_rollout *ro, runner *r, bbm_time now)
+{
+    if (bbm_listing_entry_version(&r->info, r->model) < r->version) {
+        r->failed_orders++;
+        back_off(r, now);
+        return;
+    }
+    record_update(ro, r, now);
+    r->failed_orders = 0;
+    r->stage = RUNNER_IDLE;
+}
+
 /* True for a report from before the last one, or from before the last order,
    that comes late.  The next order would have an old sequence number.  Without
    the start of the runner a lower number may be that of a restarted one. */
@@ -590,6 +706,8 @@
 {
     if (!report->started_at_ms)
         return false;
+    if (report->started_at_ms < r->info.started_at_ms)
+        return true;
     uint64_t accepted =
         r->sequence + (r->has_accepted && !report->order_in_progress);
     return report->sequence < accepted;
@@ -621,18 +739,19 @@
 {
     runner *r = find_runner(ro, id);
     bool awaited = r
-                   && (r->stage == RUNNER_DRAINED_QUERIED
+                   && (r->stage == RUNNER_CHOSEN_QUERIED
                        || r->stage == RUNNER_LOADING_QUERIED
                        || r->stage == RUNNER_QUERIED);
     if (!awaited)
         return;
     bool was_first_query = r->stage == RUNNER_QUERIED;
+    bool was_chosen = r->stage == RUNNER_CHOSEN_QUERIED;
     if (!report) {
         apply_no_report(r, now);
         return;
     }
-    if (report->started_at_ms && r->info.started_at_ms
-        && report->started_at_ms != r->info.started_at_ms) {
+    if (r->info.started_at_ms
+        && report->started_at_ms > r->info.started_at_ms) {
         /* The runner has restarted. */
         bbm_listing_entry info = r->info;
         info.started_at_ms = report->started_at_ms;
@@ -654,14 +773,24 @@
         r->has_accepted = false;
     r->sequence = report->sequence;
     if (report->order_in_progress) {
+        /* The update has begun before, or was silent meanwhile. */
+        if (was_first_query || was_silent)
+            r->chosen_at = now;
         r->stage = RUNNER_LOADING;
         r->next_action_at = now + REPORT_POLL_PERIOD;
         return;
     }
-    bool has_turn =
-        !was_silent || count_places(ro, now) <= concurrent_max(ro, now);
-    if (was_first_query || !has_turn)
+    if (was_chosen) {
+        bool has_turn =
+            !was_silent || count_places(ro) <= concurrent_max(ro, now);
+        r->stage = has_turn ? RUNNER_DRAINING : RUNNER_IDLE;
+        r->next_action_at = r->chosen_at + ro->desc.drain_time_min;
+        return;
+    }
+    if (was_first_query)
         r->stage = RUNNER_IDLE;
+    else if (r->is_loading)
+        end_update(ro, r, now);
     else
         prepare_order(ro, r, now);
 }
@@ -678,6 +807,7 @@
     switch (answer) {
     case BBM_ORDER_ACCEPTED:
         r->has_accepted = true;
+        r->is_loading = true;
         r->stage = RUNNER_LOADING;
         r->next_action_at = now + FIRST_REPORT_DELAY;
         return;
@@ -728,7 +858,7 @@
     bbm_rollout_progress p = {.runners = HASH_COUNT(ro->runners)};
     for (const runner *r = ro->runners; r; r = r->hh.next) {
         const target *t = pending_target(ro, r);
-        p.in_progress += has_place(ro, r, now);
+        p.in_progress += has_place(r);
         if (!t)
             continue;
         p.pending++;
