--- a/daemon/connections.c
+++ b/daemon/connections.c
@@ -4,9 +4,12 @@
 #include "bbm_mem.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <uthash.h>
@@ -18,6 +21,11 @@
 /* Addresses that are remembered as sending answers twice. */
 #define REPEATERS_MAX 1024
 
+/* A shorter body mostly arrives and is read with the head of its request.  A
+   longer one may lie unread in the receive buffer of the upstream, which then
+   resets the connection when it closes it. */
+#define READ_WITH_HEAD_BYTES ((size_t)16 * 1024)
+
 connection_counts connection_count;
 
 typedef struct connection_key {
@@ -35,7 +43,9 @@
 typedef struct connection {
     connection_key key;
     int fd;
-    bool refused; /* it has brought a refusal */
+    bool refused;      /* it has brought a refusal */
+    bool watched;      /* its end is kept */
+    bool long_request; /* the one whose answer ends with the connection */
     uint64_t number;
     uint64_t *ids; /* hashes of the ids that it has carried */
     size_t ids_len;
@@ -44,8 +54,17 @@
     UT_hash_handle by_fd; /* by socket */
 } connection;
 
+/* How a watched connection ended. */
+typedef struct connection_end {
+    uint64_t number;
+    bool early; /* bytes of the request weren't acknowledged, or a reset */
+    int fd;     /* still open, as a reset may follow; -1: closed */
+    UT_hash_handle hh;
+} connection_end;
+
 struct connections {
     repeater *repeaters;
+    connection_end *ends;
     connection *by_key;
     connection *by_fd;
     uint64_t opened; /* connections, as numbers */
@@ -66,6 +85,15 @@
     free(n);
 }
 
+static void
+drop_end(connections *c, connection_end *e)
+{
+    if (e->fd >= 0)
+        close(e->fd);
+    HASH_DEL(c->ends, e);
+    free(e);
+}
+
 void
 connections_destroy(connections *c)
 {
@@ -82,6 +110,11 @@
         HASH_DEL(c->repeaters, r);
         free(r);
     }
+    connection_end *e, *next_end;
+    HASH_ITER(hh, c->ends, e, next_end)
+    {
+        drop_end(c, e);
+    }
     free(c);
 }
 
@@ -280,12 +313,94 @@
                        (const char *[4]){"fault", fault});
 }
 
+/* ---- ends ---- */
+
+static connection_end *
+find_end(const connections *c, const connection_use *u)
+{
+    connection_end *e = NULL;
+    HASH_FIND(hh, c->ends, &u->number, sizeof(u->number), e);
+    return e;
+}
+
+/* Bytes written to a socket that the other machine hasn't acknowledged.  The
+   end of a connection acknowledges all that has arrived by then, so a machine
+   whose process has read the whole request leaves none. */
+static int
+unacknowledged_bytes(int fd)
+{
+    int bytes = 0;
+    return ioctl(fd, SIOCOUTQ, &bytes) < 0 ? 0 : bytes;
+}
+
+/* A reset behind the end of the other side's bytes is no error to read(). */
+static bool
+was_reset(int fd)
+{
+    int error = 0;
+    socklen_t len = sizeof(error);
+    return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0
+           && (error == EPIPE || error == ECONNRESET);
+}
+
+/* Returns true if the socket stays open. */
+static bool
+keep_end(connections *c, const connection *n)
+{
+    connection_end *e = bbm_calloc(1, sizeof(*e));
+    e->number = n->number;
+    e->early = unacknowledged_bytes(n->fd) > 0 || was_reset(n->fd);
+    e->fd = n->long_request && !e->early ? n->fd : -1;
+    HASH_ADD(hh, c->ends, number, sizeof(e->number), e);
+    return e->fd >= 0;
+}
+
+void
+connections_watch_end(connections *c, const connection_use *u, size_t body_len)
+{
+    connection *n = find_by_socket(c, u->socket);
+    if (!n)
+        return;
+    n->watched = true;
+    n->long_request = body_len > READ_WITH_HEAD_BYTES;
+}
+
+bool
+connections_may_be_reset(const connections *c, const connection_use *u)
+{
+    const connection_end *e = find_end(c, u);
+    return e && e->fd >= 0;
+}
+
+bool
+connections_ended_early(connections *c, const connection_use *u)
+{
+    connection_end *e = find_end(c, u);
+    if (!e)
+        return false;
+    if (e->fd >= 0 && was_reset(e->fd))
+        e->early = true;
+    return e->early;
+}
+
+void
+connections_drop_end(connections *c, const connection_use *u)
+{
+    connection_end *e = find_end(c, u);
+    connection *n = find_by_socket(c, u->socket);
+    if (e)
+        drop_end(c, e);
+    else if (n && n->number == u->number)
+        n->watched = false;
+}
+
 int
 connections_close(void *table, int fd)
 {
     connections *c = table;
     connection *n = find_by_socket(c, fd);
+    bool stays_open = n && n->watched && keep_end(c, n);
     if (n)
         forget(c, n);
-    return close(fd);
+    return stays_open ? 0 : close(fd);
 }
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -174,6 +174,18 @@
                                     x->start.upstream, fault);
 }
 
+/* Over TLS the connection doesn't show when the request was acknowledged: it
+   is closed behind a message of TLS itself. */
+static void
+watch_end(const traffic_transfer *x)
+{
+    bool tls = strncasecmp(x->start.url, "https:", 6) == 0;
+    if (x->ex->body.len && !tls
+        && calls_is_unframed_success(x->easy, x->reader))
+        connections_watch_end(x->thread->connections, &x->connection,
+                              x->ex->body.len);
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *context)
 {
@@ -187,8 +199,10 @@
     case ANSWER_LINE_FIELD:
         parse_field(x, &line);
         break;
-    case ANSWER_LINE_INTERIM_END:
     case ANSWER_LINE_HEAD_END:
+        watch_end(x);
+        break;
+    case ANSWER_LINE_INTERIM_END:
         break;
     case ANSWER_LINE_MALFORMED:
         record_malformed(x, line.u.fault);
@@ -343,6 +357,7 @@
     HASH_DEL(t->transfers, x);
     calls_remove(t->calls, x->easy);
     curl_easy_cleanup(x->easy);
+    connections_drop_end(t->connections, &x->connection);
     curl_slist_free_all(x->headers);
     answer_reader_destroy(x->reader);
     answer_parser_free(&x->parser);
@@ -411,7 +426,8 @@
 finish(traffic *t, traffic_transfer *x, CURLcode libcurl_rc)
 {
     CURLcode rc =
-        calls_result(x->easy, libcurl_rc, x->reader, x->ex->body.len);
+        calls_result(x->easy, libcurl_rc, x->reader, x->ex->body.len,
+                     connections_ended_early(t->connections, &x->connection));
     /* libcurl doesn't call on_data for an answer without a body. */
     bool empty = rc == CURLE_OK && !x->answer_started && !x->rejected;
     if (empty)
@@ -427,6 +443,15 @@
     free_transfer(t, x);
 }
 
+static bool
+may_be_reset(void *context, CURL *easy)
+{
+    const traffic *t = context;
+    traffic_transfer *x = NULL;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &x);
+    return connections_may_be_reset(t->connections, &x->connection);
+}
+
 static void
 on_done(void *context, CURL *easy, CURLcode code)
 {
@@ -534,6 +559,7 @@
         .context = t,
         .run_job = run_job,
         .transfer_done = on_done,
+        .may_be_reset = may_be_reset,
         .before_poll = check_time_limits,
         .free_job = free_job,
         .wait_ms = POLL_WAIT_MS,
