--- a/rollout/bbm_rollout.c
+++ b/rollout/bbm_rollout.c
@@ -37,9 +37,6 @@
    ends in the smoothed time. */
 #define UPDATE_TIME_FIRST BBM_SECOND
 #define UPDATE_TIME_WEIGHT 0.1
-/* Period of the computation of the places that are needed: for each action it
-   took a quarter of the processor time of test_rollout_silent. */
-#define URGENT_UPDATE_PERIOD (50 * BBM_MS)
 /* Maximum share of the runners that have places if time is short. */
 #define URGENT_CONCURRENT_SHARE 0.5
 
@@ -92,8 +89,6 @@
 struct bbm_rollout {
     bbm_rollout_desc desc;
     double update_time; /* smoothed, of the updates that have ended */
-    double urgent;      /* places needed so that no weights become too old */
-    bbm_time urgent_at; /* when that was computed */
     runner *runners;
     target *targets;
     bbm_rollout_action action;
@@ -386,7 +381,7 @@
    come first, so each age needs places for all runners that are at least as
    old. */
 static double
-compute_urgent(const bbm_rollout *ro, bbm_time now)
+urgent_concurrent(const bbm_rollout *ro, bbm_time now)
 {
     if (!ro->desc.unused_after)
         return 0;
@@ -407,15 +402,6 @@
     return most;
 }
 
-static void
-update_urgent(bbm_rollout *ro, bbm_time now)
-{
-    if (now - ro->urgent_at < URGENT_UPDATE_PERIOD)
-        return;
-    ro->urgent = compute_urgent(ro, now);
-    ro->urgent_at = now;
-}
-
 /* Number of places. */
 static size_t
 concurrent_max(const bbm_rollout *ro, bbm_time now)
@@ -423,7 +409,8 @@
     if (can_proceed_slowly(ro, now))
         return ro->desc.slow_concurrent;
     double answering = (double)count_answering(ro);
-    double urgent = fmin(ro->urgent, answering * URGENT_CONCURRENT_SHARE);
+    double urgent =
+        fmin(urgent_concurrent(ro, now), answering * URGENT_CONCURRENT_SHARE);
     size_t n =
         (size_t)ceil(fmax(urgent, answering * ro->desc.concurrent_share));
     return n > ro->desc.concurrent_min ? n : ro->desc.concurrent_min;
@@ -489,7 +476,6 @@
             r->next_action_at = now;
         }
     }
-    update_urgent(ro, now);
     size_t max = concurrent_max(ro, now);
     runner *r;
     for (size_t n = count_places(ro);
