A reset soon after the end of an answer is seen

Cause: read() says nothing of a reset that comes behind the end of the other side's bytes, and the connection was closed before it came. Nothing that the sender's machine knows at the end tells a request that was read from one that lies in a buffer: measured with 20,000 to 100,000 bytes and a buffer of the default size, and with up to 1,000,000 bytes and one of 1 MiB.

Change: where a request of more than 16 KiB, or bytes in flight, may be unread at the end of such an answer, the end is held back for 50 ms with the connection open. Then the answer is whole if all is acknowledged and nothing was reset. A reset that is already there when the end is read counts for requests of all lengths. A runner that has read its request and closes the connection sends no reset: TCP does so only where unread bytes are thrown away, or a process asks for it. Answers with a length or in chunks, refusals and shorter requests don't wait; nor does the close after a cancellation.

Test: success_to_a_request_that_was_not_read_is_cut in test_answer_heads, now also with 60,000 bytes, and for requests that another VM forwards.

--- a/daemon/calls.c
+++ b/daemon/calls.c
@@ -1,20 +1,34 @@
 #include "calls.h"
 
 #include "bbm_mem.h"
+#include "control.h"
 #include "mailbox.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 /* Jobs that may be queued, plus one; a power of two. */
 #define MAILBOX_SIZE 16384
 
+/* Time for which the end of an answer is held back if its connection may be
+   reset behind it.  A reset was seen 20 ms behind the end. */
+#define RESET_WAIT (50 * BBM_MS)
+
+/* A finished transfer that isn't reported yet. */
+typedef struct held_end {
+    CURL *easy; /* its result is CURLE_OK */
+    bbm_time until;
+    struct held_end *prev, *next;
+} held_end;
+
 struct calls {
     calls_desc desc;
     mailbox *jobs;
     CURLM *multi;
+    held_end *held; /* the first to be reported first */
     pthread_t thread;
     atomic_bool stop;
 };
@@ -27,6 +41,32 @@
         c->desc.run_job(c->desc.context, job);
 }
 
+static void
+hold_end(calls *c, CURL *easy)
+{
+    held_end *h = bbm_calloc(1, sizeof(*h));
+    h->easy = easy;
+    h->until = control_now() + RESET_WAIT;
+    DL_APPEND(c->held, h);
+}
+
+static void
+drop_held_end(calls *c, held_end *h)
+{
+    DL_DELETE(c->held, h);
+    free(h);
+}
+
+static void
+report_held_ends(calls *c)
+{
+    while (c->held && control_now() >= c->held->until) {
+        CURL *easy = c->held->easy;
+        drop_held_end(c, c->held);
+        c->desc.transfer_done(c->desc.context, easy, CURLE_OK);
+    }
+}
+
 /* Returns the number of transfers still running. */
 static int
 drive_transfers(calls *c)
@@ -36,13 +76,31 @@
     CURLMsg *msg;
     curl_multi_perform(c->multi, &running);
     while ((msg = curl_multi_info_read(c->multi, &messages_left)) != NULL) {
-        if (msg->msg == CURLMSG_DONE)
+        if (msg->msg != CURLMSG_DONE)
+            continue;
+        if (msg->data.result == CURLE_OK && c->desc.may_be_reset
+            && c->desc.may_be_reset(c->desc.context, msg->easy_handle))
+            hold_end(c, msg->easy_handle);
+        else
             c->desc.transfer_done(c->desc.context, msg->easy_handle,
                                   msg->data.result);
     }
+    report_held_ends(c);
     return running;
 }
 
+/* The next end that is held back is reported in time. */
+static int
+limit_wait_ms(const calls *c, int wait_ms)
+{
+    if (!c->held)
+        return wait_ms;
+    int64_t left_ms = (c->held->until - control_now()) / BBM_MS + 1;
+    if (left_ms < 0)
+        return 0;
+    return left_ms < wait_ms ? (int)left_ms : wait_ms;
+}
+
 static void *
 run_thread(void *context)
 {
@@ -55,7 +113,7 @@
         int wait_ms = c->desc.wait_limit_ms
                           ? c->desc.wait_limit_ms(c->desc.context)
                           : c->desc.wait_ms;
-        curl_multi_poll(c->multi, NULL, 0, wait_ms, NULL);
+        curl_multi_poll(c->multi, NULL, 0, limit_wait_ms(c, wait_ms), NULL);
     }
     run_queued_jobs(c);
     return NULL;
@@ -94,6 +152,11 @@
     void *job;
     while ((job = mailbox_take(c->jobs)) != NULL)
         c->desc.free_job(job);
+    held_end *h, *next;
+    DL_FOREACH_SAFE(c->held, h, next)
+    {
+        drop_held_end(c, h);
+    }
     curl_multi_cleanup(c->multi);
     mailbox_destroy(c->jobs);
     free(c);
@@ -124,6 +187,10 @@
 void
 calls_remove(calls *c, CURL *easy)
 {
+    held_end *h = NULL;
+    DL_SEARCH_SCALAR(c->held, h, easy, easy);
+    if (h)
+        drop_held_end(c, h);
     curl_multi_remove_handle(c->multi, easy);
 }
 
--- a/daemon/calls.h
+++ b/daemon/calls.h
@@ -34,6 +34,10 @@
     /** A transfer has finished.  It stays in the multi handle until
      *  calls_remove(). */
     void (*transfer_done)(void *context, CURL *easy, CURLcode code);
+    /** True if a transfer that has finished with CURLE_OK is to be reported a
+     *  little later, as its connection may be reset behind the answer; may be
+     *  NULL. */
+    bool (*may_be_reset)(void *context, CURL *easy);
     /** Called once per loop, before transfers are driven; may be NULL. */
     void (*before_poll)(void *context);
     /** Longest wait in ms that the transfers allow, at most wait_ms; NULL:
--- a/daemon/connections.c
+++ b/daemon/connections.c
@@ -4,6 +4,7 @@
 #include "bbm_mem.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <stdio.h>
@@ -20,6 +21,11 @@
 /* Addresses that are remembered as sending answers twice. */
 #define REPEATERS_MAX 1024
 
+/* A shorter body mostly arrives and is read with the head of its request.  A
+   longer one may lie unread in the receive buffer of the upstream, which then
+   resets the connection when it closes it. */
+#define READ_WITH_HEAD_BYTES ((size_t)16 * 1024)
+
 connection_counts connection_count;
 
 typedef struct connection_key {
@@ -37,8 +43,9 @@
 typedef struct connection {
     connection_key key;
     int fd;
-    bool refused; /* it has brought a refusal */
-    bool watched; /* its end is kept */
+    bool refused;      /* it has brought a refusal */
+    bool watched;      /* its end is kept */
+    bool long_request; /* the one whose answer ends with the connection */
     uint64_t number;
     uint64_t *ids; /* hashes of the ids that it has carried */
     size_t ids_len;
@@ -50,7 +57,8 @@
 /* How a watched connection ended. */
 typedef struct connection_end {
     uint64_t number;
-    bool early; /* bytes of the request weren't acknowledged */
+    bool early; /* it was reset, or the request not acknowledged whole */
+    int fd;     /* still open, to be judged later; -1: closed */
     UT_hash_handle hh;
 } connection_end;
 
@@ -77,6 +85,15 @@
     free(n);
 }
 
+static void
+drop_end(connections *c, connection_end *e)
+{
+    if (e->fd >= 0)
+        close(e->fd);
+    HASH_DEL(c->ends, e);
+    free(e);
+}
+
 void
 connections_destroy(connections *c)
 {
@@ -96,8 +113,7 @@
     connection_end *e, *next_end;
     HASH_ITER(hh, c->ends, e, next_end)
     {
-        HASH_DEL(c->ends, e);
-        free(e);
+        drop_end(c, e);
     }
     free(c);
 }
@@ -317,38 +333,67 @@
     return ioctl(fd, SIOCOUTQ, &bytes) < 0 ? 0 : bytes;
 }
 
-static void
+/* A reset behind the end of the other side's bytes is no error to read(). */
+static bool
+was_reset(int fd)
+{
+    int error = 0;
+    socklen_t len = sizeof(error);
+    return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len) == 0
+           && (error == EPIPE || error == ECONNRESET);
+}
+
+/* Returns true if the socket stays open: an upstream that has ended its answer
+   may still read the rest of the request. */
+static bool
 keep_end(connections *c, const connection *n)
 {
     connection_end *e = bbm_calloc(1, sizeof(*e));
     e->number = n->number;
-    e->early = unacknowledged_bytes(n->fd) > 0;
+    e->early = was_reset(n->fd);
+    bool unread = n->long_request || unacknowledged_bytes(n->fd);
+    e->fd = unread && !e->early ? n->fd : -1;
     HASH_ADD(hh, c->ends, number, sizeof(e->number), e);
+    return e->fd >= 0;
 }
 
 void
-connections_watch_end(connections *c, const connection_use *u)
+connections_watch_end(connections *c, const connection_use *u, size_t body_len)
 {
     connection *n = find_by_socket(c, u->socket);
-    if (n)
-        n->watched = true;
+    if (!n)
+        return;
+    n->watched = true;
+    n->long_request = body_len > READ_WITH_HEAD_BYTES;
 }
 
 bool
-connections_ended_early(const connections *c, const connection_use *u)
+connections_may_be_reset(const connections *c, const connection_use *u)
 {
     const connection_end *e = find_end(c, u);
-    return e && e->early;
+    return e && e->fd >= 0;
+}
+
+bool
+connections_ended_early(connections *c, const connection_use *u)
+{
+    connection_end *e = find_end(c, u);
+    if (!e)
+        return false;
+    if (e->fd >= 0 && (was_reset(e->fd) || unacknowledged_bytes(e->fd)))
+        e->early = true;
+    return e->early;
 }
 
 void
 connections_drop_end(connections *c, const connection_use *u)
 {
     connection_end *e = find_end(c, u);
-    if (!e)
-        return;
-    HASH_DEL(c->ends, e);
-    free(e);
+    connection *n = find_by_socket(c, u->socket);
+    if (e)
+        drop_end(c, e);
+    else if (n && n->number == u->number)
+        n->watched = false;
 }
 
 int
@@ -356,9 +401,8 @@
 {
     connections *c = table;
     connection *n = find_by_socket(c, fd);
-    if (n && n->watched)
-        keep_end(c, n);
+    bool stays_open = n && n->watched && keep_end(c, n);
     if (n)
         forget(c, n);
-    return close(fd);
+    return stays_open ? 0 : close(fd);
 }
--- a/daemon/connections.h
+++ b/daemon/connections.h
@@ -13,7 +13,7 @@
  *      connections_find(c, &u, "10.0.0.1", 80, 40000, "id");
  *                                          in CURLOPT_PREREQFUNCTION
  *      connections_record(c, &u, "id");    there, if the request is sent
- *      connections_watch_end(c, &u);       if the answer has no length
+ *      connections_watch_end(c, &u, len);  if the answer has no length
  *      connections_close(c, fd);           CURLOPT_CLOSESOCKETFUNCTION
  *      connections_ended_early(c, &u);     once the transfer has ended
  *      connections_drop_end(c, &u);
@@ -26,6 +26,7 @@
 
 #include <stdatomic.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /** Table of open connections, used by one thread; opaque. */
@@ -98,12 +99,18 @@
  *  @p fault says what is wrong with it. */
 void connection_use_record_malformed(const connection_use *u, const char *id,
                                      const char *upstream, const char *fault);
-/** The answer to the request of @p u ends with its connection: keep what the
- *  connection shows when it is closed, until connections_drop_end(). */
-void connections_watch_end(connections *c, const connection_use *u);
-/** True if a connection that was watched was closed before the upstream's
- *  machine had acknowledged the whole request. */
-bool connections_ended_early(const connections *c, const connection_use *u);
+/** The answer to the request of @p u, with a body of @p body_len bytes, ends
+ *  with its connection: keep what the connection shows when it is closed,
+ *  until connections_drop_end(). */
+void connections_watch_end(connections *c, const connection_use *u,
+                           size_t body_len);
+/** True if a connection that was watched ended in order, but bytes of the
+ *  request aren't acknowledged, or may lie unread there:
+ * connections_ended_early() is better asked a little later. */
+bool connections_may_be_reset(const connections *c, const connection_use *u);
+/** True if a connection that was watched has ended, and the upstream's machine
+ *  hasn't acknowledged the whole request by now, or has reset it. */
+bool connections_ended_early(connections *c, const connection_use *u);
 /** Forget how the connection of @p u ended; nothing needs to be known. */
 void connections_drop_end(connections *c, const connection_use *u);
 /** Close a socket, of a known connection or not; @p table is a connections. */
--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -384,7 +384,8 @@
     bool resumes = x->resume_after[0] != '\0';
     if (accepted && x->ex->body.len
         && calls_is_unframed_success(x->easy, x->reader))
-        connections_watch_end(x->thread->connections, &x->connection);
+        connections_watch_end(x->thread->connections, &x->connection,
+                              x->ex->body.len);
     if (accepted && resumes && status != 200) {
         accepted = false;
         x->outcome = BBM_FORWARD_FAILED;
@@ -821,6 +822,15 @@
     free_attempt(f, x);
 }
 
+static bool
+may_be_reset(void *context, CURL *easy)
+{
+    const forward *f = context;
+    attempt *x = NULL;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &x);
+    return connections_may_be_reset(f->connections, &x->connection);
+}
+
 static void
 on_done(void *context, CURL *easy, CURLcode code)
 {
@@ -976,6 +986,7 @@
         .context = f,
         .run_job = run_job,
         .transfer_done = on_done,
+        .may_be_reset = may_be_reset,
         .before_poll = check_limits,
         .wait_limit_ms = wait_limit_ms,
         .free_job = free_job,
--- a/daemon/traffic.c
+++ b/daemon/traffic.c
@@ -182,7 +182,8 @@
     bool tls = strncasecmp(x->start.url, "https:", 6) == 0;
     if (x->ex->body.len && !tls
         && calls_is_unframed_success(x->easy, x->reader))
-        connections_watch_end(x->thread->connections, &x->connection);
+        connections_watch_end(x->thread->connections, &x->connection,
+                              x->ex->body.len);
 }
 
 static size_t
@@ -442,6 +443,15 @@
     free_transfer(t, x);
 }
 
+static bool
+may_be_reset(void *context, CURL *easy)
+{
+    const traffic *t = context;
+    traffic_transfer *x = NULL;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &x);
+    return connections_may_be_reset(t->connections, &x->connection);
+}
+
 static void
 on_done(void *context, CURL *easy, CURLcode code)
 {
@@ -549,6 +559,7 @@
         .context = t,
         .run_job = run_job,
         .transfer_done = on_done,
+        .may_be_reset = may_be_reset,
         .before_poll = check_time_limits,
         .free_job = free_job,
         .wait_ms = POLL_WAIT_MS,
--- a/tests/test_answer_heads.c
+++ b/tests/test_answer_heads.c
@@ -370,7 +370,7 @@
 /* MIXED: the part was complete where the kernels had taken the request. */
 START_TEST(success_to_a_request_that_was_not_read_is_cut)
 {
-    static const size_t lens[] = {300000, 4000000};
+    static const size_t lens[] = {60000, 300000, 4000000};
     static const useconds_t waits[] = {0, 20000};
     unsigned passed = 0;
     for (size_t i = 0; i < BBM_COUNT(lens) * 4 * ROUNDS; i++) {
@@ -380,7 +380,8 @@
                                          .before_reset_us = waits[i % 2]};
         set_up(&w, reset_unread);
         w.body_len = unread_end.body_len;
-        ended e = run_request(&w, false, false);
+        bbm_forward_request kind = {.relay = i / 4 % 2};
+        ended e = run_attempt(&w, &kind, "");
         if (e.result.outcome == BBM_FORWARD_COMPLETE || e.ex->finished) {
             passed++;
             printf("%zu bytes, end after %u us, reset %u us later: complete "
@@ -396,10 +397,10 @@
 END_TEST
 
 static size_t early_body_len;
-static bool early_end_first;
+static enum { READ_THEN_CLOSE, READ_THEN_END, END_THEN_READ } early_order;
 
-/* Sends a part before it reads the request, the rest behind it, and ends the
-   connection, as a whole or first its own side. */
+/* Sends a part before it reads the request, and the rest behind it, or before
+   it as well. */
 static void
 answer_then_read(upstream *u, int fd, int n)
 {
@@ -412,25 +413,34 @@
     while (in_head < early_body_len && head_len + in_head < sizeof(u->head) - 1
            && u->head[head_len + in_head] == 'x')
         in_head++;
+    if (early_order == END_THEN_READ) {
+        usleep(20000);
+        send_text(u, fd, u->id);
+        shutdown(fd, SHUT_WR);
+    }
     for (size_t len = in_head; len < early_body_len;) {
         ssize_t got = recv(fd, bytes, sizeof(bytes), 0);
         if (got <= 0)
             break;
         len += (size_t)got;
     }
-    send_text(u, fd, u->id);
-    shutdown(fd, early_end_first ? SHUT_WR : SHUT_RDWR);
+    if (early_order != END_THEN_READ)
+        send_text(u, fd, u->id);
+    shutdown(fd, early_order == READ_THEN_CLOSE ? SHUT_RDWR : SHUT_WR);
 }
 
 /* An upstream may answer before it has read the request; the answer is whole
-   if it has read that to the end. */
+   if it reads that to the end. */
 START_TEST(early_success_to_a_request_that_is_read_is_whole)
 {
-    static const size_t lens[] = {60000, 300000, 4000000};
-    for (size_t i = 0; i < BBM_COUNT(lens) * 2 * ROUNDS; i++) {
+    static const size_t lens[] = {60000, 150000, 300000, 4000000};
+    for (size_t i = 0; i < BBM_COUNT(lens) * 3 * ROUNDS; i++) {
         fixture w;
-        early_body_len = lens[i / 2 / ROUNDS];
-        early_end_first = i % 2;
+        early_body_len = lens[i / 3 / ROUNDS];
+        early_order = i % 3;
+        /* Nothing more is written once the answer has ended. */
+        if (early_order == END_THEN_READ && early_body_len > 150000)
+            continue;
         set_up(&w, answer_then_read);
         w.body_len = early_body_len;
         w.body_fill = 'x';
@@ -444,6 +454,41 @@
 }
 END_TEST
 
+static atomic_bool connection_closed;
+
+/* Sends a part of an answer, and reads until the connection is closed. */
+static void
+answer_until_closed(upstream *u, int fd, int n)
+{
+    static char bytes[65536];
+    ssize_t got;
+    (void)n;
+    send_head(u, fd, "200 OK", "");
+    send_text(u, fd, "body of ");
+    while ((got = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+        ;
+    atomic_store(&connection_closed, got == 0);
+}
+
+/* GONE: the wait for a reset must not keep a request at its upstream after its
+   client has left. */
+START_TEST(cancelled_request_is_not_held)
+{
+    fixture w;
+    set_up(&w, answer_until_closed);
+    w.body_len = 60000;
+    exchange *ex = start_request(&w, false, false);
+    control_item_destroy(expect_item(&w, CONTROL_RESPONSE_HEAD, END_MS_MAX));
+    forward_cancel(w.forward, ex->id);
+    bbm_time until = control_now() + 40 * BBM_MS;
+    while (!atomic_load(&connection_closed) && control_now() < until)
+        usleep(1000);
+    ck_assert(atomic_load(&connection_closed));
+    exchange_unref(ex);
+    tear_down(&w);
+}
+END_TEST
+
 /* Ends the connection behind a refusal, with most of the request unread. */
 static void
 refuse_early(upstream *u, int fd, int n)
@@ -512,6 +557,7 @@
           answers_without_a_body_are_whole,
           success_before_the_end_of_an_upload_is_cut,
           success_to_a_request_that_was_not_read_is_cut,
+          cancelled_request_is_not_held,
           early_success_to_a_request_that_is_read_is_whole,
           refusal_before_the_end_of_an_upload_is_whole,
           malformed_answers_are_not_passed_on,
--- a/tests/test_traffic.c
+++ b/tests/test_traffic.c
@@ -412,7 +412,7 @@
 /* MIXED: the part that had been sent counted as the whole answer. */
 START_TEST(success_before_the_end_of_an_upload_is_cut)
 {
-    static const size_t lens[] = {UPLOAD_BYTES, 300000};
+    static const size_t lens[] = {UPLOAD_BYTES, 300000, 60000};
     for (size_t i = 0; i < BBM_COUNT(lens); i++) {
         fixture w;
         set_up(&w, answer_early);
