--- a/gate/gate_weights.c
+++ b/gate/gate_weights.c
@@ -70,12 +70,18 @@
     return g->now + wait + END_TIME + gate_longest_stall(g) >= age->until;
 }
 
+bbm_time
+gate_weights_end(const gate_request *r)
+{
+    return r->weights_until == BBM_NEVER ? BBM_NEVER
+                                         : r->weights_until - END_TIME;
+}
+
 bool
 gate_must_end_attempt(const bbm_gate *g, const gate_request *r)
 {
     return r->stage == GATE_SENT && !r->is_relaying
-           && r->weights_until != BBM_NEVER
-           && g->now + END_TIME >= r->weights_until;
+           && g->now >= gate_weights_end(r);
 }
 
 void
