--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -382,6 +382,10 @@
     x->parsed_head.head.status = status;
     bool accepted = accepts_head(x);
     bool resumes = x->resume_after[0] != '\0';
+    if (accepted && x->ex->body.len
+        && calls_is_unframed_success(x->easy, x->reader))
+        connections_watch_end(x->thread->connections, &x->connection,
+                              x->ex->body.len);
     if (accepted && resumes && status != 200) {
         accepted = false;
         x->outcome = BBM_FORWARD_FAILED;
@@ -690,6 +694,7 @@
     HASH_DEL(f->attempts, x);
     calls_remove(f->calls, x->easy);
     curl_easy_cleanup(x->easy);
+    connections_drop_end(f->connections, &x->connection);
     curl_slist_free_all(x->request_headers);
     answer_reader_destroy(x->reader);
     exchange_headers_free(&x->answer_headers);
@@ -801,7 +806,8 @@
         return;
     }
     CURLcode rc =
-        calls_result(x->easy, libcurl_rc, x->reader, x->ex->body.len);
+        calls_result(x->easy, libcurl_rc, x->reader, x->ex->body.len,
+                     connections_ended_early(f->connections, &x->connection));
     bbm_forward_outcome end = outcome_of(x, rc);
     if (calls_is_malformed(rc))
         record_malformed(x, curl_easy_strerror(rc));
@@ -816,6 +822,15 @@
     free_attempt(f, x);
 }
 
+static bool
+may_be_reset(void *context, CURL *easy)
+{
+    const forward *f = context;
+    attempt *x = NULL;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &x);
+    return connections_may_be_reset(f->connections, &x->connection);
+}
+
 static void
 on_done(void *context, CURL *easy, CURLcode code)
 {
@@ -971,6 +986,7 @@
         .context = f,
         .run_job = run_job,
         .transfer_done = on_done,
+        .may_be_reset = may_be_reset,
         .before_poll = check_limits,
         .wait_limit_ms = wait_limit_ms,
         .free_job = free_job,
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -193,6 +193,8 @@
 typedef struct node_sent_order {
     char id[BBM_NAME_SIZE]; /**< Id of the order. */
     bbm_time last_sent_at;  /**< Latest send to the engine. */
+    bool is_refused;        /**< The engine has refused the latest send, or
+                                 hasn't answered it. */
     bool end_proposed;      /**< Its final state was proposed to the log. */
     UT_hash_handle hh;      /**< By id. */
 } node_sent_order;
@@ -256,6 +258,7 @@
     bbm_rng rng;            /**< Random choices; seeded by desc. */
     bbm_time now;           /**< Time of the current step; never goes back. */
     int64_t wall_ms;        /**< Calendar time of the latest tick. */
+    bbm_time wall_at;       /**< Time of that tick. */
     bbm_node_counts counts; /**< Metrics. */
     TAILQ_HEAD(, node_queued_action) actions; /**< Not yet handed out. */
     node_queued_action *current_action;       /**< Handed out last; freed with
