--- a/daemon/connections.c
+++ b/daemon/connections.c
@@ -57,8 +57,8 @@
 /* How a watched connection ended. */
 typedef struct connection_end {
     uint64_t number;
-    bool early; /* bytes of the request weren't acknowledged, or a reset */
-    int fd;     /* still open, as a reset may follow; -1: closed */
+    bool early; /* it was reset, or the request not acknowledged whole */
+    int fd;     /* still open, to be judged later; -1: closed */
     UT_hash_handle hh;
 } connection_end;
 
@@ -343,14 +343,16 @@
            && (error == EPIPE || error == ECONNRESET);
 }
 
-/* Returns true if the socket stays open. */
+/* Returns true if the socket stays open: an upstream that has ended its answer
+   may still read the rest of the request. */
 static bool
 keep_end(connections *c, const connection *n)
 {
     connection_end *e = bbm_calloc(1, sizeof(*e));
     e->number = n->number;
-    e->early = unacknowledged_bytes(n->fd) > 0 || was_reset(n->fd);
-    e->fd = n->long_request && !e->early ? n->fd : -1;
+    e->early = was_reset(n->fd);
+    bool unread = n->long_request || unacknowledged_bytes(n->fd);
+    e->fd = unread && !e->early ? n->fd : -1;
     HASH_ADD(hh, c->ends, number, sizeof(e->number), e);
     return e->fd >= 0;
 }
@@ -378,7 +380,7 @@
     connection_end *e = find_end(c, u);
     if (!e)
         return false;
-    if (e->fd >= 0 && was_reset(e->fd))
+    if (e->fd >= 0 && (was_reset(e->fd) || unacknowledged_bytes(e->fd)))
         e->early = true;
     return e->early;
 }
--- a/daemon/connections.h
+++ b/daemon/connections.h
@@ -104,11 +104,12 @@
  *  until connections_drop_end(). */
 void connections_watch_end(connections *c, const connection_use *u,
                            size_t body_len);
-/** True if a connection that was watched ended in order, but a reset may
- *  follow soon: connections_ended_early() sees it. */
+/** True if a connection that was watched ended in order, but bytes of the
+ *  request aren't acknowledged, or may lie unread there:
+ * connections_ended_early() is better asked a little later. */
 bool connections_may_be_reset(const connections *c, const connection_use *u);
-/** True if a connection that was watched ended before the upstream's machine
- *  had acknowledged the whole request, or has been reset. */
+/** True if a connection that was watched has ended, and the upstream's machine
+ *  hasn't acknowledged the whole request by now, or has reset it. */
 bool connections_ended_early(connections *c, const connection_use *u);
 /** Forget how the connection of @p u ended; nothing needs to be known. */
 void connections_drop_end(connections *c, const connection_use *u);
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -148,6 +148,8 @@
                                              or "". */
     int priority;           /**< 0 (most urgent) to 9; -1: unspecified. */
     bbm_time deadline;      /**< Time by which the answer must be complete. */
+    bbm_time not_after;     /**< Latest time of the first byte: what the gate
+                                 decided by holds until then; 0: unlimited. */
     bbm_time stall_timeout; /**< A stream without a complete event for this
                                  time is cut; 0: unlimited. */
     bool repeatable;        /**< After a failure, the request may run again on
@@ -202,6 +204,7 @@
                                       one that isn't the request's; 0: none. */
     bool disconnected; /**< The upstream closed the connection before the end
                             of its answer. */
+    bool expired;      /**< Nothing was sent, as not_after had passed. */
     bool adopted; /**< It is the result of an earlier attempt, whose answer
                        had begun before the gate decided on this one: this
                        one was never sent. */
@@ -544,9 +547,6 @@
  *  or too long ago. */
 bbm_time bbm_gate_version_named_at(const bbm_gate *g, const char *model,
                                    uint64_t version);
-/** Time after the naming of a newer version from which new requests for
- * streams are no longer sent to runners that lack it. */
-bbm_time bbm_gate_old_weights_unused_after(const bbm_gate *g);
 
 /** Apply the releases of the replicated state. */
 void bbm_gate_set_releases(bbm_gate *g, const bbm_releases *all, bbm_time now);
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -413,9 +413,6 @@
  *  longer gap this process was stopped, and what it held is out of date. */
 #define GATE_CLOCK_GAP (1500 * BBM_MS)
 
-/** A client abandons a stream after a silence that is never shorter. */
-#define GATE_STREAM_SILENCE_MIN (2 * BBM_SECOND)
-
 /** Record that no event was processed for a time that ends now. */
 void gate_record_stall(bbm_gate *g, bbm_time gap);
 /** Longest such time of the last seconds. */
@@ -528,6 +525,9 @@
  *  old. */
 bool gate_weights_expire(const bbm_gate *g, const gate_request *r,
                          const gate_weights_age *age);
+/** Time at which the current attempt is ended unless its answer has begun;
+ *  BBM_NEVER: its weights are the newest. */
+bbm_time gate_weights_end(const bbm_gate *g, const gate_request *r);
 /** True if the current attempt hasn't begun, and has to end now, so that it
  *  doesn't begin on weights that are too old. */
 bool gate_must_end_attempt(const bbm_gate *g, const gate_request *r);
@@ -948,6 +948,8 @@
 void gate_send(bbm_gate *g, gate_request *r, const gate_choice *c);
 /** Remove a request from the counters of its upstream, if it has one. */
 void gate_release_upstream(bbm_gate *g, gate_request *r);
+/** Hold a request, unless it is held; it is dispatched with the others. */
+void gate_enqueue(bbm_gate *g, gate_request *r);
 /** End a request with an error whose code says that it did not run; if it may
  *  have run, with BBM_ERR_UPSTREAM instead.  Frees the request.  Retry-After
  *  gets a random part, as clients that are refused at the same time would all
--- a/gate/gate_weights.c
+++ b/gate/gate_weights.c
@@ -35,14 +35,6 @@
     return w ? bbm_versions_named_at(&w->versions, version) : BBM_NEVER;
 }
 
-bbm_time
-bbm_gate_old_weights_unused_after(const bbm_gate *g)
-{
-    bbm_time max = g->desc.old_weights_max;
-    bbm_time after = max - GATE_STREAM_SILENCE_MIN - END_TIME;
-    return after > max / 2 ? after : max / 2;
-}
-
 gate_weights_age
 gate_age_of_weights(const bbm_gate *g, const gate_weights *w, uint64_t version)
 {
@@ -74,14 +66,19 @@
     return g->now + wait + end_time >= age->until;
 }
 
-bool
-gate_must_end_attempt(const bbm_gate *g, const gate_request *r)
+bbm_time
+gate_weights_end(const bbm_gate *g, const gate_request *r)
 {
-    if (r->stage != GATE_SENT || r->is_relaying || !r->weights_version)
-        return false;
     gate_weights_age age = gate_age_of_weights(
         g, gate_find_weights(g, r->model), r->weights_version);
-    return age.until != BBM_NEVER && g->now + END_TIME >= age.until;
+    return age.until == BBM_NEVER ? BBM_NEVER : age.until - END_TIME;
+}
+
+bool
+gate_must_end_attempt(const bbm_gate *g, const gate_request *r)
+{
+    return r->stage == GATE_SENT && !r->is_relaying
+           && g->now >= gate_weights_end(g, r);
 }
 
 void
