--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -341,12 +341,12 @@
 
 /** Metrics: counters unless marked as gauges. */
 typedef struct bbm_gate_counts {
-    uint64_t requests;          /**< Requests received. */
-    uint64_t attempts;          /**< Attempts sent to upstreams. */
-    uint64_t old_weights_ended; /**< Attempts at such runners that were ended,
-                                     as they hadn't begun in time. */
+    uint64_t requests;             /**< Requests received. */
+    uint64_t attempts;             /**< Attempts sent to upstreams. */
     uint64_t old_weights_attempts; /**< Attempts at runners on older weights
                                         than the newest. */
+    uint64_t old_weights_ended;    /**< Of these, ended as they hadn't begun in
+                                        time. */
     uint64_t retries;              /**< Attempts after the first. */
     uint64_t completed;            /**< Complete answers forwarded. */
     uint64_t refused_rate;         /**< Refused: customer's rate exceeded. */
