--- a/daemon/forward.c
+++ b/daemon/forward.c
@@ -105,7 +105,6 @@
     bool fresh_connection;    /* never use an idle connection */
     bool unusable_connection; /* its answer couldn't be told from another */
     bool sent;                /* the upstream may have received bytes */
-    bool expired;             /* not sent, as not_after had passed */
     bool accepted;            /* the answer is passed to the client */
     bool adopted;             /* its answer goes on under the number of a later
                                  attempt */
@@ -231,7 +230,6 @@
         .outcome = end,
         .status = answer_reader_status(x->reader),
         .disconnected = is_disconnected(x, rc, end),
-        .expired = x->expired && end == BBM_FORWARD_UNSENT,
         .adopted = x->adopted,
         .began_at = x->began_at,
         .notice = x->notice,
@@ -546,9 +544,6 @@
     attempt *x = context;
     if (x->sent && !x->send.repeatable)
         return CURL_PREREQFUNC_ABORT;
-    x->expired = x->send.not_after && control_now() > x->send.not_after;
-    if (x->expired)
-        return CURL_PREREQFUNC_ABORT;
     const char *id = attempt_id(x);
     connections_find(x->thread->connections, &x->connection, remote_ip,
                      remote_port, local_port, id);
--- a/gate/bbm_gate.h
+++ b/gate/bbm_gate.h
@@ -148,8 +148,6 @@
                                              or "". */
     int priority;           /**< 0 (most urgent) to 9; -1: unspecified. */
     bbm_time deadline;      /**< Time by which the answer must be complete. */
-    bbm_time not_after;     /**< Latest time of the first byte: what the gate
-                                 decided by holds until then; 0: unlimited. */
     bbm_time stall_timeout; /**< A stream without a complete event for this
                                  time is cut; 0: unlimited. */
     bool repeatable;        /**< After a failure, the request may run again on
@@ -204,7 +202,6 @@
                                       one that isn't the request's; 0: none. */
     bool disconnected; /**< The upstream closed the connection before the end
                             of its answer. */
-    bool expired;      /**< Nothing was sent, as not_after had passed. */
     bool adopted; /**< It is the result of an earlier attempt, whose answer
                        had begun before the gate decided on this one: this
                        one was never sent. */
--- a/gate/gate_attempt.c
+++ b/gate/gate_attempt.c
@@ -171,20 +171,6 @@
                 "refused by the upstream");
 }
 
-/* Decides anew; the upstream has no part in it. */
-static void
-end_expired(bbm_gate *g, gate_request *r)
-{
-    r->attempts_run--;
-    gate_release_upstream(g, r);
-    r->stage = GATE_WAITING;
-    r->link.tqe_prev = NULL;
-    if (r->client_half_closed)
-        gate_abandon(g, r);
-    else
-        gate_enqueue(g, r);
-}
-
 static void
 end_unsent(bbm_gate *g, gate_request *r)
 {
@@ -276,10 +262,7 @@
         end_not_run(g, r, result->status);
         break;
     case BBM_FORWARD_UNSENT:
-        if (result->expired)
-            end_expired(g, r);
-        else
-            end_unsent(g, r);
+        end_unsent(g, r);
         break;
     case BBM_FORWARD_FAILED:
     case BBM_FORWARD_NO_ANSWER:
--- a/gate/gate_core.h
+++ b/gate/gate_core.h
@@ -525,9 +525,6 @@
  *  old. */
 bool gate_weights_expire(const bbm_gate *g, const gate_request *r,
                          const gate_weights_age *age);
-/** Time at which the current attempt is ended unless its answer has begun;
- *  BBM_NEVER: its weights are the newest. */
-bbm_time gate_weights_end(const bbm_gate *g, const gate_request *r);
 /** True if the current attempt hasn't begun, and has to end now, so that it
  *  doesn't begin on weights that are too old. */
 bool gate_must_end_attempt(const bbm_gate *g, const gate_request *r);
@@ -948,8 +945,6 @@
 void gate_send(bbm_gate *g, gate_request *r, const gate_choice *c);
 /** Remove a request from the counters of its upstream, if it has one. */
 void gate_release_upstream(bbm_gate *g, gate_request *r);
-/** Hold a request, unless it is held; it is dispatched with the others. */
-void gate_enqueue(bbm_gate *g, gate_request *r);
 /** End a request with an error whose code says that it did not run; if it may
  *  have run, with BBM_ERR_UPSTREAM instead.  Frees the request.  Retry-After
  *  gets a random part, as clients that are refused at the same time would all
--- a/gate/gate_request.c
+++ b/gate/gate_request.c
@@ -48,11 +48,6 @@
    of two fits into 32 bits. */
 #define TOKENS_MAX (INT64_C(1) << 30)
 
-/* An attempt that isn't sent within this time after the decision is decided on
-   anew: a VM that was stopped, or is overloaded, would send it by a listing,
-   keys, releases and versions of weights that have been overtaken. */
-#define SEND_DELAY_MAX BBM_SECOND
-
 /* ---- release ---- */
 
 void
@@ -250,8 +245,8 @@
 
 /* ---- sending ---- */
 
-void
-gate_enqueue(bbm_gate *g, gate_request *r)
+static void
+enqueue(bbm_gate *g, gate_request *r)
 {
     if (r->link.tqe_prev)
         return;
@@ -344,10 +339,6 @@
         bbm_chains_add_request(g->chains, r->chain_key, g->now);
     bbm_gate_output *out = gate_push_send(g, r);
     fill_forward_request(r, c, &out->u.send.send);
-    bbm_time weights_end = gate_weights_end(g, r);
-    out->u.send.send.not_after = weights_end < g->now + SEND_DELAY_MAX
-                                     ? weights_end
-                                     : g->now + SEND_DELAY_MAX;
     out->u.send.origin_source = r->origin_source;
     out->u.send.resumes = r->last_event_id[0] != '\0';
     memcpy(out->u.send.last_event_id, r->last_event_id,
@@ -483,7 +474,7 @@
         gate_send(g, r, c);
         return;
     case GATE_CAUTION_HOLD:
-        gate_enqueue(g, r);
+        enqueue(g, r);
         return;
     case GATE_CAUTION_REFUSE:
         end_suspect(g, r);
@@ -500,7 +491,7 @@
     case GATE_ORIGIN_PLACE:
         return false;
     case GATE_ORIGIN_WAIT:
-        gate_enqueue(g, r);
+        enqueue(g, r);
         return true;
     case GATE_ORIGIN_REFUSE:
         break;
@@ -537,20 +528,20 @@
         return;
     case GATE_PICK_HOLD:
         if (g->now < r->deadline)
-            gate_enqueue(g, r);
+            enqueue(g, r);
         else
             gate_refuse(g, r, BBM_ERR_OVERLOAD, GATE_RETRY_AFTER_MIN,
                         "deadline reached while held");
         return;
     case GATE_PICK_PAUSED:
         if (may_hold_for_pause(r, &c))
-            gate_enqueue(g, r);
+            enqueue(g, r);
         else
             end_paused(g, r, &c);
         return;
     case GATE_PICK_LIMITED:
         if (may_hold_for_turn(g, r, &c))
-            gate_enqueue(g, r);
+            enqueue(g, r);
         else
             end_limited(g, r, &c);
         return;
@@ -558,7 +549,7 @@
         if (r->unsent && gate_relay(g, r))
             return;
         if (may_hold_without_upstream(g, r)) {
-            gate_enqueue(g, r);
+            enqueue(g, r);
             return;
         }
         g->counts.refused_no_upstream++;
--- a/gate/gate_weights.c
+++ b/gate/gate_weights.c
@@ -66,19 +66,14 @@
     return g->now + wait + end_time >= age->until;
 }
 
-bbm_time
-gate_weights_end(const bbm_gate *g, const gate_request *r)
-{
-    gate_weights_age age = gate_age_of_weights(
-        g, gate_find_weights(g, r->model), r->weights_version);
-    return age.until == BBM_NEVER ? BBM_NEVER : age.until - END_TIME;
-}
-
 bool
 gate_must_end_attempt(const bbm_gate *g, const gate_request *r)
 {
-    return r->stage == GATE_SENT && !r->is_relaying
-           && g->now >= gate_weights_end(g, r);
+    if (r->stage != GATE_SENT || r->is_relaying || !r->weights_version)
+        return false;
+    gate_weights_age age = gate_age_of_weights(
+        g, gate_find_weights(g, r->model), r->weights_version);
+    return age.until != BBM_NEVER && g->now + END_TIME >= age.until;
 }
 
 void
--- a/members/bbm_members.c
+++ b/members/bbm_members.c
@@ -66,10 +66,6 @@
             (m->len - at) * sizeof(members_row));
     m->rows[at] = (members_row){.info = *info};
     m->len++;
-    /* Members that started together would otherwise all ping the same one in
-       each period, and a silent one only once in as many periods as there are
-       members. */
-    m->ping_cursor = (size_t)bbm_rng_below(&m->rng, m->len);
     return &m->rows[at];
 }
 
@@ -195,6 +191,7 @@
     bbm_name_set(info.name, name);
     bbm_text_set(info.address, BBM_ADDRESS_SIZE, address);
     members_add_row(m, &info);
+    m->ping_cursor = (size_t)bbm_rng_below(&m->rng, m->len);
 }
 
 void
--- a/members/members_message.c
+++ b/members/members_message.c
@@ -64,8 +64,6 @@
     const members_row *target = members_find_row(m, to);
     if (target && target->info.status != BBM_MEMBER_ALIVE)
         picked[len++] = target;
-    /* Members that seem to be silent would use up the sends for the others. */
-    bool counts = !len;
     while (len < m->desc.updates_max) {
         members_row *best = NULL;
         for (size_t i = 0; i < m->len; i++) {
@@ -79,7 +77,7 @@
         }
         if (!best)
             break;
-        best->sends_left -= counts;
+        best->sends_left--;
         picked[len++] = best;
     }
     bbm_put_u64(buf, len);
