Review: idle connections exceed the memory of the machine

Case 12, rule Fault: clients within the limits of the configuration make two of three daemons with 110 MB exceed their memory three times each.

--- /dev/null
+++ b/review/12/case.c
@@ -0,0 +1,328 @@
+/* Clients that aren't controlled send one sound request each, with a long
+   head, and keep their connections; others upload long bodies.  All of it is
+   within the limits of the configuration.  Meanwhile ordinary clients place
+   orders.  The platform ends a daemon that uses more than its memory, and
+   starts it again.  Counts the ends of each machine of the core. */
+#include "../world-3.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define SERVERS 4
+#define ORDINARY_CLIENTS 6
+/* Machines that get these clients: more than half of the core. */
+#define PRESSED 2
+#define OPENERS 8
+/* Connections that are opened to one machine: it has 4,100 descriptors. */
+#define KEPT_MAX 3600
+/* Head of a request: the limit is 16,384 bytes. */
+#define LONG_VALUE_BYTES 15000
+#define UPLOADERS 8
+/* Bodies: the limit is 4,194,304 bytes. */
+#define BODY_BYTES 4000000
+#define PIECE_BYTES 20000
+#define PIECE_MS 20
+#define DEADLINE_MS 2500
+#define MEASURE_MS 20
+#define PLAY_MS 75000
+/* Ends of a machine's process that break the rule, if half of the core has
+   them. */
+#define ENDS_MAX 3
+
+/* What happens at one machine. */
+typedef struct machine {
+    pid_t pid;
+    int ends;
+    atomic_int kept;
+    int fds[KEPT_MAX];
+} machine;
+
+static machine machines[VMS_MAX];
+static atomic_bool stopped;
+static atomic_int opened;
+static atomic_int refused;
+static atomic_int uploads;
+static atomic_int served;
+static atomic_int failed;
+static atomic_int unanswered;
+static long memory_max;
+static long memory_seen;
+static const char *config_file;
+
+static int
+write_head(char *text, size_t size, const char *method, const char *path,
+           long deadline_ms, size_t body_len, char attempt[NAME_BYTES])
+{
+    snprintf(attempt, NAME_BYTES, "%08x%08x", world_random(1U << 31),
+             world_random(1U << 31));
+    return snprintf(text, size,
+                    "%s %s HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\n"
+                    "%s: %ld\r\nAuthorization: Bearer %s\r\n"
+                    "Content-Length: %zu\r\n",
+                    method, path, world_name("attempt"), attempt,
+                    world_name("deadline"), deadline_ms, the_world.key,
+                    body_len);
+}
+
+/* Returns the status; 0: the connection ended without a whole answer. */
+static int
+read_answer(stream *s)
+{
+    head h;
+    if (!world_read_head(s, &h))
+        return 0;
+    if (h.length > 0 && !world_read(s, NULL, (size_t)h.length))
+        return 0;
+    return world_status(&h);
+}
+
+/* ---- ordinary clients ---- */
+
+static void
+place_order(stream *s, const char *vm)
+{
+    char text[1024];
+    char attempt[NAME_BYTES];
+    int len = write_head(text, sizeof(text) - 4, "POST", "/order/2f",
+                         DEADLINE_MS, 2, attempt);
+    memcpy(text + len, "\r\n{}", 5);
+    int fd = world_connect(vm, the_world.front_port, DEADLINE_MS);
+    if (fd < 0) {
+        atomic_fetch_add(&failed, 1);
+        return;
+    }
+    *s = (stream){.fd = fd};
+    world_record("order %s to %s", attempt, vm);
+    bool sent = world_send(fd, text, (size_t)len + 4);
+    int status = sent ? read_answer(s) : 0;
+    world_record("order %s: answer %d", attempt, status);
+    atomic_fetch_add(&served, status == 200);
+    atomic_fetch_add(&failed, status != 200);
+    atomic_fetch_add(&unanswered, sent && !status);
+    close(fd);
+}
+
+static void *
+run_ordinary(void *context)
+{
+    (void)context;
+    stream *s = calloc(1, sizeof(*s));
+    while (!atomic_load(&stopped)) {
+        place_order(s, the_world.vms[world_random(3)]);
+        world_sleep(50);
+    }
+    free(s);
+    return NULL;
+}
+
+/* ---- clients that aren't controlled ---- */
+
+/* Returns the connection, or -1. */
+static int
+open_and_ask(stream *s, const char *vm)
+{
+    static _Thread_local char text[HEAD_BYTES];
+    static _Thread_local char value[LONG_VALUE_BYTES + 1];
+    char attempt[NAME_BYTES];
+    memset(value, 'v', LONG_VALUE_BYTES);
+    int len = write_head(text, sizeof(text), "GET", "/read/2f", DEADLINE_MS, 0,
+                         attempt);
+    len += snprintf(text + len, sizeof(text) - (size_t)len,
+                    "X-Notes: %s\r\n\r\n", value);
+    int fd = world_connect(vm, the_world.front_port, 2000);
+    if (fd < 0)
+        return -1;
+    *s = (stream){.fd = fd};
+    if (world_send(fd, text, (size_t)len) && read_answer(s) == 200)
+        return fd;
+    close(fd);
+    return -1;
+}
+
+static void *
+run_opener(void *context)
+{
+    machine *m = context;
+    const char *vm = the_world.vms[m - machines];
+    stream *s = calloc(1, sizeof(*s));
+    while (!atomic_load(&stopped)) {
+        int fd = atomic_load(&m->kept) < KEPT_MAX ? open_and_ask(s, vm) : -1;
+        int slot = fd < 0 ? KEPT_MAX : atomic_fetch_add(&m->kept, 1);
+        if (slot < KEPT_MAX) {
+            m->fds[slot] = fd;
+            atomic_fetch_add(&opened, 1);
+            continue;
+        }
+        if (fd >= 0)
+            close(fd);
+        atomic_fetch_add(&refused, atomic_load(&m->kept) < KEPT_MAX);
+        world_sleep(50);
+    }
+    free(s);
+    return NULL;
+}
+
+static int
+upload(stream *s, const char *vm)
+{
+    static char piece[PIECE_BYTES];
+    char text[1024];
+    char attempt[NAME_BYTES];
+    int len = write_head(text, sizeof(text) - 2, "POST", "/order/2f", 20000,
+                         BODY_BYTES, attempt);
+    memcpy(text + len, "\r\n", 3);
+    int fd = world_connect(vm, the_world.front_port, 5000);
+    if (fd < 0)
+        return 0;
+    *s = (stream){.fd = fd};
+    bool open = world_send(fd, text, (size_t)len + 2);
+    for (size_t sent = 0; open && sent < BODY_BYTES; sent += PIECE_BYTES) {
+        open = world_send(fd, piece, PIECE_BYTES);
+        world_sleep(PIECE_MS);
+    }
+    int status = open ? read_answer(s) : 0;
+    close(fd);
+    return status;
+}
+
+static void *
+run_uploader(void *context)
+{
+    const machine *m = context;
+    stream *s = calloc(1, sizeof(*s));
+    while (!atomic_load(&stopped)) {
+        int status = upload(s, the_world.vms[m - machines]);
+        atomic_fetch_add(&uploads, status == 200);
+        if (status != 200)
+            world_sleep(200);
+    }
+    free(s);
+    return NULL;
+}
+
+/* ---- the platform ---- */
+
+/* The memory that a process has for itself, without files and what it shares;
+   0 if it has ended. */
+static long
+private_bytes(pid_t pid)
+{
+    char path[64];
+    char line[256];
+    long kib = 0;
+    snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+    FILE *in = fopen(path, "re");
+    while (in && fgets(line, sizeof(line), in)) {
+        if (strncmp(line, "RssAnon:", 8) == 0)
+            kib = strtol(line + 8, NULL, 10);
+    }
+    if (in)
+        fclose(in);
+    return kib * 1024;
+}
+
+/* The script writes the ids of the processes beside the configuration. */
+static pid_t
+read_pid(size_t i)
+{
+    const char *slash = strrchr(config_file, '/');
+    int folder = slash ? (int)(slash - config_file) : 0;
+    char path[512];
+    char text[32] = "";
+    snprintf(path, sizeof(path), "%.*s/vm-%zu.pid", folder, config_file, i);
+    FILE *in = fopen(path, "re");
+    bool read = in && fgets(text, sizeof(text), in);
+    if (in)
+        fclose(in);
+    return read ? (pid_t)strtol(text, NULL, 10) : 0;
+}
+
+/* Its connections have ended with it. */
+static void
+end_process(machine *m, long bytes)
+{
+    world_record("the daemon at %s uses %ld bytes of %ld: killed",
+                 the_world.vms[m - machines], bytes, memory_max);
+    kill(m->pid, SIGKILL);
+    m->pid = 0;
+    m->ends++;
+    int kept = atomic_exchange(&m->kept, KEPT_MAX);
+    for (int i = 0; i < kept && i < KEPT_MAX; i++) {
+        if (m->fds[i])
+            close(m->fds[i]);
+        m->fds[i] = 0;
+    }
+    atomic_store(&m->kept, 0);
+}
+
+static void
+measure(machine *m)
+{
+    pid_t pid = read_pid((size_t)(m - machines));
+    long bytes = pid ? private_bytes(pid) : 0;
+    m->pid = pid;
+    memory_seen = bytes > memory_seen ? bytes : memory_seen;
+    if (bytes > memory_max)
+        end_process(m, bytes);
+}
+
+/* Returns the number of machines whose processes have ended too often. */
+static size_t
+run_platform(long until)
+{
+    size_t broken = 0;
+    while (world_ms() < until && 2 * broken < the_world.vms_len) {
+        broken = 0;
+        for (size_t i = 0; i < the_world.vms_len; i++) {
+            measure(&machines[i]);
+            broken += machines[i].ends >= ENDS_MAX;
+        }
+        world_sleep(MEASURE_MS);
+    }
+    return broken;
+}
+
+int
+main(int argc, char **argv)
+{
+    const char *memory_mb = getenv("MEMORY_MB");
+    if (argc < 12 || !memory_mb)
+        return 2;
+    memory_max = strtol(memory_mb, NULL, 10) * 1000000;
+    config_file = argv[3];
+    world_open(argv[1], argv[2]);
+    world_setup(argv + 3, argc - 3);
+    for (size_t i = 0; i < SERVERS; i++)
+        world_add_plain("api", 10);
+    world_serve();
+    world_publish(config_file);
+    for (size_t i = 0; i < the_world.vms_len; i++) {
+        if (!private_bytes(read_pid(i)))
+            world_end(2, "the memory of a daemon can't be read");
+    }
+    for (int i = 0; i < ORDINARY_CLIENTS; i++)
+        world_thread(run_ordinary, NULL);
+    for (int i = 0; i < PRESSED * OPENERS && the_world.trouble; i++)
+        world_thread(run_opener, &machines[i % PRESSED]);
+    for (int i = 0; i < PRESSED * UPLOADERS && the_world.trouble; i++)
+        world_thread(run_uploader, &machines[i % PRESSED]);
+    size_t broken = run_platform(world_ms() + PLAY_MS);
+    atomic_store(&stopped, true);
+    char text[256];
+    snprintf(
+        text, sizeof(text),
+        "at most %ld of %ld bytes; ends of processes: %d, %d, %d; orders: "
+        "%d served, %d failed, of them %d without an answer; %d "
+        "connections kept, %d refused; %d bodies",
+        memory_seen, memory_max, machines[0].ends, machines[1].ends,
+        machines[2].ends, atomic_load(&served), atomic_load(&failed),
+        atomic_load(&unanswered), atomic_load(&opened), atomic_load(&refused),
+        atomic_load(&uploads));
+    if (!atomic_load(&served))
+        world_end(2, "no order was served");
+    if (the_world.trouble && atomic_load(&opened) < KEPT_MAX)
+        world_end(2, "too few connections could be opened");
+    world_end(2 * broken >= the_world.vms_len, text);
+}
--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# See claim.txt.  TROUBLE=0: only the ordinary clients come.
+number=12 daemons=3 memory_mb=110
+# shellcheck source=../run-3.sh
+. "$(dirname "${BASH_SOURCE[0]}")/../run-3.sh"
