--- a/review/run-3.sh
+++ b/review/run-3.sh
@@ -106,6 +106,13 @@
   "unit": "tokens", "uncached-tokens": 200, "isolated": false,
   "rate-per-s": 0, "burst": 0}]}
 JSON
+# A further route, where @ stands for its own text.
+cat >"$dir/route.json" <<JSON
+  {"name": "r-@", "host": "a.example", "path-prefix": "/@/",
+   "type": "safe", "timeout-ms": 2500, "target-latency-ms": 150,
+   "priority": 1, "service": "api", "max-attempts": 2, "public": false,
+   "sticky": false, "resumable": false, "target-gap-ms": 300},
+JSON
 
 MEMORY_MB=$memory_mb "$program" review/wire-3.txt "review/$number/record.txt" "$dir/config.json" \
     "$list" "$servers" "$front" "$control" "$ready" "$directory" "$key" \
@@ -113,7 +120,7 @@
 case_pid=$!
 pids+=("$case_pid")
 for ((i = 0; i < 50; i++)); do
-    grep -q listening "$dir/out" && break
+    grep -qs listening "$dir/out" && break
     sleep 0.1
 done
 supervise() { # NUMBER: as the platform does, with the descriptors of a machine
