--- a/review/world-3.c
+++ b/review/world-3.c
@@ -22,6 +22,8 @@
 #define LISTS_MAX 128
 #define LIST_BYTES 8192
 #define PUBLISH_TIMEOUT_MS 25000
+#define RUNS_MAX 4096
+#define ATTEMPT_BYTES 24
 #define STACK_BYTES ((size_t)256 * 1024)
 
 typedef struct wire_name {
@@ -51,6 +53,10 @@
 static list_state lists[LISTS_MAX];
 static size_t lists_next;
 static pthread_mutex_t lists_lock = PTHREAD_MUTEX_INITIALIZER;
+/* The last attempts that servers ran. */
+static char runs[RUNS_MAX][ATTEMPT_BYTES];
+static size_t runs_next;
+static pthread_mutex_t runs_lock = PTHREAD_MUTEX_INITIALIZER;
 
 /* ---- record and time ---- */
 
@@ -455,6 +461,25 @@
     return world_send(fd, text, (size_t)len);
 }
 
+static void
+record_run(const char *attempt)
+{
+    pthread_mutex_lock(&runs_lock);
+    snprintf(runs[runs_next++ % RUNS_MAX], ATTEMPT_BYTES, "%.23s", attempt);
+    pthread_mutex_unlock(&runs_lock);
+}
+
+bool
+world_has_run(const char *attempt)
+{
+    bool found = false;
+    pthread_mutex_lock(&runs_lock);
+    for (size_t i = 0; i < RUNS_MAX && !found; i++)
+        found = strcmp(runs[i], attempt) == 0;
+    pthread_mutex_unlock(&runs_lock);
+    return found;
+}
+
 static bool
 serve_request(stream *s, const runner *r, int run)
 {
@@ -467,6 +492,7 @@
         return send_report(s->fd, r);
     if (h.instance[0] && strcmp(h.instance, r->id) != 0)
         return send_misdirected(s->fd, r);
+    record_run(h.attempt);
     world_record("run %s at %s (%s), after event %ld", h.attempt, r->id,
                  r->build, h.last_event);
     return r->streams ? send_stream(s->fd, r, &h, run)
--- a/review/world-3.h
+++ b/review/world-3.h
@@ -99,6 +99,8 @@
 /** Start all servers and the provider's list, which tells what was 800 ms ago;
  *  then say so on standard output. */
 void world_serve(void);
+/** True if a server began to run the attempt. */
+bool world_has_run(const char *attempt);
 void runner_start(runner *r);
 /** Close all connections at once, as the end of the process does. */
 void runner_crash(runner *r);
