--- a/daemon/control.c
+++ b/daemon/control.c
@@ -368,6 +368,10 @@
 {
     bbm_node_counts counts = bbm_node_count(c->node, control_now());
     counts.event_time = c->event_time;
+    if (c->desc->disk) {
+        counts.unwritten_bytes = disk_unwritten_bytes(c->desc->disk);
+        counts.folder_bytes = disk_stored_bytes(c->desc->disk);
+    }
     bbm_buf text = {0};
     transport_counts links = transport_count(c->desc->transport);
     metrics_write(&counts, &links, mailbox_memory(c->desc->box), &text);
--- a/daemon/metrics.c
+++ b/daemon/metrics.c
@@ -96,6 +96,19 @@
      "Oldest format of the alive VMs; 0: not known of one", AT(oldest_format)},
     {"state_unreadable", "gauge", "1: the log's state is of a later format",
      AT(state_unreadable)},
+    {"log_entries", "gauge", "Entries of the control group's log",
+     AT(log_entries)},
+    {"log_bytes", "gauge", "Bytes of these entries", AT(log_bytes)},
+    {"snapshot_bytes", "gauge", "Bytes of the control group's snapshot",
+     AT(snapshot_bytes)},
+    {"tail_bytes", "gauge", "Bytes of public commands kept for other daemons",
+     AT(tail_bytes)},
+    {"proposal_bytes", "gauge", "Bytes of proposals without an outcome",
+     AT(proposal_bytes)},
+    {"unwritten_bytes", "gauge",
+     "Bytes of writes to the data folder that are not synced",
+     AT(unwritten_bytes)},
+    {"folder_bytes", "gauge", "Bytes of the data folder", AT(folder_bytes)},
     {"open_requests", "gauge", "Requests open", AT(open)},
     {"queued_requests", "gauge", "Requests waiting for a runner", AT(queued)},
     {"revision", "gauge", "Configuration in force", AT(revision)},
@@ -423,5 +436,8 @@
     struct mallinfo2 heap = mallinfo2();
     write_metric("heap_bytes", "gauge", "Bytes allocated",
                  heap.uordblks + heap.hblkhd, out);
+    write_metric("heap_free_bytes", "gauge",
+                 "Bytes that were freed and are kept for later allocations",
+                 heap.fordblks, out);
     write_memory(memory, out);
 }
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -554,6 +554,15 @@
     uint64_t rollout_age_ms;      /**< Leader: time since the first version was
                                        named that a runner lacks (gauge). */
     bbm_gate_counts gate;         /**< Requests to pools. */
+    uint64_t log_entries;      /**< Of the control group, after the snapshot. */
+    uint64_t log_bytes;        /**< Of these entries, in memory. */
+    uint64_t snapshot_bytes;   /**< Of the control group's snapshot. */
+    uint64_t tail_bytes;       /**< Public commands kept for other VMs. */
+    uint64_t proposal_bytes;   /**< Proposals without an outcome yet. */
+    uint64_t unwritten_bytes;  /**< Writes to the data folder that aren't
+                                    synced; filled in by the driver. */
+    uint64_t folder_bytes;     /**< Of the data folder; filled in by the
+                                    driver. */
 } bbm_node_counts;
 
 /** A node; opaque. */
--- a/node/node.c
+++ b/node/node.c
@@ -549,6 +549,14 @@
     c.key_age_ms = (uint64_t)((now - n->fresh_at) / BBM_MS);
     c.totals_age_ms =
         n->totals_at ? (uint64_t)((now - n->totals_at) / BBM_MS) : 0;
+    if (n->raft) {
+        c.log_entries = bbm_raft_log_len(n->raft);
+        c.log_bytes = bbm_raft_log_bytes(n->raft);
+        c.snapshot_bytes = bbm_raft_snapshot_bytes(n->raft);
+    }
+    c.tail_bytes = bbm_state_tail_bytes(n->state);
+    for (const node_proposal *p = n->proposals; p; p = p->hh.next)
+        c.proposal_bytes += p->bytes.len;
     if (n->rollout) {
         bbm_rollout_progress p = bbm_rollout_get_progress(n->rollout, now);
         c.rollout_pending = p.pending;
--- a/raft/bbm_raft.c
+++ b/raft/bbm_raft.c
@@ -119,6 +119,8 @@
     r->log.entries = saved->entries;
     r->log.len = saved->len;
     r->log.cap = saved->len;
+    for (size_t i = 0; i < saved->len; i++)
+        r->log.bytes += saved->entries[i].len;
     r->commit_index = r->log.snapshot.index;
     r->last_applied = r->log.snapshot.index;
     r->durable_index = raft_log_last(&r->log);
@@ -344,6 +346,18 @@
     return r->log.len;
 }
 
+size_t
+bbm_raft_log_bytes(const bbm_raft *r)
+{
+    return r->log.bytes;
+}
+
+size_t
+bbm_raft_snapshot_bytes(const bbm_raft *r)
+{
+    return r->log.snapshot.data.len;
+}
+
 const bbm_raft_group *
 bbm_raft_group_of(const bbm_raft *r)
 {
--- a/raft/bbm_raft.h
+++ b/raft/bbm_raft.h
@@ -247,6 +247,9 @@
 uint64_t bbm_raft_last_index(const bbm_raft *r);
 /** Number of entries after the snapshot. */
 size_t bbm_raft_log_len(const bbm_raft *r);
+/** Bytes of the entries after the snapshot, and of the snapshot. */
+size_t bbm_raft_log_bytes(const bbm_raft *r);
+size_t bbm_raft_snapshot_bytes(const bbm_raft *r);
 /** Group as of the last entry of the log, committed or not. */
 const bbm_raft_group *bbm_raft_group_of(const bbm_raft *r);
 /** Member of the current group by identity, or NULL. */
--- a/raft/raft_log.c
+++ b/raft/raft_log.c
@@ -40,6 +40,7 @@
         .len = len,
     };
     log->len++;
+    log->bytes += len;
     return e;
 }
 
@@ -48,6 +49,7 @@
 {
     while (log->len && raft_log_last(log) >= index) {
         log->len--;
+        log->bytes -= log->entries[log->len].len;
         free(log->entries[log->len].data);
     }
 }
@@ -60,8 +62,10 @@
     size_t delete_len = log->len;
     if (has_entry)
         delete_len = (size_t)(snapshot->index - log->snapshot.index);
-    for (size_t i = 0; i < delete_len; i++)
+    for (size_t i = 0; i < delete_len; i++) {
+        log->bytes -= log->entries[i].len;
         free(log->entries[i].data);
+    }
     log->len -= delete_len;
     if (log->len)
         memmove(log->entries, log->entries + delete_len,
--- a/raft/raft_log.h
+++ b/raft/raft_log.h
@@ -12,6 +12,7 @@
     bbm_entry *entries;         /**< Owned. */
     size_t len;                 /**< Number of entries. */
     size_t cap;                 /**< Allocated entries. */
+    size_t bytes;               /**< Sum of the entries' data. */
 } raft_log;
 
 /** Index of the last entry, or of the snapshot if there are no entries. */
--- a/state/bbm_state.c
+++ b/state/bbm_state.c
@@ -317,6 +317,12 @@
     return false;
 }
 
+size_t
+bbm_state_tail_bytes(const bbm_state *state)
+{
+    return state->tail_bytes;
+}
+
 /* ---- snapshots ---- */
 
 uint64_t
--- a/state/bbm_state.h
+++ b/state/bbm_state.h
@@ -79,6 +79,9 @@
 bool bbm_state_tail(const bbm_state *state, uint64_t since,
                     bbm_tail_item *item);
 
+/** Bytes of the commands in the tail. */
+size_t bbm_state_tail_bytes(const bbm_state *state);
+
 /** Append the state, encoded so that builds of a format can read it.  What
  *  they don't know is left out. */
 void bbm_state_encode(const bbm_state *state, bbm_format format, bbm_buf *buf);
