--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -130,8 +130,11 @@
                                        which it gets none; 0: 5 s. */
     size_t requests_max;          /**< Maximum of open requests to engines and
                                        services; 0: 4,000. */
-    size_t snapshot_interval_entries; /**< Log entries between snapshots;
+    size_t snapshot_interval_entries; /**< Most log entries between snapshots;
                                            0: 512. */
+    size_t snapshot_interval_bytes;   /**< Most bytes of these entries, unless
+                                           the last snapshot has more; 0:
+                                           1 MiB. */
     bool serve_stale_keys; /**< Pool routes that need a key serve whatever the
                                 age of the keys. */
     bbm_policy policy;     /**< How a runner is chosen. */
@@ -554,15 +557,15 @@
     uint64_t rollout_age_ms;      /**< Leader: time since the first version was
                                        named that a runner lacks (gauge). */
     bbm_gate_counts gate;         /**< Requests to pools. */
-    uint64_t log_entries;      /**< Of the control group, after the snapshot. */
-    uint64_t log_bytes;        /**< Of these entries, in memory. */
-    uint64_t snapshot_bytes;   /**< Of the control group's snapshot. */
-    uint64_t tail_bytes;       /**< Public commands kept for other VMs. */
-    uint64_t proposal_bytes;   /**< Proposals without an outcome yet. */
-    uint64_t unwritten_bytes;  /**< Writes to the data folder that aren't
-                                    synced; filled in by the driver. */
-    uint64_t folder_bytes;     /**< Of the data folder; filled in by the
-                                    driver. */
+    uint64_t log_entries;     /**< Of the control group, after the snapshot. */
+    uint64_t log_bytes;       /**< Of these entries, in memory. */
+    uint64_t snapshot_bytes;  /**< Of the control group's snapshot. */
+    uint64_t tail_bytes;      /**< Public commands kept for other VMs. */
+    uint64_t proposal_bytes;  /**< Proposals without an outcome yet. */
+    uint64_t unwritten_bytes; /**< Writes to the data folder that aren't
+                                   synced; filled in by the driver. */
+    uint64_t folder_bytes;    /**< Of the data folder; filled in by the
+                                   driver. */
 } bbm_node_counts;
 
 /** A node; opaque. */
--- a/node/node.c
+++ b/node/node.c
@@ -17,6 +17,7 @@
 #define DEFAULT_ELECTION_TIMEOUT BBM_SECOND
 #define DEFAULT_REQUESTS_MAX 4000
 #define DEFAULT_SNAPSHOT_INTERVAL_ENTRIES 512
+#define DEFAULT_SNAPSHOT_INTERVAL_BYTES ((size_t)1024 * 1024)
 #define DEFAULT_LIST_PERIOD BBM_SECOND
 #define DEFAULT_LOAD_PERIOD (250 * BBM_MS)
 #define BAD_MESSAGE_LOG_PERIOD BBM_SECOND
@@ -409,6 +410,8 @@
         d->requests_max = DEFAULT_REQUESTS_MAX;
     if (!d->snapshot_interval_entries)
         d->snapshot_interval_entries = DEFAULT_SNAPSHOT_INTERVAL_ENTRIES;
+    if (!d->snapshot_interval_bytes)
+        d->snapshot_interval_bytes = DEFAULT_SNAPSHOT_INTERVAL_BYTES;
     if (!d->list_period)
         d->list_period = DEFAULT_LIST_PERIOD;
     if (!d->load_period)
--- a/node/node_control.c
+++ b/node/node_control.c
@@ -306,10 +306,22 @@
     bbm_outcome_free(&out);
 }
 
+/* The log may have as many bytes as the last snapshot: then the snapshots
+   together cost no more than the entries, whatever the size of the state. */
+static bool
+snapshot_is_due(const bbm_node *n)
+{
+    size_t bytes_max = bbm_raft_snapshot_bytes(n->raft);
+    if (bytes_max < n->desc.snapshot_interval_bytes)
+        bytes_max = n->desc.snapshot_interval_bytes;
+    return bbm_raft_log_len(n->raft) >= n->desc.snapshot_interval_entries
+           || bbm_raft_log_bytes(n->raft) >= bytes_max;
+}
+
 static void
 compact(bbm_node *n)
 {
-    if (bbm_raft_log_len(n->raft) < n->desc.snapshot_interval_entries)
+    if (!snapshot_is_due(n))
         return;
     uint64_t index = bbm_raft_commit_index(n->raft);
     bbm_buf data = {0};
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -415,6 +415,30 @@
     return f->vms[i].sent_bytes;
 }
 
+size_t
+fleet_disk_bytes(const fleet *f, int i)
+{
+    const fake_disk *d = &f->vms[i].disk;
+    size_t bytes = d->snapshot.data.len;
+    for (size_t k = 0; k < d->len; k++)
+        bytes += d->entries[k].len;
+    return bytes;
+}
+
+size_t
+fleet_unsynced_bytes(const fleet *f, int i)
+{
+    const fake_disk *d = &f->vms[i].disk;
+    size_t bytes = 0;
+    for (size_t k = 0; k < d->writes_len; k++) {
+        const bbm_raft_persist *p = &d->writes[k].persist;
+        bytes += p->snapshot ? p->snapshot->data.len : 0;
+        for (size_t e = 0; e < p->len; e++)
+            bytes += p->entries[e].len;
+    }
+    return bytes;
+}
+
 double
 fleet_cpu_ns(const fleet *f)
 {
--- /dev/null
+++ b/tests/test_state_bytes.c
@@ -0,0 +1,194 @@
+/* Large configurations that change often, in virtual time: what a VM holds for
+   the control group depends on the size of the state, not on the number of
+   changes. */
+#include "bbm_codes.h"
+#include "fleet.h"
+#include "test_main.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define NODES 4
+#define DISKS 3
+#define ROUTE_SIZE 400
+#define NAME_CHARS 11
+#define STEPS_MAX 200
+/* Of the log, whatever the size of the state. */
+#define LOG_BYTES ((size_t)128 * 1024)
+
+typedef struct world {
+    fleet *fleet;
+    bbm_rng rng;
+    size_t routes;
+    uint64_t op;
+    int code; /* of the answer to the last change; 1: none yet */
+    int64_t answered;
+    size_t change_bytes; /* of the largest entry that a change has made */
+    size_t held_max;     /* of what one VM has held in memory */
+    size_t stored_max;   /* of a data folder */
+} world;
+
+static void
+on_answer(void *context, const fleet_answer *a)
+{
+    world *w = context;
+    if (!a->operator_call || a->id != w->op)
+        return;
+    w->code = a->code;
+    w->answered++;
+}
+
+static void
+create(world *w, size_t routes)
+{
+    *w = (world){.routes = routes, .rng = bbm_rng_of(76)};
+    w->fleet = fleet_create(
+        &(fleet_desc){
+            .seed = 76,
+            .nodes = NODES,
+            .seeds = DISKS,
+            .disks = DISKS,
+            .delay_max = 3 * BBM_MS,
+            .sync_max = 2 * BBM_MS,
+            .node.discovery = true,
+            .node.gossip_period = 300 * BBM_MS,
+            .node.election_timeout = 450 * BBM_MS,
+            .node.revision_texts_max = 2,
+            .node.snapshot_interval_bytes = LOG_BYTES,
+        },
+        &(fleet_hooks){.context = w, .answer = on_answer});
+    fleet_run(w->fleet, 4 * BBM_SECOND);
+}
+
+/* The names are random, as those of a deployment don't compress to nothing. */
+static char *
+write_config(world *w)
+{
+    static const char chars[] = "abcdefghijklmnopqrstuvwxyz0123456789";
+    char *text = bbm_calloc(w->routes + 2, ROUTE_SIZE);
+    char *at = text
+               + sprintf(text, "{\"pools\":[{\"name\":\"p\","
+                               "\"slots\":64}],\"routes\":[");
+    for (size_t i = 0; i < w->routes; i++) {
+        char name[NAME_CHARS + 1] = "";
+        for (size_t k = 0; k < NAME_CHARS; k++)
+            name[k] = chars[bbm_rng_below(&w->rng, sizeof(chars) - 1)];
+        at += snprintf(at, ROUTE_SIZE,
+                       "%s{\"name\":\"r-%s\",\"host\":\"h\","
+                       "\"path\":\"/%s/\",\"pools\":[\"p\"],\"open\":true,"
+                       "\"repeatable\":true,\"attempts\":2,"
+                       "\"timeout_ms\":2500,\"aim_ms\":150,"
+                       "\"gap_ms\":300,\"stream\":false,\"prompts\":false,"
+                       "\"resumable\":false,\"priority\":1}",
+                       i ? "," : "", name, name);
+    }
+    sprintf(at, "]}");
+    return text;
+}
+
+static size_t
+max_size(size_t a, size_t b)
+{
+    return a > b ? a : b;
+}
+
+/* Of the encoded state of the first VM. */
+static size_t
+state_bytes(const world *w)
+{
+    bbm_buf state = {0};
+    bbm_state_encode(bbm_node_state(fleet_node(w->fleet, 0)),
+                     BBM_FORMAT_LATEST, &state);
+    size_t bytes = state.len;
+    bbm_buf_free(&state);
+    return bytes;
+}
+
+static void
+measure(world *w)
+{
+    for (int i = 0; i < NODES; i++) {
+        bbm_node *node = fleet_node(w->fleet, i);
+        if (!node)
+            continue;
+        bbm_node_counts c = bbm_node_count(node, fleet_now(w->fleet));
+        w->change_bytes = max_size(w->change_bytes, c.proposal_bytes);
+        w->held_max =
+            max_size(w->held_max, c.log_bytes + c.snapshot_bytes
+                                      + fleet_unsynced_bytes(w->fleet, i));
+        w->stored_max = max_size(w->stored_max, fleet_disk_bytes(w->fleet, i));
+    }
+}
+
+/* Returns the code of the answer; 1: there was none in time. */
+static int
+change(world *w, const char *text)
+{
+    char id[BBM_NAME_SIZE];
+    int leader = fleet_leader(w->fleet);
+    if (leader < 0)
+        return 1;
+    uint64_t revision = bbm_registry_revision(
+        bbm_state_registry(bbm_node_state(fleet_node(w->fleet, leader))));
+    snprintf(id, sizeof(id), "p-%llu", (unsigned long long)++w->op);
+    w->code = 1;
+    fleet_publish(w->fleet, leader, w->op, id, revision, text);
+    for (int i = 0; i < STEPS_MAX && w->code == 1; i++) {
+        fleet_step(w->fleet);
+        measure(w);
+    }
+    return w->code;
+}
+
+static void
+change_often(world *w, size_t routes, int changes)
+{
+    create(w, routes);
+    for (int i = 0; i < changes; i++) {
+        char *text = write_config(w);
+        ck_assert_int_eq(change(w, text), BBM_OK);
+        free(text);
+    }
+    fleet_run(w->fleet, BBM_SECOND);
+    measure(w);
+}
+
+/* What is held at most: the log, a snapshot and the one that is being written,
+   and the changes under way. */
+static void
+check_bounded(const world *w)
+{
+    size_t state = state_bytes(w);
+    size_t bytes_max = LOG_BYTES + 4 * state + 4 * w->change_bytes;
+    ck_assert_uint_le(w->held_max, bytes_max);
+    ck_assert_uint_le(w->stored_max, bytes_max);
+}
+
+/* STATE_CHANGES in the environment: number of changes for a long run by
+   hand. */
+static int
+changes_to_make(int in_suite)
+{
+    const char *by_hand = getenv("STATE_CHANGES");
+    return by_hand ? atoi(by_hand) : in_suite;
+}
+
+/* The log was compacted by the number of its entries only, so large changes
+   filled the memory of the VM (issue 76). */
+START_TEST(changes_of_a_large_configuration_hold_a_bounded_log)
+{
+    static const struct {
+        size_t routes;
+        int changes;
+    } cases[] = {{350, 100}, {1400, 40}, {5600, 20}};
+    for (size_t i = 0; i < BBM_COUNT(cases); i++) {
+        world w;
+        change_often(&w, cases[i].routes, changes_to_make(cases[i].changes));
+        check_bounded(&w);
+        fleet_destroy(w.fleet);
+    }
+}
+END_TEST
+
+TEST_MAIN("state_bytes", changes_of_a_large_configuration_hold_a_bounded_log);
