Give freed memory back after a large configuration was read

Cause: the trees are freed between blocks that stay, in up to four arenas, and the allocator gives back only what lies at an arena's end. malloc_trim() takes 0.5 ms after such a document: it is called on the thread that read it, and once a revision was applied.

--- a/base/bbm_mem.c
+++ b/base/bbm_mem.c
@@ -1,5 +1,6 @@
 #include "bbm_mem.h"
 
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -69,6 +70,12 @@
     memcpy(items, &grown, sizeof(grown));
 }
 
+void
+bbm_trim(void)
+{
+    malloc_trim(0);
+}
+
 void
 bbm_auto_free(void *variable)
 {
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -50,6 +50,7 @@
     open_exchange *exchanges;
     bbm_time next_client_check_at;
     size_t text_bytes;         /* counted in the memory budget */
+    uint64_t trimmed_revision; /* after which memory was given back */
     bool any_resubmit_pending; /* of at least one exchange */
     bbm_histogram event_time;
     bbm_time slow_logged_at; /* 0: never */
@@ -735,11 +736,25 @@
     c->text_bytes = bytes;
 }
 
+/* The tree of a revision that was applied since the last tick is free again.
+   All VMs apply each revision. */
+static void
+trim_after_revision(control *c)
+{
+    uint64_t revision =
+        bbm_registry_revision(bbm_state_registry(bbm_node_state(c->node)));
+    bool applied = revision != c->trimmed_revision;
+    c->trimmed_revision = revision;
+    if (applied && c->text_bytes > MEMORY_SMALL_BYTES)
+        bbm_trim();
+}
+
 static void
 tick(control *c)
 {
     check_clients(c);
     count_texts(c);
+    trim_after_revision(c);
     bbm_event ev = {.kind = BBM_EV_TICK};
     ev.u.tick.wall_ms = control_wall_ms();
     step(c, &ev);
--- a/daemon/front_provider.c
+++ b/daemon/front_provider.c
@@ -163,6 +163,8 @@
         bbm_log(BBM_EVENT_CONFIG_REFUSED, "mistake",
                 errors.len ? errors.lines[0] : "", NULL);
     bbm_doc_errors_free(&errors);
+    if (ex->body.len > MEMORY_SMALL_BYTES)
+        bbm_trim();
     if (!valid)
         return BBM_ERR_INVALID_CONFIG;
     ex->operator_event.verb = BBM_VERB_PUBLISH;
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -1288,6 +1288,51 @@
         memory_peak $count declared 4096
     done
 }
+# Of 5,600 routes, with names that don't compress to nothing.
+many_routes() { # VERSION
+    pool_config "$1" | sed 's/"max-body-bytes":65536/"max-body-bytes":4194304/' | awk '
+        BEGIN { srand(76); srand(76)
+            for (i = 0; i < 5600; i++) {
+                name = ""
+                for (k = 0; k < 11; k++) name = name substr("abcdefghijklmnopqrstuvwxyz0123456789", int(rand() * 36) + 1, 1)
+                routes = routes "{\"name\":\"r-" name "\",\"host\":\"a.example\",\"path-prefix\":\"/" name "/\",\"type\":\"safe\"," \
+                    "\"timeout-ms\":2500,\"target-latency-ms\":150,\"priority\":1,\"service\":\"api\",\"max-attempts\":2,\"public\":true," \
+                    "\"sticky\":false,\"resumable\":false,\"target-gap-ms\":300},"
+            } }
+        { sub(/"routes":\[/, "\"routes\":[" routes); print }'
+}
+t_memory_configs() { # changes of a large configuration leave no memory behind, neither in the log nor in the allocator
+    local i pid peak rest bound=$((88 * 1000000 / 1024)) changes=0
+    begin memory_configs
+    fleet_run "$dir/list.log" "$FLEET_BUILD/stand_pool" list $((FLEET_PORT + 6)) $((FLEET_PORT + 520))
+    fleet_run "$dir/upstream.log" "$FLEET_BUILD/memory_load" upstream $((FLEET_PORT + 520)) 1 100 length 60
+    for i in 1 2 3; do
+        mkdir -p "$dir/disk-$i"
+        pool_settings "$i" true
+        sed -i 's/"self_repair"/"memory_mb": 88, "texts_kept": 2, "caller_threads": 1, "self_repair"/' "$dir/vm-$i.json"
+        fleet_daemon "$dir" "$i"
+    done
+    check "a configuration is acknowledged" fleet_until 20 pool_accepts 1 1
+    many_routes 2 >"$dir/many.json"
+    for i in $(seq 1 40); do
+        sed "s/\"version\":2/\"version\":$((i + 1))/" "$dir/many.json" >"$dir/next.json"
+        changes=$((changes + $(pool_control $((i % 3 + 1)) PUT "@$dir/next.json" | grep -c 200)))
+    done
+    check "$changes of 40 changes are acknowledged" test "$changes" -eq 40
+    check "an ordinary request is served" fleet_until 10 pool_is_served 1 /safe/x after
+    sleep 1
+    for i in 1 2 3; do
+        pid=${fleet_daemon_pid[$i]}
+        check "vm-$i lives" kill -0 "$pid"
+        peak=$(awk '/VmHWM/ { print $2 }' "/proc/$pid/status")
+        rest=$(awk '/RssAnon/ { print $2 }' "/proc/$pid/status")
+        echo "  $name: vm-$i: peak ${peak:-unknown} KiB, at rest ${rest:-unknown} KiB"
+        check "its peak is under $bound KiB" test "${peak:-$bound}" -lt "$bound"
+        # The other half of the memory is for what the budget counts.
+        check "it has half of its memory free at rest" test "${rest:-$bound}" -lt $((bound / 2))
+    done
+    finish
+}
 t_memory_mailbox() { # messages that control doesn't take hold bounded bytes
     begin memory_mailbox
     "$FLEET_BUILD/test_mailbox" >"$dir/vm-mailbox.log" 2>&1
@@ -1303,7 +1348,7 @@
     stopped_again copied_refusals refused_half_closed
     half_closed_at_start left_while_held signal_at_start settings_late disk_late soak soak_callers peer_resets killed_peers fatal_signal
     memory_large_chunks memory_tiny_chunks memory_declared_whole memory_declared_pieces
-    memory_slow_answers memory_slow_streams memory_mailbox memory_long_prompts crowd_of_heads slow_answers_at_stop slow_streams_at_stop)
+    memory_slow_answers memory_slow_streams memory_mailbox memory_configs memory_long_prompts crowd_of_heads slow_answers_at_stop slow_streams_at_stop)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
