Bound what waits for a disk or a quorum in the control group

Beyond it a follower stores nothing more: its reply, which waits for the disk, makes the leader send again. A leader whose own disk lags gives up the lead; one that no quorum confirms answers changes 503 with Retry-After (new code BBM_ERR_BACKLOG) before it proposes them. A later reply to a leader replaces one that waits for the same write.

--- a/base/bbm_codes.h
+++ b/base/bbm_codes.h
@@ -106,7 +106,9 @@
     X(BBM_ERR_ORDER_FENCED, -158, 409, NO,                                    \
       "an order with a higher fencing number was taken")                      \
     X(BBM_ERR_NOT_CURRENT, -159, 503, NO,                                     \
-      "this VM cannot prove which revision is the newest")
+      "this VM cannot prove which revision is the newest")                    \
+    X(BBM_ERR_BACKLOG, -160, 503, NO,                                         \
+      "changes come faster than they are written")
 
 /** All result codes. */
 typedef enum bbm_code {
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -353,6 +353,15 @@
     pthread_mutex_unlock(&ex->lock);
 }
 
+void
+exchange_set_retry_after(exchange *ex, int64_t ms)
+{
+    pthread_mutex_lock(&ex->lock);
+    if (!ex->finished)
+        ex->retry_after_ms = ms;
+    pthread_mutex_unlock(&ex->lock);
+}
+
 static char *
 error_text(const exchange *ex, int code, int64_t retry_after_ms)
 {
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -270,6 +270,8 @@
  *  already. */
 void exchange_answer(exchange *ex, unsigned status, const char *type,
                      const void *data, size_t len);
+/** Set the Retry-After header of the answer that follows. */
+void exchange_set_retry_after(exchange *ex, int64_t ms);
 /** Answer with an error.  An answer whose status can't change any more ends as
  *  truncated instead.  Whatever the code, the status doesn't promise that the
  *  request has not run while one of its sends may have.  @p retry_after_ms is
--- a/daemon/front_provider.c
+++ b/daemon/front_provider.c
@@ -7,6 +7,9 @@
 #include <string.h>
 
 static const char json_media_type[] = "application/json";
+/* Of a change that has no room yet. */
+#define CHANGE_RETRY_MS 1000
+
 static const char http_scheme[] = "http://";
 
 /* ---- clients ---- */
@@ -271,6 +274,8 @@
                      const bbm_buf *body)
 {
     if (code != BBM_OK) {
+        if (code == BBM_ERR_BACKLOG || code == BBM_ERR_BUSY)
+            exchange_set_retry_after(ex, CHANGE_RETRY_MS);
         exchange_answer(ex, bbm_code_status(code), json_media_type, body->data,
                         body->len);
         return;
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -135,6 +135,7 @@
     size_t snapshot_interval_bytes;   /**< Most bytes of these entries, unless
                                            the last snapshot has more; 0:
                                            1 MiB. */
+    size_t backlog_bytes_max;         /**< As in bbm_raft_desc. */
     bool serve_stale_keys; /**< Pool routes that need a key serve whatever the
                                 age of the keys. */
     bbm_policy policy;     /**< How a runner is chosen. */
--- a/node/node_control.c
+++ b/node/node_control.c
@@ -20,6 +20,7 @@
         .election_timeout = n->desc.election_timeout,
         .saved = n->desc.saved,
         .now = n->desc.now,
+        .backlog_bytes_max = n->desc.backlog_bytes_max,
         .unsafe_no_sync = n->desc.unsafe_no_sync,
         .unsafe_no_prevote = n->desc.unsafe_no_prevote,
         .unsafe_no_lease = n->desc.unsafe_no_lease,
@@ -314,8 +315,10 @@
     size_t bytes_max = bbm_raft_snapshot_bytes(n->raft);
     if (bytes_max < n->desc.snapshot_interval_bytes)
         bytes_max = n->desc.snapshot_interval_bytes;
-    return bbm_raft_log_len(n->raft) >= n->desc.snapshot_interval_entries
-           || bbm_raft_log_bytes(n->raft) >= bytes_max;
+    /* Each snapshot that waits for the disk is one more in memory. */
+    return !bbm_raft_disk_lags(n->raft)
+           && (bbm_raft_log_len(n->raft) >= n->desc.snapshot_interval_entries
+               || bbm_raft_log_bytes(n->raft) >= bytes_max);
 }
 
 static void
--- a/node/node_core.h
+++ b/node/node_core.h
@@ -128,6 +128,7 @@
     bbm_buf bytes;          /**< Encoded command; owned. */
     bbm_time retry_at;      /**< Next send. */
     bbm_time expires_at;    /**< Dropped then; BBM_NEVER: never. */
+    uint32_t sends;         /**< Times that a leader may have appended it. */
     bool abandoned;         /**< WAITER_CLAIM: the request has ended; the claim
                                  is closed as not run if it was recorded. */
     char customer[BBM_NAME_SIZE]; /**< WAITER_CLAIM: scope of the key. */
@@ -672,6 +673,10 @@
 node_proposal *node_propose(bbm_node *n, const bbm_command *cmd,
                             proposal_waiter waiter, uint64_t waiter_id,
                             bbm_time until);
+/** The same for an operator's call @p op, which is refused at once if the log
+ *  has no room for the change. */
+void node_propose_change(bbm_node *n, const bbm_command *cmd, uint64_t op,
+                         bbm_time until);
 /** Sends proposals again and drops those that have expired. */
 void node_propose_tick(bbm_node *n);
 /** Leader: appends another daemon's proposal to the log. */
--- a/node/node_operator.c
+++ b/node/node_operator.c
@@ -254,8 +254,7 @@
 static void
 propose_change(bbm_node *n, uint64_t op, const bbm_command *cmd)
 {
-    if (!node_propose(n, cmd, WAITER_OPERATOR, op, n->now + OPERATOR_TIMEOUT))
-        node_reply_code(n, op, BBM_ERR_BUSY, NULL);
+    node_propose_change(n, cmd, op, n->now + OPERATOR_TIMEOUT);
 }
 
 static void
--- a/node/node_propose.c
+++ b/node/node_propose.c
@@ -55,34 +55,39 @@
         bbm_buf_add(buf, data, len);
 }
 
-/* Calls bbm_raft_propose with what all members of the group read. */
-static void
+/* Calls bbm_raft_propose with what all members of the group read, and returns
+   its result. */
+static int
 append_command(bbm_node *n, const char *origin, uint64_t run, uint64_t seq,
                const uint8_t *data, size_t len)
 {
     uint64_t index = 0;
     if (is_pending(n, origin, run, seq))
-        return;
+        return BBM_OK;
     bbm_buf read = {0};
     put_command(&read, data, len, node_group_format(n));
-    if (bbm_raft_propose(n->raft, read.data, read.len, n->now, &index)
-        == BBM_OK)
+    int rc = bbm_raft_propose(n->raft, read.data, read.len, n->now, &index);
+    if (rc == BBM_OK)
         add_pending_entry(n, index, origin, run, seq);
     bbm_buf_free(&read);
+    return rc;
 }
 
-static void
+/* Returns BBM_ERR_BACKLOG if the log had no room for it, else BBM_OK. */
+static int
 send_proposal(bbm_node *n, node_proposal *p)
 {
     p->retry_at = n->now + RESEND_PERIOD;
     if (node_leads(n)) {
-        append_command(n, n->desc.name, n->desc.run, p->seq, p->bytes.data,
-                       p->bytes.len);
-        return;
+        int rc = append_command(n, n->desc.name, n->desc.run, p->seq,
+                                p->bytes.data, p->bytes.len);
+        p->sends += rc == BBM_OK;
+        return rc == BBM_ERR_BACKLOG ? rc : BBM_OK;
     }
     bool elsewhere = n->leader[0] && strcmp(n->leader, n->desc.name) != 0;
     if (!elsewhere)
-        return;
+        return BBM_OK;
+    p->sends++;
     bbm_buf *buf = node_send(n, n->leader, NODE_PROPOSE);
     bbm_put_u64(buf, n->desc.run);
     bbm_put_u64(buf, p->seq);
@@ -91,11 +96,13 @@
                 node_state_format(n, n->leader));
     bbm_put_bytes(buf, read.data, read.len);
     bbm_buf_free(&read);
+    return BBM_OK;
 }
 
-node_proposal *
-node_propose(bbm_node *n, const bbm_command *cmd, proposal_waiter waiter,
-             uint64_t waiter_id, bbm_time until)
+/* NULL if too many are open. */
+static node_proposal *
+create_proposal(bbm_node *n, const bbm_command *cmd, proposal_waiter waiter,
+                uint64_t waiter_id, bbm_time until)
 {
     if (HASH_COUNT(n->proposals) >= PROPOSALS_MAX)
         return NULL;
@@ -112,10 +119,32 @@
     bbm_command_encode(&timestamped, &p->bytes);
     bbm_buf_free(&documents);
     HASH_ADD(hh, n->proposals, seq, sizeof(p->seq), p);
-    send_proposal(n, p);
     return p;
 }
 
+node_proposal *
+node_propose(bbm_node *n, const bbm_command *cmd, proposal_waiter waiter,
+             uint64_t waiter_id, bbm_time until)
+{
+    node_proposal *p = create_proposal(n, cmd, waiter, waiter_id, until);
+    if (p)
+        send_proposal(n, p);
+    return p;
+}
+
+void
+node_propose_change(bbm_node *n, const bbm_command *cmd, uint64_t op,
+                    bbm_time until)
+{
+    node_proposal *p = create_proposal(n, cmd, WAITER_OPERATOR, op, until);
+    int rc = p ? send_proposal(n, p) : BBM_ERR_BUSY;
+    if (rc == BBM_OK)
+        return;
+    if (p)
+        free_proposal(n, p);
+    node_reply_code(n, op, rc, NULL);
+}
+
 static void
 expire_proposal(bbm_node *n, node_proposal *p)
 {
@@ -137,6 +166,16 @@
     }
 }
 
+static void
+send_outcome(bbm_node *n, const char *to, uint64_t run, uint64_t seq,
+             const bbm_outcome *out)
+{
+    bbm_buf *buf = node_send(n, to, NODE_OUTCOME);
+    bbm_put_u64(buf, run);
+    bbm_put_u64(buf, seq);
+    bbm_outcome_encode(out, buf);
+}
+
 int
 node_propose_receive(bbm_node *n, const char *from, bbm_reader *rd)
 {
@@ -148,8 +187,14 @@
     bbm_command cmd;
     if (bbm_command_decode(bytes.data, bytes.len, &cmd) < 0)
         return BBM_ERR_DECODE;
-    if (node_leads(n))
-        append_command(n, from, run, seq, bytes.data, bytes.len);
+    if (!node_leads(n)
+        || append_command(n, from, run, seq, bytes.data, bytes.len)
+               != BBM_ERR_BACKLOG)
+        return BBM_OK;
+    /* Other commands are sent again by themselves. */
+    if (cmd.kind == BBM_CMD_PUBLISH || cmd.kind == BBM_CMD_PUBLISH_DEFLATED)
+        send_outcome(n, from, run, seq,
+                     &(bbm_outcome){.code = BBM_ERR_BACKLOG});
     return BBM_OK;
 }
 
@@ -160,7 +205,8 @@
 {
     node_proposal *p = NULL;
     HASH_FIND(hh, n->proposals, &seq, sizeof(seq), p);
-    if (!p)
+    /* One that was sent before may be in the log nevertheless. */
+    if (!p || (out->code == BBM_ERR_BACKLOG && p->sends > 1))
         return;
     switch (p->waiter) {
     case WAITER_CLAIM:
@@ -202,10 +248,7 @@
             deliver_outcome(n, p->seq, out);
     }
     else {
-        bbm_buf *buf = node_send(n, p->origin, NODE_OUTCOME);
-        bbm_put_u64(buf, p->run);
-        bbm_put_u64(buf, p->seq);
-        bbm_outcome_encode(out, buf);
+        send_outcome(n, p->origin, p->run, p->seq, out);
     }
     free(p);
 }
--- a/node/node_release.c
+++ b/node/node_release.c
@@ -102,9 +102,7 @@
     bbm_name_set(info->build, call->other_name);
     info->duration_ms = call->revision;
     info->share = bbm_release_first_share(n->desc.release_share);
-    if (!node_propose(n, &cmd, WAITER_OPERATOR, call->op,
-                      n->now + ORDER_TIMEOUT))
-        node_reply_code(n, call->op, BBM_ERR_BUSY, NULL);
+    node_propose_change(n, &cmd, call->op, n->now + ORDER_TIMEOUT);
 }
 
 void
--- a/raft/bbm_raft.c
+++ b/raft/bbm_raft.c
@@ -10,6 +10,7 @@
 #define DEFAULT_ELECTION_TIMEOUT (500 * BBM_MS)
 #define DEFAULT_DRIFT_PPM 1000
 #define DEFAULT_BATCH_BYTES ((size_t)512 * 1024)
+#define DEFAULT_BACKLOG_BYTES ((size_t)4 * 1024 * 1024)
 #define HEARTBEATS_PER_ELECTION 5
 /* The timeout before a pre-vote is divided by this while a member has seen no
    leader since its start. */
@@ -108,6 +109,8 @@
         d->drift_ppm = DEFAULT_DRIFT_PPM;
     if (!d->batch_bytes)
         d->batch_bytes = DEFAULT_BATCH_BYTES;
+    if (!d->backlog_bytes_max)
+        d->backlog_bytes_max = DEFAULT_BACKLOG_BYTES;
 }
 
 static void
@@ -260,8 +263,10 @@
         raft_reset_timeout(r);
     size_t len_left = 0;
     for (size_t i = 0; i < r->pending_writes_len; i++) {
-        if (r->pending_writes[i].seq <= seq)
+        if (r->pending_writes[i].seq <= seq) {
             r->durable_index = r->pending_writes[i].index;
+            r->unsynced_bytes -= r->pending_writes[i].bytes;
+        }
         else
             r->pending_writes[len_left++] = r->pending_writes[i];
     }
@@ -271,6 +276,29 @@
         raft_advance_commit(r);
 }
 
+/* A write of the snapshot alone must not count as a backlog. */
+static size_t
+backlog_bytes_max(const bbm_raft *r)
+{
+    return r->desc.backlog_bytes_max + 2 * r->log.snapshot.data.len;
+}
+
+static size_t
+uncommitted_bytes(const bbm_raft *r)
+{
+    size_t bytes = 0;
+    for (uint64_t i = raft_log_last(&r->log); i > r->commit_index; i--)
+        bytes += raft_log_entry(&r->log, i)->len;
+    return bytes;
+}
+
+bool
+bbm_raft_disk_lags(const bbm_raft *r)
+{
+    return !r->desc.unsafe_no_sync
+           && r->unsynced_bytes >= backlog_bytes_max(r);
+}
+
 int
 bbm_raft_propose(bbm_raft *r, const uint8_t *data, size_t len, bbm_time now,
                  uint64_t *index)
@@ -278,6 +306,12 @@
     update_clock(r, now);
     if (r->role != BBM_LEADER)
         return BBM_ERR_NOT_LEADER;
+    if (bbm_raft_disk_lags(r)) {
+        raft_become_follower(r, r->term, 0);
+        return BBM_ERR_NOT_LEADER;
+    }
+    if (uncommitted_bytes(r) >= backlog_bytes_max(r))
+        return BBM_ERR_BACKLOG;
     *index = raft_append_entry(r, BBM_ENTRY_COMMAND, data, len);
     raft_broadcast(r);
     return BBM_OK;
--- a/raft/bbm_raft.h
+++ b/raft/bbm_raft.h
@@ -98,17 +98,20 @@
     uint64_t seed;               /**< Seeds the election timeouts. */
     bbm_time election_timeout;   /**< Minimum timeout; 0 means 500 ms. */
     bbm_time heartbeat_interval; /**< 0 means election_timeout / 5. */
-    int64_t drift_ppm;      /**< Maximum clock drift between VMs in parts per
-                                 million; 0 means 1000. */
-    size_t batch_bytes;     /**< A message gets no further entry once its
-                                 entries reach this; 0 means 512 KiB. */
-    bool unsafe_no_lease;   /**< Tests only: votes are never withheld. */
-    bool unsafe_no_prevote; /**< Tests only: elections without pre-vote. */
-    bool unsafe_no_sync;    /**< Tests only: messages don't wait for disk
-                                 writes. */
-    bbm_raft_saved *saved;  /**< Moved from and zeroed; NULL for a new
-                                 member. */
-    bbm_time now;           /**< Current time. */
+    int64_t drift_ppm;        /**< Maximum clock drift between VMs in parts per
+                                   million; 0 means 1000. */
+    size_t batch_bytes;       /**< A message gets no further entry once its
+                                   entries reach this; 0 means 512 KiB. */
+    size_t backlog_bytes_max; /**< Beyond it, and twice the snapshot, nothing
+                                   is accepted that would have to be
+                                   written; 0 means 4 MiB. */
+    bool unsafe_no_lease;     /**< Tests only: votes are never withheld. */
+    bool unsafe_no_prevote;   /**< Tests only: elections without pre-vote. */
+    bool unsafe_no_sync;      /**< Tests only: messages don't wait for disk
+                                   writes. */
+    bbm_raft_saved *saved;    /**< Moved from and zeroed; NULL for a new
+                                   member. */
+    bbm_time now;             /**< Current time. */
 } bbm_raft_desc;
 
 /** Role of a member. */
@@ -210,7 +213,9 @@
 /** Append a command to the log; @p index receives its index.  The command is
  *  in force once it is output for commit; it may be lost before that.
  *  BBM_ERR_NOT_LEADER unless this member is leader, and within the election
- *  timeout was elected or got answers from a quorum. */
+ *  timeout was elected or got answers from a quorum.  BBM_ERR_BACKLOG, without
+ *  effect, if entries that no quorum has confirmed reach backlog_bytes_max.
+ *  A leader whose own disk lags by as much gives up leadership. */
 int bbm_raft_propose(bbm_raft *r, const uint8_t *data, size_t len,
                      bbm_time now, uint64_t *index);
 
@@ -247,6 +252,9 @@
 uint64_t bbm_raft_last_index(const bbm_raft *r);
 /** Number of entries after the snapshot. */
 size_t bbm_raft_log_len(const bbm_raft *r);
+/** True if the writes that aren't confirmed reach backlog_bytes_max: nothing
+ *  is accepted before some are. */
+bool bbm_raft_disk_lags(const bbm_raft *r);
 /** Bytes of the entries after the snapshot, and of the snapshot. */
 size_t bbm_raft_log_bytes(const bbm_raft *r);
 size_t bbm_raft_snapshot_bytes(const bbm_raft *r);
--- a/raft/raft_core.h
+++ b/raft/raft_core.h
@@ -26,11 +26,15 @@
                               nor received from a leader since its start. */
 } raft_peer;
 
+/** A queue of outputs. */
+TAILQ_HEAD(raft_queue, raft_queued);
+
 /** A queued output. */
 typedef struct raft_queued {
     bbm_raft_output output;
     uint64_t wait_seq;             /**< Deliver only after this write; 0 for
                                         at once. */
+    bool is_append_reply;          /**< A later one replaces it. */
     TAILQ_ENTRY(raft_queued) link; /**< In bbm_raft.ready or .waiting. */
 } raft_queued;
 
@@ -38,6 +42,7 @@
 typedef struct raft_pending_write {
     uint64_t seq;   /**< Number of the write. */
     uint64_t index; /**< Last index of the log once it is synced. */
+    size_t bytes;   /**< Of its snapshot and entries. */
 } raft_pending_write;
 
 /** A member of a Raft group. */
@@ -69,10 +74,11 @@
     raft_pending_write *pending_writes; /**< In order of seq. */
     size_t pending_writes_len;
     size_t pending_writes_cap;
-    uint64_t durable_index;            /**< Last index synced here. */
-    TAILQ_HEAD(, raft_queued) ready;   /**< Outputs for the driver. */
-    TAILQ_HEAD(, raft_queued) waiting; /**< For a write. */
-    raft_queued *current_output;       /**< Returned last; owned. */
+    size_t unsynced_bytes;       /**< Of these writes. */
+    uint64_t durable_index;      /**< Last index synced here. */
+    struct raft_queue ready;     /**< Outputs for the driver. */
+    struct raft_queue waiting;   /**< For a write. */
+    raft_queued *current_output; /**< Returned last; owned. */
 };
 
 /** Queue an output that doesn't wait for a write. */
--- a/raft/raft_output.c
+++ b/raft/raft_output.c
@@ -68,6 +68,28 @@
     return &q->output;
 }
 
+/* While a write lasts, a leader asks again and again.  The latest answer of
+   those that wait for the same write says all. */
+static void
+drop_older_reply(bbm_raft *r, const raft_queued *reply)
+{
+    raft_queued *q;
+    if (!reply->is_append_reply)
+        return;
+    TAILQ_FOREACH_REVERSE(q, &r->waiting, raft_queue, link)
+    {
+        if (q->wait_seq < reply->wait_seq)
+            return;
+        if (q->is_append_reply
+            && q->output.u.send.to == reply->output.u.send.to)
+            break;
+    }
+    if (!q)
+        return;
+    TAILQ_REMOVE(&r->waiting, q, link);
+    raft_free_queued(q);
+}
+
 void
 raft_send(bbm_raft *r, raft_message *m, bool durable)
 {
@@ -76,10 +98,13 @@
     q->output.u.send.to = m->to;
     raft_message_encode(m, &q->output.u.send.bytes);
     q->wait_seq = durable ? r->persist_issued : 0;
+    q->is_append_reply = m->kind == RAFT_APPEND_REPLY;
     bool must_wait =
         q->wait_seq > r->persist_confirmed && !r->desc.unsafe_no_sync;
-    if (must_wait)
+    if (must_wait) {
+        drop_older_reply(r, q);
         TAILQ_INSERT_TAIL(&r->waiting, q, link);
+    }
     else
         TAILQ_INSERT_TAIL(&r->ready, q, link);
 }
@@ -88,7 +113,7 @@
    that it truncates no longer count as durable, nor do earlier writes of
    them. */
 static void
-add_pending_write(bbm_raft *r, uint64_t truncate_from)
+add_pending_write(bbm_raft *r, uint64_t truncate_from, size_t bytes)
 {
     for (size_t i = 0; truncate_from && i < r->pending_writes_len; i++) {
         if (r->pending_writes[i].index >= truncate_from)
@@ -101,7 +126,9 @@
     r->pending_writes[r->pending_writes_len++] = (raft_pending_write){
         .seq = r->persist_issued,
         .index = raft_log_last(&r->log),
+        .bytes = bytes,
     };
+    r->unsynced_bytes += bytes;
 }
 
 void
@@ -116,6 +143,7 @@
     p->snapshot = snapshot ? copy_snapshot(snapshot) : NULL;
     p->truncate_from = truncate_from;
     uint64_t last = raft_log_last(&r->log);
+    size_t bytes = snapshot ? snapshot->data.len : 0;
     if (from && from <= last) {
         p->len = (size_t)(last - from + 1);
         p->entries = bbm_calloc(p->len, sizeof(bbm_entry));
@@ -123,9 +151,10 @@
             p->entries[i] = *raft_log_entry(&r->log, from + i);
             p->entries[i].data =
                 bbm_memdup(p->entries[i].data, p->entries[i].len);
+            bytes += p->entries[i].len;
         }
     }
-    add_pending_write(r, truncate_from);
+    add_pending_write(r, truncate_from, bytes);
 }
 
 bbm_raft_output *
--- a/raft/raft_replicate.c
+++ b/raft/raft_replicate.c
@@ -234,7 +234,10 @@
         raft_send(r, &reply, true);
         return;
     }
-    uint64_t match_index = store_entries(r, m);
+    /* What isn't stored is as if it had not arrived: the leader sends it again
+       once the reply, which waits for the disk, says what is here. */
+    uint64_t match_index =
+        bbm_raft_disk_lags(r) ? m->index : store_entries(r, m);
     reply.granted = true;
     reply.index = match_index;
     raft_send(r, &reply, true);
@@ -259,6 +262,8 @@
         raft_send(r, &reply, true);
         return;
     }
+    if (bbm_raft_disk_lags(r))
+        return;
     bbm_raft_snapshot snap = {
         .index = m->index,
         .term = m->index_term,
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -21,6 +21,7 @@
     int64_t wall_offset_ms;
     bbm_format format; /* of its build; 0: as in the parameters */
     fake_disk disk;
+    bool disk_stalled;
 } vm;
 
 struct fleet {
@@ -270,6 +271,8 @@
 {
     vm *p = &f->vms[i];
     uint64_t seq;
+    if (f->vms[i].disk_stalled)
+        return;
     while (fleet_is_running(f, i) && fake_disk_sync(&p->disk, f->now, &seq)) {
         bbm_event ev = {.kind = BBM_EV_PERSISTED};
         ev.u.persisted.seq = seq;
@@ -415,6 +418,12 @@
     return f->vms[i].sent_bytes;
 }
 
+void
+fleet_stall_disk(fleet *f, int i, bool on)
+{
+    f->vms[i].disk_stalled = on;
+}
+
 size_t
 fleet_disk_bytes(const fleet *f, int i)
 {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -103,6 +103,8 @@
                    uint64_t expected, const char *text);
 /** Total bytes of the messages that a node has sent. */
 size_t fleet_sent_bytes(const fleet *f, int i);
+/** Let no write of a node's disk be synced while @p on. */
+void fleet_stall_disk(fleet *f, int i, bool on);
 /** Bytes of a node's data folder, and of its writes that aren't synced. */
 size_t fleet_disk_bytes(const fleet *f, int i);
 size_t fleet_unsynced_bytes(const fleet *f, int i);
--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -20,14 +20,16 @@
 #define STEPS_MAX 200
 /* Of the log, whatever the size of the state. */
 #define LOG_BYTES ((size_t)128 * 1024)
+/* Of what waits for a disk. */
+#define BACKLOG_BYTES ((size_t)256 * 1024)
 
 typedef struct world {
     fleet *fleet;
     bbm_rng rng;
     size_t routes;
     uint64_t op;
-    int code; /* of the answer to the last change; 1: none yet */
-    int64_t answered;
+    int code;            /* of the answer to the last change; 1: none yet */
+    int steps_max;       /* that an answer may take */
     size_t change_bytes; /* of the largest entry that a change has made */
     size_t held_max;     /* of what one VM has held in memory */
     size_t stored_max;   /* of a data folder */
@@ -40,13 +42,13 @@
     if (!a->operator_call || a->id != w->op)
         return;
     w->code = a->code;
-    w->answered++;
 }
 
 static void
 create(world *w, size_t routes)
 {
-    *w = (world){.routes = routes, .rng = bbm_rng_of(76)};
+    *w = (world){
+        .routes = routes, .steps_max = STEPS_MAX, .rng = bbm_rng_of(76)};
     w->fleet = fleet_create(
         &(fleet_desc){
             .seed = 76,
@@ -60,6 +62,7 @@
             .node.election_timeout = 450 * BBM_MS,
             .node.revision_texts_max = 2,
             .node.snapshot_interval_bytes = LOG_BYTES,
+            .node.backlog_bytes_max = BACKLOG_BYTES,
         },
         &(fleet_hooks){.context = w, .answer = on_answer});
     fleet_run(w->fleet, 4 * BBM_SECOND);
@@ -167,7 +170,7 @@
     snprintf(id, sizeof(id), "p-%llu", (unsigned long long)++w->op);
     w->code = 1;
     fleet_publish(w->fleet, leader, w->op, id, revision, text);
-    for (int i = 0; i < STEPS_MAX && w->code == 1; i++) {
+    for (int i = 0; i < w->steps_max && w->code == 1; i++) {
         fleet_step(w->fleet);
         measure(w);
     }
@@ -224,6 +227,144 @@
 }
 END_TEST
 
+/* Whether all VMs have the same revision. */
+static bool
+has_converged(const world *w)
+{
+    uint64_t first = 0;
+    for (int i = 0; i < NODES; i++) {
+        uint64_t revision = bbm_registry_revision(
+            bbm_state_registry(bbm_node_state(fleet_node(w->fleet, i))));
+        if (i && revision != first)
+            return false;
+        first = revision;
+    }
+    return true;
+}
+
+/* What is held at most with a stalled disk: the writes that wait, the log and
+   the snapshot, and a message of the leader. */
+static void
+check_bounded_with_stalled_disk(const world *w)
+{
+    size_t state = state_bytes(w);
+    ck_assert_uint_le(w->held_max, 2 * (BACKLOG_BYTES + 2 * state) + LOG_BYTES
+                                       + 4 * state + 8 * w->change_bytes);
+}
+
+static int
+follower(const world *w)
+{
+    int leader = fleet_leader(w->fleet);
+    return leader ? 0 : 1;
+}
+
+/* Makes @p changes changes, and gives the number of those that were
+   acknowledged. */
+static int
+make_changes(world *w, int changes)
+{
+    int done = 0;
+    for (int i = 0; i < changes; i++) {
+        BBM_AUTO_FREE char *text = write_config(&w->rng, w->routes);
+        done += change(w, text) == BBM_OK;
+    }
+    return done;
+}
+
+/* A follower took all that its leader sent, and a copy of each snapshot, while
+   its disk synced nothing (issue 76). */
+START_TEST(follower_with_a_stalled_disk_holds_a_bounded_backlog)
+{
+    world w;
+    create(&w, 350);
+    ck_assert_int_eq(make_changes(&w, 5), 5);
+    int slow = follower(&w);
+    fleet_stall_disk(w.fleet, slow, true);
+    ck_assert_int_eq(make_changes(&w, 150), 150);
+    check_bounded_with_stalled_disk(&w);
+    fleet_stall_disk(w.fleet, slow, false);
+    fleet_run(w.fleet, 3 * BBM_SECOND);
+    ck_assert(has_converged(&w));
+    check_bounded_with_stalled_disk(&w);
+    fleet_destroy(w.fleet);
+}
+END_TEST
+
+/* Answers to heartbeats waited for the disk, each in memory, for as long as it
+   was full (issue 76). */
+START_TEST(answers_that_wait_for_a_stalled_disk_dont_pile_up)
+{
+    world w;
+    create(&w, 10);
+    ck_assert_int_eq(make_changes(&w, 5), 5);
+    int slow = follower(&w);
+    fleet_stall_disk(w.fleet, slow, true);
+    ck_assert_int_eq(make_changes(&w, 2), 2);
+    size_t sent = fleet_sent_bytes(w.fleet, slow);
+    fleet_run(w.fleet, 60 * BBM_SECOND);
+    size_t before = fleet_sent_bytes(w.fleet, slow) - sent;
+    fleet_stall_disk(w.fleet, slow, false);
+    sent = fleet_sent_bytes(w.fleet, slow);
+    fleet_run(w.fleet, 100 * BBM_MS);
+    ck_assert_uint_lt(fleet_sent_bytes(w.fleet, slow) - sent, before / 100);
+    fleet_destroy(w.fleet);
+}
+END_TEST
+
+/* A leader whose disk synced nothing kept all writes, and the lead (issue
+   76). */
+START_TEST(leader_with_a_stalled_disk_gives_up_the_lead)
+{
+    world w;
+    create(&w, 350);
+    ck_assert_int_eq(make_changes(&w, 5), 5);
+    int slow = fleet_leader(w.fleet);
+    fleet_stall_disk(w.fleet, slow, true);
+    make_changes(&w, 100);
+    fleet_run(w.fleet, 2 * BBM_SECOND);
+    ck_assert_int_ge(fleet_leader(w.fleet), 0);
+    ck_assert_int_ne(fleet_leader(w.fleet), slow);
+    ck_assert_int_eq(make_changes(&w, 50), 50);
+    check_bounded_with_stalled_disk(&w);
+    fleet_stall_disk(w.fleet, slow, false);
+    fleet_run(w.fleet, 3 * BBM_SECOND);
+    ck_assert(has_converged(&w));
+    fleet_destroy(w.fleet);
+}
+END_TEST
+
+/* Entries that no follower confirmed were taken without a limit: a change that
+   comes too fast is to be refused before it is proposed (issue 76). */
+START_TEST(changes_that_nobody_confirms_are_refused_and_not_made)
+{
+    world w;
+    create(&w, 1400);
+    ck_assert_int_eq(make_changes(&w, 5), 5);
+    int leader = fleet_leader(w.fleet);
+    for (int i = 0; i < DISKS; i++)
+        fleet_stall_disk(w.fleet, i, i != leader);
+    int refused = 0;
+    w.steps_max = 1;
+    for (int i = 0; i < 40; i++) {
+        BBM_AUTO_FREE char *text = write_config(&w.rng, w.routes);
+        refused += change(&w, text) == BBM_ERR_BACKLOG;
+    }
+    ck_assert_int_gt(refused, 5);
+    check_bounded_with_stalled_disk(&w);
+    uint64_t last = w.op;
+    for (int i = 0; i < DISKS; i++)
+        fleet_stall_disk(w.fleet, i, false);
+    fleet_run(w.fleet, 3 * BBM_SECOND);
+    ck_assert(has_converged(&w));
+    bbm_revision current;
+    ck_assert(bbm_registry_current(
+        bbm_state_registry(bbm_node_state(fleet_node(w.fleet, 0))), &current));
+    ck_assert_uint_lt(strtoull(current.id + 2, NULL, 10), last);
+    fleet_destroy(w.fleet);
+}
+END_TEST
+
 /* Least processor time of three checks. */
 static double
 check_ns(size_t routes)
@@ -299,5 +440,9 @@
 END_TEST
 
 TEST_MAIN("large_config", changes_of_a_large_configuration_hold_a_bounded_log,
+          follower_with_a_stalled_disk_holds_a_bounded_backlog,
+          answers_that_wait_for_a_stalled_disk_dont_pile_up,
+          leader_with_a_stalled_disk_gives_up_the_lead,
+          changes_that_nobody_confirms_are_refused_and_not_made,
           check_takes_time_in_proportion_to_the_routes,
           translation_holds_one_tree_at_a_time);
