Start with a long log in little memory and in short steps

Records are read one at a time, and entries of 4 KiB and more stay in their file until they are applied, sent or written again. Committed entries are copied one by one as the driver takes them; a step applies 128 KiB of them and leaves the rest for the next one. A leader decides once its state has the entries of earlier terms. The format of the folder is unchanged.

--- a/node/node_control.c
+++ b/node/node_control.c
@@ -9,6 +9,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Committed entries applied in one step: a large change takes some 100 ms, in
+   which no other event is handled. */
+#define APPLIED_BYTES_MAX ((size_t)128 * 1024)
 #define REPLACEMENT_TIMEOUT (60 * BBM_SECOND)
 
 void
@@ -36,10 +39,12 @@
     bbm_raft_destroy(n->raft);
 }
 
+/* A leader whose state lacks entries of earlier terms can't decide yet. */
 bool
 node_leads(const bbm_node *n)
 {
-    return n->raft && bbm_raft_lease_until(n->raft) > n->now;
+    return n->raft && bbm_raft_lease_until(n->raft) > n->now
+           && n->applied_index >= n->term_first_index;
 }
 
 /* ---- identities ---- */
@@ -324,9 +329,12 @@
 static void
 compact(bbm_node *n)
 {
-    if (!snapshot_is_due(n))
+    uint64_t index = n->applied_index;
+    /* What isn't applied yet is written once more. */
+    if (!snapshot_is_due(n)
+        || bbm_raft_bytes_after(n->raft, index)
+               > n->desc.snapshot_interval_bytes)
         return;
-    uint64_t index = bbm_raft_commit_index(n->raft);
     bbm_buf data = {0};
     /* While VMs are replaced, any of them may go back to the build before and
        read its folder. */
@@ -398,8 +406,12 @@
         return;
     bbm_raft_output *out;
     bool committed = false;
+    size_t applied_bytes = 0;
     /* This VM may leave the group on the way. */
-    while (n->raft && (out = bbm_raft_next_output(n->raft)) != NULL) {
+    while (n->raft
+           && (applied_bytes < APPLIED_BYTES_MAX
+               || !bbm_raft_next_is_commit(n->raft))
+           && (out = bbm_raft_next_output(n->raft)) != NULL) {
         switch (out->kind) {
         case BBM_RAFT_SEND:
             send_raft(n, out);
@@ -409,6 +421,7 @@
             out->u.persist = (bbm_raft_persist){0};
             break;
         case BBM_RAFT_COMMIT:
+            applied_bytes += out->u.commit.len;
             apply(n, &out->u.commit);
             committed = true;
             break;
--- a/raft/bbm_raft.c
+++ b/raft/bbm_raft.c
@@ -122,6 +122,7 @@
     r->log.entries = saved->entries;
     r->log.len = saved->len;
     r->log.cap = saved->len;
+    r->log.file = saved->file;
     for (size_t i = 0; i < saved->len; i++)
         r->log.bytes += saved->entries[i].len;
     r->commit_index = r->log.snapshot.index;
@@ -283,11 +284,11 @@
     return r->desc.backlog_bytes_max + 2 * r->log.snapshot.data.len;
 }
 
-static size_t
-uncommitted_bytes(const bbm_raft *r)
+size_t
+bbm_raft_bytes_after(const bbm_raft *r, uint64_t index)
 {
     size_t bytes = 0;
-    for (uint64_t i = raft_log_last(&r->log); i > r->commit_index; i--)
+    for (uint64_t i = raft_log_last(&r->log); i > index; i--)
         bytes += raft_log_entry(&r->log, i)->len;
     return bytes;
 }
@@ -310,7 +311,7 @@
         raft_become_follower(r, r->term, 0);
         return BBM_ERR_NOT_LEADER;
     }
-    if (uncommitted_bytes(r) >= backlog_bytes_max(r))
+    if (bbm_raft_bytes_after(r, r->commit_index) >= backlog_bytes_max(r))
         return BBM_ERR_BACKLOG;
     *index = raft_append_entry(r, BBM_ENTRY_COMMAND, data, len);
     raft_broadcast(r);
--- a/raft/bbm_raft.h
+++ b/raft/bbm_raft.h
@@ -71,10 +71,23 @@
     uint64_t index;      /**< Position in the log, from 1. */
     uint64_t term;       /**< Term of the leader that appended it. */
     bbm_entry_kind kind; /**< Type of the data. */
-    uint8_t *data;       /**< Owned by the log. */
+    uint8_t *data;       /**< Owned by the log; NULL while it is still in a
+                              file, at stored_at. */
     size_t len;          /**< Bytes of data. */
+    uint64_t stored_at;  /**< Position in its file; 0: not in a file. */
 } bbm_entry;
 
+/** The file from which data of entries is read when it is needed, so that a
+ *  long log isn't held in memory at a restart. */
+typedef struct bbm_entry_file {
+    /** Read @p len bytes at @p at.  Ends the process if they can't be read:
+     *  the state would have a gap. */
+    void (*read)(void *context, uint64_t at, uint8_t *data, size_t len);
+    /** Release the context. */
+    void (*close)(void *context);
+    void *context; /**< NULL: there is no file. */
+} bbm_entry_file;
+
 /** Snapshot of the state machine after the entry at an index. */
 typedef struct bbm_raft_snapshot {
     uint64_t index;       /**< Last entry included; 0 if there is none. */
@@ -90,6 +103,7 @@
     bbm_raft_snapshot snapshot; /**< Latest snapshot. */
     bbm_entry *entries;         /**< Entries after it, without gaps. */
     size_t len;                 /**< Number of entries. */
+    bbm_entry_file file;        /**< Of the entries whose data isn't read. */
 } bbm_raft_saved;
 
 /** Parameters of bbm_raft_create. */
@@ -240,6 +254,12 @@
 /** Next output, or NULL if there is none. */
 bbm_raft_output *bbm_raft_next_output(bbm_raft *r);
 
+/** True if the next output is a committed entry to apply.  A driver may leave
+ *  those for later, so that one call doesn't take long. */
+bool bbm_raft_next_is_commit(const bbm_raft *r);
+/** Bytes of the entries after an index. */
+size_t bbm_raft_bytes_after(const bbm_raft *r, uint64_t index);
+
 /** Current role. */
 bbm_raft_role bbm_raft_role_of(const bbm_raft *r);
 /** Current term. */
--- a/raft/raft_core.h
+++ b/raft/raft_core.h
@@ -76,7 +76,8 @@
     size_t pending_writes_cap;
     size_t unsynced_bytes;       /**< Of these writes. */
     uint64_t durable_index;      /**< Last index synced here. */
-    struct raft_queue ready;     /**< Outputs for the driver. */
+    struct raft_queue ready;     /**< Outputs for the driver; committed entries
+                                        come after them. */
     struct raft_queue waiting;   /**< For a write. */
     raft_queued *current_output; /**< Returned last; owned. */
 };
@@ -95,8 +96,6 @@
 void raft_free_queued(raft_queued *q);
 /** Make messages ready whose writes are synced. */
 void raft_release_waiting(bbm_raft *r);
-/** Output committed entries that weren't output yet. */
-void raft_apply(bbm_raft *r);
 /** Reload the group from the log and rebuild the peers; members that stay
  *  keep their progress.  Outputs BBM_RAFT_GROUP if the group has changed. */
 void raft_reload_group(bbm_raft *r);
--- a/raft/raft_log.c
+++ b/raft/raft_log.c
@@ -17,6 +17,46 @@
     return &log->entries[index - log->snapshot.index - 1];
 }
 
+bbm_entry *
+raft_log_copy(const raft_log *log, uint64_t index, size_t len)
+{
+    bbm_entry *copies = bbm_calloc(len, sizeof(*copies));
+    for (size_t i = 0; i < len; i++) {
+        const bbm_entry *e = raft_log_entry(log, index + i);
+        copies[i] = *e;
+        copies[i].stored_at = 0;
+        if (!e->stored_at) {
+            copies[i].data = bbm_memdup(e->data, e->len);
+            continue;
+        }
+        copies[i].data = bbm_calloc(e->len, 1);
+        log->file.read(log->file.context, e->stored_at, copies[i].data,
+                       e->len);
+    }
+    return copies;
+}
+
+void
+raft_log_free_copies(bbm_entry *copies, size_t len)
+{
+    for (size_t i = 0; i < len; i++)
+        free(copies[i].data);
+    free(copies);
+}
+
+static void
+close_file_if_unused(raft_log *log)
+{
+    if (!log->file.context)
+        return;
+    for (size_t i = 0; i < log->len; i++) {
+        if (log->entries[i].stored_at)
+            return;
+    }
+    log->file.close(log->file.context);
+    log->file = (bbm_entry_file){0};
+}
+
 uint64_t
 raft_log_term(const raft_log *log, uint64_t index)
 {
@@ -73,6 +113,7 @@
     bbm_buf_free(&log->snapshot.data);
     log->snapshot = *snapshot;
     snapshot->data = (bbm_buf){0};
+    close_file_if_unused(log);
 }
 
 uint64_t
@@ -104,6 +145,8 @@
     for (size_t i = 0; i < log->len; i++)
         free(log->entries[i].data);
     free(log->entries);
+    log->len = 0;
+    close_file_if_unused(log);
     bbm_buf_free(&log->snapshot.data);
 }
 
--- a/raft/raft_log.h
+++ b/raft/raft_log.h
@@ -13,6 +13,7 @@
     size_t len;                 /**< Number of entries. */
     size_t cap;                 /**< Allocated entries. */
     size_t bytes;               /**< Sum of the entries' data. */
+    bbm_entry_file file;        /**< Of entries that aren't read yet. */
 } raft_log;
 
 /** Index of the last entry, or of the snapshot if there are no entries. */
@@ -22,6 +23,11 @@
 uint64_t raft_log_term(const raft_log *log, uint64_t index);
 /** Entry at an index; NULL if it was compacted or isn't in the log yet. */
 const bbm_entry *raft_log_entry(const raft_log *log, uint64_t index);
+/** Copies of @p len entries from @p index on, with their data; to be freed by
+ *  raft_log_free_copies(). */
+bbm_entry *raft_log_copy(const raft_log *log, uint64_t index, size_t len);
+/** Free copies. */
+void raft_log_free_copies(bbm_entry *copies, size_t len);
 /** Append an entry with the next index and a copy of the data. */
 const bbm_entry *raft_log_append(raft_log *log, uint64_t term,
                                  bbm_entry_kind kind, const uint8_t *data,
--- a/raft/raft_output.c
+++ b/raft/raft_output.c
@@ -146,21 +146,39 @@
     size_t bytes = snapshot ? snapshot->data.len : 0;
     if (from && from <= last) {
         p->len = (size_t)(last - from + 1);
-        p->entries = bbm_calloc(p->len, sizeof(bbm_entry));
-        for (size_t i = 0; i < p->len; i++) {
-            p->entries[i] = *raft_log_entry(&r->log, from + i);
-            p->entries[i].data =
-                bbm_memdup(p->entries[i].data, p->entries[i].len);
+        p->entries = raft_log_copy(&r->log, from, p->len);
+        for (size_t i = 0; i < p->len; i++)
             bytes += p->entries[i].len;
-        }
     }
     add_pending_write(r, truncate_from, bytes);
 }
 
+/* Committed entries are copied one at a time: there may be many at a
+   restart. */
+static raft_queued *
+take_commit(bbm_raft *r)
+{
+    raft_queued *q = new_queued(BBM_RAFT_COMMIT);
+    bbm_entry *copy = raft_log_copy(&r->log, ++r->last_applied, 1);
+    q->output.u.commit = *copy;
+    free(copy);
+    return q;
+}
+
+bool
+bbm_raft_next_is_commit(const bbm_raft *r)
+{
+    return TAILQ_EMPTY(&r->ready) && r->last_applied < r->commit_index;
+}
+
 bbm_raft_output *
 bbm_raft_next_output(bbm_raft *r)
 {
     raft_free_queued(r->current_output);
+    if (bbm_raft_next_is_commit(r)) {
+        r->current_output = take_commit(r);
+        return &r->current_output->output;
+    }
     r->current_output = TAILQ_FIRST(&r->ready);
     if (!r->current_output)
         return NULL;
@@ -180,16 +198,3 @@
         TAILQ_INSERT_TAIL(&r->ready, q, link);
     }
 }
-
-void
-raft_apply(bbm_raft *r)
-{
-    while (r->last_applied < r->commit_index) {
-        const bbm_entry *e = raft_log_entry(&r->log, r->last_applied + 1);
-        assert(e);
-        bbm_raft_output *out = raft_queue_output(r, BBM_RAFT_COMMIT);
-        out->u.commit = *e;
-        out->u.commit.data = bbm_memdup(e->data, e->len);
-        r->last_applied++;
-    }
-}
--- a/raft/raft_replicate.c
+++ b/raft/raft_replicate.c
@@ -86,10 +86,11 @@
         .index_term = raft_log_term(&r->log, p->next_index - 1),
         .leader_commit = r->commit_index,
         .sent_at = r->now,
-        .entries = r->log.entries ? r->log.entries + first : NULL,
+        .entries = raft_log_copy(&r->log, p->next_index, len),
         .len = len,
     };
     raft_send(r, &m, false);
+    raft_log_free_copies(m.entries, len);
     p->next_index += len;
 }
 
@@ -118,7 +119,6 @@
     bool own_term = raft_log_term(&r->log, index) == r->term;
     if (index > r->commit_index && own_term) {
         r->commit_index = index;
-        raft_apply(r);
         /* Send the new commit index with the next tick instead of waiting for
            the heartbeat interval, so that followers apply it sooner. */
         r->next_heartbeat_at = r->now;
@@ -243,10 +243,8 @@
     raft_send(r, &reply, true);
     uint64_t commit =
         m->leader_commit < match_index ? m->leader_commit : match_index;
-    if (commit > r->commit_index) {
+    if (commit > r->commit_index)
         r->commit_index = commit;
-        raft_apply(r);
-    }
 }
 
 void
--- a/store/bbm_store.c
+++ b/store/bbm_store.c
@@ -15,6 +15,8 @@
 #include <unistd.h>
 
 #define FILE_NAME_SIZE 64
+/* Data of shorter entries is read at once. */
+#define STORED_BYTES_MIN ((size_t)4 * 1024)
 #define IDENTITY_FILE "identity"
 #define IDENTITY_TMP "identity.tmp"
 
@@ -93,8 +95,6 @@
     add_record(out, &record);
 }
 
-/* ---- loading ---- */
-
 static void
 truncate_entries(bbm_raft_saved *saved, uint64_t index)
 {
@@ -104,8 +104,57 @@
     }
 }
 
+/* ---- entries that stay in the file ---- */
+
+static void
+read_stored_entry(void *context, uint64_t at, uint8_t *data, size_t len)
+{
+    const int *fd = context;
+    if (store_read_at(*fd, at, data, len) == BBM_OK)
+        return;
+    fputs("an entry of the log can't be read again\n", stderr);
+    abort();
+}
+
+static void
+close_entry_file(void *context)
+{
+    int *fd = context;
+    close(*fd);
+    free(fd);
+}
+
+static int
+open_entry_file(bbm_store *s, const char *name, bbm_store_report *report)
+{
+    int fd = openat(s->folder, name, O_RDONLY | O_CLOEXEC);
+    if (fd < 0) {
+        snprintf(report->failed_file, sizeof(report->failed_file), "%s", name);
+        return BBM_ERR_IO;
+    }
+    int *context = bbm_calloc(1, sizeof(*context));
+    *context = fd;
+    s->saved.file = (bbm_entry_file){
+        .read = read_stored_entry,
+        .close = close_entry_file,
+        .context = context,
+    };
+    return BBM_OK;
+}
+
+/* Large entries are read when they are applied: a log may have more bytes than
+   the VM has memory. */
+static bool
+stays_in_file(const bbm_entry *e)
+{
+    return e->kind == BBM_ENTRY_COMMAND && e->len >= STORED_BYTES_MIN;
+}
+
+/* ---- loading ---- */
+
+/* @p at: position of the record's payload in the file. */
 static int
-load_entry(bbm_store *s, bbm_reader *rd)
+load_entry(bbm_store *s, bbm_reader *rd, uint64_t at)
 {
     bbm_entry e = {.index = bbm_get_u64(rd)};
     e.term = bbm_get_u64(rd);
@@ -114,8 +163,11 @@
     uint64_t expected = s->saved.snapshot.index + s->saved.len + 1;
     if (!bbm_reader_done(rd) || e.index != expected)
         return BBM_ERR_CORRUPT;
-    e.data = bbm_memdup(data.data, data.len);
     e.len = data.len;
+    if (stays_in_file(&e))
+        e.stored_at = at + (uint64_t)(data.data - rd->data);
+    else
+        e.data = bbm_memdup(data.data, data.len);
     bbm_grow(&s->saved.entries, &s->saved_cap, s->saved.len, sizeof(e));
     s->saved.entries[s->saved.len++] = e;
     return BBM_OK;
@@ -136,7 +188,7 @@
 }
 
 static int
-load_record(void *context, bbm_bytes payload)
+load_record(void *context, bbm_bytes payload, uint64_t at)
 {
     bbm_store *s = context;
     bbm_reader rd = bbm_reader_of(payload.data, payload.len);
@@ -152,7 +204,7 @@
         s->saved.vote = bbm_get_u64(&rd);
         break;
     case RECORD_ENTRY:
-        return load_entry(s, &rd);
+        return load_entry(s, &rd, at);
     case RECORD_TRUNCATE:
         truncate_entries(&s->saved, bbm_get_u64(&rd));
         break;
@@ -374,6 +426,8 @@
     }
     file_name(name, s->generation, "log");
     uint64_t size = 0;
+    if (rc == BBM_OK)
+        rc = open_entry_file(s, name, report);
     if (rc == BBM_OK)
         rc = read_file(s, name, &valid_size, &size, report);
     int fd = -1;
@@ -425,6 +479,8 @@
     truncate_entries(&store->saved, 0);
     free(store->saved.entries);
     bbm_buf_free(&store->saved.snapshot.data);
+    if (store->saved.file.context)
+        close_entry_file(store->saved.file.context);
     if (store->log >= 0)
         close(store->log);
     if (store->folder >= 0)
--- a/store/store_file.h
+++ b/store/store_file.h
@@ -14,17 +14,22 @@
 /** Append a record with this payload, header included, to a buffer. */
 void store_record_add(bbm_buf *out, const bbm_buf *payload);
 
-/** Receives the payload of a record; a negative return value ends the reading
- *  and becomes its result. */
-typedef int store_record_fn(void *context, bbm_bytes payload);
+/** Receives the payload of a record, which stands at @p at in the file; a
+ *  negative return value ends the reading and becomes its result. */
+typedef int store_record_fn(void *context, bbm_bytes payload, uint64_t at);
 
-/** Read all records of a file.  @p size receives the file's length, and
+/** Read all records of a file, one at a time.  @p size receives the file's
+ * length, and
  *  @p valid_size that of its complete records, both in bytes; what follows
  *  them was never synced.  BBM_ERR_IO, BBM_ERR_CORRUPT, or the code returned
  *  by @p fn. */
 int store_file_read(int folder, const char *name, store_record_fn *fn,
                     void *context, uint64_t *valid_size, uint64_t *size);
 
+/** Read @p len bytes at @p at; 0 or BBM_ERR_IO, also if the file ends
+ *  before. */
+int store_read_at(int fd, uint64_t at, void *data, size_t len);
+
 /** Write all bytes at the file position; 0 or a negative code. */
 int store_write_all(int fd, const void *data, size_t len);
 
--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -45,7 +45,7 @@
 }
 
 static void
-create(world *w, size_t routes)
+create_with_log(world *w, size_t routes, size_t log_bytes)
 {
     *w = (world){
         .routes = routes, .steps_max = STEPS_MAX, .rng = bbm_rng_of(76)};
@@ -61,13 +61,19 @@
             .node.gossip_period = 300 * BBM_MS,
             .node.election_timeout = 450 * BBM_MS,
             .node.revision_texts_max = 2,
-            .node.snapshot_interval_bytes = LOG_BYTES,
+            .node.snapshot_interval_bytes = log_bytes,
             .node.backlog_bytes_max = BACKLOG_BYTES,
         },
         &(fleet_hooks){.context = w, .answer = on_answer});
     fleet_run(w->fleet, 4 * BBM_SECOND);
 }
 
+static void
+create(world *w, size_t routes)
+{
+    create_with_log(w, routes, LOG_BYTES);
+}
+
 /* The names are random, as those of a deployment don't compress to nothing. */
 static void
 draw_name(bbm_rng *rng, char name[NAME_CHARS + 1])
@@ -227,17 +233,20 @@
 }
 END_TEST
 
-/* Whether all VMs have the same revision. */
+/* Number of changes in force on a VM. */
+static uint64_t
+revision_at(const world *w, int i)
+{
+    const bbm_state *state = bbm_node_state(fleet_node(w->fleet, i));
+    return bbm_registry_revision(bbm_state_registry(state));
+}
+
 static bool
 has_converged(const world *w)
 {
-    uint64_t first = 0;
-    for (int i = 0; i < NODES; i++) {
-        uint64_t revision = bbm_registry_revision(
-            bbm_state_registry(bbm_node_state(fleet_node(w->fleet, i))));
-        if (i && revision != first)
+    for (int i = 1; i < NODES; i++) {
+        if (revision_at(w, i) != revision_at(w, 0))
             return false;
-        first = revision;
     }
     return true;
 }
@@ -365,6 +374,41 @@
 }
 END_TEST
 
+/* At a restart all entries of the log were applied in one step, in which the
+   leader sent no heartbeat and no request was handled (issue 76). */
+START_TEST(long_log_is_applied_in_short_steps)
+{
+    world w;
+    create_with_log(&w, 1400, 64 * LOG_BYTES);
+    ck_assert_int_eq(make_changes(&w, 80), 80);
+    ck_assert_uint_eq(
+        bbm_node_count(fleet_node(w.fleet, 0), fleet_now(w.fleet))
+            .snapshot_bytes,
+        0);
+    for (int i = 0; i < NODES; i++)
+        fleet_crash(w.fleet, i);
+    for (int i = 0; i < NODES; i++)
+        fleet_start(w.fleet, i);
+    uint64_t most = 0;
+    uint64_t last[DISKS] = {0};
+    for (int step = 0; step < 500; step++) {
+        fleet_step(w.fleet);
+        for (int i = 0; i < DISKS; i++) {
+            uint64_t revision = revision_at(&w, i);
+            if (revision - last[i] > most)
+                most = revision - last[i];
+            last[i] = revision;
+        }
+    }
+    ck_assert(has_converged(&w));
+    ck_assert_uint_eq(last[0], 80);
+    /* 128 KiB in each of the few events of 10 ms. */
+    ck_assert_uint_le(most, 40);
+    ck_assert_int_ge(fleet_leader(w.fleet), 0);
+    fleet_destroy(w.fleet);
+}
+END_TEST
+
 /* Least processor time of three checks. */
 static double
 check_ns(size_t routes)
@@ -444,5 +488,6 @@
           answers_that_wait_for_a_stalled_disk_dont_pile_up,
           leader_with_a_stalled_disk_gives_up_the_lead,
           changes_that_nobody_confirms_are_refused_and_not_made,
+          long_log_is_applied_in_short_steps,
           check_takes_time_in_proportion_to_the_routes,
           translation_holds_one_tree_at_a_time);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -412,7 +412,123 @@
 }
 END_TEST
 
-TEST_MAIN("store", written_entries_are_read_back, batched_writes_are_read_back,
+/* ---- long logs ---- */
+
+#define LONG_ENTRIES 400
+#define LONG_ENTRY_BYTES 150000
+/* Some entries, and what the test itself has. */
+#define START_BYTES_MAX ((size_t)8 * 1024 * 1024)
+
+static void
+write_long_log(bbm_store *s)
+{
+    bbm_raft_group group = {.len = 1};
+    group.members[0] = (bbm_raft_member){.id = bbm_store_id(s), .voter = true};
+    bbm_buf encoded = {0};
+    bbm_raft_group_encode(&group, &encoded);
+    BBM_AUTO_FREE uint8_t *data = bbm_calloc(LONG_ENTRY_BYTES, 1);
+    for (uint64_t i = 1; i <= LONG_ENTRIES; i++) {
+        memset(data, (int)i, LONG_ENTRY_BYTES);
+        bbm_entry e = {.index = i,
+                       .term = 1,
+                       .kind = BBM_ENTRY_COMMAND,
+                       .data = data,
+                       .len = LONG_ENTRY_BYTES};
+        if (i == 1) {
+            e.kind = BBM_ENTRY_GROUP;
+            e.data = encoded.data;
+            e.len = encoded.len;
+        }
+        bbm_raft_persist p = {.seq = i, .term = 1, .entries = &e, .len = 1};
+        ck_assert_int_eq(bbm_store_write(s, &p, 1), 0);
+    }
+    bbm_buf_free(&encoded);
+}
+
+/* The largest resident size since the last reset, bytes. */
+static size_t
+peak_bytes(void)
+{
+    char line[256];
+    long kib = 0;
+    FILE *in = fopen("/proc/self/status", "re");
+    while (in && fgets(line, sizeof(line), in)) {
+        if (strncmp(line, "VmHWM:", 6) == 0)
+            kib = strtol(line + 6, NULL, 10);
+    }
+    if (in)
+        fclose(in);
+    return (size_t)kib * 1024;
+}
+
+static bool
+reset_peak(void)
+{
+    FILE *out = fopen("/proc/self/clear_refs", "we");
+    bool reset = out && fputs("5", out) >= 0;
+    return out && fclose(out) == 0 && reset;
+}
+
+/* Leads the group of one member, and returns the number of commands that are
+   applied, each with the bytes that were written. */
+static int
+apply_all(bbm_store *s, bbm_raft *r)
+{
+    int applied = 0;
+    bbm_raft_output *out;
+    for (bbm_time now = 0; now < 5 * BBM_SECOND; now += 10 * BBM_MS) {
+        bbm_raft_tick(r, now);
+        while ((out = bbm_raft_next_output(r)) != NULL) {
+            if (out->kind == BBM_RAFT_PERSIST) {
+                ck_assert_int_eq(bbm_store_write(s, &out->u.persist, 1), 0);
+                bbm_raft_persisted(r, out->u.persist.seq, now);
+                continue;
+            }
+            if (out->kind != BBM_RAFT_COMMIT
+                || out->u.commit.kind != BBM_ENTRY_COMMAND)
+                continue;
+            const bbm_entry *e = &out->u.commit;
+            ck_assert_uint_eq(e->len, LONG_ENTRY_BYTES);
+            ck_assert_uint_eq(e->data[0], (uint8_t)e->index);
+            ck_assert_uint_eq(e->data[e->len - 1], (uint8_t)e->index);
+            applied++;
+        }
+    }
+    return applied;
+}
+
+/* A VM that was killed for its memory read the same log at its next start, as
+   a whole, and again for each entry to apply (issue 76). */
+START_TEST(start_with_a_long_log_holds_few_entries)
+{
+    make_folder();
+    bbm_store_report report;
+    bbm_store *s = open_store(&report);
+    write_long_log(s);
+    bbm_store_close(s);
+    ck_assert(reset_peak());
+    size_t before = peak_bytes();
+    s = open_store(&report);
+    bbm_raft_saved saved;
+    bbm_store_load(s, &saved);
+    bbm_raft *r = bbm_raft_create(
+        &(bbm_raft_desc){.id = bbm_store_id(s), .seed = 1, .saved = &saved});
+    ck_assert_int_eq(apply_all(s, r), LONG_ENTRIES - 1);
+#ifndef __SANITIZE_ADDRESS__
+    ck_assert_uint_lt(peak_bytes() - before, START_BYTES_MAX);
+#endif
+    bbm_buf snapshot = {0};
+    bbm_put_u64(&snapshot, 7);
+    bbm_raft_compact(r, LONG_ENTRIES, snapshot);
+    ck_assert_uint_eq(bbm_raft_log_bytes(r), 0);
+    bbm_raft_destroy(r);
+    bbm_store_close(s);
+    remove_folder();
+}
+END_TEST
+
+TEST_MAIN("store", start_with_a_long_log_holds_few_entries,
+          written_entries_are_read_back, batched_writes_are_read_back,
           torn_tail_is_truncated_to_complete_records,
           corruption_error_names_the_file, lost_identity_is_not_replaced,
           snapshot_replaces_the_log, write_succeeds_after_disk_full,
