Count a change while it is read, and refuse one that has no room

The tree is estimated from the document before it is parsed and counted as held by "changes"; the document counts until the outcome. Without room the call gets 503 with Retry-After, and 413 with limit_bytes if it never has room; neither was proposed.

estimate_of_a_tree_is_not_too_low: the estimate is 1 to 3 times of what jansson allocates for seven kinds of documents.

--- a/base/bbm_doc.c
+++ b/base/bbm_doc.c
@@ -67,6 +67,39 @@
     return doc;
 }
 
+/* What jansson and the allocator take, besides the texts: an object or a list
+   with its first table, a member of an object with its place in the table, any
+   other value. */
+#define OBJECT_BYTES ((size_t)256)
+#define LIST_BYTES ((size_t)144)
+#define MEMBER_BYTES ((size_t)96)
+#define VALUE_BYTES ((size_t)72)
+
+size_t
+bbm_doc_tree_bytes(const char *text, size_t len)
+{
+    size_t bytes = VALUE_BYTES + len;
+    for (size_t i = 0; i < len; i++) {
+        switch (text[i]) {
+        case '{':
+            bytes += OBJECT_BYTES;
+            break;
+        case '[':
+            bytes += LIST_BYTES;
+            break;
+        case ':':
+            bytes += MEMBER_BYTES;
+            break;
+        case ',':
+            bytes += VALUE_BYTES;
+            break;
+        default:
+            break;
+        }
+    }
+    return bytes;
+}
+
 static const char *
 type_text(const json_t *value)
 {
--- a/base/bbm_doc.h
+++ b/base/bbm_doc.h
@@ -88,6 +88,10 @@
  *  not valid.  The caller calls json_decref on the result. */
 json_t *bbm_doc_parse(const char *text, size_t len, bbm_doc_errors *errors);
 
+/** Estimate of the memory that the tree of a JSON document takes, bytes; not
+ *  below it but for texts of a few bytes each.  The document isn't checked. */
+size_t bbm_doc_tree_bytes(const char *text, size_t len);
+
 /** Decode @p object into the struct @p out by @p fields; @p path is the path
  *  of the object in error lines.  Missing fields, and numbers, names and texts
  *  that are invalid, get their defaults.  The caller calls bbm_doc_release on
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -49,7 +49,7 @@
     bbm_node *node;
     open_exchange *exchanges;
     bbm_time next_client_check_at;
-    size_t text_bytes;         /* counted in the memory budget */
+    size_t state_bytes;        /* counted in the memory budget */
     uint64_t trimmed_revision; /* after which memory was given back */
     bool any_resubmit_pending; /* of at least one exchange */
     bbm_histogram event_time;
@@ -727,13 +727,16 @@
 }
 
 static void
-count_texts(control *c)
+count_state(control *c)
 {
     memory_budget *memory = mailbox_memory(c->desc->box);
-    size_t bytes = bbm_node_text_bytes(c->node);
+    size_t bytes =
+        bbm_node_text_bytes(c->node) + bbm_node_change_bytes(c->node);
+    if (c->desc->disk)
+        bytes += disk_unwritten_bytes(c->desc->disk);
     memory_budget_force(memory, MEMORY_CONFIGS, bytes);
-    memory_budget_give(memory, MEMORY_CONFIGS, c->text_bytes);
-    c->text_bytes = bytes;
+    memory_budget_give(memory, MEMORY_CONFIGS, c->state_bytes);
+    c->state_bytes = bytes;
 }
 
 /* The tree of a revision that was applied since the last tick is free again.
@@ -745,7 +748,7 @@
         bbm_registry_revision(bbm_state_registry(bbm_node_state(c->node)));
     bool applied = revision != c->trimmed_revision;
     c->trimmed_revision = revision;
-    if (applied && c->text_bytes > MEMORY_SMALL_BYTES)
+    if (applied && bbm_node_text_bytes(c->node) > MEMORY_SMALL_BYTES)
         bbm_trim();
 }
 
@@ -753,7 +756,7 @@
 tick(control *c)
 {
     check_clients(c);
-    count_texts(c);
+    count_state(c);
     trim_after_revision(c);
     bbm_event ev = {.kind = BBM_EV_TICK};
     ev.u.tick.wall_ms = control_wall_ms();
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -85,6 +85,7 @@
     bbm_buf_free(&ex->body);
     bbm_buf_free(&ex->out);
     memory_budget_give(ex->memory, MEMORY_BODIES, ex->body_counted);
+    memory_budget_give(ex->memory, MEMORY_CHANGES, ex->change_counted);
     memory_budget_give(ex->memory, MEMORY_ANSWERS, ex->answer_counted);
     memory_budget_give(ex->memory, MEMORY_TRANSFERS, ex->transfer_counted);
     memory_budget_give(ex->memory, MEMORY_CONNECTIONS, ex->connection_counted);
@@ -353,6 +354,23 @@
     pthread_mutex_unlock(&ex->lock);
 }
 
+int
+exchange_count_change(exchange *ex, size_t bytes)
+{
+    memory_budget_give(ex->memory, MEMORY_CHANGES, ex->change_counted);
+    ex->change_counted = 0;
+    size_t bytes_max = memory_budget_item_max(ex->memory);
+    if (bytes > bytes_max) {
+        ex->body_bytes_max =
+            (size_t)((double)ex->body.len * (double)bytes_max / (double)bytes);
+        return BBM_ERR_TOO_LARGE;
+    }
+    if (!memory_budget_take(ex->memory, MEMORY_CHANGES, bytes, bytes))
+        return BBM_ERR_MEMORY;
+    ex->change_counted = bytes;
+    return BBM_OK;
+}
+
 void
 exchange_set_retry_after(exchange *ex, int64_t ms)
 {
@@ -372,6 +390,9 @@
                   "name", bbm_code_name(code), "message", bbm_code_text(code),
                   "ran", bbm_ran_text(bbm_code_ran(code)), "retry_after_ms",
                   (json_int_t)retry_after_ms, "request", id);
+    if (code == BBM_ERR_TOO_LARGE)
+        json_object_set_new(json_object_get(doc, "error"), "limit_bytes",
+                            json_integer((json_int_t)ex->body_bytes_max));
     char *text = json_dumps(doc, JSON_COMPACT);
     json_decref(doc);
     return text;
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -122,6 +122,7 @@
     size_t transfer_counted;   /**< Counted for its transfers to upstreams. */
     size_t connection_counted; /**< Counted for this request besides its
                                     body and answer. */
+    size_t change_counted;     /**< Counted for the change that it makes. */
     size_t body_bytes_max;     /**< Longest body that is accepted. */
     bool too_large;            /**< The body exceeds body_bytes_max. */
     bool has_key;              /**< The request has an API key. */
@@ -270,6 +271,11 @@
  *  already. */
 void exchange_answer(exchange *ex, unsigned status, const char *type,
                      const void *data, size_t len);
+/** Count @p bytes for the change that this call makes, instead of those that
+ *  were counted before.  BBM_ERR_MEMORY if they have no room now, and
+ *  BBM_ERR_TOO_LARGE if they never have: then body_bytes_max becomes the
+ * length of a body of this kind that has. */
+int exchange_count_change(exchange *ex, size_t bytes);
 /** Set the Retry-After header of the answer that follows. */
 void exchange_set_retry_after(exchange *ex, int64_t ms);
 /** Answer with an error.  An answer whose status can't change any more ends as
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -628,6 +628,13 @@
     submit(f, ex);
 }
 
+/* Of a call that is refused before it was submitted. */
+static int64_t
+retry_after_ms(int code)
+{
+    return code == BBM_ERR_MEMORY ? EXCHANGE_MEMORY_RETRY_MS : 0;
+}
+
 static void
 handle_operator(front *f, exchange *ex)
 {
@@ -636,7 +643,7 @@
                  ? BBM_ERR_TOO_LARGE
                  : front_admin_parse(f->desc.settings, f->desc.key_secret, ex);
     if (rc < 0)
-        exchange_fail(ex, rc, 0);
+        exchange_fail(ex, rc, retry_after_ms(rc));
     else
         submit(f, ex);
 }
@@ -664,7 +671,7 @@
     int rc = ex->too_large ? BBM_ERR_TOO_LARGE
                            : front_provider_parse(ex, f->desc.key_secret);
     if (rc < 0)
-        exchange_fail(ex, rc, 0);
+        exchange_fail(ex, rc, retry_after_ms(rc));
     else if (ex->provider_call == PLATFORM_READY)
         answer_ready(f, ex);
     else
--- a/daemon/front_admin.c
+++ b/daemon/front_admin.c
@@ -138,6 +138,16 @@
     ex->operator_event.text = bbm_buf_view(&ex->body);
 }
 
+/* Refuses a document that the VMs have no room to read. */
+static int
+count_document(exchange *ex)
+{
+    bbm_bytes text = ex->operator_event.text;
+    int rc = exchange_count_change(
+        ex, bbm_doc_tree_bytes((const char *)text.data, text.len) + text.len);
+    return rc < 0 ? rc : exchange_count_change(ex, text.len);
+}
+
 int
 front_admin_parse(const bbm_settings *settings, const uint8_t *key_secret,
                   exchange *ex)
@@ -154,6 +164,9 @@
     bbm_doc_release(body_fields, BBM_COUNT(body_fields), &fields);
     ex->operator_event.op = ex->id;
     bbm_name_set(ex->operator_event.author, op->name);
+    /* The control group reads the document, and has no part in its size. */
+    if (rc == BBM_OK && ex->operator_event.verb == BBM_VERB_PUBLISH)
+        rc = count_document(ex);
     bool adds_key = ex->operator_event.verb == BBM_VERB_KEY_ADD;
     if (rc == BBM_OK && adds_key)
         generate_key(key_secret, ex);
--- a/daemon/front_provider.c
+++ b/daemon/front_provider.c
@@ -152,7 +152,12 @@
 parse_config(exchange *ex, const uint8_t *key_secret)
 {
     const char *text = ex->body.len ? (char *)ex->body.data : "";
-    int rc = platform_config_read(text, ex->body.len, key_secret, &ex->config);
+    /* The tree of the body, then that of the document, which is no larger. */
+    int rc = exchange_count_change(ex, bbm_doc_tree_bytes(text, ex->body.len)
+                                           + ex->body.len);
+    if (rc < 0)
+        return rc;
+    rc = platform_config_read(text, ex->body.len, key_secret, &ex->config);
     if (rc < 0)
         return BBM_ERR_INVALID_CONFIG;
     /* Reports mistakes before the configuration goes to the control group,
@@ -170,6 +175,9 @@
         bbm_trim();
     if (!valid)
         return BBM_ERR_INVALID_CONFIG;
+    rc = exchange_count_change(ex, ex->config.document.len);
+    if (rc < 0)
+        return rc;
     ex->operator_event.verb = BBM_VERB_PUBLISH;
     ex->operator_event.version = ex->config.version;
     ex->operator_event.text = bbm_buf_view(&ex->config.document);
--- a/daemon/memory_budget.c
+++ b/daemon/memory_budget.c
@@ -12,7 +12,7 @@
 static const size_t share_parts[MEMORY_HOLDERS] = {
     [MEMORY_CONNECTIONS] = 4, [MEMORY_BODIES] = 4,  [MEMORY_ANSWERS] = 3,
     [MEMORY_TRANSFERS] = 4,   [MEMORY_EVENTS] = 1,  [MEMORY_PEERS] = 3,
-    [MEMORY_MAILBOX] = 2,     [MEMORY_CONFIGS] = 3,
+    [MEMORY_MAILBOX] = 2,     [MEMORY_CONFIGS] = 3, [MEMORY_CHANGES] = 4,
 };
 /* Part of the machine's memory that is counted: a daemon of a large deployment
    has some 40 of 88 MB without it.  On smaller machines less is left: a daemon
@@ -122,6 +122,15 @@
     atomic_fetch_sub(&b->held_sum, bytes);
 }
 
+size_t
+memory_budget_item_max(const memory_budget *b)
+{
+    size_t configs = memory_budget_held(b, MEMORY_CONFIGS);
+    if (!b)
+        return SIZE_MAX;
+    return configs < b->total ? b->total - configs : 0;
+}
+
 size_t
 memory_budget_held(const memory_budget *b, memory_holder holder)
 {
@@ -136,6 +145,7 @@
         [MEMORY_ANSWERS] = "answers",         [MEMORY_TRANSFERS] = "transfers",
         [MEMORY_EVENTS] = "events",           [MEMORY_PEERS] = "peers",
         [MEMORY_MAILBOX] = "mailbox",         [MEMORY_CONFIGS] = "configs",
+        [MEMORY_CHANGES] = "changes",
     };
     return names[holder];
 }
--- a/daemon/memory_budget.h
+++ b/daemon/memory_budget.h
@@ -54,7 +54,9 @@
     MEMORY_PEERS,       /**< Messages to and from other VMs that aren't sent or
                              received as a whole. */
     MEMORY_MAILBOX,     /**< Items that control has not handled yet. */
-    MEMORY_CONFIGS,     /**< Texts of the configuration's revisions. */
+    MEMORY_CONFIGS,     /**< Texts of the configuration's revisions, and what
+                             the control group keeps of changes. */
+    MEMORY_CHANGES,     /**< Changes that are read or wait for an outcome. */
     MEMORY_HOLDERS,     /**< Number of holders. */
 } memory_holder;
 
@@ -95,6 +97,9 @@
 /** True if memory_budget_take() would have room. */
 bool memory_budget_has_room(const memory_budget *b, memory_holder holder,
                             size_t bytes, size_t item_bytes);
+/** Bytes that one item can have at most, if nobody holds any but what can't be
+ *  refused. */
+size_t memory_budget_item_max(const memory_budget *b);
 /** Bytes that a holder holds. */
 size_t memory_budget_held(const memory_budget *b, memory_holder holder);
 /** Name of a holder, for logs and metrics. */
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -582,6 +582,9 @@
 bbm_action *bbm_node_next_action(bbm_node *n);
 /** Bytes of the texts of the configuration that the node keeps. */
 size_t bbm_node_text_bytes(const bbm_node *n);
+/** Bytes that the node keeps of changes besides: the log of the control group,
+ *  its snapshot, and the commands for other VMs. */
+size_t bbm_node_change_bytes(const bbm_node *n);
 /** Metrics at time @p now. */
 bbm_node_counts bbm_node_count(const bbm_node *n, bbm_time now);
 
--- a/node/node.c
+++ b/node/node.c
@@ -538,6 +538,16 @@
     return bbm_registry_text_bytes(bbm_state_registry(n->state));
 }
 
+size_t
+bbm_node_change_bytes(const bbm_node *n)
+{
+    size_t bytes = bbm_state_tail_bytes(n->state);
+    if (n->raft)
+        bytes +=
+            bbm_raft_log_bytes(n->raft) + bbm_raft_snapshot_bytes(n->raft);
+    return bytes;
+}
+
 bbm_node_counts
 bbm_node_count(const bbm_node *n, bbm_time now)
 {
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -1333,6 +1333,25 @@
     done
     finish
 }
+t_large_change_refused() { # a change that a VM has no room to read is refused before it is proposed
+    begin large_change_refused
+    memory_vm 1 100 length
+    many_routes 2 >"$dir/many.json"
+    check "one that never fits gets 413" test "$(pool_control 1 PUT "@$dir/many.json")" = 413
+    check "the answer says the limit" grep -q '"limit_bytes":[1-9]' "$dir/answer"
+    # Half of the routes.
+    sed 's/{"name":"r-[s-z0-9][^}]*},//g' "$dir/many.json" >"$dir/some.json"
+    fleet_run "$dir/load.log" "$FLEET_BUILD/memory_load" bodies "$(pool_vm_ip 1)" $((FLEET_PORT + 1)) 40 1000000 chunked 65536 8
+    check "the load is held" fleet_until 40 grep -q held "$dir/load.log"
+    check "one that has no room now gets 503" test "$(pool_control 1 PUT "@$dir/some.json")" = 503
+    check "with Retry-After" test "$(curl -s -m 3 -o "$dir/answer" -D - -X PUT -d "@$dir/some.json" \
+        "http://$(pool_vm_ip 1):$((FLEET_PORT + 4))/-/config" | grep -ci '^retry-after:')" -eq 1
+    check "neither is in force" pool_has 1 1
+    some_fits() { [ "$(pool_control 1 PUT "@$dir/some.json")" = 200 ]; }
+    check "it is acknowledged once there is room" fleet_until 20 some_fits
+    check "it is in force" pool_has 1 2
+    finish
+}
 t_memory_mailbox() { # messages that control doesn't take hold bounded bytes
     begin memory_mailbox
     "$FLEET_BUILD/test_mailbox" >"$dir/vm-mailbox.log" 2>&1
@@ -1348,7 +1367,7 @@
     stopped_again copied_refusals refused_half_closed
     half_closed_at_start left_while_held signal_at_start settings_late disk_late soak soak_callers peer_resets killed_peers fatal_signal
     memory_large_chunks memory_tiny_chunks memory_declared_whole memory_declared_pieces
-    memory_slow_answers memory_slow_streams memory_mailbox memory_configs memory_long_prompts crowd_of_heads slow_answers_at_stop slow_streams_at_stop)
+    memory_slow_answers memory_slow_streams memory_mailbox memory_configs large_change_refused memory_long_prompts crowd_of_heads slow_answers_at_stop slow_streams_at_stop)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -1,6 +1,7 @@
 /* Large configurations: what a VM holds for them, and how long one change
    takes, whatever the number of changes. */
 #include "bbm_codes.h"
+#include "bbm_doc.h"
 #include "bbm_platform.h"
 #include "cpu_clock.h"
 #include "fleet.h"
@@ -483,6 +484,56 @@
 }
 END_TEST
 
+/* Bytes of a document's tree. */
+static size_t
+measure_tree(const char *text)
+{
+    json_error_t error;
+    json_set_alloc_funcs(count_json_malloc, count_json_free);
+    json_t *doc = json_loadb(text, strlen(text), 0, &error);
+    size_t bytes = json_bytes;
+    ck_assert_ptr_nonnull(doc);
+    json_decref(doc);
+    json_set_alloc_funcs(malloc, free);
+    return bytes;
+}
+
+static char *
+repeat(const char *begin, const char *item, size_t items, const char *end)
+{
+    char *text = bbm_calloc(items + 2, strlen(item) + 16);
+    char *at = text + sprintf(text, "%s", begin);
+    for (size_t i = 0; i < items; i++)
+        at += sprintf(at, "%s%s", i ? "," : "", item);
+    sprintf(at, "%s", end);
+    return text;
+}
+
+/* A change was read whatever memory its tree took (issue 76): an estimate that
+   is too low lets a short body take all of it. */
+START_TEST(estimate_of_a_tree_is_not_too_low)
+{
+    bbm_rng rng = bbm_rng_of(76);
+    char *const texts[] = {
+        write_source(&rng, 1400),
+        repeat("[", "[]", 20000, "]"),
+        repeat("[", "{}", 20000, "]"),
+        repeat("[", "1", 20000, "]"),
+        repeat("[", "\"a text of some length\"", 20000, "]"),
+        repeat("[", "{\"k\":1}", 20000, "]"),
+        repeat("[", "{\"key\":[1.5,true]}", 20000, "]"),
+    };
+    for (size_t i = 0; i < BBM_COUNT(texts); i++) {
+        size_t bytes = measure_tree(texts[i]);
+        size_t estimate = bbm_doc_tree_bytes(texts[i], strlen(texts[i]));
+        ck_assert_msg(estimate >= bytes && estimate <= 3 * bytes,
+                      "document %zu: %zu bytes, estimate %zu", i, bytes,
+                      estimate);
+        free(texts[i]);
+    }
+}
+END_TEST
+
 TEST_MAIN("large_config", changes_of_a_large_configuration_hold_a_bounded_log,
           follower_with_a_stalled_disk_holds_a_bounded_backlog,
           answers_that_wait_for_a_stalled_disk_dont_pile_up,
@@ -490,4 +541,5 @@
           changes_that_nobody_confirms_are_refused_and_not_made,
           long_log_is_applied_in_short_steps,
           check_takes_time_in_proportion_to_the_routes,
+          estimate_of_a_tree_is_not_too_low,
           translation_holds_one_tree_at_a_time);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -613,6 +613,40 @@
 }
 END_TEST
 
+#define TAIL_BYTES_MAX ((size_t)4 * 1024 * 1024)
+#define LONG_TEXT_BYTES ((size_t)100 * 1024)
+#define HISTORY_MAX 1024
+
+/* Guards against a state that grows with each change: revisions, their texts,
+   commands for other VMs and versions of weights. */
+START_TEST(changes_leave_a_bounded_history)
+{
+    fixture f = setup();
+    const bbm_registry *reg = bbm_state_registry(f.state);
+    uint64_t revision = bbm_registry_revision(reg);
+    BBM_AUTO_FREE char *text = bbm_calloc(LONG_TEXT_BYTES + 1, 1);
+    memset(text, ' ', LONG_TEXT_BYTES);
+    memcpy(text, config_text, strlen(config_text));
+    for (int i = 0; i < HISTORY_MAX + 100; i++) {
+        char id[BBM_NAME_SIZE];
+        snprintf(id, sizeof(id), "h-%d", i);
+        ck_assert_int_eq(publish(&f, id, revision++, text), BBM_OK);
+        bbm_command cmd = {.kind = BBM_CMD_WEIGHTS};
+        bbm_name_set(cmd.u.weights.model, "m");
+        cmd.u.weights.version = (uint64_t)i + 1;
+        apply(&f, &cmd);
+    }
+    bbm_revision rev;
+    bbm_weights_version version;
+    ck_assert(!bbm_registry_history(reg, HISTORY_MAX, &rev));
+    ck_assert(
+        !bbm_registry_weights_at(reg, BBM_WEIGHTS_VERSIONS_MAX, &version));
+    ck_assert_uint_le(bbm_state_tail_bytes(f.state), TAIL_BYTES_MAX);
+    ck_assert_uint_le(bbm_registry_text_bytes(reg), 64 * LONG_TEXT_BYTES);
+    teardown(&f);
+}
+END_TEST
+
 START_TEST(new_order_supersedes_open_order)
 {
     fixture f = setup();
@@ -634,7 +668,8 @@
 }
 END_TEST
 
-TEST_MAIN("state", compressed_publish_is_as_the_plain_one,
+TEST_MAIN("state", changes_leave_a_bounded_history,
+          compressed_publish_is_as_the_plain_one,
           damaged_compressed_publish_is_refused,
           quarantined_parts_end_by_command_time,
           origins_of_streams_are_kept_and_expire,
