Close idle connections before the process runs out of descriptors

Cause: only the clients' own listener gave idle connections up for new ones, and only by memory or by connections_most, which may exceed the descriptors. Once accept() fails, libmicrohttpd doesn't accept at this listener until one of its own connections ends, whichever listener has used up the descriptors.

All listeners but the operators' share a count of connections; an eighth of the descriptors is kept for upstreams, VMs and files, which are counted twice a second. Beyond it the listener with the most idle connections closes one for each new one, and one that comes too fast is closed unread, at the directory before the front.

--- a/daemon/clients.c
+++ b/daemon/clients.c
@@ -33,6 +33,7 @@
     bbm_time waiting_at; /* when it began to wait */
     bbm_time checked_at; /* last time that it was looked at */
     uint64_t bytes;      /* received when it became idle */
+    bool had_request;    /* a request has begun to come */
     struct client_host *host;
     TAILQ_ENTRY(client) link;  /* in a list of its host, while it waits */
     TAILQ_ENTRY(client) check; /* in clients.checks, while it waits */
@@ -56,6 +57,7 @@
     client_host *hosts;
     struct client_list checks; /* that wait, by checked_at */
     size_t open_len;
+    size_t waiting_len; /* in `checks` */
 };
 
 clients_counts clients_count;
@@ -105,6 +107,7 @@
         return;
     }
     TAILQ_REMOVE(&c->checks, x, check);
+    c->waiting_len--;
 }
 
 /* Sets the state and puts the connection at the end of the lists. */
@@ -130,6 +133,7 @@
         return;
     }
     TAILQ_INSERT_TAIL(&c->checks, x, check);
+    c->waiting_len++;
 }
 
 static client_host *
@@ -310,6 +314,34 @@
     return len;
 }
 
+size_t
+clients_waiting(clients *c)
+{
+    pthread_mutex_lock(&c->lock);
+    size_t len = c->waiting_len;
+    pthread_mutex_unlock(&c->lock);
+    return len;
+}
+
+bool
+clients_first_request(clients *c, client *x)
+{
+    pthread_mutex_lock(&c->lock);
+    bool first = !x->had_request;
+    x->had_request = true;
+    pthread_mutex_unlock(&c->lock);
+    return first;
+}
+
+bool
+clients_had_request(clients *c, const client *x)
+{
+    pthread_mutex_lock(&c->lock);
+    bool had_request = x->had_request;
+    pthread_mutex_unlock(&c->lock);
+    return had_request;
+}
+
 void
 clients_destroy(clients *c)
 {
--- a/daemon/clients.h
+++ b/daemon/clients.h
@@ -80,5 +80,12 @@
 /** Number of connections that wait or have a request; not those that were
  *  closed and are about to end. */
 size_t clients_len(clients *c);
+/** Number of connections without a request at work. */
+size_t clients_waiting(clients *c);
+/** Records that a request has begun to come on a connection; true if it is the
+ *  first one there. */
+bool clients_first_request(clients *c, client *x);
+/** True if a request has begun to come on a connection. */
+bool clients_had_request(clients *c, const client *x);
 
 #endif
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -38,6 +38,8 @@
    period at which that is checked. */
 #define HEAD_TIME_DEFAULT (10 * BBM_SECOND)
 #define HEAD_CHECK_US 100000
+/* Of these checks; after them the process's descriptors are counted. */
+#define CHECKS_PER_SAMPLE 5
 /* Part of the connections that libmicrohttpd allows from which on new ones
    replace others: it accepts none beyond its limit. */
 #define CONNECTIONS_SHARE 0.9
@@ -54,8 +56,9 @@
     TAILQ_HEAD(, exchange) exchanges; /* until libmicrohttpd has ended them */
     atomic_ullong refused;   /* connections for which there was no room */
     atomic_llong refused_at; /* of the last log line on these */
-    clients *clients;        /* NULL: not for callers */
-    pthread_t expiry_thread; /* valid if there are clients */
+    clients *clients;        /* NULL: for operators */
+    descriptors_user user;   /* valid if there are clients */
+    pthread_t expiry_thread; /* the same */
     atomic_bool expiry_done;
     atomic_ullong closed;   /* connections that gave way, or had late heads */
     atomic_llong closed_at; /* of the last log line on these */
@@ -355,6 +358,12 @@
             count, NULL);
 }
 
+static void
+on_clients_closed(void *context, const clients_report *report)
+{
+    log_closed(context, report);
+}
+
 static bool
 evict_client(front *f)
 {
@@ -368,12 +377,16 @@
 expire_heads(void *context)
 {
     front *f = context;
+    unsigned checks = 0;
     while (!atomic_load(&f->expiry_done)) {
         long long ms = atomic_load(&f->desc.limits->header_timeout_ms);
         clients_report report;
         clients_expire(f->clients, ms ? ms * BBM_MS : HEAD_TIME_DEFAULT,
                        control_now(), &report);
         log_closed(f, &report);
+        if (f->desc.descriptors && serves_callers(f)
+            && checks++ % CHECKS_PER_SAMPLE == 0)
+            descriptors_sample(f->desc.descriptors);
         usleep(HEAD_CHECK_US);
     }
     return NULL;
@@ -383,8 +396,16 @@
 start_expiry(front *f)
 {
     f->clients = clients_create();
-    if (pthread_create(&f->expiry_thread, NULL, expire_heads, f) == 0)
+    f->user = (descriptors_user){
+        .clients = f->clients,
+        .closed = on_clients_closed,
+        .context = f,
+    };
+    if (pthread_create(&f->expiry_thread, NULL, expire_heads, f) == 0) {
+        if (f->desc.descriptors)
+            descriptors_add(f->desc.descriptors, &f->user);
         return true;
+    }
     clients_destroy(f->clients);
     f->clients = NULL;
     return false;
@@ -395,6 +416,8 @@
 {
     if (!f->clients)
         return;
+    if (f->desc.descriptors)
+        descriptors_remove(f->desc.descriptors, &f->user);
     atomic_store(&f->expiry_done, true);
     pthread_join(f->expiry_thread, NULL);
     clients_destroy(f->clients);
@@ -833,11 +856,18 @@
                          &bytes, sizeof(bytes));
 }
 
+/* -1: unknown. */
+static int
+socket_of(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info ? info->connect_fd : -1;
+}
+
 static client *
 add_client(front *f, struct MHD_Connection *connection)
 {
-    const union MHD_ConnectionInfo *fd =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     const union MHD_ConnectionInfo *from = MHD_get_connection_info(
         connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
     uint32_t address = 0;
@@ -845,16 +875,32 @@
         const struct sockaddr_in *in = (const void *)from->client_addr;
         address = in->sin_addr.s_addr;
     }
-    return clients_add(f->clients, fd ? fd->connect_fd : -1, address,
+    return clients_add(f->clients, socket_of(connection), address,
                        control_now());
 }
 
+static void
+log_refused_connection(front *f)
+{
+    char count[24];
+    bbm_time now = control_now();
+    unsigned long long refused = atomic_fetch_add(&f->refused, 1) + 1;
+    if (now - atomic_load(&f->refused_at) < REFUSED_LOG_PERIOD)
+        return;
+    atomic_store(&f->refused_at, now);
+    snprintf(count, sizeof(count), "%llu", refused);
+    bbm_log(BBM_EVENT_CONNECTION_REFUSED, "address", f->desc.address,
+            "refused", count, NULL);
+}
+
 static void
 on_connection(void *context, struct MHD_Connection *connection, void **state,
               enum MHD_ConnectionNotificationCode event)
 {
     front *f = context;
     if (event == MHD_CONNECTION_NOTIFY_CLOSED) {
+        if (f->desc.descriptors)
+            descriptors_close(f->desc.descriptors);
         memory_budget_give(f->desc.memory, MEMORY_CONNECTIONS,
                            CONNECTION_BYTES);
         if (f->clients && *state)
@@ -865,24 +911,12 @@
     memory_budget_force(f->desc.memory, MEMORY_CONNECTIONS, CONNECTION_BYTES);
     limit_unsent_bytes(connection);
     set_idle_timeout(f, connection);
+    if (f->desc.descriptors)
+        descriptors_open(f->desc.descriptors);
     if (f->clients)
         *state = add_client(f, connection);
 }
 
-static void
-log_refused_connection(front *f)
-{
-    char count[24];
-    bbm_time now = control_now();
-    unsigned long long refused = atomic_fetch_add(&f->refused, 1) + 1;
-    if (now - atomic_load(&f->refused_at) < REFUSED_LOG_PERIOD)
-        return;
-    atomic_store(&f->refused_at, now);
-    snprintf(count, sizeof(count), "%llu", refused);
-    bbm_log(BBM_EVENT_CONNECTION_REFUSED, "address", f->desc.address,
-            "refused", count, NULL);
-}
-
 static bool
 has_room_for_connection(const front *f)
 {
@@ -893,18 +927,23 @@
                                      CONNECTION_BYTES, MEMORY_SMALL_BYTES + 1);
 }
 
-/* Clients' connections may use their share; the provider's and operators' are
-   always accepted.  A new one replaces one without a request, or else one
-   whose request is idle.  One that is refused is closed unread. */
+/* Clients' connections may use their share of the memory, and all but
+   operators' the descriptors but for those that are reserved.  A new one
+   replaces one without a request, or else one whose request is idle.  One that
+   is refused is closed unread. */
 static enum MHD_Result
 on_accept(void *context, const struct sockaddr *address, socklen_t len)
 {
     (void)address;
     (void)len;
     front *f = context;
-    if (!f->clients || has_room_for_connection(f) || evict_client(f)
-        || bodies_evict(f->desc.bodies, NULL, CONNECTION_BYTES)
-        || evict(f, NULL))
+    bool has_descriptors =
+        !f->desc.descriptors || !f->clients
+        || descriptors_may_accept(f->desc.descriptors, serves_callers(f));
+    if (has_descriptors
+        && (!serves_callers(f) || has_room_for_connection(f) || evict_client(f)
+            || bodies_evict(f->desc.bodies, NULL, CONNECTION_BYTES)
+            || evict(f, NULL)))
         return MHD_YES;
     log_refused_connection(f);
     return MHD_NO;
@@ -961,7 +1000,7 @@
         valid = f->cert && f->key;
     }
     struct sockaddr_in address;
-    if (valid && serves_callers(f))
+    if (valid && desc->kind != FRONT_OPERATORS)
         valid = start_expiry(f);
     if (valid && bbm_address_parse(desc->address, &address))
         f->daemon = start_daemon(f, &address);
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -15,6 +15,7 @@
 
 #include "bbm_settings.h"
 #include "bodies.h"
+#include "descriptors.h"
 #include "exchange.h"
 #include "mailbox.h"
 
@@ -56,9 +57,10 @@
     atomic_ullong *next_id;        /**< Last exchange id in use; shared by all
                                         fronts. */
     mailbox *control_mailbox;
-    memory_budget *memory; /**< Counts what the front holds; NULL: nothing
-                                does. */
-    bodies *bodies;        /**< Of all fronts; NULL without `memory`. */
+    memory_budget *memory;    /**< Counts what the front holds; NULL: nothing
+                                   does. */
+    bodies *bodies;           /**< Of all fronts; NULL without `memory`. */
+    descriptors *descriptors; /**< Of all fronts; NULL: there is no limit. */
 } front_desc;
 
 /** A front; opaque. */
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -71,6 +71,7 @@
     uint8_t key_secret[BBM_DIGEST_SIZE];
     memory_budget memory;
     bodies *bodies;
+    descriptors *descriptors;
     mailbox *box;
     start_wait *wait;
     atomic_bool ready;
@@ -262,6 +263,7 @@
         .control_mailbox = p->box,
         .memory = &p->memory,
         .bodies = p->bodies,
+        .descriptors = p->descriptors,
     };
     front *f;
     while ((f = front_create(&desc)) == NULL && wait_to_listen(p, address))
@@ -312,6 +314,7 @@
                                        ? (size_t)s->memory_mb * 1000000
                                        : memory_budget_detect());
     p->bodies = bodies_create(&p->memory);
+    p->descriptors = descriptors_create(0);
     p->box = mailbox_create(MAILBOX_SIZE);
     mailbox_set_memory(p->box, &p->memory, control_item_bytes);
     atomic_store(&p->last_tick, control_now());
@@ -449,6 +452,7 @@
     fail_queued_items(p);
     mailbox_destroy(p->box);
     bodies_destroy(p->bodies);
+    descriptors_destroy(p->descriptors);
 }
 
 /* ---- running ---- */
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -56,8 +56,11 @@
 JSON
 }
 
-fleet_daemon() { # DIR NUMBER: starts a daemon
-    fleet_run "$1/vm-$2.log" "$FLEET_BUILD/bluebellmoord" \
+fleet_daemon() { # DIR NUMBER: starts a daemon, with FLEET_DESCRIPTORS descriptors if that is set
+    local limited=()
+    # shellcheck disable=SC2016 # expanded by that shell
+    [ -n "${FLEET_DESCRIPTORS:-}" ] && limited=(bash -c 'ulimit -n "$0"; exec "$@"' "$FLEET_DESCRIPTORS")
+    fleet_run "$1/vm-$2.log" "${limited[@]}" "$FLEET_BUILD/bluebellmoord" \
         --settings "$1/vm-$2.json"
     fleet_daemon_pid[$2]=$fleet_last_pid
 }
--- a/tests/memory_load.c
+++ b/tests/memory_load.c
@@ -6,6 +6,7 @@
  *      memory_load readers IP PORT COUNT PATH SECONDS
  *      memory_load paced IP PORT PATH BYTES RATE...
  *      memory_load heads IP PORT COUNT SECONDS
+ *      memory_load askers IP PORT COUNT PATH NOTES SECONDS
  *      memory_load callers IP PORT COUNT PATH
  *      memory_load prompts IP PORT COUNT PARTS SECONDS
  *      memory_load upstream PORT COUNT BYTES length|stream SECONDS
@@ -17,12 +18,14 @@
  *  each RATE, reads its answer of BYTES at so many bytes a second, and exits
  *  with 0 if all were whole.  `heads` keeps COUNT connections open with the
  *  beginning of a request, adds a byte to each every second, and opens those
- *  that end again at once.  `callers` sends COUNT requests one after the
- * other, each on a new connection, and exits with 0 if each was answered with
- * 200 within a second.  `prompts` sends COUNT requests whose prompts have
- * PARTS parts, without the last byte of their bodies.  `upstream` listens on
- * COUNT ports from PORT and answers each request with BYTES.  "held" is
- * printed once all bytes are sent or their connections have ended.  All end
+ *  that end again at once.  `askers` keeps COUNT connections open, with one
+ * whole request for PATH on each, which has a header of NOTES bytes, and opens
+ * those that end again within a second.  `callers` sends COUNT requests one
+ * after the other, each on a new connection, and exits with 0 if each was
+ * answered with 200 within a second.  `prompts` sends COUNT requests whose
+ * prompts have PARTS parts, without the last byte of their bodies. `upstream`
+ * listens on COUNT ports from PORT and answers each request with BYTES. "held"
+ * is printed once all bytes are sent or their connections have ended.  All end
  * after SECONDS.
  */
 #include <arpa/inet.h>
@@ -394,26 +397,38 @@
 
 /* ---- crowds of unfinished heads ---- */
 
+/* A connection whose end was seen, or whose unfinished request was answered,
+   is to be opened again. */
+static bool
+has_ended(int fd, bool unfinished)
+{
+    char block[4096];
+    return unfinished || recv(fd, block, sizeof(block), MSG_DONTWAIT) <= 0;
+}
+
+/* Keeps @p count connections open until @p end, and sends @p text on each.
+   @p unfinished: and a byte more each second, and those that end are opened
+   again at once, else after up to a second. */
 static int
-run_heads(char **args)
+keep_open(const struct sockaddr_in *to, size_t count, const char *text,
+          bool unfinished, double end)
 {
-    static const char begin[] = "GET /safe/";
-    struct sockaddr_in to = address_of(args[0], atoi(args[1]));
-    size_t count = (size_t)atol(args[2]);
-    double end = now_s() + atof(args[3]);
-    double next_byte = now_s() + 1;
+    double next_second = now_s();
     size_t opened = 0;
     bool told = false;
     struct pollfd *fds = allocate(count * sizeof(*fds));
     for (size_t i = 0; i < count; i++)
         fds[i] = (struct pollfd){.fd = -1, .events = POLLIN};
     while (now_s() < end) {
+        bool second_passed = now_s() >= next_second;
+        if (second_passed)
+            next_second += 1;
         for (size_t i = 0; i < count; i++) {
-            if (fds[i].fd >= 0)
+            if (fds[i].fd >= 0 || (!unfinished && !second_passed))
                 continue;
-            fds[i].fd = connect_client(&to, true);
+            fds[i].fd = connect_client(to, true);
             if (fds[i].fd >= 0)
-                (void)!send(fds[i].fd, begin, sizeof(begin) - 1, MSG_NOSIGNAL);
+                (void)!send(fds[i].fd, text, strlen(text), MSG_NOSIGNAL);
             opened += fds[i].fd >= 0;
         }
         if (!told)
@@ -421,13 +436,11 @@
         told = true;
         fflush(stdout);
         poll(fds, (nfds_t)count, 20);
-        bool byte_due = now_s() >= next_byte;
-        if (byte_due)
-            next_byte += 1;
         for (size_t i = 0; i < count; i++) {
-            if (fds[i].fd >= 0 && byte_due)
+            if (fds[i].fd >= 0 && unfinished && second_passed)
                 (void)!send(fds[i].fd, "x", 1, MSG_NOSIGNAL);
-            if (fds[i].fd < 0 || !fds[i].revents)
+            if (fds[i].fd < 0 || !fds[i].revents
+                || !has_ended(fds[i].fd, unfinished))
                 continue;
             close(fds[i].fd);
             fds[i].fd = -1;
@@ -438,6 +451,33 @@
     return 0;
 }
 
+static int
+run_heads(char **args)
+{
+    struct sockaddr_in to = address_of(args[0], atoi(args[1]));
+    return keep_open(&to, (size_t)atol(args[2]), "GET /safe/", true,
+                     now_s() + atof(args[3]));
+}
+
+static int
+run_askers(char **args)
+{
+    struct sockaddr_in to = address_of(args[0], atoi(args[1]));
+    int notes = atoi(args[4]);
+    char *value = allocate((size_t)notes + 1);
+    char *text = allocate((size_t)notes + HEAD_SIZE);
+    memset(value, 'v', (size_t)notes);
+    sprintf(text,
+            "GET %s HTTP/1.1\r\nHost: a.example\r\n"
+            "X-Bluebellmoor-Attempt-Id: asker\r\nX-Notes: %s\r\n\r\n",
+            args[3], value);
+    int rc = keep_open(&to, (size_t)atol(args[2]), text, false,
+                       now_s() + atof(args[5]));
+    free(value);
+    free(text);
+    return rc;
+}
+
 static int
 run_callers(char **args)
 {
@@ -640,14 +680,17 @@
         return run_paced(argv + 2, argc - 2);
     if (argc == 6 && strcmp(argv[1], "heads") == 0)
         return run_heads(argv + 2);
+    if (argc == 8 && strcmp(argv[1], "askers") == 0)
+        return run_askers(argv + 2);
     if (argc == 6 && strcmp(argv[1], "callers") == 0)
         return run_callers(argv + 2);
     if (argc == 7 && strcmp(argv[1], "prompts") == 0)
         return run_prompts(argv + 2);
     if (argc == 7 && strcmp(argv[1], "upstream") == 0)
         return run_upstream(argv + 2);
-    fputs("usage: memory_load bodies|readers|paced|heads|callers|prompts|"
-          "upstream ...\n",
-          stderr);
+    fputs(
+        "usage: memory_load bodies|readers|paced|heads|askers|callers|prompts|"
+        "upstream ...\n",
+        stderr);
     return 2;
 }
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -1228,6 +1228,23 @@
         grep '^bluebellmoor_\(late_heads\|waiting_conn\)' | tr '\n' ' ')"
     finish
 }
+# Connections that clients keep, each for less than the idle time, to one address
+# of a VM with 300 descriptors: new ones are accepted at all addresses.
+few_descriptors() { # NAME PORT PATH
+    local client_rc=0
+    begin "$1"
+    FLEET_DESCRIPTORS=300 memory_vm 1 100 length
+    fleet_run "$dir/load.log" "$FLEET_BUILD/memory_load" askers "$(pool_vm_ip 1)" $((FLEET_PORT + $2)) 400 "$3" 10 12
+    check "the crowd is there" fleet_until 20 grep -q held "$dir/load.log"
+    "$FLEET_BUILD/memory_load" callers "$(pool_vm_ip 1)" $((FLEET_PORT + 1)) 300 /safe/x >"$dir/callers.log" || client_rc=$?
+    check "$(cat "$dir/callers.log")" test $client_rc -eq 0
+    check "the readiness check is answered" pool_ready 1
+    check "a configuration is acknowledged" fleet_until 10 pool_accepts 1 2
+    echo "  $name: $(cat "$dir/callers.log"); $(find "/proc/${fleet_daemon_pid[1]}/fd" -mindepth 1 | wc -l) descriptors"
+    finish
+}
+t_few_descriptors_front() { few_descriptors few_descriptors_front 1 /safe/x; }
+t_few_descriptors_directory() { few_descriptors few_descriptors_directory 5 /-/resolve; }
 slow_stop() { # NAME length|stream PATH: clients that read slowly, at different speeds, while their VM stops
     local client_rc=0 started
     begin "$1"
@@ -1367,7 +1384,7 @@
     stopped_again copied_refusals refused_half_closed
     half_closed_at_start left_while_held signal_at_start settings_late disk_late soak soak_callers peer_resets killed_peers fatal_signal
     memory_large_chunks memory_tiny_chunks memory_declared_whole memory_declared_pieces
-    memory_slow_answers memory_slow_streams memory_mailbox memory_configs large_change_refused memory_long_prompts crowd_of_heads slow_answers_at_stop slow_streams_at_stop)
+    memory_slow_answers memory_slow_streams memory_mailbox memory_configs large_change_refused few_descriptors_front few_descriptors_directory memory_long_prompts crowd_of_heads slow_answers_at_stop slow_streams_at_stop)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
