Let connections of any listener give way when memory is short

Connections to the directory, which were always accepted, used up the share of all connections, and the front had none of its own to close: its new ones were closed unread.

The load program opens the connections of askers one after the other.

--- a/daemon/descriptors.c
+++ b/daemon/descriptors.c
@@ -87,8 +87,8 @@
     return !exceeds(d, free_min);
 }
 
-static void
-close_one(descriptors *d)
+bool
+descriptors_evict(descriptors *d)
 {
     descriptors_user *most = NULL;
     size_t most_len = 0;
@@ -103,16 +103,19 @@
         }
     }
     clients_report report;
-    if (most && clients_evict(most->clients, control_now(), &report))
+    bool evicted =
+        most && clients_evict(most->clients, control_now(), &report);
+    if (evicted)
         most->closed(most->context, &report);
     pthread_mutex_unlock(&d->lock);
+    return evicted;
 }
 
 void
 descriptors_open(descriptors *d)
 {
     if (exceeds(d, d->reserved))
-        close_one(d);
+        descriptors_evict(d);
     atomic_fetch_add(&d->connections, 1);
 }
 
--- a/daemon/descriptors.h
+++ b/daemon/descriptors.h
@@ -47,8 +47,11 @@
 /** True if there is room for a new connection until others have given way.
  *  @p first: of a listener that is to have room after others have none. */
 bool descriptors_may_accept(const descriptors *d, bool first);
-/** Count a connection.  If few descriptors are free, closes a connection
- *  without a request of the listener that has the most of them. */
+/** Close a connection without a request, of the listener that has the most of
+ *  them.  Returns false if there is none. */
+bool descriptors_evict(descriptors *d);
+/** Count a connection.  If few descriptors are free, calls
+ *  descriptors_evict(). */
 void descriptors_open(descriptors *d);
 /** Count a connection no longer. */
 void descriptors_close(descriptors *d);
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -364,9 +364,12 @@
     log_closed(context, report);
 }
 
+/* Closes a connection without a request, of any listener. */
 static bool
 evict_client(front *f)
 {
+    if (f->desc.descriptors)
+        return descriptors_evict(f->desc.descriptors);
     clients_report report;
     bool evicted = clients_evict(f->clients, control_now(), &report);
     log_closed(f, &report);
@@ -937,13 +940,15 @@
     (void)address;
     (void)len;
     front *f = context;
+    if (!f->clients)
+        return MHD_YES;
     bool has_descriptors =
-        !f->desc.descriptors || !f->clients
+        !f->desc.descriptors
         || descriptors_may_accept(f->desc.descriptors, serves_callers(f));
     if (has_descriptors
-        && (!serves_callers(f) || has_room_for_connection(f) || evict_client(f)
+        && (has_room_for_connection(f) || evict_client(f)
             || bodies_evict(f->desc.bodies, NULL, CONNECTION_BYTES)
-            || evict(f, NULL)))
+            || evict(f, NULL) || !serves_callers(f)))
         return MHD_YES;
     log_refused_connection(f);
     return MHD_NO;
--- a/tests/memory_load.c
+++ b/tests/memory_load.c
@@ -406,38 +406,66 @@
     return unfinished || recv(fd, block, sizeof(block), MSG_DONTWAIT) <= 0;
 }
 
+#define NUMBER "00000000"
+
+/* Replaces the number in a text, if it has one. */
+static void
+write_number(char *text, size_t number)
+{
+    char *at = strstr(text, "asker-");
+    char digits[16];
+    if (!at)
+        return;
+    snprintf(digits, sizeof(digits), "%08zu", number % 100000000);
+    memcpy(at + strlen("asker-"), digits, strlen(NUMBER));
+}
+
+/* Connections that are opened each PACE_S seconds, if their requests are to be
+   answered. */
+#define PACE 4
+#define PACE_S 0.02
+
 /* Keeps @p count connections open until @p end, and sends @p text on each.
-   @p unfinished: and a byte more each second, and those that end are opened
-   again at once, else after up to a second. */
+   @p unfinished: at once, and a byte more each second; else one after the
+   other. */
 static int
-keep_open(const struct sockaddr_in *to, size_t count, const char *text,
+keep_open(const struct sockaddr_in *to, size_t count, char *text,
           bool unfinished, double end)
 {
-    double next_second = now_s();
+    double next_byte = now_s() + 1;
+    double next_open = now_s();
     size_t opened = 0;
     bool told = false;
     struct pollfd *fds = allocate(count * sizeof(*fds));
     for (size_t i = 0; i < count; i++)
         fds[i] = (struct pollfd){.fd = -1, .events = POLLIN};
     while (now_s() < end) {
-        bool second_passed = now_s() >= next_second;
-        if (second_passed)
-            next_second += 1;
-        for (size_t i = 0; i < count; i++) {
-            if (fds[i].fd >= 0 || (!unfinished && !second_passed))
+        size_t may_open = unfinished ? count : 0;
+        if (!unfinished && now_s() >= next_open) {
+            may_open = PACE;
+            next_open += PACE_S;
+        }
+        for (size_t i = 0; i < count && may_open; i++) {
+            if (fds[i].fd >= 0)
                 continue;
             fds[i].fd = connect_client(to, true);
+            write_number(text, opened);
             if (fds[i].fd >= 0)
                 (void)!send(fds[i].fd, text, strlen(text), MSG_NOSIGNAL);
             opened += fds[i].fd >= 0;
+            may_open--;
         }
-        if (!told)
+        if (!told && opened >= count) {
             printf("held: %zu connections opened\n", opened);
-        told = true;
-        fflush(stdout);
-        poll(fds, (nfds_t)count, 20);
+            fflush(stdout);
+            told = true;
+        }
+        poll(fds, (nfds_t)count, unfinished ? 20 : 2);
+        bool byte_due = unfinished && now_s() >= next_byte;
+        if (byte_due)
+            next_byte += 1;
         for (size_t i = 0; i < count; i++) {
-            if (fds[i].fd >= 0 && unfinished && second_passed)
+            if (fds[i].fd >= 0 && byte_due)
                 (void)!send(fds[i].fd, "x", 1, MSG_NOSIGNAL);
             if (fds[i].fd < 0 || !fds[i].revents
                 || !has_ended(fds[i].fd, unfinished))
@@ -455,7 +483,8 @@
 run_heads(char **args)
 {
     struct sockaddr_in to = address_of(args[0], atoi(args[1]));
-    return keep_open(&to, (size_t)atol(args[2]), "GET /safe/", true,
+    char begin[] = "GET /safe/";
+    return keep_open(&to, (size_t)atol(args[2]), begin, true,
                      now_s() + atof(args[3]));
 }
 
@@ -469,7 +498,8 @@
     memset(value, 'v', (size_t)notes);
     sprintf(text,
             "GET %s HTTP/1.1\r\nHost: a.example\r\n"
-            "X-Bluebellmoor-Attempt-Id: asker\r\nX-Notes: %s\r\n\r\n",
+            "X-Bluebellmoor-Attempt-Id: asker-" NUMBER
+            "\r\nX-Notes: %s\r\n\r\n",
             args[3], value);
     int rc = keep_open(&to, (size_t)atol(args[2]), text, false,
                        now_s() + atof(args[5]));
@@ -547,7 +577,7 @@
 
 typedef struct answer {
     int fd;
-    char request[4096];
+    char request[24 * 1024];
     size_t request_len;
     char head[HEAD_SIZE];
     size_t head_len; /* 0: the request isn't complete */
