Count what the HTTP library keeps of a connection that was used

Cause: libmicrohttpd keeps a connection's 24 KiB, all of it written, until the connection ends; 8 KiB were counted. From its first request on 26 KiB are counted, and one that is used for the first time makes an idle one give way if all have more than their share. An open request counts 32 KiB, as before.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -16,11 +16,13 @@
 
 /* Size of the blocks in which libmicrohttpd reads an answer. */
 #define ANSWER_BLOCK_BYTES ((size_t)16 * 1024)
-/* Counted for a connection without a request, and for an open request besides
-   its body and answer: what libmicrohttpd uses of a connection's memory, and
-   the exchange with its headers. */
+/* Counted for a connection; more from its first request on, as libmicrohttpd
+   then has written to all of its memory and keeps it until the connection
+   ends; and for an open request besides its body and answer: the exchange with
+   its headers. */
 #define CONNECTION_BYTES ((size_t)8 * 1024)
-#define REQUEST_BYTES ((size_t)24 * 1024)
+#define CONNECTION_USED_BYTES (EXCHANGE_HEADS_BYTES - (size_t)6 * 1024)
+#define REQUEST_BYTES ((size_t)6 * 1024)
 /* Counted for a request from its submission on, for libcurl's buffers and
    handle of its transfer to an upstream.  One attempt is open at a time. */
 #define TRANSFER_BYTES ((size_t)40 * 1024)
@@ -774,17 +776,34 @@
 
 /* ---- connections ---- */
 
+/* Connections are accepted by what a new one takes.  One that is used for the
+   first time makes another one without a request give way, if all together
+   have more than their share. */
+static void
+count_used_connection(front *f, struct MHD_Connection *connection)
+{
+    client *x = f->clients ? client_of(connection) : NULL;
+    if (!x || !clients_first_request(f->clients, x))
+        return;
+    memory_budget_force(f->desc.memory, MEMORY_CONNECTIONS,
+                        CONNECTION_USED_BYTES);
+    if (!memory_budget_has_room(f->desc.memory, MEMORY_CONNECTIONS, 1,
+                                MEMORY_SMALL_BYTES + 1))
+        evict_client(f);
+}
+
 /* The first callback of libmicrohttpd for a request: creates its exchange.
    @p uri is the request target as received. */
 static void *
 on_request_target(void *context, const char *uri,
                   struct MHD_Connection *connection)
 {
-    (void)connection;
     front *f = context;
     uint64_t id = atomic_fetch_add(f->desc.next_id, 1) + 1;
     exchange *ex = exchange_create(EXCHANGE_ROUTE, id);
-    exchange_set_memory(ex, f->desc.memory, REQUEST_BYTES);
+    size_t used = f->clients ? 0 : CONNECTION_USED_BYTES;
+    exchange_set_memory(ex, f->desc.memory, REQUEST_BYTES + used);
+    count_used_connection(f, connection);
     ex->received_at = control_now();
     const char *query = strchr(uri, '?');
     ex->query = bbm_strdup(query ? query : "");
@@ -896,6 +915,15 @@
             "refused", count, NULL);
 }
 
+static void
+remove_client(front *f, client *x)
+{
+    if (clients_had_request(f->clients, x))
+        memory_budget_give(f->desc.memory, MEMORY_CONNECTIONS,
+                           CONNECTION_USED_BYTES);
+    clients_remove(f->clients, x);
+}
+
 static void
 on_connection(void *context, struct MHD_Connection *connection, void **state,
               enum MHD_ConnectionNotificationCode event)
@@ -907,7 +935,7 @@
         memory_budget_give(f->desc.memory, MEMORY_CONNECTIONS,
                            CONNECTION_BYTES);
         if (f->clients && *state)
-            clients_remove(f->clients, *state);
+            remove_client(f, *state);
         *state = NULL;
         return;
     }
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -1214,6 +1214,20 @@
     memory_holds 600
     finish
 }
+t_memory_used_connections() { # connections that have had a long head count with all that the HTTP library keeps
+    local before grown held
+    private_kib() { awk '/RssAnon/ { print $2 }' "/proc/${fleet_daemon_pid[1]}/status"; }
+    begin memory_used_connections
+    memory_vm 1 100 length
+    before=$(private_kib)
+    fleet_run "$dir/load.log" "$FLEET_BUILD/memory_load" askers "$(pool_vm_ip 1)" $((FLEET_PORT + 1)) 900 /safe/x 15000 20
+    memory_holds 900
+    grown=$(($(private_kib) - before))
+    held=$(($(curl -s "http://$(pool_vm_ip 1):$((FLEET_PORT + 2))/metrics" |
+        awk '/^bluebellmoor_memory_held_bytes{holder="connections"}/ { print $2 }') / 1024))
+    check "of $grown KiB that they take, $held are counted" test $grown -lt $((held + 4096))
+    finish
+}
 t_crowd_of_heads() { # a client's unfinished requests on all connections, renewed as fast as they are closed, keep nobody out
     local client_rc=0
     begin crowd_of_heads
@@ -1384,7 +1398,7 @@
     stopped_again copied_refusals refused_half_closed
     half_closed_at_start left_while_held signal_at_start settings_late disk_late soak soak_callers peer_resets killed_peers fatal_signal
     memory_large_chunks memory_tiny_chunks memory_declared_whole memory_declared_pieces
-    memory_slow_answers memory_slow_streams memory_mailbox memory_configs large_change_refused few_descriptors_front few_descriptors_directory memory_long_prompts crowd_of_heads slow_answers_at_stop slow_streams_at_stop)
+    memory_slow_answers memory_slow_streams memory_mailbox memory_configs large_change_refused few_descriptors_front few_descriptors_directory memory_used_connections memory_long_prompts crowd_of_heads slow_answers_at_stop slow_streams_at_stop)
 [ $# -gt 0 ] && scenarios=("$@")
 for scenario in "${scenarios[@]}"; do "t_$scenario"; done
 echo "$passed passed, $failed failed, $known_red known red"
