--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -434,7 +434,8 @@
    or 64 times if each is compared with all others. */
 START_TEST(check_takes_time_in_proportion_to_the_routes)
 {
-    ck_assert_double_lt(check_ns(16 * 1400) / check_ns(2 * 1400), 16);
+    ck_assert_double_lt(
+        check_ns((size_t)16 * 1400) / check_ns((size_t)2 * 1400), 16);
 }
 END_TEST
 
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -625,8 +625,8 @@
     const bbm_registry *reg = bbm_state_registry(f.state);
     uint64_t revision = bbm_registry_revision(reg);
     BBM_AUTO_FREE char *text = bbm_calloc(LONG_TEXT_BYTES + 1, 1);
-    memset(text, ' ', LONG_TEXT_BYTES);
-    memcpy(text, config_text, strlen(config_text));
+    snprintf(text, LONG_TEXT_BYTES + 1, "%s%*s", config_text,
+             (int)(LONG_TEXT_BYTES - strlen(config_text)), "");
     for (int i = 0; i < HISTORY_MAX + 100; i++) {
         char id[BBM_NAME_SIZE];
         snprintf(id, sizeof(id), "h-%d", i);
