--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -108,7 +108,7 @@
         vm_start(v);
     }
     int64_t until = soak_now_ms() + VM_READY_MS_MAX;
-    while (soak_now_ms() < until && vm_publish(&vms[0]) != 200)
+    while (soak_now_ms() < until && vm_publish(&vms[0], 0) != 200)
         soak_sleep_ms(100);
     for (int i = 0; i < opt.vms; i++) {
         if (!vm_wait_until_ready(&vms[i], VM_READY_MS_MAX))
--- a/tests/soak/soak_action.c
+++ b/tests/soak/soak_action.c
@@ -139,11 +139,22 @@
 publish_in_series(vm *v)
 {
     for (int64_t i = draw(v, 5); i >= 0; i--) {
-        vm_publish(v);
+        vm_publish(v, 0);
         soak_sleep_ms(draw(v, 300));
     }
 }
 
+/* Each has some 100 KB in the log: snapshots are written in between. */
+static void
+publish_large_in_series(vm *v)
+{
+    for (int64_t i = draw(v, 12); i >= 0; i--) {
+        vm_publish(v, (size_t)draw(v, 3000));
+        soak_sleep_ms(draw(v, 200));
+    }
+    vm_publish(v, 0);
+}
+
 /* What may happen to a VM; --actions names some of them. */
 static const struct action {
     const char *name;
@@ -159,6 +170,7 @@
     {"settings", rewrite_settings},
     {"half-settings", start_beside_settings},
     {"configs", publish_in_series},
+    {"large-configs", publish_large_in_series},
 };
 static const struct action *allowed[BBM_COUNT(actions)];
 static size_t allowed_len;
--- a/tests/soak/soak_vm.c
+++ b/tests/soak/soak_vm.c
@@ -1,5 +1,7 @@
 #include "soak_vm.h"
 
+#include "bbm_mem.h"
+
 #include <dirent.h>
 #include <fcntl.h>
 #include <signal.h>
@@ -9,6 +11,10 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+/* Of a route that no request uses, and of a configuration with them. */
+#define ROUTE_SIZE 256
+#define CONFIG_BYTES_MAX ((size_t)1024 * 1024)
+
 static const char *folder;
 static uint16_t first_port;
 static int starter; /* pipe to run.sh */
@@ -285,7 +291,7 @@
 
 /* Returns the status, 0 without an answer, and the answer in @p text. */
 static int
-call(const vm *v, uint16_t port, const char *request, char text[4096])
+call(const vm *v, uint16_t port, const char *request, char *text, size_t size)
 {
     char ip[32];
     size_t received;
@@ -295,7 +301,7 @@
     if (fd < 0)
         return 0;
     if (soak_send(fd, request, strlen(request))
-        && soak_read_message(fd, text, 4096, soak_now_ms() + 2000, &received,
+        && soak_read_message(fd, text, size, soak_now_ms() + 2000, &received,
                              &body))
         sscanf(text, "HTTP/1.1 %d", &status);
     close(fd);
@@ -306,7 +312,7 @@
 control_status(const vm *v, uint16_t port, const char *request)
 {
     char text[4096];
-    return call(v, port, request, text);
+    return call(v, port, request, text, sizeof(text));
 }
 
 /* Version of the configuration that a VM gives as the newest; 0: it gives
@@ -314,12 +320,12 @@
 static int
 read_version(const vm *v)
 {
-    char text[4096];
+    BBM_AUTO_FREE char *text = bbm_calloc(CONFIG_BYTES_MAX, 1);
     int version = 0;
     int status =
         call(v, (uint16_t)(first_port + SOAK_CONTROL),
              "GET /-/config HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n",
-             text);
+             text, CONFIG_BYTES_MAX);
     const char *at = status == 200 ? strstr(text, "\"version\"") : NULL;
     if (at)
         sscanf(at, "\"version\"%*[ :]%d", &version);
@@ -345,15 +351,35 @@
                    v->number + 1, version, acked);
 }
 
+/* Routes that no request uses, with names that differ from those before. */
+static char *
+write_routes(size_t routes, int version)
+{
+    char *text = bbm_calloc(routes + 1, ROUTE_SIZE);
+    char *at = text;
+    for (size_t i = 0; i < routes; i++)
+        at += snprintf(
+            at, ROUTE_SIZE,
+            "{\"name\":\"r-%zu-%x\",\"host\":\"b.example\",\"path-prefix\":"
+            "\"/%zu-%x/\",\"type\":\"safe\",\"timeout-ms\":5000,"
+            "\"target-latency-ms\":800,\"max-attempts\":2,\"public\":true,"
+            "\"service\":\"api\"},",
+            i, (unsigned)version * 2654435761U, i,
+            (unsigned)version * 2246822519U);
+    return text;
+}
+
 int
-vm_publish(const vm *v)
+vm_publish(const vm *v, size_t more_routes)
 {
-    char body[2048];
-    char text[2560];
     int version = atomic_fetch_add(&config_version, 1);
+    BBM_AUTO_FREE char *routes = write_routes(more_routes, version);
+    size_t size = strlen(routes) + 2048;
+    BBM_AUTO_FREE char *body = bbm_calloc(size, 1);
+    BBM_AUTO_FREE char *text = bbm_calloc(size + 512, 1);
     snprintf(
-        body, sizeof(body),
-        "{\"version\":%d,\"routes\":["
+        body, size,
+        "{\"version\":%d,\"routes\":[%s"
         "{\"name\":\"once\",\"host\":\"a.example\",\"path-prefix\":\"/once/\","
         "\"type\":\"unsafe\",\"timeout-ms\":5000,\"target-latency-ms\":800,"
         "\"max-attempts\":3,\"public\":true,\"service\":\"api\"},"
@@ -372,8 +398,8 @@
         "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":65536,"
         "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000},"
         "\"tenants\":[]}",
-        version);
-    snprintf(text, sizeof(text),
+        version, routes);
+    snprintf(text, size + 512,
              "PUT /-/config HTTP/1.1\r\nHost: c\r\nConnection: close\r\n"
              "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
              strlen(body), body);
--- a/tests/soak/soak_vm.h
+++ b/tests/soak/soak_vm.h
@@ -64,8 +64,9 @@
 /** Wait for the end of a process that was told to end, and start the next. */
 void vm_stop_and_start(vm *v, int64_t pause_ms);
 
-/** Publish a new configuration; returns the status of the answer. */
-int vm_publish(const vm *v);
+/** Publish a new configuration, with @p more_routes routes that no request
+ *  uses; returns the status of the answer. */
+int vm_publish(const vm *v, size_t more_routes);
 /** What was acknowledged must be what the VM gives, once it gives any. */
 void vm_check_config(const vm *v);
 bool vm_wait_until_ready(const vm *v, int64_t ms);
