--- a/daemon/descriptors.h
+++ b/daemon/descriptors.h
@@ -2,10 +2,10 @@
  *  Which connection gives way when the process runs out of descriptors.
  *
  *  Load that it handles: clients that keep connections open, to any of the
- *  process's listeners.  Without free descriptors no listener accepts, and no
- *  upstream, VM or file can be reached: libmicrohttpd then doesn't accept
- * until one of its own connections ends.  Clients' connections are counted;
- * all other descriptors are counted now and then.
+ *  process's listeners.  Without free descriptors no upstream, VM or file can
+ *  be reached, and a listener doesn't accept until one of its own connections
+ *  ends.  Clients' connections are counted as they come and go, all other
+ *  descriptors now and then.
  *
  *      descriptors *d = descriptors_create(0);
  *      descriptors_add(d, &user);            a listener and its connections
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -273,8 +273,8 @@
                      const void *data, size_t len);
 /** Count @p bytes for the change that this call makes, instead of those that
  *  were counted before.  BBM_ERR_MEMORY if they have no room now, and
- *  BBM_ERR_TOO_LARGE if they never have: then body_bytes_max becomes the
- * length of a body of this kind that has. */
+ *  BBM_ERR_TOO_LARGE if they never have: body_bytes_max is then the length of
+ *  a body of this kind that has. */
 int exchange_count_change(exchange *ex, size_t bytes);
 /** Set the Retry-After header of the answer that follows. */
 void exchange_set_retry_after(exchange *ex, int64_t ms);
--- a/store/bbm_store.h
+++ b/store/bbm_store.h
@@ -18,10 +18,9 @@
  *  retried, for instance when the disk has space.  A snapshot whose files
  *  can't be completed leaves the former pair in use.  Opening removes an
  *  incomplete record at the end of the log, which was never synced, and
- *  reports its size.  It leaves the data of large entries in their file, from
- *  which they are read when they are needed.  A complete record with a wrong
- * checksum is an error that names the file: the record may have been
- * acknowledged.
+ *  reports its size.  A complete record with a wrong checksum is an error
+ *  that names the file: the record may have been acknowledged.  The data of
+ *  large entries stays in the file and is read when it is needed.
  *
  *  `N.snapshot` and `N.log` form a pair of generation N, which rises with
  *  each snapshot.  The log gets its name last, so that a pair whose log
--- a/tests/process.sh
+++ b/tests/process.sh
@@ -1280,9 +1280,8 @@
 t_slow_streams_at_stop() { slow_stop slow_streams_at_stop stream /stream/x; }
 t_memory_slow_answers() { memory_readers memory_slow_answers length /safe/x; }
 t_memory_slow_streams() { memory_readers memory_slow_streams stream /stream/x; }
-memory_peak() { # CONNECTIONS chunked|declared PIECE: three VMs of 88 MB; the clients' bodies of 4 MB meet vm-1
-    local i pid peak bound=$((88 * 1000000 / 1024))
-    begin "memory_peak_$1_$2_$3"
+memory_core() { # three VMs of 88 MB with a disk, and an upstream that answers with 100 bytes
+    local i
     fleet_run "$dir/list.log" "$FLEET_BUILD/stand_pool" list $((FLEET_PORT + 6)) $((FLEET_PORT + 520))
     fleet_run "$dir/upstream.log" "$FLEET_BUILD/memory_load" upstream $((FLEET_PORT + 520)) 1 100 length 60
     for i in 1 2 3; do
@@ -1291,6 +1290,11 @@
         sed -i 's/"self_repair"/"memory_mb": 88, "texts_kept": 2, "caller_threads": 1, "self_repair"/' "$dir/vm-$i.json"
         fleet_daemon "$dir" "$i"
     done
+}
+memory_peak() { # CONNECTIONS chunked|declared PIECE: three VMs of 88 MB; the clients' bodies of 4 MB meet vm-1
+    local i pid peak bound=$((88 * 1000000 / 1024))
+    begin "memory_peak_$1_$2_$3"
+    memory_core
     pool_config 1 | sed 's/"max-body-bytes":65536/"max-body-bytes":4194304/' >"$dir/large.json"
     peak_accepts() { [ "$(pool_control 1 PUT "$(cat "$dir/large.json")")" = 200 ]; }
     check "the configuration is acknowledged" fleet_until 20 peak_accepts
@@ -1335,14 +1339,7 @@
 t_memory_configs() { # changes of a large configuration leave no memory behind, neither in the log nor in the allocator
     local i pid peak rest bound=$((88 * 1000000 / 1024)) changes=0
     begin memory_configs
-    fleet_run "$dir/list.log" "$FLEET_BUILD/stand_pool" list $((FLEET_PORT + 6)) $((FLEET_PORT + 520))
-    fleet_run "$dir/upstream.log" "$FLEET_BUILD/memory_load" upstream $((FLEET_PORT + 520)) 1 100 length 60
-    for i in 1 2 3; do
-        mkdir -p "$dir/disk-$i"
-        pool_settings "$i" true
-        sed -i 's/"self_repair"/"memory_mb": 88, "texts_kept": 2, "caller_threads": 1, "self_repair"/' "$dir/vm-$i.json"
-        fleet_daemon "$dir" "$i"
-    done
+    memory_core
     check "a configuration is acknowledged" fleet_until 20 pool_accepts 1 1
     many_routes 2 >"$dir/many.json"
     for i in $(seq 1 40); do
