--- a/state/bbm_registry.c
+++ b/state/bbm_registry.c
@@ -9,8 +9,10 @@
 /* Maximum number of stored revisions.  A resent publish is recognized by its
    id while its revision is among them. */
 #define REVISIONS_MAX 1024
-/* Maximum number of weight versions in a snapshot, of all models. */
-#define SNAPSHOT_WEIGHTS_MAX 32768
+/* Maximum number of rows of a kind in a snapshot.  What a configuration or an
+   operator adds has no limit of its own, and a VM must read what it wrote; the
+   rows that a malformed snapshot can have are limited by its length. */
+#define SNAPSHOT_ROWS_MAX UINT32_MAX
 
 typedef struct revision {
     bbm_revision info; /* texts are in the fields below, which own them */
@@ -679,15 +681,16 @@
     bbm_put_u64(buf, HASH_COUNT(reg->drains));
     for (const drain_row *d = reg->drains; d; d = d->hh.next)
         bbm_put_str(buf, d->name);
-    bbm_weights_version entry;
     size_t len = 0;
-    while (bbm_registry_weights_at(reg, len, &entry))
-        len++;
+    for (const weights_row *w = reg->weights; w; w = w->hh.next)
+        len += w->len;
     bbm_put_u64(buf, len);
-    for (size_t i = 0; bbm_registry_weights_at(reg, i, &entry); i++) {
-        bbm_put_str(buf, entry.model);
-        bbm_put_u64(buf, entry.version);
-        bbm_put_i64(buf, entry.at_ms);
+    for (const weights_row *w = reg->weights; w; w = w->hh.next) {
+        for (size_t i = 0; i < w->len; i++) {
+            bbm_put_str(buf, w->versions[i].model);
+            bbm_put_u64(buf, w->versions[i].version);
+            bbm_put_i64(buf, w->versions[i].at_ms);
+        }
     }
     if (format < BBM_FORMAT_QUARANTINE)
         return;
@@ -766,7 +769,7 @@
 static void
 decode_keys(bbm_registry *reg, bbm_reader *rd)
 {
-    size_t len = bbm_get_u32(rd, BBM_KEYS_MAX);
+    size_t len = bbm_get_u32(rd, SNAPSHOT_ROWS_MAX);
     for (size_t i = 0; i < len && !rd->failed; i++) {
         char name[BBM_NAME_SIZE];
         char customer[BBM_NAME_SIZE];
@@ -821,13 +824,13 @@
     decode_revisions(&decoded, format, rd);
     decode_config(&decoded, rd);
     decode_keys(&decoded, rd);
-    size_t draining_len = bbm_get_u32(rd, BBM_KEYS_MAX);
+    size_t draining_len = bbm_get_u32(rd, SNAPSHOT_ROWS_MAX);
     for (size_t i = 0; i < draining_len && !rd->failed; i++) {
         char node[BBM_NAME_SIZE];
         bbm_get_name(rd, node);
         set_drain(&decoded, node, true);
     }
-    size_t weights_len = bbm_get_u32(rd, SNAPSHOT_WEIGHTS_MAX);
+    size_t weights_len = bbm_get_u32(rd, SNAPSHOT_ROWS_MAX);
     for (size_t i = 0; i < weights_len && !rd->failed; i++) {
         char model[BBM_NAME_SIZE];
         bbm_get_name(rd, model);
--- a/tests/test_state.c
+++ b/tests/test_state.c
@@ -647,6 +647,57 @@
 }
 END_TEST
 
+#define MANY_ROWS 100001
+
+/* Of @p count keys, each with a digest of its own. */
+static char *
+config_of_keys(int count)
+{
+    char *text = bbm_calloc((size_t)count + 4, 160);
+    char *at = text
+               + sprintf(text, "{\"rates\":[{\"name\":\"r\","
+                               "\"tokens_per_s\":10,\"burst\":100}],"
+                               "\"customers\":[{\"name\":\"c\",\"rate\":"
+                               "\"r\"}],\"keys\":[");
+    for (int i = 0; i < count; i++)
+        at += sprintf(at,
+                      "%s{\"name\":\"k%d\",\"customer\":\"c\","
+                      "\"digest\":\"%064x\"}",
+                      i ? "," : "", i, (unsigned)i + 1);
+    sprintf(at, "]}");
+    return text;
+}
+
+/* A VM couldn't read its own snapshot again if a configuration had more than
+   100,000 keys, or operators had named many models or draining VMs. */
+START_TEST(snapshot_of_many_rows_is_read)
+{
+    fixture f = setup();
+    uint64_t revision = bbm_registry_revision(bbm_state_registry(f.state));
+    BBM_AUTO_FREE char *text = config_of_keys(MANY_ROWS);
+    ck_assert_int_eq(publish(&f, "many", revision, text), BBM_OK);
+    for (int i = 0; i < MANY_ROWS; i++) {
+        bbm_command weights = {.kind = BBM_CMD_WEIGHTS};
+        snprintf(weights.u.weights.model, BBM_NAME_SIZE, "m%d", i);
+        weights.u.weights.version = 1;
+        apply(&f, &weights);
+        bbm_command drain = {.kind = BBM_CMD_DRAIN};
+        snprintf(drain.u.drain.node, BBM_NAME_SIZE, "n%d", i);
+        drain.u.drain.draining = true;
+        apply(&f, &drain);
+    }
+    bbm_buf snapshot = {0};
+    bbm_state_encode(f.state, BBM_FORMAT_LATEST, &snapshot);
+    bbm_state *read = bbm_state_create(&(bbm_state_desc){0});
+    ck_assert_int_eq(bbm_state_decode(read, snapshot.data, snapshot.len),
+                     BBM_OK);
+    ck_assert(bbm_registry_is_draining(bbm_state_registry(read), "n100000"));
+    bbm_state_destroy(read);
+    bbm_buf_free(&snapshot);
+    teardown(&f);
+}
+END_TEST
+
 START_TEST(new_order_supersedes_open_order)
 {
     fixture f = setup();
@@ -668,7 +719,8 @@
 }
 END_TEST
 
-TEST_MAIN("state", changes_leave_a_bounded_history,
+TEST_MAIN("state", snapshot_of_many_rows_is_read,
+          changes_leave_a_bounded_history,
           compressed_publish_is_as_the_plain_one,
           damaged_compressed_publish_is_refused,
           quarantined_parts_end_by_command_time,
