Derive the unwritten bytes, view entries to send, one way to a socket

Cause: the disk thread counted the bytes of unconfirmed writes that the Raft member knows; each append message copied the entries it encodes, also those in memory; the socket of a connection was looked up in three ways; the listeners checked at six places that there is a descriptors object, which now, like the memory budget, may be NULL.

Change: bbm_raft_unsynced_bytes() feeds the gauge and the budget; raft_log_view() reads only what is still in the file; socket_of() serves all three; one loop of changes in test_large_config.

--- a/base/bbm_mem.h
+++ b/base/bbm_mem.h
@@ -42,8 +42,8 @@
 void bbm_grow(void *items, size_t *cap, size_t used, size_t item_size);
 
 /** Give freed memory back to the system.  The allocator keeps what lies
- * between blocks in use: after a large document was read, that is most of its
- * tree. Takes half a millisecond after a document of 1.6 MB. */
+ *  between blocks in use: most of the tree of a document that was read.
+ *  Takes half a millisecond after a document of 1.6 MB. */
 void bbm_trim(void);
 
 /** Free the memory that a pointer variable points to; @p variable is its
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -369,10 +369,8 @@
 {
     bbm_node_counts counts = bbm_node_count(c->node, control_now());
     counts.event_time = c->event_time;
-    if (c->desc->disk) {
-        counts.unwritten_bytes = disk_unwritten_bytes(c->desc->disk);
+    if (c->desc->disk)
         counts.folder_bytes = disk_stored_bytes(c->desc->disk);
-    }
     bbm_buf text = {0};
     transport_counts links = transport_count(c->desc->transport);
     metrics_write(&counts, &links, mailbox_memory(c->desc->box), &text);
@@ -732,8 +730,6 @@
     memory_budget *memory = mailbox_memory(c->desc->box);
     size_t bytes =
         bbm_node_text_bytes(c->node) + bbm_node_change_bytes(c->node);
-    if (c->desc->disk)
-        bytes += disk_unwritten_bytes(c->desc->disk);
     memory_budget_force(memory, MEMORY_CONFIGS, bytes);
     memory_budget_give(memory, MEMORY_CONFIGS, c->state_bytes);
     c->state_bytes = bytes;
--- a/daemon/descriptors.c
+++ b/daemon/descriptors.c
@@ -58,6 +58,8 @@
 void
 descriptors_add(descriptors *d, descriptors_user *user)
 {
+    if (!d)
+        return;
     pthread_mutex_lock(&d->lock);
     TAILQ_INSERT_TAIL(&d->users, user, link);
     pthread_mutex_unlock(&d->lock);
@@ -66,6 +68,8 @@
 void
 descriptors_remove(descriptors *d, descriptors_user *user)
 {
+    if (!d)
+        return;
     pthread_mutex_lock(&d->lock);
     TAILQ_REMOVE(&d->users, user, link);
     pthread_mutex_unlock(&d->lock);
@@ -83,6 +87,8 @@
 bool
 descriptors_may_accept(const descriptors *d, bool first)
 {
+    if (!d)
+        return true;
     size_t free_min = first ? d->reserved / 2 : d->reserved / 4 * 3;
     return !exceeds(d, free_min);
 }
@@ -114,6 +120,8 @@
 void
 descriptors_open(descriptors *d)
 {
+    if (!d)
+        return;
     if (exceeds(d, d->reserved))
         descriptors_evict(d);
     atomic_fetch_add(&d->connections, 1);
@@ -122,6 +130,8 @@
 void
 descriptors_close(descriptors *d)
 {
+    if (!d)
+        return;
     atomic_fetch_sub(&d->connections, 1);
 }
 
@@ -129,6 +139,8 @@
 void
 descriptors_sample(descriptors *d)
 {
+    if (!d)
+        return;
     size_t open = 0;
     DIR *dir = opendir("/proc/self/fd");
     while (dir && readdir(dir))
--- a/daemon/descriptors.h
+++ b/daemon/descriptors.h
@@ -14,7 +14,8 @@
  *      descriptors_close(d);                 it has ended
  *      descriptors_remove(d, &user);
  *
- *  All functions may be called from any thread.
+ *  All functions may be called from any thread.  A NULL object counts and
+ *  refuses nothing; it has nothing to evict.
  */
 #ifndef DESCRIPTORS_H
 #define DESCRIPTORS_H
--- a/daemon/disk.c
+++ b/daemon/disk.c
@@ -18,8 +18,7 @@
     mailbox *box;
     pthread_t thread;
     atomic_bool stop;
-    atomic_size_t unwritten; /* bytes of steps that aren't synced */
-    atomic_ullong stored;    /* bytes of the folder */
+    atomic_ullong stored; /* bytes of the folder */
 };
 
 static void
@@ -39,15 +38,6 @@
     mailbox_put_waiting(d->control, item);
 }
 
-static size_t
-persist_bytes(const bbm_raft_persist *p)
-{
-    size_t bytes = p->snapshot ? p->snapshot->data.len : 0;
-    for (size_t i = 0; i < p->len; i++)
-        bytes += p->entries[i].len;
-    return bytes;
-}
-
 /* Steps that are written together, with one sync. */
 typedef struct batch {
     bbm_raft_persist steps[BATCH_STEPS_MAX];
@@ -72,10 +62,8 @@
     }
     if (rc == BBM_OK)
         confirm(d, b->steps[b->len - 1].seq);
-    for (size_t i = 0; i < b->len; i++) {
-        atomic_fetch_sub(&d->unwritten, persist_bytes(&b->steps[i]));
+    for (size_t i = 0; i < b->len; i++)
         bbm_raft_persist_free(&b->steps[i]);
-    }
     atomic_store(&d->stored, bbm_store_size(d->store));
     b->len = 0;
 }
@@ -145,16 +133,9 @@
     bbm_raft_persist *p = bbm_calloc(1, sizeof(*p));
     *p = *persist;
     *persist = (bbm_raft_persist){0};
-    atomic_fetch_add(&d->unwritten, persist_bytes(p));
     mailbox_put_waiting(d->box, p);
 }
 
-size_t
-disk_unwritten_bytes(const disk *d)
-{
-    return atomic_load(&d->unwritten);
-}
-
 uint64_t
 disk_stored_bytes(const disk *d)
 {
--- a/daemon/disk.h
+++ b/daemon/disk.h
@@ -23,8 +23,6 @@
 bbm_member_id disk_load(disk *d, bbm_raft_saved *saved);
 /** Queue a write.  Its contents move to the thread: *@p persist is zeroed. */
 void disk_write(disk *d, bbm_raft_persist *persist);
-/** Bytes of snapshots and entries in writes that aren't synced. */
-size_t disk_unwritten_bytes(const disk *d);
 /** Bytes of the folder's snapshot and log after the last write. */
 uint64_t disk_stored_bytes(const disk *d);
 /** Finish the queued writes, but drop those that fail, and release the thread
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -329,6 +329,15 @@
 
 /* ---- connections without a request ---- */
 
+/* -1: unknown. */
+static int
+socket_of(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info ? info->connect_fd : -1;
+}
+
 static client *
 client_of(struct MHD_Connection *connection)
 {
@@ -389,8 +398,7 @@
         clients_expire(f->clients, ms ? ms * BBM_MS : HEAD_TIME_DEFAULT,
                        control_now(), &report);
         log_closed(f, &report);
-        if (f->desc.descriptors && serves_callers(f)
-            && checks++ % CHECKS_PER_SAMPLE == 0)
+        if (serves_callers(f) && checks++ % CHECKS_PER_SAMPLE == 0)
             descriptors_sample(f->desc.descriptors);
         usleep(HEAD_CHECK_US);
     }
@@ -407,8 +415,7 @@
         .context = f,
     };
     if (pthread_create(&f->expiry_thread, NULL, expire_heads, f) == 0) {
-        if (f->desc.descriptors)
-            descriptors_add(f->desc.descriptors, &f->user);
+        descriptors_add(f->desc.descriptors, &f->user);
         return true;
     }
     clients_destroy(f->clients);
@@ -421,8 +428,7 @@
 {
     if (!f->clients)
         return;
-    if (f->desc.descriptors)
-        descriptors_remove(f->desc.descriptors, &f->user);
+    descriptors_remove(f->desc.descriptors, &f->user);
     atomic_store(&f->expiry_done, true);
     pthread_join(f->expiry_thread, NULL);
     clients_destroy(f->clients);
@@ -500,12 +506,9 @@
     ex->body_bytes_max =
         (size_t)(body_bytes_max ? body_bytes_max
                                 : f->desc.settings->body_most);
-    const union MHD_ConnectionInfo *info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     /* Another thread may look for a connection to evict. */
     pthread_mutex_lock(&ex->lock);
-    if (info)
-        ex->socket = info->connect_fd;
+    ex->socket = socket_of(connection);
     pthread_mutex_unlock(&ex->lock);
     bbm_text_set(ex->content_type, sizeof(ex->content_type),
                  header(connection, "Content-Type"));
@@ -870,21 +873,9 @@
 static void
 limit_unsent_bytes(struct MHD_Connection *connection)
 {
-    const union MHD_ConnectionInfo *info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     int bytes = UNSENT_BYTES_MAX;
-    if (info)
-        (void)setsockopt(info->connect_fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT,
-                         &bytes, sizeof(bytes));
-}
-
-/* -1: unknown. */
-static int
-socket_of(struct MHD_Connection *connection)
-{
-    const union MHD_ConnectionInfo *info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    return info ? info->connect_fd : -1;
+    (void)setsockopt(socket_of(connection), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                     &bytes, sizeof(bytes));
 }
 
 static client *
@@ -901,20 +892,6 @@
                        control_now());
 }
 
-static void
-log_refused_connection(front *f)
-{
-    char count[24];
-    bbm_time now = control_now();
-    unsigned long long refused = atomic_fetch_add(&f->refused, 1) + 1;
-    if (now - atomic_load(&f->refused_at) < REFUSED_LOG_PERIOD)
-        return;
-    atomic_store(&f->refused_at, now);
-    snprintf(count, sizeof(count), "%llu", refused);
-    bbm_log(BBM_EVENT_CONNECTION_REFUSED, "address", f->desc.address,
-            "refused", count, NULL);
-}
-
 static void
 remove_client(front *f, client *x)
 {
@@ -930,8 +907,7 @@
 {
     front *f = context;
     if (event == MHD_CONNECTION_NOTIFY_CLOSED) {
-        if (f->desc.descriptors)
-            descriptors_close(f->desc.descriptors);
+        descriptors_close(f->desc.descriptors);
         memory_budget_give(f->desc.memory, MEMORY_CONNECTIONS,
                            CONNECTION_BYTES);
         if (f->clients && *state)
@@ -942,12 +918,25 @@
     memory_budget_force(f->desc.memory, MEMORY_CONNECTIONS, CONNECTION_BYTES);
     limit_unsent_bytes(connection);
     set_idle_timeout(f, connection);
-    if (f->desc.descriptors)
-        descriptors_open(f->desc.descriptors);
+    descriptors_open(f->desc.descriptors);
     if (f->clients)
         *state = add_client(f, connection);
 }
 
+static void
+log_refused_connection(front *f)
+{
+    char count[24];
+    bbm_time now = control_now();
+    unsigned long long refused = atomic_fetch_add(&f->refused, 1) + 1;
+    if (now - atomic_load(&f->refused_at) < REFUSED_LOG_PERIOD)
+        return;
+    atomic_store(&f->refused_at, now);
+    snprintf(count, sizeof(count), "%llu", refused);
+    bbm_log(BBM_EVENT_CONNECTION_REFUSED, "address", f->desc.address,
+            "refused", count, NULL);
+}
+
 static bool
 has_room_for_connection(const front *f)
 {
@@ -970,10 +959,7 @@
     front *f = context;
     if (!f->clients)
         return MHD_YES;
-    bool has_descriptors =
-        !f->desc.descriptors
-        || descriptors_may_accept(f->desc.descriptors, serves_callers(f));
-    if (has_descriptors
+    if (descriptors_may_accept(f->desc.descriptors, serves_callers(f))
         && (has_room_for_connection(f) || evict_client(f)
             || bodies_evict(f->desc.bodies, NULL, CONNECTION_BYTES)
             || evict(f, NULL) || !serves_callers(f)))
--- a/daemon/front_provider.c
+++ b/daemon/front_provider.c
@@ -6,10 +6,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-static const char json_media_type[] = "application/json";
 /* Of a change that has no room yet. */
 #define CHANGE_RETRY_MS 1000
 
+static const char json_media_type[] = "application/json";
 static const char http_scheme[] = "http://";
 
 /* ---- clients ---- */
--- a/node/bbm_node.h
+++ b/node/bbm_node.h
@@ -564,7 +564,7 @@
     uint64_t tail_bytes;      /**< Public commands kept for other VMs. */
     uint64_t proposal_bytes;  /**< Proposals without an outcome yet. */
     uint64_t unwritten_bytes; /**< Writes to the data folder that aren't
-                                   synced; filled in by the driver. */
+                                   confirmed. */
     uint64_t folder_bytes;    /**< Of the data folder; filled in by the
                                    driver. */
 } bbm_node_counts;
@@ -583,7 +583,7 @@
 /** Bytes of the texts of the configuration that the node keeps. */
 size_t bbm_node_text_bytes(const bbm_node *n);
 /** Bytes that the node keeps of changes besides: the log of the control group,
- *  its snapshot, and the commands for other VMs. */
+ *  its snapshot, unconfirmed writes, and the commands for other VMs. */
 size_t bbm_node_change_bytes(const bbm_node *n);
 /** Metrics at time @p now. */
 bbm_node_counts bbm_node_count(const bbm_node *n, bbm_time now);
--- a/node/node.c
+++ b/node/node.c
@@ -543,8 +543,8 @@
 {
     size_t bytes = bbm_state_tail_bytes(n->state);
     if (n->raft)
-        bytes +=
-            bbm_raft_log_bytes(n->raft) + bbm_raft_snapshot_bytes(n->raft);
+        bytes += bbm_raft_log_bytes(n->raft) + bbm_raft_snapshot_bytes(n->raft)
+                 + bbm_raft_unsynced_bytes(n->raft);
     return bytes;
 }
 
@@ -566,6 +566,7 @@
         c.log_entries = bbm_raft_log_len(n->raft);
         c.log_bytes = bbm_raft_log_bytes(n->raft);
         c.snapshot_bytes = bbm_raft_snapshot_bytes(n->raft);
+        c.unwritten_bytes = bbm_raft_unsynced_bytes(n->raft);
     }
     c.tail_bytes = bbm_state_tail_bytes(n->state);
     for (const node_proposal *p = n->proposals; p; p = p->hh.next)
--- a/raft/bbm_raft.c
+++ b/raft/bbm_raft.c
@@ -393,6 +393,12 @@
     return r->log.snapshot.data.len;
 }
 
+size_t
+bbm_raft_unsynced_bytes(const bbm_raft *r)
+{
+    return r->unsynced_bytes;
+}
+
 const bbm_raft_group *
 bbm_raft_group_of(const bbm_raft *r)
 {
--- a/raft/bbm_raft.h
+++ b/raft/bbm_raft.h
@@ -275,9 +275,12 @@
 /** True if the writes that aren't confirmed reach backlog_bytes_max: nothing
  *  is accepted before some are. */
 bool bbm_raft_disk_lags(const bbm_raft *r);
-/** Bytes of the entries after the snapshot, and of the snapshot. */
+/** Bytes of the entries after the snapshot. */
 size_t bbm_raft_log_bytes(const bbm_raft *r);
+/** Bytes of the snapshot. */
 size_t bbm_raft_snapshot_bytes(const bbm_raft *r);
+/** Bytes of snapshots and entries in writes that aren't confirmed. */
+size_t bbm_raft_unsynced_bytes(const bbm_raft *r);
 /** Group as of the last entry of the log, committed or not. */
 const bbm_raft_group *bbm_raft_group_of(const bbm_raft *r);
 /** Member of the current group by identity, or NULL. */
--- a/raft/raft_log.c
+++ b/raft/raft_log.c
@@ -17,6 +17,14 @@
     return &log->entries[index - log->snapshot.index - 1];
 }
 
+static uint8_t *
+read_stored(const raft_log *log, const bbm_entry *e)
+{
+    uint8_t *data = bbm_calloc(e->len, 1);
+    log->file.read(log->file.context, e->stored_at, data, e->len);
+    return data;
+}
+
 bbm_entry *
 raft_log_copy(const raft_log *log, uint64_t index, size_t len)
 {
@@ -24,24 +32,33 @@
     for (size_t i = 0; i < len; i++) {
         const bbm_entry *e = raft_log_entry(log, index + i);
         copies[i] = *e;
+        copies[i].data =
+            e->stored_at ? read_stored(log, e) : bbm_memdup(e->data, e->len);
         copies[i].stored_at = 0;
-        if (!e->stored_at) {
-            copies[i].data = bbm_memdup(e->data, e->len);
-            continue;
-        }
-        copies[i].data = bbm_calloc(e->len, 1);
-        log->file.read(log->file.context, e->stored_at, copies[i].data,
-                       e->len);
     }
     return copies;
 }
 
+bbm_entry *
+raft_log_view(const raft_log *log, uint64_t index, size_t len)
+{
+    bbm_entry *view = bbm_calloc(len, sizeof(*view));
+    for (size_t i = 0; i < len; i++) {
+        view[i] = *raft_log_entry(log, index + i);
+        if (view[i].stored_at)
+            view[i].data = read_stored(log, &view[i]);
+    }
+    return view;
+}
+
 void
-raft_log_free_copies(bbm_entry *copies, size_t len)
+raft_log_free_view(bbm_entry *view, size_t len)
 {
-    for (size_t i = 0; i < len; i++)
-        free(copies[i].data);
-    free(copies);
+    for (size_t i = 0; i < len; i++) {
+        if (view[i].stored_at)
+            free(view[i].data);
+    }
+    free(view);
 }
 
 static void
--- a/raft/raft_log.h
+++ b/raft/raft_log.h
@@ -23,11 +23,14 @@
 uint64_t raft_log_term(const raft_log *log, uint64_t index);
 /** Entry at an index; NULL if it was compacted or isn't in the log yet. */
 const bbm_entry *raft_log_entry(const raft_log *log, uint64_t index);
-/** Copies of @p len entries from @p index on, with their data; to be freed by
- *  raft_log_free_copies(). */
+/** Copies of @p len entries from @p index on, with their data; the caller owns
+ *  both. */
 bbm_entry *raft_log_copy(const raft_log *log, uint64_t index, size_t len);
-/** Free copies. */
-void raft_log_free_copies(bbm_entry *copies, size_t len);
+/** The same, but the data is the log's unless it had to be read from the file;
+ *  valid until the log changes, and to be freed by raft_log_free_view(). */
+bbm_entry *raft_log_view(const raft_log *log, uint64_t index, size_t len);
+/** Free a view. */
+void raft_log_free_view(bbm_entry *view, size_t len);
 /** Append an entry with the next index and a copy of the data. */
 const bbm_entry *raft_log_append(raft_log *log, uint64_t term,
                                  bbm_entry_kind kind, const uint8_t *data,
--- a/raft/raft_replicate.c
+++ b/raft/raft_replicate.c
@@ -86,11 +86,11 @@
         .index_term = raft_log_term(&r->log, p->next_index - 1),
         .leader_commit = r->commit_index,
         .sent_at = r->now,
-        .entries = raft_log_copy(&r->log, p->next_index, len),
+        .entries = raft_log_view(&r->log, p->next_index, len),
         .len = len,
     };
     raft_send(r, &m, false);
-    raft_log_free_copies(m.entries, len);
+    raft_log_free_view(m.entries, len);
     p->next_index += len;
 }
 
--- a/tests/memory_load.c
+++ b/tests/memory_load.c
@@ -19,14 +19,14 @@
  *  with 0 if all were whole.  `heads` keeps COUNT connections open with the
  *  beginning of a request, adds a byte to each every second, and opens those
  *  that end again at once.  `askers` keeps COUNT connections open, with one
- * whole request for PATH on each, which has a header of NOTES bytes, and opens
- * those that end again within a second.  `callers` sends COUNT requests one
- * after the other, each on a new connection, and exits with 0 if each was
- * answered with 200 within a second.  `prompts` sends COUNT requests whose
- * prompts have PARTS parts, without the last byte of their bodies. `upstream`
- * listens on COUNT ports from PORT and answers each request with BYTES. "held"
- * is printed once all bytes are sent or their connections have ended.  All end
- * after SECONDS.
+ *  whole request for PATH on each, which has a header of NOTES bytes, and
+ * opens those that end again, some 200 a second.  `callers` sends COUNT
+ * requests one after the other, each on a new connection, and exits with 0 if
+ * each was answered with 200 within a second.  `prompts` sends COUNT requests
+ * whose prompts have PARTS parts, without the last byte of their bodies.
+ * `upstream` listens on COUNT ports from PORT and answers each request with
+ * BYTES. "held" is printed once all bytes are sent or their connections have
+ * ended. All end after SECONDS.
  */
 #include <arpa/inet.h>
 #include <errno.h>
--- a/tests/test_large_config.c
+++ b/tests/test_large_config.c
@@ -184,15 +184,24 @@
     return w->code;
 }
 
+/* Makes @p changes changes, and gives the number of those that were
+   acknowledged. */
+static int
+make_changes(world *w, int changes)
+{
+    int done = 0;
+    for (int i = 0; i < changes; i++) {
+        BBM_AUTO_FREE char *text = write_config(&w->rng, w->routes);
+        done += change(w, text) == BBM_OK;
+    }
+    return done;
+}
+
 static void
 change_often(world *w, size_t routes, int changes)
 {
     create(w, routes);
-    for (int i = 0; i < changes; i++) {
-        char *text = write_config(&w->rng, w->routes);
-        ck_assert_int_eq(change(w, text), BBM_OK);
-        free(text);
-    }
+    ck_assert_int_eq(make_changes(w, changes), changes);
     fleet_run(w->fleet, BBM_SECOND);
     measure(w);
 }
@@ -269,19 +278,6 @@
     return leader ? 0 : 1;
 }
 
-/* Makes @p changes changes, and gives the number of those that were
-   acknowledged. */
-static int
-make_changes(world *w, int changes)
-{
-    int done = 0;
-    for (int i = 0; i < changes; i++) {
-        BBM_AUTO_FREE char *text = write_config(&w->rng, w->routes);
-        done += change(w, text) == BBM_OK;
-    }
-    return done;
-}
-
 /* A follower took all that its leader sent, and a copy of each snapshot, while
    its disk synced nothing (issue 76). */
 START_TEST(follower_with_a_stalled_disk_holds_a_bounded_backlog)
